Found the workspace with a thin whole path

Change: packages config, event, platform, wire, membership, dispatch, fleet, standin and the program. `cassiafold demo` starts stand-in backend servers and an entry instance in one process and routes a request with a team's key.

Before: nothing runs.

Conclusion: the path stands in thin form, in one process. The store client, peers, the fleet and separate processes are still missing.

--- /dev/null
+++ b/crates/cassiafold/src/cli.rs
@@ -0,0 +1,43 @@
+//! Definition of the command line.
+
+use std::path::PathBuf;
+
+use clap::{Arg, Command, value_parser};
+
+/// Builds the definition of the command line.
+pub fn build() -> Command {
+    Command::new("cassiafold")
+        .about("Fleet capacity and maintenance manager")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(log_format())
+        .subcommand(demo())
+}
+
+fn log_format() -> Arg {
+    Arg::new("log-format")
+        .long("log-format")
+        .help("How log lines are written")
+        .value_parser(["text", "json"])
+        .default_value("text")
+        .global(true)
+}
+
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Runs entry instances, backend servers and a stand-in platform on loopback")
+        .arg(
+            Arg::new("once")
+                .long("once")
+                .help("Sends one request, prints its answer and stops")
+                .action(clap::ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .help("Configuration to serve in place of the built-in one")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,399 @@
+//! The operators' numbered configuration, checked.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::error::Faults;
+use crate::id::{PoolId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId};
+use crate::key::{KeyHash, KeyPrefix};
+use crate::raw::{RawBlackout, RawConfig, RawPool, RawService, RawTeam, RawWave, RawZone};
+
+/// One version of the operators' configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Number of this version.
+    pub version: Version,
+    /// Identifies the write that stored this version.
+    pub write_id: String,
+    /// Availability zones by id.
+    pub zones: BTreeMap<ZoneId, Zone>,
+    /// Services by id.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Pools by id.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// Teams by id.
+    pub teams: BTreeMap<TeamId, Team>,
+    /// Maintenance waves by id.
+    pub waves: BTreeMap<WaveId, Wave>,
+    keys: HashMap<KeyPrefix, Vec<(KeyHash, TeamId)>>,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Zone {
+    /// Region of the zone.
+    pub region: RegionId,
+    /// Whether operators have taken the zone out.
+    pub out: bool,
+}
+
+/// Lowest number of available instances of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Floor {
+    /// A number of instances.
+    Count(u32),
+    /// A share of the pool's instances, from 0 to 1, rounded up.
+    Share(f64),
+}
+
+impl Floor {
+    /// Number of instances out of `total` that must stay available.
+    pub fn instances(self, total: usize) -> usize {
+        match self {
+            Self::Count(count) => count as usize,
+            Self::Share(share) => (share * total as f64).ceil() as usize,
+        }
+    }
+}
+
+/// A service and its queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Whether the queue takes work without a key.
+    pub open: bool,
+    /// Lowest number of available instances.
+    pub floor: Floor,
+    /// Requests that one instance runs at once.
+    pub slots_per_instance: u32,
+    /// Connections that one instance takes.
+    pub connections_per_instance: u32,
+    /// Requests of one team that may wait at one entry instance.
+    pub queue_length_max: u32,
+    /// Deadline of a request that names none.
+    pub deadline_default: Duration,
+    /// Longest deadline a caller may ask for.
+    pub deadline_max: Duration,
+    /// Longest request body.
+    pub body_max_bytes: u64,
+}
+
+/// A pool of instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pool {
+    /// Service that the pool serves; a spare pool serves none.
+    pub service: Option<ServiceId>,
+}
+
+/// A team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Team {
+    /// Weight of the team when all is full.
+    pub share: u32,
+    /// Most requests and tasks of the team that run at once across the fleet.
+    pub upper_limit: u32,
+    /// Hashes of the team's keys.
+    pub key_hashes: Vec<KeyHash>,
+}
+
+/// A maintenance wave over availability zones.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Zones in the order in which they are maintained.
+    pub zones: Vec<ZoneId>,
+    /// Pools to maintain; empty means all.
+    pub pools: Vec<PoolId>,
+    /// Whether operators have paused the wave.
+    pub paused: bool,
+    /// When the wave may start.
+    pub start: SystemTime,
+    /// When the wave should have ended.
+    pub deadline: SystemTime,
+    /// Longest wait for a drain.
+    pub drain_max: Duration,
+    /// Hours in which no step starts.
+    pub blackouts: Vec<Blackout>,
+}
+
+/// Hours of one weekday in which no maintenance step starts, in UTC.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Blackout {
+    /// Day of the week, Monday is 0.
+    pub weekday: u8,
+    /// First hour, from 0 to 23.
+    pub from_hour: u8,
+    /// Hour at which steps may start again, from 1 to 24.
+    pub to_hour: u8,
+}
+
+const WEEKDAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
+
+impl Config {
+    /// Returns the team whose key a caller presented.
+    pub fn team_for_key(&self, key: &str) -> Option<&TeamId> {
+        let hash = KeyHash::of(key);
+        let candidates = self.keys.get(&hash.prefix())?;
+        candidates.iter().find(|(known, _)| *known == hash).map(|(_, team)| team)
+    }
+
+    /// Whether work may start in `zone`: it is known and not taken out.
+    pub fn zone_open(&self, zone: &ZoneId) -> bool {
+        self.zones.get(zone).is_some_and(|zone| !zone.out)
+    }
+
+    /// Service that the pool serves.
+    pub fn service_of_pool(&self, pool: &PoolId) -> Option<&ServiceId> {
+        self.pools.get(pool)?.service.as_ref()
+    }
+}
+
+impl TryFrom<RawConfig> for Config {
+    type Error = Faults;
+
+    fn try_from(raw: RawConfig) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        if raw.version == 0 {
+            faults.push("version", "must be at least 1");
+        }
+        let zones = raw.zones.into_iter().map(|(id, zone)| (id, Zone::from(zone))).collect();
+        let services = check_services(raw.services, &mut faults);
+        let pools = check_pools(raw.pools, &services, &mut faults);
+        let (teams, keys) = check_teams(raw.teams, &mut faults);
+        let waves = check_waves(raw.waves, &zones, &pools, &mut faults);
+        let (version, write_id) = (raw.version, raw.write_id);
+        faults.into_result(Self { version, write_id, zones, services, pools, teams, waves, keys })
+    }
+}
+
+impl From<RawZone> for Zone {
+    fn from(raw: RawZone) -> Self {
+        Self { region: raw.region, out: raw.out }
+    }
+}
+
+fn check_services(
+    raw: BTreeMap<ServiceId, RawService>,
+    faults: &mut Faults,
+) -> BTreeMap<ServiceId, Service> {
+    let check = |(id, service): (ServiceId, RawService)| {
+        let path = format!("services.{id}");
+        let service = check_service(&path, service, faults);
+        (id, service)
+    };
+    raw.into_iter().map(check).collect()
+}
+
+fn check_service(path: &str, raw: RawService, faults: &mut Faults) -> Service {
+    let floor = check_floor(path, raw.floor_count, raw.floor_share, faults);
+    if raw.slots_per_instance == 0 {
+        faults.push(format!("{path}.slots_per_instance"), "must be at least 1");
+    }
+    if raw.connections_per_instance < raw.slots_per_instance {
+        let message = "must be at least slots_per_instance";
+        faults.push(format!("{path}.connections_per_instance"), message);
+    }
+    if raw.deadline_default_ms == 0 || raw.deadline_default_ms > raw.deadline_max_ms {
+        let message = "must be at least 1 and at most deadline_max_ms";
+        faults.push(format!("{path}.deadline_default_ms"), message);
+    }
+    Service {
+        open: raw.open,
+        floor,
+        slots_per_instance: raw.slots_per_instance,
+        connections_per_instance: raw.connections_per_instance,
+        queue_length_max: raw.queue_length_max,
+        deadline_default: Duration::from_millis(raw.deadline_default_ms),
+        deadline_max: Duration::from_millis(raw.deadline_max_ms),
+        body_max_bytes: raw.body_max_bytes,
+    }
+}
+
+fn check_floor(path: &str, count: Option<u32>, share: Option<f64>, faults: &mut Faults) -> Floor {
+    match (count, share) {
+        (Some(count), None) => Floor::Count(count),
+        (None, Some(share)) if (0.0..=1.0).contains(&share) => Floor::Share(share),
+        (None, Some(_)) => {
+            faults.push(format!("{path}.floor_share"), "must be from 0 to 1");
+            Floor::Share(1.0)
+        }
+        _ => {
+            faults.push(path, "needs either floor_count or floor_share");
+            Floor::Share(1.0)
+        }
+    }
+}
+
+fn check_pools(
+    raw: BTreeMap<PoolId, RawPool>,
+    services: &BTreeMap<ServiceId, Service>,
+    faults: &mut Faults,
+) -> BTreeMap<PoolId, Pool> {
+    for (id, pool) in &raw {
+        if let Some(service) = &pool.service
+            && !services.contains_key(service)
+        {
+            faults.push(format!("pools.{id}.service"), format!("no service named {service}"));
+        }
+    }
+    raw.into_iter().map(|(id, pool)| (id, Pool { service: pool.service })).collect()
+}
+
+type KeyIndex = HashMap<KeyPrefix, Vec<(KeyHash, TeamId)>>;
+
+fn check_teams(
+    raw: BTreeMap<TeamId, RawTeam>,
+    faults: &mut Faults,
+) -> (BTreeMap<TeamId, Team>, KeyIndex) {
+    let mut teams = BTreeMap::new();
+    let mut keys = KeyIndex::new();
+    for (id, team) in raw {
+        let path = format!("teams.{id}");
+        if team.share == 0 {
+            faults.push(format!("{path}.share"), "must be at least 1");
+        }
+        let mut key_hashes = Vec::new();
+        for (index, text) in team.key_hashes.iter().enumerate() {
+            let key_path = format!("{path}.key_hashes[{index}]");
+            let Some(hash) = KeyHash::from_hex(text) else {
+                faults.push(key_path, "must be 64 hexadecimal digits");
+                continue;
+            };
+            let known = keys.entry(hash.prefix()).or_default();
+            if known.iter().any(|(other, _)| *other == hash) {
+                faults.push(key_path, "is granted twice");
+            }
+            known.push((hash, id.clone()));
+            key_hashes.push(hash);
+        }
+        let (share, upper_limit) = (team.share, team.upper_limit);
+        teams.insert(id, Team { share, upper_limit, key_hashes });
+    }
+    (teams, keys)
+}
+
+fn check_waves(
+    raw: BTreeMap<WaveId, RawWave>,
+    zones: &BTreeMap<ZoneId, Zone>,
+    pools: &BTreeMap<PoolId, Pool>,
+    faults: &mut Faults,
+) -> BTreeMap<WaveId, Wave> {
+    let check = |(id, wave): (WaveId, RawWave)| {
+        let path = format!("waves.{id}");
+        for zone in wave.zones.iter().filter(|zone| !zones.contains_key(*zone)) {
+            faults.push(format!("{path}.zones"), format!("no zone named {zone}"));
+        }
+        for pool in wave.pools.iter().filter(|pool| !pools.contains_key(*pool)) {
+            faults.push(format!("{path}.pools"), format!("no pool named {pool}"));
+        }
+        if wave.deadline_unix_s <= wave.start_unix_s {
+            faults.push(format!("{path}.deadline_unix_s"), "must be after start_unix_s");
+        }
+        let blackouts = check_blackouts(&path, &wave.blackouts, faults);
+        let wave = Wave {
+            zones: wave.zones,
+            pools: wave.pools,
+            paused: wave.paused,
+            start: UNIX_EPOCH + Duration::from_secs(wave.start_unix_s),
+            deadline: UNIX_EPOCH + Duration::from_secs(wave.deadline_unix_s),
+            drain_max: Duration::from_millis(wave.drain_max_ms),
+            blackouts,
+        };
+        (id, wave)
+    };
+    raw.into_iter().map(check).collect()
+}
+
+fn check_blackouts(path: &str, raw: &[RawBlackout], faults: &mut Faults) -> Vec<Blackout> {
+    let mut blackouts = Vec::new();
+    for (index, blackout) in raw.iter().enumerate() {
+        let path = format!("{path}.blackouts[{index}]");
+        let Some(weekday) = WEEKDAYS.iter().position(|day| *day == blackout.weekday) else {
+            faults.push(format!("{path}.weekday"), "must be one of mon to sun");
+            continue;
+        };
+        if blackout.from_hour >= blackout.to_hour || blackout.to_hour > 24 {
+            faults.push(path, "from_hour must be below to_hour, and to_hour at most 24");
+            continue;
+        }
+        let (from_hour, to_hour) = (blackout.from_hour, blackout.to_hour);
+        blackouts.push(Blackout { weekday: weekday as u8, from_hour, to_hour });
+    }
+    blackouts
+}
+
+impl From<&Config> for RawConfig {
+    fn from(config: &Config) -> Self {
+        Self {
+            version: config.version,
+            write_id: config.write_id.clone(),
+            zones: map(&config.zones, |zone| RawZone {
+                region: zone.region.clone(),
+                out: zone.out,
+            }),
+            services: map(&config.services, |service| RawService::from(service)),
+            pools: map(&config.pools, |pool| RawPool { service: pool.service.clone() }),
+            teams: map(&config.teams, |team| RawTeam::from(team)),
+            waves: map(&config.waves, |wave| RawWave::from(wave)),
+        }
+    }
+}
+
+fn map<K: Ord + Clone, V, W>(from: &BTreeMap<K, V>, f: impl Fn(&V) -> W) -> BTreeMap<K, W> {
+    from.iter().map(|(key, value)| (key.clone(), f(value))).collect()
+}
+
+impl From<&Service> for RawService {
+    fn from(service: &Service) -> Self {
+        let (floor_count, floor_share) = match service.floor {
+            Floor::Count(count) => (Some(count), None),
+            Floor::Share(share) => (None, Some(share)),
+        };
+        Self {
+            open: service.open,
+            floor_count,
+            floor_share,
+            slots_per_instance: service.slots_per_instance,
+            connections_per_instance: service.connections_per_instance,
+            queue_length_max: service.queue_length_max,
+            deadline_default_ms: service.deadline_default.as_millis() as u64,
+            deadline_max_ms: service.deadline_max.as_millis() as u64,
+            body_max_bytes: service.body_max_bytes,
+        }
+    }
+}
+
+impl From<&Team> for RawTeam {
+    fn from(team: &Team) -> Self {
+        Self {
+            share: team.share,
+            upper_limit: team.upper_limit,
+            key_hashes: team.key_hashes.iter().map(|hash| hash.to_hex()).collect(),
+        }
+    }
+}
+
+impl From<&Wave> for RawWave {
+    fn from(wave: &Wave) -> Self {
+        let unix_s = |time: SystemTime| {
+            time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_secs())
+        };
+        Self {
+            zones: wave.zones.clone(),
+            pools: wave.pools.clone(),
+            paused: wave.paused,
+            start_unix_s: unix_s(wave.start),
+            deadline_unix_s: unix_s(wave.deadline),
+            drain_max_ms: wave.drain_max.as_millis() as u64,
+            blackouts: wave.blackouts.iter().map(RawBlackout::from).collect(),
+        }
+    }
+}
+
+impl From<&Blackout> for RawBlackout {
+    fn from(blackout: &Blackout) -> Self {
+        Self {
+            weekday: WEEKDAYS[usize::from(blackout.weekday) % WEEKDAYS.len()].to_owned(),
+            from_hour: blackout.from_hour,
+            to_hour: blackout.to_hour,
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/key.rs
@@ -0,0 +1,46 @@
+//! Keys of teams, kept as hashes only.
+
+use std::fmt;
+
+/// Hash of a team's key. Comparison takes constant time.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct KeyHash(blake3::Hash);
+
+/// Length in bytes of the hash prefix that selects candidates before the full comparison.
+pub const PREFIX_BYTES: usize = 8;
+
+/// Leading bytes of a key's hash.
+pub type KeyPrefix = [u8; PREFIX_BYTES];
+
+impl KeyHash {
+    /// Hashes a key as presented by a caller.
+    pub fn of(key: &str) -> Self {
+        Self(blake3::hash(key.as_bytes()))
+    }
+
+    /// Parses the hexadecimal form used in configuration documents.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        blake3::Hash::from_hex(text).ok().map(Self)
+    }
+
+    /// Hexadecimal form used in configuration documents.
+    pub fn to_hex(self) -> String {
+        self.0.to_hex().to_string()
+    }
+
+    /// Leading bytes of the hash, safe to use as a look-up key.
+    pub fn prefix(self) -> KeyPrefix {
+        let mut prefix = [0; PREFIX_BYTES];
+        prefix.copy_from_slice(&self.0.as_bytes()[..PREFIX_BYTES]);
+        prefix
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyHash(..)")
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,23 @@
+//! Settings of a process and the operators' numbered configuration.
+//!
+//! - [`settings`]: what one process is told at start, from a YAML file.
+//! - [`document`]: the operators' configuration, shared by the whole fleet.
+//! - [`active`]: the configuration in force in this process, which never reverts.
+//! - [`key`]: keys of teams, kept as hashes only.
+
+pub mod active;
+pub mod document;
+pub mod error;
+pub mod id;
+pub mod instance;
+pub mod key;
+pub mod raw;
+pub mod settings;
+
+pub use active::ActiveConfig;
+pub use document::{Config, Floor, Pool, Service, Team, Wave, Zone};
+pub use error::{Fault, Faults};
+pub use id::{InstanceId, PoolId, RackId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId};
+pub use instance::{Instance, InstanceState};
+pub use key::KeyHash;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,139 @@
+//! Settings of one entry instance, from its YAML file.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::error::Faults;
+use crate::id::{InstanceId, RegionId, ZoneId};
+use crate::key::KeyHash;
+
+/// Settings as written in the file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// Identifier of this entry instance, unique in the fleet.
+    pub instance_id: InstanceId,
+    /// Availability zone of this entry instance.
+    pub zone: ZoneId,
+    /// Region of this entry instance.
+    pub region: RegionId,
+    /// Address for callers.
+    pub callers_address: SocketAddr,
+    /// Address for operators and metrics.
+    pub operators_address: SocketAddr,
+    /// Address for the other entry instances.
+    pub peers_address: SocketAddr,
+    /// Addresses of the platform's key-value service.
+    pub store_addresses: Vec<SocketAddr>,
+    /// Address of the platform's instance list.
+    pub instance_list_address: SocketAddr,
+    /// Address of the platform's instance control.
+    pub instance_control_address: SocketAddr,
+    /// Hash of the operators' credential, in hexadecimal.
+    pub operators_key_hash: String,
+    /// Timeout of one call to the key-value service, in milliseconds.
+    #[serde(default = "default_store_timeout_ms")]
+    pub store_timeout_ms: u64,
+    /// Time to live of this entry instance's lease, in milliseconds.
+    #[serde(default = "default_lease_ttl_ms")]
+    pub lease_ttl_ms: u64,
+    /// Wait between readiness off and the refusal of new requests at a stop, in milliseconds.
+    #[serde(default = "default_stop_wait_ms")]
+    pub stop_wait_ms: u64,
+}
+
+fn default_store_timeout_ms() -> u64 {
+    1_000
+}
+
+fn default_lease_ttl_ms() -> u64 {
+    10_000
+}
+
+fn default_stop_wait_ms() -> u64 {
+    2_000
+}
+
+/// Checked settings of one entry instance.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Identifier of this entry instance.
+    pub instance_id: InstanceId,
+    /// Availability zone of this entry instance.
+    pub zone: ZoneId,
+    /// Region of this entry instance.
+    pub region: RegionId,
+    /// Address for callers.
+    pub callers_address: SocketAddr,
+    /// Address for operators and metrics.
+    pub operators_address: SocketAddr,
+    /// Address for the other entry instances.
+    pub peers_address: SocketAddr,
+    /// Addresses of the platform's key-value service.
+    pub store_addresses: Vec<SocketAddr>,
+    /// Address of the platform's instance list.
+    pub instance_list_address: SocketAddr,
+    /// Address of the platform's instance control.
+    pub instance_control_address: SocketAddr,
+    /// Hash of the operators' credential.
+    pub operators_key_hash: KeyHash,
+    /// Timeout of one call to the key-value service.
+    pub store_timeout: Duration,
+    /// Time to live of this entry instance's lease.
+    pub lease_ttl: Duration,
+    /// Wait between readiness off and the refusal of new requests at a stop.
+    pub stop_wait: Duration,
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = Faults;
+
+    fn try_from(raw: RawSettings) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        if raw.store_addresses.is_empty() {
+            faults.push("store_addresses", "needs at least one address");
+        }
+        if raw.store_timeout_ms == 0 {
+            faults.push("store_timeout_ms", "must be at least 1");
+        }
+        if raw.lease_ttl_ms < 2 * raw.store_timeout_ms {
+            faults.push("lease_ttl_ms", "must be at least twice store_timeout_ms");
+        }
+        let hash = KeyHash::from_hex(&raw.operators_key_hash);
+        if hash.is_none() {
+            faults.push("operators_key_hash", "must be 64 hexadecimal digits");
+        }
+        let operators_key_hash = hash.unwrap_or_else(|| KeyHash::of(""));
+        faults.into_result(Self {
+            instance_id: raw.instance_id,
+            zone: raw.zone,
+            region: raw.region,
+            callers_address: raw.callers_address,
+            operators_address: raw.operators_address,
+            peers_address: raw.peers_address,
+            store_addresses: raw.store_addresses,
+            instance_list_address: raw.instance_list_address,
+            instance_control_address: raw.instance_control_address,
+            operators_key_hash,
+            store_timeout: Duration::from_millis(raw.store_timeout_ms),
+            lease_ttl: Duration::from_millis(raw.lease_ttl_ms),
+            stop_wait: Duration::from_millis(raw.stop_wait_ms),
+        })
+    }
+}
+
+impl Settings {
+    /// Reads settings from YAML text.
+    pub fn from_yaml(text: &str) -> Result<Self, Faults> {
+        match serde_saphyr::from_str::<RawSettings>(text) {
+            Ok(raw) => Self::try_from(raw),
+            Err(error) => {
+                let mut faults = Faults::default();
+                faults.push("settings", error.to_string());
+                Err(faults)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pools, availability budgets, moves, maintenance waves and learned failure domains.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live entry instances, spread of configuration, escrowed upper limits and shares.
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,160 @@
+//! The platform's key-value service: compare-and-swap, leases and watches.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+/// Number that the key-value service raises with each write.
+pub type Revision = u64;
+/// Identifies a lease granted by the key-value service.
+pub type LeaseId = i64;
+
+/// A stored value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// Key of the value.
+    pub key: Arc<str>,
+    /// The value, at most one megabyte.
+    pub value: Bytes,
+    /// Revision of the last write of this key.
+    pub revision: Revision,
+}
+
+/// All values below a prefix at one revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Revision at which the values were read.
+    pub revision: Revision,
+    /// The values in order of key.
+    pub records: Vec<Record>,
+}
+
+/// Condition that a key must meet for a write to take effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Compare {
+    /// The key does not exist.
+    Absent,
+    /// The key was last written at this revision.
+    Revision(Revision),
+}
+
+/// What a write does when its condition is met.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Operation {
+    /// Stores a value, which disappears with `lease` where one is given.
+    Put {
+        /// The value to store.
+        value: Bytes,
+        /// Lease that bounds the life of the value.
+        lease: Option<LeaseId>,
+    },
+    /// Removes the key.
+    Delete,
+}
+
+/// A compare-and-swap of one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// Key to write.
+    pub key: Arc<str>,
+    /// Condition of the write.
+    pub compare: Compare,
+    /// Effect of the write.
+    pub operation: Operation,
+}
+
+impl Write {
+    /// A write that stores `value` without a lease.
+    pub fn put(key: impl Into<Arc<str>>, compare: Compare, value: impl Into<Bytes>) -> Self {
+        let operation = Operation::Put { value: value.into(), lease: None };
+        Self { key: key.into(), compare, operation }
+    }
+}
+
+/// Answer to a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// The write took effect at this revision.
+    Written(Revision),
+    /// The condition was not met and nothing changed.
+    Conflict,
+}
+
+/// A change seen by a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Key that changed.
+    pub key: Arc<str>,
+    /// The new value; `None` when the key was removed.
+    pub record: Option<Record>,
+    /// Revision of the change.
+    pub revision: Revision,
+}
+
+/// Failure of a call to the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// The call had no effect: the service could not be reached or refused it.
+    #[error("key-value service unavailable: {0}")]
+    Unavailable(Arc<str>),
+    /// The answer was lost; a write may have taken effect.
+    #[error("outcome of the call to the key-value service is unknown: {0}")]
+    OutcomeUnknown(Arc<str>),
+    /// The lease does not exist or has expired.
+    #[error("lease expired")]
+    LeaseExpired,
+    /// The watch fell behind what the service keeps and must start again from a snapshot.
+    #[error("watch position was compacted")]
+    Compacted,
+    /// The service sent an answer that cannot be understood.
+    #[error("malformed answer of the key-value service: {0}")]
+    Malformed(Arc<str>),
+}
+
+/// Client of the key-value service. Every call has a deadline.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Stream of changes.
+    type Watch: Watch;
+
+    /// Reads one key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Record>, StoreError>> + Send;
+
+    /// Reads every key that starts with `prefix`.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
+
+    /// Writes one key if its condition is met.
+    fn write(&self, write: Write) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send;
+
+    /// Grants a lease that expires after `ttl` without renewal.
+    fn grant_lease(
+        &self,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
+
+    /// Renews a lease and returns its time to live.
+    fn keep_alive(
+        &self,
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<Duration, StoreError>> + Send;
+
+    /// Ends a lease and removes the keys bound to it.
+    fn revoke_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Watches every key that starts with `prefix` for changes after revision `after`.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+    ) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
+}
+
+/// Stream of changes below a prefix.
+pub trait Watch: Send + 'static {
+    /// Waits for the next changes, in order of revision.
+    fn next(&mut self) -> impl Future<Output = Result<Vec<Change>, StoreError>> + Send;
+
+    /// Ends the watch.
+    fn close(self);
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The inner protocol between entry instances.
