Report every fault of a settings or configuration file at its line

The typed reader ended at the first fault and knew lines only for broken YAML, so an operator mended a file one fault at a time.

`check FILE...` reads the file into an untyped tree with lines (serde-saphyr's spanned values) and reads typed values from the tree with a deserializer that notes a fault, puts a stand-in in its place and goes on. Checked types then add their own faults, less those that follow from stand-ins. Exit code 4 on faults, 3 on an unreadable file; `--output json` and shell completions.

Settings gain confirm_wait_ms and operators_timeout_ms for the operators' interface.

--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Arg, Command, value_parser};
+use clap_complete::Shell;
 
 /// Builds the definition of the command line.
 pub fn build() -> Command {
@@ -12,7 +13,10 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .arg(log_format())
+        .arg(output())
         .subcommand(demo())
+        .subcommand(check())
+        .subcommand(completions())
 }
 
 fn log_format() -> Arg {
@@ -24,6 +28,15 @@
         .global(true)
 }
 
+fn output() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .help("How results are written")
+        .value_parser(["text", "json"])
+        .default_value("text")
+        .global(true)
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Runs entry instances, backend servers and a stand-in platform on loopback")
@@ -41,3 +54,22 @@
                 .value_parser(value_parser!(PathBuf)),
         )
 }
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks settings files and configuration files and reports every fault")
+        .arg(
+            Arg::new("files")
+                .help("Files to check")
+                .value_name("FILE")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn completions() -> Command {
+    Command::new("completions").about("Writes the completions of a shell").arg(
+        Arg::new("shell").value_name("SHELL").required(true).value_parser(value_parser!(Shell)),
+    )
+}
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -4,9 +4,11 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use clap_complete::Shell;
 
-use crate::demo;
 use crate::error::{Error, Result};
+use crate::output::Output;
+use crate::{check, completions, demo};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +30,8 @@
 #[derive(Debug)]
 enum Action {
     Demo(DemoOptions),
+    Check(CheckOptions),
+    Completions(Shell),
 }
 
 /// Options of `demo`.
@@ -39,6 +43,31 @@
     pub config: Option<PathBuf>,
 }
 
+/// Options of `check`.
+#[derive(Debug)]
+pub struct CheckOptions {
+    /// Files to check.
+    pub files: Vec<PathBuf>,
+    /// How results are written.
+    pub output: Output,
+}
+
+impl From<&ArgMatches> for DemoOptions {
+    fn from(matches: &ArgMatches) -> Self {
+        Self {
+            once: matches.get_flag("once"),
+            config: matches.get_one::<PathBuf>("config").cloned(),
+        }
+    }
+}
+
+impl From<&ArgMatches> for CheckOptions {
+    fn from(matches: &ArgMatches) -> Self {
+        let files = matches.get_many::<PathBuf>("files").unwrap_or_default().cloned().collect();
+        Self { files, output: Output::from(matches) }
+    }
+}
+
 impl TryFrom<ArgMatches> for Command {
     type Error = Error;
 
@@ -46,10 +75,9 @@
         let json = matches.get_one::<String>("log-format").is_some_and(|name| name == "json");
         let logs = if json { LogFormat::Json } else { LogFormat::Text };
         let action = match matches.subcommand() {
-            Some(("demo", matches)) => Action::Demo(DemoOptions {
-                once: matches.get_flag("once"),
-                config: matches.get_one::<PathBuf>("config").cloned(),
-            }),
+            Some(("demo", matches)) => Action::Demo(matches.into()),
+            Some(("check", matches)) => Action::Check(matches.into()),
+            Some(("completions", matches)) => Action::Completions(shell(matches)?),
             _ => return Err(Error::Usage("unknown command".into())),
         };
         Ok(Self { logs, action })
@@ -61,6 +89,13 @@
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
+            Action::Check(options) => check::run(options),
+            Action::Completions(shell) => completions::run(*shell),
         }
     }
 }
+
+fn shell(matches: &ArgMatches) -> Result<Shell> {
+    let shell = matches.get_one::<Shell>("shell").copied();
+    shell.ok_or_else(|| Error::Usage("no shell given".into()))
+}
--- a/crates/cassiafold/src/error.rs
+++ b/crates/cassiafold/src/error.rs
@@ -31,23 +31,26 @@
     /// A request to an entry instance failed.
     #[error("request failed: {0}")]
     Request(#[from] hyper::Error),
+    /// A result cannot be written as JSON.
+    #[error("malformed JSON: {0}")]
+    Json(#[from] serde_json::Error),
 }
 
 impl Error {
     /// Exit code of the program for this error, as listed in `docs/CODES.md`.
-    fn exit_code(&self) -> u8 {
-        match self {
+    pub fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self {
             Self::Usage(_) => 2,
             Self::ReadFile { .. } => 3,
             Self::Faults(_) => 4,
-            Self::Io(_) => 5,
+            Self::Io(_) | Self::Json(_) => 5,
             Self::Request(_) => 6,
-        }
+        })
     }
 }
 
 /// Prints an error and returns its exit code.
 pub fn report(error: &Error) -> ExitCode {
     eprintln!("cassiafold: {error}");
-    ExitCode::from(error.exit_code())
+    error.exit_code()
 }
--- a/crates/cassiafold/src/main.rs
+++ b/crates/cassiafold/src/main.rs
@@ -1,11 +1,14 @@
 //! Fleet capacity and maintenance manager.
 
+mod check;
 mod cli;
 mod command;
+mod completions;
 mod demo;
 mod entry;
 mod error;
 mod logs;
+mod output;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,104 @@
+//! Checks of settings files and configuration files, with every fault at its line.
+
+use serde::de::DeserializeOwned;
+
+use crate::decode::{Decoded, decode, merge_checked};
+use crate::document::Config;
+use crate::error::Faults;
+use crate::node::{Item, Node, locate};
+use crate::raw::RawConfig;
+use crate::settings::{RawSettings, Settings};
+
+/// Kind of a file that can be checked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FileKind {
+    /// Settings of one entry instance.
+    Settings,
+    /// Configuration of the fleet.
+    Config,
+}
+
+/// Fields that only a configuration has.
+const CONFIG_FIELDS: [&str; 5] = ["version", "zones", "services", "pools", "teams"];
+
+/// Checks the text of a settings file or a configuration file and says which it is.
+///
+/// The kind is the one whose fields stand in the file.
+pub fn check_file(text: &str) -> (FileKind, Result<(), Faults>) {
+    let item = match Item::from_yaml(text) {
+        Ok(item) => item,
+        Err(faults) => return (FileKind::Config, Err(faults)),
+    };
+    let kind = kind_of(&item);
+    let result = match kind {
+        FileKind::Settings => check_item::<RawSettings, Settings>(&item).map(drop),
+        FileKind::Config => check_item::<RawConfig, Config>(&item).map(drop),
+    };
+    (kind, result)
+}
+
+fn kind_of(item: &Item) -> FileKind {
+    let Node::Map(entries) = &item.node else { return FileKind::Config };
+    let is_config = |key: &str| CONFIG_FIELDS.contains(&key);
+    let count = entries.iter().filter(|entry| is_config(&entry.key)).count();
+    if count == 0 && !entries.is_empty() { FileKind::Settings } else { FileKind::Config }
+}
+
+/// Reads a checked value from YAML text and reports every fault with its line.
+pub fn from_yaml<R, T>(text: &str) -> Result<T, Faults>
+where
+    R: DeserializeOwned,
+    T: TryFrom<R, Error = Faults>,
+{
+    check_item::<R, T>(&Item::from_yaml(text)?)
+}
+
+/// Reads a checked value from a JSON document and reports every fault with its path.
+pub fn from_json<R, T>(value: &serde_json::Value) -> Result<T, Faults>
+where
+    R: DeserializeOwned,
+    T: TryFrom<R, Error = Faults>,
+{
+    check_item::<R, T>(&Item::from(value))
+}
+
+fn check_item<R, T>(item: &Item) -> Result<T, Faults>
+where
+    R: DeserializeOwned,
+    T: TryFrom<R, Error = Faults>,
+{
+    if !matches!(item.node, Node::Map(_)) {
+        let mut faults = Faults::one("", "must be a mapping");
+        locate(&mut faults, &item.lines());
+        return Err(faults);
+    }
+    let Decoded { value, mut faults, spoiled } = decode::<R>(item);
+    let mut checked = None;
+    match value.map(T::try_from) {
+        Some(Ok(value)) => checked = Some(value),
+        Some(Err(found)) => merge_checked(&mut faults, &spoiled, found),
+        None => {}
+    }
+    locate(&mut faults, &item.lines());
+    match checked {
+        Some(value) if faults.is_empty() => Ok(value),
+        _ => Err(faults),
+    }
+}
+
+impl Config {
+    /// Reads a configuration from YAML text.
+    pub fn from_yaml(text: &str) -> Result<Self, Faults> {
+        from_yaml::<RawConfig, Self>(text)
+    }
+}
+
+impl Settings {
+    /// Reads settings from YAML text.
+    pub fn from_yaml(text: &str) -> Result<Self, Faults> {
+        from_yaml::<RawSettings, Self>(text)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::error::Faults;
-use crate::id::{PoolId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId};
+use crate::id::{
+    ANONYMOUS_TEAM, PoolId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId, check_id,
+};
 use crate::key::{KeyHash, KeyPrefix};
 use crate::raw::{RawBlackout, RawConfig, RawPool, RawService, RawTeam, RawWave, RawZone};
 
@@ -154,6 +156,7 @@
         if raw.version == 0 {
             faults.push("version", "must be at least 1");
         }
+        check_ids(&raw, &mut faults);
         let zones = raw.zones.into_iter().map(|(id, zone)| (id, Zone::from(zone))).collect();
         let services = check_services(raw.services, &mut faults);
         let pools = check_pools(raw.pools, &services, &mut faults);
@@ -170,6 +173,25 @@
     }
 }
 
+fn check_ids(raw: &RawConfig, faults: &mut Faults) {
+    for (id, zone) in &raw.zones {
+        check_id(&format!("zones.{id}"), id, faults);
+        check_id(&format!("zones.{id}.region"), &zone.region, faults);
+    }
+    for id in raw.services.keys() {
+        check_id(&format!("services.{id}"), id, faults);
+    }
+    for id in raw.pools.keys() {
+        check_id(&format!("pools.{id}"), id, faults);
+    }
+    for id in raw.teams.keys() {
+        check_id(&format!("teams.{id}"), id, faults);
+    }
+    for id in raw.waves.keys() {
+        check_id(&format!("waves.{id}"), id, faults);
+    }
+}
+
 fn check_services(
     raw: BTreeMap<ServiceId, RawService>,
     faults: &mut Faults,
@@ -189,11 +211,16 @@
     }
     if raw.connections_per_instance < raw.slots_per_instance {
         let message = "must be at least slots_per_instance";
-        faults.push(format!("{path}.connections_per_instance"), message);
+        let related = format!("{path}.slots_per_instance");
+        faults.push_related(format!("{path}.connections_per_instance"), related, message);
     }
-    if raw.deadline_default_ms == 0 || raw.deadline_default_ms > raw.deadline_max_ms {
-        let message = "must be at least 1 and at most deadline_max_ms";
-        faults.push(format!("{path}.deadline_default_ms"), message);
+    if raw.deadline_default_ms == 0 {
+        faults.push(format!("{path}.deadline_default_ms"), "must be at least 1");
+    }
+    if raw.deadline_default_ms > raw.deadline_max_ms {
+        let message = "must be at most deadline_max_ms";
+        let related = format!("{path}.deadline_max_ms");
+        faults.push_related(format!("{path}.deadline_default_ms"), related, message);
     }
     Service {
         open: raw.open,
@@ -231,7 +258,8 @@
         if let Some(service) = &pool.service
             && !services.contains_key(service)
         {
-            faults.push(format!("pools.{id}.service"), format!("no service named {service}"));
+            let message = format!("no service named {service}");
+            faults.push_related(format!("pools.{id}.service"), "services", message);
         }
     }
     raw.into_iter().map(|(id, pool)| (id, Pool { service: pool.service })).collect()
@@ -247,6 +275,9 @@
     let mut keys = KeyIndex::new();
     for (id, team) in raw {
         let path = format!("teams.{id}");
+        if &*id == ANONYMOUS_TEAM {
+            faults.push(path.clone(), "this id is reserved for work without a key");
+        }
         if team.share == 0 {
             faults.push(format!("{path}.share"), "must be at least 1");
         }
@@ -279,13 +310,17 @@
     let check = |(id, wave): (WaveId, RawWave)| {
         let path = format!("waves.{id}");
         for zone in wave.zones.iter().filter(|zone| !zones.contains_key(*zone)) {
-            faults.push(format!("{path}.zones"), format!("no zone named {zone}"));
+            let message = format!("no zone named {zone}");
+            faults.push_related(format!("{path}.zones"), "zones", message);
         }
         for pool in wave.pools.iter().filter(|pool| !pools.contains_key(*pool)) {
-            faults.push(format!("{path}.pools"), format!("no pool named {pool}"));
+            let message = format!("no pool named {pool}");
+            faults.push_related(format!("{path}.pools"), "pools", message);
         }
         if wave.deadline_unix_s <= wave.start_unix_s {
-            faults.push(format!("{path}.deadline_unix_s"), "must be after start_unix_s");
+            let related = format!("{path}.start_unix_s");
+            let message = "must be after start_unix_s";
+            faults.push_related(format!("{path}.deadline_unix_s"), related, message);
         }
         let blackouts = check_blackouts(&path, &wave.blackouts, faults);
         let wave = Wave {
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -2,15 +2,21 @@
 
 use std::fmt;
 
+use serde::Serialize;
+
 /// One fault with the place at which it was found.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Fault {
     /// Path of the field, for example `teams.cutting.share`.
     pub path: String,
     /// What is wrong, in a user's words.
     pub message: String,
     /// Line of the file, counted from 1, where one is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub line: Option<usize>,
+    /// Path of another field that the fault depends on.
+    #[serde(skip)]
+    pub related: Option<String>,
 }
 
 impl fmt::Display for Fault {
@@ -18,13 +24,17 @@
         if let Some(line) = self.line {
             write!(f, "line {line}: ")?;
         }
+        if self.path.is_empty() {
+            return f.write_str(&self.message);
+        }
         write!(f, "{}: {}", self.path, self.message)
     }
 }
 
 /// All faults found in one document; never empty when returned as an error.
-#[derive(Debug, Clone, Default, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, thiserror::Error)]
 #[error("{}", self.joined())]
+#[serde(transparent)]
 pub struct Faults {
     /// The faults in the order found.
     pub list: Vec<Fault>,
@@ -33,7 +43,31 @@
 impl Faults {
     /// Notes a fault at `path`.
     pub fn push(&mut self, path: impl Into<String>, message: impl Into<String>) {
-        self.list.push(Fault { path: path.into(), message: message.into(), line: None });
+        let (path, message) = (path.into(), message.into());
+        self.list.push(Fault { path, message, line: None, related: None });
+    }
+
+    /// Notes a fault at `path` that also depends on the field at `related`.
+    pub fn push_related(
+        &mut self,
+        path: impl Into<String>,
+        related: impl Into<String>,
+        message: impl Into<String>,
+    ) {
+        let (path, message, related) = (path.into(), message.into(), Some(related.into()));
+        self.list.push(Fault { path, message, line: None, related });
+    }
+
+    /// A single fault.
+    pub fn one(path: impl Into<String>, message: impl Into<String>) -> Self {
+        let mut faults = Self::default();
+        faults.push(path, message);
+        faults
+    }
+
+    /// Whether no fault was noted.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
     }
 
     /// Returns `value` when no fault was noted, and the faults otherwise.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::error::Faults;
-use crate::id::{InstanceId, RegionId, ZoneId};
+use crate::id::{InstanceId, RegionId, ZoneId, check_id};
 use crate::key::KeyHash;
 
 /// Settings as written in the file.
@@ -42,6 +42,12 @@
     /// Wait between readiness off and the refusal of new requests at a stop, in milliseconds.
     #[serde(default = "default_stop_wait_ms")]
     pub stop_wait_ms: u64,
+    /// Longest wait for entry instances to confirm an accepted patch, in milliseconds.
+    #[serde(default = "default_confirm_wait_ms")]
+    pub confirm_wait_ms: u64,
+    /// Longest time that one request of an operator may take, in milliseconds.
+    #[serde(default = "default_operators_timeout_ms")]
+    pub operators_timeout_ms: u64,
 }
 
 fn default_store_timeout_ms() -> u64 {
@@ -56,6 +62,14 @@
     2_000
 }
 
+fn default_confirm_wait_ms() -> u64 {
+    2_000
+}
+
+fn default_operators_timeout_ms() -> u64 {
+    10_000
+}
+
 /// Checked settings of one entry instance.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -85,6 +99,10 @@
     pub lease_ttl: Duration,
     /// Wait between readiness off and the refusal of new requests at a stop.
     pub stop_wait: Duration,
+    /// Longest wait for entry instances to confirm an accepted patch.
+    pub confirm_wait: Duration,
+    /// Longest time that one request of an operator may take.
+    pub operators_timeout: Duration,
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -92,14 +110,22 @@
 
     fn try_from(raw: RawSettings) -> Result<Self, Faults> {
         let mut faults = Faults::default();
+        check_id("instance_id", &raw.instance_id, &mut faults);
+        check_id("zone", &raw.zone, &mut faults);
+        check_id("region", &raw.region, &mut faults);
         if raw.store_addresses.is_empty() {
             faults.push("store_addresses", "needs at least one address");
         }
         if raw.store_timeout_ms == 0 {
             faults.push("store_timeout_ms", "must be at least 1");
         }
-        if raw.lease_ttl_ms < 2 * raw.store_timeout_ms {
-            faults.push("lease_ttl_ms", "must be at least twice store_timeout_ms");
+        if raw.lease_ttl_ms < raw.store_timeout_ms.saturating_mul(2) {
+            let message = "must be at least twice store_timeout_ms";
+            faults.push_related("lease_ttl_ms", "store_timeout_ms", message);
+        }
+        if raw.operators_timeout_ms <= raw.confirm_wait_ms {
+            let message = "must be longer than confirm_wait_ms";
+            faults.push_related("operators_timeout_ms", "confirm_wait_ms", message);
         }
         let hash = KeyHash::from_hex(&raw.operators_key_hash);
         if hash.is_none() {
@@ -120,20 +146,8 @@
             store_timeout: Duration::from_millis(raw.store_timeout_ms),
             lease_ttl: Duration::from_millis(raw.lease_ttl_ms),
             stop_wait: Duration::from_millis(raw.stop_wait_ms),
+            confirm_wait: Duration::from_millis(raw.confirm_wait_ms),
+            operators_timeout: Duration::from_millis(raw.operators_timeout_ms),
         })
     }
 }
-
-impl Settings {
-    /// Reads settings from YAML text.
-    pub fn from_yaml(text: &str) -> Result<Self, Faults> {
-        match serde_saphyr::from_str::<RawSettings>(text) {
-            Ok(raw) => Self::try_from(raw),
-            Err(error) => {
-                let mut faults = Faults::default();
-                faults.push("settings", error.to_string());
-                Err(faults)
-            }
-        }
-    }
-}
