Add the decisions and records of durable tasks

Cause: tasks must be neither lost nor doubled, and declared sizes and run times are far off. The states and the decisions come first, as plain functions that a naive twin can test.

Change: package tasks with the transitions of a task within one stored document, its JSON form, learned estimates, best-fit placement, choice of checkpoints for urgent work, and separation of bad tasks from bad workers.

Before: no tasks.

The callers' interface, the loop that starts claims at workers and limits counted together with requests are not built yet.

--- /dev/null
+++ b/crates/tasks/src/estimate.rs
@@ -0,0 +1,122 @@
+//! Sizes and run times of tasks, learned per team and kind from usage reports.
+//!
+//! Declared values are far off. The estimate of a kind is a quantile of the usage that its last
+//! tasks reported, with a floor. Until enough reports are known it is the declaration.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use cassiafold_config::TeamId;
+
+use crate::record::{KindId, Resources};
+
+/// Reports kept for each kind.
+const REPORTS_KEPT: usize = 64;
+/// Reports needed before the declaration is set aside.
+const REPORTS_MIN: usize = 4;
+/// Share of past tasks whose usage an estimate covers.
+const QUANTILE: f64 = 0.95;
+/// Kinds kept; the one used longest ago is dropped first.
+const KINDS_MAX: usize = 4_096;
+/// Smallest estimate.
+const FLOOR: Resources =
+    Resources { processors_milli: 100, memory_bytes: 64 << 20, accelerators: 0 };
+
+/// Peak usage of one finished task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Peak resources.
+    pub peak: Resources,
+    /// Run time.
+    pub run_time: Duration,
+}
+
+/// What a task is expected to use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Estimate {
+    /// Resources to reserve.
+    pub resources: Resources,
+    /// Expected run time.
+    pub run_time: Duration,
+}
+
+type KindKey = (TeamId, KindId);
+
+#[derive(Debug, Default)]
+struct History {
+    reports: VecDeque<Usage>,
+    last_used: u64,
+}
+
+/// Usage reports by team and kind.
+#[derive(Debug, Default)]
+pub struct Estimator {
+    kinds: HashMap<KindKey, History>,
+    reports_seen: u64,
+}
+
+impl Estimator {
+    /// Adds the usage that a finished task reported.
+    pub fn note(&mut self, team: &TeamId, kind: &KindId, usage: Usage) {
+        self.reports_seen += 1;
+        self.make_room(team, kind);
+        let history = self.kinds.entry((team.clone(), kind.clone())).or_default();
+        history.last_used = self.reports_seen;
+        if history.reports.len() == REPORTS_KEPT {
+            history.reports.pop_front();
+        }
+        history.reports.push_back(usage);
+    }
+
+    /// Estimates a task of a kind whose caller declared `declared`.
+    ///
+    /// Accelerators are always taken from the declaration, as a task cannot use more of them.
+    pub fn estimate(&self, team: &TeamId, kind: &KindId, declared: Estimate) -> Estimate {
+        let history = self.kinds.get(&(team.clone(), kind.clone()));
+        let Some(history) = history.filter(|history| history.reports.len() >= REPORTS_MIN) else {
+            return Estimate { resources: at_least_floor(declared.resources), ..declared };
+        };
+        let reports = &history.reports;
+        let resources = Resources {
+            processors_milli: quantile(reports, |usage| usage.peak.processors_milli),
+            memory_bytes: quantile(reports, |usage| usage.peak.memory_bytes),
+            accelerators: declared.resources.accelerators,
+        };
+        let run_time = quantile(reports, |usage| usage.run_time);
+        Estimate { resources: at_least_floor(resources), run_time }
+    }
+
+    /// Number of kinds with reports.
+    pub fn kinds(&self) -> usize {
+        self.kinds.len()
+    }
+
+    fn make_room(&mut self, team: &TeamId, kind: &KindId) {
+        let key = (team.clone(), kind.clone());
+        if self.kinds.len() < KINDS_MAX || self.kinds.contains_key(&key) {
+            return;
+        }
+        let oldest = self.kinds.iter().min_by_key(|(_, history)| history.last_used);
+        if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
+            self.kinds.remove(&oldest);
+        }
+    }
+}
+
+fn quantile<T: Ord + Copy + Default>(reports: &VecDeque<Usage>, field: impl Fn(&Usage) -> T) -> T {
+    let mut values: Vec<T> = reports.iter().map(field).collect();
+    values.sort_unstable();
+    let rank = (values.len() as f64 * QUANTILE).ceil() as usize;
+    values.get(rank.saturating_sub(1)).copied().unwrap_or_default()
+}
+
+fn at_least_floor(resources: Resources) -> Resources {
+    Resources {
+        processors_milli: resources.processors_milli.max(FLOOR.processors_milli),
+        memory_bytes: resources.memory_bytes.max(FLOOR.memory_bytes),
+        accelerators: resources.accelerators,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tasks/src/lib.rs
@@ -0,0 +1,20 @@
+//! Durable tasks placed on workers.
+//!
+//! - [`record`]: a task and its states.
+//! - [`shard`]: the transitions of a task, applied to one document of tasks.
+//! - [`wire`]: JSON form of a shard as stored.
+//! - [`estimate`]: sizes and run times learned from reports.
+//! - [`placement`]: choice of a worker for a task.
+//! - [`preempt`]: choice of running tasks to checkpoint for urgent work.
+//! - [`blame`]: separation of bad tasks from bad workers.
+
+pub mod blame;
+pub mod estimate;
+pub mod placement;
+pub mod preempt;
+pub mod record;
+pub mod shard;
+pub mod wire;
+
+pub use record::{Claim, ClaimId, KindId, Outcome, Resources, Task, TaskId, TaskState, WorkerId};
+pub use shard::{Shard, Submitted, TransitionError};
