Gave the stand-in store faults on command

The stand-in had none of these and kept its history without a bound.

MemoryStore::faults() returns a handle that sets outage, delay, lost answers, lost requests, late writes, stale reads, silent watches, compaction, rollback and partitions of one client in one direction. MemoryStore::client names a client; calls are counted by client and kind, and a waiting watch counts as one. The history holds 10,000 changes and 64 MB of values. Values above one megabyte are refused. A watch position after the current revision is refused as compacted, since it shows that the store was restored.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,6 @@
 
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
 pub use store::{
-    Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError, Watch,
-    Write, WriteOutcome,
+    Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError,
+    VALUE_BYTES_MAX, Watch, Write, WriteOutcome,
 };
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -11,6 +11,9 @@
 /// Identifies a lease granted by the key-value service.
 pub type LeaseId = i64;
 
+/// Size of the largest value that the key-value service holds, in bytes.
+pub const VALUE_BYTES_MAX: usize = 1_000_000;
+
 /// A stored value.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
@@ -105,7 +108,8 @@
     /// The lease does not exist or has expired.
     #[error("lease expired")]
     LeaseExpired,
-    /// The watch fell behind what the service keeps and must start again from a snapshot.
+    /// The service cannot resume a watch at this position, because its history no longer reaches
+    /// back or because it was restored to an older state. Start again from a snapshot.
     #[error("watch position was compacted")]
     Compacted,
     /// The service sent an answer that cannot be understood.
@@ -142,7 +146,8 @@
     /// Ends a lease and removes the keys bound to it.
     fn revoke_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Watches every key that starts with `prefix` for changes after revision `after`.
+    /// Watches every key that starts with `prefix` for changes after revision `after`, which may
+    /// not lie in the future of the service.
     fn watch(
         &self,
         prefix: &str,
--- /dev/null
+++ b/crates/standin/src/keyspace.rs
@@ -0,0 +1,207 @@
+//! Keys and values of the stand-in store, with the bounded history of their changes.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cassiafold_platform::{Change, Compare, LeaseId, Operation, Record, Revision, Snapshot};
+
+/// Number of changes that are kept by default.
+const HISTORY_CHANGES_MAX: usize = 10_000;
+/// Sum of the sizes of the values that the history keeps.
+const HISTORY_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+type Values = BTreeMap<Arc<str>, Stored>;
+
+#[derive(Debug, Clone)]
+struct Stored {
+    value: Bytes,
+    revision: Revision,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    change: Change,
+    lease: Option<LeaseId>,
+}
+
+impl Entry {
+    fn size(&self) -> usize {
+        self.change.record.as_ref().map_or(0, |record| record.value.len())
+    }
+}
+
+/// Values now, values at the start of the history, and the changes in between.
+#[derive(Debug)]
+pub(crate) struct Keyspace {
+    revision: Revision,
+    values: Values,
+    base: Values,
+    base_revision: Revision,
+    history: VecDeque<Entry>,
+    history_bytes: usize,
+    history_limit: usize,
+}
+
+impl Default for Keyspace {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            values: Values::new(),
+            base: Values::new(),
+            base_revision: 0,
+            history: VecDeque::new(),
+            history_bytes: 0,
+            history_limit: HISTORY_CHANGES_MAX,
+        }
+    }
+}
+
+impl Keyspace {
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Carries out `operation` and returns the revision after it.
+    pub(crate) fn apply(&mut self, key: &Arc<str>, operation: Operation) -> Revision {
+        let (value, lease) = match operation {
+            Operation::Put { value, lease } => (Some(value), lease),
+            Operation::Delete => (None, None),
+        };
+        if value.is_none() && !self.values.contains_key(key) {
+            return self.revision;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        let record = value.map(|value| Record { key: key.clone(), value, revision });
+        let entry = Entry { change: Change { key: key.clone(), record, revision }, lease };
+        apply_to(&mut self.values, &entry);
+        self.history_bytes += entry.size();
+        self.history.push_back(entry);
+        self.trim();
+        revision
+    }
+
+    fn trim(&mut self) {
+        while self.history.len() > self.history_limit || self.history_bytes > HISTORY_BYTES_MAX {
+            self.fold_oldest();
+        }
+    }
+
+    fn fold_oldest(&mut self) {
+        if let Some(entry) = self.history.pop_front() {
+            self.history_bytes -= entry.size();
+            self.base_revision = entry.change.revision;
+            apply_to(&mut self.base, &entry);
+        }
+    }
+
+    /// Sets how many changes are kept.
+    pub(crate) fn limit_history(&mut self, changes: usize) {
+        self.history_limit = changes;
+        self.trim();
+    }
+
+    /// Forgets the history up to now.
+    pub(crate) fn compact(&mut self) {
+        while !self.history.is_empty() {
+            self.fold_oldest();
+        }
+    }
+
+    /// Restores the values of `revision`. Returns false where the history does not reach back.
+    pub(crate) fn roll_back(&mut self, revision: Revision) -> bool {
+        if revision < self.base_revision || revision > self.revision {
+            return false;
+        }
+        self.values = self.values_at(revision);
+        self.revision = revision;
+        self.history.retain(|entry| entry.change.revision <= revision);
+        self.history_bytes = self.history.iter().map(Entry::size).sum();
+        true
+    }
+
+    fn values_at(&self, revision: Revision) -> Values {
+        let mut values = self.base.clone();
+        for entry in self.history.iter().take_while(|entry| entry.change.revision <= revision) {
+            apply_to(&mut values, entry);
+        }
+        values
+    }
+
+    /// Reads one key, as of `at` where given.
+    pub(crate) fn get(&self, key: &str, at: Option<Revision>) -> Option<Record> {
+        match at {
+            Some(revision) if revision < self.revision => record(&self.values_at(revision), key),
+            _ => record(&self.values, key),
+        }
+    }
+
+    /// Reads the keys below `prefix`, as of `at` where given.
+    pub(crate) fn list(&self, prefix: &str, at: Option<Revision>) -> Snapshot {
+        match at {
+            Some(revision) if revision < self.revision => {
+                let revision = revision.max(self.base_revision);
+                Snapshot { revision, records: records(&self.values_at(revision), prefix) }
+            }
+            _ => Snapshot { revision: self.revision, records: records(&self.values, prefix) },
+        }
+    }
+
+    /// Whether the condition of a write is met.
+    pub(crate) fn meets(&self, key: &str, compare: Compare) -> bool {
+        let revision = self.values.get(key).map(|stored| stored.revision);
+        match compare {
+            Compare::Absent => revision.is_none(),
+            Compare::Revision(expected) => revision == Some(expected),
+        }
+    }
+
+    /// Changes below `prefix` after a revision; `None` where the history does not hold them.
+    pub(crate) fn changes(&self, prefix: &str, after: Revision) -> Option<Vec<Change>> {
+        if after < self.base_revision || after > self.revision {
+            return None;
+        }
+        let first = self.history.partition_point(|entry| entry.change.revision <= after);
+        let unseen = self.history.range(first..).map(|entry| &entry.change);
+        Some(unseen.filter(|change| change.key.starts_with(prefix)).cloned().collect())
+    }
+
+    /// Keys bound to a lease that `ended` holds for.
+    pub(crate) fn bound(&self, ended: impl Fn(LeaseId) -> bool) -> Vec<Arc<str>> {
+        let bound = self.values.iter().filter(|(_, stored)| stored.lease.is_some_and(&ended));
+        bound.map(|(key, _)| key.clone()).collect()
+    }
+}
+
+fn apply_to(values: &mut Values, entry: &Entry) {
+    let key = entry.change.key.clone();
+    match &entry.change.record {
+        Some(record) => {
+            let (value, revision) = (record.value.clone(), record.revision);
+            values.insert(key, Stored { value, revision, lease: entry.lease });
+        }
+        None => {
+            values.remove(&key);
+        }
+    }
+}
+
+fn record(values: &Values, key: &str) -> Option<Record> {
+    let (key, stored) = values.get_key_value(key)?;
+    Some(Record { key: key.clone(), value: stored.value.clone(), revision: stored.revision })
+}
+
+fn records(values: &Values, prefix: &str) -> Vec<Record> {
+    let from =
+        values.range::<str, _>((std::ops::Bound::Included(prefix), std::ops::Bound::Unbounded));
+    let below = from.take_while(|(key, _)| key.starts_with(prefix));
+    below
+        .map(|(key, stored)| Record {
+            key: key.clone(),
+            value: stored.value.clone(),
+            revision: stored.revision,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/src/state.rs
@@ -0,0 +1,115 @@
+//! State of the stand-in store: keys, leases, faults and counts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cassiafold_platform::{LeaseId, Operation, Revision, StoreError, Write, WriteOutcome};
+use tokio::time::Instant;
+
+use crate::calls::CallCounts;
+use crate::faults::{ClientId, Faults};
+use crate::keyspace::Keyspace;
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    expires: Instant,
+}
+
+/// Number of an open watch, in order of its start.
+pub(crate) type WatchNumber = u64;
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) keys: Keyspace,
+    pub(crate) faults: Faults,
+    pub(crate) counts: BTreeMap<ClientId, CallCounts>,
+    leases: BTreeMap<LeaseId, Lease>,
+    last_lease: LeaseId,
+    last_watch: WatchNumber,
+    ended_watches: WatchNumber,
+    silenced_watches: WatchNumber,
+}
+
+impl State {
+    /// Ends the leases whose time to live has passed.
+    pub(crate) fn expire(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.extract_if(.., |_, lease| lease.expires <= now).count();
+        if ended > 0 {
+            self.remove_unbound();
+        }
+    }
+
+    fn remove_unbound(&mut self) {
+        for key in self.keys.bound(|lease| !self.leases.contains_key(&lease)) {
+            self.keys.apply(&key, Operation::Delete);
+        }
+    }
+
+    /// When the next lease expires.
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.expires).min()
+    }
+
+    pub(crate) fn write(&mut self, write: Write) -> Result<WriteOutcome, StoreError> {
+        if !self.keys.meets(&write.key, write.compare) {
+            return Ok(WriteOutcome::Conflict);
+        }
+        if let Operation::Put { lease: Some(lease), .. } = &write.operation
+            && !self.leases.contains_key(lease)
+        {
+            return Err(StoreError::LeaseExpired);
+        }
+        Ok(WriteOutcome::Written(self.keys.apply(&write.key, write.operation)))
+    }
+
+    pub(crate) fn grant(&mut self, ttl: Duration) -> LeaseId {
+        self.last_lease += 1;
+        self.leases.insert(self.last_lease, Lease { ttl, expires: Instant::now() + ttl });
+        self.last_lease
+    }
+
+    pub(crate) fn keep_alive(&mut self, lease: LeaseId) -> Result<Duration, StoreError> {
+        let lease = self.leases.get_mut(&lease).ok_or(StoreError::LeaseExpired)?;
+        lease.expires = Instant::now() + lease.ttl;
+        Ok(lease.ttl)
+    }
+
+    pub(crate) fn revoke(&mut self, lease: LeaseId) -> Result<(), StoreError> {
+        self.leases.remove(&lease).ok_or(StoreError::LeaseExpired)?;
+        self.remove_unbound();
+        Ok(())
+    }
+
+    /// Restores the keys of `revision`; keys whose lease has ended since are removed.
+    pub(crate) fn roll_back(&mut self, revision: Revision) -> bool {
+        let restored = self.keys.roll_back(revision);
+        if restored {
+            self.remove_unbound();
+            self.end_watches();
+        }
+        restored
+    }
+
+    pub(crate) fn start_watch(&mut self) -> WatchNumber {
+        self.last_watch += 1;
+        self.last_watch
+    }
+
+    pub(crate) fn end_watches(&mut self) {
+        self.ended_watches = self.last_watch;
+    }
+
+    pub(crate) fn silence_watches(&mut self) {
+        self.silenced_watches = self.last_watch;
+    }
+
+    pub(crate) fn is_ended(&self, watch: WatchNumber) -> bool {
+        watch <= self.ended_watches
+    }
+
+    pub(crate) fn is_silent(&self, watch: WatchNumber) -> bool {
+        self.faults.silent_watches || watch <= self.silenced_watches
+    }
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,181 +1,263 @@
 //! In-memory stand-in of the key-value service.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use cassiafold_platform::{
-    Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError, Watch,
-    Write, WriteOutcome,
+    Change, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError, VALUE_BYTES_MAX,
+    Watch, Write, WriteOutcome,
 };
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, timeout_at};
 
-/// In-memory key-value service. Clones share one state.
+use crate::calls::CallKind;
+use crate::faults::{ClientId, Partition, StoreFaults, WriteFault};
+use crate::state::{State, WatchNumber};
+
+/// Client of a store that was not given a name.
+const DEFAULT_CLIENT: &str = "default";
+/// Timeout of a call by default.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a waiting watch sleeps at most.
+const WATCH_WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// In-memory key-value service. Clones share one state; each belongs to one client.
 #[derive(Debug, Clone)]
 pub struct MemoryStore {
-    state: Arc<Mutex<State>>,
-    revisions: Arc<watch::Sender<Revision>>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    revision: Revision,
-    values: BTreeMap<Arc<str>, Stored>,
-    history: Vec<Change>,
-    leases: BTreeMap<LeaseId, Lease>,
-    next_lease: LeaseId,
+    shared: Arc<Shared>,
+    client: ClientId,
+    timeout: Duration,
 }
 
 #[derive(Debug)]
-struct Stored {
-    value: Bytes,
-    revision: Revision,
-    lease: Option<LeaseId>,
+pub(crate) struct Shared {
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
 }
 
-#[derive(Debug)]
-struct Lease {
-    ttl: Duration,
-    expires: Instant,
+impl Shared {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.expire();
+        state
+    }
+
+    pub(crate) fn publish(&self) {
+        self.changed.send_replace(());
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let result = change(&mut self.lock());
+        self.publish();
+        result
+    }
 }
 
 impl Default for MemoryStore {
     fn default() -> Self {
-        let revisions = Arc::new(watch::Sender::new(0));
-        Self { state: Arc::default(), revisions }
+        let shared = Shared { state: Mutex::default(), changed: watch::Sender::new(()) };
+        Self { shared: Arc::new(shared), client: DEFAULT_CLIENT.into(), timeout: DEFAULT_TIMEOUT }
     }
 }
 
+/// How far a call got.
+enum Passage {
+    /// The request arrived and its answer will.
+    Open,
+    /// The request arrived and its answer is lost.
+    AnswerLost,
+}
+
+/// Why a call fails before its effect.
+enum Refusal {
+    Outage,
+    RequestLost,
+}
+
 impl MemoryStore {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.expire();
-        state
+    /// The same store as seen by another client, which is counted and cut off alone.
+    pub fn client(&self, client: impl Into<ClientId>) -> Self {
+        Self { client: client.into(), ..self.clone() }
     }
 
-    fn publish(&self, revision: Revision) {
-        self.revisions.send_replace(revision);
+    /// The same store with another timeout of its calls.
+    pub fn with_timeout(&self, timeout: Duration) -> Self {
+        Self { timeout, ..self.clone() }
     }
-}
 
-impl State {
-    fn expire(&mut self) {
-        let now = Instant::now();
-        let expired: Vec<LeaseId> = self
-            .leases
-            .iter()
-            .filter(|(_, lease)| lease.expires <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for lease in expired {
-            self.end_lease(lease);
-        }
+    /// Sets faults and reads counts.
+    pub fn faults(&self) -> StoreFaults {
+        StoreFaults::new(self.shared.clone())
     }
 
-    fn end_lease(&mut self, lease: LeaseId) {
-        self.leases.remove(&lease);
-        let bound: Vec<Arc<str>> = self
-            .values
-            .iter()
-            .filter(|(_, stored)| stored.lease == Some(lease))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in bound {
-            self.apply(&key, Operation::Delete);
+    /// Counts a call and carries its request to the store.
+    async fn request(&self, kind: CallKind) -> Result<Passage, Refusal> {
+        let delay = {
+            let mut state = self.shared.lock();
+            state.counts.entry(self.client.clone()).or_default().add(kind);
+            state.faults.delay / 2
+        };
+        if delay >= self.timeout {
+            sleep(self.timeout).await;
+            return Err(Refusal::RequestLost);
+        }
+        sleep_some(delay).await;
+        let (outage, partition) = {
+            let state = self.shared.lock();
+            (state.faults.outage, state.faults.partition(&self.client))
+        };
+        match partition {
+            Some(Partition::Requests) => {
+                sleep(self.timeout - delay).await;
+                Err(Refusal::RequestLost)
+            }
+            _ if outage => Err(Refusal::Outage),
+            Some(Partition::Answers) => Ok(Passage::AnswerLost),
+            None => Ok(Passage::Open),
         }
     }
 
-    fn apply(&mut self, key: &Arc<str>, operation: Operation) -> Revision {
-        self.revision += 1;
-        let revision = self.revision;
-        let record = match operation {
-            Operation::Put { value, lease } => {
-                let record = Record { key: key.clone(), value: value.clone(), revision };
-                self.values.insert(key.clone(), Stored { value, revision, lease });
-                Some(record)
-            }
-            Operation::Delete => {
-                self.values.remove(key);
-                None
-            }
+    /// Carries an answer back. Returns false where it is lost.
+    async fn answer(&self, passage: Passage) -> bool {
+        let (delay, cut_off) = {
+            let faults = &self.shared.lock().faults;
+            (faults.delay / 2, faults.partition(&self.client) == Some(Partition::Answers))
         };
-        self.history.push(Change { key: key.clone(), record, revision });
-        revision
+        let lost = cut_off || matches!(passage, Passage::AnswerLost);
+        if lost || delay * 2 >= self.timeout {
+            sleep(self.timeout.saturating_sub(delay)).await;
+            return false;
+        }
+        sleep_some(delay).await;
+        true
     }
 
-    fn record(&self, key: &str) -> Option<Record> {
-        let (key, stored) = self.values.get_key_value(key)?;
-        Some(Record { key: key.clone(), value: stored.value.clone(), revision: stored.revision })
+    async fn read<T>(
+        &self,
+        kind: CallKind,
+        read: impl FnOnce(&State) -> T + Send,
+    ) -> Result<T, StoreError> {
+        let passage = self.request(kind).await.map_err(Refusal::of_read)?;
+        let result = read(&self.shared.lock());
+        match self.answer(passage).await {
+            true => Ok(result),
+            false => Err(StoreError::Unavailable("no answer before the timeout".into())),
+        }
     }
 
-    fn meets(&self, key: &str, compare: Compare) -> bool {
-        let revision = self.values.get(key).map(|stored| stored.revision);
-        match compare {
-            Compare::Absent => revision.is_none(),
-            Compare::Revision(expected) => revision == Some(expected),
+    async fn call<T: Send>(
+        &self,
+        kind: CallKind,
+        change: impl FnOnce(&mut State) -> Result<T, StoreError> + Send,
+    ) -> Result<T, StoreError> {
+        let passage = self.request(kind).await.map_err(Refusal::of_write)?;
+        let result = self.shared.change(change);
+        match self.answer(passage).await {
+            true => result,
+            false => Err(StoreError::OutcomeUnknown("no answer before the timeout".into())),
         }
     }
+
+    fn write_late(&self, write: Write, delay: Duration) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            shared.change(|state| state.write(write))
+        });
+    }
+}
+
+impl Refusal {
+    fn of_read(self) -> StoreError {
+        match self {
+            Self::Outage => StoreError::Unavailable("outage".into()),
+            Self::RequestLost => StoreError::Unavailable("no answer before the timeout".into()),
+        }
+    }
+
+    fn of_write(self) -> StoreError {
+        match self {
+            Self::Outage => StoreError::Unavailable("outage".into()),
+            Self::RequestLost => StoreError::OutcomeUnknown("no answer before the timeout".into()),
+        }
+    }
+}
+
+async fn sleep_some(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
+
+fn check_size(operation: &Operation) -> Result<(), StoreError> {
+    match operation {
+        Operation::Put { value, .. } if value.len() > VALUE_BYTES_MAX => {
+            Err(StoreError::Unavailable("value exceeds one megabyte".into()))
+        }
+        _ => Ok(()),
+    }
 }
 
 impl Store for MemoryStore {
     type Watch = MemoryWatch;
 
     async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
-        Ok(self.lock().record(key))
+        self.read(CallKind::Get, |state| state.keys.get(key, state.faults.stale_revision)).await
     }
 
     async fn list(&self, prefix: &str) -> Result<Snapshot, StoreError> {
-        let state = self.lock();
-        let keys = state.values.keys().filter(|key| key.starts_with(prefix));
-        let records = keys.filter_map(|key| state.record(key)).collect();
-        Ok(Snapshot { revision: state.revision, records })
+        self.read(CallKind::List, |state| state.keys.list(prefix, state.faults.stale_revision))
+            .await
     }
 
     async fn write(&self, write: Write) -> Result<WriteOutcome, StoreError> {
-        let mut state = self.lock();
-        if !state.meets(&write.key, write.compare) {
-            return Ok(WriteOutcome::Conflict);
+        check_size(&write.operation)?;
+        let passage = self.request(CallKind::Write).await.map_err(Refusal::of_write)?;
+        let fault = self.shared.lock().faults.next_write();
+        let unknown = Err(StoreError::OutcomeUnknown("answer lost".into()));
+        match fault {
+            None => {}
+            Some(WriteFault::LostRequest) => return unknown,
+            Some(WriteFault::Late(delay)) => {
+                self.write_late(write, delay);
+                return unknown;
+            }
+            Some(WriteFault::LostAnswer) => {
+                let _ = self.shared.change(|state| state.write(write));
+                return unknown;
+            }
         }
-        if let Operation::Put { lease: Some(lease), .. } = &write.operation
-            && !state.leases.contains_key(lease)
-        {
-            return Err(StoreError::LeaseExpired);
+        let result = self.shared.change(|state| state.write(write));
+        match self.answer(passage).await {
+            true => result,
+            false => Err(StoreError::OutcomeUnknown("no answer before the timeout".into())),
         }
-        let revision = state.apply(&write.key, write.operation);
-        drop(state);
-        self.publish(revision);
-        Ok(WriteOutcome::Written(revision))
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        let mut state = self.lock();
-        state.next_lease += 1;
-        let id = state.next_lease;
-        state.leases.insert(id, Lease { ttl, expires: Instant::now() + ttl });
-        Ok(id)
+        self.call(CallKind::GrantLease, |state| Ok(state.grant(ttl))).await
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
-        let mut state = self.lock();
-        let lease = state.leases.get_mut(&lease).ok_or(StoreError::LeaseExpired)?;
-        lease.expires = Instant::now() + lease.ttl;
-        Ok(lease.ttl)
+        self.call(CallKind::KeepAlive, |state| state.keep_alive(lease)).await
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let mut state = self.lock();
-        state.end_lease(lease);
-        let revision = state.revision;
-        drop(state);
-        self.publish(revision);
-        Ok(())
+        self.call(CallKind::RevokeLease, |state| state.revoke(lease)).await
     }
 
     async fn watch(&self, prefix: &str, after: Revision) -> Result<MemoryWatch, StoreError> {
-        let revisions = self.revisions.subscribe();
-        Ok(MemoryWatch { store: self.clone(), prefix: prefix.into(), after, revisions })
+        let passage = self.request(CallKind::Watch).await.map_err(Refusal::of_read)?;
+        let changed = self.shared.changed.subscribe();
+        let number = {
+            let mut state = self.shared.lock();
+            state.keys.changes(prefix, after).ok_or(StoreError::Compacted)?;
+            state.start_watch()
+        };
+        if !self.answer(passage).await {
+            return Err(StoreError::Unavailable("no answer before the timeout".into()));
+        }
+        Ok(MemoryWatch { store: self.clone(), prefix: prefix.into(), after, number, changed })
     }
 }
 
@@ -185,31 +267,48 @@
     store: MemoryStore,
     prefix: Arc<str>,
     after: Revision,
-    revisions: watch::Receiver<Revision>,
+    number: WatchNumber,
+    changed: watch::Receiver<()>,
 }
 
-/// How often a waiting watch looks for expired leases.
-const EXPIRY_POLL: Duration = Duration::from_millis(100);
-
 impl MemoryWatch {
-    fn changes(&mut self) -> Vec<Change> {
-        let state = self.store.lock();
-        let unseen = state.history.iter().filter(|change| change.revision > self.after);
-        let changes: Vec<Change> =
-            unseen.filter(|change| change.key.starts_with(&*self.prefix)).cloned().collect();
-        self.after = state.revision;
-        changes
+    /// Takes the changes that can be delivered now, and when to look again.
+    fn changes(&mut self) -> Result<(Vec<Change>, Instant), StoreError> {
+        let state = self.store.shared.lock();
+        let latest = Instant::now() + WATCH_WAIT_MAX;
+        let wake = state.next_expiry().unwrap_or(latest).min(latest);
+        if state.is_silent(self.number) || state.faults.partition(&self.store.client).is_some() {
+            return Ok((Vec::new(), wake));
+        }
+        if state.is_ended(self.number) {
+            return Err(StoreError::Unavailable("watch ended".into()));
+        }
+        let changes = state.keys.changes(&self.prefix, self.after);
+        self.after = state.keys.revision();
+        Ok((changes.ok_or(StoreError::Compacted)?, wake))
+    }
+
+    /// Waits until there may be something to deliver or `latest` has come.
+    pub(crate) async fn next_before(&mut self, latest: Instant) -> Result<Vec<Change>, StoreError> {
+        loop {
+            self.changed.mark_unchanged();
+            let (changes, wake) = self.changes()?;
+            if !changes.is_empty() || Instant::now() >= latest {
+                return Ok(changes);
+            }
+            let _ = timeout_at(wake.min(latest), self.changed.changed()).await;
+        }
     }
 }
 
 impl Watch for MemoryWatch {
     async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
         loop {
-            let changes = self.changes();
+            let latest = Instant::now() + WATCH_WAIT_MAX;
+            let changes = self.next_before(latest).await?;
             if !changes.is_empty() {
                 return Ok(changes);
             }
-            let _ = tokio::time::timeout(EXPIRY_POLL, self.revisions.changed()).await;
         }
     }
 
