Make the next configuration from a merge patch or patch operations

Operators change the configuration by patches; nothing applied them. A patch now makes the next version from a base, sets version, write id and change itself, and checks the whole result with all faults. Operations are bounded in number, and copies in the length of the document.

The wire form has a module of its own.

--- a/crates/config/src/check/tests.rs
+++ b/crates/config/src/check/tests.rs
@@ -79,7 +79,7 @@
     line 17: teams.b.c.key_hashes[0]: must be 64 hexadecimal digits
     line 17: teams.b.c.key_hashes[1]: must be 64 hexadecimal digits
     line 18: waves: must be a mapping
-    line 19: colour: unknown field; known are version, write_id, zones, services, pools, teams, waves"#]];
+    line 19: colour: unknown field; known are version, write_id, zones, services, pools, teams, waves, change"#]];
     missing_fields_are_reported_at_the_value_that_lacks_them: "\
 zones: {}
 services: {}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -8,7 +8,9 @@
     ANONYMOUS_TEAM, PoolId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId, check_id,
 };
 use crate::key::{KeyHash, KeyPrefix};
-use crate::raw::{RawBlackout, RawConfig, RawPool, RawService, RawTeam, RawWave, RawZone};
+use crate::raw::{
+    RawBlackout, RawChange, RawConfig, RawPool, RawService, RawTeam, RawWave, RawZone,
+};
 
 /// One version of the operators' configuration.
 #[derive(Debug, Clone)]
@@ -27,6 +29,8 @@
     pub teams: BTreeMap<TeamId, Team>,
     /// Maintenance waves by id.
     pub waves: BTreeMap<WaveId, Wave>,
+    /// Who made this version and how, where known.
+    pub change: Option<RawChange>,
     keys: HashMap<KeyPrefix, Vec<(KeyHash, TeamId)>>,
 }
 
@@ -127,7 +131,8 @@
     pub to_hour: u8,
 }
 
-const WEEKDAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
+/// Names of the days of the week, Monday first.
+pub(crate) const WEEKDAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
 
 impl Config {
     /// Returns the team whose key a caller presented.
@@ -163,7 +168,9 @@
         let (teams, keys) = check_teams(raw.teams, &mut faults);
         let waves = check_waves(raw.waves, &zones, &pools, &mut faults);
         let (version, write_id) = (raw.version, raw.write_id);
-        faults.into_result(Self { version, write_id, zones, services, pools, teams, waves, keys })
+        let change = raw.change;
+        let config = Self { version, write_id, zones, services, pools, teams, waves, change, keys };
+        faults.into_result(config)
     }
 }
 
@@ -354,81 +361,3 @@
     }
     blackouts
 }
-
-impl From<&Config> for RawConfig {
-    fn from(config: &Config) -> Self {
-        Self {
-            version: config.version,
-            write_id: config.write_id.clone(),
-            zones: map(&config.zones, |zone| RawZone {
-                region: zone.region.clone(),
-                out: zone.out,
-            }),
-            services: map(&config.services, |service| RawService::from(service)),
-            pools: map(&config.pools, |pool| RawPool { service: pool.service.clone() }),
-            teams: map(&config.teams, |team| RawTeam::from(team)),
-            waves: map(&config.waves, |wave| RawWave::from(wave)),
-        }
-    }
-}
-
-fn map<K: Ord + Clone, V, W>(from: &BTreeMap<K, V>, f: impl Fn(&V) -> W) -> BTreeMap<K, W> {
-    from.iter().map(|(key, value)| (key.clone(), f(value))).collect()
-}
-
-impl From<&Service> for RawService {
-    fn from(service: &Service) -> Self {
-        let (floor_count, floor_share) = match service.floor {
-            Floor::Count(count) => (Some(count), None),
-            Floor::Share(share) => (None, Some(share)),
-        };
-        Self {
-            open: service.open,
-            floor_count,
-            floor_share,
-            slots_per_instance: service.slots_per_instance,
-            connections_per_instance: service.connections_per_instance,
-            queue_length_max: service.queue_length_max,
-            deadline_default_ms: service.deadline_default.as_millis() as u64,
-            deadline_max_ms: service.deadline_max.as_millis() as u64,
-            body_max_bytes: service.body_max_bytes,
-        }
-    }
-}
-
-impl From<&Team> for RawTeam {
-    fn from(team: &Team) -> Self {
-        Self {
-            share: team.share,
-            upper_limit: team.upper_limit,
-            key_hashes: team.key_hashes.iter().map(|hash| hash.to_hex()).collect(),
-        }
-    }
-}
-
-impl From<&Wave> for RawWave {
-    fn from(wave: &Wave) -> Self {
-        let unix_s = |time: SystemTime| {
-            time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_secs())
-        };
-        Self {
-            zones: wave.zones.clone(),
-            pools: wave.pools.clone(),
-            paused: wave.paused,
-            start_unix_s: unix_s(wave.start),
-            deadline_unix_s: unix_s(wave.deadline),
-            drain_max_ms: wave.drain_max.as_millis() as u64,
-            blackouts: wave.blackouts.iter().map(RawBlackout::from).collect(),
-        }
-    }
-}
-
-impl From<&Blackout> for RawBlackout {
-    fn from(blackout: &Blackout) -> Self {
-        Self {
-            weekday: WEEKDAYS[usize::from(blackout.weekday) % WEEKDAYS.len()].to_owned(),
-            from_hour: blackout.from_hour,
-            to_hour: blackout.to_hour,
-        }
-    }
-}
--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -12,6 +12,26 @@
 /// Leading bytes of a key's hash.
 pub type KeyPrefix = [u8; PREFIX_BYTES];
 
+/// Length in bytes of a new key.
+pub const KEY_BYTES: usize = 32;
+
+/// Makes a random key of [`KEY_BYTES`] bytes in hexadecimal digits.
+pub fn new_key() -> String {
+    hex(&rand::random::<[u8; KEY_BYTES]>())
+}
+
+/// Length in bytes of a write id.
+const WRITE_ID_BYTES: usize = 16;
+
+/// Makes a random id that tells one write to the store from all others.
+pub fn new_write_id() -> String {
+    hex(&rand::random::<[u8; WRITE_ID_BYTES]>())
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 impl KeyHash {
     /// Hashes a key as presented by a caller.
     pub fn of(key: &str) -> Self {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`check`]: both, with every fault at its line.
 //! - [`document`]: the operators' configuration, shared by the whole fleet.
 //! - [`active`]: the configuration in force in this process, which never reverts.
+//! - [`patch`]: patches that make the next version of the configuration.
 //! - [`key`]: keys of teams, kept as hashes only.
 
 pub mod active;
@@ -15,8 +16,10 @@
 pub mod instance;
 pub mod key;
 mod node;
+pub mod patch;
 pub mod raw;
 pub mod settings;
+mod wire;
 
 pub use active::ActiveConfig;
 pub use check::{FileKind, check_file};
@@ -25,4 +28,5 @@
 pub use id::{InstanceId, PoolId, RackId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId};
 pub use instance::{Instance, InstanceState};
 pub use key::KeyHash;
+pub use patch::Patch;
 pub use settings::Settings;
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -25,6 +25,26 @@
     /// Maintenance waves by id.
     #[serde(default)]
     pub waves: BTreeMap<Arc<str>, RawWave>,
+    /// Who made this version and how. Set by the operators' interface.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change: Option<RawChange>,
+}
+
+/// Who made a version of the configuration and how.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawChange {
+    /// Operator who asked for the change.
+    pub operator: Arc<str>,
+    /// When the change was accepted, in seconds since the Unix epoch.
+    pub unix_s: u64,
+    /// Version from which the change was made.
+    pub base_version: u64,
+    /// Media type of the patch.
+    pub media_type: Arc<str>,
+    /// The patch; left out where it is long.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub patch: Option<serde_json::Value>,
 }
 
 /// Wire form of [`crate::Zone`].
