Added settled updates and a lease keeper

A compare-and-swap whose answer is lost may have taken effect, and a lease may lapse while its holder is paused. Every user of the store needs both cases decided the same way.

--- /dev/null
+++ b/crates/platform/src/event.rs
@@ -0,0 +1,9 @@
+//! Log events of the platform's clients, numbered from 1100.
+
+cassiafold_event::events! {
+    /// Log events of the platform's clients.
+    pub enum PlatformEvent {
+        LeaseRenewalFailed = 1100, Warn, "renewal of the lease failed";
+        LeaseExpired = 1101, Warn, "lease expired in the key-value service";
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,10 +1,20 @@
 //! Clients of what the platform gives: the key-value service, the list of instances and the
 //! control of instances. Each is a small trait, so that tests can put a fake in its place.
 
+pub mod backoff;
+pub mod document;
+pub mod event;
 pub mod instances;
+pub mod lease;
+pub mod settle;
 pub mod store;
 
+pub use backoff::Backoff;
+pub use document::{Document, DocumentError, Envelope, WriteId, WriteLog, Writer};
+pub use event::PlatformEvent;
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
+pub use lease::{LeaseKeeper, LeaseValidity};
+pub use settle::{NotApplied, UpdateOutcome, update};
 pub use store::{
     Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError,
     VALUE_BYTES_MAX, Watch, Write, WriteOutcome,
--- /dev/null
+++ b/crates/platform/tests/lease.rs
@@ -0,0 +1,168 @@
+//! Leases under pauses, delays, lost answers and outages.
+
+#![allow(clippy::unwrap_used)]
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use cassiafold_platform::{Compare, LeaseKeeper, Operation, Store, StoreError, Write};
+use cassiafold_standin::{MemoryStore, Partition};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use tokio::time::{advance, sleep, timeout};
+
+const KEY: &str = "entries/1";
+const TTL: Duration = Duration::from_secs(6);
+const TIMEOUT: Duration = Duration::from_secs(4);
+
+async fn holder(store: &MemoryStore) -> LeaseKeeper<MemoryStore> {
+    let client = store.client("holder").with_timeout(TIMEOUT);
+    let keeper = LeaseKeeper::start(client, TTL).await.unwrap();
+    let operation = Operation::Put { value: "up".into(), lease: Some(keeper.id()) };
+    let write = Write { key: KEY.into(), compare: Compare::Absent, operation };
+    store.write(write).await.unwrap();
+    keeper
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_is_renewed_and_ends_with_its_keeper() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    let validity = keeper.validity();
+    for _ in 0..100 {
+        sleep(TTL / 3).await;
+        assert!(keeper.is_valid());
+    }
+    keeper.close().await.unwrap();
+    assert!(!validity.is_valid());
+    assert_eq!(store.faults().peek(KEY), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_keeper_renews_no_more() {
+    let store = MemoryStore::default();
+    drop(holder(&store).await);
+    sleep(TTL).await;
+    assert_eq!(store.faults().peek(KEY), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_paused_holder_wakes_up_without_its_lease() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    advance(TTL).await;
+    assert!(!keeper.is_valid());
+    timeout(TTL, keeper.ended()).await.expect("the store reports the expiry");
+    assert!(!keeper.is_valid());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_short_outage_is_outlived() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    store.faults().set_outage(true);
+    sleep(TTL / 3).await;
+    store.faults().set_outage(false);
+    sleep(TTL).await;
+    assert!(keeper.is_valid());
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_end_the_validity_before_the_lease() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    store.faults().cut_off("holder", Partition::Answers);
+    sleep(TTL).await;
+    assert!(!keeper.is_valid());
+    assert!(store.faults().peek(KEY).is_some());
+    store.faults().reconnect("holder");
+    sleep(TTL / 2).await;
+    assert!(keeper.is_valid());
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_lease_is_granted_in_an_outage() {
+    let store = MemoryStore::default();
+    store.faults().set_outage(true);
+    let result = LeaseKeeper::start(store, TTL).await;
+    assert!(matches!(result, Err(StoreError::Unavailable(_))));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Run { ms: u64 },
+    Pause { ms: u64 },
+    Delay { ms: u64 },
+    Outage { on: bool },
+    CutOff { partition: Option<Partition> },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let partition =
+        prop_oneof![Just(None), Just(Some(Partition::Requests)), Just(Some(Partition::Answers))];
+    prop_oneof![
+        4 => (1..1_500u64).prop_map(|ms| Step::Run { ms }),
+        1 => (1..8_000u64).prop_map(|ms| Step::Pause { ms }),
+        2 => (0..3_900u64).prop_map(|ms| Step::Delay { ms }),
+        1 => any::<bool>().prop_map(|on| Step::Outage { on }),
+        1 => partition.prop_map(|partition| Step::CutOff { partition }),
+    ]
+}
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+async fn run(steps: Vec<Step>) -> usize {
+    let store = MemoryStore::default();
+    let faults = store.faults();
+    let keeper = holder(&store).await;
+    let mut valid_checks = 0;
+    let mut check = || {
+        if keeper.is_valid() {
+            valid_checks += 1;
+            assert!(faults.peek(KEY).is_some(), "valid after the store ended the lease");
+        }
+    };
+    for step in steps {
+        match step {
+            Step::Run { ms } => {
+                for _ in 0..ms / 10 {
+                    sleep(CHECK_INTERVAL).await;
+                    check();
+                }
+            }
+            Step::Pause { ms } => advance(Duration::from_millis(ms)).await,
+            Step::Delay { ms } => faults.set_delay(Duration::from_millis(ms)),
+            Step::Outage { on } => faults.set_outage(on),
+            Step::CutOff { partition: Some(partition) } => faults.cut_off("holder", partition),
+            Step::CutOff { partition: None } => faults.reconnect("holder"),
+        }
+        check();
+    }
+    valid_checks
+}
+
+#[test]
+fn a_valid_lease_is_held_by_the_store_in_every_schedule() {
+    let config = Config {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = proptest::test_runner::TestRunner::new(config);
+    let schedules = prop::collection::vec(step(), 1..60);
+    let counted = Cell::new(0);
+    runner
+        .run(&schedules, |steps| {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_time()
+                .start_paused(true)
+                .build()
+                .unwrap();
+            counted.set(counted.get() + runtime.block_on(run(steps)));
+            Ok(())
+        })
+        .unwrap();
+    let valid_checks = counted.get();
+    assert!(valid_checks > 10_000, "only {valid_checks} checks of a valid lease");
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_platform::Revision;
+use cassiafold_platform::{Record, Revision};
 
 use crate::calls::CallCounts;
 use crate::store::Shared;
@@ -165,6 +165,11 @@
         self.set(|faults| *faults = Faults { writes: faults.writes, ..Faults::default() });
     }
 
+    /// Reads one key, whatever the faults, without a count.
+    pub fn peek(&self, key: &str) -> Option<Record> {
+        self.shared.lock().keys.get(key, None)
+    }
+
     /// Revision of the store, whatever its faults.
     pub fn revision(&self) -> Revision {
         self.shared.lock().keys.revision()
