Patch the stored configuration by compare-and-swap

The current document carries its write id and the change that made it; a patch is made on the version that it names and on the revision that was read. Before a version is replaced its change is copied to the history (last 200 versions), so a write whose answer was lost can be found even after others have replaced it. While the document is unchanged the same write is sent again; its condition lets it take effect once. The settle loop of cassiafold-platform is not used here: it wraps values in an envelope with its own ids, while this key holds the bare configuration that entry instances watch, and the write id must come from the operator so that a repeated request finds the first.

When the store holds less than is in force, the next version is made from the one in force and skips 1,000 numbers, so that no number comes back with other content.

--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -5,6 +5,17 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Key of the current configuration in the store: a [`RawConfig`] as JSON.
+pub const CURRENT_KEY: &str = "cassiafold/config/current";
+
+/// Prefix of the keys of the configuration's history in the store.
+pub const HISTORY_PREFIX: &str = "cassiafold/config/history/";
+
+/// Key of the history of one version; keys sort by version.
+pub fn history_key(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{version:020}")
+}
+
 /// Wire form of [`crate::Config`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/operators/src/versions/tests.rs
@@ -0,0 +1,213 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::id::Version;
+use cassiafold_config::{ActiveConfig, Config, Patch};
+use cassiafold_standin::MemoryStore;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::{ConfigStore, PatchError, PatchOutcome, PatchRequest, ROLLBACK_GAP};
+use crate::edit::{EditError, Editor};
+use crate::history;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Entry {
+    store: MemoryStore,
+    active: ActiveConfig,
+    configs: ConfigStore<MemoryStore>,
+}
+
+fn entry(store: &MemoryStore) -> Entry {
+    let active = ActiveConfig::default();
+    let configs = ConfigStore::new(store.clone(), active.clone());
+    Entry { store: store.clone(), active, configs }
+}
+
+fn request(base_version: Version, patch: Value) -> PatchRequest {
+    PatchRequest {
+        base_version,
+        patch: Patch::Merge(patch),
+        write_id: format!("write-{base_version}"),
+        operator: "ana".into(),
+        unix_s: 1,
+        known_version: 0,
+    }
+}
+
+impl Entry {
+    async fn patch(&self, request: &PatchRequest) -> Result<PatchOutcome, PatchError> {
+        self.configs.patch(request, Instant::now() + TIMEOUT).await
+    }
+
+    async fn share(&self, base: Version, share: u32) -> Result<PatchOutcome, PatchError> {
+        self.patch(&request(base, json!({"teams": {"t": {"share": share}}}))).await
+    }
+
+    /// Makes versions 1 to `last`.
+    async fn seed(&self, last: Version) {
+        let first = json!({
+            "zones": {}, "services": {}, "pools": {},
+            "teams": {"t": {"share": 1, "upper_limit": 1}},
+        });
+        assert_eq!(accepted(self.patch(&request(0, first)).await), (1, false));
+        for base in 1..last {
+            assert_eq!(accepted(self.share(base, 7).await), (base + 1, false));
+        }
+    }
+}
+
+fn accepted(answer: Result<PatchOutcome, PatchError>) -> (Version, bool) {
+    match answer {
+        Ok(PatchOutcome::Accepted { version, repeated }) => (version, repeated),
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn share_of(config: &Config) -> u32 {
+    config.teams["t"].share
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_patch_is_in_force_here_at_once_and_a_stale_one_is_refused_with_the_version() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(2).await;
+    assert_eq!(share_of(&entry.active.load().unwrap()), 7);
+    let mut stale = request(1, json!({"pools": {"p": {}}}));
+    stale.write_id = "other".into();
+    let answer = entry.patch(&stale).await;
+    assert!(matches!(answer, Ok(PatchOutcome::Stale { current: 2 })), "{answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_with_the_same_write_id_finds_the_first_also_when_it_was_replaced() {
+    let first = entry(&MemoryStore::default());
+    first.seed(2).await;
+    assert_eq!(accepted(first.share(1, 7).await), (2, true));
+    first.share(2, 8).await.unwrap();
+    let restarted = entry(&first.store);
+    assert_eq!(accepted(restarted.share(1, 7).await), (2, true));
+    assert_eq!(restarted.configs.newest().await.unwrap().unwrap().version, 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_write_id_that_comes_back_with_another_version_is_no_repeat() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(2).await;
+    let mut next = request(2, json!({"teams": {"t": {"share": 9}}}));
+    next.write_id = "write-1".into();
+    assert_eq!(accepted(entry.patch(&next).await), (3, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restored_store_goes_on_from_the_version_in_force_with_new_numbers() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(2).await;
+    let revision = entry.store.faults().revision();
+    entry.share(2, 8).await.unwrap();
+    entry.share(3, 9).await.unwrap();
+    assert!(entry.store.faults().roll_back(revision));
+    let answer = entry.patch(&request(4, json!({"pools": {"p": {}}}))).await;
+    assert_eq!(accepted(answer), (4 + ROLLBACK_GAP, false));
+    let config = entry.configs.newest().await.unwrap().unwrap();
+    assert_eq!((share_of(&config), config.pools.len()), (9, 1));
+    assert_eq!(accepted(entry.share(4 + ROLLBACK_GAP, 1).await), (5 + ROLLBACK_GAP, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_behind_another_refuses_and_changes_nothing() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(2).await;
+    let mut behind = request(2, json!({"teams": {"t": {"share": 9}}}));
+    behind.known_version = 5;
+    let answer = entry.patch(&behind).await;
+    assert!(matches!(answer, Err(PatchError::Behind { known: 5, held: 2 })), "{answer:?}");
+    assert_eq!(entry.configs.newest().await.unwrap().unwrap().version, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_patch_with_faults_or_too_long_writes_nothing() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(1).await;
+    let revision = entry.store.faults().revision();
+    let faulty = request(1, json!({"teams": {"t": {"share": 0, "limit": 1}, "u": {}}}));
+    let Ok(PatchOutcome::Invalid(faults)) = entry.patch(&faulty).await else { panic!("accepted") };
+    assert_eq!(faults.list.len(), 4, "{faults}");
+    let hashes: Vec<String> = (100_000..120_000).map(|key| format!("{key:0<64}")).collect();
+    let long = request(1, json!({"teams": {"t": {"key_hashes": hashes}}}));
+    let Ok(PatchOutcome::Invalid(faults)) = entry.patch(&long).await else { panic!("accepted") };
+    assert!(faults.to_string().contains("bytes"), "{faults}");
+    assert_eq!(entry.store.faults().revision(), revision);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_reported_as_no_change_before_the_deadline() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(1).await;
+    entry.store.faults().set_outage(true);
+    let start = Instant::now();
+    let answer = entry.share(1, 5).await;
+    assert!(matches!(answer, Err(PatchError::Unavailable(_))), "{answer:?}");
+    assert!(start.elapsed() <= TIMEOUT);
+    entry.store.faults().set_outage(false);
+    assert_eq!(accepted(entry.share(1, 6).await), (2, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_history_names_each_version_and_is_bounded() {
+    let entry = entry(&MemoryStore::default());
+    entry.seed(240).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let records = history::list(&entry.store, usize::MAX).await.unwrap();
+    let versions: Vec<Version> = records.iter().map(|record| record.version).collect();
+    assert_eq!(versions, (40..240).rev().collect::<Vec<_>>());
+    let change = records[0].change.as_ref().unwrap();
+    assert_eq!((change.base_version, &*change.operator), (238, "ana"));
+    assert_eq!(change.patch, Some(json!({"teams": {"t": {"share": 7}}})));
+}
+
+#[tokio::test(start_paused = true)]
+async fn small_changes_of_racing_operators_all_take_effect() {
+    let store = MemoryStore::default();
+    entry(&store).seed(1).await;
+    store.faults().set_delay(Duration::from_millis(20));
+    let editor = Editor { operator: "ana".into(), unix_s: 1, known_version: 0 };
+    let edits = (0..6).map(|number| {
+        let (configs, editor) = (entry(&store).configs, editor.clone());
+        tokio::spawn(async move {
+            let pool = format!("p{number}");
+            let deadline = Instant::now() + TIMEOUT;
+            configs
+                .edit(&editor, deadline, |config| {
+                    let wanted = json!({"pools": {&pool: {}}});
+                    Ok::<_, ()>((!config.pools.contains_key(pool.as_str())).then_some(wanted))
+                })
+                .await
+                .map(|edited| edited.version)
+        })
+    });
+    let mut versions = Vec::new();
+    for edit in edits.collect::<Vec<_>>() {
+        versions.push(edit.await.unwrap().unwrap());
+    }
+    versions.sort_unstable();
+    assert_eq!(versions, [2, 3, 4, 5, 6, 7]);
+    let newest = entry(&store).configs.newest().await.unwrap().unwrap();
+    assert_eq!(newest.pools.len(), 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_small_change_that_makes_no_sense_is_refused() {
+    let entry = entry(&MemoryStore::default());
+    let editor = Editor { operator: "ana".into(), unix_s: 1, known_version: 0 };
+    let deadline = Instant::now() + TIMEOUT;
+    let answer = entry.configs.edit(&editor, deadline, |_| Err("no")).await;
+    assert!(matches!(answer, Err(EditError::NoConfig)));
+    entry.seed(1).await;
+    let answer = entry.configs.edit(&editor, deadline, |_| Err("no")).await;
+    assert!(matches!(answer, Err(EditError::Refused("no"))));
+    let wanted = entry.configs.edit(&editor, deadline, |_| Ok::<_, ()>(None)).await.unwrap();
+    assert!(wanted.unchanged);
+    let _: Arc<Config> = entry.active.load().unwrap();
+}
