Serve the operators' interface over HTTP

A patch names its version by If-Match and its write id by Idempotency-Key; the answer names the entry instances that have not confirmed after a bounded wait. What the interface shows comes through the traits Sources, StatusSource and FleetSource.

--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -2,17 +2,17 @@
 
 use std::fmt;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// One fault with the place at which it was found.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     /// Path of the field, for example `teams.cutting.share`.
     pub path: String,
     /// What is wrong, in a user's words.
     pub message: String,
     /// Line of the file, counted from 1, where one is known.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub line: Option<usize>,
     /// Path of another field that the fault depends on.
     #[serde(skip)]
@@ -32,7 +32,7 @@
 }
 
 /// All faults found in one document; never empty when returned as an error.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, thiserror::Error)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 #[error("{}", self.joined())]
 #[serde(transparent)]
 pub struct Faults {
--- a/crates/operators/src/code.rs
+++ b/crates/operators/src/code.rs
@@ -19,11 +19,10 @@
         NotReady = 513, 503, "no configuration is known yet";
         ZoneUnknown = 514, 404, "no such availability zone";
         TeamUnknown = 515, 404, "no such team";
-        KeyUnknown = 516, 404, "the team has no such key";
-        WaveUnknown = 517, 404, "no such maintenance wave";
-        PoolUnknown = 518, 404, "no such pool";
-        MoveRefused = 519, 409, "the move of instances is refused";
-        NotExplained = 520, 404, "no decision about this is known";
-        TimedOut = 521, 504, "the request took too long";
+        WaveUnknown = 516, 404, "no such maintenance wave";
+        PoolUnknown = 517, 404, "no such pool";
+        MoveRefused = 518, 409, "the move of instances is refused";
+        NotExplained = 519, 404, "no decision about this is known";
+        TimedOut = 520, 504, "the request took too long";
     }
 }
--- /dev/null
+++ b/crates/operators/src/config_routes.rs
@@ -0,0 +1,154 @@
+//! `GET /config`, `PATCH /config` and `GET /config/history`.
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::{BytesRejection, QueryRejection};
+use axum::extract::{Query, State};
+use axum::response::{IntoResponse, Response};
+use cassiafold_config::id::is_valid_id;
+use cassiafold_config::key::new_write_id;
+use cassiafold_config::patch::{JSON_PATCH, MERGE_PATCH};
+use cassiafold_config::raw::RawConfig;
+use cassiafold_config::{Patch, Version};
+use cassiafold_event::emit;
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, ETAG, IF_MATCH};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::code::OperatorsCode;
+use crate::confirm;
+use crate::event::OperatorsEvent;
+use crate::history::{self, HistoryRecord};
+use crate::problem::Problem;
+use crate::router::{Operators, read_json};
+use crate::source::Sources;
+use crate::versions::{PatchError, PatchOutcome, PatchRequest};
+use crate::wire::{ChangeAnswer, HistoryAnswer, SOURCE_HEADER, WRITE_ID_HEADER};
+
+/// Changes that `GET /config/history` returns when it is not told how many.
+const HISTORY_LIMIT: usize = 20;
+
+/// The newest configuration known: the stored one, or the one in force here when the store cannot
+/// be reached.
+pub(crate) async fn get<S: Sources>(
+    State(operators): State<Operators<S>>,
+) -> Result<Response, Problem> {
+    let deadline = operators.limits.change_deadline();
+    let (config, source) = match operators.configs.newest_before(deadline).await {
+        Ok(config) => (config, "store"),
+        Err(PatchError::Unavailable(_)) => (operators.active.load(), "entry"),
+        Err(error) => return Err(error.into()),
+    };
+    let config = config.ok_or(OperatorsCode::NotReady)?;
+    let version = format!("\"{}\"", config.version);
+    let headers = [(ETAG.as_str(), version.as_str()), (SOURCE_HEADER, source)];
+    Ok((headers, Json(RawConfig::from(&*config))).into_response())
+}
+
+/// Makes the next version by a patch.
+pub(crate) async fn patch<S: Sources>(
+    State(operators): State<Operators<S>>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<ChangeAnswer>, Problem> {
+    let base_version = base_version(&headers)?;
+    let write_id = write_id(&headers)?;
+    let patch = read_patch(&headers, body)?;
+    let editor = operators.editor(&headers).await?;
+    let request = PatchRequest {
+        base_version,
+        patch,
+        write_id,
+        operator: editor.operator,
+        unix_s: editor.unix_s,
+        known_version: editor.known_version,
+    };
+    let outcome = operators.configs.patch(&request, operators.limits.change_deadline()).await;
+    match outcome {
+        Ok(PatchOutcome::Accepted { version, repeated }) => {
+            let operator = &request.operator;
+            emit!(OperatorsEvent::PatchAccepted, version = version, operator = operator);
+            Ok(Json(operators.change_answer(version, false, repeated).await))
+        }
+        Ok(PatchOutcome::Stale { current }) => {
+            emit!(OperatorsEvent::PatchRefused, base = base_version, current = current);
+            Err(Problem::stale(current))
+        }
+        Ok(PatchOutcome::Invalid(faults)) => {
+            emit!(OperatorsEvent::PatchRefused, base = base_version, faults = faults.list.len());
+            Err(Problem::invalid(faults))
+        }
+        Err(error) => Err(failed(error, request)),
+    }
+}
+
+fn failed(error: PatchError, request: PatchRequest) -> Problem {
+    if error == PatchError::OutcomeUnknown {
+        emit!(OperatorsEvent::PatchUnsettled, write_id = request.write_id);
+    }
+    Problem { write_id: Some(request.write_id), ..error.into() }
+}
+
+impl<S: Sources> Operators<S> {
+    /// Answer to a change that made `version`, once it is in force or the wait is over.
+    pub(crate) async fn change_answer(
+        &self,
+        version: Version,
+        unchanged: bool,
+        repeated: bool,
+    ) -> ChangeAnswer {
+        let limit = self.limits.confirm_wait;
+        let unconfirmed = confirm::wait(self.sources.status(), version, limit).await;
+        ChangeAnswer { version, unchanged, repeated, unconfirmed }
+    }
+}
+
+fn base_version(headers: &HeaderMap) -> Result<Version, Problem> {
+    let value = headers.get(IF_MATCH).ok_or(OperatorsCode::VersionMissing)?;
+    let text = value.to_str().map_err(Problem::malformed)?.trim().trim_matches('"');
+    text.parse().map_err(|_| Problem::malformed("If-Match must be a version, as \"8\""))
+}
+
+fn write_id(headers: &HeaderMap) -> Result<String, Problem> {
+    let Some(value) = headers.get(WRITE_ID_HEADER) else { return Ok(new_write_id()) };
+    let id = value.to_str().ok().filter(|id| is_valid_id(id));
+    id.map(str::to_owned)
+        .ok_or_else(|| Problem::malformed(format!("{WRITE_ID_HEADER} must be an id")))
+}
+
+fn read_patch(headers: &HeaderMap, body: Result<Bytes, BytesRejection>) -> Result<Patch, Problem> {
+    let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = media_type.and_then(|value| value.split(';').next()).map(str::trim);
+    match media_type {
+        Some(MERGE_PATCH) => Ok(Patch::Merge(read_json(body)?)),
+        Some(JSON_PATCH) => {
+            Patch::from_operations(read_json::<Value>(body)?).map_err(Problem::malformed)
+        }
+        _ => Err(OperatorsCode::MediaTypeUnknown.into()),
+    }
+}
+
+/// Query of `GET /config/history`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct HistoryQuery {
+    limit: Option<usize>,
+}
+
+/// Who made the last versions and how, newest first.
+pub(crate) async fn history<S: Sources>(
+    State(operators): State<Operators<S>>,
+    query: Result<Query<HistoryQuery>, QueryRejection>,
+) -> Result<Json<HistoryAnswer>, Problem> {
+    let limit = query.map_err(Problem::malformed)?.limit.unwrap_or(HISTORY_LIMIT);
+    let deadline = operators.limits.change_deadline();
+    let current = operators.configs.newest_before(deadline).await?;
+    let mut versions: Vec<HistoryRecord> =
+        current.iter().map(|config| HistoryRecord::from(&**config)).collect();
+    let older = history::list(operators.configs.store(), limit).await;
+    versions.extend(older.map_err(PatchError::Unavailable)?);
+    versions.dedup_by_key(|record| record.version);
+    versions.truncate(limit);
+    Ok(Json(HistoryAnswer { versions }))
+}
--- /dev/null
+++ b/crates/operators/src/fleet_routes.rs
@@ -0,0 +1,158 @@
+//! Availability zones, pools, maintenance waves and explanations.
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{Path, State};
+use cassiafold_config::key::new_write_id;
+use cassiafold_config::{Config, PoolId, WaveId, ZoneId};
+use cassiafold_event::emit;
+use http::HeaderMap;
+use serde_json::{Value, json};
+
+use crate::code::OperatorsCode;
+use crate::edit::Editor;
+use crate::event::OperatorsEvent;
+use crate::problem::Problem;
+use crate::router::{Operators, read_json};
+use crate::source::{Explanation, FleetSource, MoveAnswer, MoveRequest, Sources, Subject};
+use crate::wire::{ChangeAnswer, MoveBody, PoolsAnswer, WRITE_ID_HEADER, WavesAnswer};
+
+type Answer<T> = Result<Json<T>, Problem>;
+
+/// Takes a zone out.
+pub(crate) async fn zone_out<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path(zone): Path<ZoneId>,
+    headers: HeaderMap,
+) -> Answer<ChangeAnswer> {
+    operators.set_zone(zone, true, &headers).await
+}
+
+/// Brings a zone back.
+pub(crate) async fn zone_in<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path(zone): Path<ZoneId>,
+    headers: HeaderMap,
+) -> Answer<ChangeAnswer> {
+    operators.set_zone(zone, false, &headers).await
+}
+
+/// Lets a wave begin now.
+pub(crate) async fn wave_start<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path(wave): Path<WaveId>,
+    headers: HeaderMap,
+) -> Answer<ChangeAnswer> {
+    let editor = operators.editor(&headers).await?;
+    let now_unix_s = editor.unix_s;
+    let started = |config: &Config| start_patch(config, &wave, now_unix_s);
+    operators.change(&editor, started).await
+}
+
+/// Pauses a wave: no step of it starts.
+pub(crate) async fn wave_pause<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path(wave): Path<WaveId>,
+    headers: HeaderMap,
+) -> Answer<ChangeAnswer> {
+    let editor = operators.editor(&headers).await?;
+    operators.change(&editor, |config| pause_patch(config, &wave, true)).await
+}
+
+/// Lets a paused wave go on.
+pub(crate) async fn wave_resume<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path(wave): Path<WaveId>,
+    headers: HeaderMap,
+) -> Answer<ChangeAnswer> {
+    let editor = operators.editor(&headers).await?;
+    operators.change(&editor, |config| pause_patch(config, &wave, false)).await
+}
+
+impl<S: Sources> Operators<S> {
+    async fn set_zone(&self, zone: ZoneId, out: bool, headers: &HeaderMap) -> Answer<ChangeAnswer> {
+        let editor = self.editor(headers).await?;
+        let wanted = |config: &Config| {
+            let current = config.zones.get(&zone).ok_or(OperatorsCode::ZoneUnknown)?;
+            Ok((current.out != out).then(|| json!({"zones": {&*zone: {"out": out}}})))
+        };
+        self.change(&editor, wanted).await
+    }
+
+    async fn change(
+        &self,
+        editor: &Editor,
+        merge_patch: impl Fn(&Config) -> Result<Option<Value>, Problem>,
+    ) -> Answer<ChangeAnswer> {
+        let deadline = self.limits.change_deadline();
+        let edited = self.configs.edit(editor, deadline, merge_patch).await?;
+        let (version, operator) = (edited.version, &editor.operator);
+        if !edited.unchanged {
+            emit!(OperatorsEvent::PatchAccepted, version = version, operator = operator);
+        }
+        Ok(Json(self.change_answer(version, edited.unchanged, false).await))
+    }
+}
+
+fn start_patch(config: &Config, wave: &WaveId, now_unix_s: u64) -> Result<Option<Value>, Problem> {
+    let current = config.waves.get(wave).ok_or(OperatorsCode::WaveUnknown)?;
+    let now = std::time::UNIX_EPOCH + std::time::Duration::from_secs(now_unix_s);
+    if current.start <= now && !current.paused {
+        return Ok(None);
+    }
+    let mut fields = json!({"paused": false});
+    if current.start > now {
+        fields["start_unix_s"] = now_unix_s.into();
+    }
+    Ok(Some(json!({"waves": {&**wave: fields}})))
+}
+
+fn pause_patch(config: &Config, wave: &WaveId, paused: bool) -> Result<Option<Value>, Problem> {
+    let current = config.waves.get(wave).ok_or(OperatorsCode::WaveUnknown)?;
+    Ok((current.paused != paused).then(|| json!({"waves": {&**wave: {"paused": paused}}})))
+}
+
+/// Pools with their instances.
+pub(crate) async fn pools<S: Sources>(State(operators): State<Operators<S>>) -> Json<PoolsAnswer> {
+    Json(PoolsAnswer { pools: operators.sources.fleet().pools().await })
+}
+
+/// Maintenance waves with their progress.
+pub(crate) async fn waves<S: Sources>(State(operators): State<Operators<S>>) -> Json<WavesAnswer> {
+    Json(WavesAnswer { waves: operators.sources.fleet().waves().await })
+}
+
+/// Last decisions about an instance, a pool, a team or a wave.
+pub(crate) async fn explain<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path((subject, id)): Path<(String, String)>,
+) -> Answer<Explanation> {
+    let subject = Subject::ALL.into_iter().find(|known| known.name() == subject);
+    let subject = subject.ok_or(OperatorsCode::PathUnknown)?;
+    let explanation = operators.sources.fleet().explain(subject, &id).await;
+    Ok(Json(explanation.ok_or(OperatorsCode::NotExplained)?))
+}
+
+/// Asks for a move of instances to another pool.
+pub(crate) async fn move_instances<S: Sources>(
+    State(operators): State<Operators<S>>,
+    Path(from): Path<PoolId>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Answer<MoveAnswer> {
+    let MoveBody { to, selection } = read_json(body)?;
+    let config = operators.active.load().ok_or(OperatorsCode::NotReady)?;
+    if let Some(pool) = [&from, &to].into_iter().find(|pool| !config.pools.contains_key(*pool)) {
+        return Err(Problem::from(OperatorsCode::PoolUnknown).with_detail(pool));
+    }
+    if from == to {
+        return Err(Problem::from(OperatorsCode::MoveRefused).with_detail("the pools are the same"));
+    }
+    let operator = operators.editor(&headers).await?.operator;
+    let request_id = headers.get(WRITE_ID_HEADER).and_then(|value| value.to_str().ok());
+    let request_id = request_id.map_or_else(new_write_id, str::to_owned).into();
+    emit!(OperatorsEvent::MoveRequested, from = from, to = to, operator = operator);
+    let request = MoveRequest { request_id, operator, from, to, selection };
+    Ok(Json(operators.sources.fleet().move_instances(request).await?))
+}
--- /dev/null
+++ b/crates/operators/src/source.rs
@@ -0,0 +1,266 @@
+//! What the operators' interface asks of the rest of an entry instance.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::Arc;
+
+use cassiafold_config::{InstanceId, PoolId, ServiceId, TeamId, Version, WaveId, ZoneId};
+use cassiafold_platform::Store;
+use serde::{Deserialize, Serialize};
+
+/// Everything that the operators' interface shows or changes.
+pub trait Sources: Clone + Send + Sync + 'static {
+    /// Client of the key-value service.
+    type Store: Store;
+    /// Source of the state of entry instances.
+    type Status: StatusSource;
+    /// Source of the state of the fleet.
+    type Fleet: FleetSource;
+
+    /// Client of the key-value service.
+    fn store(&self) -> &Self::Store;
+
+    /// Source of the state of entry instances.
+    fn status(&self) -> &Self::Status;
+
+    /// Source of the state of the fleet.
+    fn fleet(&self) -> &Self::Fleet;
+
+    /// Metrics in the OpenMetrics text format.
+    fn metrics(&self) -> String;
+}
+
+/// State of the entry instances as this one knows it.
+pub trait StatusSource: Clone + Send + Sync + 'static {
+    /// Reads the state. It must not wait for other entry instances.
+    fn status(&self) -> impl Future<Output = Status> + Send;
+}
+
+/// State of the entry instances as one of them knows it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Entry instance that answers.
+    pub instance_id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Whether it reaches the key-value service.
+    pub store_reachable: bool,
+    /// Live entry instances, this one included.
+    pub entries: Vec<EntryStatus>,
+    /// Upper limits and work of each team.
+    pub teams: Vec<TeamStatus>,
+}
+
+/// State of one entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryStatus {
+    /// The entry instance.
+    pub instance_id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Version that it has in force; zero when it knows none.
+    pub version: Version,
+    /// Whether it takes new requests; unknown where it was not heard lately.
+    pub ready: Option<bool>,
+    /// Time since it was heard, in milliseconds.
+    pub heard_ms_ago: u64,
+}
+
+/// Upper limit and work of one team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamStatus {
+    /// The team.
+    pub team: TeamId,
+    /// Most that may run at once across the fleet.
+    pub upper_limit: u32,
+    /// Part of the upper limit that this entry instance holds.
+    pub slice: u32,
+    /// Requests and tasks that run from this entry instance.
+    pub running: u32,
+    /// Requests that wait at this entry instance.
+    pub waiting: u32,
+}
+
+/// State of the fleet.
+pub trait FleetSource: Clone + Send + Sync + 'static {
+    /// Pools with their instances.
+    fn pools(&self) -> impl Future<Output = Vec<PoolStatus>> + Send;
+
+    /// Maintenance waves with their progress.
+    fn waves(&self) -> impl Future<Output = Vec<WaveStatus>> + Send;
+
+    /// Last decisions about one thing; `None` when nothing is known of it.
+    fn explain(
+        &self,
+        subject: Subject,
+        id: &str,
+    ) -> impl Future<Output = Option<Explanation>> + Send;
+
+    /// Asks for a move of instances to another pool. A repeat with the same request id finds the
+    /// first.
+    fn move_instances(
+        &self,
+        request: MoveRequest,
+    ) -> impl Future<Output = Result<MoveAnswer, MoveRefusal>> + Send;
+}
+
+/// State of one pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolStatus {
+    /// The pool.
+    pub pool: PoolId,
+    /// Service that it serves; a spare pool serves none.
+    pub service: Option<ServiceId>,
+    /// Instances of the pool.
+    pub instances: u32,
+    /// Instances that take new work.
+    pub available: u32,
+    /// Instances that drain or reboot.
+    pub in_maintenance: u32,
+    /// Instances that are ejected or failing.
+    pub failing: u32,
+    /// Lowest number of available instances.
+    pub floor: u32,
+    /// Instances on their way into the pool.
+    pub arriving: u32,
+}
+
+/// Progress of one maintenance wave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveStatus {
+    /// The wave.
+    pub wave: WaveId,
+    /// Where it stands.
+    pub state: WaveState,
+    /// Availability zone in which it works now.
+    pub zone: Option<ZoneId>,
+    /// Instances that were maintained.
+    pub done: u32,
+    /// Instances that are to be maintained in all.
+    pub total: u32,
+    /// Instances that drain or reboot now.
+    pub in_progress: Vec<InstanceId>,
+    /// Why it does not go on.
+    pub waiting_for: Option<Arc<str>>,
+}
+
+/// Where a maintenance wave stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WaveState {
+    /// Its start has not come.
+    Scheduled,
+    /// Its steps go on.
+    Running,
+    /// Operators have paused it.
+    Paused,
+    /// It waits for the availability budget or a blackout.
+    Waiting,
+    /// All instances were maintained.
+    Done,
+    /// Its deadline has passed before all instances were maintained.
+    Overdue,
+}
+
+/// Kind of a thing whose decisions can be asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Subject {
+    /// An instance.
+    Instance,
+    /// A pool.
+    Pool,
+    /// A team.
+    Team,
+    /// A maintenance wave.
+    Wave,
+}
+
+impl Subject {
+    /// Name of the kind in paths and on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Instance => "instance",
+            Self::Pool => "pool",
+            Self::Team => "team",
+            Self::Wave => "wave",
+        }
+    }
+
+    /// Every kind.
+    pub const ALL: [Self; 4] = [Self::Instance, Self::Pool, Self::Team, Self::Wave];
+}
+
+/// Last decisions about one thing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// Kind of the thing.
+    pub subject: Subject,
+    /// The thing.
+    pub id: Arc<str>,
+    /// Its present state in one sentence.
+    pub summary: Arc<str>,
+    /// Decisions, newest first.
+    pub decisions: Vec<Decision>,
+}
+
+/// One decision with its inputs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// When it was made, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+    /// Number of its event in `docs/EVENTS.md`.
+    pub event: u16,
+    /// What was decided.
+    pub message: Arc<str>,
+    /// What it was decided from.
+    pub inputs: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// Request to move instances from one pool to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveRequest {
+    /// Identifies the request.
+    pub request_id: Arc<str>,
+    /// Who asks for the move.
+    pub operator: Arc<str>,
+    /// Pool that gives.
+    pub from: PoolId,
+    /// Pool that takes.
+    pub to: PoolId,
+    /// Which instances, or how many.
+    pub selection: Selection,
+}
+
+/// Instances that a move takes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Selection {
+    /// These instances.
+    Instances(Vec<InstanceId>),
+    /// Any instances, this many.
+    Count(u32),
+}
+
+/// Answer to an accepted move.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveAnswer {
+    /// Instances that will move.
+    pub instances: Vec<InstanceId>,
+}
+
+/// Why a move did not begin.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum MoveRefusal {
+    /// The move would break a rule; nothing was changed.
+    #[error("{0}")]
+    Refused(Arc<str>),
+    /// The key-value service cannot be reached; nothing was changed.
+    #[error("{0}")]
+    Unavailable(Arc<str>),
+    /// The move may have begun.
+    #[error("{0}")]
+    OutcomeUnknown(Arc<str>),
+}
--- /dev/null
+++ b/crates/operators/src/status_routes.rs
@@ -0,0 +1,29 @@
+//! `GET /status` and `GET /metrics`.
+
+use axum::Json;
+use axum::extract::State;
+use axum::response::{IntoResponse, Response};
+use http::header::CONTENT_TYPE;
+
+use crate::confirm;
+use crate::router::Operators;
+use crate::source::{Sources, StatusSource};
+use crate::wire::StatusAnswer;
+
+/// Media type of metrics.
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// State of the entry instances as this one knows it.
+pub(crate) async fn status<S: Sources>(
+    State(operators): State<Operators<S>>,
+) -> Json<StatusAnswer> {
+    let status = operators.sources.status().status().await;
+    let version = operators.active.version();
+    let unconfirmed = confirm::unconfirmed(&status, version);
+    Json(StatusAnswer { version, unconfirmed, status })
+}
+
+/// Metrics of this entry instance.
+pub(crate) async fn metrics<S: Sources>(State(operators): State<Operators<S>>) -> Response {
+    ([(CONTENT_TYPE, OPENMETRICS)], operators.sources.metrics()).into_response()
+}
