Store tasks in batches by compare-and-swap

Cause: accepted has to mean written, an answer of the store may be lost after the write took effect, and the store takes several hundred writes a second for everything.

Change: transitions are messages that have the same effect when applied twice (a submission id, the last ended claim). Each of 32 shards collects transitions for 20 ms and writes them in one compare-and-swap; after an unknown outcome it reads the shard and applies them again.

Submission, claim and report each survive a lost answer and a lost request; 2,000 cancellations at once cost at most 64 store calls (asserted).

--- /dev/null
+++ b/crates/tasks/src/book.rs
@@ -0,0 +1,209 @@
+//! The stored tasks, changed in batches by compare-and-swap.
+//!
+//! Tasks are spread over shards by the hash of team and id. Transitions of one shard that arrive
+//! within a short window share one write, so that many tasks cost few writes.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use cassiafold_platform::{Compare, Store, StoreError, Write, WriteOutcome};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::record::Task;
+use crate::shard::{Shard, TaskKey, TransitionError};
+use crate::transition::{Applied, Transition};
+use crate::wire::{WireError, WireShard};
+
+/// Number of shards.
+pub const SHARDS: usize = 32;
+/// How long a shard collects transitions before it writes them.
+const BATCH_WINDOW: Duration = Duration::from_millis(20);
+/// Transitions that may wait for one shard.
+const QUEUE_LENGTH: usize = 4_096;
+/// Wait between two tries of a write.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest stored shard; the key-value service holds values up to 1 MB.
+const SHARD_MAX_BYTES: usize = 1_000_000;
+
+/// Clock that stamps transitions.
+pub trait Clock: Clone + Send + Sync + 'static {
+    /// The time of day.
+    fn now(&self) -> SystemTime;
+}
+
+/// The system's clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Why a transition failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BookError {
+    /// The transition did not take effect, as the store could not be reached.
+    #[error("key-value store unavailable; nothing was changed")]
+    Unavailable,
+    /// The transition may have taken effect; applying it again is safe.
+    #[error("outcome of the write is unknown")]
+    OutcomeUnknown,
+    /// The transition does not suit the state of the task.
+    #[error(transparent)]
+    Refused(#[from] TransitionError),
+    /// The shard is full.
+    #[error("too many tasks are kept; nothing was changed")]
+    Full,
+    /// The stored shard cannot be read.
+    #[error(transparent)]
+    Malformed(#[from] WireError),
+}
+
+struct Pending {
+    key: TaskKey,
+    transition: Transition,
+    reply: oneshot::Sender<Result<Applied, BookError>>,
+}
+
+/// The stored tasks. Clones share the batches.
+#[derive(Clone)]
+pub struct Book<S> {
+    store: S,
+    shards: Arc<[mpsc::Sender<Pending>]>,
+}
+
+impl<S: Store> Book<S> {
+    /// Starts the task of each shard. A transition is given up after `timeout`.
+    pub fn start<C: Clock>(store: S, clock: C, timeout: Duration) -> Self {
+        let start = |index| {
+            let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+            let (store, clock) = (store.clone(), clock.clone());
+            let writer = Writer { store, clock, key: shard_key(index), timeout };
+            tokio::spawn(writer.run(receiver));
+            sender
+        };
+        Self { shards: (0..SHARDS).map(start).collect(), store }
+    }
+
+    /// Accepts a task. [`Applied::Found`] says that its id was accepted before.
+    pub async fn submit(&self, task: Task) -> Result<Applied, BookError> {
+        let key = (task.team.clone(), task.id.clone());
+        self.apply(key, Transition::Submit(task)).await
+    }
+
+    /// Applies a transition and waits until it is stored.
+    pub async fn apply(&self, key: TaskKey, transition: Transition) -> Result<Applied, BookError> {
+        let (reply, answer) = oneshot::channel();
+        let shard = &self.shards[shard_index(&key)];
+        let pending = Pending { key, transition, reply };
+        shard.try_send(pending).map_err(|_| BookError::Unavailable)?;
+        answer.await.unwrap_or(Err(BookError::OutcomeUnknown))
+    }
+
+    /// Reads one task.
+    pub async fn get(&self, key: &TaskKey) -> Result<Option<Task>, BookError> {
+        let (shard, _) = read(&self.store, &shard_key(shard_index(key))).await?;
+        Ok(shard.tasks.get(key).cloned())
+    }
+}
+
+struct Writer<S, C> {
+    store: S,
+    clock: C,
+    key: Arc<str>,
+    timeout: Duration,
+}
+
+type Answers = Vec<Result<Applied, BookError>>;
+
+impl<S: Store, C: Clock> Writer<S, C> {
+    async fn run(self, mut receiver: mpsc::Receiver<Pending>) {
+        while let Some(first) = receiver.recv().await {
+            tokio::time::sleep(BATCH_WINDOW).await;
+            let mut batch = vec![first];
+            while let Ok(next) = receiver.try_recv() {
+                batch.push(next);
+            }
+            let answers = self.write(&batch).await;
+            for (pending, answer) in batch.into_iter().zip(answers) {
+                let _ = pending.reply.send(answer);
+            }
+        }
+    }
+
+    /// Writes a batch; gives one answer for each transition.
+    async fn write(&self, batch: &[Pending]) -> Answers {
+        let deadline = Instant::now() + self.timeout;
+        let mut failure = BookError::Unavailable;
+        loop {
+            match self.try_write(batch).await {
+                Ok(Some(answers)) => return answers,
+                Ok(None) => continue,
+                Err(BookError::OutcomeUnknown) => failure = BookError::OutcomeUnknown,
+                Err(BookError::Unavailable) => {}
+                Err(error) => return vec![Err(error); batch.len()],
+            }
+            if Instant::now() + RETRY_INTERVAL >= deadline {
+                return vec![Err(failure); batch.len()];
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    /// Tries one compare-and-swap; `None` says that another writer was first.
+    async fn try_write(&self, batch: &[Pending]) -> Result<Option<Answers>, BookError> {
+        let (mut shard, compare) = read(&self.store, &self.key).await?;
+        let before = shard.clone();
+        let now = self.clock.now();
+        shard.expire(now);
+        let apply = |pending: &Pending| {
+            pending.transition.apply(&mut shard, &pending.key, now).map_err(BookError::Refused)
+        };
+        let answers: Answers = batch.iter().map(apply).collect();
+        if shard == before {
+            return Ok(Some(answers));
+        }
+        let value = serde_json::to_vec(&WireShard::from(&shard))
+            .map_err(|error| WireError::Malformed(error.to_string()))?;
+        if value.len() > SHARD_MAX_BYTES {
+            return Err(BookError::Full);
+        }
+        match self.store.write(Write::put(self.key.clone(), compare, value)).await {
+            Ok(WriteOutcome::Written(_)) => Ok(Some(answers)),
+            Ok(WriteOutcome::Conflict) => Ok(None),
+            Err(error) => Err(failure(&error)),
+        }
+    }
+}
+
+async fn read<S: Store>(store: &S, key: &str) -> Result<(Shard, Compare), BookError> {
+    let record = store.get(key).await.map_err(|_| BookError::Unavailable)?;
+    let Some(record) = record else { return Ok((Shard::default(), Compare::Absent)) };
+    let shard = Shard::try_from(WireShard::parse(&record.value)?)?;
+    Ok((shard, Compare::Revision(record.revision)))
+}
+
+fn failure(error: &StoreError) -> BookError {
+    match error {
+        StoreError::Unavailable(_) => BookError::Unavailable,
+        _ => BookError::OutcomeUnknown,
+    }
+}
+
+fn shard_index(key: &TaskKey) -> usize {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.0.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(key.1.as_bytes());
+    usize::from(hasher.finalize().as_bytes()[0]) % SHARDS
+}
+
+fn shard_key(index: usize) -> Arc<str> {
+    format!("cassiafold/tasks/{index:02}").into()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tasks/src/book/tests.rs
@@ -0,0 +1,160 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cassiafold_standin::MemoryStore;
+use cassiafold_standin::faults::WriteFault;
+
+use super::{Book, BookError, Clock, SHARDS};
+use crate::record::{Claim, Outcome, Resources, Task, TaskState};
+use crate::shard::{Loss, TaskKey, TransitionError};
+use crate::transition::{Applied, Transition};
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Copy)]
+struct FixedClock;
+
+impl Clock for FixedClock {
+    fn now(&self) -> SystemTime {
+        UNIX_EPOCH + Duration::from_secs(1_000_000)
+    }
+}
+
+fn book(store: &MemoryStore) -> Book<MemoryStore> {
+    Book::start(store.clone(), FixedClock, TIMEOUT)
+}
+
+fn task(id: &str, submission: &str) -> Task {
+    Task {
+        id: id.into(),
+        team: "muscat".into(),
+        kind: "sweep".into(),
+        idempotent: false,
+        urgent: false,
+        declared: Resources::default(),
+        declared_run_time: Duration::from_secs(60),
+        cancel_requested: false,
+        submission: submission.into(),
+        last_ended_claim: None,
+        failed_on: Vec::new(),
+        state: TaskState::Waiting { not_before: UNIX_EPOCH },
+    }
+}
+
+fn key() -> TaskKey {
+    ("muscat".into(), "sweep-1".into())
+}
+
+fn claim(id: &str) -> Transition {
+    Transition::Claim(Claim {
+        id: id.into(),
+        worker: "w1".into(),
+        start_before: FixedClock.now() + Duration::from_secs(30),
+    })
+}
+
+/// The transitions of one run, in order.
+fn run() -> [Transition; 3] {
+    let outcome = Outcome::Succeeded { answer: "ok".into() };
+    let finish = Transition::Finish { claim: "c1".into(), outcome };
+    [Transition::Submit(task("sweep-1", "s1")), claim("c1"), finish]
+}
+
+macro_rules! fault_cases {
+    ($($name:ident: $fault:expr, $position:literal;)+) => {$(
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            let store = MemoryStore::default();
+            let book = book(&store);
+            for (index, transition) in run().into_iter().enumerate() {
+                if index == $position {
+                    store.faults().fail_writes(1, $fault);
+                }
+                assert_eq!(book.apply(key(), transition).await, Ok(Applied::Done));
+            }
+            let stored = book.get(&key()).await.unwrap().unwrap();
+            let outcome = Outcome::Succeeded { answer: "ok".into() };
+            assert_eq!(stored.state, TaskState::Finished { outcome, at: FixedClock.now() });
+        }
+    )+};
+}
+
+fault_cases! {
+    a_submission_whose_answer_is_lost_is_accepted_once: WriteFault::LostAnswer, 0;
+    a_claim_whose_answer_is_lost_is_settled: WriteFault::LostAnswer, 1;
+    a_report_whose_answer_is_lost_is_settled: WriteFault::LostAnswer, 2;
+    a_submission_that_is_lost_is_written_again: WriteFault::LostRequest, 0;
+    a_claim_that_is_lost_is_written_again: WriteFault::LostRequest, 1;
+    a_report_that_is_lost_is_written_again: WriteFault::LostRequest, 2;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_of_an_id_finds_the_first() {
+    let book = book(&MemoryStore::default());
+    assert_eq!(book.submit(task("sweep-1", "s1")).await, Ok(Applied::Done));
+    assert_eq!(book.submit(task("sweep-1", "s2")).await, Ok(Applied::Found));
+    assert_eq!(&*book.get(&key()).await.unwrap().unwrap().submission, "s1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_submission_during_an_outage_is_refused_as_not_stored() {
+    let store = MemoryStore::default();
+    let book = book(&store);
+    store.faults().set_outage(true);
+    assert_eq!(book.submit(task("sweep-1", "s1")).await, Err(BookError::Unavailable));
+    store.faults().set_outage(false);
+    assert_eq!(book.get(&key()).await, Ok(None));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_entry_instances_only_one_claims_a_task() {
+    let store = MemoryStore::default();
+    let (first, second) = (book(&store), book(&store));
+    first.submit(task("sweep-1", "s1")).await.unwrap();
+    let (one, other) =
+        tokio::join!(first.apply(key(), claim("c1")), second.apply(key(), claim("c2")));
+    let refused = Err(BookError::Refused(TransitionError::NotClaimable));
+    assert!(
+        (one == Ok(Applied::Done) && other == refused)
+            || (other == Ok(Applied::Done) && one == refused)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeated_loss_does_not_end_the_next_claim() {
+    let store = MemoryStore::default();
+    let book = book(&store);
+    book.submit(task("sweep-1", "s1")).await.unwrap();
+    book.apply(key(), claim("c1")).await.unwrap();
+    let lose = Transition::Lose { claim: "c1".into(), loss: Loss::NeverStarted };
+    book.apply(key(), lose.clone()).await.unwrap();
+    book.apply(key(), claim("c2")).await.unwrap();
+    assert_eq!(book.apply(key(), lose).await, Ok(Applied::Done));
+    let state = book.get(&key()).await.unwrap().unwrap().state;
+    assert!(matches!(state, TaskState::Claimed(claim) if &*claim.id == "c2"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wave_of_cancellations_costs_at_most_one_write_for_each_shard() {
+    const TASKS: usize = 2_000;
+    let store = MemoryStore::default();
+    let book = book(&store);
+    let submit_all = (0..TASKS).map(|index| {
+        let (book, id) = (book.clone(), format!("t{index}"));
+        tokio::spawn(async move { book.submit(task(&id, &id)).await })
+    });
+    for submitted in submit_all.collect::<Vec<_>>() {
+        assert_eq!(submitted.await.unwrap(), Ok(Applied::Done));
+    }
+    let before = store.faults().total_counts().total();
+    let cancel_all = (0..TASKS).map(|index| {
+        let (book, id) = (book.clone(), format!("t{index}"));
+        tokio::spawn(async move {
+            book.apply(("muscat".into(), id.as_str().into()), Transition::Cancel).await
+        })
+    });
+    for cancelled in cancel_all.collect::<Vec<_>>() {
+        assert_eq!(cancelled.await.unwrap(), Ok(Applied::Done));
+    }
+    let calls = store.faults().total_counts().total() - before;
+    assert!(calls <= 2 * SHARDS as u64, "{calls} calls");
+}
--- a/crates/tasks/src/lib.rs
+++ b/crates/tasks/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`record`]: a task and its states.
 //! - [`shard`]: the transitions of a task, applied to one document of tasks.
+//! - [`transition`]: the same transitions as messages that may be applied again.
+//! - [`book`]: the stored tasks, changed in batches by compare-and-swap.
 //! - [`wire`]: JSON form of a shard as stored.
 //! - [`estimate`]: sizes and run times learned from reports.
 //! - [`placement`]: choice of a worker for a task.
@@ -9,12 +11,18 @@
 //! - [`blame`]: separation of bad tasks from bad workers.
 
 pub mod blame;
+pub mod book;
 pub mod estimate;
 pub mod placement;
 pub mod preempt;
 pub mod record;
 pub mod shard;
+pub mod transition;
 pub mod wire;
 
-pub use record::{Claim, ClaimId, KindId, Outcome, Resources, Task, TaskId, TaskState, WorkerId};
-pub use shard::{Shard, Submitted, TransitionError};
+pub use book::{Book, BookError};
+pub use record::{
+    Claim, ClaimId, KindId, Outcome, Resources, SubmissionId, Task, TaskId, TaskState, WorkerId,
+};
+pub use shard::{Loss, Shard, Submitted, TaskKey, TransitionError};
+pub use transition::{Applied, Transition};
--- a/crates/tasks/src/record.rs
+++ b/crates/tasks/src/record.rs
@@ -11,6 +11,8 @@
 pub type KindId = Arc<str>;
 /// Identifies one claim of a task.
 pub type ClaimId = Arc<str>;
+/// Identifies one submission by a caller.
+pub type SubmissionId = Arc<str>;
 /// Identifies a worker.
 pub type WorkerId = Arc<str>;
 
@@ -71,6 +73,10 @@
     pub declared_run_time: Duration,
     /// Whether the caller has asked to cancel the task while it runs.
     pub cancel_requested: bool,
+    /// Identifies the submission that was accepted, so that a lost answer can be settled.
+    pub submission: SubmissionId,
+    /// The last claim that ended, so that a repeated report can be recognized.
+    pub last_ended_claim: Option<ClaimId>,
     /// Workers on which the task failed or was lost, without repeats.
     pub failed_on: Vec<WorkerId>,
     /// State of the task.
--- a/crates/tasks/src/shard.rs
+++ b/crates/tasks/src/shard.rs
@@ -99,6 +99,7 @@
         now: SystemTime,
     ) -> Result<(), TransitionError> {
         let task = self.claimed_mut(key, claim)?;
+        task.last_ended_claim = Some(claim.clone());
         task.state = TaskState::Finished { outcome, at: now };
         Ok(())
     }
@@ -115,6 +116,7 @@
         now: SystemTime,
     ) -> Result<(), TransitionError> {
         let task = self.claimed_mut(key, claim)?;
+        task.last_ended_claim = Some(claim.clone());
         task.state = state_after_loss(task, loss, now);
         Ok(())
     }
@@ -127,6 +129,7 @@
         now: SystemTime,
     ) -> Result<(), TransitionError> {
         let task = self.claimed_mut(key, claim)?;
+        task.last_ended_claim = Some(claim.clone());
         task.state = waiting_or_cancelled(task, now, now);
         Ok(())
     }
--- a/crates/tasks/src/shard/tests.rs
+++ b/crates/tasks/src/shard/tests.rs
@@ -17,6 +17,8 @@
         declared: Resources::default(),
         declared_run_time: Duration::from_secs(60),
         cancel_requested: false,
+        submission: "s1".into(),
+        last_ended_claim: None,
         failed_on: Vec::new(),
         state: TaskState::Waiting { not_before: at(0) },
     }
--- /dev/null
+++ b/crates/tasks/src/transition.rs
@@ -0,0 +1,91 @@
+//! Transitions of tasks as messages.
+//!
+//! Applying a transition twice has the effect of applying it once. So a transition whose write
+//! has an unknown outcome may be applied again to the document as it stands.
+
+use std::time::SystemTime;
+
+use crate::record::{Claim, ClaimId, Outcome, Task, TaskState};
+use crate::shard::{Loss, Shard, Submitted, TaskKey, TransitionError};
+
+/// A change of one task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Transition {
+    /// Accepts a task.
+    Submit(Task),
+    /// Claims a waiting task for a worker.
+    Claim(Claim),
+    /// Records the end of a run.
+    Finish {
+        /// Claim under which the task ran.
+        claim: ClaimId,
+        /// How the task ended.
+        outcome: Outcome,
+    },
+    /// Records that the worker of a claim was lost.
+    Lose {
+        /// Claim of the lost worker.
+        claim: ClaimId,
+        /// What is known of the claim.
+        loss: Loss,
+    },
+    /// Records that the worker refused the claim.
+    Refuse(ClaimId),
+    /// Cancels the task.
+    Cancel,
+    /// Ends a task that fits no worker.
+    EndHopeless,
+}
+
+/// Effect of a transition.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The transition took effect, now or before.
+    Done,
+    /// A task of the same team and id was accepted before.
+    Found,
+}
+
+impl Transition {
+    /// Applies the transition to the task `key` at the time `now`.
+    pub fn apply(
+        &self,
+        shard: &mut Shard,
+        key: &TaskKey,
+        now: SystemTime,
+    ) -> Result<Applied, TransitionError> {
+        if self.has_taken_effect(shard, key) {
+            return Ok(Applied::Done);
+        }
+        match self {
+            Self::Submit(task) => match shard.submit(task.clone()) {
+                Submitted::Created => return Ok(Applied::Done),
+                Submitted::Found => return Ok(Applied::Found),
+            },
+            Self::Claim(claim) => shard.claim(key, claim.clone(), now),
+            Self::Finish { claim, outcome } => shard.finish(key, claim, outcome.clone(), now),
+            Self::Lose { claim, loss } => shard.lose(key, claim, *loss, now),
+            Self::Refuse(claim) => shard.refuse(key, claim, now),
+            Self::Cancel => shard.cancel(key, now),
+            Self::EndHopeless => shard.end_hopeless(key, now),
+        }?;
+        Ok(Applied::Done)
+    }
+
+    fn has_taken_effect(&self, shard: &Shard, key: &TaskKey) -> bool {
+        let Some(task) = shard.tasks.get(key) else { return false };
+        match self {
+            Self::Submit(submitted) => task.submission == submitted.submission,
+            Self::Claim(claim) => {
+                matches!(&task.state, TaskState::Claimed(current) if current.id == claim.id)
+            }
+            Self::Finish { claim, .. } | Self::Lose { claim, .. } | Self::Refuse(claim) => {
+                task.last_ended_claim.as_ref() == Some(claim)
+            }
+            Self::Cancel => false,
+            Self::EndHopeless => {
+                matches!(&task.state, TaskState::Finished { outcome: Outcome::Hopeless, .. })
+            }
+        }
+    }
+}
--- a/crates/tasks/src/wire.rs
+++ b/crates/tasks/src/wire.rs
@@ -17,8 +17,6 @@
 pub struct WireShard {
     /// Number of the format.
     pub format: u32,
-    /// Identifies the write that stored this document.
-    pub write_id: String,
     /// The tasks.
     pub tasks: Vec<WireTask>,
 }
@@ -41,6 +39,9 @@
     run_time_ms: u64,
     #[serde(default, skip_serializing_if = "is_false")]
     cancel_requested: bool,
+    submission: Arc<str>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    last_ended_claim: Option<Arc<str>>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     failed_on: Vec<Arc<str>>,
     state: WireState,
@@ -87,17 +88,18 @@
 }
 
 impl WireShard {
-    /// Stored form of `shard`, marked with `write_id`.
-    pub fn new(shard: &Shard, write_id: String) -> Self {
-        Self { format: FORMAT, write_id, tasks: shard.tasks.values().map(WireTask::from).collect() }
-    }
-
     /// Parses a stored value.
     pub fn parse(bytes: &[u8]) -> Result<Self, WireError> {
         serde_json::from_slice(bytes).map_err(|error| WireError::Malformed(error.to_string()))
     }
 }
 
+impl From<&Shard> for WireShard {
+    fn from(shard: &Shard) -> Self {
+        Self { format: FORMAT, tasks: shard.tasks.values().map(WireTask::from).collect() }
+    }
+}
+
 impl TryFrom<WireShard> for Shard {
     type Error = WireError;
 
@@ -130,6 +132,8 @@
             accelerators: task.declared.accelerators,
             run_time_ms: task.declared_run_time.as_millis() as u64,
             cancel_requested: task.cancel_requested,
+            submission: task.submission.clone(),
+            last_ended_claim: task.last_ended_claim.clone(),
             failed_on: task.failed_on.clone(),
             state: WireState::from(&task.state),
         }
@@ -153,6 +157,8 @@
             },
             declared_run_time: Duration::from_millis(wire.run_time_ms),
             cancel_requested: wire.cancel_requested,
+            submission: wire.submission,
+            last_ended_claim: wire.last_ended_claim,
             failed_on: wire.failed_on,
             state: TaskState::try_from(wire.state)?,
         })
--- a/crates/tasks/src/wire/tests.rs
+++ b/crates/tasks/src/wire/tests.rs
@@ -35,9 +35,9 @@
     let sizes = (any::<u32>(), any::<u64>(), any::<u32>(), 0_u64..1 << 40);
     let failed_on = prop::collection::vec("[a-z]{1,4}", 0..3);
     (ids, flags, sizes, failed_on, state()).prop_map(|(ids, flags, sizes, failed_on, state)| Task {
-        id: ids.0.into(),
-        team: ids.1.into(),
-        kind: ids.2.into(),
+        id: ids.0.as_str().into(),
+        team: ids.1.as_str().into(),
+        kind: ids.2.as_str().into(),
         idempotent: flags.0,
         urgent: flags.1,
         cancel_requested: flags.2,
@@ -47,6 +47,8 @@
             accelerators: sizes.2,
         },
         declared_run_time: Duration::from_millis(sizes.3),
+        submission: ids.1.as_str().into(),
+        last_ended_claim: flags.0.then(|| ids.2.as_str().into()),
         failed_on: failed_on.into_iter().map(Into::into).collect(),
         state,
     })
@@ -61,7 +63,7 @@
         for task in tasks {
             shard.submit(task);
         }
-        let wire = WireShard::new(&shard, "w".to_owned());
+        let wire = WireShard::from(&shard);
         let bytes = serde_json::to_vec(&wire).unwrap();
         let read = Shard::try_from(WireShard::parse(&bytes).unwrap()).unwrap();
         prop_assert_eq!(read, shard);
@@ -79,6 +81,6 @@
 
 #[test]
 fn an_unknown_format_is_refused() {
-    let wire = WireShard::parse(br#"{"format":2,"write_id":"w","tasks":[]}"#).unwrap();
+    let wire = WireShard::parse(br#"{"format":2,"tasks":[]}"#).unwrap();
     assert_eq!(Shard::try_from(wire), Err(WireError::UnknownFormat(2)));
 }
