Test conflicts and trickling arrivals of stored tasks

Cause: two deliberate breaks of the batches passed every test: a conflict taken for success, and no batch window. The calls of the two writers never overlapped, and all cancellations were queued before the first write.

Change: the store delays each call in the test of two claims; a new test sends 200 submissions to one shard one millisecond apart.

--- a/crates/tasks/src/book/tests.rs
+++ b/crates/tasks/src/book/tests.rs
@@ -3,7 +3,7 @@
 use cassiafold_standin::MemoryStore;
 use cassiafold_standin::faults::WriteFault;
 
-use super::{Book, BookError, Clock, SHARDS};
+use super::{BATCH_WINDOW, Book, BookError, Clock, SHARDS, shard_index};
 use crate::record::{Claim, Outcome, Resources, Task, TaskState};
 use crate::shard::{Loss, TaskKey, TransitionError};
 use crate::transition::{Applied, Transition};
@@ -109,6 +109,7 @@
 async fn of_two_entry_instances_only_one_claims_a_task() {
     let store = MemoryStore::default();
     let (first, second) = (book(&store), book(&store));
+    store.faults().set_delay(Duration::from_millis(10));
     first.submit(task("sweep-1", "s1")).await.unwrap();
     let (one, other) =
         tokio::join!(first.apply(key(), claim("c1")), second.apply(key(), claim("c2")));
@@ -158,3 +159,25 @@
     let calls = store.faults().total_counts().total() - before;
     assert!(calls <= 2 * SHARDS as u64, "{calls} calls");
 }
+
+#[tokio::test(start_paused = true)]
+async fn transitions_that_arrive_one_by_one_share_writes() {
+    const ARRIVAL: Duration = Duration::from_millis(1);
+    const TASKS: usize = 200;
+    let store = MemoryStore::default();
+    let book = book(&store);
+    let ids = (0..).map(|index| format!("t{index}"));
+    let same_shard = ids.filter(|id| shard_index(&("muscat".into(), id.as_str().into())) == 0);
+    let mut submissions = Vec::new();
+    for id in same_shard.take(TASKS) {
+        let book = book.clone();
+        submissions.push(tokio::spawn(async move { book.submit(task(&id, &id)).await }));
+        tokio::time::sleep(ARRIVAL).await;
+    }
+    for submitted in submissions {
+        assert_eq!(submitted.await.unwrap(), Ok(Applied::Done));
+    }
+    let batches = TASKS as u128 / (BATCH_WINDOW.as_millis() / ARRIVAL.as_millis()) + 1;
+    let calls = u128::from(store.faults().total_counts().total());
+    assert!(calls <= 2 * batches, "{calls} calls");
+}
