Start tasks at workers and follow them

Cause: stored tasks were never started. A start may be lost, doubled by a second entry instance, or follow a pause longer than its claim.

Change: a runner claims by compare-and-swap before each start, asks workers for the state of each claim, and gives a claim up only when the worker states after the claim's start time that it never started it, or has been silent for longer than its lease. Upper limits and zones are asked at the moment of the claim.

Ruled out: freeing a claim on a refused start. A runner paused for 13 s between claim and start is refused while another one has started the same claim; a test showed 2 runs in place of 1. The transition for it is gone.

A crash before and after each of 8 calls, and pauses of 8 s and 13 s before each call with run times of 3 s and 40 s, end with one run each. Breaks that fail a test: claims given up before their start time, silent workers given up at once, unseen claims not started, zones ignored, starts without a claim.

Conclusion: storage and starts stand against stand-in workers. Missing: the callers' interface, checkpoints for urgent work in the runner, and one upper limit for tasks and requests together.

--- a/crates/tasks/src/book.rs
+++ b/crates/tasks/src/book.rs
@@ -103,6 +103,12 @@
         answer.await.unwrap_or(Err(BookError::OutcomeUnknown))
     }
 
+    /// Reads every task of a shard.
+    pub async fn list(&self, shard: usize) -> Result<Vec<Task>, BookError> {
+        let (shard, _) = read(&self.store, &shard_key(shard)).await?;
+        Ok(shard.tasks.into_values().collect())
+    }
+
     /// Reads one task.
     pub async fn get(&self, key: &TaskKey) -> Result<Option<Task>, BookError> {
         let (shard, _) = read(&self.store, &shard_key(shard_index(key))).await?;
@@ -193,7 +199,8 @@
     }
 }
 
-fn shard_index(key: &TaskKey) -> usize {
+/// Shard in which a task is stored.
+pub fn shard_index(key: &TaskKey) -> usize {
     let mut hasher = blake3::Hasher::new();
     hasher.update(key.0.as_bytes());
     hasher.update(&[0]);
--- a/crates/tasks/src/lib.rs
+++ b/crates/tasks/src/lib.rs
@@ -4,6 +4,8 @@
 //! - [`shard`]: the transitions of a task, applied to one document of tasks.
 //! - [`transition`]: the same transitions as messages that may be applied again.
 //! - [`book`]: the stored tasks, changed in batches by compare-and-swap.
+//! - [`worker`]: control of workers.
+//! - [`runner`]: starts waiting tasks at workers and follows the running ones.
 //! - [`wire`]: JSON form of a shard as stored.
 //! - [`estimate`]: sizes and run times learned from reports.
 //! - [`placement`]: choice of a worker for a task.
@@ -16,9 +18,11 @@
 pub mod placement;
 pub mod preempt;
 pub mod record;
+pub mod runner;
 pub mod shard;
 pub mod transition;
 pub mod wire;
+pub mod worker;
 
 pub use book::{Book, BookError};
 pub use record::{
--- /dev/null
+++ b/crates/tasks/src/runner.rs
@@ -0,0 +1,264 @@
+//! Starts waiting tasks at workers and follows the running ones.
+//!
+//! A round reads the stored tasks, settles what each claim has become, and places what waits.
+//! Every start is preceded by a stored claim, and a worker starts a claim at most once, so two
+//! runners may work on one shard at the same time without running a task twice.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cassiafold_config::{TeamId, ZoneId};
+use cassiafold_platform::Store;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use crate::book::{Book, BookError, Clock};
+use crate::estimate::{Estimate, Estimator};
+use crate::placement::{Placement, Request, Worker, place};
+use crate::record::{Claim, ClaimId, Outcome, Task, TaskState, WorkerId};
+use crate::shard::{Loss, TaskKey};
+use crate::transition::Transition;
+use crate::worker::{RunState, Start, WorkerError, WorkerReport, Workers};
+
+/// How long a claim may wait for its start.
+const START_WITHIN: Duration = Duration::from_secs(10);
+/// Largest difference between the clocks of a runner and a worker.
+const CLOCK_MARGIN: Duration = Duration::from_secs(2);
+
+/// Permission to start tasks, by team and by availability zone.
+pub trait Admission: Send + Sync {
+    /// Whether one more task of the team may start.
+    fn team_may_start(&self, team: &TeamId, running: usize) -> bool;
+
+    /// Whether tasks may start in the zone.
+    fn zone_open(&self, zone: &ZoneId) -> bool;
+
+    /// Weight of the team.
+    fn share(&self, team: &TeamId) -> u32;
+}
+
+/// Starts and follows tasks.
+pub struct Runner<S, W, C> {
+    book: Book<S>,
+    workers: W,
+    clock: C,
+    estimator: Estimator,
+    /// Since when the worker of a claim has been out of reach.
+    unreachable: HashMap<ClaimId, Instant>,
+    /// Starts that the reports of their workers do not contain yet.
+    reserved: HashMap<ClaimId, (WorkerId, Estimate)>,
+}
+
+impl<S: Store, W: Workers, C: Clock> Runner<S, W, C> {
+    /// A runner without any history.
+    pub fn new(book: Book<S>, workers: W, clock: C) -> Self {
+        let (unreachable, reserved) = Default::default();
+        Self { book, workers, clock, estimator: Estimator::default(), unreachable, reserved }
+    }
+
+    /// Runs one round over the given shards.
+    pub async fn round(
+        &mut self,
+        shards: impl Iterator<Item = usize>,
+        admission: &impl Admission,
+    ) -> Result<(), BookError> {
+        let mut waiting = Vec::new();
+        let mut running: HashMap<TeamId, usize> = HashMap::new();
+        for shard in shards {
+            for task in self.book.list(shard).await? {
+                match &task.state {
+                    TaskState::Waiting { not_before } if *not_before <= self.clock.now() => {
+                        waiting.push(task);
+                    }
+                    TaskState::Claimed(claim) => {
+                        *running.entry(task.team.clone()).or_default() += 1;
+                        self.follow(&task, claim).await;
+                    }
+                    TaskState::Waiting { .. } | TaskState::Finished { .. } => {}
+                }
+            }
+        }
+        self.place_all(waiting, running, admission).await;
+        Ok(())
+    }
+
+    /// Settles what a claim has become.
+    async fn follow(&mut self, task: &Task, claim: &Claim) {
+        let state = self.workers.state(&claim.worker, &claim.id).await;
+        if state.is_ok() {
+            self.unreachable.remove(&claim.id);
+        }
+        match state {
+            Ok(RunState::Running) if task.cancel_requested => {
+                let _ = self.workers.stop(&claim.worker, &claim.id).await;
+            }
+            Ok(RunState::Running) => {}
+            Ok(RunState::Succeeded { answer, usage }) => {
+                self.estimator.note(&task.team, &task.kind, usage);
+                self.finish(task, claim, Outcome::Succeeded { answer }).await;
+            }
+            Ok(RunState::Failed { reason }) => self.fail(task, claim, reason).await,
+            Ok(RunState::Unseen) => self.follow_unseen(task, claim).await,
+            Err(_) => self.follow_unreachable(task, claim).await,
+        }
+    }
+
+    async fn fail(&mut self, task: &Task, claim: &Claim, reason: std::sync::Arc<str>) {
+        if task.cancel_requested {
+            self.finish(task, claim, Outcome::Cancelled).await;
+        } else if task.idempotent {
+            self.lose(task, claim, Loss::MayHaveRun).await;
+        } else {
+            self.finish(task, claim, Outcome::Failed { reason }).await;
+        }
+    }
+
+    /// A claim that its worker never started is started, or given up once it can no longer start.
+    async fn follow_unseen(&mut self, task: &Task, claim: &Claim) {
+        let now = self.clock.now();
+        if now >= claim.start_before + CLOCK_MARGIN {
+            self.lose(task, claim, Loss::NeverStarted).await;
+        } else if now < claim.start_before && !task.cancel_requested {
+            let _ = self.start(task, claim).await;
+        }
+    }
+
+    /// A claim counts as lost once its worker has stopped its tasks by itself.
+    async fn follow_unreachable(&mut self, task: &Task, claim: &Claim) {
+        let now = Instant::now();
+        let since = *self.unreachable.entry(claim.id.clone()).or_insert(now);
+        let startable = self.clock.now() < claim.start_before + CLOCK_MARGIN;
+        if !startable && now >= since + self.workers.lease() + CLOCK_MARGIN {
+            self.lose(task, claim, Loss::MayHaveRun).await;
+        }
+    }
+
+    async fn finish(&mut self, task: &Task, claim: &Claim, outcome: Outcome) {
+        let transition = Transition::Finish { claim: claim.id.clone(), outcome };
+        self.end(task, claim, transition).await;
+    }
+
+    async fn lose(&mut self, task: &Task, claim: &Claim, loss: Loss) {
+        let transition = Transition::Lose { claim: claim.id.clone(), loss };
+        self.end(task, claim, transition).await;
+    }
+
+    async fn end(&mut self, task: &Task, claim: &Claim, transition: Transition) {
+        if self.book.apply(key(task), transition).await.is_ok() {
+            self.unreachable.remove(&claim.id);
+            self.reserved.remove(&claim.id);
+        }
+    }
+
+    /// Places waiting tasks, urgent ones first, then by running tasks per share of the team.
+    async fn place_all(
+        &mut self,
+        mut waiting: Vec<Task>,
+        mut running: HashMap<TeamId, usize>,
+        admission: &impl Admission,
+    ) {
+        let Ok(reports) = self.workers.list().await else { return };
+        self.drop_counted(&reports);
+        let mut workers: Vec<Worker> =
+            reports.into_iter().map(|report| self.worker(report)).collect();
+        while let Some(index) = next_task(&waiting, &running, admission) {
+            let task = waiting.swap_remove(index);
+            if self.place_one(&task, &mut workers, admission).await {
+                *running.entry(task.team.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    async fn place_one(
+        &mut self,
+        task: &Task,
+        workers: &mut [Worker],
+        admission: &impl Admission,
+    ) -> bool {
+        let declared = Estimate { resources: task.declared, run_time: task.declared_run_time };
+        let estimate = self.estimator.estimate(&task.team, &task.kind, declared);
+        let request = Request { resources: estimate.resources, failed_on: &task.failed_on };
+        match place(&request, workers, |zone| admission.zone_open(zone)) {
+            Placement::On(index) => {
+                let worker = &mut workers[index];
+                worker.reserved = worker.reserved.plus(&estimate.resources);
+                self.claim_and_start(task, worker.id.clone(), estimate).await
+            }
+            Placement::Hopeless => {
+                let _ = self.book.apply(key(task), Transition::EndHopeless).await;
+                false
+            }
+            Placement::Wait => false,
+        }
+    }
+
+    async fn claim_and_start(&mut self, task: &Task, worker: WorkerId, estimate: Estimate) -> bool {
+        let id = format!("{:016x}", rand::rng().random::<u64>()).into();
+        let claim = Claim { id, worker, start_before: self.clock.now() + START_WITHIN };
+        if self.book.apply(key(task), Transition::Claim(claim.clone())).await.is_err() {
+            return false;
+        }
+        self.reserved.insert(claim.id.clone(), (claim.worker.clone(), estimate));
+        // A refusal may follow a start by another runner, so the next round settles the claim.
+        let _ = self.start(task, &claim).await;
+        true
+    }
+
+    async fn start(&self, task: &Task, claim: &Claim) -> Result<(), WorkerError> {
+        let reserved = self.reserved.get(&claim.id);
+        let start = Start {
+            worker: claim.worker.clone(),
+            claim: claim.id.clone(),
+            task: task.id.clone(),
+            start_before: claim.start_before,
+            resources: reserved.map_or(task.declared, |(_, estimate)| estimate.resources),
+        };
+        self.workers.start(start).await
+    }
+
+    /// Drops reservations that the reports contain.
+    fn drop_counted(&mut self, reports: &[WorkerReport]) {
+        for claim in reports.iter().flat_map(|report| &report.counted) {
+            self.reserved.remove(claim);
+        }
+    }
+
+    fn worker(&self, report: WorkerReport) -> Worker {
+        let reserved = self.reserved.values().filter(|(worker, _)| *worker == report.id);
+        Worker {
+            reserved: reserved
+                .fold(Default::default(), |sum, (_, estimate)| estimate.resources.plus(&sum)),
+            id: report.id,
+            zone: report.zone,
+            rack: report.rack,
+            capacity: report.capacity,
+            reported: report.used,
+            accepts: report.accepts,
+        }
+    }
+}
+
+fn key(task: &Task) -> TaskKey {
+    (task.team.clone(), task.id.clone())
+}
+
+/// Index of the next task to place: urgent first, then the team that runs least per share.
+fn next_task(
+    waiting: &[Task],
+    running: &HashMap<TeamId, usize>,
+    admission: &impl Admission,
+) -> Option<usize> {
+    let runs = |task: &Task| running.get(&task.team).copied().unwrap_or(0);
+    let candidates = waiting
+        .iter()
+        .enumerate()
+        .filter(|(_, task)| admission.team_may_start(&task.team, runs(task)));
+    let load = |task: &Task| runs(task) as f64 / f64::from(admission.share(&task.team).max(1));
+    let next = candidates.min_by(|(_, one), (_, other)| {
+        other.urgent.cmp(&one.urgent).then(load(one).total_cmp(&load(other)))
+    });
+    next.map(|(index, _)| index)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/tasks/src/shard.rs
+++ b/crates/tasks/src/shard.rs
@@ -121,19 +121,6 @@
         Ok(())
     }
 
-    /// Records that the worker refused a claim without starting it.
-    pub fn refuse(
-        &mut self,
-        key: &TaskKey,
-        claim: &ClaimId,
-        now: SystemTime,
-    ) -> Result<(), TransitionError> {
-        let task = self.claimed_mut(key, claim)?;
-        task.last_ended_claim = Some(claim.clone());
-        task.state = waiting_or_cancelled(task, now, now);
-        Ok(())
-    }
-
     /// Cancels a waiting task at once, and asks for the cancellation of a running one.
     pub fn cancel(&mut self, key: &TaskKey, now: SystemTime) -> Result<(), TransitionError> {
         let task = self.task_mut(key)?;
--- a/crates/tasks/src/transition.rs
+++ b/crates/tasks/src/transition.rs
@@ -29,8 +29,6 @@
         /// What is known of the claim.
         loss: Loss,
     },
-    /// Records that the worker refused the claim.
-    Refuse(ClaimId),
     /// Cancels the task.
     Cancel,
     /// Ends a task that fits no worker.
@@ -65,7 +63,6 @@
             Self::Claim(claim) => shard.claim(key, claim.clone(), now),
             Self::Finish { claim, outcome } => shard.finish(key, claim, outcome.clone(), now),
             Self::Lose { claim, loss } => shard.lose(key, claim, *loss, now),
-            Self::Refuse(claim) => shard.refuse(key, claim, now),
             Self::Cancel => shard.cancel(key, now),
             Self::EndHopeless => shard.end_hopeless(key, now),
         }?;
@@ -79,7 +76,7 @@
             Self::Claim(claim) => {
                 matches!(&task.state, TaskState::Claimed(current) if current.id == claim.id)
             }
-            Self::Finish { claim, .. } | Self::Lose { claim, .. } | Self::Refuse(claim) => {
+            Self::Finish { claim, .. } | Self::Lose { claim, .. } => {
                 task.last_ended_claim.as_ref() == Some(claim)
             }
             Self::Cancel => false,
