Escrowed upper limits over the ledger in the key-value service

Cause: no team may have more running than its upper limit, in any partition. Change: the crate membership gets the ledger document, the plan of one holder as a plain function, tokens for the request path and a keeper that changes the ledger by compare-and-swap. Tokens leave a holder's own use before the write that moves them; an unknown outcome is settled by sending the same compare-and-swap again; slices of a silent holder return after its hold and the longest deadline.

--- /dev/null
+++ b/crates/membership/src/escrow/fill.rs
@@ -0,0 +1,23 @@
+//! Integer max-min division of tokens.
+
+/// Divides `total` among `demands` by max-min: no one gets more than its demand, and what one
+/// leaves goes to the others in equal parts. Remainders go to the first ones.
+pub fn max_min(total: u32, demands: &[u32]) -> Vec<u32> {
+    let mut order: Vec<usize> = (0..demands.len()).collect();
+    order.sort_by_key(|index| demands[*index]);
+    let mut parts = vec![0; demands.len()];
+    let mut left = total;
+    for (done, index) in order.iter().enumerate() {
+        let open = (demands.len() - done) as u32;
+        let part = demands[*index].min(left / open);
+        parts[*index] = part;
+        left -= part;
+    }
+    for (part, demand) in parts.iter_mut().zip(demands) {
+        if left > 0 && *part < *demand {
+            *part += 1;
+            left -= 1;
+        }
+    }
+    parts
+}
--- /dev/null
+++ b/crates/membership/src/escrow/keeper.rs
@@ -0,0 +1,520 @@
+//! Keeps the slices of this entry instance in step with the ledger.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassiafold_config::{ActiveConfig, Config, TeamId, Version};
+use cassiafold_event::emit;
+use cassiafold_platform::{Compare, Revision, Store, StoreError, Write, WriteOutcome};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use super::EscrowSettings;
+use super::ledger::{Holder, HolderId, LEDGER_KEY, Ledger};
+use super::local::Escrow;
+use super::plan::{Bound, Context, Use, plan, usable};
+use crate::event::MembershipEvent;
+use crate::usage::UsageSource;
+
+/// Writes within the time for which slices are valid, as long as the service answers.
+const CONFIRMATIONS_PER_HOLD: u32 = 12;
+/// Least time between two writes of one holder, for each holder in the ledger.
+const WRITE_SPACING_PER_HOLDER: Duration = Duration::from_millis(150);
+/// Longest time between two reads of the ledger.
+const READ_INTERVAL_MAX: Duration = Duration::from_secs(5);
+/// Attempts of one write against conflicts.
+const ATTEMPTS_MAX: usize = 3;
+/// Part of a recent peak of demand that is left after one interval.
+const PEAK_DECAY: f32 = 0.9;
+/// Added to a wait for a silent holder: difference of clock rates, as a divisor.
+const CLOCK_RATE_DIVISOR: u32 = 100;
+/// Added to a wait for a silent holder: time between a permit and the first byte sent.
+const START_MARGIN: Duration = Duration::from_secs(5);
+
+/// A state of the ledger and the condition under which it may be retired.
+#[derive(Debug)]
+struct Copy {
+    compare: Compare,
+    ledger: Ledger,
+}
+
+impl Copy {
+    fn revision(&self) -> Revision {
+        match self.compare {
+            Compare::Absent => 0,
+            Compare::Revision(revision) => revision,
+        }
+    }
+}
+
+/// A write whose outcome is unknown.
+#[derive(Debug)]
+struct Pending {
+    write: Write,
+    ledger: Ledger,
+    writes: u64,
+    sent: Instant,
+}
+
+/// What a holder showed in the ledger, and since when.
+#[derive(Debug, Clone, Copy)]
+struct Sighting {
+    writes: u64,
+    retired: bool,
+    since: Instant,
+}
+
+/// Reads and writes the ledger for one entry instance.
+#[derive(Debug)]
+pub struct Keeper<S, U> {
+    store: S,
+    usage: U,
+    config: ActiveConfig,
+    escrow: Escrow,
+    settings: EscrowSettings,
+    id: HolderId,
+    hint: Arc<AtomicU64>,
+    copy: Option<Copy>,
+    pending: Option<Pending>,
+    writes: u64,
+    sightings: HashMap<HolderId, Sighting>,
+    peaks: BTreeMap<TeamId, f32>,
+    ceilings: BTreeMap<TeamId, u32>,
+    applied: Option<Arc<Config>>,
+    deadline_max: Duration,
+    last_read: Option<Instant>,
+    last_write: Option<Instant>,
+    confirmed: Option<Instant>,
+    retired: bool,
+}
+
+impl<S: Store, U: UsageSource> Keeper<S, U> {
+    /// A keeper for one run of an entry instance. The clones of `escrow` give its permits.
+    pub fn new(
+        id: HolderId,
+        settings: EscrowSettings,
+        store: S,
+        config: ActiveConfig,
+        usage: U,
+        escrow: Escrow,
+    ) -> Self {
+        Self {
+            store,
+            usage,
+            config,
+            escrow,
+            settings,
+            id,
+            hint: Arc::default(),
+            copy: None,
+            pending: None,
+            writes: 0,
+            sightings: HashMap::new(),
+            peaks: BTreeMap::new(),
+            ceilings: BTreeMap::new(),
+            applied: None,
+            deadline_max: Duration::ZERO,
+            last_read: None,
+            last_write: None,
+            confirmed: None,
+            retired: false,
+        }
+    }
+
+    /// Highest revision of the ledger known to other entry instances; raised by their messages.
+    pub fn hint(&self) -> Arc<AtomicU64> {
+        self.hint.clone()
+    }
+
+    /// State of the ledger as last seen.
+    pub fn ledger(&self) -> Option<&Ledger> {
+        self.copy.as_ref().map(|copy| &copy.ledger)
+    }
+
+    /// Keeps the slices until `stop` completes; then gives them back.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) {
+        let escrow = self.escrow.clone();
+        tokio::select! {
+            () = note_pauses(&escrow, self.settings) => {}
+            () = self.keep(stop) => {}
+        }
+        self.leave().await;
+    }
+
+    async fn keep(&mut self, stop: impl Future<Output = ()>) {
+        let mut ticks = interval(self.settings.interval);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                () = &mut stop => return,
+                _ = ticks.tick() => {}
+            }
+            self.step().await;
+        }
+    }
+
+    /// Looks at configuration, demand and ledger once and writes what has to change.
+    pub async fn step(&mut self) {
+        let Some(config) = self.config.load() else { return };
+        self.apply(&config);
+        self.sample();
+        if let Some(pending) = self.pending.take() {
+            self.settle(pending).await;
+        }
+        if self.pending.is_some() || self.retired {
+            return;
+        }
+        if self.read_due() {
+            self.read().await;
+        }
+        self.write(&config).await;
+        self.escrow.notify();
+    }
+
+    /// Puts a configuration in force: lowered limits stop starts at once.
+    fn apply(&mut self, config: &Arc<Config>) {
+        if config.version == self.version() {
+            return;
+        }
+        if let Some(applied) = &self.applied {
+            for (team, before) in &applied.teams {
+                let ceiling = self.ceilings.entry(team.clone()).or_insert(0);
+                *ceiling = before.upper_limit.max(*ceiling);
+            }
+        }
+        let longest = config.services.values().map(|service| service.deadline_max).max();
+        self.deadline_max = self.deadline_max.max(longest.unwrap_or_default());
+        self.applied = Some(config.clone());
+        self.refresh();
+    }
+
+    /// Follows the demand of each team, with its recent peak.
+    fn sample(&mut self) {
+        let waiting = self.usage.usage().waiting_by_team();
+        for peak in self.peaks.values_mut() {
+            *peak *= PEAK_DECAY;
+        }
+        for team in self.escrow.teams().iter().chain(waiting.keys()) {
+            let waiting = waiting.get(team).copied().unwrap_or(0);
+            let demand = self.escrow.in_use(team).saturating_add(waiting) as f32;
+            let peak = self.peaks.entry(team.clone()).or_insert(0.0);
+            *peak = peak.max(demand);
+        }
+        self.peaks.retain(|_, peak| *peak >= 0.5);
+    }
+
+    fn work(&self, team: &TeamId) -> Use {
+        let demand = self.peaks.get(team).map_or(0, |peak| peak.round() as u32);
+        Use { in_use: self.escrow.in_use(team), demand }
+    }
+
+    fn read_due(&self) -> bool {
+        let (Some(copy), Some(last)) = (&self.copy, self.last_read) else { return true };
+        let short = |team: &TeamId| self.work(team).demand > self.escrow.usable(team);
+        last.elapsed() >= READ_INTERVAL_MAX
+            || self.hint.load(Ordering::Relaxed) > copy.revision()
+            || self.peaks.keys().any(short)
+    }
+
+    async fn read(&mut self) {
+        self.last_read = Some(Instant::now());
+        match self.store.get(LEDGER_KEY).await {
+            Ok(Some(record)) => self.adopt_bytes(record.revision, &record.value),
+            Ok(None) if self.copy.is_none() => {
+                self.copy = Some(Copy { compare: Compare::Absent, ledger: Ledger::default() });
+            }
+            Ok(None) | Err(_) => {}
+        }
+    }
+
+    fn adopt_bytes(&mut self, revision: Revision, bytes: &[u8]) {
+        match Ledger::from_json(bytes) {
+            Ok(ledger) => self.adopt(revision, ledger),
+            Err(error) => emit!(MembershipEvent::LedgerMalformed, error = error),
+        }
+    }
+
+    /// Takes over a newer state of the ledger; an older one is ignored.
+    fn adopt(&mut self, revision: Revision, ledger: Ledger) {
+        if self.copy.as_ref().is_some_and(|copy| copy.revision() >= revision) {
+            return;
+        }
+        if ledger.config_version >= self.version() {
+            self.ceilings.clear();
+        }
+        self.sight(&ledger);
+        let was_in = self.ledger().is_some_and(|before| before.position(&self.id).is_some());
+        let position = ledger.position(&self.id);
+        if was_in && position.is_none() {
+            emit!(MembershipEvent::SlicesLost, instance = self.id.instance);
+            self.escrow.shut();
+        }
+        if position.is_some_and(|position| ledger.holders[position].retired) {
+            emit!(MembershipEvent::SlicesRetired, instance = self.id.instance);
+            self.retired = true;
+            self.escrow.shut();
+        }
+        self.copy = Some(Copy { compare: Compare::Revision(revision), ledger });
+        self.hint.fetch_max(revision, Ordering::Relaxed);
+        self.refresh();
+    }
+
+    /// Notes what each holder shows.
+    fn sight(&mut self, ledger: &Ledger) {
+        let now = Instant::now();
+        self.sightings.retain(|id, _| ledger.position(id).is_some());
+        for holder in &ledger.holders {
+            let (writes, retired) = (holder.writes, holder.retired);
+            let fresh = Sighting { writes, retired, since: now };
+            let known = self.sightings.entry(holder.id.clone()).or_insert(fresh);
+            if known.writes != writes || known.retired != retired {
+                *known = fresh;
+            }
+        }
+    }
+
+    /// Sets the usable tokens of every team from the ledger and the limits in force.
+    fn refresh(&self) {
+        let Some(copy) = &self.copy else { return };
+        let position = copy.ledger.position(&self.id).filter(|_| !self.retired);
+        for team in self.escrow.teams().iter().chain(copy.ledger.teams.keys()) {
+            let tokens = position.map_or(0, |me| self.usable(&copy.ledger, me, team));
+            self.escrow.set_usable(team, tokens);
+        }
+    }
+
+    fn usable(&self, ledger: &Ledger, me: usize, team: &TeamId) -> u32 {
+        let (tokens, confirmed) = ledger.confirmed(team, me, self.version());
+        let ceiling = self.ceilings.get(team).copied().unwrap_or(0);
+        let total = ledger.total(team).max(ceiling);
+        usable(Bound { tokens, confirmed, total, limit: self.limit(team) })
+    }
+
+    fn limit(&self, team: &TeamId) -> u32 {
+        let config = self.applied.as_ref();
+        config.and_then(|config| config.teams.get(team)).map_or(0, |team| team.upper_limit)
+    }
+
+    /// Positions of holders whose slices return now.
+    fn lapsed(&self, ledger: &Ledger) -> Vec<usize> {
+        let holders = ledger.holders.iter().enumerate();
+        holders.filter(|(_, holder)| self.has_lapsed(holder)).map(|(index, _)| index).collect()
+    }
+
+    fn has_lapsed(&self, holder: &Holder) -> bool {
+        let Some(sighting) = self.sightings.get(&holder.id) else { return false };
+        holder.id != self.id && sighting.since.elapsed() >= self.wait(holder)
+    }
+
+    /// Silence after which nothing that the holder started can still run.
+    fn wait(&self, holder: &Holder) -> Duration {
+        let use_max = if holder.retired { self.settings.pause_max } else { holder.hold };
+        let wait = use_max + holder.deadline_max.max(self.deadline_max);
+        wait + wait / CLOCK_RATE_DIVISOR + START_MARGIN
+    }
+
+    fn confirmation_due(&self) -> bool {
+        let age = self.confirmed.map(|confirmed| confirmed.elapsed());
+        let interval = self.settings.hold / CONFIRMATIONS_PER_HOLD;
+        !self.escrow.is_open() || age.is_none_or(|age| age >= interval)
+    }
+
+    fn may_write(&self, ledger: &Ledger) -> bool {
+        let spacing = WRITE_SPACING_PER_HOLDER * ledger.holders.len() as u32;
+        self.last_write.is_none_or(|last| last.elapsed() >= spacing)
+    }
+
+    async fn write(&mut self, config: &Config) {
+        for _ in 0..ATTEMPTS_MAX {
+            let Some(copy) = &self.copy else { return };
+            if self.retired || !self.may_write(&copy.ledger) {
+                return;
+            }
+            let Some(pending) = self.prepare(copy, config) else { return };
+            match self.attempt(pending).await {
+                Attempt::Done => return,
+                Attempt::Conflict => self.read().await,
+            }
+        }
+    }
+
+    /// Plans a write; `None` when the ledger needs none.
+    fn prepare(&self, copy: &Copy, config: &Config) -> Option<Pending> {
+        let mut ledger = copy.ledger.clone();
+        self.refresh();
+        let joins = ledger.position(&self.id).is_none();
+        if joins {
+            ledger.join(self.new_holder());
+        }
+        let lapsed = self.lapsed(&ledger);
+        let me = ledger.position(&self.id)?;
+        let deadline_max = self.deadline_max;
+        let context = Context { me, config, deadline_max, lapsed: &lapsed };
+        let work = |team: &TeamId| self.work(team);
+        let take = |team: &TeamId, keep: u32| {
+            self.escrow.set_usable(team, keep.min(self.escrow.usable(team)))
+        };
+        let changed = plan(&mut ledger, &context, work, take);
+        if !changed && !joins && !self.confirmation_due() {
+            return None;
+        }
+        self.pending_write(copy.compare, ledger)
+    }
+
+    fn new_holder(&self) -> Holder {
+        Holder {
+            id: self.id.clone(),
+            writes: 0,
+            version: 0,
+            deadline_max: self.deadline_max,
+            hold: self.settings.hold,
+            retired: false,
+        }
+    }
+
+    fn pending_write(&self, compare: Compare, mut ledger: Ledger) -> Option<Pending> {
+        let writes = self.writes + 1;
+        if let Some(me) = ledger.position(&self.id) {
+            ledger.holders[me].writes = writes;
+        }
+        let value = Bytes::from(ledger.to_json().ok()?);
+        let write = Write::put(LEDGER_KEY, compare, value);
+        Some(Pending { write, ledger, writes, sent: Instant::now() })
+    }
+
+    async fn attempt(&mut self, mut pending: Pending) -> Attempt {
+        self.writes = pending.writes;
+        self.last_write = Some(Instant::now());
+        let sent = Instant::now();
+        match self.store.write(pending.write.clone()).await {
+            Ok(WriteOutcome::Written(revision)) => {
+                self.report_reclaimed(&pending.ledger);
+                self.adopt(revision, pending.ledger);
+                self.confirm(sent);
+                Attempt::Done
+            }
+            Ok(WriteOutcome::Conflict) => {
+                self.refresh();
+                Attempt::Conflict
+            }
+            Err(StoreError::OutcomeUnknown(reason)) => {
+                emit!(MembershipEvent::TransferUnknown, reason = reason);
+                pending.sent = sent;
+                self.pending = Some(pending);
+                Attempt::Done
+            }
+            Err(_) => {
+                self.refresh();
+                Attempt::Done
+            }
+        }
+    }
+
+    fn confirm(&mut self, sent: Instant) {
+        self.confirmed = Some(sent);
+        if !self.retired {
+            self.escrow.extend(sent, self.settings.hold);
+        }
+    }
+
+    fn report_reclaimed(&self, ledger: &Ledger) {
+        let before = self.ledger().map(|ledger| ledger.holders.as_slice()).unwrap_or_default();
+        for holder in before.iter().filter(|holder| ledger.position(&holder.id).is_none()) {
+            let run = holder.id.incarnation;
+            emit!(MembershipEvent::SlicesReclaimed, instance = holder.id.instance, run = run);
+        }
+    }
+
+    /// Finds out whether a write took effect. The same compare-and-swap is sent again: it can take
+    /// effect once at most, and a conflict proves that the ledger has moved on from its condition.
+    async fn settle(&mut self, pending: Pending) {
+        let sent = Instant::now();
+        match self.store.write(pending.write.clone()).await {
+            Ok(WriteOutcome::Written(revision)) => {
+                self.adopt(revision, pending.ledger);
+                self.confirm(sent);
+            }
+            Ok(WriteOutcome::Conflict) => self.settle_by_read(pending).await,
+            Err(_) => self.pending = Some(pending),
+        }
+    }
+
+    async fn settle_by_read(&mut self, pending: Pending) {
+        self.last_read = Some(Instant::now());
+        let base = self.copy.as_ref().map_or(0, Copy::revision);
+        let record = self.store.get(LEDGER_KEY).await.ok().flatten();
+        let Some(record) = record.filter(|record| record.revision > base) else {
+            self.pending = Some(pending);
+            return;
+        };
+        self.adopt_bytes(record.revision, &record.value);
+        let Some(ledger) = self.ledger() else { return };
+        let mine = ledger.position(&self.id).map(|index| &ledger.holders[index]);
+        if mine.is_some_and(|holder| holder.writes == pending.writes) {
+            self.confirm(pending.sent);
+        }
+    }
+
+    /// Gives back every token that is not in use.
+    async fn leave(&mut self) {
+        self.retired = true;
+        for _ in 0..ATTEMPTS_MAX {
+            if let Some(pending) = self.pending.take() {
+                self.settle(pending).await;
+            }
+            let Some(copy) = self.copy.as_ref().filter(|_| self.pending.is_none()) else { return };
+            let Some(me) = copy.ledger.position(&self.id) else { return };
+            let ledger = self.without_idle(copy.ledger.clone(), me);
+            let Some(pending) = self.pending_write(copy.compare, ledger) else { return };
+            match self.attempt(pending).await {
+                Attempt::Done if self.pending.is_none() => return,
+                Attempt::Done => {}
+                Attempt::Conflict => self.read().await,
+            }
+        }
+    }
+
+    fn without_idle(&self, mut ledger: Ledger, me: usize) -> Ledger {
+        let mut left = 0;
+        for (team, slices) in &mut ledger.teams {
+            let in_use = self.escrow.set_usable(team, 0);
+            slices[me] = super::Slice { tokens: slices[me].tokens.min(in_use), want: 0 };
+            left += slices[me].tokens;
+        }
+        ledger.holders[me].retired = true;
+        if left == 0 {
+            ledger.remove(me);
+        }
+        ledger
+    }
+
+    /// Configuration version that the keeper has put in force.
+    pub fn version(&self) -> Version {
+        self.applied.as_ref().map_or(0, |config| config.version)
+    }
+}
+
+/// Watches for pauses of the process, apart from the calls to the key-value service.
+async fn note_pauses(escrow: &Escrow, settings: EscrowSettings) {
+    let mut ticks = interval(settings.interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut started = false;
+    loop {
+        ticks.tick().await;
+        if escrow.tick(settings.pause_max) && started {
+            emit!(MembershipEvent::ProcessPaused);
+        }
+        started = true;
+    }
+}
+
+enum Attempt {
+    Done,
+    Conflict,
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/escrow/local.rs
@@ -0,0 +1,217 @@
+//! Tokens of this entry instance as the request path sees them.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use cassiafold_config::TeamId;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Usable tokens and tokens in use of one team, changed together.
+#[derive(Debug, Default)]
+struct Tokens(AtomicU64);
+
+const IN_USE_BITS: u32 = 32;
+
+fn pack(usable: u32, in_use: u32) -> u64 {
+    (u64::from(usable) << IN_USE_BITS) | u64::from(in_use)
+}
+
+fn unpack(packed: u64) -> (u32, u32) {
+    ((packed >> IN_USE_BITS) as u32, packed as u32)
+}
+
+impl Tokens {
+    fn acquire(&self) -> bool {
+        let take = |packed| {
+            let (usable, in_use) = unpack(packed);
+            (in_use < usable).then(|| pack(usable, in_use + 1))
+        };
+        self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, take).is_ok()
+    }
+
+    fn release(&self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Sets the usable tokens and returns the tokens in use at that moment.
+    fn set_usable(&self, usable: u32) -> u32 {
+        let set = |packed| Some(pack(usable, unpack(packed).1));
+        let before = self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, set);
+        unpack(before.unwrap_or_else(|packed| packed)).1
+    }
+
+    fn load(&self) -> (u32, u32) {
+        unpack(self.0.load(Ordering::Acquire))
+    }
+}
+
+/// Bounds the time for which the slices may be used, on the monotonic clock.
+#[derive(Debug)]
+struct Gate {
+    base: Instant,
+    valid_until_ms: AtomicU64,
+    ticked_until_ms: AtomicU64,
+    /// End of the last pause of the process; guards changes of the two bounds.
+    resumed: Mutex<Instant>,
+}
+
+impl Gate {
+    fn lock_resumed(&self) -> MutexGuard<'_, Instant> {
+        self.resumed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn elapsed_ms(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.base).as_millis() as u64
+    }
+
+    fn is_open(&self) -> bool {
+        let now_ms = self.elapsed_ms(Instant::now());
+        now_ms < self.valid_until_ms.load(Ordering::Acquire)
+            && now_ms < self.ticked_until_ms.load(Ordering::Acquire)
+    }
+}
+
+/// Gives permits out of the slices that this entry instance holds. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Escrow {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    teams: ArcSwap<HashMap<TeamId, Arc<Tokens>>>,
+    gate: Gate,
+    changes: watch::Sender<u64>,
+}
+
+/// Permission to run one request of a team; returned when dropped.
+#[derive(Debug)]
+pub struct Permit {
+    tokens: Arc<Tokens>,
+    inner: Arc<Inner>,
+}
+
+impl Permit {
+    /// Whether the slice behind the permit may still be used to start work. To be asked again when
+    /// time may have passed between the permit and the first byte sent.
+    pub fn is_valid(&self) -> bool {
+        self.inner.gate.is_open()
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.tokens.release();
+    }
+}
+
+impl Default for Escrow {
+    fn default() -> Self {
+        let base = Instant::now();
+        let gate = Gate {
+            base,
+            valid_until_ms: AtomicU64::new(0),
+            ticked_until_ms: AtomicU64::new(0),
+            resumed: Mutex::new(base),
+        };
+        let changes = watch::Sender::new(0);
+        Self { inner: Arc::new(Inner { teams: ArcSwap::default(), gate, changes }) }
+    }
+}
+
+impl Escrow {
+    /// Takes a permit if the team may run one more request at this entry instance now.
+    pub fn try_acquire(&self, team: &TeamId) -> Option<Permit> {
+        if !self.inner.gate.is_open() {
+            return None;
+        }
+        let tokens = self.inner.teams.load().get(team)?.clone();
+        tokens.acquire().then(|| Permit { tokens, inner: self.inner.clone() })
+    }
+
+    /// Receiver that is notified whenever usable tokens may have changed.
+    pub fn changed(&self) -> watch::Receiver<u64> {
+        self.inner.changes.subscribe()
+    }
+
+    /// Usable tokens of a team.
+    pub fn usable(&self, team: &TeamId) -> u32 {
+        self.inner.teams.load().get(team).map_or(0, |tokens| tokens.load().0)
+    }
+
+    /// Tokens of a team that are in use.
+    pub fn in_use(&self, team: &TeamId) -> u32 {
+        self.inner.teams.load().get(team).map_or(0, |tokens| tokens.load().1)
+    }
+
+    /// Whether slices may be used now.
+    pub fn is_open(&self) -> bool {
+        self.inner.gate.is_open()
+    }
+
+    /// Sum of the tokens in use over all teams.
+    pub fn in_use_total(&self) -> u64 {
+        self.inner.teams.load().values().map(|tokens| u64::from(tokens.load().1)).sum()
+    }
+
+    /// Sets the usable tokens of a team and returns how many were in use at that moment.
+    pub(super) fn set_usable(&self, team: &TeamId, usable: u32) -> u32 {
+        if let Some(tokens) = self.inner.teams.load().get(team) {
+            return tokens.set_usable(usable);
+        }
+        let tokens = Arc::new(Tokens::default());
+        tokens.set_usable(usable);
+        self.inner.teams.rcu(|teams| {
+            let mut teams = HashMap::clone(teams);
+            teams.insert(team.clone(), tokens.clone());
+            teams
+        });
+        0
+    }
+
+    /// Teams with tokens known here.
+    pub(super) fn teams(&self) -> Vec<TeamId> {
+        self.inner.teams.load().keys().cloned().collect()
+    }
+
+    /// Lets slices be used for `hold` after `sent`, when a write that confirmed them was sent. A
+    /// write sent before the process was last paused confirms nothing.
+    pub(super) fn extend(&self, sent: Instant, hold: Duration) {
+        let gate = &self.inner.gate;
+        let resumed = gate.lock_resumed();
+        if sent >= *resumed {
+            let until_ms = gate.elapsed_ms(sent + hold);
+            gate.valid_until_ms.fetch_max(until_ms, Ordering::AcqRel);
+        }
+    }
+
+    /// Forbids the use of slices until the next [`Self::extend`].
+    pub(super) fn shut(&self) {
+        let _resumed = self.inner.gate.lock_resumed();
+        self.inner.gate.valid_until_ms.store(0, Ordering::Release);
+    }
+
+    /// Notes that the process runs. After a pause longer than `gap_max` the slices may not be used
+    /// until a new write confirms them. Returns whether there was such a pause.
+    pub(super) fn tick(&self, gap_max: Duration) -> bool {
+        let gate = &self.inner.gate;
+        let mut resumed = gate.lock_resumed();
+        let now = Instant::now();
+        let paused = gate.elapsed_ms(now) >= gate.ticked_until_ms.load(Ordering::Acquire);
+        if paused {
+            *resumed = now;
+            gate.valid_until_ms.store(0, Ordering::Release);
+        }
+        gate.ticked_until_ms.store(gate.elapsed_ms(now + gap_max), Ordering::Release);
+        paused
+    }
+
+    /// Wakes those that wait for [`Self::changed`].
+    pub(super) fn notify(&self) {
+        self.inner.changes.send_modify(|count| *count += 1);
+    }
+}
