Keep a copy of each shard between writes

Cause: each batch of transitions read its shard before it wrote it, and half of the store calls were these reads.

Change: the writer keeps the shard as it last wrote it. A conflict or an unknown outcome drops the copy; a refusal, and an answer that needs no write, are given only from a shard read anew.

--- a/crates/tasks/benches/decisions.rs
+++ b/crates/tasks/benches/decisions.rs
@@ -37,7 +37,7 @@
         task: format!("task-{index}").into(),
         worker: index % workers,
         resources: resources(6),
-        checkpointable: index % 3 > 0,
+        checkpointable: !index.is_multiple_of(3),
         urgent: false,
         checkpoint_time: Duration::from_millis(500 + (index as u64 * 37) % 3_000),
     };
--- a/crates/tasks/src/book.rs
+++ b/crates/tasks/src/book.rs
@@ -81,7 +81,7 @@
         let start = |index| {
             let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
             let (store, clock) = (store.clone(), clock.clone());
-            let writer = Writer { store, clock, key: shard_key(index), timeout };
+            let writer = Writer { store, clock, key: shard_key(index), timeout, copy: None };
             tokio::spawn(writer.run(receiver));
             sender
         };
@@ -121,12 +121,14 @@
     clock: C,
     key: Arc<str>,
     timeout: Duration,
+    /// The shard as last written or read; dropped when another writer was first.
+    copy: Option<(Shard, Compare)>,
 }
 
 type Answers = Vec<Result<Applied, BookError>>;
 
 impl<S: Store, C: Clock> Writer<S, C> {
-    async fn run(self, mut receiver: mpsc::Receiver<Pending>) {
+    async fn run(mut self, mut receiver: mpsc::Receiver<Pending>) {
         while let Some(first) = receiver.recv().await {
             tokio::time::sleep(BATCH_WINDOW).await;
             let mut batch = vec![first];
@@ -141,7 +143,7 @@
     }
 
     /// Writes a batch; gives one answer for each transition.
-    async fn write(&self, batch: &[Pending]) -> Answers {
+    async fn write(&mut self, batch: &[Pending]) -> Answers {
         let deadline = Instant::now() + self.timeout;
         let mut failure = BookError::Unavailable;
         loop {
@@ -159,18 +161,24 @@
         }
     }
 
-    /// Tries one compare-and-swap; `None` says that another writer was first.
-    async fn try_write(&self, batch: &[Pending]) -> Result<Option<Answers>, BookError> {
-        let (mut shard, compare) = read(&self.store, &self.key).await?;
+    /// Tries one compare-and-swap; `None` says that another writer may have been first.
+    ///
+    /// An answer that needs no write, or a refusal, is given from the stored shard only, never
+    /// from a copy that may be out of date.
+    async fn try_write(&mut self, batch: &[Pending]) -> Result<Option<Answers>, BookError> {
+        let copied = self.copy.is_some();
+        let (mut shard, compare) = match self.copy.take() {
+            Some(copy) => copy,
+            None => read(&self.store, &self.key).await?,
+        };
         let before = shard.clone();
         let now = self.clock.now();
         shard.expire(now);
-        let apply = |pending: &Pending| {
-            pending.transition.apply(&mut shard, &pending.key, now).map_err(BookError::Refused)
-        };
-        let answers: Answers = batch.iter().map(apply).collect();
-        if shard == before {
-            return Ok(Some(answers));
+        let answers = apply_all(&mut shard, batch, now);
+        if shard == before || (copied && answers.iter().any(Result::is_err)) {
+            let confirmed = !copied;
+            self.copy = confirmed.then_some((before, compare));
+            return Ok(confirmed.then_some(answers));
         }
         let value = serde_json::to_vec(&WireShard::from(&shard))
             .map_err(|error| WireError::Malformed(error.to_string()))?;
@@ -178,13 +186,23 @@
             return Err(BookError::Full);
         }
         match self.store.write(Write::put(self.key.clone(), compare, value)).await {
-            Ok(WriteOutcome::Written(_)) => Ok(Some(answers)),
+            Ok(WriteOutcome::Written(revision)) => {
+                self.copy = Some((shard, Compare::Revision(revision)));
+                Ok(Some(answers))
+            }
             Ok(WriteOutcome::Conflict) => Ok(None),
             Err(error) => Err(failure(&error)),
         }
     }
 }
 
+fn apply_all(shard: &mut Shard, batch: &[Pending], now: SystemTime) -> Answers {
+    let apply = |pending: &Pending| {
+        pending.transition.apply(shard, &pending.key, now).map_err(BookError::Refused)
+    };
+    batch.iter().map(apply).collect()
+}
+
 async fn read<S: Store>(store: &S, key: &str) -> Result<(Shard, Compare), BookError> {
     let record = store.get(key).await.map_err(|_| BookError::Unavailable)?;
     let Some(record) = record else { return Ok((Shard::default(), Compare::Absent)) };
