Let the stand-in backend server fail on command

Cause: the request path must be proved against faults at each point of a request, and the stand-in answers every request whole.

Change: the stand-in reads HTTP/1.1 from the byte stream (httparse) and can reset, cut, stay silent, run slowly, cross ids, refuse as not run and answer with 500, one request at a time or lastingly. It keeps its slots, counts runs by request id, and shows the most requests and connections it ever had.

--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -1,18 +1,22 @@
-//! Stand-in of a backend server, which counts what it runs.
+//! Stand-in of a backend server, which counts what it runs and fails on command.
+
+mod connection;
+mod fault;
+mod http;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use axum::Router;
-use axum::body::Body;
-use axum::extract::{Request, State};
-use axum::response::Response;
 use cassiafold_config::InstanceId;
-use http::HeaderValue;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+pub use fault::{Fault, FaultPlan};
+
 /// Header that carries the id of a request in both directions.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -41,6 +45,23 @@
     }
 }
 
+/// How a stand-in backend server behaves when no fault is commanded.
+#[derive(Debug, Clone)]
+pub struct BackendOptions {
+    /// Requests that it runs at once; more are refused as not run.
+    pub slots: u32,
+    /// Time that a run takes.
+    pub run_time: Duration,
+    /// Faults that it commits; several backend servers can share one plan.
+    pub faults: FaultPlan,
+}
+
+impl Default for BackendOptions {
+    fn default() -> Self {
+        Self { slots: u32::MAX, run_time: Duration::ZERO, faults: FaultPlan::default() }
+    }
+}
+
 /// A running stand-in backend server.
 #[derive(Debug)]
 pub struct Backend {
@@ -48,39 +69,123 @@
     pub address: SocketAddr,
     /// What it has run.
     pub counts: BackendCounts,
+    /// Faults that it commits.
+    pub faults: FaultPlan,
+    load: Arc<Load>,
+    upset: watch::Sender<Upset>,
     server: JoinHandle<()>,
 }
 
-#[derive(Clone)]
+/// What a stand-in backend server runs now and has run at most.
+#[derive(Debug, Default)]
+struct Load {
+    running: AtomicU32,
+    running_max: AtomicU32,
+    connections: AtomicU32,
+    connections_max: AtomicU32,
+}
+
+impl Load {
+    /// Takes a slot for a run, if one of `slots` is free.
+    fn start_run(&self, slots: u32) -> bool {
+        let raise = |running| (running < slots).then_some(running + 1);
+        let Ok(before) = self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, raise)
+        else {
+            return false;
+        };
+        self.running_max.fetch_max(before + 1, Ordering::SeqCst);
+        true
+    }
+
+    fn start_connection(&self) {
+        let open = self.connections.fetch_add(1, Ordering::SeqCst) + 1;
+        self.connections_max.fetch_max(open, Ordering::SeqCst);
+    }
+}
+
+/// What the connections of one stand-in backend server share.
+#[derive(Debug, Clone)]
 struct Shared {
     id: InstanceId,
     counts: BackendCounts,
+    options: BackendOptions,
+    load: Arc<Load>,
+    /// Notifies of what befalls the connections open now.
+    upset: watch::Receiver<Upset>,
+}
+
+/// What befalls all connections that are open at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Upset {
+    Silence,
+    Reset,
 }
 
 impl Backend {
     /// Starts a backend server on a free port of the loopback interface.
     pub async fn start(id: InstanceId, counts: BackendCounts) -> std::io::Result<Self> {
+        Self::start_with(id, counts, BackendOptions::default()).await
+    }
+
+    /// Starts a backend server with `options` on a free port of the loopback interface.
+    pub async fn start_with(
+        id: InstanceId,
+        counts: BackendCounts,
+        options: BackendOptions,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
-        let shared = Shared { id, counts: counts.clone() };
-        let router = Router::new().fallback(answer).with_state(shared);
-        let server = tokio::spawn(async move {
-            let _ = axum::serve(listener, router).await;
-        });
-        Ok(Self { address, counts, server })
+        let (faults, load) = (options.faults.clone(), Arc::new(Load::default()));
+        let (upset, receiver) = watch::channel(Upset::Silence);
+        let shared =
+            Shared { id, counts: counts.clone(), options, load: load.clone(), upset: receiver };
+        let server = tokio::spawn(accept(listener, shared));
+        Ok(Self { address, counts, faults, load, upset, server })
+    }
+
+    /// Makes all connections open now go silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.upset.send_replace(Upset::Silence);
+    }
+
+    /// Resets all connections open now; new ones work.
+    pub fn reset_connections(&self) {
+        self.upset.send_replace(Upset::Reset);
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> u32 {
+        self.load.running.load(Ordering::SeqCst)
+    }
+
+    /// Most requests that ever ran at once.
+    pub fn running_max(&self) -> u32 {
+        self.load.running_max.load(Ordering::SeqCst)
+    }
+
+    /// Most connections that were ever open at once.
+    pub fn connections_max(&self) -> u32 {
+        self.load.connections_max.load(Ordering::SeqCst)
     }
 
-    /// Stops the server at once.
+    /// Stops the server at once; connections to it are refused from then on.
     pub fn close(self) {
         self.server.abort();
     }
 }
 
-async fn answer(State(shared): State<Shared>, request: Request) -> Response {
-    let header = request.headers().get(REQUEST_ID_HEADER).cloned();
-    let request_id = header.unwrap_or_else(|| HeaderValue::from_static("none"));
-    shared.counts.note(request_id.to_str().unwrap_or("invalid"));
-    let mut response = Response::new(Body::from(format!("served by {}\n", shared.id)));
-    response.headers_mut().insert(REQUEST_ID_HEADER, request_id);
-    response
+async fn accept(listener: TcpListener, shared: Shared) {
+    let mut connections = tokio::task::JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = shared.clone();
+        connections.spawn(async move {
+            shared.load.start_connection();
+            connection::serve(stream, &shared).await;
+            shared.load.connections.fetch_sub(1, Ordering::SeqCst);
+        });
+        while connections.try_join_next().is_some() {}
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/standin/src/backend/http.rs
@@ -0,0 +1,136 @@
+//! Just enough of HTTP/1.1 to read a request from a byte stream and to fail at any byte.
+
+use std::io;
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use super::REQUEST_ID_HEADER;
+
+const HEADERS_MAX: usize = 100;
+const READ_BYTES: usize = 16 << 10;
+
+/// A request as read.
+#[derive(Debug, Default)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub request_id: String,
+    pub body: Vec<u8>,
+    /// Names of the headers, in lower case.
+    pub header_names: Vec<String>,
+    length: Length,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Length {
+    #[default]
+    None,
+    Bytes(usize),
+    Chunked,
+}
+
+/// Reads requests from a byte stream.
+pub struct Reader<R> {
+    stream: R,
+    buffer: BytesMut,
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    pub fn new(stream: R) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// Waits for the first bytes of a request. Returns whether any came.
+    pub async fn wait(&mut self) -> io::Result<bool> {
+        Ok(!self.buffer.is_empty() || self.more().await?)
+    }
+
+    async fn more(&mut self) -> io::Result<bool> {
+        self.buffer.reserve(READ_BYTES);
+        Ok(self.stream.read_buf(&mut self.buffer).await? > 0)
+    }
+
+    /// Reads one whole request.
+    pub async fn request(&mut self) -> io::Result<Request> {
+        let mut request = loop {
+            if let Some((request, length)) = parse_head(&self.buffer)? {
+                self.buffer.advance(length);
+                break request;
+            }
+            self.need_more().await?;
+        };
+        match request.length {
+            Length::None => {}
+            Length::Bytes(length) => request.body = self.take(length).await?,
+            Length::Chunked => request.body = self.chunks().await?,
+        }
+        Ok(request)
+    }
+
+    async fn need_more(&mut self) -> io::Result<()> {
+        if self.more().await? { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) }
+    }
+
+    async fn take(&mut self, length: usize) -> io::Result<Vec<u8>> {
+        while self.buffer.len() < length {
+            self.need_more().await?;
+        }
+        Ok(self.buffer.split_to(length).to_vec())
+    }
+
+    async fn line(&mut self) -> io::Result<String> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                let line = self.buffer.split_to(end);
+                self.buffer.advance(2);
+                return Ok(String::from_utf8_lossy(&line).into_owned());
+            }
+            self.need_more().await?;
+        }
+    }
+
+    async fn chunks(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let line = self.line().await?;
+            let length = usize::from_str_radix(line.trim(), 16)
+                .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            if length == 0 {
+                while !self.line().await?.is_empty() {}
+                return Ok(body);
+            }
+            body.extend(self.take(length).await?);
+            self.line().await?;
+        }
+    }
+}
+
+fn parse_head(buffer: &[u8]) -> io::Result<Option<(Request, usize)>> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut head = httparse::Request::new(&mut headers);
+    let parsed = head.parse(buffer).map_err(io::Error::other)?;
+    let httparse::Status::Complete(length) = parsed else {
+        return Ok(None);
+    };
+    let mut request = Request {
+        method: head.method.unwrap_or_default().to_owned(),
+        path: head.path.unwrap_or_default().to_owned(),
+        ..Request::default()
+    };
+    for header in head.headers.iter() {
+        let value = String::from_utf8_lossy(header.value);
+        let name = header.name.to_ascii_lowercase();
+        match name.as_str() {
+            REQUEST_ID_HEADER => request.request_id = value.into_owned(),
+            "content-length" => {
+                let length = value.trim().parse().map_err(io::Error::other)?;
+                request.length = Length::Bytes(length);
+            }
+            "transfer-encoding" => request.length = Length::Chunked,
+            _ => {}
+        }
+        request.header_names.push(name);
+    }
+    Ok(Some((request, length)))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,6 @@
 pub mod instances;
 pub mod store;
 
-pub use backend::{Backend, BackendCounts};
+pub use backend::{Backend, BackendCounts, BackendOptions, Fault, FaultPlan};
 pub use instances::MemoryInstances;
 pub use store::MemoryStore;
