--- a/crates/cassiafold/src/demo.rs
+++ b/crates/cassiafold/src/demo.rs
@@ -3,10 +3,11 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cassiafold_config::raw::RawConfig;
 use cassiafold_config::{ActiveConfig, Config, InstanceState};
-use cassiafold_dispatch::Unlimited;
+use cassiafold_dispatch::Sources;
 use cassiafold_platform::ListedInstance;
 use cassiafold_standin::{Backend, BackendCounts, MemoryInstances};
 use http_body_util::{BodyExt, Empty};
@@ -37,14 +38,16 @@
     let address = listener.local_addr()?;
     let mut listed = entry::follow_instances(instances, Arc::new(|_| Some("portal".into())));
     let _ = listed.changed().await;
-    let server = entry::serve(listener, active, listed, Unlimited, ZONES[0].into());
+    let server = entry::serve(listener, active, listed, <Sources>::default(), ZONES[0].into())?;
     println!("callers: http://{address}/queues/portal/ with key {DEMO_KEY}");
     if options.once {
         print!("{}", fetch(address).await?);
-        server.abort();
+        server.close(Duration::ZERO, std::future::pending()).await;
         return Ok(ExitCode::SUCCESS);
     }
     tokio::signal::ctrl_c().await?;
+    let forced = async { tokio::signal::ctrl_c().await.unwrap_or_default() };
+    server.close(Duration::ZERO, forced).await;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cassiafold/src/entry.rs
+++ b/crates/cassiafold/src/entry.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use cassiafold_config::{ActiveConfig, Instance, ZoneId};
-use cassiafold_dispatch::{Callers, LimitSource, router};
+use cassiafold_dispatch::{Callers, Edges, Instances, Metrics, Server};
 use cassiafold_platform::InstanceList;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 /// How often the instance list is read.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -16,23 +15,20 @@
 /// Which pool each instance belongs to.
 pub type PoolOf = Arc<dyn Fn(&str) -> Option<Arc<str>> + Send + Sync>;
 
-/// Serves callers on `listener` until the task is ended.
-pub fn serve<L: LimitSource>(
+/// Serves callers on `listener` until the server is closed.
+pub fn serve<E: Edges>(
     listener: TcpListener,
     config: ActiveConfig,
-    instances: watch::Receiver<Arc<Vec<Instance>>>,
-    limits: L,
+    instances: Instances,
+    edges: E,
     home: ZoneId,
-) -> JoinHandle<std::io::Result<()>> {
-    let callers = Callers { config, instances, limits, home };
-    tokio::spawn(async move { axum::serve(listener, router(callers)).await })
+) -> std::io::Result<Server<E>> {
+    let callers = Callers::start(edges, config, instances, home, Metrics::default());
+    Server::start(listener, callers)
 }
 
 /// Reads the instance list at an interval and publishes it with the pool of each instance.
-pub fn follow_instances<I: InstanceList>(
-    list: I,
-    pool_of: PoolOf,
-) -> watch::Receiver<Arc<Vec<Instance>>> {
+pub fn follow_instances<I: InstanceList>(list: I, pool_of: PoolOf) -> Instances {
     let (sender, receiver) = watch::channel(Arc::new(Vec::new()));
     tokio::spawn(async move {
         while !sender.is_closed() {
--- /dev/null
+++ b/crates/dispatch/src/attempt.rs
@@ -0,0 +1,243 @@
+//! One attempt to have a request answered by one backend server.
+
+use std::time::Duration;
+
+use cassiafold_config::Instance;
+use cassiafold_event::emit;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::answer::{AnswerBody, Carrier};
+use crate::body::{PreparedBody, RequestBody};
+use crate::code::DispatchCode;
+use crate::connection::{Connection, SendError};
+use crate::core::End;
+use crate::dispatcher::Running;
+use crate::edge::Edges;
+use crate::event::DispatchEvent;
+use crate::health::AttemptResult;
+use crate::order::Order;
+use crate::pool::{ConnectionPool, OpenError, Reuse};
+use crate::problem::RunState;
+use crate::request::{NOT_RUN, REQUEST_ID, RUN_STATE, forward_headers};
+
+/// Longest body of a refusal that is read so that the connection can be used again.
+const REFUSAL_MAX_BYTES: usize = 16 << 10;
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A caller's request, ready to be sent.
+#[derive(Debug)]
+pub struct Prepared {
+    /// Method.
+    pub method: Method,
+    /// Path and query as the backend server sees them.
+    pub uri: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: PreparedBody,
+}
+
+/// An attempt without an answer for the caller.
+#[derive(Debug)]
+pub struct Failure {
+    /// Numbered reason.
+    pub code: DispatchCode,
+    /// Whether the backend server may have run the request.
+    pub run_state: RunState,
+    /// The instance that was tried.
+    pub instance: Instance,
+}
+
+/// Outcome of one attempt.
+pub type Outcome<E> = Result<Response<AnswerBody<E>>, Failure>;
+
+impl Prepared {
+    /// A copy for a second attempt; its body is gone if it cannot be sent twice.
+    pub fn replay(&self) -> Self {
+        Self {
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: self.body.replay(),
+        }
+    }
+
+    /// The request for one attempt; `None` when its body was sent before and is gone.
+    fn send(&mut self, order: &Order, instance: &Instance) -> Option<Request<RequestBody>> {
+        let body = self.body.send()?;
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.version_mut() = Version::HTTP_11;
+        let mut headers = self.headers.clone();
+        let remaining = order.deadline.saturating_duration_since(Instant::now());
+        forward_headers(&mut headers, &order.id, remaining);
+        if let Ok(host) = HeaderValue::from_str(&instance.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+}
+
+/// How an attempt is made.
+#[derive(Debug, Clone)]
+pub struct Conditions {
+    /// Which open connections may be used.
+    pub reuse: Reuse,
+    /// Connections that may be open to one backend server.
+    pub connections_max: u32,
+    /// Time without an answer that counts as silence.
+    pub silent_after: Duration,
+    /// Set when another attempt has answered the request.
+    pub superseded: CancellationToken,
+}
+
+/// Sends the request to the instance of `running` and checks the head of the answer.
+pub async fn run<E: Edges>(
+    pool: &ConnectionPool<E>,
+    running: Running<E>,
+    prepared: &mut Prepared,
+    conditions: Conditions,
+) -> Outcome<E> {
+    let instance = running.instance().clone();
+    let order = running.order().clone();
+    let not_run = |code| Failure { code, run_state: RunState::NotRun, instance: instance.clone() };
+    let unknown =
+        |code| Failure { code, run_state: RunState::OutcomeUnknown, instance: instance.clone() };
+    let opening = pool.get(instance.address, conditions.reuse, conditions.connections_max);
+    let mut connection = match timeout_at(order.deadline, opening).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => return Err(not_run(connect_failed(running, &error))),
+        Err(_) => {
+            running.close(End::NotRun);
+            return Err(not_run(DispatchCode::AnswerTimeout));
+        }
+    };
+    if !running.may_start() {
+        running.close(End::NotRun);
+        pool.put(instance.address, connection);
+        return Err(not_run(DispatchCode::NoInstance));
+    }
+    let Some(request) = prepared.send(&order, &instance) else {
+        running.close(End::NotRun);
+        pool.put(instance.address, connection);
+        return Err(not_run(DispatchCode::BodyBroken));
+    };
+    let (fault, sent) = (request.body().fault(), Instant::now());
+    let answering = timeout_at(order.deadline, connection.send(request, running));
+    let answering = tokio::select! {
+        answering = answering => answering.map_err(|_| DispatchCode::AnswerTimeout),
+        () = conditions.superseded.cancelled() => Err(DispatchCode::AnswerTimeout),
+    };
+    let answer = match answering {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(SendError::NotWritten(running))) => {
+            running.close(End::NotRun);
+            return Err(not_run(fault.get().unwrap_or(DispatchCode::ConnectFailed)));
+        }
+        Ok(Err(SendError::Written)) => {
+            if let Some(code) = fault.get() {
+                return Err(unknown(code));
+            }
+            connection.with_running(|running| running.record(AttemptResult::Broken));
+            emit!(DispatchEvent::AttemptFailed, instance = instance.id, request = order.id);
+            return Err(unknown(DispatchCode::AnswerLost));
+        }
+        Err(code) => {
+            if sent.elapsed() >= conditions.silent_after {
+                note_silence(pool, &connection, &instance, sent);
+            }
+            return Err(unknown(code));
+        }
+    };
+    if is_refusal(&answer) {
+        take_refusal(pool, connection, answer, &instance).await;
+        return Err(not_run(DispatchCode::RefusedByInstances));
+    }
+    if let Some(code) = answer_fault(&answer, &order, &prepared.method) {
+        emit!(DispatchEvent::AnswerCrossed, instance = instance.id, request = order.id);
+        connection.with_running(|running| running.record(AttemptResult::Broken));
+        return Err(unknown(code));
+    }
+    let result = if answer.status().is_server_error() {
+        AttemptResult::ServerError
+    } else {
+        AttemptResult::Ok
+    };
+    let carrier = Carrier { connection, pool: pool.clone(), address: instance.address, result };
+    Ok(answer.map(|body| AnswerBody::new(body, carrier, order.deadline)))
+}
+
+/// Notes that a connection gave no answer in time. Silence on a used connection speaks against
+/// the connections, silence on a new one against the instance.
+fn note_silence<E: Edges>(
+    pool: &ConnectionPool<E>,
+    connection: &Connection<E>,
+    instance: &Instance,
+    since: Instant,
+) {
+    if connection.reused {
+        pool.distrust(instance.address, since);
+    } else {
+        connection.with_running(|running| running.record(AttemptResult::Silent));
+    }
+}
+
+fn connect_failed<E: Edges>(running: Running<E>, error: &OpenError) -> DispatchCode {
+    let instance = &running.instance().id;
+    emit!(DispatchEvent::AttemptFailed, instance = instance, error = error);
+    match error {
+        OpenError::Exhausted => running.record(AttemptResult::Refused),
+        OpenError::Timeout | OpenError::Io(_) => running.record(AttemptResult::ConnectFailed),
+    }
+    running.close(End::NotRun);
+    DispatchCode::ConnectFailed
+}
+
+fn is_refusal(answer: &Response<Incoming>) -> bool {
+    let said = answer.headers().get(RUN_STATE);
+    answer.status() == StatusCode::SERVICE_UNAVAILABLE
+        && said.is_some_and(|value| value.as_bytes() == NOT_RUN.as_bytes())
+}
+
+/// Gives the slot of a refused request back and keeps the connection if its body ends soon.
+async fn take_refusal<E: Edges>(
+    pool: &ConnectionPool<E>,
+    mut connection: Connection<E>,
+    answer: Response<Incoming>,
+    instance: &Instance,
+) {
+    if let Some(running) = connection.finish() {
+        running.record(AttemptResult::Refused);
+        running.close(End::NotRun);
+    }
+    let body = Limited::new(answer.into_body(), REFUSAL_MAX_BYTES).collect();
+    if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, body).await {
+        pool.put(instance.address, connection);
+    }
+}
+
+/// Why an answer must not be handed on, if so.
+fn answer_fault(
+    answer: &Response<Incoming>,
+    order: &Order,
+    method: &Method,
+) -> Option<DispatchCode> {
+    let headers = answer.headers();
+    let mut ids = headers.get_all(REQUEST_ID).iter();
+    if ids.any(|id| id.as_bytes() != order.id.as_bytes()) {
+        return Some(DispatchCode::AnswerCrossed);
+    }
+    let status = answer.status();
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let bodiless = *method == Method::HEAD
+        || status.is_informational()
+        || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
+    (!framed && !bodiless).then_some(DispatchCode::AnswerUnframed)
+}
--- /dev/null
+++ b/crates/dispatch/src/backends.rs
@@ -0,0 +1,476 @@
+//! Index of the backend servers: who takes new work, by service and zone.
+//!
+//! The index is updated when something changes, so that a choice takes constant time whatever
+//! the number of instances. Choice: two instances drawn at random from those of the home zone
+//! with a free slot, then the one with the lower load for its success rate; other zones when the
+//! home zone has none.
+
+use std::collections::HashMap;
+
+use cassiafold_config::{Config, Instance, InstanceId, InstanceState, ServiceId, ZoneId};
+use rand::{Rng, RngExt};
+use tokio::time::Instant;
+
+use crate::edge::{DomainHint, PeerLoad};
+use crate::health::{AttemptResult, Health, Standing, Verdict, ejected_max};
+
+/// Position of a backend server in the index, valid while it is listed or holds a slot.
+pub type BackendIndex = usize;
+
+/// A backend server as the index knows it.
+#[derive(Debug)]
+pub struct Backend {
+    /// The instance as last listed.
+    pub instance: Instance,
+    /// Health as attempts show it.
+    pub health: Health,
+    /// Requests of this entry instance that hold a slot.
+    pub running: u32,
+    service: Option<ServiceId>,
+    listed: bool,
+    peers_running: u32,
+    slots: u32,
+    full_until: Option<Instant>,
+    place: Option<Place>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum List {
+    Free { zone: usize },
+    Trial,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    list: List,
+    position: usize,
+}
+
+#[derive(Debug, Default)]
+struct ServiceBackends {
+    members: Vec<BackendIndex>,
+    zones: Vec<ZoneBackends>,
+    trial: Vec<BackendIndex>,
+    ejected: usize,
+    rate_sum: f64,
+}
+
+#[derive(Debug)]
+struct ZoneBackends {
+    zone: ZoneId,
+    free: Vec<BackendIndex>,
+}
+
+/// What a request asks of the choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Whether the request may run twice without harm; only then it serves as a first trial.
+    pub idempotent: bool,
+    /// Instances that failed the request before; others are preferred.
+    pub avoid: &'a [Instance],
+}
+
+/// Index of the backend servers.
+#[derive(Debug)]
+pub struct Backends {
+    home: ZoneId,
+    backends: slab::Slab<Backend>,
+    by_id: HashMap<InstanceId, BackendIndex>,
+    services: HashMap<ServiceId, ServiceBackends>,
+}
+
+/// Counts of one service for gauges.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ServiceCounts {
+    /// Instances that take new work as far as operators and platform say.
+    pub instances: usize,
+    /// Instances ejected from routing, those on trial included.
+    pub ejected: usize,
+    /// Slots of those instances.
+    pub slots: u32,
+    /// Slots held by this entry instance.
+    pub running: u32,
+}
+
+impl Backends {
+    /// An empty index for an entry instance in zone `home`.
+    pub fn new(home: ZoneId) -> Self {
+        Self { home, backends: slab::Slab::new(), by_id: HashMap::new(), services: HashMap::new() }
+    }
+
+    /// The backend server at `index`.
+    pub fn get(&self, index: BackendIndex) -> &Backend {
+        &self.backends[index]
+    }
+
+    /// All backend servers that are listed or hold slots.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.iter().map(|(_, backend)| backend)
+    }
+
+    /// Whether the backend server takes new work as far as operators and platform say.
+    pub fn takes_work(&self, index: BackendIndex, service: &ServiceId) -> bool {
+        self.backends.get(index).is_some_and(|backend| backend.service.as_ref() == Some(service))
+    }
+
+    /// Whether any instance of `service` takes new work, full or not.
+    pub fn any(&self, service: &ServiceId) -> bool {
+        self.services.get(service).is_some_and(|service| !service.members.is_empty())
+    }
+
+    /// Counts of one service.
+    pub fn counts(&self, service: &ServiceId) -> ServiceCounts {
+        let Some(known) = self.services.get(service) else {
+            return ServiceCounts::default();
+        };
+        let members = known.members.iter().map(|index| &self.backends[*index]);
+        let mut counts = ServiceCounts {
+            instances: known.members.len(),
+            ejected: known.ejected,
+            ..ServiceCounts::default()
+        };
+        for backend in members {
+            counts.slots += backend.slots;
+            counts.running += backend.running;
+        }
+        counts
+    }
+
+    /// Takes in a configuration and a list of instances; rebuilds the index.
+    pub fn rebuild(&mut self, config: &Config, instances: &[Instance], peers: &impl PeerLoad) {
+        for (_, backend) in &mut self.backends {
+            backend.listed = false;
+            backend.service = None;
+            backend.place = None;
+        }
+        self.services.clear();
+        for instance in instances {
+            let index = self.upsert(instance);
+            let backend = &mut self.backends[index];
+            backend.peers_running = peers.running(&instance.id);
+            let Some((id, service)) = open_service(config, instance) else {
+                continue;
+            };
+            backend.service = Some(id.clone());
+            backend.slots = service.slots_per_instance;
+        }
+        self.forget_gone();
+        let members: Vec<BackendIndex> = self.backends.iter().map(|(index, _)| index).collect();
+        members.into_iter().for_each(|index| self.join(index));
+    }
+
+    fn upsert(&mut self, instance: &Instance) -> BackendIndex {
+        if let Some(&index) = self.by_id.get(&instance.id) {
+            let backend = &mut self.backends[index];
+            if backend.instance.address != instance.address {
+                backend.health = Health::default();
+            }
+            backend.instance = instance.clone();
+            backend.listed = true;
+            return index;
+        }
+        let index = self.backends.insert(Backend {
+            instance: instance.clone(),
+            health: Health::default(),
+            running: 0,
+            service: None,
+            listed: true,
+            peers_running: 0,
+            slots: 0,
+            full_until: None,
+            place: None,
+        });
+        self.by_id.insert(instance.id.clone(), index);
+        index
+    }
+
+    fn forget_gone(&mut self) {
+        let by_id = &mut self.by_id;
+        self.backends.retain(|_, backend| {
+            let keep = backend.listed || backend.running > 0;
+            if !keep {
+                by_id.remove(&backend.instance.id);
+            }
+            keep
+        });
+    }
+
+    fn join(&mut self, index: BackendIndex) {
+        let backend = &self.backends[index];
+        let Some(id) = backend.service.clone() else {
+            return;
+        };
+        let service = self.services.entry(id).or_default();
+        service.members.push(index);
+        service.rate_sum += backend.health.success_rate();
+        if backend.health.standing() != Standing::Healthy {
+            service.ejected += 1;
+        }
+        if !service.zones.iter().any(|known| known.zone == backend.instance.zone) {
+            let zone = backend.instance.zone.clone();
+            let entry = ZoneBackends { zone, free: Vec::new() };
+            if entry.zone == self.home {
+                service.zones.insert(0, entry);
+                self.renumber_zones(index);
+            } else {
+                service.zones.push(entry);
+            }
+        }
+        self.refresh(index);
+    }
+
+    /// Corrects the places of a service's instances after the home zone went to the front.
+    fn renumber_zones(&mut self, index: BackendIndex) {
+        let Some(service) =
+            self.backends[index].service.as_ref().and_then(|id| self.services.get(id))
+        else {
+            return;
+        };
+        for (zone, entry) in service.zones.iter().enumerate() {
+            for (position, member) in entry.free.iter().enumerate() {
+                let list = List::Free { zone };
+                self.backends[*member].place = Some(Place { list, position });
+            }
+        }
+    }
+
+    /// Takes in new counts of the other entry instances.
+    pub fn update_peers(&mut self, peers: &impl PeerLoad) {
+        let indices: Vec<BackendIndex> = self.backends.iter().map(|(index, _)| index).collect();
+        for index in indices {
+            let backend = &mut self.backends[index];
+            let running = peers.running(&backend.instance.id);
+            if std::mem::replace(&mut backend.peers_running, running) != running {
+                self.refresh(index);
+            }
+        }
+    }
+
+    /// Chooses a backend server of `service` for a request; `None` when none has a free slot.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        wish: Wish<'_>,
+        domains: &impl DomainHint,
+        rng: &mut impl Rng,
+    ) -> Option<BackendIndex> {
+        let known = self.services.get(service)?;
+        let trial = known.trial.first().copied();
+        if wish.idempotent && wish.avoid.is_empty() && trial.is_some() {
+            return trial;
+        }
+        if wish.avoid.is_empty() {
+            return self.choose_free(known, rng).or(trial);
+        }
+        let mut best: Option<(u8, BackendIndex)> = None;
+        for zone in known.zones.iter().filter(|zone| !zone.free.is_empty()) {
+            let start = rng.random_range(0..zone.free.len());
+            for offset in 0..zone.free.len() {
+                let index = zone.free[(start + offset) % zone.free.len()];
+                let rank = self.closeness(index, wish.avoid, domains);
+                if rank == 0 {
+                    return Some(index);
+                }
+                if best.is_none_or(|(known, _)| rank < known) {
+                    best = Some((rank, index));
+                }
+            }
+        }
+        best.map(|(_, index)| index).or(trial)
+    }
+
+    /// 0: shares no failure domain with an avoided instance; 1: shares one; 2: is one.
+    fn closeness(&self, index: BackendIndex, avoid: &[Instance], domains: &impl DomainHint) -> u8 {
+        let instance = &self.backends[index].instance;
+        let rank = |other: &Instance| {
+            if other.id == instance.id { 2 } else { u8::from(domains.same_domain(instance, other)) }
+        };
+        avoid.iter().map(rank).max().unwrap_or(0)
+    }
+
+    /// The better of two drawn from the home zone, or else from the other zones together.
+    fn choose_free(&self, known: &ServiceBackends, rng: &mut impl Rng) -> Option<BackendIndex> {
+        let near = known.zones.first().filter(|zone| zone.zone == self.home);
+        let zones = match near {
+            Some(near) if !near.free.is_empty() => &known.zones[..1],
+            _ => &known.zones[..],
+        };
+        let total = zones.iter().map(|zone| zone.free.len()).sum();
+        if total == 0 {
+            return None;
+        }
+        let first = nth_free(zones, rng.random_range(0..total))?;
+        let second = nth_free(zones, rng.random_range(0..total))?;
+        let better = self.backends[first].cost() <= self.backends[second].cost();
+        Some(if better { first } else { second })
+    }
+
+    /// Takes a slot of the backend server.
+    pub fn take_slot(&mut self, index: BackendIndex) {
+        self.backends[index].running += 1;
+        self.refresh(index);
+    }
+
+    /// Gives a slot of the backend server back.
+    pub fn give_slot(&mut self, index: BackendIndex) {
+        let backend = &mut self.backends[index];
+        backend.running -= 1;
+        if !backend.listed && backend.running == 0 {
+            let id = backend.instance.id.clone();
+            self.backends.remove(index);
+            self.by_id.remove(&id);
+            return;
+        }
+        self.refresh(index);
+    }
+
+    /// Sends nothing to the backend server before `until`, because it said that it is full.
+    pub fn hold(&mut self, index: BackendIndex, until: Instant) {
+        self.backends[index].full_until = Some(until);
+        self.refresh(index);
+    }
+
+    /// Ends what was over by `now`: holds of full and of ejected backend servers.
+    pub fn end_holds(&mut self, now: Instant) {
+        let indices: Vec<BackendIndex> = self.backends.iter().map(|(index, _)| index).collect();
+        for index in indices {
+            let backend = &mut self.backends[index];
+            let was_full = backend.full_until.is_some_and(|until| until <= now);
+            if was_full {
+                backend.full_until = None;
+            }
+            if backend.health.end_hold(now) || was_full {
+                self.refresh(index);
+            }
+        }
+    }
+
+    /// The earliest end of a hold.
+    pub fn next_hold_end(&self) -> Option<Instant> {
+        self.iter().filter_map(Backend::hold_end).min()
+    }
+
+    /// Takes in the result of an attempt. Returns what it changed.
+    pub fn record(&mut self, index: BackendIndex, result: AttemptResult, now: Instant) -> Verdict {
+        let backend = &mut self.backends[index];
+        let Some(service) = backend.service.as_ref().and_then(|id| self.services.get_mut(id))
+        else {
+            return backend.health.record(result, 1.0);
+        };
+        let pool_rate = service.rate_sum / service.members.len() as f64;
+        let rate_before = backend.health.success_rate();
+        let verdict = backend.health.record(result, pool_rate);
+        let verdict = match verdict {
+            Verdict::Eject => eject(backend, service, now),
+            Verdict::Returned => {
+                service.ejected -= 1;
+                Verdict::Returned
+            }
+            Verdict::Unchanged => Verdict::Unchanged,
+        };
+        service.rate_sum += backend.health.success_rate() - rate_before;
+        if verdict != Verdict::Unchanged {
+            self.refresh(index);
+        }
+        verdict
+    }
+
+    /// Moves the backend server to the list in which it belongs now.
+    fn refresh(&mut self, index: BackendIndex) {
+        let backend = &self.backends[index];
+        let Some(service) = backend.service.as_ref().and_then(|id| self.services.get_mut(id))
+        else {
+            return;
+        };
+        let target = backend.list(service);
+        let place = backend.place;
+        if place.map(|place| place.list) == target {
+            return;
+        }
+        if let Some(place) = place {
+            let list = service.list_mut(place.list);
+            list.swap_remove(place.position);
+            if let Some(&moved) = list.get(place.position) {
+                self.backends[moved].place = Some(place);
+            }
+        }
+        self.backends[index].place = target.map(|list| {
+            let members = service.list_mut(list);
+            members.push(index);
+            Place { list, position: members.len() - 1 }
+        });
+    }
+}
+
+fn nth_free(zones: &[ZoneBackends], mut nth: usize) -> Option<BackendIndex> {
+    for zone in zones {
+        match zone.free.get(nth) {
+            Some(index) => return Some(*index),
+            None => nth -= zone.free.len(),
+        }
+    }
+    None
+}
+
+fn eject(backend: &mut Backend, service: &mut ServiceBackends, now: Instant) -> Verdict {
+    let on_trial = backend.health.standing() == Standing::Trial;
+    if !on_trial {
+        if service.ejected >= ejected_max(service.members.len()) {
+            return Verdict::Unchanged;
+        }
+        service.ejected += 1;
+    }
+    backend.health.eject(now);
+    Verdict::Eject
+}
+
+fn open_service<'a>(
+    config: &'a Config,
+    instance: &Instance,
+) -> Option<(&'a ServiceId, &'a cassiafold_config::Service)> {
+    if instance.state != InstanceState::Live || !config.zone_open(&instance.zone) {
+        return None;
+    }
+    let id = config.service_of_pool(&instance.pool)?;
+    Some((id, config.services.get(id)?))
+}
+
+impl ServiceBackends {
+    fn list_mut(&mut self, list: List) -> &mut Vec<BackendIndex> {
+        match list {
+            List::Free { zone } => &mut self.zones[zone].free,
+            List::Trial => &mut self.trial,
+        }
+    }
+}
+
+impl Backend {
+    /// Load of the backend server for its success rate; lower is better.
+    fn cost(&self) -> f64 {
+        const RATE_MIN: f64 = 0.05;
+        let load = f64::from(self.running + self.peers_running + 1);
+        load / self.health.success_rate().max(RATE_MIN).powi(2)
+    }
+
+    fn hold_end(&self) -> Option<Instant> {
+        match self.health.standing() {
+            Standing::Ejected { until } => Some(until),
+            _ => self.full_until,
+        }
+    }
+
+    fn list(&self, service: &ServiceBackends) -> Option<List> {
+        if self.full_until.is_some() || self.running + self.peers_running >= self.slots {
+            return None;
+        }
+        match self.health.standing() {
+            Standing::Ejected { .. } => None,
+            Standing::Trial if self.running > 0 => None,
+            Standing::Trial => Some(List::Trial),
+            Standing::Healthy => {
+                let zone = service.zones.iter().position(|it| it.zone == self.instance.zone)?;
+                Some(List::Free { zone })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/body.rs
@@ -0,0 +1,224 @@
+//! Bodies of callers' requests: short ones are held for replay, long ones are streamed.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use axum::body::Body;
+use bytes::{Bytes, BytesMut};
+use http::HeaderMap;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+
+use crate::code::DispatchCode;
+
+/// Longest body that is held in memory; longer ones are streamed and never sent twice.
+pub const REPLAY_MAX_BYTES: usize = 16 << 10;
+
+/// A caller's body, ready to be sent.
+#[derive(Debug)]
+pub enum PreparedBody {
+    /// The whole body, which can be sent any number of times.
+    Whole {
+        /// Content.
+        data: Bytes,
+        /// Trailers.
+        trailers: Option<HeaderMap>,
+    },
+    /// A body that can be sent once; `None` once it was.
+    Streamed(Option<Box<Stream>>),
+}
+
+/// A body on its way from a caller to a backend server.
+#[derive(Debug)]
+pub struct Stream {
+    prefix: Option<Bytes>,
+    rest: Body,
+    left_bytes: u64,
+    fault: Fault,
+}
+
+/// Why a streamed body broke off, shared with the attempt that sends it.
+#[derive(Debug, Clone, Default)]
+pub struct Fault {
+    code: Arc<Mutex<Option<DispatchCode>>>,
+}
+
+impl Fault {
+    /// The reason, if the body broke off.
+    pub fn get(&self) -> Option<DispatchCode> {
+        *self.code.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, code: DispatchCode) -> BodyError {
+        *self.code.lock().unwrap_or_else(PoisonError::into_inner) = Some(code);
+        BodyError { code }
+    }
+}
+
+/// A body that broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("{}", code.row().meaning)]
+pub struct BodyError {
+    /// Numbered reason.
+    pub code: DispatchCode,
+}
+
+impl PreparedBody {
+    /// Reads a caller's body as far as it is held in memory.
+    pub async fn read(mut body: Body, max_bytes: u64) -> Result<Self, DispatchCode> {
+        let hint = body.size_hint();
+        if hint.lower() > max_bytes {
+            return Err(DispatchCode::BodyTooLarge);
+        }
+        let mut data = BytesMut::new();
+        while hint.lower() <= REPLAY_MAX_BYTES as u64 && data.len() <= REPLAY_MAX_BYTES {
+            let Some(frame) = body.frame().await else {
+                return Self::whole(data, None, max_bytes);
+            };
+            match frame.map_err(|_| DispatchCode::BodyBroken)?.into_data() {
+                Ok(more) => data.extend_from_slice(&more),
+                Err(frame) => return Self::whole(data, frame.into_trailers().ok(), max_bytes),
+            }
+        }
+        let left_bytes =
+            max_bytes.checked_sub(data.len() as u64).ok_or(DispatchCode::BodyTooLarge)?;
+        let prefix = (!data.is_empty()).then(|| data.freeze());
+        let fault = Fault::default();
+        Ok(Self::Streamed(Some(Box::new(Stream { prefix, rest: body, left_bytes, fault }))))
+    }
+
+    fn whole(
+        data: BytesMut,
+        trailers: Option<HeaderMap>,
+        max_bytes: u64,
+    ) -> Result<Self, DispatchCode> {
+        if data.len() as u64 > max_bytes {
+            return Err(DispatchCode::BodyTooLarge);
+        }
+        Ok(Self::Whole { data: data.freeze(), trailers })
+    }
+
+    /// Whether the body can be sent any number of times.
+    pub fn is_replayable(&self) -> bool {
+        matches!(self, Self::Whole { .. })
+    }
+
+    /// A copy of a body held in memory; a streamed one has no copy.
+    pub fn replay(&self) -> Self {
+        match self {
+            Self::Whole { data, trailers } => {
+                Self::Whole { data: data.clone(), trailers: trailers.clone() }
+            }
+            Self::Streamed(_) => Self::Streamed(None),
+        }
+    }
+
+    /// Whether the body can be sent now.
+    pub fn is_available(&self) -> bool {
+        !matches!(self, Self::Streamed(None))
+    }
+
+    /// The body for one attempt; `None` when it was sent before and is gone.
+    pub fn send(&mut self) -> Option<RequestBody> {
+        match self {
+            Self::Whole { data, trailers } => {
+                let data = (!data.is_empty()).then(|| data.clone());
+                Some(RequestBody::Whole { data, trailers: trailers.clone() })
+            }
+            Self::Streamed(stream) => stream.take().map(RequestBody::Stream),
+        }
+    }
+}
+
+/// Body of one attempt.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// A body held in memory.
+    Whole {
+        /// Content that is still to be sent.
+        data: Option<Bytes>,
+        /// Trailers that are still to be sent.
+        trailers: Option<HeaderMap>,
+    },
+    /// A body on its way.
+    Stream(Box<Stream>),
+}
+
+impl RequestBody {
+    /// Where to read why the body broke off.
+    pub fn fault(&self) -> Fault {
+        match self {
+            Self::Whole { .. } => Fault::default(),
+            Self::Stream(stream) => stream.fault.clone(),
+        }
+    }
+}
+
+impl http_body::Body for RequestBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole { data, trailers } => {
+                let frame = data.take().map(Frame::data);
+                Poll::Ready(frame.or_else(|| trailers.take().map(Frame::trailers)).map(Ok))
+            }
+            Self::Stream(stream) => stream.poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole { data, trailers } => data.is_none() && trailers.is_none(),
+            Self::Stream(stream) => stream.prefix.is_none() && stream.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole { trailers: Some(_), .. } => SizeHint::default(),
+            Self::Whole { data, .. } => {
+                SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
+            }
+            Self::Stream(stream) => stream.size_hint(),
+        }
+    }
+}
+
+impl Stream {
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        let Some(frame) = ready!(Pin::new(&mut self.rest).poll_frame(cx)) else {
+            return Poll::Ready(None);
+        };
+        let Ok(frame) = frame else {
+            return Poll::Ready(Some(Err(self.fault.set(DispatchCode::BodyBroken))));
+        };
+        let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+        match self.left_bytes.checked_sub(length) {
+            Some(left_bytes) => {
+                self.left_bytes = left_bytes;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            None => Poll::Ready(Some(Err(self.fault.set(DispatchCode::BodyTooLarge)))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let prefix = self.prefix.as_ref().map_or(0, |data| data.len() as u64);
+        match self.rest.size_hint().exact() {
+            Some(rest) => SizeHint::with_exact(rest + prefix),
+            None => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/budget.rs
@@ -0,0 +1,43 @@
+//! Retry budget: bounds the load that retries add to what callers ask for.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use cassiafold_config::ServiceId;
+
+/// Retries that each first attempt pays for.
+const DEPOSIT: f64 = 0.1;
+/// Most retries that can be saved up, which is also what a service starts with.
+const BALANCE_MAX: f64 = 10.0;
+
+/// Retry budget by service.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    balances: Mutex<HashMap<ServiceId, f64>>,
+}
+
+impl RetryBudget {
+    /// Notes a first attempt.
+    pub fn deposit(&self, service: &ServiceId) {
+        self.update(service, |balance| *balance = (*balance + DEPOSIT).min(BALANCE_MAX));
+    }
+
+    /// Takes one retry. Returns whether the budget allowed it.
+    pub fn withdraw(&self, service: &ServiceId) -> bool {
+        self.update(service, |balance| {
+            let allowed = *balance >= 1.0;
+            if allowed {
+                *balance -= 1.0;
+            }
+            allowed
+        })
+    }
+
+    fn update<T>(&self, service: &ServiceId, change: impl FnOnce(&mut f64) -> T) -> T {
+        let mut balances = self.balances.lock().unwrap_or_else(PoisonError::into_inner);
+        match balances.get_mut(service) {
+            Some(balance) => change(balance),
+            None => change(balances.entry(service.clone()).or_insert(BALANCE_MAX)),
+        }
+    }
+}
--- a/crates/dispatch/src/callers.rs
+++ b/crates/dispatch/src/callers.rs
@@ -1,92 +1,235 @@
 //! Callers' interface over HTTP.
+//!
+//! `/queues/{service}/{path}` takes requests of any method; `/ready` and `/live` tell the
+//! platform's balancer whether to send callers here.
 
 use std::sync::Arc;
 
 use axum::Router;
+use axum::body::Body;
 use axum::extract::{Path, Request, State};
-use axum::response::Response;
-use axum::routing::any;
-use cassiafold_config::{ActiveConfig, Config, Instance, Service, ServiceId, TeamId, ZoneId};
-use http::HeaderMap;
-use http::header::{AUTHORIZATION, HOST};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get};
+use cassiafold_config::{ActiveConfig, Config, Service, ServiceId, TeamId, ZoneId};
+use cassiafold_event::emit;
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
+use crate::attempt::Prepared;
+use crate::body::PreparedBody;
 use crate::code::DispatchCode;
-use crate::limit::LimitSource;
+use crate::dispatcher::{Dispatcher, Instances};
+use crate::edge::Edges;
+use crate::event::DispatchEvent;
+use crate::flight::Flights;
+use crate::metrics::Metrics;
+use crate::order::{ANONYMOUS_TEAM, Order};
 use crate::problem::Problem;
-use crate::{proxy, route};
-
-/// Instances of the fleet as last known, each in its pool.
-pub type Instances = watch::Receiver<Arc<Vec<Instance>>>;
-
-/// What the callers' interface works with.
-#[derive(Debug, Clone)]
-pub struct Callers<L> {
-    /// Configuration in force.
-    pub config: ActiveConfig,
-    /// Instances of the fleet.
-    pub instances: Instances,
-    /// Upper limits of teams.
-    pub limits: L,
-    /// Availability zone of this entry instance.
-    pub home: ZoneId,
+use crate::proxy::Proxy;
+use crate::request::{self, REQUEST_ID};
+
+/// Phase of an entry instance's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Takes requests, but tells the balancer to send no more.
+    Leaving,
+    /// Refuses requests and finishes those it has accepted.
+    Draining,
+}
+
+/// The request path of one entry instance. Clones share one state.
+pub struct Callers<E: Edges> {
+    shared: Arc<Shared<E>>,
+}
+
+impl<E: Edges> Clone for Callers<E> {
+    fn clone(&self) -> Self {
+        Self { shared: self.shared.clone() }
+    }
+}
+
+struct Shared<E: Edges> {
+    config: ActiveConfig,
+    dispatcher: Dispatcher<E>,
+    proxy: Proxy<E>,
+    flights: Flights,
+    phase: watch::Sender<Phase>,
 }
 
-/// Team to which work of an open queue belongs when no key came with it.
-pub const ANONYMOUS_TEAM: &str = "anonymous";
+impl<E: Edges> Callers<E> {
+    /// Starts the request path of an entry instance in zone `home`. Must be called within a
+    /// runtime.
+    pub fn start(
+        edges: E,
+        config: ActiveConfig,
+        instances: Instances,
+        home: ZoneId,
+        metrics: Metrics,
+    ) -> Self {
+        let flights = Flights::new(metrics.clone());
+        let dispatcher = Dispatcher::start(edges.clone(), &config, instances, home, metrics);
+        let proxy = Proxy::start(edges, dispatcher.clone());
+        let phase = watch::Sender::new(Phase::Serving);
+        Self { shared: Arc::new(Shared { config, dispatcher, proxy, flights, phase }) }
+    }
+
+    /// Queues and slots.
+    pub fn dispatcher(&self) -> &Dispatcher<E> {
+        &self.shared.dispatcher
+    }
 
-/// Routes of the callers' interface: `/queues/{service}/{path}`.
-pub fn router<L: LimitSource>(callers: Callers<L>) -> Router {
+    /// Attempts and connections.
+    pub fn proxy(&self) -> &Proxy<E> {
+        &self.shared.proxy
+    }
+
+    /// Requests that were accepted and have not ended.
+    pub fn flights(&self) -> &Flights {
+        &self.shared.flights
+    }
+
+    /// Enters a phase.
+    pub fn enter(&self, phase: Phase) {
+        self.shared.phase.send_replace(phase);
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.shared.config.load().is_some()
+    }
+
+    fn phase(&self) -> Phase {
+        *self.shared.phase.borrow()
+    }
+}
+
+/// Routes of the callers' interface.
+pub fn router<E: Edges>(callers: Callers<E>) -> Router {
     Router::new()
-        .route("/queues/{service}", any(handle_root::<L>))
-        .route("/queues/{service}/", any(handle_root::<L>))
-        .route("/queues/{service}/{*path}", any(handle_path::<L>))
+        .route("/queues/{service}", any(handle_root::<E>))
+        .route("/queues/{service}/", any(handle_root::<E>))
+        .route("/queues/{service}/{*path}", any(handle_path::<E>))
+        .route("/ready", get(ready::<E>))
+        .route("/live", get(live))
         .with_state(callers)
 }
 
-async fn handle_root<L: LimitSource>(
-    State(callers): State<Callers<L>>,
+async fn live() -> &'static str {
+    "live\n"
+}
+
+async fn ready<E: Edges>(State(callers): State<Callers<E>>) -> Response {
+    if callers.is_ready() {
+        return "ready\n".into_response();
+    }
+    (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+}
+
+async fn handle_root<E: Edges>(
+    State(callers): State<Callers<E>>,
     Path(service): Path<ServiceId>,
     request: Request,
-) -> Result<Response, Problem> {
-    handle(callers, service, "", request).await
+) -> Response {
+    handle(&callers, service, request).await
 }
 
-async fn handle_path<L: LimitSource>(
-    State(callers): State<Callers<L>>,
-    Path((service, path)): Path<(ServiceId, String)>,
+async fn handle_path<E: Edges>(
+    State(callers): State<Callers<E>>,
+    Path((service, _)): Path<(ServiceId, String)>,
     request: Request,
-) -> Result<Response, Problem> {
-    handle(callers, service, &path, request).await
+) -> Response {
+    handle(&callers, service, request).await
 }
 
-async fn handle<L: LimitSource>(
-    callers: Callers<L>,
+/// Answers one request and tells the caller its id, whether it is refused or not.
+async fn handle<E: Edges>(
+    callers: &Callers<E>,
     service_id: ServiceId,
-    path: &str,
-    mut request: Request,
+    request: Request,
+) -> Response {
+    let id = request::request_id(request.headers());
+    let result = match &id {
+        Ok(id) => serve(callers, service_id, id.clone(), request).await,
+        Err(code) => Err(Problem::not_run(*code)),
+    };
+    let mut response = result.unwrap_or_else(|problem| {
+        callers.dispatcher().metrics().refusal(&problem);
+        let id = id.as_ref().map_or("", |id| id);
+        emit!(DispatchEvent::RequestRefused, code = problem.code.row().number, request = id);
+        problem.into_response()
+    });
+    if let Ok(value) = HeaderValue::from_str(id.as_ref().map_or("", |id| id))
+        && !value.is_empty()
+    {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
+
+async fn serve<E: Edges>(
+    callers: &Callers<E>,
+    service_id: ServiceId,
+    id: request::RequestId,
+    request: Request,
 ) -> Result<Response, Problem> {
     let not_run = Problem::not_run;
-    let config = callers.config.load().ok_or(not_run(DispatchCode::NotReady))?;
+    if callers.phase() == Phase::Draining {
+        return Err(not_run(DispatchCode::Stopping).with_retry_after(STOPPING_RETRY_AFTER));
+    }
+    let config = callers.shared.config.load().ok_or(not_run(DispatchCode::NotReady))?;
     let service = config.services.get(&service_id).ok_or(not_run(DispatchCode::UnknownQueue))?;
-    let team =
-        authorize(&config, service, request.headers()).ok_or(not_run(DispatchCode::InvalidKey))?;
-    let _permit = callers.limits.try_acquire(&team).ok_or(not_run(DispatchCode::LimitReached))?;
-    let instances = callers.instances.borrow().clone();
-    let instance = route::choose(&config, &instances, &service_id, &callers.home)
-        .ok_or(not_run(DispatchCode::NoInstance))?;
-    *request.uri_mut() =
-        format!("/{path}").parse().map_err(|_| not_run(DispatchCode::UnknownQueue))?;
-    request.headers_mut().remove(AUTHORIZATION);
-    request.headers_mut().insert(HOST, http::HeaderValue::from_static("backend"));
-    proxy::send(instance.address, request).await
+    let (parts, body) = request.into_parts();
+    let caller =
+        authorize(&config, service, &parts.headers).ok_or(not_run(DispatchCode::InvalidKey))?;
+    let uri = request::forward_uri(&parts.uri).map_err(not_run)?;
+    let deadline = Instant::now() + request::deadline(&parts.headers, service).map_err(not_run)?;
+    let order = Arc::new(Order {
+        id,
+        service: service_id,
+        team: caller.team,
+        key: caller.key,
+        idempotent: request::is_idempotent(&parts.method),
+        deadline,
+    });
+    let flight = callers.flights().begin(order.clone());
+    let reading = PreparedBody::read(body, service.body_max_bytes);
+    let body = match timeout_at(deadline, reading).await {
+        Ok(body) => body.map_err(not_run)?,
+        Err(_) => return Err(not_run(DispatchCode::BodyBroken)),
+    };
+    let prepared = Prepared { method: parts.method, uri, headers: parts.headers, body };
+    let mut answer = callers.proxy().run(&order, prepared).await?;
+    request::strip_hop_by_hop(answer.headers_mut());
+    Ok(answer.map(|body| Body::new(body.with_flight(flight))))
+}
+
+/// When a caller refused by a stopping entry instance should come back, to another one.
+const STOPPING_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Who a caller is.
+struct Caller {
+    team: TeamId,
+    key: Option<Arc<str>>,
 }
 
-fn authorize(config: &Config, service: &Service, headers: &HeaderMap) -> Option<TeamId> {
-    let presented = headers.get(AUTHORIZATION).map(|value| value.to_str().ok());
-    let Some(value) = presented else {
-        return service.open.then(|| ANONYMOUS_TEAM.into());
+/// Finds the team of a caller. At an open queue a caller without a key is anonymous.
+fn authorize(config: &Config, service: &Service, headers: &HeaderMap) -> Option<Caller> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let Some(value) = values.next() else {
+        return service.open.then(|| Caller { team: ANONYMOUS_TEAM.into(), key: None });
     };
-    let key = value?.strip_prefix("Bearer ")?;
-    config.team_for_key(key).cloned()
+    if values.next().is_some() {
+        return None;
+    }
+    let (scheme, key) = value.to_str().ok()?.split_once(' ')?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return None;
+    }
+    let key = key.trim();
+    let team = config.team_for_key(key)?.clone();
+    Some(Caller { team, key: Some(key.into()) })
 }
--- /dev/null
+++ b/crates/dispatch/src/estimate.rs
@@ -0,0 +1,45 @@
+//! Running estimate of a duration: mean and mean deviation, as in RFC 6298.
+
+use std::time::Duration;
+
+const MEAN_GAIN: f64 = 0.125;
+const DEVIATION_GAIN: f64 = 0.25;
+/// Deviations above the mean that nearly all durations stay under.
+const TAIL_DEVIATIONS: f64 = 4.0;
+
+/// Running estimate of a duration.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Estimate {
+    known: Option<Known>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    mean_s: f64,
+    deviation_s: f64,
+}
+
+impl Estimate {
+    /// Takes in one observed duration.
+    pub fn record(&mut self, duration: Duration) {
+        let sample_s = duration.as_secs_f64();
+        let Some(known) = &mut self.known else {
+            self.known = Some(Known { mean_s: sample_s, deviation_s: sample_s / 2.0 });
+            return;
+        };
+        let error_s = sample_s - known.mean_s;
+        known.deviation_s += DEVIATION_GAIN * (error_s.abs() - known.deviation_s);
+        known.mean_s += MEAN_GAIN * error_s;
+    }
+
+    /// Mean duration in seconds, once one was observed.
+    pub fn mean_s(&self) -> Option<f64> {
+        self.known.map(|known| known.mean_s)
+    }
+
+    /// Duration that nearly all stay under, once one was observed.
+    pub fn tail(&self) -> Option<Duration> {
+        let known = self.known?;
+        Some(Duration::from_secs_f64(known.mean_s + TAIL_DEVIATIONS * known.deviation_s))
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,177 @@
+//! Health of one instance as its attempts show it, and its ejection from routing.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// What one attempt showed about an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptResult {
+    /// A whole answer came that is not a server error.
+    Ok,
+    /// The instance answered with a server error (5xx).
+    ServerError,
+    /// The instance refused the request without running it.
+    Refused,
+    /// No connection could be made.
+    ConnectFailed,
+    /// No answer came on a new connection in the time in which others answer.
+    Silent,
+    /// The connection broke before the answer was whole.
+    Broken,
+}
+
+impl AttemptResult {
+    /// Points of evidence against the instance; `None` when the result says nothing either way.
+    fn failure_points(self) -> Option<u32> {
+        match self {
+            Self::Ok => Some(0),
+            Self::Refused => None,
+            Self::ServerError | Self::Broken => Some(1),
+            Self::ConnectFailed | Self::Silent => Some(2),
+        }
+    }
+}
+
+/// Whether an instance takes part in routing.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Standing {
+    /// Takes work.
+    Healthy,
+    /// Takes no work before `until`.
+    Ejected {
+        /// End of the hold.
+        until: Instant,
+    },
+    /// Takes one request at a time until one has succeeded.
+    Trial,
+}
+
+/// Points in a row at which an instance is ejected.
+const FAILURE_POINTS_MAX: u32 = 5;
+/// Results from which on the success rate counts.
+const SAMPLES_MIN: u32 = 10;
+/// Success rate, as a part of the pool's, below which an instance is ejected.
+const RELATIVE_RATE_MIN: f64 = 0.5;
+/// Weight of the latest result in the success rate.
+const RATE_GAIN: f64 = 0.1;
+const HOLD_FIRST: Duration = Duration::from_secs(1);
+const HOLD_MAX: Duration = Duration::from_secs(60);
+/// Successes in a row after which earlier ejections are forgotten.
+const FORGIVE_AFTER: u32 = 100;
+/// Largest part of a pool that is ejected at a time.
+const EJECTED_SHARE_MAX: f64 = 1.0 / 3.0;
+
+/// Largest number of instances ejected at a time from a pool of `pool_size`.
+pub fn ejected_max(pool_size: usize) -> usize {
+    if pool_size < 2 {
+        return 0;
+    }
+    ((pool_size as f64 * EJECTED_SHARE_MAX) as usize).max(1)
+}
+
+/// Health of one instance.
+#[derive(Debug, Clone)]
+pub struct Health {
+    standing: Standing,
+    success_rate: f64,
+    samples: u32,
+    failure_points: u32,
+    successes: u32,
+    ejections: u32,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            standing: Standing::Healthy,
+            success_rate: 1.0,
+            samples: 0,
+            failure_points: 0,
+            successes: 0,
+            ejections: 0,
+        }
+    }
+}
+
+/// What a result changed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// Nothing.
+    Unchanged,
+    /// The instance should be ejected, if its pool's bound allows.
+    Eject,
+    /// The instance takes its full part again.
+    Returned,
+}
+
+impl Health {
+    /// Whether the instance takes part in routing.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Share of recent attempts that succeeded, from 0 to 1.
+    pub fn success_rate(&self) -> f64 {
+        self.success_rate
+    }
+
+    /// Takes in one result; `pool_rate` is the mean success rate of the instance's pool.
+    pub fn record(&mut self, result: AttemptResult, pool_rate: f64) -> Verdict {
+        let Some(points) = result.failure_points() else {
+            return Verdict::Unchanged;
+        };
+        let success = points == 0;
+        let target = if success { 1.0 } else { 0.0 };
+        self.success_rate += RATE_GAIN * (target - self.success_rate);
+        self.samples = self.samples.saturating_add(1);
+        if success { self.record_success() } else { self.record_failure(points, pool_rate) }
+    }
+
+    fn record_success(&mut self) -> Verdict {
+        self.failure_points = 0;
+        self.successes = self.successes.saturating_add(1);
+        if self.successes >= FORGIVE_AFTER {
+            self.ejections = 0;
+        }
+        if self.standing != Standing::Trial {
+            return Verdict::Unchanged;
+        }
+        self.standing = Standing::Healthy;
+        self.success_rate = 1.0;
+        self.samples = 0;
+        Verdict::Returned
+    }
+
+    fn record_failure(&mut self, points: u32, pool_rate: f64) -> Verdict {
+        self.successes = 0;
+        self.failure_points = self.failure_points.saturating_add(points);
+        let low_rate =
+            self.samples >= SAMPLES_MIN && self.success_rate < RELATIVE_RATE_MIN * pool_rate;
+        let eject = match self.standing {
+            Standing::Healthy => self.failure_points >= FAILURE_POINTS_MAX || low_rate,
+            Standing::Trial => true,
+            Standing::Ejected { .. } => false,
+        };
+        if eject { Verdict::Eject } else { Verdict::Unchanged }
+    }
+
+    /// Ejects the instance and returns the end of its hold, which doubles each time.
+    pub fn eject(&mut self, now: Instant) -> Instant {
+        let doublings = self.ejections.min(16);
+        let hold = HOLD_FIRST.saturating_mul(1 << doublings).min(HOLD_MAX);
+        let until = now + hold;
+        self.ejections += 1;
+        self.standing = Standing::Ejected { until };
+        until
+    }
+
+    /// Begins the trial when the hold is over. Returns whether the standing changed.
+    pub fn end_hold(&mut self, now: Instant) -> bool {
+        let over = matches!(self.standing, Standing::Ejected { until } if until <= now);
+        if over {
+            self.standing = Standing::Trial;
+        }
+        over
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/pool.rs
@@ -0,0 +1,222 @@
+//! Open connections to backend servers, and which of them a request may use.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::connection::Connection;
+use crate::edge::Edges;
+
+/// Time after its last answer for which a connection counts as proved.
+pub const PROOF_WINDOW: Duration = Duration::from_millis(500);
+/// Time after which an unused connection is closed.
+const IDLE_MAX: Duration = Duration::from_secs(30);
+const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Which open connections a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that is not known to be closed.
+    Any,
+    /// Those that carried an answer within [`PROOF_WINDOW`].
+    Proved,
+    /// None: a new one is made.
+    Never,
+}
+
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub enum OpenError {
+    /// The backend server has as many connections as it takes from this entry instance.
+    #[error("all connections of the backend server are in use")]
+    Exhausted,
+    /// No connection could be made in time.
+    #[error("connect timed out")]
+    Timeout,
+    /// No connection could be made.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Open connections by backend server. Clones share one state.
+pub struct ConnectionPool<E: Edges> {
+    shared: Arc<Shared<E>>,
+}
+
+impl<E: Edges> Clone for ConnectionPool<E> {
+    fn clone(&self) -> Self {
+        Self { shared: self.shared.clone() }
+    }
+}
+
+struct Shared<E: Edges> {
+    servers: Mutex<HashMap<SocketAddr, Server<E>>>,
+    closed: Notify,
+}
+
+struct Server<E: Edges> {
+    open: u32,
+    idle: Vec<Connection<E>>,
+}
+
+impl<E: Edges> Default for Server<E> {
+    fn default() -> Self {
+        Self { open: 0, idle: Vec::new() }
+    }
+}
+
+impl<E: Edges> Shared<E> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Server<E>>> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One open connection of a backend server, counted until dropped.
+struct OpenCount<E: Edges> {
+    shared: Weak<Shared<E>>,
+    address: SocketAddr,
+}
+
+impl<E: Edges> Drop for OpenCount<E> {
+    fn drop(&mut self) {
+        let Some(shared) = self.shared.upgrade() else {
+            return;
+        };
+        let mut servers = shared.lock();
+        if let Some(server) = servers.get_mut(&self.address) {
+            server.open -= 1;
+            if server.open == 0 && server.idle.is_empty() {
+                servers.remove(&self.address);
+            }
+        }
+        drop(servers);
+        shared.closed.notify_waiters();
+    }
+}
+
+impl<E: Edges> ConnectionPool<E> {
+    /// An empty pool. Must be called within a runtime.
+    pub fn start() -> Self {
+        let shared = Arc::new(Shared { servers: Mutex::default(), closed: Notify::new() });
+        tokio::spawn(prune(Arc::downgrade(&shared)));
+        Self { shared }
+    }
+
+    /// Gives an open connection to `address`, or makes one while fewer than `open_max` are open.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        reuse: Reuse,
+        open_max: u32,
+    ) -> Result<Connection<E>, OpenError> {
+        while let Some(mut connection) = self.take_idle(address, reuse) {
+            if connection.ready().await {
+                return Ok(connection);
+            }
+        }
+        let count = self.reserve_or_wait(address, open_max).await?;
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, Connection::open(address, count)).await;
+        opened.map_err(|_| OpenError::Timeout)?.map_err(OpenError::Io)
+    }
+
+    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection<E>> {
+        let mut servers = self.shared.lock();
+        let idle = &mut servers.get_mut(&address)?.idle;
+        idle.retain(|connection| !connection.is_closed());
+        let usable = |connection: &Connection<E>| match reuse {
+            Reuse::Any => true,
+            Reuse::Proved => connection.proved.elapsed() <= PROOF_WINDOW,
+            Reuse::Never => false,
+        };
+        let latest = idle.last().is_some_and(usable);
+        if latest { idle.pop() } else { None }
+    }
+
+    /// Counts a new connection. At the bound, closes an unused one and waits until it is gone.
+    async fn reserve_or_wait(
+        &self,
+        address: SocketAddr,
+        open_max: u32,
+    ) -> Result<OpenCount<E>, OpenError> {
+        loop {
+            let closed = self.shared.closed.notified();
+            if let Some(count) = self.reserve(address, open_max) {
+                return Ok(count);
+            }
+            if !self.evict(address) {
+                return Err(OpenError::Exhausted);
+            }
+            let waited = tokio::time::timeout(CONNECT_TIMEOUT, closed).await;
+            waited.map_err(|_| OpenError::Timeout)?;
+        }
+    }
+
+    fn reserve(&self, address: SocketAddr, open_max: u32) -> Option<OpenCount<E>> {
+        let mut servers = self.shared.lock();
+        let server = servers.entry(address).or_default();
+        if server.open >= open_max {
+            return None;
+        }
+        server.open += 1;
+        Some(OpenCount { shared: Arc::downgrade(&self.shared), address })
+    }
+
+    /// Closes the unused connection that proved itself longest ago. Returns whether one was.
+    fn evict(&self, address: SocketAddr) -> bool {
+        let mut servers = self.shared.lock();
+        let idle = servers.get_mut(&address).map(|server| &mut server.idle);
+        let Some(idle) = idle.filter(|idle| !idle.is_empty()) else {
+            return false;
+        };
+        idle.remove(0);
+        true
+    }
+
+    /// Takes a connection back that can carry another request.
+    pub fn put(&self, address: SocketAddr, connection: Connection<E>) {
+        let mut servers = self.shared.lock();
+        servers.entry(address).or_default().idle.push(connection);
+    }
+
+    /// Closes the unused connections of `address` that have not proved themselves since `since`,
+    /// because another one went silent.
+    pub fn distrust(&self, address: SocketAddr, since: Instant) {
+        let mut servers = self.shared.lock();
+        if let Some(server) = servers.get_mut(&address) {
+            server.idle.retain(|connection| connection.proved >= since);
+        }
+    }
+
+    /// Open connections to `address`.
+    pub fn open(&self, address: SocketAddr) -> u32 {
+        self.shared.lock().get(&address).map_or(0, |server| server.open)
+    }
+
+    /// Closes all unused connections.
+    pub fn close_idle(&self) {
+        for server in self.shared.lock().values_mut() {
+            server.idle.clear();
+        }
+    }
+}
+
+/// Closes connections that were unused for long, until the pool is gone.
+async fn prune<E: Edges>(weak: Weak<Shared<E>>) {
+    loop {
+        tokio::time::sleep(PRUNE_INTERVAL).await;
+        let Some(shared) = weak.upgrade() else {
+            return;
+        };
+        shared.lock().retain(|_, server| {
+            server.idle.retain(|connection| {
+                !connection.is_closed() && connection.proved.elapsed() < IDLE_MAX
+            });
+            server.open > 0 || !server.idle.is_empty()
+        });
+    }
+}
--- a/crates/dispatch/src/problem.rs
+++ b/crates/dispatch/src/problem.rs
@@ -69,7 +69,9 @@
             status: row.http_status,
             code: row.number,
             run_state: problem.run_state,
-            retry_after_s: problem.retry_after.map(|wait| wait.as_secs().max(1)),
+            retry_after_s: problem
+                .retry_after
+                .map(|wait| (wait.as_secs_f64().ceil() as u64).max(1)),
         }
     }
 }
--- a/crates/dispatch/src/proxy.rs
+++ b/crates/dispatch/src/proxy.rs
@@ -34,7 +34,6 @@
 const PATIENCE_DEFAULT: Duration = Duration::from_secs(5);
 
 /// Sends requests to backend servers.
-#[derive(Debug)]
 pub struct Proxy<E: Edges> {
     edges: E,
     dispatcher: Dispatcher<E>,
@@ -178,13 +177,8 @@
         }
     }
 
-    fn second(
-        &self,
-        order: &Arc<Order>,
-        tried: &Instance,
-    ) -> Option<Running<E>> {
-        let running =
-            self.dispatcher.acquire_second(order, std::slice::from_ref(tried))?;
+    fn second(&self, order: &Arc<Order>, tried: &Instance) -> Option<Running<E>> {
+        let running = self.dispatcher.acquire_second(order, std::slice::from_ref(tried))?;
         self.budget.withdraw(&order.service).then_some(running)
     }
 
--- /dev/null
+++ b/crates/dispatch/src/server.rs
@@ -0,0 +1,88 @@
+//! The server for callers and its graceful stop.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::callers::{Callers, Phase, router};
+use crate::edge::Edges;
+use crate::event::DispatchEvent;
+use crate::order::Order;
+
+/// Longest wait for callers' connections to close once all requests have ended.
+const CLOSE_MAX: Duration = Duration::from_secs(5);
+
+/// A running server for callers.
+pub struct Server<E: Edges> {
+    callers: Callers<E>,
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<io::Result<()>>,
+}
+
+/// What a stop came to.
+#[derive(Debug, Clone, Default)]
+pub struct StopReport {
+    /// Requests that were cut off, because the stop was forced before they had ended.
+    pub cut_off: Vec<Arc<Order>>,
+}
+
+impl<E: Edges> Server<E> {
+    /// Serves callers on `listener`. Must be called within a runtime.
+    pub fn start(listener: TcpListener, callers: Callers<E>) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let signal = stop.clone().cancelled_owned();
+        let routes = router(callers.clone());
+        let task = tokio::spawn(async move {
+            axum::serve(listener, routes).with_graceful_shutdown(signal).await
+        });
+        Ok(Self { callers, address, stop, task })
+    }
+
+    /// Address on which callers are served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The request path behind the server.
+    pub fn callers(&self) -> &Callers<E> {
+        &self.callers
+    }
+
+    /// Stops gracefully: readiness goes off at once, new requests are refused after `wait`, and
+    /// those accepted are finished. When `forced` completes before, the rest is cut off.
+    pub async fn close(self, wait: Duration, forced: impl Future<Output = ()>) -> StopReport {
+        self.callers.enter(Phase::Leaving);
+        emit!(DispatchEvent::StopStarted);
+        let abort = self.task.abort_handle();
+        let graceful = async {
+            tokio::time::sleep(wait).await;
+            self.callers.enter(Phase::Draining);
+            emit!(DispatchEvent::StopDraining);
+            self.stop.cancel();
+            self.callers.flights().all_ended().await;
+            let _ = tokio::time::timeout(CLOSE_MAX, self.task).await;
+        };
+        tokio::select! {
+            () = graceful => {}
+            () = forced => {}
+        }
+        abort.abort();
+        let cut_off = self.callers.flights().list();
+        for order in &cut_off {
+            let (request, team) = (&order.id, &order.team);
+            emit!(DispatchEvent::StopCutOff, request = request, team = team);
+        }
+        self.callers.proxy().pool().close_idle();
+        emit!(DispatchEvent::StopFinished, cut_off = cut_off.len());
+        StopReport { cut_off }
+    }
+}
