--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,7 +8,7 @@
 mod state;
 pub mod store;
 
-pub use backend::{Backend, BackendCounts};
+pub use backend::{Backend, BackendCounts, BackendOptions, Fault, FaultPlan};
 pub use calls::{CallCounts, CallKind};
 pub use faults::{ClientId, Partition, StoreFaults, WriteFault};
 pub use instances::MemoryInstances;
