Tested a lease that is revoked while its holder thinks it valid

Removing the end of the validity after the store reported the lease as expired went unnoticed by the tests. The new test revokes a lease behind its keeper and fails without that line.

--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -56,6 +56,15 @@
     assert!(!keeper.is_valid());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_revoked_lease_is_invalid_from_its_next_renewal() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    store.revoke_lease(keeper.id()).await.unwrap();
+    timeout(TTL / 2, keeper.ended()).await.expect("the store reports the end");
+    assert!(!keeper.is_valid());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_short_outage_is_outlived() {
     let store = MemoryStore::default();
