Added a store client over the JSON gateway of etcd v3

The platform's key-value service needs a client with a deadline on every call, and a truthful verdict on writes whose answer is lost.

A write is sent once: it had no effect if no byte was sent or the service refused it, and its outcome is unknown otherwise. Calls are counted by kind and outcome.

Every break of the connection after 1 to 399 bytes of a write, and every cut of its answer, leaves the outcome unknown; arbitrary answers give typed errors.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,17 +3,22 @@
 
 pub mod backoff;
 pub mod document;
+pub mod etcd;
 pub mod event;
+mod http;
 pub mod instances;
 pub mod lease;
+pub mod metrics;
 pub mod settle;
 pub mod store;
 
 pub use backoff::Backoff;
 pub use document::{Document, DocumentError, Envelope, WriteId, WriteLog, Writer};
+pub use etcd::{EtcdSettings, EtcdStore, EtcdWatch};
 pub use event::PlatformEvent;
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
 pub use lease::{LeaseKeeper, LeaseValidity};
+pub use metrics::{CallOutcome, StoreCall, StoreMetrics};
 pub use settle::{NotApplied, UpdateOutcome, update};
 pub use store::{
     Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError,
--- /dev/null
+++ b/crates/platform/src/metrics.rs
@@ -0,0 +1,105 @@
+//! Metrics of the calls to the key-value service.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// Upper bound of the first bucket of call durations, in seconds.
+const FIRST_BUCKET_S: f64 = 0.000_5;
+/// Number of buckets of call durations, each twice as wide as the one before.
+const BUCKETS: u16 = 14;
+
+/// Kind of a call to the key-value service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StoreCall {
+    /// Read of one key.
+    Get,
+    /// Read of a page of keys.
+    List,
+    /// Compare-and-swap of one key.
+    Write,
+    /// Grant of a lease.
+    GrantLease,
+    /// Renewal of a lease.
+    KeepAlive,
+    /// End of a lease.
+    RevokeLease,
+    /// Watch, counted once however long it waits.
+    Watch,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum CallOutcome {
+    /// The service answered.
+    Answered,
+    /// The call had no effect.
+    Failed,
+    /// The answer was lost.
+    Unknown,
+}
+
+/// Labels of a counted call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// Kind of the call.
+    pub call: StoreCall,
+    /// How it ended.
+    pub outcome: CallOutcome,
+}
+
+/// Labels of a measured call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabels {
+    /// Kind of the call.
+    pub call: StoreCall,
+}
+
+/// Counts and durations of calls by kind. Clones share one state.
+#[derive(Debug, Clone)]
+pub struct StoreMetrics {
+    calls: Family<CallLabels, Counter>,
+    durations: Family<KindLabels, Histogram, fn() -> Histogram>,
+}
+
+impl Default for StoreMetrics {
+    fn default() -> Self {
+        Self { calls: Family::default(), durations: Family::new_with_constructor(histogram) }
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
+
+impl StoreMetrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "store_calls",
+            "Calls to the key-value service; a waiting watch is one call",
+            self.calls.clone(),
+        );
+        registry.register_with_unit(
+            "store_call_duration",
+            "Time to the answer of a call to the key-value service",
+            Unit::Seconds,
+            self.durations.clone(),
+        );
+    }
+
+    /// Notes a call that has ended; a watch has once it is open.
+    pub fn record(&self, call: StoreCall, outcome: CallOutcome, duration: Duration) {
+        self.calls.get_or_create(&CallLabels { call, outcome }).inc();
+        self.durations.get_or_create(&KindLabels { call }).observe(duration.as_secs_f64());
+    }
+
+    /// Number of calls of one kind that ended so.
+    pub fn count(&self, call: StoreCall, outcome: CallOutcome) -> u64 {
+        self.calls.get_or_create(&CallLabels { call, outcome }).get()
+    }
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -147,7 +147,8 @@
     fn revoke_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Watches every key that starts with `prefix` for changes after revision `after`, which may
-    /// not lie in the future of the service.
+    /// not lie in the future of the service. A position that the service cannot resume is reported
+    /// here or by the first [`Watch::next`].
     fn watch(
         &self,
         prefix: &str,
--- /dev/null
+++ b/crates/platform/tests/etcd.rs
@@ -0,0 +1,229 @@
+//! The store client against connections that break, servers that answer badly and addresses that
+//! do not answer.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use cassiafold_platform::{
+    CallOutcome, Compare, EtcdSettings, EtcdStore, Store, StoreCall, StoreError, StoreMetrics,
+    Write, WriteOutcome,
+};
+use futures_util::future::join_all;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinHandle;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a server waits for more bytes than a request has.
+const READ_WAIT: Duration = Duration::from_millis(300);
+const LOOPBACK: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
+
+fn client(addresses: &[SocketAddr]) -> EtcdStore {
+    client_with_timeout(addresses, TIMEOUT)
+}
+
+fn client_with_timeout(addresses: &[SocketAddr], timeout: Duration) -> EtcdStore {
+    let settings = EtcdSettings { timeout, ..EtcdSettings::new(addresses.to_vec(), "entry") };
+    EtcdStore::new(settings, StoreMetrics::default())
+}
+
+/// An address that refuses connections for as long as the socket is kept.
+fn refusing() -> (SocketAddr, TcpSocket) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(LOOPBACK.into()).unwrap();
+    (socket.local_addr().unwrap(), socket)
+}
+
+fn put() -> Write {
+    Write::put("key", Compare::Absent, "value")
+}
+
+/// Serves each connection with `serve` until the handle is aborted.
+async fn server<F: Future<Output = ()> + Send + 'static>(
+    serve: impl Fn(TcpStream) -> F + Send + 'static,
+) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind(LOOPBACK).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(serve(stream));
+        }
+    });
+    (address, task)
+}
+
+/// Reads one request, whose body is JSON and ends with a brace after its head.
+async fn read_request(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    while !complete(&request) {
+        if stream.read_buf(&mut request).await.unwrap() == 0 {
+            return;
+        }
+    }
+}
+
+fn complete(request: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(request);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    body.len() >= length.unwrap().parse::<usize>().unwrap()
+}
+
+fn answer(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+const WRITTEN: &str = r#"{"header":{"revision":"4"},"succeeded":true}"#;
+
+#[tokio::test]
+async fn a_refused_connection_has_no_effect() {
+    let (address, _socket) = refusing();
+    let result = client(&[address]).write(put()).await;
+    assert!(matches!(result, Err(StoreError::Unavailable(_))), "{result:?}");
+}
+
+async fn broken_after(bytes: usize) {
+    let (address, task) = server(move |mut stream| async move {
+        let mut request = vec![0; bytes];
+        let _ = tokio::time::timeout(READ_WAIT, stream.read_exact(&mut request)).await;
+    })
+    .await;
+    let result = client(&[address]).write(put()).await;
+    assert!(matches!(result, Err(StoreError::OutcomeUnknown(_))), "{bytes}: {result:?}");
+    task.abort();
+}
+
+#[tokio::test]
+async fn a_connection_that_breaks_after_any_byte_leaves_the_outcome_unknown() {
+    join_all((1..400).map(broken_after)).await;
+}
+
+#[tokio::test]
+async fn an_answer_cut_off_at_any_byte_leaves_the_outcome_unknown() {
+    let whole = answer(WRITTEN);
+    for bytes in 0..=whole.len() {
+        let part = whole[..bytes].to_vec();
+        let (address, task) = server(move |mut stream| {
+            let part = part.clone();
+            async move {
+                read_request(&mut stream).await;
+                stream.write_all(&part).await.unwrap();
+            }
+        })
+        .await;
+        let result = client(&[address]).write(put()).await;
+        match bytes == whole.len() {
+            true => assert_eq!(result, Ok(WriteOutcome::Written(4))),
+            false => assert!(matches!(result, Err(StoreError::OutcomeUnknown(_))), "{result:?}"),
+        }
+        task.abort();
+    }
+}
+
+#[tokio::test]
+async fn a_silent_server_leaves_the_outcome_unknown_and_the_next_address_is_used() {
+    let (silent, _task) = server(|stream| async move {
+        tokio::time::sleep(TIMEOUT).await;
+        drop(stream);
+    })
+    .await;
+    let (working, _task) = server(|mut stream| async move {
+        read_request(&mut stream).await;
+        stream.write_all(&answer(WRITTEN)).await.unwrap();
+    })
+    .await;
+    let store = client_with_timeout(&[silent, working], SHORT_TIMEOUT);
+    let results = [store.write(put()).await, store.write(put()).await, store.write(put()).await];
+    let unknown =
+        results.iter().filter(|result| matches!(result, Err(StoreError::OutcomeUnknown(_))));
+    assert!(unknown.count() <= 1, "{results:?}");
+    assert_eq!(results[2], Ok(WriteOutcome::Written(4)));
+}
+
+#[tokio::test]
+async fn a_dead_address_does_not_hinder_a_live_one() {
+    let (dead, _socket) = refusing();
+    let (working, _task) = server(|mut stream| async move {
+        read_request(&mut stream).await;
+        stream.write_all(&answer(WRITTEN)).await.unwrap();
+    })
+    .await;
+    for _ in 0..8 {
+        assert_eq!(client(&[dead, working]).write(put()).await, Ok(WriteOutcome::Written(4)));
+    }
+}
+
+#[tokio::test]
+async fn a_connection_closed_while_idle_costs_a_read_nothing() {
+    let (address, _task) = server(|mut stream| async move {
+        read_request(&mut stream).await;
+        stream.write_all(&answer(r#"{"header":{"revision":"4"}}"#)).await.unwrap();
+    })
+    .await;
+    let store = client(&[address]);
+    for _ in 0..20 {
+        assert_eq!(store.get("key").await, Ok(None));
+    }
+}
+
+#[tokio::test]
+async fn an_endless_answer_is_refused() {
+    let (address, _task) = server(|mut stream| async move {
+        read_request(&mut stream).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        while stream.write_all(&[b' '; 65_536]).await.is_ok() {}
+    })
+    .await;
+    let settings = EtcdSettings { timeout: TIMEOUT, ..EtcdSettings::new(vec![address], "entry") };
+    let metrics = StoreMetrics::default();
+    let store = EtcdStore::new(settings, metrics.clone());
+    assert!(matches!(store.get("key").await, Err(StoreError::Malformed(_))));
+    assert_eq!(metrics.count(StoreCall::Get, CallOutcome::Answered), 1);
+}
+
+#[test]
+fn arbitrary_answers_give_typed_errors() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let config = Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let http = any::<bool>();
+    let mut runner = TestRunner::new(config);
+    runner
+        .run(&(http, any::<Vec<u8>>()), |(http, bytes)| {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", bytes.len());
+            let bytes = if http { [head.as_bytes(), &bytes].concat() } else { bytes };
+            runtime.block_on(answered_with(bytes));
+            Ok(())
+        })
+        .unwrap();
+}
+
+async fn answered_with(bytes: Vec<u8>) {
+    let (address, task) = server(move |mut stream| {
+        let bytes = bytes.clone();
+        async move {
+            read_request(&mut stream).await;
+            let _ = stream.write_all(&bytes).await;
+        }
+    })
+    .await;
+    let store = client(&[address]);
+    let write = store.write(put()).await;
+    assert!(matches!(write, Err(StoreError::OutcomeUnknown(_))), "{write:?}");
+    let read = store.list("").await;
+    let expected = matches!(read, Err(StoreError::Malformed(_) | StoreError::Unavailable(_)));
+    assert!(expected, "{read:?}");
+    assert!(store.watch("", 0).await.is_err());
+    task.abort();
+}
