--- a/crates/standin/src/calls.rs
+++ b/crates/standin/src/calls.rs
@@ -2,6 +2,8 @@
 
 use std::iter::Sum;
 
+use serde::{Deserialize, Serialize};
+
 /// Kind of a call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -22,7 +24,7 @@
 }
 
 /// Number of calls by kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallCounts {
     /// Reads of one key.
     pub gets: u64,
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -180,6 +180,11 @@
         self.shared.lock().counts.get(client).copied().unwrap_or_default()
     }
 
+    /// Calls made by each client.
+    pub fn all_counts(&self) -> BTreeMap<ClientId, CallCounts> {
+        self.shared.lock().counts.clone()
+    }
+
     /// Calls made by all clients.
     pub fn total_counts(&self) -> CallCounts {
         self.shared.lock().counts.values().copied().sum()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,14 +2,20 @@
 
 pub mod backend;
 pub mod calls;
+pub mod command;
 pub mod faults;
+pub mod gateway;
 pub mod instances;
 mod keyspace;
+pub mod server;
 mod state;
 pub mod store;
 
 pub use backend::{Backend, BackendCounts};
 pub use calls::{CallCounts, CallKind};
+pub use command::{FaultCommand, WriteFaultCommand};
 pub use faults::{ClientId, Partition, StoreFaults, WriteFault};
+pub use gateway::Gateway;
 pub use instances::MemoryInstances;
+pub use server::Server;
 pub use store::{MemoryStore, MemoryWatch};
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -158,6 +158,20 @@
         }
     }
 
+    /// Reads the keys below `prefix`, as of a revision where given.
+    pub(crate) async fn list_at(
+        &self,
+        prefix: &str,
+        at: Option<Revision>,
+    ) -> Result<Snapshot, StoreError> {
+        let list = |state: &State| state.keys.list(prefix, at.or(state.faults.stale_revision));
+        let snapshot = self.read(CallKind::List, list).await?;
+        match at.is_some_and(|at| at != snapshot.revision) {
+            true => Err(StoreError::Compacted),
+            false => Ok(snapshot),
+        }
+    }
+
     fn write_late(&self, write: Write, delay: Duration) {
         let shared = self.shared.clone();
         tokio::spawn(async move {
@@ -206,8 +220,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Snapshot, StoreError> {
-        self.read(CallKind::List, |state| state.keys.list(prefix, state.faults.stale_revision))
-            .await
+        self.list_at(prefix, None).await
     }
 
     async fn write(&self, write: Write) -> Result<WriteOutcome, StoreError> {
@@ -299,6 +312,14 @@
             let _ = timeout_at(wake.min(latest), self.changed.changed()).await;
         }
     }
+
+    /// Revision up to which all changes were delivered; `None` where a fault keeps this watch
+    /// from delivering.
+    pub(crate) fn progress(&self) -> Option<Revision> {
+        let state = self.store.shared.lock();
+        let cut_off = state.faults.partition(&self.store.client).is_some();
+        (!cut_off && !state.is_silent(self.number)).then_some(self.after)
+    }
 }
 
 impl Watch for MemoryWatch {
