Add the operators' verbs to the command line

status, config get|patch|history, key grant|withdraw, zone out|in, pool list|move, wave start|pause|resume|status and explain speak to the operators' interface of the first entry instance that answers. A request carries one write id to every address, so that a lost answer is settled by the next try; where it stays unknown, exit code 9 and the write id say so. Keys are made here and sent as hashes. The exit codes stand in the help text.

--- /dev/null
+++ b/crates/cassiafold/src/change.rs
@@ -0,0 +1,29 @@
+//! Output of accepted changes of the configuration.
+
+use cassiafold_operators::wire::ChangeAnswer;
+
+use crate::error::Result;
+use crate::output::{Output, print_json, print_table};
+
+/// Prints the answer to a change.
+pub fn print_change(answer: &ChangeAnswer, output: Output) -> Result<()> {
+    if output == Output::Json {
+        return print_json(answer);
+    }
+    let note = match (answer.unchanged, answer.repeated) {
+        (true, _) => ", which was so before",
+        (_, true) => ", by an earlier request",
+        _ => "",
+    };
+    println!("version {}{note}", answer.version);
+    if answer.unconfirmed.is_empty() {
+        println!("confirmed by every entry instance");
+        return Ok(());
+    }
+    println!("not confirmed by:");
+    let row = |entry: &cassiafold_operators::wire::Unconfirmed| {
+        [entry.instance_id.to_string(), entry.zone.to_string(), entry.version.to_string()]
+    };
+    print_table(["ENTRY", "ZONE", "VERSION"], answer.unconfirmed.iter().map(row));
+    Ok(())
+}
--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -1,10 +1,14 @@
 //! Definition of the command line.
 
+mod verbs;
+
 use std::path::PathBuf;
 
 use clap::{Arg, Command, value_parser};
 use clap_complete::Shell;
 
+use crate::error::EXIT_CODES;
+
 /// Builds the definition of the command line.
 pub fn build() -> Command {
     Command::new("cassiafold")
@@ -17,6 +21,13 @@
         .subcommand(demo())
         .subcommand(check())
         .subcommand(completions())
+        .subcommands(verbs::all())
+        .after_help(exit_codes())
+}
+
+fn exit_codes() -> String {
+    let rows = EXIT_CODES.iter().map(|row| format!("  {:>2}  {}\n", row.number, row.meaning));
+    format!("Exit codes:\n{}", rows.collect::<String>())
 }
 
 fn log_format() -> Arg {
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -8,6 +8,7 @@
 
 use crate::error::{Error, Result};
 use crate::output::Output;
+use crate::verb::Verb;
 use crate::{check, completions, demo};
 
 /// How log lines are written.
@@ -32,6 +33,7 @@
     Demo(DemoOptions),
     Check(CheckOptions),
     Completions(Shell),
+    Verb(Box<Verb>),
 }
 
 /// Options of `demo`.
@@ -78,7 +80,8 @@
             Some(("demo", matches)) => Action::Demo(matches.into()),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
-            _ => return Err(Error::Usage("unknown command".into())),
+            Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
+            None => return Err(Error::Usage("no command given".into())),
         };
         Ok(Self { logs, action })
     }
@@ -91,6 +94,7 @@
             Action::Demo(options) => demo::run(options),
             Action::Check(options) => check::run(options),
             Action::Completions(shell) => completions::run(*shell),
+            Action::Verb(verb) => verb.run(),
         }
     }
 }
--- /dev/null
+++ b/crates/cassiafold/src/config.rs
@@ -0,0 +1,123 @@
+//! `config get`, `config patch` and `config history`.
+
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use cassiafold_config::patch::{JSON_PATCH, MERGE_PATCH};
+use cassiafold_config::raw::RawConfig;
+use cassiafold_operators::history::HistoryRecord;
+use cassiafold_operators::wire::HistoryAnswer;
+use clap::ArgMatches;
+use http::Method;
+use serde_json::Value;
+
+use crate::change::print_change;
+use crate::client::{Call, Client};
+use crate::error::{Error, Result};
+use crate::output::{Output, or_dash, print_json, print_table};
+use crate::verb::unknown_subcommand;
+
+/// `config` and its subcommands.
+#[derive(Debug)]
+pub enum ConfigVerb {
+    /// Prints the newest configuration.
+    Get,
+    /// Makes the next version.
+    Patch(PatchOptions),
+    /// Shows who made the last versions.
+    History {
+        /// Versions to show.
+        limit: u16,
+    },
+}
+
+/// Options of `config patch`.
+#[derive(Debug)]
+pub struct PatchOptions {
+    file: PathBuf,
+    base_version: u64,
+    write_id: Option<String>,
+}
+
+impl TryFrom<&ArgMatches> for ConfigVerb {
+    type Error = Error;
+
+    fn try_from(matches: &ArgMatches) -> Result<Self> {
+        match matches.subcommand() {
+            Some(("get", _)) => Ok(Self::Get),
+            Some(("patch", matches)) => Ok(Self::Patch(PatchOptions {
+                file: matches.get_one::<PathBuf>("file").cloned().unwrap_or_default(),
+                base_version: matches.get_one::<u64>("base").copied().unwrap_or_default(),
+                write_id: matches.get_one::<String>("write-id").cloned(),
+            })),
+            Some(("history", matches)) => {
+                let limit = matches.get_one::<u16>("limit").copied().unwrap_or_default();
+                Ok(Self::History { limit })
+            }
+            _ => Err(unknown_subcommand()),
+        }
+    }
+}
+
+impl ConfigVerb {
+    /// Runs the subcommand and prints its result.
+    pub async fn run(&self, client: &Client, output: Output) -> Result<()> {
+        match self {
+            Self::Get => get(client, output).await,
+            Self::Patch(options) => patch(client, options, output).await,
+            Self::History { limit } => history(client, *limit, output).await,
+        }
+    }
+}
+
+async fn get(client: &Client, output: Output) -> Result<()> {
+    let config: RawConfig = client.call(&Call::get("/config")).await?;
+    if output == Output::Json {
+        return print_json(&config);
+    }
+    let text = serde_saphyr::to_string(&config);
+    print!("{}", text.map_err(|error| Error::Usage(error.to_string()))?);
+    Ok(())
+}
+
+async fn patch(client: &Client, options: &PatchOptions, output: Output) -> Result<()> {
+    let patch = read_patch(&options.file)?;
+    let media_type = if patch.is_array() { JSON_PATCH } else { MERGE_PATCH };
+    let call = Call::new(Method::PATCH, "/config")
+        .with_body(&patch)?
+        .with_patch(options.base_version, media_type)
+        .with_write_id(options.write_id.as_deref());
+    print_change(&client.call(&call).await?, output)
+}
+
+fn read_patch(path: &Path) -> Result<Value> {
+    let read_error = |source| Error::ReadFile { path: path.to_owned(), source };
+    let text = if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map_err(read_error)?;
+        text
+    } else {
+        std::fs::read_to_string(path).map_err(read_error)?
+    };
+    serde_saphyr::from_str(&text).map_err(|error| Error::Usage(error.without_snippet().to_string()))
+}
+
+async fn history(client: &Client, limit: u16, output: Output) -> Result<()> {
+    let answer: HistoryAnswer =
+        client.call(&Call::get(format!("/config/history?limit={limit}"))).await?;
+    if output == Output::Json {
+        return print_json(&answer);
+    }
+    print_table(["VERSION", "OPERATOR", "UNIX_S", "PATCH"], answer.versions.iter().map(row));
+    Ok(())
+}
+
+fn row(record: &HistoryRecord) -> [String; 4] {
+    let change = record.change.as_ref();
+    [
+        record.version.to_string(),
+        or_dash(change.map(|change| &change.operator)),
+        or_dash(change.map(|change| change.unix_s)),
+        or_dash(change.and_then(|change| change.patch.as_ref())),
+    ]
+}
--- a/crates/cassiafold/src/error.rs
+++ b/crates/cassiafold/src/error.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 
 use cassiafold_config::Faults;
+use cassiafold_operators::OperatorsCode;
+use cassiafold_operators::problem::WireProblem;
 
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -31,11 +33,67 @@
     /// A request to an entry instance failed.
     #[error("request failed: {0}")]
     Request(#[from] hyper::Error),
-    /// A result cannot be written as JSON.
+    /// JSON cannot be read or written.
     #[error("malformed JSON: {0}")]
     Json(#[from] serde_json::Error),
+    /// No entry instance answered.
+    #[error("no entry instance answered: {0}")]
+    Unreachable(String),
+    /// The operators' interface refused the request.
+    #[error("{}", problem_text(.0))]
+    Refused(Box<WireProblem>),
+    /// The request may have taken effect.
+    #[error("the outcome is unknown ({reason}); the write id is {write_id}")]
+    OutcomeUnknown {
+        /// Write id with which the request can be repeated.
+        write_id: String,
+        /// How the answer was lost.
+        reason: String,
+    },
+}
+
+fn problem_text(problem: &WireProblem) -> String {
+    let mut text = format!("{} (code {})", problem.title, problem.code);
+    if let Some(version) = problem.current_version {
+        text.push_str(&format!("\nthe configuration has version {version}"));
+    }
+    if let Some(detail) = &problem.detail {
+        text.push_str(&format!("\n{detail}"));
+    }
+    for fault in &problem.faults.list {
+        text.push_str(&format!("\n{fault}"));
+    }
+    text
+}
+
+/// One exit code of the program.
+#[derive(Debug, Clone, Copy)]
+pub struct ExitRow {
+    /// Number of the exit code.
+    pub number: u8,
+    /// What the exit code means.
+    pub meaning: &'static str,
+}
+
+const fn row(number: u8, meaning: &'static str) -> ExitRow {
+    ExitRow { number, meaning }
 }
 
+/// Every exit code of the program.
+pub const EXIT_CODES: [ExitRow; 11] = [
+    row(0, "done"),
+    row(1, "the program panicked"),
+    row(2, "the command line cannot be understood"),
+    row(3, "a file cannot be read"),
+    row(4, "settings, a configuration or a patch are at fault"),
+    row(5, "the network, the runtime or an output failed"),
+    row(6, "no entry instance answered; nothing was changed"),
+    row(7, "the operators' interface refused the request"),
+    row(8, "the patch was made from another version"),
+    row(9, "the outcome of a change is unknown; repeat it with its write id"),
+    row(10, "the entry instance could not do it now; nothing was changed"),
+];
+
 impl Error {
     /// Exit code of the program for this error, as listed in `docs/CODES.md`.
     pub fn exit_code(&self) -> ExitCode {
@@ -44,11 +102,24 @@
             Self::ReadFile { .. } => 3,
             Self::Faults(_) => 4,
             Self::Io(_) | Self::Json(_) => 5,
-            Self::Request(_) => 6,
+            Self::Request(_) | Self::Unreachable(_) => 6,
+            Self::Refused(problem) => refusal_code(problem),
+            Self::OutcomeUnknown { .. } => 9,
         })
     }
 }
 
+fn refusal_code(problem: &WireProblem) -> u8 {
+    let is = |code: OperatorsCode| problem.code == code.row().number;
+    match problem.status {
+        _ if is(OperatorsCode::ConfigInvalid) => 4,
+        _ if is(OperatorsCode::VersionStale) => 8,
+        _ if is(OperatorsCode::OutcomeUnknown) || is(OperatorsCode::TimedOut) => 9,
+        500.. => 10,
+        _ => 7,
+    }
+}
+
 /// Prints an error and returns its exit code.
 pub fn report(error: &Error) -> ExitCode {
     eprintln!("cassiafold: {error}");
--- /dev/null
+++ b/crates/cassiafold/src/key.rs
@@ -0,0 +1,121 @@
+//! `key grant` and `key withdraw`.
+
+use std::path::PathBuf;
+
+use cassiafold_config::KeyHash;
+use cassiafold_config::key::new_key;
+use cassiafold_operators::wire::{ChangeAnswer, KeyBody};
+use clap::ArgMatches;
+use http::Method;
+use serde::Serialize;
+
+use crate::change::print_change;
+use crate::client::{Call, Client, read_secret};
+use crate::error::{Error, Result};
+use crate::output::{Output, print_json};
+use crate::verb::{required_id, unknown_subcommand};
+
+/// `key` and its subcommands.
+#[derive(Debug)]
+pub enum KeyVerb {
+    /// Makes a key and grants it.
+    Grant {
+        /// Team of the key.
+        team: String,
+    },
+    /// Withdraws keys.
+    Withdraw {
+        /// Team of the keys.
+        team: String,
+        /// Which keys.
+        which: Which,
+    },
+}
+
+/// Keys to withdraw.
+#[derive(Debug)]
+pub enum Which {
+    /// The key with this hash.
+    Hash(String),
+    /// The key in this file.
+    File(PathBuf),
+    /// All keys of the team.
+    All,
+}
+
+/// A granted key. It is shown once and kept nowhere.
+#[derive(Serialize)]
+struct GrantedKey<'a> {
+    key: &'a str,
+    key_hash: &'a str,
+    #[serde(flatten)]
+    change: &'a ChangeAnswer,
+}
+
+impl TryFrom<&ArgMatches> for KeyVerb {
+    type Error = Error;
+
+    fn try_from(matches: &ArgMatches) -> Result<Self> {
+        match matches.subcommand() {
+            Some(("grant", matches)) => Ok(Self::Grant { team: required_id(matches, "team")? }),
+            Some(("withdraw", matches)) => {
+                Ok(Self::Withdraw { team: required_id(matches, "team")?, which: matches.into() })
+            }
+            _ => Err(unknown_subcommand()),
+        }
+    }
+}
+
+impl From<&ArgMatches> for Which {
+    fn from(matches: &ArgMatches) -> Self {
+        if let Some(hash) = matches.get_one::<String>("key-hash") {
+            return Self::Hash(hash.clone());
+        }
+        match matches.get_one::<PathBuf>("key-file") {
+            Some(path) => Self::File(path.clone()),
+            None => Self::All,
+        }
+    }
+}
+
+impl KeyVerb {
+    /// Runs the subcommand and prints its result.
+    pub async fn run(&self, client: &Client, output: Output) -> Result<()> {
+        match self {
+            Self::Grant { team } => grant(client, team, output).await,
+            Self::Withdraw { team, which } => withdraw(client, team, which, output).await,
+        }
+    }
+}
+
+async fn grant(client: &Client, team: &str, output: Output) -> Result<()> {
+    let key = new_key();
+    let key_hash = KeyHash::of(&key).to_hex();
+    let body = KeyBody { team: team.into(), key_hash: key_hash.clone() };
+    let answer: Result<ChangeAnswer> = client.call(&Call::post("/keys").with_body(&body)?).await;
+    if let Err(Error::OutcomeUnknown { .. }) = &answer {
+        eprintln!("the key with hash {key_hash} may have been granted; withdraw it by its hash");
+    }
+    let change = &answer?;
+    if output == Output::Json {
+        return print_json(&GrantedKey { key: &key, key_hash: &key_hash, change });
+    }
+    println!("key {key}");
+    println!("hash {key_hash}");
+    println!("the key is shown once and kept nowhere");
+    print_change(change, output)
+}
+
+async fn withdraw(client: &Client, team: &str, which: &Which, output: Output) -> Result<()> {
+    let hash = match which {
+        Which::Hash(hash) => Some(hash.clone()),
+        Which::File(path) => Some(KeyHash::of(&read_secret(path)?).to_hex()),
+        Which::All => None,
+    };
+    if hash.as_deref().is_some_and(|hash| KeyHash::from_hex(hash).is_none()) {
+        return Err(Error::Usage("a key hash has 64 hexadecimal digits".into()));
+    }
+    let query = hash.map(|hash| format!("&key_hash={hash}")).unwrap_or_default();
+    let call = Call::new(Method::DELETE, format!("/keys?team={team}{query}"));
+    print_change(&client.call(&call).await?, output)
+}
--- a/crates/cassiafold/src/main.rs
+++ b/crates/cassiafold/src/main.rs
@@ -1,14 +1,24 @@
 //! Fleet capacity and maintenance manager.
 
+mod change;
 mod check;
 mod cli;
+mod client;
 mod command;
 mod completions;
+mod config;
 mod demo;
 mod entry;
 mod error;
+mod explain;
+mod key;
 mod logs;
 mod output;
+mod pool;
+mod status;
+mod verb;
+mod wave;
+mod zone;
 
 use std::process::ExitCode;
 
--- a/crates/cassiafold/src/output.rs
+++ b/crates/cassiafold/src/output.rs
@@ -26,3 +26,36 @@
     println!("{}", serde_json::to_string_pretty(value)?);
     Ok(())
 }
+
+/// Prints rows below a heading, each column as wide as its widest cell.
+pub fn print_table<const N: usize>(
+    heading: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) {
+    print!("{}", table(heading, rows));
+}
+
+fn table<const N: usize>(
+    heading: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) -> String {
+    let mut lines = vec![heading.map(str::to_owned)];
+    lines.extend(rows);
+    let width = |column: usize| {
+        lines.iter().map(|line| line[column].chars().count()).max().unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..N).map(width).collect();
+    let mut text = String::new();
+    for line in &lines {
+        let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        let cells: Vec<String> = cells.collect();
+        text.push_str(cells.join("  ").trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+/// Text of a value that may be absent.
+pub fn or_dash<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
--- /dev/null
+++ b/crates/cassiafold/src/pool.rs
@@ -0,0 +1,106 @@
+//! `pool list` and `pool move`.
+
+use cassiafold_operators::source::{MoveAnswer, PoolStatus, Selection};
+use cassiafold_operators::wire::{MoveBody, PoolsAnswer};
+use clap::ArgMatches;
+
+use crate::client::{Call, Client};
+use crate::error::{Error, Result};
+use crate::output::{Output, or_dash, print_json, print_table};
+use crate::verb::{required, required_id, unknown_subcommand};
+
+/// `pool` and its subcommands.
+#[derive(Debug)]
+pub enum PoolVerb {
+    /// Shows pools.
+    List,
+    /// Moves instances.
+    Move {
+        /// Pool that gives.
+        from: String,
+        /// Pool that takes, and which instances.
+        body: MoveBody,
+    },
+}
+
+impl TryFrom<&ArgMatches> for PoolVerb {
+    type Error = Error;
+
+    fn try_from(matches: &ArgMatches) -> Result<Self> {
+        match matches.subcommand() {
+            Some(("list", _)) => Ok(Self::List),
+            Some(("move", matches)) => {
+                let to = required(matches, "to")?.into();
+                let body = MoveBody { to, selection: selection(matches) };
+                Ok(Self::Move { from: required_id(matches, "pool")?, body })
+            }
+            _ => Err(unknown_subcommand()),
+        }
+    }
+}
+
+fn selection(matches: &ArgMatches) -> Selection {
+    if let Some(count) = matches.get_one::<u32>("count") {
+        return Selection::Count(*count);
+    }
+    let instances = matches.get_many::<String>("instance").unwrap_or_default();
+    Selection::Instances(instances.map(|id| id.as_str().into()).collect())
+}
+
+impl PoolVerb {
+    /// Runs the subcommand and prints its result.
+    pub async fn run(&self, client: &Client, output: Output) -> Result<()> {
+        match self {
+            Self::List => list(client, output).await,
+            Self::Move { from, body } => move_instances(client, from, body, output).await,
+        }
+    }
+}
+
+async fn list(client: &Client, output: Output) -> Result<()> {
+    let answer: PoolsAnswer = client.call(&Call::get("/pools")).await?;
+    if output == Output::Json {
+        return print_json(&answer);
+    }
+    let heading = [
+        "POOL",
+        "SERVICE",
+        "INSTANCES",
+        "AVAILABLE",
+        "FLOOR",
+        "MAINTENANCE",
+        "FAILING",
+        "ARRIVING",
+    ];
+    print_table(heading, answer.pools.iter().map(row));
+    Ok(())
+}
+
+fn row(pool: &PoolStatus) -> [String; 8] {
+    [
+        pool.pool.to_string(),
+        or_dash(pool.service.as_ref()),
+        pool.instances.to_string(),
+        pool.available.to_string(),
+        pool.floor.to_string(),
+        pool.in_maintenance.to_string(),
+        pool.failing.to_string(),
+        pool.arriving.to_string(),
+    ]
+}
+
+async fn move_instances(
+    client: &Client,
+    from: &str,
+    body: &MoveBody,
+    output: Output,
+) -> Result<()> {
+    let call = Call::post(format!("/pools/{from}/move")).with_body(body)?;
+    let answer: MoveAnswer = client.call(&call).await?;
+    if output == Output::Json {
+        return print_json(&answer);
+    }
+    println!("moving from {from} to {}:", body.to);
+    answer.instances.iter().for_each(|instance| println!("{instance}"));
+    Ok(())
+}
--- /dev/null
+++ b/crates/cassiafold/src/status.rs
@@ -0,0 +1,65 @@
+//! `status`: versions in force, readiness, upper limits.
+
+use cassiafold_operators::source::{EntryStatus, TeamStatus};
+use cassiafold_operators::wire::StatusAnswer;
+
+use crate::client::{Call, Client};
+use crate::error::Result;
+use crate::output::{Output, or_dash, print_json, print_table};
+
+/// `status`.
+#[derive(Debug)]
+pub struct StatusVerb;
+
+impl StatusVerb {
+    /// Prints the state of the entry instances.
+    pub async fn run(&self, client: &Client, output: Output) -> Result<()> {
+        let answer: StatusAnswer = client.call(&Call::get("/status")).await?;
+        if output == Output::Json {
+            return print_json(&answer);
+        }
+        print_status(&answer);
+        Ok(())
+    }
+}
+
+fn print_status(answer: &StatusAnswer) {
+    let status = &answer.status;
+    println!("answered by {} in zone {}", status.instance_id, status.zone);
+    println!("version {} in force, {}", answer.version, readiness(Some(status.ready)));
+    let store = if status.store_reachable { "reachable" } else { "out of reach" };
+    println!("key-value service {store}\n");
+    let heading = ["ENTRY", "ZONE", "VERSION", "CONFIRMED", "READY", "HEARD_MS_AGO"];
+    print_table(heading, status.entries.iter().map(|entry| entry_row(entry, answer.version)));
+    if !status.teams.is_empty() {
+        println!();
+        let heading = ["TEAM", "UPPER_LIMIT", "SLICE", "RUNNING", "WAITING"];
+        print_table(heading, status.teams.iter().map(team_row));
+    }
+}
+
+fn readiness(ready: Option<bool>) -> String {
+    or_dash(ready.map(|ready| if ready { "ready" } else { "not ready" }))
+}
+
+fn entry_row(entry: &EntryStatus, version: u64) -> [String; 6] {
+    let confirmed = if entry.version >= version { "yes" } else { "no" };
+    [
+        entry.instance_id.to_string(),
+        entry.zone.to_string(),
+        entry.version.to_string(),
+        confirmed.to_owned(),
+        readiness(entry.ready),
+        entry.heard_ms_ago.to_string(),
+    ]
+}
+
+fn team_row(team: &TeamStatus) -> [String; 5] {
+    [
+        team.team.to_string(),
+        team.upper_limit.to_string(),
+        team.slice.to_string(),
+        team.running.to_string(),
+        team.waiting.to_string(),
+    ]
+}
--- /dev/null
+++ b/crates/cassiafold/src/verb.rs
@@ -0,0 +1,99 @@
+//! Verbs of operators, run against the operators' interface of an entry instance.
+
+use std::process::ExitCode;
+
+use cassiafold_config::id::is_valid_id;
+use clap::ArgMatches;
+
+use crate::client::Client;
+use crate::config::ConfigVerb;
+use crate::error::{Error, Result};
+use crate::explain::ExplainVerb;
+use crate::key::KeyVerb;
+use crate::output::Output;
+use crate::pool::PoolVerb;
+use crate::status::StatusVerb;
+use crate::wave::WaveVerb;
+use crate::zone::ZoneVerb;
+
+/// A verb with what it needs to run.
+#[derive(Debug)]
+pub struct Verb {
+    client: Client,
+    output: Output,
+    action: Action,
+}
+
+#[derive(Debug)]
+enum Action {
+    Status(StatusVerb),
+    Config(ConfigVerb),
+    Key(KeyVerb),
+    Zone(ZoneVerb),
+    Pool(PoolVerb),
+    Wave(WaveVerb),
+    Explain(ExplainVerb),
+}
+
+impl Verb {
+    /// Reads a verb from the matches of its subcommand.
+    pub fn read(name: &str, matches: &ArgMatches) -> Result<Self> {
+        let action = match name {
+            "status" => Action::Status(StatusVerb),
+            "config" => Action::Config(matches.try_into()?),
+            "key" => Action::Key(matches.try_into()?),
+            "zone" => Action::Zone(matches.try_into()?),
+            "pool" => Action::Pool(matches.try_into()?),
+            "wave" => Action::Wave(matches.try_into()?),
+            "explain" => Action::Explain(matches.try_into()?),
+            _ => return Err(Error::Usage(format!("unknown command {name}"))),
+        };
+        let client = innermost(matches).try_into()?;
+        Ok(Self { client, output: Output::from(innermost(matches)), action })
+    }
+
+    /// Runs the verb and prints its result.
+    pub fn run(&self) -> Result<ExitCode> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(self.act())?;
+        Ok(ExitCode::SUCCESS)
+    }
+
+    async fn act(&self) -> Result<()> {
+        let (client, output) = (&self.client, self.output);
+        match &self.action {
+            Action::Status(verb) => verb.run(client, output).await,
+            Action::Config(verb) => verb.run(client, output).await,
+            Action::Key(verb) => verb.run(client, output).await,
+            Action::Zone(verb) => verb.run(client, output).await,
+            Action::Pool(verb) => verb.run(client, output).await,
+            Action::Wave(verb) => verb.run(client, output).await,
+            Action::Explain(verb) => verb.run(client, output).await,
+        }
+    }
+}
+
+/// Matches of the innermost subcommand, which hold the global options.
+fn innermost(matches: &ArgMatches) -> &ArgMatches {
+    matches.subcommand().map_or(matches, |(_, inner)| innermost(inner))
+}
+
+/// A required argument of a subcommand.
+pub fn required(matches: &ArgMatches, id: &str) -> Result<String> {
+    let value = matches.get_one::<String>(id).cloned();
+    value.ok_or_else(|| Error::Usage(format!("{id} is missing")))
+}
+
+/// A required argument that names a zone, a pool, a team or a wave.
+pub fn required_id(matches: &ArgMatches, id: &str) -> Result<String> {
+    let value = required(matches, id)?;
+    if !is_valid_id(&value) {
+        return Err(Error::Usage(format!("{value} is no id of a {id}")));
+    }
+    Ok(value)
+}
+
+/// The error for a verb without a known subcommand.
+pub fn unknown_subcommand() -> Error {
+    Error::Usage("unknown subcommand".into())
+}
--- /dev/null
+++ b/crates/cassiafold/src/wave.rs
@@ -0,0 +1,74 @@
+//! `wave start`, `wave pause`, `wave resume` and `wave status`.
+
+use cassiafold_operators::source::WaveStatus;
+use cassiafold_operators::wire::WavesAnswer;
+use clap::ArgMatches;
+
+use crate::change::print_change;
+use crate::client::{Call, Client};
+use crate::error::{Error, Result};
+use crate::output::{Output, or_dash, print_json, print_table};
+use crate::verb::{required_id, unknown_subcommand};
+
+/// `wave` and its subcommands.
+#[derive(Debug)]
+pub enum WaveVerb {
+    /// Shows waves.
+    Status,
+    /// Starts, pauses or resumes a wave.
+    Change {
+        /// The wave.
+        wave: String,
+        /// What is done with it.
+        action: String,
+    },
+}
+
+impl TryFrom<&ArgMatches> for WaveVerb {
+    type Error = Error;
+
+    fn try_from(matches: &ArgMatches) -> Result<Self> {
+        match matches.subcommand() {
+            Some(("status", _)) => Ok(Self::Status),
+            Some((action, matches)) => {
+                Ok(Self::Change { wave: required_id(matches, "wave")?, action: action.to_owned() })
+            }
+            None => Err(unknown_subcommand()),
+        }
+    }
+}
+
+impl WaveVerb {
+    /// Runs the subcommand and prints its result.
+    pub async fn run(&self, client: &Client, output: Output) -> Result<()> {
+        match self {
+            Self::Status => status(client, output).await,
+            Self::Change { wave, action } => {
+                let call = Call::post(format!("/waves/{wave}/{action}"));
+                print_change(&client.call(&call).await?, output)
+            }
+        }
+    }
+}
+
+async fn status(client: &Client, output: Output) -> Result<()> {
+    let answer: WavesAnswer = client.call(&Call::get("/waves")).await?;
+    if output == Output::Json {
+        return print_json(&answer);
+    }
+    let heading = ["WAVE", "STATE", "ZONE", "DONE", "TOTAL", "IN_PROGRESS", "WAITING_FOR"];
+    print_table(heading, answer.waves.iter().map(row));
+    Ok(())
+}
+
+fn row(wave: &WaveStatus) -> [String; 7] {
+    [
+        wave.wave.to_string(),
+        format!("{:?}", wave.state).to_lowercase(),
+        or_dash(wave.zone.as_ref()),
+        wave.done.to_string(),
+        wave.total.to_string(),
+        wave.in_progress.join(" "),
+        or_dash(wave.waiting_for.as_ref()),
+    ]
+}
--- a/crates/operators/tests/http/fake.rs
+++ b/crates/operators/tests/http/fake.rs
@@ -117,7 +117,7 @@
 pub struct Entry {
     pub store: MemoryStore,
     pub active: ActiveConfig,
-    router: Router,
+    pub router: Router,
 }
 
 /// An answer of the interface.
