Prove queues, choice and the callers' interface

Cause: the request path stood without tests of its own parts.

Change: the fair queue agrees with a naive queue, the choice of backend servers with the naive rules, and random schedules of arrivals, cancellations, ends, changed zones, keys and limits keep slots, permits and the moment-of-dispatch tests (proptest, fixed seeds). Tabulated cases for headers, deadlines, bodies and refusals. Tests over HTTP for zones out, leaving instances, withdrawn keys, cancellations, upper limits, the stop and ejection. The schedules found that a key checked under one configuration was not checked again when a newer one came before the request was queued: the order now carries the version under which its key was checked.

Conclusion: overload and slots over several entry instances remain.

--- a/crates/dispatch/src/backends.rs
+++ b/crates/dispatch/src/backends.rs
@@ -474,3 +474,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatch/src/backends/tests.rs
@@ -0,0 +1,248 @@
+use std::collections::BTreeSet;
+
+use cassiafold_config::raw::RawConfig;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunnerConfig, RngSeed};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+use crate::edge::{NoPeers, Racks};
+
+use super::*;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const POOLS: [&str; 3] = ["portal", "lookup", "spare"];
+
+fn config(out: &[bool; 3]) -> Config {
+    let zones: serde_json::Map<_, _> = ZONES
+        .iter()
+        .zip(out)
+        .map(|(zone, out)| ((*zone).to_owned(), serde_json::json!({"region": "north", "out": out})))
+        .collect();
+    let raw: RawConfig = serde_json::from_value(serde_json::json!({
+        "version": 1,
+        "zones": zones,
+        "services": {
+            "portal": {"floor_share": 0.5, "slots_per_instance": 2},
+            "lookup": {"floor_share": 0.5, "slots_per_instance": 3},
+        },
+        "pools": {"portal": {"service": "portal"}, "lookup": {"service": "lookup"}, "spare": {}},
+        "teams": {},
+    }))
+    .unwrap();
+    Config::try_from(raw).unwrap()
+}
+
+fn instance(index: usize, zone: usize, pool: usize, leaving: bool) -> Instance {
+    Instance {
+        id: format!("i{index}").into(),
+        address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+        zone: ZONES[zone].into(),
+        rack: format!("r{}", index / 2).into(),
+        pool: POOLS[pool].into(),
+        state: if leaving { InstanceState::Leaving } else { InstanceState::Live },
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Choose { idempotent: bool, avoid: Option<usize> },
+    Finish { nth: usize },
+    Record { index: usize, ok: bool },
+    Full { index: usize },
+    Wait { ms: u64 },
+    Edit { index: usize, zone: usize, pool: usize, leaving: bool, gone: bool },
+    Out { zone: usize, out: bool },
+}
+
+const INSTANCES: usize = 12;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (any::<bool>(), prop::option::weighted(0.2, 0..INSTANCES))
+            .prop_map(|(idempotent, avoid)| Step::Choose { idempotent, avoid }),
+        5 => (0..30_usize).prop_map(|nth| Step::Finish { nth }),
+        3 => (0..INSTANCES, prop::bool::weighted(0.3))
+            .prop_map(|(index, ok)| Step::Record { index, ok }),
+        1 => (0..INSTANCES).prop_map(|index| Step::Full { index }),
+        1 => (1..3_000_u64).prop_map(|ms| Step::Wait { ms }),
+        2 => (0..INSTANCES, 0..3_usize, 0..3_usize, any::<bool>(), prop::bool::weighted(0.2))
+            .prop_map(|(index, zone, pool, leaving, gone)| {
+                Step::Edit { index, zone, pool, leaving, gone }
+            }),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(zone, out)| Step::Out { zone, out }),
+    ]
+}
+
+/// The rules written naively over the index's backend servers.
+fn naive_free(backends: &Backends, config: &Config, service: &str, now: Instant) -> Vec<usize> {
+    let takes = |backend: &Backend| {
+        let pool = config.service_of_pool(&backend.instance.pool);
+        let slots = config.services[service].slots_per_instance;
+        backend.listed
+            && pool.map(|id| &**id) == Some(service)
+            && backend.instance.state == InstanceState::Live
+            && config.zone_open(&backend.instance.zone)
+            && backend.running < slots
+            && backend.full_until.is_none_or(|until| until <= now)
+            && backend.health.standing() == Standing::Healthy
+    };
+    backends.backends.iter().filter(|(_, backend)| takes(backend)).map(|(index, _)| index).collect()
+}
+
+fn run(steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let portal: ServiceId = "portal".into();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let (mut out, mut now) = ([false; 3], Instant::now());
+    let mut list: Vec<Instance> =
+        (0..INSTANCES).map(|index| instance(index, index % 3, index % 2, false)).collect();
+    let mut known = config(&out);
+    let mut backends = Backends::new("a".into());
+    backends.rebuild(&known, &list, &NoPeers);
+    let mut held: Vec<BackendIndex> = Vec::new();
+    for step in steps {
+        match step {
+            Step::Choose { idempotent, avoid } => {
+                let avoid: Vec<Instance> =
+                    avoid.and_then(|index| list.get(index).cloned()).into_iter().collect();
+                let wish = Wish { idempotent, avoid: &avoid };
+                let free = naive_free(&backends, &known, "portal", now);
+                let chosen = backends.choose(&portal, wish, &Racks, &mut rng);
+                if let Some(index) = chosen {
+                    let backend = backends.get(index);
+                    let on_trial = backend.health.standing() == Standing::Trial;
+                    prop_assert!(free.contains(&index) || (on_trial && backend.running == 0));
+                    let home = free.iter().any(|it| &*backends.get(*it).instance.zone == "a");
+                    let stays = &*backend.instance.zone == "a" || on_trial || !avoid.is_empty();
+                    prop_assert!(!home || stays, "left the home zone without need");
+                    let others = free.iter().filter(|it| {
+                        avoid.iter().all(|avoided| avoided.id != backends.get(**it).instance.id)
+                    });
+                    let again = avoid.iter().any(|avoided| avoided.id == backend.instance.id);
+                    prop_assert!(!again || others.count() == 0, "chose the avoided instance");
+                    backends.take_slot(index);
+                    held.push(index);
+                } else {
+                    prop_assert!(free.is_empty());
+                }
+            }
+            Step::Finish { nth } if nth < held.len() => backends.give_slot(held.swap_remove(nth)),
+            Step::Finish { .. } => {}
+            Step::Record { index, ok } => {
+                if let Some(&index) = backends.by_id.get(&*format!("i{index}")) {
+                    let result = if ok { AttemptResult::Ok } else { AttemptResult::Broken };
+                    backends.record(index, result, now);
+                }
+            }
+            Step::Full { index } => {
+                if let Some(&index) = backends.by_id.get(&*format!("i{index}")) {
+                    backends.hold(index, now + Duration::from_millis(20));
+                }
+            }
+            Step::Wait { ms } => {
+                now += Duration::from_millis(ms);
+                backends.end_holds(now);
+            }
+            Step::Edit { index, zone, pool, leaving, gone } => {
+                let id: InstanceId = format!("i{index}").into();
+                list.retain(|instance| instance.id != id);
+                if !gone {
+                    list.push(instance(index, zone, pool, leaving));
+                }
+                backends.rebuild(&known, &list, &NoPeers);
+            }
+            Step::Out { zone, out: is_out } => {
+                out[zone] = is_out;
+                known = config(&out);
+                backends.rebuild(&known, &list, &NoPeers);
+            }
+        }
+        check_counts(&backends, &held)?;
+    }
+    Ok(())
+}
+
+/// Slots held agree with the naive count, and no service has too many ejected.
+fn check_counts(backends: &Backends, held: &[BackendIndex]) -> Result<(), TestCaseError> {
+    for (index, backend) in &backends.backends {
+        let naive = held.iter().filter(|other| **other == index).count();
+        prop_assert_eq!(backend.running as usize, naive);
+    }
+    for service in backends.services.values() {
+        let members: BTreeSet<_> = service.members.iter().collect();
+        let standing = |index: &&&usize| backends.get(***index).health.standing();
+        let ejected = members.iter().filter(|it| standing(it) != Standing::Healthy).count();
+        prop_assert_eq!(service.ejected, ejected);
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(RunnerConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(42),
+        failure_persistence: None,
+        ..RunnerConfig::default()
+    })]
+
+    #[test]
+    fn choices_agree_with_the_rules(steps in prop::collection::vec(step(), 1..150)) {
+        run(steps)?;
+    }
+}
+
+fn pool_of(size: usize, zone: usize) -> Backends {
+    let list: Vec<Instance> = (0..size).map(|index| instance(index, zone, 0, false)).collect();
+    let mut backends = Backends::new("a".into());
+    backends.rebuild(&config(&[false; 3]), &list, &NoPeers);
+    backends
+}
+
+#[test]
+fn at_most_a_third_of_a_pool_is_ejected() {
+    let mut backends = pool_of(10, 0);
+    for index in 0..10 {
+        for _ in 0..20 {
+            backends.record(index, AttemptResult::ConnectFailed, Instant::now());
+        }
+    }
+    assert_eq!(backends.counts(&"portal".into()).ejected, 3);
+}
+
+#[test]
+fn a_black_hole_does_not_draw_the_work() {
+    let mut backends = pool_of(10, 0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut drawn = 0;
+    for _ in 0..1_000 {
+        let wish = Wish { idempotent: false, avoid: &[] };
+        let index = backends.choose(&"portal".into(), wish, &Racks, &mut rng).unwrap();
+        let hole = &*backends.get(index).instance.id == "i0";
+        let result = if hole { AttemptResult::ServerError } else { AttemptResult::Ok };
+        drawn += u32::from(hole);
+        backends.record(index, result, Instant::now());
+    }
+    assert!(drawn <= 10, "{drawn}");
+}
+
+#[test]
+fn a_trial_takes_one_request_and_returns_with_its_success() {
+    let mut backends = pool_of(3, 0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = Instant::now();
+    for _ in 0..5 {
+        backends.record(0, AttemptResult::ServerError, now);
+    }
+    backends.end_holds(now + Duration::from_secs(1));
+    let portal: ServiceId = "portal".into();
+    let wish = Wish { idempotent: true, avoid: &[] };
+    assert_eq!(backends.choose(&portal, wish, &Racks, &mut rng), Some(0));
+    backends.take_slot(0);
+    for _ in 0..50 {
+        assert_ne!(backends.choose(&portal, wish, &Racks, &mut rng), Some(0));
+    }
+    assert_eq!(backends.record(0, AttemptResult::Ok, now), Verdict::Returned);
+    backends.give_slot(0);
+    assert_eq!(backends.counts(&portal).ejected, 0);
+}
--- a/crates/dispatch/src/body.rs
+++ b/crates/dispatch/src/body.rs
@@ -222,3 +222,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dispatch/src/callers.rs
+++ b/crates/dispatch/src/callers.rs
@@ -192,6 +192,7 @@
         service: service_id,
         team: caller.team,
         key: caller.key,
+        checked: config.version,
         idempotent: request::is_idempotent(&parts.method),
         deadline,
     });
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_config::{Config, Instance, ServiceId, TeamId, Version, ZoneId};
+use cassiafold_config::{Config, Instance, ServiceId, TeamId, ZoneId};
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
@@ -40,8 +40,6 @@
     pub permit: Option<P>,
     /// Slot time that the team was charged, in seconds.
     pub cost_s: f64,
-    /// Version of the configuration under which the request started.
-    pub version: Version,
 }
 
 /// A request that waits for its turn.
@@ -53,7 +51,6 @@
     pub avoid: Vec<Instance>,
     /// Where the outcome of the wait goes.
     pub reply: R,
-    checked: Version,
 }
 
 /// Outcome of a wait, for the request's task.
@@ -204,14 +201,14 @@
         queue.fair.set_weight(&order.team, weight);
         let (order, avoid) = (order.clone(), Vec::new());
         let team = order.team.clone();
-        let waiting = Waiting { order, avoid, reply, checked: config.version };
+        let waiting = Waiting { order, avoid, reply };
         Ok(queue.fair.push_back(&team, waiting))
     }
 
     /// Puts a request that had its turn in vain before the others of its team.
     pub fn enqueue_again(&mut self, order: &Arc<Order>, avoid: Vec<Instance>, reply: R) -> Ticket {
         let queue = self.queues.entry(order.service.clone()).or_default();
-        let waiting = Waiting { order: order.clone(), avoid, reply, checked: 0 };
+        let waiting = Waiting { order: order.clone(), avoid, reply };
         queue.fair.push_front(&order.team, waiting)
     }
 
@@ -305,7 +302,7 @@
             queue.running += 1;
             self.backends.take_slot(index);
             let instance = self.backends.get(index).instance.clone();
-            let start = Start { index, instance, permit, cost_s, version: config.version };
+            let start = Start { index, instance, permit, cost_s };
             if let Some(waiting) = queue.fair.start(&team, cost_s) {
                 replies.push((waiting.reply, waiting.order, Ok(start)));
             }
@@ -338,7 +335,7 @@
         queue.fair.charge(&order.team, cost_s);
         self.backends.take_slot(index);
         let instance = self.backends.get(index).instance.clone();
-        Some(Start { index, instance, permit, cost_s, version: config.version })
+        Some(Start { index, instance, permit, cost_s })
     }
 
     /// Takes back what a started request held. Returns the services where requests may start.
@@ -427,8 +424,7 @@
     if waiting.order.deadline <= now {
         return Some(DispatchCode::QueueTimeout);
     }
-    let authorized = waiting.checked == config.version || waiting.order.is_authorized(config);
-    (!authorized).then_some(DispatchCode::InvalidKey)
+    (!waiting.order.is_authorized(config)).then_some(DispatchCode::InvalidKey)
 }
 
 fn cost_s(account: &TeamAccount, service_time: &Estimate) -> f64 {
@@ -441,3 +437,6 @@
     let configured = || config.teams.get(team).map_or(1.0, |team| f64::from(team.share));
     edges.shares().weight(service, team).unwrap_or_else(configured)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatch/src/core/tests.rs
@@ -0,0 +1,416 @@
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use cassiafold_config::raw::RawConfig;
+use cassiafold_config::{InstanceState, KeyHash};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunnerConfig, RngSeed};
+use rand::SeedableRng;
+use tokio::sync::watch;
+
+use crate::edge::Sources;
+use crate::limit::never;
+
+use super::*;
+
+/// Upper limits that count their permits.
+#[derive(Debug, Clone, Default)]
+struct Limits {
+    state: Arc<Mutex<BTreeMap<TeamId, (u32, u32)>>>,
+}
+
+#[derive(Debug)]
+struct Permit {
+    team: TeamId,
+    state: Arc<Mutex<BTreeMap<TeamId, (u32, u32)>>>,
+}
+
+impl Limits {
+    fn set(&self, team: &str, limit: u32) {
+        self.state.lock().unwrap().entry(team.into()).or_default().1 = limit;
+    }
+
+    fn limit(&self, team: &str) -> u32 {
+        self.state.lock().unwrap().get(team).map_or(0, |(_, limit)| *limit)
+    }
+}
+
+impl LimitSource for Limits {
+    type Permit = Permit;
+
+    fn try_acquire(&self, team: &TeamId) -> Option<Permit> {
+        let mut state = self.state.lock().unwrap();
+        let (running, limit) = state.get_mut(team)?;
+        if *running >= *limit {
+            return None;
+        }
+        *running += 1;
+        Some(Permit { team: team.clone(), state: self.state.clone() })
+    }
+
+    fn changes(&self) -> watch::Receiver<()> {
+        never()
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Ok(mut state) = self.state.lock() {
+            state.entry(self.team.clone()).or_default().0 -= 1;
+        }
+    }
+}
+
+const TEAMS: [&str; 3] = ["t0", "t1", "t2"];
+const INSTANCES: usize = 6;
+const SLOTS: u32 = 2;
+
+/// What operators and the platform have decided, written down naively.
+#[derive(Debug, Clone)]
+struct World {
+    version: u64,
+    zones_out: [bool; 2],
+    keys_withdrawn: [bool; 3],
+    leaving: [bool; INSTANCES],
+    queue_length_max: u32,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            version: 1,
+            zones_out: [false; 2],
+            keys_withdrawn: [false; 3],
+            leaving: [false; INSTANCES],
+            queue_length_max: 20,
+        }
+    }
+
+    fn config(&self) -> Arc<Config> {
+        let teams: serde_json::Map<_, _> = TEAMS
+            .iter()
+            .zip(self.keys_withdrawn)
+            .enumerate()
+            .map(|(index, (team, withdrawn))| {
+                let keys = if withdrawn { vec![] } else { vec![KeyHash::of(team).to_hex()] };
+                let document = serde_json::json!({
+                    "share": index + 1, "upper_limit": 1, "key_hashes": keys
+                });
+                ((*team).to_owned(), document)
+            })
+            .collect();
+        let raw: RawConfig = serde_json::from_value(serde_json::json!({
+            "version": self.version,
+            "zones": {
+                "z0": {"region": "n", "out": self.zones_out[0]},
+                "z1": {"region": "n", "out": self.zones_out[1]},
+            },
+            "services": {"portal": {
+                "floor_share": 0.5, "slots_per_instance": SLOTS,
+                "queue_length_max": self.queue_length_max,
+            }},
+            "pools": {"portal": {"service": "portal"}},
+            "teams": teams,
+        }))
+        .unwrap();
+        Arc::new(Config::try_from(raw).unwrap())
+    }
+
+    fn instances(&self) -> Vec<Instance> {
+        let instance = |index: usize| Instance {
+            id: format!("i{index}").into(),
+            address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+            zone: format!("z{}", index % 2).into(),
+            rack: format!("r{index}").into(),
+            pool: "portal".into(),
+            state: if self.leaving[index] { InstanceState::Leaving } else { InstanceState::Live },
+        };
+        (0..INSTANCES).map(instance).collect()
+    }
+
+    fn takes_work(&self, index: usize) -> bool {
+        !self.leaving[index] && !self.zones_out[index % 2]
+    }
+}
+
+type TestCore = Core<Sources<Limits>, u32>;
+
+fn order(team: usize, now: Instant) -> Arc<Order> {
+    Arc::new(Order {
+        id: "r".into(),
+        service: "portal".into(),
+        team: TEAMS[team].into(),
+        key: Some(TEAMS[team].into()),
+        checked: 0,
+        idempotent: true,
+        deadline: now + Duration::from_secs(5),
+    })
+}
+
+fn new_core(world: &World, limits: &Limits) -> TestCore {
+    let edges = Sources::with_limits(limits.clone());
+    let mut core = Core::new(edges, "z0".into(), SmallRng::seed_from_u64(9));
+    core.update(world.config(), &world.instances());
+    core
+}
+
+struct Started {
+    order: Arc<Order>,
+    start: Start<Permit>,
+    since: Instant,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive { team: usize },
+    Cancel { nth: usize },
+    Finish { nth: usize, end: End },
+    Again { nth: usize },
+    Second { nth: usize },
+    Wait { ms: u64 },
+    ZoneOut { zone: usize, out: bool },
+    Leave { index: usize, leaving: bool },
+    Key { team: usize, withdrawn: bool },
+    Limit { team: usize, limit: u32 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ends = prop_oneof![Just(End::Completed), Just(End::NotRun), Just(End::Abandoned)];
+    prop_oneof![
+        10 => (0..3_usize).prop_map(|team| Step::Arrive { team }),
+        3 => (0..60_usize).prop_map(|nth| Step::Cancel { nth }),
+        7 => (0..12_usize, ends).prop_map(|(nth, end)| Step::Finish { nth, end }),
+        1 => (0..12_usize).prop_map(|nth| Step::Again { nth }),
+        1 => (0..12_usize).prop_map(|nth| Step::Second { nth }),
+        2 => (1..2_000_u64).prop_map(|ms| Step::Wait { ms }),
+        1 => (0..2_usize, any::<bool>()).prop_map(|(zone, out)| Step::ZoneOut { zone, out }),
+        1 => (0..INSTANCES, any::<bool>())
+            .prop_map(|(index, leaving)| Step::Leave { index, leaving }),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(team, withdrawn)| Step::Key { team, withdrawn }),
+        1 => (0..3_usize, 0..8_u32).prop_map(|(team, limit)| Step::Limit { team, limit }),
+    ]
+}
+
+/// Carries out a schedule and checks after each step what must always hold.
+struct Schedule {
+    core: TestCore,
+    world: World,
+    limits: Limits,
+    now: Instant,
+    started: Vec<Started>,
+    tickets: BTreeMap<u32, Ticket>,
+    arrivals: u32,
+}
+
+impl Schedule {
+    fn new() -> Self {
+        let (world, limits) = (World::new(), Limits::default());
+        TEAMS.iter().for_each(|team| limits.set(team, 5));
+        let core = new_core(&world, &limits);
+        let (started, tickets) = (Vec::new(), BTreeMap::new());
+        Self { core, world, limits, now: Instant::now(), started, tickets, arrivals: 0 }
+    }
+
+    fn arrive(&mut self, order: &Arc<Order>, again: bool) {
+        self.arrivals += 1;
+        let reply = self.arrivals;
+        if again {
+            let ticket = self.core.enqueue_again(order, Vec::new(), reply);
+            self.tickets.insert(reply, ticket);
+        } else if let Ok(ticket) = self.core.enqueue(order, reply, self.now) {
+            self.tickets.insert(reply, ticket);
+        }
+    }
+
+    fn finish(&mut self, nth: usize, end: End) -> Option<Arc<Order>> {
+        if nth >= self.started.len() {
+            return None;
+        }
+        let Started { order, start, since } = self.started.swap_remove(nth);
+        drop(start.permit);
+        let held = self.now - since;
+        let ended = Ended { order: &order, index: start.index, cost_s: start.cost_s, held, end };
+        self.core.end(&ended);
+        Some(order)
+    }
+
+    fn change_world(&mut self, change: impl FnOnce(&mut World)) {
+        change(&mut self.world);
+        self.world.version += 1;
+        self.core.update(self.world.config(), &self.world.instances());
+    }
+
+    fn step(&mut self, step: Step) -> Result<(), TestCaseError> {
+        match step {
+            Step::Arrive { team } => self.arrive(&order(team, self.now), false),
+            Step::Cancel { nth } => {
+                if let Some((_, ticket)) = self.tickets.iter().nth(nth) {
+                    self.core.cancel(&"portal".into(), *ticket);
+                }
+            }
+            Step::Finish { nth, end } => drop(self.finish(nth, end)),
+            Step::Again { nth } => {
+                if let Some(order) = self.finish(nth, End::NotRun) {
+                    self.arrive(&order, true);
+                }
+            }
+            Step::Second { nth } if nth < self.started.len() => {
+                let order = self.started[nth].order.clone();
+                if let Some(start) = self.core.start_second(&order, &[]) {
+                    self.check_start(&order, &start)?;
+                    self.started.push(Started { order, start, since: self.now });
+                }
+            }
+            Step::Second { .. } => {}
+            Step::Wait { ms } => self.now += Duration::from_millis(ms),
+            Step::ZoneOut { zone, out } => self.change_world(|world| world.zones_out[zone] = out),
+            Step::Leave { index, leaving } => {
+                self.change_world(|world| world.leaving[index] = leaving);
+            }
+            Step::Key { team, withdrawn } => {
+                self.change_world(|world| world.keys_withdrawn[team] = withdrawn);
+            }
+            Step::Limit { team, limit } => {
+                self.limits.set(TEAMS[team], limit);
+                self.core.unblock_all();
+            }
+        }
+        self.pump()?;
+        self.check()
+    }
+
+    fn pump(&mut self) -> Result<(), TestCaseError> {
+        for (reply, order, outcome) in self.core.pump(&"portal".into(), self.now) {
+            prop_assert!(self.tickets.remove(&reply).is_some(), "answered twice");
+            match outcome {
+                Ok(start) => {
+                    self.check_start(&order, &start)?;
+                    self.started.push(Started { order, start, since: self.now });
+                }
+                Err(problem) => {
+                    let late = order.deadline <= self.now;
+                    prop_assert_eq!(problem.code == DispatchCode::QueueTimeout, late);
+                    prop_assert!(late || self.is_withdrawn(&order));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn is_withdrawn(&self, order: &Order) -> bool {
+        let index = TEAMS.iter().position(|team| *team == &*order.team).unwrap();
+        self.world.keys_withdrawn[index]
+    }
+
+    fn check_start(&self, order: &Order, start: &Start<Permit>) -> Result<(), TestCaseError> {
+        let index = start.instance.id[1..].parse().unwrap();
+        prop_assert!(self.world.takes_work(index), "started where no work may start");
+        prop_assert!(!self.is_withdrawn(order), "started for a withdrawn key");
+        prop_assert!(order.deadline > self.now, "started after the deadline");
+        let permits = self.limits.state.lock().unwrap()[&order.team].0;
+        prop_assert!(permits <= self.limits.limit(&order.team), "upper limit exceeded");
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        let mut running = BTreeMap::<_, u32>::new();
+        for started in &self.started {
+            *running.entry(started.start.instance.id.clone()).or_default() += 1;
+        }
+        prop_assert!(running.values().all(|count| *count <= SLOTS), "slots exceeded");
+        let usage = self.core.usage();
+        let reported = usage.instances.iter().map(|usage| (usage.instance.clone(), usage.running));
+        prop_assert!(reported.collect::<BTreeMap<_, _>>() == running);
+        for (team, (permits, _)) in self.limits.state.lock().unwrap().iter() {
+            let of_team = self.started.iter().filter(|started| started.order.team == *team);
+            prop_assert_eq!(of_team.count() as u32, *permits, "permits and running differ");
+        }
+        self.check_no_idle_slot()
+    }
+
+    /// Whoever waits has a reason: no free slot, or the team is at its limit.
+    fn check_no_idle_slot(&self) -> Result<(), TestCaseError> {
+        let busy = |index: usize| {
+            let id = format!("i{index}");
+            let held = self.started.iter().filter(|it| *it.start.instance.id == *id).count();
+            held as u32 >= SLOTS
+        };
+        let free = (0..INSTANCES).any(|index| self.world.takes_work(index) && !busy(index));
+        for usage in self.core.usage().teams.iter().filter(|usage| usage.waiting > 0) {
+            let permits = self.limits.state.lock().unwrap()[&usage.team].0;
+            let at_limit = permits >= self.limits.limit(&usage.team);
+            prop_assert!(!free || at_limit, "{} waits beside a free slot", usage.team);
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(RunnerConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(43),
+        failure_persistence: None,
+        ..RunnerConfig::default()
+    })]
+
+    #[test]
+    fn slots_limits_zones_and_keys_hold_in_any_schedule(
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let mut schedule = Schedule::new();
+        for step in steps {
+            schedule.step(step)?;
+        }
+    }
+}
+
+/// A core whose slots are all taken by requests of team 0 that take a second each.
+fn full_core(now: Instant) -> TestCore {
+    let (world, limits) = (World { queue_length_max: 1_000, ..World::new() }, Limits::default());
+    TEAMS.iter().for_each(|team| limits.set(team, 1_000));
+    let mut core = new_core(&world, &limits);
+    let order = order(0, now);
+    core.enqueue(&order, 0, now).unwrap();
+    let (_, _, start) = core.pump(&"portal".into(), now).remove(0);
+    let start = start.unwrap();
+    let (index, cost_s, held) = (start.index, start.cost_s, Duration::from_secs(1));
+    core.end(&Ended { order: &order, index, cost_s, held, end: End::Completed });
+    for _ in 0..INSTANCES as u32 * SLOTS {
+        core.enqueue(&order, 0, now).unwrap();
+    }
+    assert_eq!(core.pump(&"portal".into(), now).len() as u32, INSTANCES as u32 * SLOTS);
+    core
+}
+
+#[test]
+fn a_request_that_cannot_start_in_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut core = full_core(now);
+    let order = order(1, now);
+    // Twelve slots turn over each second, and the deadline is in five.
+    let accepted = (0..200).take_while(|_| core.enqueue(&order, 0, now).is_ok()).count();
+    assert!((55..=65).contains(&accepted), "{accepted}");
+    let problem = core.enqueue(&order, 0, now).unwrap_err();
+    assert_eq!(problem.code, DispatchCode::CannotStartInTime);
+    assert!(problem.retry_after > Some(Duration::from_secs(4)));
+}
+
+#[test]
+fn a_full_queue_of_one_team_leaves_the_other_teams_room() {
+    let (world, limits) = (World::new(), Limits::default());
+    TEAMS.iter().for_each(|team| limits.set(team, 0));
+    let (mut core, now) = (new_core(&world, &limits), Instant::now());
+    let results: Vec<_> = (0..21).map(|_| core.enqueue(&order(0, now), 0, now)).collect();
+    assert!(results[..20].iter().all(Result::is_ok));
+    assert_eq!(results[20].as_ref().unwrap_err().code, DispatchCode::QueueFull);
+    assert!(core.enqueue(&order(1, now), 0, now).is_ok());
+}
+
+#[test]
+fn without_any_instance_the_refusal_comes_at_once() {
+    let mut world = World::new();
+    world.zones_out = [true, true];
+    let (mut core, now) = (new_core(&world, &Limits::default()), Instant::now());
+    let problem = core.enqueue(&order(0, now), 0, now).unwrap_err();
+    assert_eq!(problem.code, DispatchCode::NoInstance);
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use crate::backends::BackendIndex;
 use crate::code::DispatchCode;
-use crate::core::{Core, End, Ended, PermitOf, Replies, Reply, Start};
+use crate::core::{Core, End, Ended, PermitOf, Replies, Start};
 use crate::edge::{Edges, PeerLoad, ShareSource};
 use crate::event::DispatchEvent;
 use crate::fair::Ticket;
@@ -29,7 +29,7 @@
 /// Time for which nothing is sent to a backend server that said it is full.
 const FULL_HOLD: Duration = Duration::from_millis(20);
 
-type ReplySender<E> = oneshot::Sender<Reply<PermitOf<E>>>;
+type ReplySender<E> = oneshot::Sender<Result<Running<E>, Problem>>;
 
 /// Queues and slots of one entry instance. Clones share one state.
 pub struct Dispatcher<E: Edges> {
@@ -115,14 +115,13 @@
         &self,
         order: &Arc<Order>,
         ticket: Ticket,
-        outcome: oneshot::Receiver<Reply<PermitOf<E>>>,
+        outcome: oneshot::Receiver<Result<Running<E>, Problem>>,
         since: Instant,
     ) -> Result<Running<E>, Problem> {
         let place = Place { shared: &self.shared, order, ticket };
         let reply = tokio::time::timeout_at(order.deadline, outcome).await;
         let result = match reply {
-            Ok(Ok(Ok(start))) => Ok(Running::new(&self.shared, order.clone(), start)),
-            Ok(Ok(Err(problem))) => Err(problem),
+            Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => Err(self.timeout(order)),
         };
         drop(place);
@@ -201,12 +200,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends outcomes to their tasks. A start whose task is gone is given back.
+    /// Sends outcomes to their tasks. A start whose task is gone is given back when dropped.
     fn deliver(self: &Arc<Self>, replies: Replies<ReplySender<E>, PermitOf<E>>) {
         for (sender, order, reply) in replies {
-            if let Err(Ok(start)) = sender.send(reply) {
-                Running::new(self, order, start).close(End::NotRun);
-            }
+            let _ = sender.send(reply.map(|start| Running::new(self, order, start)));
         }
     }
 
@@ -307,8 +304,8 @@
         let Some(config) = state.core.config() else {
             return false;
         };
-        let authorized = config.version == self.start.version || self.order.is_authorized(config);
-        authorized && state.core.backends.takes_work(self.start.index, &self.order.service)
+        self.order.is_authorized(config)
+            && state.core.backends.takes_work(self.start.index, &self.order.service)
     }
 
     /// Notes what the attempt showed about the instance.
@@ -381,13 +378,13 @@
                 let now = Instant::now();
                 shared.change(|core| core.backends.end_holds(now));
             }
-            () = tokio::time::sleep(UPGRADE_INTERVAL) => {}
+            () = tokio::time::sleep(GAUGE_INTERVAL) => shared.change(|_| {}),
         }
     }
 }
 
-/// How often the follower checks whether the queues are gone.
-const UPGRADE_INTERVAL: Duration = Duration::from_secs(1);
+/// How often the gauges are brought up to date when nothing else happens.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
 async fn changed<T>(receiver: &mut watch::Receiver<T>) {
     if receiver.changed().await.is_err() {
--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -72,6 +72,14 @@
     pub domains: D,
 }
 
+impl<L> Sources<L> {
+    /// Upper limits from `limits`, and all else as configured and declared.
+    pub fn with_limits(limits: L) -> Self {
+        let (shares, peers, domains) = (ConfiguredShares, NoPeers, Racks);
+        Self { limits, shares, peers, domains }
+    }
+}
+
 impl<L, S, P, D> Edges for Sources<L, S, P, D>
 where
     L: LimitSource,
--- a/crates/dispatch/src/fair.rs
+++ b/crates/dispatch/src/fair.rs
@@ -282,3 +282,6 @@
         entry.item
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -175,3 +175,6 @@
         over
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cassiafold_config::{Config, ServiceId, TeamId};
+use cassiafold_config::{Config, ServiceId, TeamId, Version};
 use tokio::time::Instant;
 
 use crate::request::RequestId;
@@ -21,6 +21,8 @@
     pub team: TeamId,
     /// Key that came with the request; none at an open queue.
     pub key: Option<Arc<str>>,
+    /// Version of the configuration under which the key was checked last.
+    pub checked: Version,
     /// Whether the request may run twice without harm.
     pub idempotent: bool,
     /// When the caller no longer wants the answer.
@@ -28,8 +30,11 @@
 }
 
 impl Order {
-    /// Whether the configuration still lets the request's team use the queue.
+    /// Whether the configuration lets the request's team use the queue.
     pub fn is_authorized(&self, config: &Config) -> bool {
+        if self.checked == config.version {
+            return true;
+        }
         let Some(service) = config.services.get(&self.service) else {
             return false;
         };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -133,3 +133,6 @@
     let target = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
     target.parse().map_err(|_| DispatchCode::InvalidPath)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatch/tests/changes.rs
@@ -0,0 +1,268 @@
+//! Changes while requests wait and run: zones out, leaving instances, keys, limits,
+//! cancellations, overload and the graceful stop.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cassiafold_config::{InstanceState, TeamId};
+use cassiafold_dispatch::{LimitSource, Sources};
+use cassiafold_standin::{BackendOptions, Fault};
+use http::Method;
+use support::{Fleet, OTHER_KEY, Told, config};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+const SLOW: Duration = Duration::from_millis(400);
+const SOON: Duration = Duration::from_millis(100);
+
+/// `size` backend servers with one slot each, which run each request for [`SLOW`].
+async fn slow_fleet(size: usize) -> Fleet {
+    let options = BackendOptions { run_time: SLOW, ..BackendOptions::default() };
+    let one_slot = config(1, |document| {
+        document["services"]["portal"]["slots_per_instance"] = 1.into();
+    });
+    Fleet::start_with(&vec![options; size], <Sources>::default(), one_slot).await
+}
+
+fn spawn(fleet: &Fleet, id: &str) -> JoinHandle<Told> {
+    tokio::spawn(fleet.call(Method::POST, "/a", id).send())
+}
+
+async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..1_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen");
+}
+
+fn usage(fleet: &Fleet) -> (u32, u32) {
+    let usage = fleet.server.callers().dispatcher().usage();
+    let running = usage.teams.iter().map(|team| team.running).sum();
+    (running, usage.teams.iter().map(|team| team.waiting).sum())
+}
+
+#[tokio::test]
+async fn queued_work_starts_neither_in_a_zone_out_nor_on_a_leaving_instance() {
+    // Instances 0 and 1 stand in zone a, 2 in c, 3 in a.
+    let fleet = slow_fleet(4).await;
+    let calls: Vec<_> = (0..12).map(|index| spawn(&fleet, &format!("r{index}"))).collect();
+    until("full queue", || usage(&fleet) == (4, 8)).await;
+    fleet.config.offer(config(2, |document| {
+        document["zones"]["c"]["out"] = true.into();
+        document["services"]["portal"]["slots_per_instance"] = 1.into();
+    }));
+    fleet.edit(|list| list[0].state = InstanceState::Leaving);
+    let mut by_instance = BTreeMap::<String, u32>::new();
+    for call in calls {
+        let told = call.await.unwrap();
+        let body = told.body.expect("the answer is whole");
+        let name = String::from_utf8_lossy(&body).trim().to_owned();
+        *by_instance.entry(name).or_default() += 1;
+    }
+    assert_eq!(by_instance["served by portal-0"], 1);
+    assert_eq!(by_instance["served by portal-2"], 1);
+    assert_eq!(by_instance.values().sum::<u32>(), 12);
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_queued_work_and_not_what_runs() {
+    let fleet = slow_fleet(1).await;
+    let running = spawn(&fleet, "running");
+    until("start", || usage(&fleet) == (1, 0)).await;
+    let queued = spawn(&fleet, "queued");
+    until("queueing", || usage(&fleet) == (1, 1)).await;
+    fleet.config.offer(config(2, |document| {
+        document["teams"]["parishes"]["key_hashes"] = serde_json::json!([]);
+    }));
+    assert_eq!(queued.await.unwrap().summary(), "401, code 302, not run");
+    assert_eq!(running.await.unwrap().summary(), "200, whole");
+    assert_eq!(fleet.counts.runs("queued"), 0);
+}
+
+#[tokio::test]
+async fn a_wave_of_cancellations_leaves_the_queue_and_runs_nothing() {
+    let fleet = slow_fleet(1).await;
+    fleet.faults.queue(Fault::Slow(Duration::from_secs(2)));
+    let running = spawn(&fleet, "running");
+    until("start", || usage(&fleet) == (1, 0)).await;
+    let queued: Vec<_> = (0..200).map(|index| spawn(&fleet, &format!("r{index}"))).collect();
+    until("queueing", || usage(&fleet).1 == 200).await;
+    let last = tokio::spawn(fleet.call(Method::POST, "/a", "last").key(OTHER_KEY).send());
+    queued.iter().for_each(JoinHandle::abort);
+    assert_eq!(running.await.unwrap().summary(), "200, whole");
+    assert_eq!(last.await.unwrap().summary(), "200, whole");
+    assert_eq!(fleet.counts.total(), 2);
+    until("empty queue", || usage(&fleet) == (0, 0)).await;
+}
+
+#[tokio::test]
+async fn a_slot_comes_back_only_when_the_abandoned_run_has_ended() {
+    let fleet = slow_fleet(1).await;
+    let abandoned = spawn(&fleet, "abandoned");
+    until("run", || fleet.backends[0].running() == 1).await;
+    abandoned.abort();
+    let next = spawn(&fleet, "next");
+    assert_eq!(next.await.unwrap().summary(), "200, whole");
+    assert_eq!(fleet.backends[0].running_max(), 1);
+    assert_eq!((fleet.counts.runs("abandoned"), fleet.counts.runs("next")), (1, 1));
+}
+
+#[tokio::test]
+async fn a_request_that_waits_in_vain_is_refused_at_its_deadline_as_not_run() {
+    let fleet = slow_fleet(1).await;
+    let running = spawn(&fleet, "running");
+    until("start", || usage(&fleet) == (1, 0)).await;
+    let told = fleet.call(Method::POST, "/a", "late").deadline_ms(100).send().await;
+    assert_eq!(told.summary(), "504, code 312, not run");
+    assert!(told.headers.contains_key("retry-after"));
+    assert_eq!(running.await.unwrap().summary(), "200, whole");
+    assert_eq!(fleet.counts.runs("late"), 0);
+}
+
+/// A source that gives `limit` permits a team and counts them.
+#[derive(Debug, Clone)]
+struct Limits {
+    limit: Arc<Mutex<u32>>,
+    running: Arc<Mutex<BTreeMap<TeamId, u32>>>,
+    changes: watch::Sender<()>,
+}
+
+struct Permit {
+    team: TeamId,
+    running: Arc<Mutex<BTreeMap<TeamId, u32>>>,
+}
+
+impl LimitSource for Limits {
+    type Permit = Permit;
+
+    fn try_acquire(&self, team: &TeamId) -> Option<Permit> {
+        let mut running = self.running.lock().unwrap();
+        let count = running.entry(team.clone()).or_default();
+        (*count < *self.limit.lock().unwrap()).then(|| {
+            *count += 1;
+            Permit { team: team.clone(), running: self.running.clone() }
+        })
+    }
+
+    fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        *self.running.lock().unwrap().entry(self.team.clone()).or_default() -= 1;
+    }
+}
+
+async fn limited_fleet(limit: u32) -> (Fleet<Sources<Limits>>, Limits) {
+    let limits = Limits {
+        limit: Arc::new(Mutex::new(limit)),
+        running: Arc::default(),
+        changes: watch::Sender::new(()),
+    };
+    let options = BackendOptions { run_time: SLOW, ..BackendOptions::default() };
+    let edges = Sources::with_limits(limits.clone());
+    (Fleet::start_with(&vec![options; 2], edges, config(1, |_| {})).await, limits)
+}
+
+#[tokio::test]
+async fn the_upper_limit_holds_and_a_raise_lets_waiting_work_start() {
+    let (fleet, limits) = limited_fleet(2).await;
+    let call = |id: String| tokio::spawn(fleet.call(Method::POST, "/a", &id).send());
+    let calls: Vec<_> = (0..6).map(|index| call(format!("r{index}"))).collect();
+    let running = || fleet.backends.iter().map(|backend| backend.running()).sum::<u32>();
+    until("runs", || running() == 2).await;
+    tokio::time::sleep(SOON).await;
+    assert_eq!(running(), 2);
+    *limits.limit.lock().unwrap() = 6;
+    limits.changes.send_replace(());
+    until("more runs", || running() > 2).await;
+    for call in calls {
+        assert_eq!(call.await.unwrap().summary(), "200, whole");
+    }
+}
+
+#[tokio::test]
+async fn a_team_at_its_limit_is_told_so_and_holds_up_no_other() {
+    let (fleet, _limits) = limited_fleet(1).await;
+    let first = tokio::spawn(fleet.call(Method::POST, "/a", "first").send());
+    until("run", || fleet.backends.iter().any(|backend| backend.running() == 1)).await;
+    let second = tokio::spawn(fleet.call(Method::POST, "/a", "second").deadline_ms(150).send());
+    let other = fleet.call(Method::POST, "/a", "other").key(OTHER_KEY).send().await;
+    assert_eq!(other.summary(), "200, whole");
+    assert_eq!(second.await.unwrap().summary(), "429, code 304, not run");
+    assert_eq!(first.await.unwrap().summary(), "200, whole");
+}
+
+#[tokio::test]
+async fn a_graceful_stop_finishes_what_was_accepted_and_refuses_the_rest() {
+    let Fleet { server, backends, counts, config, instances, faults } = slow_fleet(1).await;
+    let fleet = Fleet { server, backends, counts, config, instances, faults };
+    let calls: Vec<_> = (0..3).map(|index| spawn(&fleet, &format!("r{index}"))).collect();
+    until("queueing", || usage(&fleet) == (1, 2)).await;
+    let callers = fleet.server.callers().clone();
+    let refused = fleet.call(Method::POST, "/a", "refused");
+    let stop = tokio::spawn(fleet.server.close(SOON, std::future::pending()));
+    until("readiness off", || !callers.is_ready()).await;
+    let during_wait = refused.clone().header("x-note", "still served").deadline_ms(60_000);
+    assert_eq!(during_wait.send().await.summary(), "200, whole");
+    let report = stop.await.unwrap();
+    assert!(report.cut_off.is_empty());
+    for call in calls {
+        assert_eq!(call.await.unwrap().summary(), "200, whole");
+    }
+}
+
+#[tokio::test]
+async fn a_draining_entry_instance_refuses_new_work_as_not_run() {
+    let fleet = slow_fleet(1).await;
+    fleet.server.callers().enter(cassiafold_dispatch::Phase::Draining);
+    let told = spawn(&fleet, "refused").await.unwrap();
+    assert_eq!(told.summary(), "503, code 317, not run");
+    assert_eq!(told.headers["retry-after"], "1");
+    assert_eq!(fleet.counts.total(), 0);
+}
+
+#[tokio::test]
+async fn a_forced_stop_says_what_it_cut_off() {
+    let fleet = slow_fleet(1).await;
+    let call = spawn(&fleet, "cut");
+    until("run", || usage(&fleet) == (1, 0)).await;
+    let report = fleet.server.close(Duration::ZERO, tokio::time::sleep(SOON)).await;
+    let cut_off: Vec<&str> = report.cut_off.iter().map(|order| &*order.id).collect();
+    assert_eq!(cut_off, ["cut"]);
+    call.abort();
+}
+
+#[tokio::test]
+async fn an_instance_that_fails_fast_is_ejected_and_returns_after_a_trial() {
+    let options = [BackendOptions::default(), BackendOptions::default()];
+    let fleet = Fleet::start_with(&options, <Sources>::default(), config(1, |_| {})).await;
+    let mut observed = fleet.server.callers().dispatcher().observe();
+    fleet.faults.set(Some(Fault::ServerError));
+    let mut failures = 0;
+    for index in 0..60 {
+        let told = fleet.call(Method::POST, "/a", &format!("r{index}")).send().await;
+        failures += u32::from(told.status == 500);
+    }
+    assert_eq!(failures, 5);
+    fleet.faults.set(None);
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    while observed.try_recv().is_ok() {}
+    for index in 0..40 {
+        let told = fleet.call(Method::GET, "/a", &format!("s{index}")).send().await;
+        assert_eq!(told.summary(), "200, whole");
+    }
+    let mut by_instance = BTreeMap::<_, u32>::new();
+    while let Ok(observation) = observed.try_recv() {
+        *by_instance.entry(observation.instance).or_default() += 1;
+    }
+    assert!(by_instance.get("portal-0").is_some_and(|count| *count > 1), "{by_instance:?}");
+}
--- a/crates/dispatch/tests/support/faults.rs
+++ b/crates/dispatch/tests/support/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cassiafold_dispatch::Sources;
 use cassiafold_standin::{BackendOptions, Fault, FaultPlan};
 use http::Method;
 
@@ -114,7 +115,7 @@
     let options = BackendOptions { faults: FaultPlan::default(), ..BackendOptions::default() };
     let config = super::config(1, |_| {});
     let mut fleet =
-        Fleet::start_with(2, options, cassiafold_dispatch::Sources::default(), config).await;
+        Fleet::start_with(&[options.clone(), options], <Sources>::default(), config).await;
     strike(case.strike, &mut fleet).await;
     let told = fleet.call(method.clone(), "/work", ID).deadline_ms(DEADLINE_MS).send().await;
     tokio::time::sleep(SETTLE).await;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -57,28 +57,29 @@
     pub instances: watch::Sender<Arc<Vec<Instance>>>,
     pub backends: Vec<Backend>,
     pub counts: BackendCounts,
+    /// Faults of the first backend server, and of all that share its plan.
     pub faults: FaultPlan,
 }
 
 impl Fleet {
     /// Two backend servers of `portal` in one zone, each in a rack of its own.
     pub async fn start() -> Self {
-        Self::start_with(2, BackendOptions::default(), Sources::default(), config(1, |_| {})).await
+        Self::start_with(
+            &vec![BackendOptions::default(); 2],
+            <Sources>::default(),
+            config(1, |_| {}),
+        )
+        .await
     }
 }
 
 impl<E: Edges> Fleet<E> {
-    /// `size` backend servers of `portal`, each in a rack of its own, in zones a, b, c in turn
-    /// from the third on.
-    pub async fn start_with(
-        size: usize,
-        options: BackendOptions,
-        edges: E,
-        document: Arc<Config>,
-    ) -> Self {
-        let (counts, faults) = (BackendCounts::default(), options.faults.clone());
+    /// One backend server of `portal` for each of `options`, each in a rack of its own, in zones
+    /// a, b, c in turn from the third on.
+    pub async fn start_with(options: &[BackendOptions], edges: E, document: Arc<Config>) -> Self {
+        let (counts, faults) = (BackendCounts::default(), options[0].faults.clone());
         let mut backends = Vec::new();
-        for index in 0..size {
+        for (index, options) in options.iter().enumerate() {
             let id = format!("portal-{index}").into();
             let started = Backend::start_with(id, counts.clone(), options.clone()).await;
             backends.push(started.expect("a backend server starts"));
