Random schedules and cases for the escrow

Cause: deliberate faults of the code (unknown outcome taken as none, stale ledger, unconfirmed holders ignored, claims under an old configuration, superseded run) were not all noticed. Change: schedules race all holders against a slow store, start whatever may start and wake superseded runs; a case for each fault that random schedules seldom meet. The silence of holders and the demand are modules of their own.

--- a/crates/membership/src/escrow.rs
+++ b/crates/membership/src/escrow.rs
@@ -10,13 +10,17 @@
 //! - [`ledger`]: the document.
 //! - [`plan`]: what one holder changes in it.
 //! - [`local`]: tokens as the request path sees them.
+//! - [`demand`]: what the holder needs.
+//! - [`silence`]: holders whose slices return.
 //! - [`keeper`]: reads and writes the document.
 
+pub mod demand;
 pub mod fill;
 pub mod keeper;
 pub mod ledger;
 pub mod local;
 pub mod plan;
+pub mod silence;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/membership/src/escrow/demand.rs
@@ -0,0 +1,46 @@
+//! Demand of each team at this entry instance.
+
+use std::collections::BTreeMap;
+
+use cassiafold_config::TeamId;
+
+use super::local::Escrow;
+use crate::usage::Usage;
+
+/// Part of a recent peak that is left after one interval.
+const PEAK_DECAY: f32 = 0.9;
+/// Peak below which a team is forgotten.
+const PEAK_MIN: f32 = 0.5;
+
+/// Requests that would run if tokens were no bound, with their recent peak.
+#[derive(Debug, Default)]
+pub struct Demand {
+    peaks: BTreeMap<TeamId, f32>,
+}
+
+impl Demand {
+    /// Follows the demand by one interval.
+    pub fn sample(&mut self, usage: &Usage, escrow: &Escrow) {
+        let waiting = usage.waiting_by_team();
+        for peak in self.peaks.values_mut() {
+            *peak *= PEAK_DECAY;
+        }
+        for team in escrow.teams().iter().chain(waiting.keys()) {
+            let waiting = waiting.get(team).copied().unwrap_or(0);
+            let demand = escrow.in_use(team).saturating_add(waiting) as f32;
+            let peak = self.peaks.entry(team.clone()).or_insert(0.0);
+            *peak = peak.max(demand);
+        }
+        self.peaks.retain(|_, peak| *peak >= PEAK_MIN);
+    }
+
+    /// Demand of a team.
+    pub fn of(&self, team: &TeamId) -> u32 {
+        self.peaks.get(team).map_or(0, |peak| peak.round() as u32)
+    }
+
+    /// Teams with a demand.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamId> {
+        self.peaks.keys()
+    }
+}
--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -1,6 +1,6 @@
 //! Keeps the slices of this entry instance in step with the ledger.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -12,9 +12,11 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::EscrowSettings;
+use super::demand::Demand;
 use super::ledger::{Holder, HolderId, LEDGER_KEY, Ledger};
 use super::local::Escrow;
 use super::plan::{Bound, Context, Use, plan, usable};
+use super::silence::Sightings;
 use crate::event::MembershipEvent;
 use crate::usage::UsageSource;
 
@@ -26,12 +28,6 @@
 const READ_INTERVAL_MAX: Duration = Duration::from_secs(5);
 /// Attempts of one write against conflicts.
 const ATTEMPTS_MAX: usize = 3;
-/// Part of a recent peak of demand that is left after one interval.
-const PEAK_DECAY: f32 = 0.9;
-/// Added to a wait for a silent holder: difference of clock rates, as a divisor.
-const CLOCK_RATE_DIVISOR: u32 = 100;
-/// Added to a wait for a silent holder: time between a permit and the first byte sent.
-const START_MARGIN: Duration = Duration::from_secs(5);
 
 /// A state of the ledger and the condition under which it may be retired.
 #[derive(Debug)]
@@ -58,14 +54,6 @@
     sent: Instant,
 }
 
-/// What a holder showed in the ledger, and since when.
-#[derive(Debug, Clone, Copy)]
-struct Sighting {
-    writes: u64,
-    retired: bool,
-    since: Instant,
-}
-
 /// Reads and writes the ledger for one entry instance.
 #[derive(Debug)]
 pub struct Keeper<S, U> {
@@ -79,8 +67,8 @@
     copy: Option<Copy>,
     pending: Option<Pending>,
     writes: u64,
-    sightings: HashMap<HolderId, Sighting>,
-    peaks: BTreeMap<TeamId, f32>,
+    sightings: Sightings,
+    demand: Demand,
     ceilings: BTreeMap<TeamId, u32>,
     applied: Option<Arc<Config>>,
     deadline_max: Duration,
@@ -111,8 +99,8 @@
             copy: None,
             pending: None,
             writes: 0,
-            sightings: HashMap::new(),
-            peaks: BTreeMap::new(),
+            sightings: Sightings::new(settings.pause_max),
+            demand: Demand::default(),
             ceilings: BTreeMap::new(),
             applied: None,
             deadline_max: Duration::ZERO,
@@ -160,7 +148,7 @@
     pub async fn step(&mut self) {
         let Some(config) = self.config.load() else { return };
         self.apply(&config);
-        self.sample();
+        self.demand.sample(&self.usage.usage(), &self.escrow);
         if let Some(pending) = self.pending.take() {
             self.settle(pending).await;
         }
@@ -191,24 +179,8 @@
         self.refresh();
     }
 
-    /// Follows the demand of each team, with its recent peak.
-    fn sample(&mut self) {
-        let waiting = self.usage.usage().waiting_by_team();
-        for peak in self.peaks.values_mut() {
-            *peak *= PEAK_DECAY;
-        }
-        for team in self.escrow.teams().iter().chain(waiting.keys()) {
-            let waiting = waiting.get(team).copied().unwrap_or(0);
-            let demand = self.escrow.in_use(team).saturating_add(waiting) as f32;
-            let peak = self.peaks.entry(team.clone()).or_insert(0.0);
-            *peak = peak.max(demand);
-        }
-        self.peaks.retain(|_, peak| *peak >= 0.5);
-    }
-
     fn work(&self, team: &TeamId) -> Use {
-        let demand = self.peaks.get(team).map_or(0, |peak| peak.round() as u32);
-        Use { in_use: self.escrow.in_use(team), demand }
+        Use { in_use: self.escrow.in_use(team), demand: self.demand.of(team) }
     }
 
     fn read_due(&self) -> bool {
@@ -216,7 +188,7 @@
         let short = |team: &TeamId| self.work(team).demand > self.escrow.usable(team);
         last.elapsed() >= READ_INTERVAL_MAX
             || self.hint.load(Ordering::Relaxed) > copy.revision()
-            || self.peaks.keys().any(short)
+            || self.demand.teams().any(short)
     }
 
     async fn read(&mut self) {
@@ -245,7 +217,7 @@
         if ledger.config_version >= self.version() {
             self.ceilings.clear();
         }
-        self.sight(&ledger);
+        self.sightings.note(&ledger);
         let was_in = self.ledger().is_some_and(|before| before.position(&self.id).is_some());
         let position = ledger.position(&self.id);
         if was_in && position.is_none() {
@@ -262,20 +234,6 @@
         self.refresh();
     }
 
-    /// Notes what each holder shows.
-    fn sight(&mut self, ledger: &Ledger) {
-        let now = Instant::now();
-        self.sightings.retain(|id, _| ledger.position(id).is_some());
-        for holder in &ledger.holders {
-            let (writes, retired) = (holder.writes, holder.retired);
-            let fresh = Sighting { writes, retired, since: now };
-            let known = self.sightings.entry(holder.id.clone()).or_insert(fresh);
-            if known.writes != writes || known.retired != retired {
-                *known = fresh;
-            }
-        }
-    }
-
     /// Sets the usable tokens of every team from the ledger and the limits in force.
     fn refresh(&self) {
         let Some(copy) = &self.copy else { return };
@@ -298,24 +256,6 @@
         config.and_then(|config| config.teams.get(team)).map_or(0, |team| team.upper_limit)
     }
 
-    /// Positions of holders whose slices return now.
-    fn lapsed(&self, ledger: &Ledger) -> Vec<usize> {
-        let holders = ledger.holders.iter().enumerate();
-        holders.filter(|(_, holder)| self.has_lapsed(holder)).map(|(index, _)| index).collect()
-    }
-
-    fn has_lapsed(&self, holder: &Holder) -> bool {
-        let Some(sighting) = self.sightings.get(&holder.id) else { return false };
-        holder.id != self.id && sighting.since.elapsed() >= self.wait(holder)
-    }
-
-    /// Silence after which nothing that the holder started can still run.
-    fn wait(&self, holder: &Holder) -> Duration {
-        let use_max = if holder.retired { self.settings.pause_max } else { holder.hold };
-        let wait = use_max + holder.deadline_max.max(self.deadline_max);
-        wait + wait / CLOCK_RATE_DIVISOR + START_MARGIN
-    }
-
     fn confirmation_due(&self) -> bool {
         let age = self.confirmed.map(|confirmed| confirmed.elapsed());
         let interval = self.settings.hold / CONFIRMATIONS_PER_HOLD;
@@ -349,7 +289,7 @@
         if joins {
             ledger.join(self.new_holder());
         }
-        let lapsed = self.lapsed(&ledger);
+        let lapsed = self.sightings.lapsed(&ledger, &self.id, self.deadline_max);
         let me = ledger.position(&self.id)?;
         let deadline_max = self.deadline_max;
         let context = Context { me, config, deadline_max, lapsed: &lapsed };
--- /dev/null
+++ b/crates/membership/src/escrow/keeper/tests/world.rs
@@ -0,0 +1,280 @@
+//! Entry instances, their store and the work that they start.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cassiafold_config::raw::RawConfig;
+use cassiafold_config::{ActiveConfig, Config, TeamId, Version};
+use cassiafold_standin::MemoryStore;
+use futures_util::future::join_all;
+use tokio::time::{Instant, advance, sleep};
+
+use crate::escrow::ledger::HolderId;
+use crate::escrow::local::{Escrow, Permit};
+use crate::escrow::{EscrowSettings, Keeper};
+use crate::usage::{QueueId, TeamUsage, Usage, UsageSource};
+
+pub const SETTINGS: EscrowSettings = EscrowSettings {
+    hold: Duration::from_secs(60),
+    pause_max: Duration::from_secs(10),
+    interval: Duration::from_secs(1),
+};
+pub const DEADLINE_MAX: Duration = Duration::from_secs(20);
+pub const TEAMS: [&str; 2] = ["large", "small"];
+pub const ENTRIES: usize = 4;
+
+/// Waiting requests that a test sets.
+#[derive(Debug, Clone, Default)]
+pub struct Waiting(Arc<Mutex<BTreeMap<TeamId, u32>>>);
+
+impl Waiting {
+    pub fn set(&self, team: &str, waiting: u32) {
+        self.0.lock().unwrap().insert(team.into(), waiting);
+    }
+}
+
+impl UsageSource for Waiting {
+    fn usage(&self) -> Usage {
+        let waiting = self.0.lock().unwrap();
+        let queue = |team: &TeamId| QueueId { service: "portal".into(), team: team.clone() };
+        let usage = |waiting: u32| TeamUsage { running: 0, waiting };
+        let queues = waiting.iter().map(|(team, count)| (queue(team), usage(*count))).collect();
+        Usage { queues, ..Usage::default() }
+    }
+}
+
+fn config(version: Version, limits: [u32; 2]) -> Arc<Config> {
+    let mut text = format!("version: {version}\nzones: {{}}\npools: {{}}\nservices:\n");
+    text +=
+        "  portal: {floor_count: 0, deadline_default_ms: 1000, deadline_max_ms: 20000}\nteams:\n";
+    for (team, limit) in TEAMS.iter().zip(limits) {
+        text += &format!("  {team}: {{share: 1, upper_limit: {limit}}}\n");
+    }
+    let raw: RawConfig = serde_saphyr::from_str(&text).unwrap();
+    Arc::new(Config::try_from(raw).unwrap())
+}
+
+pub struct Entry {
+    pub keeper: Keeper<MemoryStore, Waiting>,
+    pub escrow: Escrow,
+    pub config: ActiveConfig,
+    pub waiting: Waiting,
+    pub paused: bool,
+    pub run: u64,
+}
+
+/// One started request: it runs to its end whatever happens to the entry that started it.
+pub struct Work {
+    pub run: u64,
+    team: usize,
+    ends: Instant,
+    permit: Option<Permit>,
+}
+
+pub struct World {
+    pub store: MemoryStore,
+    pub entries: Vec<Entry>,
+    /// Entries whose instance was started again elsewhere while they were paused.
+    pub former: Vec<Entry>,
+    runs: u64,
+    pub configs: Vec<Arc<Config>>,
+    pub work: RefCell<Vec<Work>>,
+}
+
+impl World {
+    pub fn new(limits: [u32; 2]) -> Self {
+        let mut world = Self {
+            store: MemoryStore::default(),
+            entries: Vec::new(),
+            former: Vec::new(),
+            runs: 0,
+            configs: vec![config(1, limits)],
+            work: RefCell::default(),
+        };
+        for index in 0..ENTRIES {
+            let entry = world.entry(&format!("entry-{index}"));
+            world.entries.push(entry);
+        }
+        world
+    }
+
+    fn entry(&mut self, id: &str) -> Entry {
+        self.runs += 1;
+        let holder = HolderId { instance: id.into(), incarnation: self.runs };
+        let (escrow, config, waiting) =
+            (Escrow::default(), ActiveConfig::default(), Waiting::default());
+        config.offer(self.configs.last().unwrap().clone());
+        let store = self.store.client(id);
+        let (for_keeper, of_entry) = (config.clone(), waiting.clone());
+        let keeper = Keeper::new(holder, SETTINGS, store, for_keeper, of_entry, escrow.clone());
+        escrow.tick(SETTINGS.pause_max);
+        Entry { keeper, escrow, config, waiting, paused: false, run: self.runs }
+    }
+
+    pub async fn step(&mut self, index: usize) {
+        self.entries[index].step().await;
+    }
+
+    /// Steps all entries at once against a slow store, while all start what they can.
+    pub async fn race(&mut self, delay: Duration) {
+        self.store.faults().set_delay(delay);
+        let bounds = [self.bound(0), self.bound(1)];
+        let starters: Vec<(u64, Escrow)> = self.starters();
+        let work = &self.work;
+        let steps = join_all(self.entries.iter_mut().map(Entry::step));
+        let starts = async {
+            loop {
+                sleep(delay / 5).await;
+                end_work(work);
+                for (team, bound) in bounds.into_iter().enumerate() {
+                    for (run, escrow) in &starters {
+                        saturate(work, *run, escrow, team, bound);
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            _ = steps => {}
+            () = starts => {}
+        }
+        self.store.faults().set_delay(Duration::ZERO);
+    }
+
+    fn starters(&self) -> Vec<(u64, Escrow)> {
+        let all = self.entries.iter().chain(&self.former).filter(|entry| !entry.paused);
+        all.map(|entry| (entry.run, entry.escrow.clone())).collect()
+    }
+
+    /// Starts whatever any entry may start.
+    pub fn saturate(&mut self, team: usize) {
+        let bound = self.bound(team);
+        for (run, escrow) in self.starters() {
+            saturate(&self.work, run, &escrow, team, bound);
+        }
+    }
+
+    /// Lets time pass; entries that are not paused notice it each second.
+    pub async fn pass(&mut self, time: Duration) {
+        let mut left = time;
+        while !left.is_zero() {
+            let part = left.min(SETTINGS.interval);
+            advance(part).await;
+            left -= part;
+            for entry in self.entries.iter().filter(|entry| !entry.paused) {
+                entry.escrow.tick(SETTINGS.pause_max);
+            }
+            end_work(&self.work);
+        }
+    }
+
+    pub fn start(&mut self, index: usize, team: usize, run: Duration) -> bool {
+        let entry = &self.entries[index];
+        start(&self.work, entry.run, &entry.escrow, team, run, self.bound(team))
+    }
+
+    pub fn finish(&mut self, index: usize) {
+        let run = self.entries[index].run;
+        let mut work = self.work.borrow_mut();
+        if let Some(position) = work.iter().position(|work| work.run == run) {
+            work.remove(position);
+        }
+    }
+
+    pub fn running(&self, team: usize) -> u32 {
+        running(&self.work.borrow(), team)
+    }
+
+    /// Highest limit that may be in force: from the oldest version that a holder or its copy of
+    /// the ledger has.
+    fn bound(&self, team: usize) -> u32 {
+        let holders = self.entries.iter().chain(&self.former);
+        let known = holders.map(|entry| {
+            let ledger = entry.keeper.ledger();
+            let held = ledger.filter(|ledger| ledger.position(&entry.keeper.id).is_some());
+            let version = entry.config.version();
+            held.map_or(version, |ledger| ledger.config_version.min(entry.keeper.version()))
+        });
+        let newest = self.configs.len() as Version;
+        let oldest = known.min().unwrap_or(newest);
+        let limit = |config: &Arc<Config>| config.teams[TEAMS[team]].upper_limit;
+        self.configs.iter().filter(|config| config.version >= oldest).map(limit).max().unwrap()
+    }
+
+    pub fn set_limits(&mut self, limits: [u32; 2]) {
+        let version = self.configs.len() as Version + 1;
+        self.configs.push(config(version, limits));
+    }
+
+    /// Ends an entry without notice and starts another run in its place.
+    pub fn crash(&mut self, index: usize, same_id: bool) {
+        let id = if same_id { format!("entry-{index}") } else { format!("new-{}", self.runs) };
+        let run = self.entries[index].run;
+        let mut work = self.work.borrow_mut();
+        work.iter_mut().filter(|work| work.run == run).for_each(|work| work.permit = None);
+        drop(work);
+        self.entries[index] = self.entry(&id);
+    }
+
+    /// Starts another run in the place of an entry that is paused but not ended.
+    pub fn supersede(&mut self, index: usize) {
+        let next = self.entry(&format!("entry-{index}"));
+        let mut former = std::mem::replace(&mut self.entries[index], next);
+        former.paused = true;
+        self.former.push(former);
+    }
+
+    /// Wakes superseded runs: they start what they can before and after they notice.
+    pub async fn wake(&mut self) {
+        self.former.iter_mut().for_each(|entry| entry.paused = false);
+        for team in 0..TEAMS.len() {
+            self.saturate(team);
+        }
+        for index in 0..self.former.len() {
+            self.former[index].escrow.tick(SETTINGS.pause_max);
+            self.saturate(0);
+            self.former[index].step().await;
+            self.saturate(0);
+        }
+    }
+}
+
+impl Entry {
+    pub async fn step(&mut self) {
+        if !self.paused {
+            self.escrow.tick(SETTINGS.pause_max);
+            self.keeper.step().await;
+        }
+    }
+}
+
+fn running(work: &[Work], team: usize) -> u32 {
+    work.iter().filter(|work| work.team == team).count() as u32
+}
+
+pub fn end_work(work: &RefCell<Vec<Work>>) {
+    let now = Instant::now();
+    work.borrow_mut().retain(|work| work.ends > now);
+}
+
+fn start(
+    work: &RefCell<Vec<Work>>,
+    run: u64,
+    escrow: &Escrow,
+    team: usize,
+    time: Duration,
+    bound: u32,
+) -> bool {
+    let Some(permit) = escrow.try_acquire(&TEAMS[team].into()) else { return false };
+    let ends = Instant::now() + time.min(DEADLINE_MAX);
+    let mut work = work.borrow_mut();
+    work.push(Work { run, team, ends, permit: Some(permit) });
+    let running = running(&work, team);
+    assert!(running <= bound, "{running} of {} run, limit {bound}", TEAMS[team]);
+    true
+}
+
+fn saturate(work: &RefCell<Vec<Work>>, run: u64, escrow: &Escrow, team: usize, bound: u32) {
+    while start(work, run, escrow, team, DEADLINE_MAX, bound) {}
+}
--- a/crates/membership/src/escrow/local.rs
+++ b/crates/membership/src/escrow/local.rs
@@ -215,3 +215,6 @@
         self.inner.changes.send_modify(|count| *count += 1);
     }
 }
+
+#[cfg(test)]
+mod tests;
