Inner protocol between entry instances in Cap'n Proto

Cause: entry instances exchange usage, heartbeats and configurations. Conclusion: arbitrary and damaged bytes give a typed error or a message, never a panic.

--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,32 @@
+//! Why a message was refused.
+
+/// Why a message was refused.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The message is not valid Cap'n Proto or breaks a bound of its reader.
+    #[error("malformed message: {0}")]
+    Malformed(#[from] capnp::Error),
+    /// A text is not valid UTF-8.
+    #[error("text is not valid UTF-8: {0}")]
+    Text(#[from] std::str::Utf8Error),
+    /// An identifier or name is empty or too long.
+    #[error("{field} has {bytes} bytes")]
+    IdLength {
+        /// Field of the message.
+        field: &'static str,
+        /// Length found.
+        bytes: usize,
+    },
+    /// A configuration document is too long.
+    #[error("configuration document has {0} bytes")]
+    DocumentLength(usize),
+    /// A table of names would grow beyond its bound.
+    #[error("table of names would have {0} names")]
+    Names(usize),
+    /// A position lies outside the table of names.
+    #[error("position {0} is outside the table of names")]
+    Position(u16),
+    /// The peer speaks another version of the protocol.
+    #[error("protocol version {0} is not supported")]
+    ProtocolVersion(u16),
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,16 @@
 //! The inner protocol between entry instances.
+//!
+//! - [`message`]: typed messages, checked when read.
+//! - [`limits`]: bounds on what a peer may send.
+//! - [`peer_capnp`]: generated from `schema/peer.capnp` by `scripts/generate-wire.sh`.
+
+pub mod error;
+pub mod limits;
+pub mod message;
+#[allow(clippy::all, clippy::unimplemented, clippy::unwrap_used, missing_docs)]
+#[rustfmt::skip]
+pub mod peer_capnp;
+
+pub use error::WireError;
+pub use limits::{CONFIG_BYTES_MAX, ID_BYTES_MAX, NAMES_MAX, PROTOCOL_VERSION, reader_options};
+pub use message::{ConfigDocument, EntryReport, Hello, InstanceUsage, Leave, QueueUsage, Report};
--- /dev/null
+++ b/crates/wire/src/limits.rs
@@ -0,0 +1,25 @@
+//! Bounds on what a peer may send.
+
+use capnp::message::ReaderOptions;
+
+/// Version of the protocol that this build speaks.
+pub const PROTOCOL_VERSION: u16 = 1;
+/// Longest configuration document, which the key-value service bounds too.
+pub const CONFIG_BYTES_MAX: usize = 1 << 20;
+/// Longest identifier or name.
+pub const ID_BYTES_MAX: usize = 256;
+/// Most names in the table of one connection; positions are 16 bits wide.
+pub const NAMES_MAX: usize = 1 << 16;
+/// Longest message: a configuration document and room for the rest.
+const MESSAGE_BYTES_MAX: usize = 2 << 20;
+/// Deepest nesting of a message; the schema needs less than half of it.
+const NESTING_MAX: i32 = 16;
+const WORD_BYTES: usize = 8;
+
+/// Bounds for the reader of every message.
+pub fn reader_options() -> ReaderOptions {
+    ReaderOptions {
+        traversal_limit_in_words: Some(MESSAGE_BYTES_MAX / WORD_BYTES),
+        nesting_limit: NESTING_MAX,
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,265 @@
+//! Typed messages and their Cap'n Proto form.
+
+use std::sync::Arc;
+
+use cassiafold_config::{InstanceId, RegionId, Version, ZoneId};
+
+use crate::error::WireError;
+use crate::limits::{CONFIG_BYTES_MAX, ID_BYTES_MAX, NAMES_MAX, PROTOCOL_VERSION};
+use crate::peer_capnp::{config_document, entry_report, hello, leave, report};
+
+/// Introduces an entry instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hello {
+    /// Identifier of the entry instance.
+    pub id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Configuration version in force there.
+    pub config_version: Version,
+    /// Number of the run of the instance.
+    pub incarnation: u64,
+}
+
+/// A team's requests for one service. Names are positions in the table of the connection; counts
+/// above the width saturate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueUsage {
+    /// Position of the service's name.
+    pub service: u16,
+    /// Position of the team's name.
+    pub team: u16,
+    /// Requests that run.
+    pub running: u16,
+    /// Requests that wait.
+    pub waiting: u16,
+}
+
+/// Requests that an entry instance runs on one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InstanceUsage {
+    /// Position of the backend server's name.
+    pub instance: u16,
+    /// Requests that run.
+    pub running: u16,
+}
+
+/// Heartbeat of one entry instance with the changes of its usage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryReport {
+    /// Position of the entry instance's name.
+    pub entry: u16,
+    /// Position of its zone's name.
+    pub zone: u16,
+    /// Number of its run.
+    pub incarnation: u64,
+    /// Raised with each heartbeat.
+    pub heartbeat: u64,
+    /// Configuration version in force there.
+    pub config_version: Version,
+    /// Queues that changed.
+    pub queues: Vec<QueueUsage>,
+    /// Backend servers whose running requests changed.
+    pub instances: Vec<InstanceUsage>,
+}
+
+/// What an entry instance reports to a peer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Names appended to the table of the connection.
+    pub names: Vec<Arc<str>>,
+    /// Highest revision of the ledger of upper limits known to the sender.
+    pub ledger_revision: u64,
+    /// Reports of the sender and of those for whom it relays.
+    pub entries: Vec<EntryReport>,
+}
+
+/// A numbered configuration as JSON; empty where the callee has nothing newer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigDocument {
+    /// Version of the configuration.
+    pub version: Version,
+    /// The document.
+    pub document: Vec<u8>,
+}
+
+/// An entry instance leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leave {
+    /// Identifier of the entry instance.
+    pub id: InstanceId,
+    /// Number of its run.
+    pub incarnation: u64,
+}
+
+fn checked_id(
+    field: &'static str,
+    text: capnp::Result<capnp::text::Reader<'_>>,
+) -> Result<Arc<str>, WireError> {
+    let text = text?.to_str()?;
+    if text.is_empty() || text.len() > ID_BYTES_MAX {
+        return Err(WireError::IdLength { field, bytes: text.len() });
+    }
+    Ok(text.into())
+}
+
+impl TryFrom<hello::Reader<'_>> for Hello {
+    type Error = WireError;
+
+    fn try_from(reader: hello::Reader<'_>) -> Result<Self, WireError> {
+        let protocol_version = reader.get_protocol_version();
+        if protocol_version != PROTOCOL_VERSION {
+            return Err(WireError::ProtocolVersion(protocol_version));
+        }
+        Ok(Self {
+            id: checked_id("hello.id", reader.get_id())?,
+            zone: checked_id("hello.zone", reader.get_zone())?,
+            region: checked_id("hello.region", reader.get_region())?,
+            config_version: reader.get_config_version(),
+            incarnation: reader.get_incarnation(),
+        })
+    }
+}
+
+impl Hello {
+    /// Writes the message.
+    pub fn write(&self, mut builder: hello::Builder<'_>) {
+        builder.set_id(&*self.id);
+        builder.set_zone(&*self.zone);
+        builder.set_region(&*self.region);
+        builder.set_protocol_version(PROTOCOL_VERSION);
+        builder.set_config_version(self.config_version);
+        builder.set_incarnation(self.incarnation);
+    }
+}
+
+impl TryFrom<entry_report::Reader<'_>> for EntryReport {
+    type Error = WireError;
+
+    fn try_from(reader: entry_report::Reader<'_>) -> Result<Self, WireError> {
+        let queues = reader.get_queues()?.iter().map(|queue| QueueUsage {
+            service: queue.get_service(),
+            team: queue.get_team(),
+            running: queue.get_running(),
+            waiting: queue.get_waiting(),
+        });
+        let instances = reader.get_instances()?.iter().map(|usage| InstanceUsage {
+            instance: usage.get_instance(),
+            running: usage.get_running(),
+        });
+        Ok(Self {
+            entry: reader.get_entry(),
+            zone: reader.get_zone(),
+            incarnation: reader.get_incarnation(),
+            heartbeat: reader.get_heartbeat(),
+            config_version: reader.get_config_version(),
+            queues: queues.collect(),
+            instances: instances.collect(),
+        })
+    }
+}
+
+impl EntryReport {
+    fn write(&self, mut builder: entry_report::Builder<'_>) {
+        builder.set_entry(self.entry);
+        builder.set_zone(self.zone);
+        builder.set_incarnation(self.incarnation);
+        builder.set_heartbeat(self.heartbeat);
+        builder.set_config_version(self.config_version);
+        if !self.queues.is_empty() {
+            let mut list = builder.reborrow().init_queues(self.queues.len() as u32);
+            for (index, queue) in self.queues.iter().enumerate() {
+                let mut item = list.reborrow().get(index as u32);
+                item.set_service(queue.service);
+                item.set_team(queue.team);
+                item.set_running(queue.running);
+                item.set_waiting(queue.waiting);
+            }
+        }
+        if !self.instances.is_empty() {
+            let mut list = builder.init_instances(self.instances.len() as u32);
+            for (index, usage) in self.instances.iter().enumerate() {
+                let mut item = list.reborrow().get(index as u32);
+                item.set_instance(usage.instance);
+                item.set_running(usage.running);
+            }
+        }
+    }
+}
+
+impl TryFrom<report::Reader<'_>> for Report {
+    type Error = WireError;
+
+    fn try_from(reader: report::Reader<'_>) -> Result<Self, WireError> {
+        let names = reader.get_names()?;
+        if names.len() as usize > NAMES_MAX {
+            return Err(WireError::Names(names.len() as usize));
+        }
+        let names = names.iter().map(|name| checked_id("report.names", name));
+        let entries = reader.get_entries()?;
+        Ok(Self {
+            names: names.collect::<Result<_, _>>()?,
+            ledger_revision: reader.get_ledger_revision(),
+            entries: entries.iter().map(EntryReport::try_from).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl Report {
+    /// Writes the message.
+    pub fn write(&self, mut builder: report::Builder<'_>) {
+        builder.set_ledger_revision(self.ledger_revision);
+        if !self.names.is_empty() {
+            let mut names = builder.reborrow().init_names(self.names.len() as u32);
+            for (index, name) in self.names.iter().enumerate() {
+                names.set(index as u32, &**name);
+            }
+        }
+        let mut entries = builder.init_entries(self.entries.len() as u32);
+        for (index, entry) in self.entries.iter().enumerate() {
+            entry.write(entries.reborrow().get(index as u32));
+        }
+    }
+}
+
+impl TryFrom<config_document::Reader<'_>> for ConfigDocument {
+    type Error = WireError;
+
+    fn try_from(reader: config_document::Reader<'_>) -> Result<Self, WireError> {
+        let document = reader.get_document()?;
+        if document.len() > CONFIG_BYTES_MAX {
+            return Err(WireError::DocumentLength(document.len()));
+        }
+        Ok(Self { version: reader.get_version(), document: document.to_vec() })
+    }
+}
+
+impl ConfigDocument {
+    /// Writes the message.
+    pub fn write(&self, mut builder: config_document::Builder<'_>) {
+        builder.set_version(self.version);
+        builder.set_document(&self.document);
+    }
+}
+
+impl TryFrom<leave::Reader<'_>> for Leave {
+    type Error = WireError;
+
+    fn try_from(reader: leave::Reader<'_>) -> Result<Self, WireError> {
+        let id = checked_id("leave.id", reader.get_id())?;
+        Ok(Self { id, incarnation: reader.get_incarnation() })
+    }
+}
+
+impl Leave {
+    /// Writes the message.
+    pub fn write(&self, mut builder: leave::Builder<'_>) {
+        builder.set_id(&*self.id);
+        builder.set_incarnation(self.incarnation);
+    }
+}
+
+#[cfg(test)]
+mod tests;
