Wait for the runs before the zone goes out in a test

Cause: under load queued_work_starts_neither_in_a_zone_out_nor_on_a_leaving_instance failed: the zone was taken out while a request held its slot and its connection was still being made. The request path then rightly moved it elsewhere, and the test missed the run at the instance.

Ruled out: a start in a zone taken out; no run was seen there after the change.

Change: the test waits until every backend server runs a request before it changes the configuration. The assertions stay.

--- a/crates/dispatch/tests/changes.rs
+++ b/crates/dispatch/tests/changes.rs
@@ -53,6 +53,7 @@
     let fleet = slow_fleet(4).await;
     let calls: Vec<_> = (0..12).map(|index| spawn(&fleet, &format!("r{index}"))).collect();
     until("full queue", || usage(&fleet) == (4, 8)).await;
+    until("runs", || fleet.backends.iter().all(|backend| backend.running() == 1)).await;
     fleet.config.offer(config(2, |document| {
         document["zones"]["c"]["out"] = true.into();
         document["services"]["portal"]["slots_per_instance"] = 1.into();
