List events, result codes and exit codes in pages that agree with the code

docs/EVENTS.md and docs/CODES.md are generated from the tables of each package and from the help text; tests compare them, check that numbers are unique and within the range of their package, and fail when a package that declares events or codes is not listed. The exit code of a panic is 101, not 1 as the table said.

--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -26,7 +26,7 @@
 }
 
 fn exit_codes() -> String {
-    let rows = EXIT_CODES.iter().map(|row| format!("  {:>2}  {}\n", row.number, row.meaning));
+    let rows = EXIT_CODES.iter().map(|row| format!("  {:>3}  {}\n", row.number, row.meaning));
     format!("Exit codes:\n{}", rows.collect::<String>())
 }
 
--- a/crates/cassiafold/src/error.rs
+++ b/crates/cassiafold/src/error.rs
@@ -82,7 +82,6 @@
 /// Every exit code of the program.
 pub const EXIT_CODES: [ExitRow; 11] = [
     row(0, "done"),
-    row(1, "the program panicked"),
     row(2, "the command line cannot be understood"),
     row(3, "a file cannot be read"),
     row(4, "settings, a configuration or a patch are at fault"),
@@ -92,6 +91,7 @@
     row(8, "the patch was made from another version"),
     row(9, "the outcome of a change is unknown; repeat it with its write id"),
     row(10, "the entry instance could not do it now; nothing was changed"),
+    row(101, "the program panicked"),
 ];
 
 impl Error {
--- /dev/null
+++ b/crates/cassiafold/tests/catalogue.rs
@@ -0,0 +1,116 @@
+//! The pages `docs/EVENTS.md` and `docs/CODES.md` against the code.
+//!
+//! `UPDATE_EXPECT=1 cargo test -p cassiafold --test catalogue` writes the pages anew.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::process::Command;
+
+use cassiafold_dispatch::{DispatchCode, DispatchEvent};
+use cassiafold_event::{CodeRow, EventRow};
+use cassiafold_membership::MembershipEvent;
+use cassiafold_operators::{OperatorsCode, OperatorsEvent};
+use cassiafold_platform::PlatformEvent;
+use expect_test::expect_file;
+
+/// Packages with the first number of their range, and their events.
+const EVENTS: &[(&str, u16, &[EventRow])] = &[
+    ("platform", 1100, PlatformEvent::ROWS),
+    ("membership", 1200, MembershipEvent::ROWS),
+    ("dispatch", 1300, DispatchEvent::ROWS),
+    ("operators", 1500, OperatorsEvent::ROWS),
+];
+
+/// Packages with the first number of their range, and their result codes.
+const CODES: &[(&str, u16, &[CodeRow])] =
+    &[("dispatch", 300, DispatchCode::ROWS), ("operators", 500, OperatorsCode::ROWS)];
+
+/// Numbers that one package may use.
+const RANGE: u16 = 100;
+
+const EVENTS_HEAD: &str = "# Log events
+
+Each line of the log is one numbered event with its fields as key-value pairs. The test
+`the_page_of_events_agrees_with_the_code` compares this page with the code.
+";
+
+const CODES_HEAD: &str = "# Result codes
+
+Refusals over HTTP are problem documents (RFC 9457) with these numbers in the field `code`. The
+test `the_page_of_codes_agrees_with_the_code` compares this page with the code.
+";
+
+#[test]
+fn the_page_of_events_agrees_with_the_code() {
+    let mut page = EVENTS_HEAD.to_owned();
+    for (package, _, rows) in EVENTS {
+        page.push_str(&format!("\n## {package}\n\n| event | level | name | message |\n"));
+        page.push_str("|---|---|---|---|\n");
+        for row in *rows {
+            let (number, level, name, message) = (row.number, row.level, row.name, row.message);
+            page.push_str(&format!("| {number} | {level} | `{name}` | {message} |\n"));
+        }
+    }
+    expect_file!["../../../docs/EVENTS.md"].assert_eq(&page);
+}
+
+#[test]
+fn the_page_of_codes_agrees_with_the_code() {
+    let mut page = CODES_HEAD.to_owned();
+    for (package, _, rows) in CODES {
+        page.push_str(&format!("\n## {package}\n\n| code | HTTP status | name | meaning |\n"));
+        page.push_str("|---|---|---|---|\n");
+        for row in *rows {
+            let (number, status, name) = (row.number, row.http_status, row.name);
+            page.push_str(&format!("| {number} | {status} | `{name}` | {} |\n", row.meaning));
+        }
+    }
+    page.push_str("\n## Exit codes of the program\n\n| exit code | meaning |\n|---|---|\n");
+    for (number, meaning) in exit_codes() {
+        page.push_str(&format!("| {number} | {meaning} |\n"));
+    }
+    expect_file!["../../../docs/CODES.md"].assert_eq(&page);
+}
+
+/// Exit codes as the help text lists them.
+fn exit_codes() -> Vec<(String, String)> {
+    let output = Command::new(env!("CARGO_BIN_EXE_cassiafold")).arg("--help").output();
+    let help = String::from_utf8(output.expect("the program starts").stdout).expect("text");
+    let (_, list) = help.split_once("Exit codes:\n").expect("a list of exit codes");
+    let rows = list.lines().filter_map(|line| line.trim().split_once("  "));
+    rows.map(|(number, meaning)| (number.to_owned(), meaning.trim().to_owned())).collect()
+}
+
+#[test]
+fn numbers_are_unique_and_within_the_range_of_their_package() {
+    let events = EVENTS.iter().flat_map(|(package, first, rows)| {
+        rows.iter().map(move |row| (*package, *first, row.number, row.name))
+    });
+    let codes = CODES.iter().flat_map(|(package, first, rows)| {
+        rows.iter().map(move |row| (*package, *first, row.number, row.name))
+    });
+    let mut seen = BTreeSet::new();
+    for (package, first, number, name) in events.chain(codes) {
+        assert!((first..first + RANGE).contains(&number), "{package}: {name} = {number}");
+        assert!(seen.insert(number), "{package}: {name} = {number} is used twice");
+    }
+}
+
+#[test]
+fn every_package_with_events_or_codes_is_listed() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut declared = BTreeSet::new();
+    for entry in std::fs::read_dir(crates).expect("the packages") {
+        let entry = entry.expect("a package");
+        let package = entry.file_name().to_string_lossy().into_owned();
+        for (file, macro_name) in [("event.rs", "events! {"), ("code.rs", "codes! {")] {
+            let text = std::fs::read_to_string(entry.path().join("src").join(file));
+            if text.is_ok_and(|text| text.contains(&format!("cassiafold_event::{macro_name}"))) {
+                declared.insert((package.clone(), file));
+            }
+        }
+    }
+    let events = EVENTS.iter().map(|(package, ..)| ((*package).to_owned(), "event.rs"));
+    let codes = CODES.iter().map(|(package, ..)| ((*package).to_owned(), "code.rs"));
+    assert_eq!(declared, events.chain(codes).collect::<BTreeSet<_>>());
+}
