--- a/crates/cassiafold/tests/command_line.rs
+++ b/crates/cassiafold/tests/command_line.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 
+use cassiafold_config::{Config, Service, Settings};
 use expect_test::expect;
 
 fn cassiafold(arguments: &[&str]) -> std::process::Output {
@@ -83,3 +84,41 @@
     assert!(output.status.success());
     assert!(String::from_utf8(output.stdout).unwrap().contains("_cassiafold"));
 }
+
+/// Text of a file under `examples/`.
+fn example(name: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    std::fs::read_to_string(path).expect("the sample can be read")
+}
+
+fn assert_deployment(name: &str, zones: usize) {
+    Settings::from_yaml(&example(&format!("{name}-settings.yaml"))).expect("no faults");
+    let config = Config::from_yaml(&example(&format!("{name}-config.yaml"))).expect("no faults");
+    let spare = config.pools.values().filter(|pool| pool.service.is_none()).count();
+    let sizes = (config.zones.len(), config.services.len(), config.pools.len(), spare);
+    assert_eq!(sizes, (zones, 5, 6, 1));
+    assert_eq!(config.teams.len(), 6);
+    let slots = |service: &Service| (service.slots_per_instance, service.connections_per_instance);
+    assert!(config.services.values().all(|service| slots(service) == (8, 64)));
+}
+
+#[test]
+fn the_sample_of_casa_liwayway_has_the_sizes_of_the_brief() {
+    assert_deployment("casa-liwayway", 3);
+}
+
+#[test]
+fn the_sample_of_al_batinah_has_the_sizes_of_the_brief() {
+    assert_deployment("al-batinah", 4);
+}
+
+#[test]
+fn every_sample_passes_check() {
+    let directory = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let files = std::fs::read_dir(directory).unwrap().map(|entry| entry.unwrap().path());
+    let files: Vec<String> = files.map(|path| path.display().to_string()).collect();
+    assert!(files.len() >= 4);
+    let arguments: Vec<&str> = ["check"].into_iter().chain(files.iter().map(|f| &**f)).collect();
+    let output = cassiafold(&arguments);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+}
