--- /dev/null
+++ b/crates/membership/src/exchange.rs
@@ -0,0 +1,230 @@
+//! Reports as changes only: what a connection has told already is not told again.
+//!
+//! Sender and receiver of a connection keep the same table of names and the same usage of each
+//! reported entry instance; both start empty with the connection.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use cassiafold_config::{InstanceId, ZoneId};
+use cassiafold_wire::{EntryReport, InstanceUsage, NAMES_MAX, QueueUsage, Report, WireError};
+
+use crate::escrow::Incarnation;
+use crate::roster::Heard;
+use crate::usage::{QueueId, TeamUsage, Usage};
+
+/// Change of a count that is worth a message, as a divisor of the count.
+const CHANGE_DIVISOR: u32 = 8;
+
+/// A name together with its position on the connection.
+type Position = u16;
+
+/// Sending side of a connection.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    names: HashMap<Arc<str>, Position>,
+    fresh: Vec<Arc<str>>,
+    sent: HashMap<InstanceId, Sent>,
+}
+
+#[derive(Debug, Default)]
+struct Sent {
+    incarnation: Incarnation,
+    usage: Usage,
+}
+
+impl Outbox {
+    /// The report that brings the receiver up to date. Backend servers are told only where
+    /// `with_instances` says so. Fails when the table of names is full; the connection has to be
+    /// made anew then.
+    pub fn report(
+        &mut self,
+        entries: &[Heard],
+        with_instances: bool,
+        ledger_revision: u64,
+    ) -> Result<Report, WireError> {
+        let reports: Result<Vec<_>, _> =
+            entries.iter().map(|heard| self.entry(heard, with_instances)).collect();
+        let reports = reports?;
+        let names = std::mem::take(&mut self.fresh);
+        Ok(Report { names, ledger_revision, entries: reports })
+    }
+
+    fn entry(&mut self, heard: &Heard, with_instances: bool) -> Result<EntryReport, WireError> {
+        let mut sent = self.sent.remove(&heard.id).unwrap_or_default();
+        if sent.incarnation != heard.incarnation {
+            sent = Sent { incarnation: heard.incarnation, usage: Usage::default() };
+        }
+        let queues = self.queues(&mut sent.usage.queues, &heard.usage.queues)?;
+        let instances = match with_instances {
+            true => self.instances(&mut sent.usage.instances, &heard.usage.instances)?,
+            false => Vec::new(),
+        };
+        self.sent.insert(heard.id.clone(), sent);
+        Ok(EntryReport {
+            entry: self.position(&heard.id)?,
+            zone: self.position(&heard.zone)?,
+            incarnation: heard.incarnation,
+            heartbeat: heard.heartbeat,
+            config_version: heard.config_version,
+            ready: heard.ready,
+            queues,
+            instances,
+        })
+    }
+
+    fn queues(
+        &mut self,
+        sent: &mut BTreeMap<QueueId, TeamUsage>,
+        now: &BTreeMap<QueueId, TeamUsage>,
+    ) -> Result<Vec<QueueUsage>, WireError> {
+        let mut changes = Vec::new();
+        let gone = sent.keys().filter(|queue| !now.contains_key(queue)).cloned();
+        let gone: Vec<_> = gone.map(|queue| (queue, TeamUsage::default())).collect();
+        let present = now.iter().map(|(queue, usage)| (queue.clone(), *usage));
+        for (queue, usage) in gone.into_iter().chain(present) {
+            let before = sent.get(&queue).copied().unwrap_or_default();
+            if !is_worth_telling(before, usage) {
+                continue;
+            }
+            changes.push(QueueUsage {
+                service: self.position(&queue.service)?,
+                team: self.position(&queue.team)?,
+                running: saturate(usage.running),
+                waiting: saturate(usage.waiting),
+            });
+            if usage == TeamUsage::default() {
+                sent.remove(&queue);
+            } else {
+                sent.insert(queue, usage);
+            }
+        }
+        Ok(changes)
+    }
+
+    fn instances(
+        &mut self,
+        sent: &mut BTreeMap<InstanceId, u32>,
+        now: &BTreeMap<InstanceId, u32>,
+    ) -> Result<Vec<InstanceUsage>, WireError> {
+        let mut changes = Vec::new();
+        let gone = sent.keys().filter(|id| !now.contains_key(*id)).cloned();
+        let gone: Vec<_> = gone.map(|id| (id, 0)).collect();
+        let present = now.iter().map(|(id, running)| (id.clone(), *running));
+        for (id, running) in gone.into_iter().chain(present) {
+            if sent.get(&id).copied().unwrap_or(0) == running {
+                continue;
+            }
+            let instance = self.position(&id)?;
+            changes.push(InstanceUsage { instance, running: saturate(running) });
+            if running == 0 {
+                sent.remove(&id);
+            } else {
+                sent.insert(id, running);
+            }
+        }
+        Ok(changes)
+    }
+
+    fn position(&mut self, name: &Arc<str>) -> Result<Position, WireError> {
+        if let Some(position) = self.names.get(name) {
+            return Ok(*position);
+        }
+        let next = self.names.len();
+        let position = Position::try_from(next).map_err(|_| WireError::Names(next + 1))?;
+        self.names.insert(name.clone(), position);
+        self.fresh.push(name.clone());
+        Ok(position)
+    }
+}
+
+/// Whether a change of a queue is large enough, or to or from zero.
+fn is_worth_telling(before: TeamUsage, now: TeamUsage) -> bool {
+    let far = |before: u32, now: u32| {
+        let zero = (before == 0) != (now == 0);
+        zero || before.abs_diff(now) > before / CHANGE_DIVISOR
+    };
+    far(before.running, now.running) || far(before.waiting, now.waiting)
+}
+
+fn saturate(count: u32) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
+
+/// Receiving side of a connection.
+#[derive(Debug, Default)]
+pub struct Inbox {
+    names: Vec<Arc<str>>,
+    replicas: HashMap<InstanceId, Replica>,
+}
+
+#[derive(Debug, Default)]
+struct Replica {
+    incarnation: Incarnation,
+    usage: Arc<Usage>,
+}
+
+impl Inbox {
+    /// Takes in a report and returns the heartbeats in it.
+    pub fn receive(&mut self, report: Report) -> Result<Vec<Heard>, WireError> {
+        let count = self.names.len() + report.names.len();
+        if count > NAMES_MAX {
+            return Err(WireError::Names(count));
+        }
+        self.names.extend(report.names);
+        report.entries.iter().map(|entry| self.entry(entry)).collect()
+    }
+
+    fn entry(&mut self, entry: &EntryReport) -> Result<Heard, WireError> {
+        let id: InstanceId = self.name(entry.entry)?;
+        let zone: ZoneId = self.name(entry.zone)?;
+        let mut replica = self.replicas.remove(&id).unwrap_or_default();
+        if replica.incarnation != entry.incarnation {
+            replica = Replica { incarnation: entry.incarnation, usage: Arc::default() };
+        }
+        if !entry.queues.is_empty() || !entry.instances.is_empty() {
+            self.apply(Arc::make_mut(&mut replica.usage), entry)?;
+        }
+        let usage = replica.usage.clone();
+        self.replicas.insert(id.clone(), replica);
+        Ok(Heard {
+            id,
+            zone,
+            incarnation: entry.incarnation,
+            heartbeat: entry.heartbeat,
+            config_version: entry.config_version,
+            ready: entry.ready,
+            usage,
+        })
+    }
+
+    fn apply(&self, usage: &mut Usage, entry: &EntryReport) -> Result<(), WireError> {
+        for change in &entry.queues {
+            let (service, team) = (self.name(change.service)?, self.name(change.team)?);
+            let (running, waiting) = (u32::from(change.running), u32::from(change.waiting));
+            let queue = QueueId { service, team };
+            if running == 0 && waiting == 0 {
+                usage.queues.remove(&queue);
+            } else {
+                usage.queues.insert(queue, TeamUsage { running, waiting });
+            }
+        }
+        for change in &entry.instances {
+            let instance = self.name(change.instance)?;
+            if change.running == 0 {
+                usage.instances.remove(&instance);
+            } else {
+                usage.instances.insert(instance, u32::from(change.running));
+            }
+        }
+        Ok(())
+    }
+
+    fn name(&self, position: Position) -> Result<Arc<str>, WireError> {
+        let name = self.names.get(usize::from(position));
+        name.cloned().ok_or(WireError::Position(position))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/exchange/tests.rs
@@ -0,0 +1,102 @@
+use std::sync::Arc;
+
+use cassiafold_wire::{EntryReport, QueueUsage, Report};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::{CHANGE_DIVISOR, Inbox, Outbox};
+use crate::roster::Heard;
+use crate::usage::{QueueId, TeamUsage, Usage};
+
+fn heard(entry: usize, incarnation: u64, heartbeat: u64, usage: Usage) -> Heard {
+    Heard {
+        id: format!("entry-{entry}").into(),
+        zone: "a".into(),
+        incarnation,
+        heartbeat,
+        config_version: 1,
+        ready: true,
+        usage: Arc::new(usage),
+    }
+}
+
+fn usage() -> impl Strategy<Value = Usage> {
+    let queue = (0usize..3, 0usize..5, 0u32..40, 0u32..90_000);
+    let instance = (0usize..6, 1u32..9);
+    let queues = prop::collection::vec(queue, 0..12);
+    (queues, prop::collection::vec(instance, 0..6)).prop_map(|(queues, instances)| {
+        let queues = queues.into_iter().filter(|queue| queue.2 + queue.3 > 0);
+        let queues = queues.map(|(service, team, running, waiting)| {
+            let (service, team) = (format!("s{service}").into(), format!("t{team}").into());
+            (QueueId { service, team }, TeamUsage { running, waiting })
+        });
+        let instances =
+            instances.into_iter().map(|(id, running)| (format!("i{id}").into(), running));
+        Usage { queues: queues.collect(), instances: instances.collect() }
+    })
+}
+
+/// The receiver may differ from the truth by what is not worth telling, and by saturation.
+fn close(truth: u32, seen: u32) -> bool {
+    let truth = truth.min(u32::from(u16::MAX));
+    (truth == 0) == (seen == 0) && truth.abs_diff(seen) <= seen / CHANGE_DIVISOR + 1
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_receiver_sees_what_the_sender_has(
+        rounds in prop::collection::vec((0usize..3, 1u64..3, usage()), 1..20),
+    ) {
+        let (mut outbox, mut inbox) = (Outbox::default(), Inbox::default());
+        for (number, (entry, incarnation, usage)) in rounds.into_iter().enumerate() {
+            let sent = heard(entry, incarnation, number as u64, usage);
+            let report = outbox.report(std::slice::from_ref(&sent), true, 0).unwrap();
+            let received = inbox.receive(report).unwrap();
+            prop_assert_eq!(received.len(), 1);
+            let (truth, seen) = (&sent.usage, &received[0].usage);
+            prop_assert_eq!(&received[0].id, &sent.id);
+            prop_assert_eq!(&truth.instances, &seen.instances);
+            prop_assert!(truth.queues.keys().eq(seen.queues.keys()));
+            for (queue, truth) in &truth.queues {
+                let seen = seen.queues[queue];
+                prop_assert!(close(truth.running, seen.running) && close(truth.waiting, seen.waiting));
+            }
+        }
+    }
+}
+
+#[test]
+fn unchanged_usage_is_not_told_again() {
+    let queue = QueueId { service: "portal".into(), team: "parishes".into() };
+    let mut usage = Usage::default();
+    usage.queues.insert(queue, TeamUsage { running: 3, waiting: 4 });
+    let mut outbox = Outbox::default();
+    let first = outbox.report(&[heard(0, 1, 1, usage.clone())], true, 0).unwrap();
+    assert_eq!((first.names.len(), first.entries[0].queues.len()), (4, 1));
+    let second = outbox.report(&[heard(0, 1, 2, usage)], true, 0).unwrap();
+    assert!(second.names.is_empty() && second.entries[0].queues.is_empty());
+}
+
+#[test]
+fn a_position_outside_the_table_is_refused() {
+    let queue = QueueUsage { service: 9, team: 0, running: 1, waiting: 0 };
+    let entry = EntryReport {
+        entry: 0,
+        zone: 0,
+        incarnation: 1,
+        heartbeat: 1,
+        config_version: 1,
+        ready: true,
+        queues: vec![queue],
+        instances: vec![],
+    };
+    let report = Report { names: vec!["a".into()], ledger_revision: 0, entries: vec![entry] };
+    assert!(Inbox::default().receive(report).is_err());
+}
--- /dev/null
+++ b/crates/membership/src/identity.rs
@@ -0,0 +1,29 @@
+//! Who an entry instance is.
+
+use std::net::SocketAddr;
+
+use cassiafold_config::{InstanceId, RegionId, ZoneId};
+
+use crate::escrow::{HolderId, Incarnation};
+
+/// One run of an entry instance with its place and address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Identifier of the entry instance, unique in the fleet.
+    pub id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Address at which it takes calls of the others.
+    pub address: SocketAddr,
+    /// Number of this run, higher than that of earlier runs.
+    pub incarnation: Incarnation,
+}
+
+impl Identity {
+    /// The identity as a holder of slices.
+    pub fn holder(&self) -> HolderId {
+        HolderId { instance: self.id.clone(), incarnation: self.incarnation }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/relay.rs
@@ -0,0 +1,72 @@
+//! To whom an entry instance reports: all of its own zone, and other zones through one relay each.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cassiafold_config::{InstanceId, ZoneId};
+
+/// An entry instance as far as the choice of relays is concerned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Identifier of the entry instance.
+    pub id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it was heard lately.
+    pub live: bool,
+}
+
+/// Someone to report to; each is one task.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Target {
+    /// An entry instance of the own zone.
+    Mate(InstanceId),
+    /// Any entry instance of another zone.
+    Zone(ZoneId),
+}
+
+/// Weight of an entry instance as the relay between its zone and `zone`.
+fn weight(id: &str, zone: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(id.len() as u64).to_le_bytes());
+    hasher.update(id.as_bytes());
+    hasher.update(zone.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Orders entry instances by rendezvous hashing for traffic with `zone`, the first choice first.
+pub fn ranked<'a>(members: impl Iterator<Item = &'a Member>, zone: &str) -> Vec<&'a Member> {
+    let mut ranked: Vec<&Member> = members.collect();
+    ranked.sort_by_cached_key(|member| (std::cmp::Reverse(weight(&member.id, zone)), &member.id));
+    ranked
+}
+
+/// Targets of the entry instance `me` of `home`. `others` are all other known entry instances.
+pub fn targets(me: &InstanceId, home: &ZoneId, others: &[Member]) -> BTreeSet<Target> {
+    let mates = others.iter().filter(|other| other.zone == *home);
+    let mut targets: BTreeSet<Target> = mates.map(|mate| Target::Mate(mate.id.clone())).collect();
+    let own = Member { id: me.clone(), zone: home.clone(), live: true };
+    let live_mates = others.iter().filter(|other| other.zone == *home && other.live);
+    let home_members: Vec<&Member> = live_mates.chain([&own]).collect();
+    let zones: BTreeSet<&ZoneId> = others.iter().map(|other| &other.zone).collect();
+    for zone in zones.into_iter().filter(|zone| *zone != home) {
+        let relay = ranked(home_members.iter().copied(), zone)[0];
+        if relay.id == *me {
+            targets.insert(Target::Zone(zone.clone()));
+        }
+    }
+    targets
+}
+
+/// Number of members in each zone.
+pub fn by_zone(members: &[Member]) -> BTreeMap<ZoneId, usize> {
+    let mut zones = BTreeMap::new();
+    for member in members {
+        *zones.entry(member.zone.clone()).or_insert(0) += 1;
+    }
+    zones
+}
+
+#[cfg(test)]
+mod tests;
