Entry instances act as one: peers, registrations, spread, shares, control role

Change: connections over capnp-rpc on a thread of their own, one task for each peer; leased registrations; the configuration by watch, by a read now and then, and from peers; weights towards weighted max-min; the control role held by lease; Membership joins them. Conclusion: a configuration reaches entry instances that have lost the key-value service, and a new one starts from a peer while the service is down.

--- /dev/null
+++ b/crates/membership/src/contact.rs
@@ -0,0 +1,42 @@
+//! When the key-value service last answered.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time without an answer after which the key-value service does not count as reachable.
+const REACHABLE_MAX: Duration = Duration::from_secs(15);
+
+/// When the key-value service last answered. Clones share it.
+#[derive(Debug, Clone)]
+pub struct StoreContact {
+    start: Instant,
+    last_ms: Arc<AtomicU64>,
+}
+
+impl Default for StoreContact {
+    fn default() -> Self {
+        Self { start: Instant::now(), last_ms: Arc::new(AtomicU64::new(u64::MAX)) }
+    }
+}
+
+impl StoreContact {
+    /// Notes an answer.
+    pub fn note(&self) {
+        self.last_ms.store(self.start.elapsed().as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Time since the last answer; `None` before the first.
+    pub fn age(&self) -> Option<Duration> {
+        let last_ms = self.last_ms.load(Ordering::Relaxed);
+        let last = (last_ms != u64::MAX).then(|| Duration::from_millis(last_ms))?;
+        Some(self.start.elapsed().saturating_sub(last))
+    }
+
+    /// Whether the service answered lately.
+    pub fn is_reachable(&self) -> bool {
+        self.age().is_some_and(|age| age < REACHABLE_MAX)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/control.rs
@@ -0,0 +1,148 @@
+//! The control role: work for the whole fleet runs at the one entry instance that holds it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::backoff::jitter;
+use cassiafold_platform::{
+    Compare, LeaseId, LeaseKeeper, LeaseValidity, Operation, Revision, Store, StoreError, Write,
+    WriteOutcome,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::escrow::Incarnation;
+use crate::event::MembershipEvent;
+use crate::identity::Identity;
+
+/// Key of the holder of the control role.
+pub const CONTROL_KEY: &str = "cassiafold/control/holder";
+/// Attempts to settle a write whose answer was lost, before the lease is given up.
+const SETTLE_ATTEMPTS: usize = 5;
+const SETTLE_WAIT: Duration = Duration::from_millis(200);
+
+/// Stored holder of the control role.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Holder {
+    id: Arc<str>,
+    run: Incarnation,
+    lease: LeaseId,
+}
+
+/// One time of holding the control role.
+#[derive(Debug, Clone)]
+pub struct ControlTerm {
+    /// Revision at which the role was acquired; it rises from term to term and so orders them.
+    pub revision: Revision,
+    validity: LeaseValidity,
+}
+
+impl ControlTerm {
+    /// Whether the role surely is held at this moment, by the monotonic clock. Ask before each
+    /// step; it may end between two steps.
+    pub fn is_valid(&self) -> bool {
+        self.validity.is_valid()
+    }
+}
+
+/// Tells whether this entry instance holds the control role. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct ControlLease {
+    term: Arc<Mutex<Option<ControlTerm>>>,
+    changes: Arc<watch::Sender<()>>,
+}
+
+impl ControlLease {
+    /// The present term if the role surely is held at this moment.
+    pub fn held(&self) -> Option<ControlTerm> {
+        let term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
+        term.clone().filter(ControlTerm::is_valid)
+    }
+
+    /// Receiver that is notified when the role was acquired or lost.
+    pub fn changed(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    fn set(&self, term: Option<ControlTerm>) {
+        *self.term.lock().unwrap_or_else(PoisonError::into_inner) = term;
+        self.changes.send_replace(());
+    }
+
+    /// Tries to acquire the role and keeps it, until `stop`; then gives it back.
+    pub async fn run<S: Store>(
+        self,
+        store: S,
+        me: Identity,
+        ttl: Duration,
+        stop: CancellationToken,
+    ) {
+        while !stop.is_cancelled() {
+            if is_free(&store).await {
+                self.try_term(&store, &me, ttl, &stop).await;
+            }
+            tokio::select! {
+                () = sleep(jitter(ttl / 3)) => {}
+                () = stop.cancelled() => {}
+            }
+        }
+    }
+
+    /// Holds the role for one term if it can be acquired.
+    async fn try_term<S: Store>(
+        &self,
+        store: &S,
+        me: &Identity,
+        ttl: Duration,
+        stop: &CancellationToken,
+    ) {
+        let Ok(lease) = LeaseKeeper::start(store.clone(), ttl).await else { return };
+        if let Some(revision) = acquire(store, me, lease.id()).await {
+            emit!(MembershipEvent::ControlAcquired, instance = me.id, revision = revision);
+            self.set(Some(ControlTerm { revision, validity: lease.validity() }));
+            tokio::select! {
+                () = lease.ended() => emit!(MembershipEvent::ControlLost, instance = me.id),
+                () = stop.cancelled() => {}
+            }
+            self.set(None);
+        }
+        let _ = lease.close().await;
+    }
+}
+
+async fn is_free<S: Store>(store: &S) -> bool {
+    matches!(store.get(CONTROL_KEY).await, Ok(None))
+}
+
+/// Creates the key bound to `lease`. A lost answer is settled by reading back.
+async fn acquire<S: Store>(store: &S, me: &Identity, lease: LeaseId) -> Option<Revision> {
+    let holder = Holder { id: me.id.clone(), run: me.incarnation, lease };
+    let value = serde_json::to_vec(&holder).ok()?;
+    let operation = Operation::Put { value: value.into(), lease: Some(lease) };
+    let write = Write { key: CONTROL_KEY.into(), compare: Compare::Absent, operation };
+    match store.write(write).await {
+        Ok(WriteOutcome::Written(revision)) => Some(revision),
+        Err(StoreError::OutcomeUnknown(_)) => settle(store, &holder).await,
+        _ => None,
+    }
+}
+
+/// Looks whether a write took effect. Giving up is safe: the lease is ended and with it the key.
+async fn settle<S: Store>(store: &S, holder: &Holder) -> Option<Revision> {
+    for _ in 0..SETTLE_ATTEMPTS {
+        if let Ok(Some(record)) = store.get(CONTROL_KEY).await {
+            let stored: Option<Holder> = serde_json::from_slice(&record.value).ok();
+            if stored.as_ref() == Some(holder) {
+                return Some(record.revision);
+            }
+        }
+        sleep(SETTLE_WAIT).await;
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/directory/tests.rs
@@ -0,0 +1,85 @@
+use std::time::Duration;
+
+use cassiafold_platform::Store;
+use cassiafold_standin::MemoryStore;
+use cassiafold_standin::faults::{Partition, WriteFault};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::{ENTRIES_PREFIX, follow, register};
+use crate::contact::StoreContact;
+use crate::identity::Identity;
+use crate::roster::Roster;
+
+const TTL: Duration = Duration::from_secs(10);
+
+fn identity(id: &str, incarnation: u64) -> Identity {
+    Identity {
+        id: id.into(),
+        zone: "a".into(),
+        region: "north".into(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        incarnation,
+    }
+}
+
+fn registered(store: &MemoryStore, me: Identity) -> (CancellationToken, JoinHandle<()>) {
+    let stop = CancellationToken::new();
+    let client = store.client(&*me.id);
+    let task = register(client, me, TTL, stop.clone(), StoreContact::default());
+    (stop, tokio::spawn(task))
+}
+
+async fn count(store: &MemoryStore) -> usize {
+    store.list(ENTRIES_PREFIX).await.unwrap().records.len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_registration_lives_as_long_as_its_entry() {
+    let store = MemoryStore::default();
+    let roster = Roster::new(identity("a1", 1));
+    tokio::spawn(follow(store.client("a1"), roster.clone(), StoreContact::default()));
+    let (stop, task) = registered(&store, identity("a2", 1));
+    sleep(3 * TTL).await;
+    assert_eq!((count(&store).await, roster.known().len()), (1, 2));
+    stop.cancel();
+    task.await.unwrap();
+    assert_eq!(count(&store).await, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_registration_is_made_again() {
+    let store = MemoryStore::default();
+    let (_stop, _task) = registered(&store, identity("a2", 1));
+    sleep(TTL).await;
+    store.faults().cut_off("a2", Partition::Requests);
+    sleep(2 * TTL).await;
+    assert_eq!(count(&store).await, 0);
+    store.faults().reconnect("a2");
+    sleep(TTL).await;
+    assert_eq!(count(&store).await, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_to_the_registration_is_settled() {
+    for fault in [WriteFault::LostAnswer, WriteFault::LostRequest] {
+        let store = MemoryStore::default();
+        store.faults().fail_writes(1, fault);
+        let (_stop, _task) = registered(&store, identity("a2", 1));
+        sleep(TTL).await;
+        assert_eq!(count(&store).await, 1);
+        assert!(store.faults().counts("a2").writes <= 2);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_run_does_not_replace_a_newer_one() {
+    let store = MemoryStore::default();
+    let (_newer, _task) = registered(&store, identity("a2", 2));
+    sleep(TTL).await;
+    let before = store.list(ENTRIES_PREFIX).await.unwrap().records;
+    let (_older, _other) = registered(&store, identity("a2", 1));
+    sleep(2 * TTL).await;
+    assert_eq!(store.list(ENTRIES_PREFIX).await.unwrap().records, before);
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,21 +1,40 @@
 //! Live entry instances, spread of configuration, escrowed upper limits and shares.
 //!
+//! - [`membership`]: one entry instance as a member of the fleet; start here.
 //! - [`escrow`]: upper limits of teams over all entry instances.
+//! - [`shares`]: weighted max-min over all entry instances.
 //! - [`usage`]: running and waiting requests.
 //! - [`roster`]: what is known of all entry instances.
+//! - [`directory`]: registrations in the key-value service.
+//! - [`peers`]: connections between entry instances.
 //! - [`relay`]: to whom an entry instance reports.
 //! - [`exchange`]: reports as changes only.
+//! - [`spread`]: the configuration from the key-value service and from peers.
+//! - [`control`]: the role of the one that works for the whole fleet.
 
+pub mod contact;
+pub mod control;
+pub mod directory;
 pub mod escrow;
 pub mod event;
 pub mod exchange;
 pub mod identity;
+pub mod membership;
+pub mod peers;
 pub mod relay;
 pub mod roster;
+pub mod shares;
+pub mod spread;
 pub mod usage;
 
+pub use contact::StoreContact;
+pub use control::{ControlLease, ControlTerm};
 pub use escrow::{Escrow, EscrowSettings, Permit};
 pub use event::MembershipEvent;
 pub use identity::Identity;
+pub use membership::{Membership, MembershipSettings};
+pub use peers::{PeersSettings, Traffic};
 pub use roster::{Confirmation, Confirmations, LiveEntry, Roster};
+pub use shares::{Shares, TeamWeight};
+pub use spread::{Spread, SpreadCounts};
 pub use usage::{QueueId, TeamUsage, Usage, UsageSource};
--- /dev/null
+++ b/crates/membership/src/membership.rs
@@ -0,0 +1,218 @@
+//! One entry instance as a member of the fleet: the tasks of this package and how they are joined.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cassiafold_config::{ActiveConfig, Settings, ZoneId};
+use cassiafold_platform::Store;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::contact::StoreContact;
+use crate::control::ControlLease;
+use crate::directory;
+use crate::escrow::{Escrow, EscrowSettings, Incarnation, Keeper};
+use crate::identity::Identity;
+use crate::peers::{Peers, PeersSettings, Traffic};
+use crate::roster::{Confirmations, LiveEntry, Roster};
+use crate::shares::Shares;
+use crate::spread::{self, Spread, SpreadCounts};
+use crate::usage::UsageSource;
+
+/// Time between two heartbeats.
+const BEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for one task at the end.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Settings of the membership of one entry instance.
+#[derive(Debug, Clone)]
+pub struct MembershipSettings {
+    /// This run of the entry instance.
+    pub identity: Identity,
+    /// Time to live of leases in the key-value service.
+    pub lease_ttl: Duration,
+    /// Times of the escrow.
+    pub escrow: EscrowSettings,
+    /// Connections with the others.
+    pub peers: PeersSettings,
+}
+
+impl From<&Settings> for MembershipSettings {
+    fn from(settings: &Settings) -> Self {
+        let identity = Identity {
+            id: settings.instance_id.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            address: settings.peers_address,
+            incarnation: incarnation(SystemTime::now()),
+        };
+        let lease_ttl = settings.lease_ttl;
+        let (escrow, peers) = (EscrowSettings::default(), PeersSettings::default());
+        Self { identity, lease_ttl, escrow, peers }
+    }
+}
+
+/// Numbers a run by its start, in microseconds since the Unix epoch.
+pub fn incarnation(started: SystemTime) -> Incarnation {
+    started.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_micros() as u64)
+}
+
+/// One entry instance as a member of the fleet.
+#[derive(Debug)]
+pub struct Membership {
+    escrow: Escrow,
+    roster: Roster,
+    shares: Shares,
+    control: ControlLease,
+    spread: Spread,
+    contact: StoreContact,
+    ready: Arc<AtomicBool>,
+    peers: Peers,
+    stop: CancellationToken,
+    leaving: Vec<JoinHandle<()>>,
+    following: Vec<JoinHandle<()>>,
+}
+
+impl Membership {
+    /// Joins the fleet. `listener` takes the calls of the other entry instances at the address in
+    /// `settings`; `config` gets the configurations; `usage` tells the requests of this instance.
+    pub fn start<S: Store, U: UsageSource>(
+        settings: MembershipSettings,
+        listener: TcpListener,
+        store: S,
+        config: ActiveConfig,
+        usage: U,
+    ) -> io::Result<Self> {
+        let (me, ttl) = (settings.identity, settings.lease_ttl);
+        let (escrow, roster) = (Escrow::default(), Roster::new(me.clone()));
+        let (spread, contact) = (Spread::new(config.clone()), StoreContact::default());
+        let (stop, control) = (CancellationToken::new(), ControlLease::default());
+        let ready = Arc::new(AtomicBool::new(false));
+        let keeper = Keeper::new(
+            me.holder(),
+            settings.escrow,
+            store.clone(),
+            config.clone(),
+            usage.clone(),
+            escrow.clone(),
+        );
+        let hint = keeper.hint();
+        let peers = Peers::start(listener, settings.peers, roster.clone(), spread.clone(), hint)?;
+        let leaving = vec![
+            tokio::spawn(keeper.run(stop.clone().cancelled_owned())),
+            tokio::spawn(directory::register(
+                store.clone(),
+                me.clone(),
+                ttl,
+                stop.clone(),
+                contact.clone(),
+            )),
+            tokio::spawn(control.clone().run(store.clone(), me, ttl, stop.clone())),
+        ];
+        let following = vec![
+            tokio::spawn(directory::follow(store.clone(), roster.clone(), contact.clone())),
+            tokio::spawn(spread::follow(store, spread.clone(), roster.clone(), contact.clone())),
+            tokio::spawn(beat(roster.clone(), config.clone(), usage, ready.clone())),
+        ];
+        let shares = Shares::new(roster.clone(), config);
+        Ok(Self {
+            escrow,
+            roster,
+            shares,
+            control,
+            spread,
+            contact,
+            ready,
+            peers,
+            stop,
+            leaving,
+            following,
+        })
+    }
+
+    /// Permits within the upper limits of teams.
+    pub fn escrow(&self) -> Escrow {
+        self.escrow.clone()
+    }
+
+    /// Shares of teams over all entry instances.
+    pub fn shares(&self) -> Shares {
+        self.shares.clone()
+    }
+
+    /// The control role.
+    pub fn control(&self) -> ControlLease {
+        self.control.clone()
+    }
+
+    /// The table of all entry instances.
+    pub fn roster(&self) -> Roster {
+        self.roster.clone()
+    }
+
+    /// Which configuration version each entry instance has in force.
+    pub fn confirmations(&self) -> Confirmations {
+        self.roster.confirmations()
+    }
+
+    /// Live entry instances of a zone, or of all.
+    pub fn live(&self, zone: Option<&ZoneId>) -> Vec<LiveEntry> {
+        self.roster.live(zone)
+    }
+
+    /// Counts of offered configurations.
+    pub fn spread_counts(&self) -> SpreadCounts {
+        self.spread.counts()
+    }
+
+    /// When the key-value service last answered.
+    pub fn store_contact(&self) -> StoreContact {
+        self.contact.clone()
+    }
+
+    /// Bytes and calls between this entry instance and the others.
+    pub fn traffic(&self) -> Traffic {
+        self.peers.traffic()
+    }
+
+    /// Tells the others whether this entry instance takes new requests.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Leaves the fleet: gives back slices, registration and control role, and tells the peers.
+    /// Call it when no request runs any more; slices of requests that run return later.
+    pub async fn close(self) {
+        for task in &self.following {
+            task.abort();
+        }
+        self.stop.cancel();
+        let peers = self.peers.close();
+        let tasks = self.leaving.into_iter().map(|task| timeout(CLOSE_TIMEOUT, task));
+        tokio::join!(peers, futures_util::future::join_all(tasks));
+    }
+}
+
+/// Raises the heartbeat at an interval and when a configuration comes in force.
+async fn beat<U: UsageSource>(
+    roster: Roster,
+    config: ActiveConfig,
+    usage: U,
+    ready: Arc<AtomicBool>,
+) {
+    let mut ticks = interval(BEAT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut adopted = config.subscribe();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = adopted.changed() => {}
+        }
+        let now = Arc::new(usage.usage());
+        roster.beat(now, config.version(), ready.load(Ordering::Relaxed));
+    }
+}
--- /dev/null
+++ b/crates/membership/src/peers.rs
@@ -0,0 +1,171 @@
+//! Connections with other entry instances, on a thread of their own: Cap'n Proto objects stay on
+//! the thread that made them.
+
+mod client;
+mod connection;
+mod server;
+mod traffic;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use cassiafold_config::Version;
+use cassiafold_wire::Hello;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+pub use self::traffic::Traffic;
+use crate::identity::Identity;
+use crate::relay::Target;
+use crate::roster::Roster;
+use crate::spread::Spread;
+
+/// How often the targets are chosen anew.
+const TARGETS_INTERVAL: Duration = Duration::from_millis(500);
+/// Wait for the tasks of peers to say that this entry instance leaves.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Times and first addresses of the connections.
+#[derive(Debug, Clone)]
+pub struct PeersSettings {
+    /// Longest time between two reports to a peer.
+    pub report_interval: Duration,
+    /// Timeout of a call.
+    pub call_timeout: Duration,
+    /// Addresses of entry instances to ask when no other is known.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for PeersSettings {
+    fn default() -> Self {
+        Self {
+            report_interval: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(2),
+            seeds: Vec::new(),
+        }
+    }
+}
+
+/// What the tasks of all connections share.
+#[derive(Debug, Clone)]
+struct Context {
+    roster: Roster,
+    spread: Spread,
+    ledger_hint: Arc<AtomicU64>,
+    settings: PeersSettings,
+    traffic: Traffic,
+    stop: CancellationToken,
+}
+
+/// The thread with the connections to other entry instances.
+#[derive(Debug)]
+pub struct Peers {
+    thread: JoinHandle<()>,
+    traffic: Traffic,
+    stop: CancellationToken,
+}
+
+impl Peers {
+    /// Takes calls on `listener` and reports to the targets that `roster` chooses.
+    pub fn start(
+        listener: TcpListener,
+        settings: PeersSettings,
+        roster: Roster,
+        spread: Spread,
+        ledger_hint: Arc<AtomicU64>,
+    ) -> io::Result<Self> {
+        let listener = listener.into_std()?;
+        let traffic = Traffic::default();
+        let stop = CancellationToken::new();
+        let context = Context {
+            roster,
+            spread,
+            ledger_hint,
+            settings,
+            traffic: traffic.clone(),
+            stop: stop.clone(),
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let run = move || {
+            let connections = run(listener, context);
+            if let Err(error) = runtime.block_on(LocalSet::new().run_until(connections)) {
+                log::error!("connections between entry instances ended: {error}");
+            }
+        };
+        let thread = std::thread::Builder::new().name("peers".into()).spawn(run)?;
+        Ok(Self { thread, traffic, stop })
+    }
+
+    /// Counts of bytes and calls.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.clone()
+    }
+
+    /// Tells the peers that this entry instance leaves, and ends the connections.
+    pub async fn close(self) {
+        self.stop.cancel();
+        let _ = tokio::task::spawn_blocking(move || self.thread.join()).await;
+    }
+}
+
+async fn run(listener: std::net::TcpListener, context: Context) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    spawn_local(server::serve(listener, context.clone()));
+    let seeds = context.settings.seeds.clone();
+    spawn_local(client::find_others(seeds, context.clone()));
+    let mut tasks: BTreeMap<Target, tokio::task::JoinHandle<()>> = BTreeMap::new();
+    while !context.stop.is_cancelled() {
+        follow_targets(&mut tasks, &context);
+        tokio::select! {
+            () = sleep(TARGETS_INTERVAL) => {}
+            () = context.stop.cancelled() => {}
+        }
+    }
+    let leaves = futures_util::future::join_all(tasks.into_values());
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, leaves).await;
+    Ok(())
+}
+
+/// Starts a task for each new target and ends those of former ones.
+fn follow_targets(tasks: &mut BTreeMap<Target, tokio::task::JoinHandle<()>>, context: &Context) {
+    let targets = context.roster.targets();
+    tasks.retain(|target, task| {
+        let wanted = targets.contains(target);
+        if !wanted {
+            task.abort();
+        }
+        wanted
+    });
+    for target in targets {
+        let task = || spawn_local(client::report_to(target.clone(), context.clone()));
+        tasks.entry(target.clone()).or_insert_with(task);
+    }
+}
+
+fn hello_of(identity: &Identity, config_version: Version) -> Hello {
+    Hello {
+        id: identity.id.clone(),
+        zone: identity.zone.clone(),
+        region: identity.region.clone(),
+        config_version,
+        incarnation: identity.incarnation,
+        address: identity.address,
+    }
+}
+
+fn identity_of(hello: &Hello) -> Identity {
+    Identity {
+        id: hello.id.clone(),
+        zone: hello.zone.clone(),
+        region: hello.region.clone(),
+        address: hello.address,
+        incarnation: hello.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/membership/src/peers/server.rs
@@ -0,0 +1,153 @@
+//! Calls of other entry instances.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use capnp_rpc::new_client;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use cassiafold_event::emit;
+use cassiafold_wire::peer_capnp::peer;
+use cassiafold_wire::{ConfigDocument, Hello, Leave, Report, WireError};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+use super::{Context, hello_of, identity_of};
+use crate::event::MembershipEvent;
+use crate::exchange::Inbox;
+use crate::roster::Route;
+
+/// Time without a call after which a connection is closed.
+const IDLE_MAX: Duration = Duration::from_secs(30);
+/// Most connections at once.
+const CONNECTIONS_MAX: usize = 512;
+/// Wait after a failed accept, which may be short of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Takes connections for as long as it is polled.
+pub(super) async fn serve(listener: TcpListener, context: Context) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        if open.get() < CONNECTIONS_MAX {
+            let (context, open) = (context.clone(), open.clone());
+            open.set(open.get() + 1);
+            spawn_local(async move {
+                connection(stream, context).await;
+                open.set(open.get() - 1);
+            });
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, context: Context) {
+    let traffic = context.traffic.clone();
+    let last_call = Rc::new(Cell::new(Instant::now()));
+    let server =
+        PeerServer { context, caller: RefCell::default(), inbox: RefCell::default(), last_call };
+    let last_call = server.last_call.clone();
+    let client: peer::Client = new_client(server);
+    let system = super::connection::rpc_system(stream, Side::Server, &traffic, Some(client.client));
+    tokio::select! {
+        _ = system => {}
+        () = idle(&last_call) => {}
+    }
+}
+
+/// Completes when there has been no call for long.
+async fn idle(last_call: &Cell<Instant>) {
+    while last_call.get().elapsed() < IDLE_MAX {
+        tokio::time::sleep_until(last_call.get() + IDLE_MAX).await;
+    }
+}
+
+/// Answers the calls of one connection.
+struct PeerServer {
+    context: Context,
+    caller: RefCell<Option<Hello>>,
+    inbox: RefCell<Inbox>,
+    last_call: Rc<Cell<Instant>>,
+}
+
+fn refused(error: WireError) -> capnp::Error {
+    emit!(MembershipEvent::MessageRefused, error = error);
+    capnp::Error::failed(error.to_string())
+}
+
+impl PeerServer {
+    fn take_report(&self, report: Report) -> Result<(), capnp::Error> {
+        let caller = self.caller.borrow();
+        let caller = caller.as_ref().ok_or(capnp::Error::failed("report before hello".into()))?;
+        let roster = &self.context.roster;
+        let same_zone = caller.zone == roster.me().zone;
+        self.context.ledger_hint.fetch_max(report.ledger_revision, Ordering::Relaxed);
+        for heard in self.inbox.borrow_mut().receive(report).map_err(refused)? {
+            let route = match (same_zone, heard.id == caller.id) {
+                (true, true) => Route::Mate,
+                (true, false) => Route::ThroughMate,
+                (false, _) => Route::OtherZone,
+            };
+            roster.hear(heard, route);
+        }
+        Ok(())
+    }
+}
+
+impl peer::Server for PeerServer {
+    async fn hello(
+        self: Rc<Self>,
+        params: peer::HelloParams,
+        mut results: peer::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_call.set(Instant::now());
+        let caller = Hello::try_from(params.get()?.get_hello()?).map_err(refused)?;
+        self.context.roster.learn(&identity_of(&caller));
+        *self.caller.borrow_mut() = Some(caller);
+        let known = self.context.roster.known();
+        let mut list = results.get().init_known(known.len() as u32);
+        for (index, (identity, version)) in known.iter().enumerate() {
+            hello_of(identity, *version).write(list.reborrow().get(index as u32));
+        }
+        Ok(())
+    }
+
+    async fn report(
+        self: Rc<Self>,
+        params: peer::ReportParams,
+        mut results: peer::ReportResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_call.set(Instant::now());
+        let report = Report::try_from(params.get()?.get_report()?).map_err(refused)?;
+        self.take_report(report)?;
+        results.get().set_config_version(self.context.spread.version());
+        Ok(())
+    }
+
+    async fn config(
+        self: Rc<Self>,
+        params: peer::ConfigParams,
+        mut results: peer::ConfigResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_call.set(Instant::now());
+        let after = params.get()?.get_after();
+        let (version, document) = self.context.spread.document(after).unwrap_or_default();
+        ConfigDocument { version, document }.write(results.get().init_config());
+        Ok(())
+    }
+
+    async fn leave(
+        self: Rc<Self>,
+        params: peer::LeaveParams,
+        _results: peer::LeaveResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_call.set(Instant::now());
+        let leave = Leave::try_from(params.get()?.get_leave()?).map_err(refused)?;
+        self.context.roster.leave(&leave.id, leave.incarnation);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/membership/src/shares.rs
@@ -0,0 +1,137 @@
+//! Shares of teams over all entry instances: weighted max-min, and local weights towards it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cassiafold_config::{ActiveConfig, Config, ServiceId, TeamId};
+
+use crate::roster::Roster;
+use crate::usage::{TeamUsage, Usage};
+
+/// Smallest weight, so that a team without a known demand is not shut out.
+const WEIGHT_MIN: f64 = 1e-3;
+
+/// What one team asks of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TeamDemand {
+    /// Weight of the team when all is full.
+    pub share: f64,
+    /// Requests that would run if nothing held them back, within the upper limit.
+    pub demand: f64,
+}
+
+/// Divides `capacity` by weighted max-min: no team gets more than its demand, and what one leaves
+/// goes to the others in proportion to their shares.
+pub fn water_fill(capacity: f64, teams: &[TeamDemand]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..teams.len()).filter(|team| teams[*team].share > 0.0).collect();
+    let level = |team: usize| teams[team].demand / teams[team].share;
+    order.sort_by(|a, b| level(*a).total_cmp(&level(*b)));
+    let mut parts = vec![0.0; teams.len()];
+    let mut left = capacity;
+    let mut shares: f64 = order.iter().map(|team| teams[*team].share).sum();
+    for team in order {
+        let part = teams[team].demand.min(left * teams[team].share / shares);
+        parts[team] = part;
+        left -= part;
+        shares -= teams[team].share;
+    }
+    parts
+}
+
+/// What one team should get.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamWeight {
+    /// The team.
+    pub team: TeamId,
+    /// Requests of the team that should run in the whole service.
+    pub target: f64,
+    /// Part of `target` that falls to this entry instance: the weight of the team's queue here.
+    pub weight: f64,
+}
+
+/// Weights of the teams at one entry instance. `local` is its own usage of the service and `total`
+/// that of all entry instances, its own included; `capacity` is what the service runs at once.
+///
+/// The target of a team is divided among the entry instances in proportion to the demand at each.
+pub fn weights(
+    config: &Config,
+    capacity: u32,
+    local: &BTreeMap<TeamId, TeamUsage>,
+    total: &BTreeMap<TeamId, TeamUsage>,
+) -> Vec<TeamWeight> {
+    let known =
+        total.iter().filter_map(|(team, usage)| Some((team, usage, config.teams.get(team)?)));
+    let known: Vec<_> = known.collect();
+    let demands: Vec<TeamDemand> = known
+        .iter()
+        .map(|(_, usage, team)| TeamDemand {
+            share: f64::from(team.share),
+            demand: f64::from(usage.demand().min(team.upper_limit)),
+        })
+        .collect();
+    let targets = water_fill(f64::from(capacity), &demands);
+    let pairs = known.into_iter().zip(targets);
+    pairs
+        .map(|((team, usage, _), target)| {
+            let here = local.get(team).copied().unwrap_or_default().demand();
+            let part = f64::from(here) / f64::from(usage.demand().max(1));
+            TeamWeight { team: team.clone(), target, weight: (target * part).max(WEIGHT_MIN) }
+        })
+        .collect()
+}
+
+/// Usage of one service by team.
+pub fn of_service(usage: &Usage, service: &ServiceId) -> BTreeMap<TeamId, TeamUsage> {
+    let queues = usage.queues.iter().filter(|(queue, _)| queue.service == *service);
+    queues.map(|(queue, usage)| (queue.team.clone(), *usage)).collect()
+}
+
+/// Sum of the usage of several entry instances.
+pub fn sum<'a>(
+    usages: impl IntoIterator<Item = &'a BTreeMap<TeamId, TeamUsage>>,
+) -> BTreeMap<TeamId, TeamUsage> {
+    let mut total: BTreeMap<TeamId, TeamUsage> = BTreeMap::new();
+    for (team, usage) in usages.into_iter().flatten() {
+        let entry = total.entry(team.clone()).or_default();
+        entry.running = entry.running.saturating_add(usage.running);
+        entry.waiting = entry.waiting.saturating_add(usage.waiting);
+    }
+    total
+}
+
+/// Shares from the usage that entry instances exchange. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Shares {
+    roster: Roster,
+    config: ActiveConfig,
+}
+
+impl Shares {
+    /// Shares over the live entry instances of `roster`.
+    pub fn new(roster: Roster, config: ActiveConfig) -> Self {
+        Self { roster, config }
+    }
+
+    /// Weights of the teams for a service that runs `capacity` requests at once. `local` is the
+    /// usage of this entry instance at this moment.
+    pub fn weights(&self, service: &ServiceId, capacity: u32, local: &Usage) -> Vec<TeamWeight> {
+        let Some(config) = self.config.load() else { return Vec::new() };
+        let here = of_service(local, service);
+        let total = self.total_with(service, &here);
+        weights(&config, capacity, &here, &total)
+    }
+
+    fn total_with(
+        &self,
+        service: &ServiceId,
+        here: &BTreeMap<TeamId, TeamUsage>,
+    ) -> BTreeMap<TeamId, TeamUsage> {
+        let usages: Vec<(_, Arc<Usage>)> = self.roster.usages();
+        let others = usages.iter().filter(|(id, _)| *id != self.roster.me().id);
+        let others: Vec<_> = others.map(|(_, usage)| of_service(usage, service)).collect();
+        sum(others.iter().chain([here]))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/spread.rs
@@ -0,0 +1,181 @@
+//! Spread of the operators' configuration: from the key-value service and from peers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cassiafold_config::active::Offer;
+use cassiafold_config::raw::{CURRENT_KEY, RawConfig};
+use cassiafold_config::{ActiveConfig, Config, Faults, Version};
+use cassiafold_event::emit;
+use cassiafold_platform::backoff::jitter;
+use cassiafold_platform::{Backoff, Record, Revision, Store, StoreError, Watch};
+use tokio::time::{Instant, timeout_at};
+
+use crate::contact::StoreContact;
+use crate::event::MembershipEvent;
+use crate::roster::Roster;
+
+/// Time between two reads of the configuration over all live entry instances.
+const REREAD_INTERVAL: Duration = Duration::from_secs(2);
+/// Least time between two reads of one entry instance.
+const REREAD_MIN: Duration = Duration::from_secs(4);
+/// Longest time between two reads of one entry instance.
+const REREAD_MAX: Duration = Duration::from_secs(60);
+const RETRY_MIN: Duration = Duration::from_millis(200);
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
+/// Why a configuration was not taken over.
+#[derive(Debug, thiserror::Error)]
+pub enum SpreadError {
+    /// The document is not the expected JSON.
+    #[error("configuration is not valid JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The configuration has faults.
+    #[error("configuration has faults: {0}")]
+    Faults(#[from] Faults),
+}
+
+/// Counts of offered configurations.
+#[derive(Debug, Default)]
+struct Counts {
+    adopted: AtomicU64,
+    stale: AtomicU64,
+    malformed: AtomicU64,
+}
+
+/// Counts of offered configurations at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SpreadCounts {
+    /// Configurations put in force.
+    pub adopted: u64,
+    /// Configurations refused as lower than the one in force.
+    pub stale: u64,
+    /// Configurations that could not be understood.
+    pub malformed: u64,
+}
+
+/// Offers configurations to this process. Clones share the counts.
+#[derive(Debug, Clone)]
+pub struct Spread {
+    active: ActiveConfig,
+    counts: Arc<Counts>,
+}
+
+impl Spread {
+    /// Offers to `active`.
+    pub fn new(active: ActiveConfig) -> Self {
+        Self { active, counts: Arc::default() }
+    }
+
+    /// Version in force; zero before the first configuration is known.
+    pub fn version(&self) -> Version {
+        self.active.version()
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> SpreadCounts {
+        SpreadCounts {
+            adopted: self.counts.adopted.load(Ordering::Relaxed),
+            stale: self.counts.stale.load(Ordering::Relaxed),
+            malformed: self.counts.malformed.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Offers a document. A version lower than the one in force is refused, counted and logged.
+    pub fn offer(&self, document: &[u8], source: &str) -> Result<Offer, SpreadError> {
+        let config = match parse(document) {
+            Ok(config) => config,
+            Err(error) => {
+                self.counts.malformed.fetch_add(1, Ordering::Relaxed);
+                emit!(MembershipEvent::ConfigMalformed, source = source, error = error);
+                return Err(error);
+            }
+        };
+        let version = config.version;
+        let offer = self.active.offer(Arc::new(config));
+        match offer {
+            Offer::Adopted => {
+                self.counts.adopted.fetch_add(1, Ordering::Relaxed);
+                emit!(MembershipEvent::ConfigAdopted, version = version, source = source);
+            }
+            Offer::Known => {}
+            Offer::Stale { in_force } => {
+                self.counts.stale.fetch_add(1, Ordering::Relaxed);
+                emit!(
+                    MembershipEvent::ConfigStale,
+                    version = version,
+                    in_force = in_force,
+                    source = source
+                );
+            }
+        }
+        Ok(offer)
+    }
+
+    /// The configuration in force as JSON if its version is higher than `after`.
+    pub fn document(&self, after: Version) -> Option<(Version, Vec<u8>)> {
+        let config = self.active.load().filter(|config| config.version > after)?;
+        let document = serde_json::to_vec(&RawConfig::from(&*config)).ok()?;
+        Some((config.version, document))
+    }
+}
+
+fn parse(document: &[u8]) -> Result<Config, SpreadError> {
+    let raw: RawConfig = serde_json::from_slice(document)?;
+    Ok(Config::try_from(raw)?)
+}
+
+const FROM_STORE: &str = "key-value service";
+
+/// Follows the configuration in the key-value service: by watch, and by a read now and then in
+/// case the watch has gone silent. Ends with the task that runs it.
+pub async fn follow<S: Store>(store: S, spread: Spread, roster: Roster, contact: StoreContact) {
+    let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    loop {
+        if let Ok(record) = store.get(CURRENT_KEY).await {
+            contact.note();
+            let revision = take(&spread, record);
+            if watch(&store, &spread, &roster, &contact, revision).await.is_ok() {
+                backoff.reset();
+                continue;
+            }
+        }
+        tokio::time::sleep(backoff.next_delay()).await;
+    }
+}
+
+fn take(spread: &Spread, record: Option<Record>) -> Revision {
+    let Some(record) = record else { return 0 };
+    let _ = spread.offer(&record.value, FROM_STORE);
+    record.revision
+}
+
+/// Watches until it is time for the next read.
+async fn watch<S: Store>(
+    store: &S,
+    spread: &Spread,
+    roster: &Roster,
+    contact: &StoreContact,
+    after: Revision,
+) -> Result<(), StoreError> {
+    let until = Instant::now() + jitter(reread_interval(roster.live(None).len()));
+    let mut watch = store.watch(CURRENT_KEY, after).await?;
+    while let Ok(changes) = timeout_at(until, watch.next()).await {
+        for change in changes? {
+            contact.note();
+            take(spread, change.record);
+        }
+    }
+    watch.close();
+    Ok(())
+}
+
+/// With more entry instances each reads less often: what one reads, the others learn from it.
+fn reread_interval(live: usize) -> Duration {
+    let live = u32::try_from(live).unwrap_or(u32::MAX);
+    REREAD_INTERVAL.saturating_mul(2 * live).clamp(REREAD_MIN, REREAD_MAX)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/membership/src/spread/tests.rs
@@ -0,0 +1,160 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::raw::{CURRENT_KEY, RawConfig};
+use cassiafold_config::{ActiveConfig, Config, Version};
+use cassiafold_platform::{Compare, Store, Write};
+use cassiafold_standin::MemoryStore;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tokio::time::sleep;
+
+use super::{Spread, follow};
+use crate::contact::StoreContact;
+use crate::identity::Identity;
+use crate::roster::Roster;
+
+/// Longest time until a configuration is in force with the store in reach, from the users' letter.
+const IN_FORCE_MAX: Duration = Duration::from_secs(6);
+
+fn document(version: Version) -> Vec<u8> {
+    let text =
+        format!("version: {version}\nzones: {{}}\npools: {{}}\nservices: {{}}\nteams: {{}}\n");
+    let raw: RawConfig = serde_saphyr::from_str(&text).unwrap();
+    serde_json::to_vec(&raw).unwrap()
+}
+
+async fn put(store: &MemoryStore, document: Vec<u8>) {
+    let stored = store.get(CURRENT_KEY).await.unwrap();
+    let compare = stored.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
+    store.write(Write::put(CURRENT_KEY, compare, document)).await.unwrap();
+}
+
+fn start(store: &MemoryStore) -> (Spread, tokio::task::JoinHandle<()>) {
+    let spread = Spread::new(ActiveConfig::default());
+    let me = Identity {
+        id: "a1".into(),
+        zone: "a".into(),
+        region: "north".into(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        incarnation: 1,
+    };
+    let client = store.client("a1");
+    let following = follow(client, spread.clone(), Roster::new(me), StoreContact::default());
+    (spread, tokio::spawn(following))
+}
+
+#[derive(Debug, Clone)]
+enum Action {
+    Patch,
+    Wait(u64),
+    Restart,
+    OldFromPeer(u64),
+    NewFromPeer,
+    Garbage,
+    Outage(bool),
+    Stale(bool),
+    SilentWatches(bool),
+    RollBack(u64),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        6 => Just(Action::Patch),
+        6 => (1u64..8_000).prop_map(Action::Wait),
+        1 => Just(Action::Restart),
+        2 => (0u64..10).prop_map(Action::OldFromPeer),
+        2 => Just(Action::NewFromPeer),
+        1 => Just(Action::Garbage),
+        3 => any::<bool>().prop_map(Action::Outage),
+        3 => any::<bool>().prop_map(Action::Stale),
+        3 => any::<bool>().prop_map(Action::SilentWatches),
+        1 => (1u64..5).prop_map(Action::RollBack),
+    ]
+}
+
+async fn run(actions: Vec<Action>) {
+    let store = MemoryStore::default();
+    let faults = store.faults();
+    let operator = store.client("operator");
+    let (mut spread, mut task) = start(&store);
+    let (mut newest, mut lowest) = (0, 0);
+    for action in actions {
+        match action {
+            Action::Patch => {
+                faults.set_outage(false);
+                faults.set_stale_reads(None);
+                newest += 1;
+                put(&operator, document(newest)).await;
+            }
+            Action::Wait(time_ms) => sleep(Duration::from_millis(time_ms)).await,
+            Action::Restart => {
+                task.abort();
+                let held = spread.version();
+                (spread, task) = start(&store);
+                let _ = spread.offer(&document(held.max(1)), "peer");
+                newest = newest.max(1);
+            }
+            Action::OldFromPeer(age) => {
+                let _ = spread.offer(&document(newest.saturating_sub(age).max(1)), "peer");
+                newest = newest.max(1);
+            }
+            Action::NewFromPeer => {
+                newest += 1;
+                let _ = spread.offer(&document(newest), "peer");
+            }
+            Action::Garbage => assert!(spread.offer(b"{\"version\": 99}", "peer").is_err()),
+            Action::Outage(on) => faults.set_outage(on),
+            Action::Stale(on) => faults.set_stale_reads(on.then(|| faults.revision())),
+            Action::SilentWatches(on) => faults.set_silent_watches(on),
+            Action::RollBack(age) => {
+                faults.roll_back(faults.revision().saturating_sub(age));
+            }
+        }
+        let version = spread.version();
+        assert!(version >= lowest, "went back from {lowest} to {version}");
+        assert!(version <= newest);
+        lowest = version;
+    }
+    faults.clear();
+    faults.silence_open_watches();
+    newest += 1;
+    put(&operator, document(newest)).await;
+    sleep(IN_FORCE_MAX).await;
+    assert_eq!(spread.version(), newest);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_configuration_never_reverts(actions in prop::collection::vec(action(), 1..40)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(run(actions));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stale_version_is_refused_and_counted() {
+    let spread = Spread::new(ActiveConfig::default());
+    spread.offer(&document(5), "peer").unwrap();
+    spread.offer(&document(4), "peer").unwrap();
+    spread.offer(&document(5), "peer").unwrap();
+    assert!(spread.offer(b"[]", "peer").is_err());
+    let counts = spread.counts();
+    assert_eq!((counts.adopted, counts.stale, counts.malformed), (1, 1, 1));
+    assert_eq!(spread.version(), 5);
+    assert!(spread.document(5).is_none());
+    let (version, json) = spread.document(4).unwrap();
+    let config = Config::try_from(serde_json::from_slice::<RawConfig>(&json).unwrap()).unwrap();
+    assert_eq!((version, Arc::new(config).version), (5, 5));
+}
