Plan drains, reboots, moves and waves within availability budgets

The fleet had no decisions yet. One document now holds each instance's pool and the step in progress on it, and one plain function turns what is known into the next document: it takes stock, moves steps forward, and starts repairs, moves and maintenance, each against what the ones before left of the budgets. The floor counts instances by home pool, so that moving instances away cannot lower it. A drain ends only when every entry instance has acted on it and nothing runs; a healthy instance whose drain takes too long goes back into service, a failing one is rebooted after the longest deadline of its requests.

--- /dev/null
+++ b/crates/fleet/src/demand/tests.rs
@@ -0,0 +1,129 @@
+use std::time::Duration;
+
+use crate::event::FleetEvent;
+use crate::plan::Plan;
+use crate::tests::fixture::{Fixture, SMALL};
+
+const SECOND: Duration = Duration::from_secs(1);
+const SLOTS: u32 = 8;
+
+fn size(fixture: &Fixture, pool: &str) -> usize {
+    fixture.document.placements.values().filter(|place| &*place.pool == pool).count()
+}
+
+fn count(plan: &Plan, event: FleetEvent) -> usize {
+    plan.decisions.iter().filter(|decision| decision.event == event).count()
+}
+
+#[test]
+fn peak_takes_spare_instances_in_the_first_round() {
+    let mut fixture = Fixture::new(&SMALL);
+    fixture.demand("s0", 11 * SLOTS);
+    fixture.round();
+    assert_eq!((size(&fixture, "s0"), size(&fixture, "spare")), (11, 1));
+}
+
+#[test]
+fn demand_leaves_the_last_spare_instance_to_the_budgets() {
+    let mut fixture = Fixture::new(&SMALL);
+    fixture.demand("s0", 40 * SLOTS);
+    fixture.round();
+    assert_eq!(size(&fixture, "spare"), 1);
+    let floor = cassiafold_config::Floor::Count(10);
+    fixture.config.services.get_mut("s1").expect("the service exists").floor = floor;
+    fixture.after(SECOND);
+    assert_eq!((size(&fixture, "s1"), size(&fixture, "spare")), (10, 0));
+}
+
+#[test]
+fn donor_gives_only_after_the_shortage_lasted_and_keeps_its_budget() {
+    let mut fixture = Fixture::new(&SMALL);
+    fixture.demand("s0", 40 * SLOTS);
+    let plan = fixture.round();
+    assert_eq!(count(&plan, FleetEvent::MoveStarted), 0);
+    let plan = fixture.after(2 * SECOND);
+    let started = count(&plan, FleetEvent::MoveStarted);
+    assert!(started > 0);
+    for _ in 0..20 {
+        fixture.after(SECOND);
+    }
+    let available = size(&fixture, "s1");
+    assert!(available > 5, "{available} left with floor 5 and a reserve");
+    assert!(available < 9);
+}
+
+#[test]
+fn drained_instance_changes_pool_only_when_nothing_runs_on_it() {
+    let mut fixture = Fixture::new(&SMALL);
+    fixture.demand("s0", 40 * SLOTS);
+    for id in fixture.listed.keys() {
+        fixture.observed.running.insert(id.clone(), 1);
+    }
+    fixture.round();
+    fixture.after(2 * SECOND);
+    fixture.after(10 * SECOND);
+    assert_eq!(size(&fixture, "s0"), 11);
+    fixture.observed.running.clear();
+    fixture.after(SECOND);
+    assert!(size(&fixture, "s0") > 11);
+}
+
+#[test]
+fn loan_goes_home_only_after_a_quiet_time() {
+    let mut fixture = Fixture::new(&SMALL);
+    fixture.demand("s0", 11 * SLOTS);
+    fixture.round();
+    fixture.demand("s0", SLOTS);
+    fixture.after(SECOND);
+    fixture.after(59 * SECOND);
+    assert_eq!(size(&fixture, "s0"), 11);
+    for _ in 0..10 {
+        fixture.after(5 * SECOND);
+    }
+    assert_eq!((size(&fixture, "s0"), size(&fixture, "spare")), (9, 3));
+}
+
+#[test]
+fn repeated_peaks_keep_the_loan() {
+    let mut fixture = Fixture::new(&SMALL);
+    let mut moves = 0;
+    for _ in 0..20 {
+        fixture.demand("s0", 11 * SLOTS);
+        let plan = fixture.after(SECOND);
+        moves += count(&plan, FleetEvent::InstanceAssigned);
+        fixture.demand("s0", SLOTS);
+        let plan = fixture.after(30 * SECOND);
+        moves += count(&plan, FleetEvent::MoveStarted);
+    }
+    assert_eq!(moves, 2);
+}
+
+#[test]
+fn zone_taken_out_is_covered_like_a_peak() {
+    let mut fixture = Fixture::new(&SMALL);
+    fixture.demand("s0", 8 * SLOTS);
+    fixture.config.zones.get_mut("z1").expect("the zone exists").out = true;
+    fixture.round();
+    let moved = fixture.document.placements.iter().filter(|(_, place)| place.pool != place.home);
+    let zones: Vec<&str> = moved.map(|(id, _)| &*fixture.listed[id].zone).collect();
+    assert_eq!(zones, ["z0", "z2"]);
+}
+
+#[test]
+fn spare_instance_in_another_rack_goes_first() {
+    let mut fixture = Fixture::new(&SMALL);
+    let racks: Vec<_> = fixture
+        .listed
+        .values()
+        .filter(|instance| instance.id.starts_with("s0-"))
+        .map(|instance| (instance.zone.clone(), instance.rack.clone()))
+        .collect();
+    for id in ["spare-0", "spare-1"] {
+        let spare = fixture.listed.get_mut(id).expect("listed");
+        (spare.zone, spare.rack) = racks[0].clone();
+    }
+    fixture.listed.get_mut("spare-2").expect("listed").rack = "r9".into();
+    fixture.demand("s0", 10 * SLOTS);
+    fixture.round();
+    assert_eq!(&*fixture.placement("spare-2").pool, "s0");
+}
--- /dev/null
+++ b/crates/fleet/src/domain.rs
@@ -0,0 +1,315 @@
+//! Failure domains learned from failures that come together.
+//!
+//! Failures that follow each other within [`GAP`] form a burst. A burst within one zone is
+//! evidence that its instances share a failure domain, weighed by how unlikely it would be among
+//! independent failures at the rate seen lately (a log likelihood ratio, in nats). Declared racks
+//! are the prior: a burst within one rack teaches nothing new. A burst that takes most of a zone
+//! is a failure of the zone. The state is bounded by [`GROUPS_MAX`] and [`MEMBERS_MAX`]; pairs
+//! are not kept.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use cassiafold_config::{InstanceId, RackId, ZoneId};
+use cassiafold_platform::ListedInstance;
+
+use crate::view::Listed;
+
+mod index;
+mod raw;
+
+pub use index::{DomainIndex, DomainSlot};
+pub use raw::{DOMAINS_KEY, DomainsError, RawDomains};
+
+/// Name of a failure domain: a declared rack or a learned group.
+pub type DomainId = Arc<str>;
+
+/// Longest time between two failures of one burst.
+pub const GAP: Duration = Duration::from_secs(15);
+/// Longest time from the first to the last failure of a burst.
+pub const BURST_MAX: Duration = Duration::from_secs(60);
+/// Most groups kept.
+pub const GROUPS_MAX: usize = 96;
+/// Most members of a group.
+pub const MEMBERS_MAX: usize = 64;
+
+/// Score at which a group is suspected: odds of a hundred to one.
+const SUSPECT_NATS: f64 = 4.6;
+/// Cost of a new group: a hundred to one against two instances sharing an undeclared domain.
+const PRIOR_NATS: f64 = 4.6;
+const SCORE_MAX_NATS: f64 = 20.0;
+const SCORE_MIN_NATS: f64 = 0.5;
+const SCORE_HALF_LIFE: Duration = Duration::from_secs(180 * 86_400);
+const RATE_HALF_LIFE: Duration = Duration::from_secs(7 * 86_400);
+/// Lowest rate of failures that the evidence assumes: six a day.
+const RATE_MIN_PER_S: f64 = 6.0 / 86_400.0;
+/// Share of a group's bursts in which a member must have failed.
+const MEMBER_SHARE_MIN: f64 = 0.34;
+/// Share of the smaller set that a burst and a group must have in common.
+const OVERLAP_MIN: f64 = 0.5;
+/// Share of a zone from which a burst is a failure of the zone.
+const ZONE_SHARE: f64 = 0.75;
+
+/// How often a member failed together with its group, and how often it did not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Member {
+    /// Bursts of the group in which the member failed.
+    pub hits: u32,
+    /// Bursts of the group in which the member kept running.
+    pub misses: u32,
+}
+
+impl Member {
+    fn share(self) -> f64 {
+        f64::from(self.hits) / f64::from(self.hits + self.misses).max(1.0)
+    }
+}
+
+/// Instances that may share a failure domain.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Group {
+    /// Number of the group, unique over time.
+    pub number: u64,
+    /// Zone of all members.
+    pub zone: ZoneId,
+    /// Evidence for each member.
+    pub members: BTreeMap<InstanceId, Member>,
+    /// Log odds that the members share a domain, in nats.
+    pub score_nats: f64,
+    /// Bursts that counted for the group.
+    pub bursts: u32,
+    /// When the score was last brought up to date.
+    pub scored: SystemTime,
+}
+
+impl Group {
+    /// Whether the evidence suffices to plan by it.
+    pub fn suspected(&self) -> bool {
+        self.score_nats >= SUSPECT_NATS && self.members.len() > 1
+    }
+
+    /// Name of the group as a failure domain.
+    pub fn domain(&self) -> DomainId {
+        format!("learned-{}", self.number).into()
+    }
+}
+
+/// Learned failure domains and the evidence for them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Domains {
+    groups: Vec<Group>,
+    burst: BTreeMap<InstanceId, SystemTime>,
+    closed_until: SystemTime,
+    next_number: u64,
+    rate_per_s: f64,
+    rated: SystemTime,
+}
+
+impl Default for Domains {
+    fn default() -> Self {
+        Self {
+            groups: Vec::new(),
+            burst: BTreeMap::new(),
+            closed_until: SystemTime::UNIX_EPOCH,
+            next_number: 1,
+            rate_per_s: RATE_MIN_PER_S,
+            rated: SystemTime::UNIX_EPOCH,
+        }
+    }
+}
+
+impl Domains {
+    /// Groups with enough evidence.
+    pub fn suspected(&self) -> impl Iterator<Item = &Group> {
+        self.groups.iter().filter(|group| group.suspected())
+    }
+
+    /// Number of groups kept, suspected or not.
+    pub fn len(&self) -> usize {
+        self.groups.len()
+    }
+
+    /// Whether no group is kept.
+    pub fn is_empty(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    /// Strongest suspected domain of an instance, else its declared rack.
+    pub fn domain_of(&self, listed: &ListedInstance) -> DomainId {
+        let groups = self.suspected().filter(|group| group.members.contains_key(&listed.id));
+        let best = groups.max_by(|a, b| a.score_nats.total_cmp(&b.score_nats));
+        best.map_or_else(|| rack_domain(&listed.zone, &listed.rack), Group::domain)
+    }
+
+    /// Takes in the failure of `id` first seen at `since`. A repeat has no effect. Returns whether
+    /// the state changed.
+    pub fn note(&mut self, id: &InstanceId, since: SystemTime, listed: &Listed) -> bool {
+        if since <= self.closed_until || self.burst.contains_key(id) {
+            return false;
+        }
+        if self.ends_before(since) {
+            self.close_burst(listed);
+        }
+        self.burst.insert(id.clone(), since);
+        true
+    }
+
+    /// Ends a burst that no further failure can join, lets evidence decay and forgets what left.
+    /// Returns whether the state changed.
+    pub fn advance(&mut self, now: SystemTime, listed: &Listed) -> bool {
+        if self.burst.is_empty() || !self.ends_before(now) {
+            return false;
+        }
+        self.close_burst(listed);
+        self.decay(now);
+        true
+    }
+
+    fn ends_before(&self, time: SystemTime) -> bool {
+        let (Some(first), Some(last)) = (self.burst.values().min(), self.burst.values().max())
+        else {
+            return false;
+        };
+        time > *last + GAP || time > *first + BURST_MAX
+    }
+
+    fn close_burst(&mut self, listed: &Listed) {
+        let burst = std::mem::take(&mut self.burst);
+        let Some(last) = burst.values().max().copied() else {
+            return;
+        };
+        self.closed_until = last;
+        self.rate(last);
+        let mut zones: BTreeMap<ZoneId, Vec<&ListedInstance>> = BTreeMap::new();
+        for instance in burst.keys().filter_map(|id| listed.get(id)) {
+            zones.entry(instance.zone.clone()).or_default().push(instance);
+        }
+        for (zone, failed) in zones {
+            self.learn(&zone, &failed, last, listed);
+        }
+    }
+
+    /// Updates the rate of independent failures; a burst counts once.
+    fn rate(&mut self, now: SystemTime) {
+        let elapsed_s = now.duration_since(self.rated).unwrap_or_default().as_secs_f64();
+        let tau_s = RATE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        self.rate_per_s = self.rate_per_s * (-elapsed_s / tau_s).exp() + 1.0 / tau_s;
+        self.rated = now;
+    }
+
+    /// Nats that each further failure of a burst adds.
+    fn nats_per_failure(&self) -> f64 {
+        -(self.rate_per_s.max(RATE_MIN_PER_S) * GAP.as_secs_f64()).min(0.5).ln()
+    }
+
+    fn learn(
+        &mut self,
+        zone: &ZoneId,
+        failed: &[&ListedInstance],
+        at: SystemTime,
+        listed: &Listed,
+    ) {
+        let one_rack = failed.iter().all(|instance| instance.rack == failed[0].rack);
+        let in_zone = listed.values().filter(|instance| instance.zone == *zone).count();
+        let zone_wide = failed.len() as f64 >= ZONE_SHARE * in_zone as f64;
+        if failed.len() < 2 || zone_wide {
+            return;
+        }
+        let ids: Vec<&InstanceId> = failed.iter().map(|instance| &instance.id).collect();
+        let nats = self.nats_per_failure();
+        match self.best_match(zone, &ids) {
+            Some(group) => group.update(&ids, at, nats),
+            None if one_rack => {}
+            None => self.add_group(zone, &ids, at, nats),
+        }
+    }
+
+    fn best_match(&mut self, zone: &ZoneId, ids: &[&InstanceId]) -> Option<&mut Group> {
+        let scored = self.groups.iter_mut().filter(|group| group.zone == *zone).map(|group| {
+            let common = ids.iter().filter(|id| group.members.contains_key(**id)).count();
+            let smaller = ids.len().min(group.members.len()).max(1);
+            (common, common as f64 / smaller as f64, group)
+        });
+        scored
+            .filter(|(common, share, _)| *common >= 2 && *share >= OVERLAP_MIN)
+            .max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, _, group)| group)
+    }
+
+    fn add_group(&mut self, zone: &ZoneId, ids: &[&InstanceId], at: SystemTime, nats: f64) {
+        let member = Member { hits: 1, misses: 0 };
+        let members = ids.iter().take(MEMBERS_MAX).map(|id| ((*id).clone(), member)).collect();
+        let score_nats = (ids.len() - 1) as f64 * nats - PRIOR_NATS;
+        let group = Group {
+            number: self.next_number,
+            zone: zone.clone(),
+            members,
+            score_nats: score_nats.min(SCORE_MAX_NATS),
+            bursts: 1,
+            scored: at,
+        };
+        self.next_number += 1;
+        self.groups.push(group);
+        if self.groups.len() > GROUPS_MAX {
+            self.drop_weakest();
+        }
+    }
+
+    fn drop_weakest(&mut self) {
+        let scores = self.groups.iter().map(|group| group.score_nats).enumerate();
+        if let Some((weakest, _)) = scores.min_by(|a, b| a.1.total_cmp(&b.1)) {
+            self.groups.swap_remove(weakest);
+        }
+    }
+
+    fn decay(&mut self, now: SystemTime) {
+        for group in &mut self.groups {
+            group.decay(now);
+        }
+        self.groups.retain(|group| group.score_nats >= SCORE_MIN_NATS && group.members.len() > 1);
+    }
+
+    /// Forgets instances that `keep` refuses.
+    pub fn retain(&mut self, keep: impl Fn(&InstanceId) -> bool) {
+        for group in &mut self.groups {
+            group.members.retain(|id, _| keep(id));
+        }
+        self.groups.retain(|group| group.members.len() > 1);
+    }
+}
+
+impl Group {
+    fn decay(&mut self, now: SystemTime) {
+        let elapsed = now.duration_since(self.scored).unwrap_or_default();
+        self.score_nats *= 0.5_f64.powf(elapsed.as_secs_f64() / SCORE_HALF_LIFE.as_secs_f64());
+        self.scored = now.max(self.scored);
+    }
+
+    fn update(&mut self, ids: &[&InstanceId], at: SystemTime, nats: f64) {
+        self.decay(at);
+        let common = ids.iter().filter(|id| self.members.contains_key(**id)).count();
+        for (id, member) in &mut self.members {
+            match ids.contains(&id) {
+                true => member.hits += 1,
+                false => member.misses += 1,
+            }
+        }
+        for id in ids {
+            if self.members.len() < MEMBERS_MAX && !self.members.contains_key(*id) {
+                self.members.insert((*id).clone(), Member { hits: 1, misses: 0 });
+            }
+        }
+        self.members.retain(|_, member| member.share() >= MEMBER_SHARE_MIN);
+        self.bursts += 1;
+        self.score_nats = (self.score_nats + (common - 1) as f64 * nats).min(SCORE_MAX_NATS);
+    }
+}
+
+/// Name of a declared rack as a failure domain.
+pub fn rack_domain(zone: &ZoneId, rack: &RackId) -> DomainId {
+    format!("{zone}/{rack}").into()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/history.rs
@@ -0,0 +1,179 @@
+//! The last decisions, bounded, kept in the store by segments.
+//!
+//! A segment is one key that holds up to [`SEGMENT_MAX`] decisions; segments are reused in turn,
+//! so a save rewrites only the last one.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use cassiafold_config::{InstanceId, PoolId, WaveId};
+use cassiafold_platform::Document;
+use serde::{Deserialize, Serialize};
+
+use crate::decision::{Decision, Inputs};
+use crate::event::FleetEvent;
+use crate::raw::{from_unix_ms, unix_ms};
+
+/// Prefix of the keys of the segments.
+pub const DECISIONS_PREFIX: &str = "cassiafold/fleet-decisions/";
+/// Most decisions in a segment.
+pub const SEGMENT_MAX: usize = 128;
+/// Number of segments.
+pub const SEGMENTS: u64 = 16;
+
+/// The last decisions, oldest first.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    decisions: VecDeque<Decision>,
+    /// Decisions ever noted.
+    total: u64,
+    saved: u64,
+}
+
+/// One segment as it is stored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSegment {
+    /// Number of the segment since the start of the history.
+    pub number: u64,
+    /// Decisions, oldest first.
+    pub decisions: Vec<RawDecision>,
+}
+
+/// A segment needs no check: each decision is checked when the history is restored.
+impl Document for RawSegment {
+    type Wire = Self;
+}
+
+/// Wire form of [`Decision`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawDecision {
+    /// When, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// Number of the event.
+    pub event: u16,
+    /// Instance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<Arc<str>>,
+    /// Pool.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pool: Option<Arc<str>>,
+    /// Wave.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wave: Option<Arc<str>>,
+    /// Inputs.
+    pub inputs: Inputs,
+}
+
+/// Why a stored decision cannot be used: its event is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("unknown event {0}")]
+pub struct UnknownEvent(pub u16);
+
+impl History {
+    /// Notes decisions.
+    pub fn extend(&mut self, decisions: impl IntoIterator<Item = Decision>) {
+        for decision in decisions {
+            self.decisions.push_back(decision);
+            self.total += 1;
+        }
+        let bound = SEGMENT_MAX * (SEGMENTS as usize - 1);
+        while self.decisions.len() > bound {
+            self.decisions.pop_front();
+        }
+    }
+
+    /// Every decision kept, oldest first.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Decision> {
+        self.decisions.iter()
+    }
+
+    /// Last `count` decisions that `choose` picks, newest first.
+    pub fn last(&self, count: usize, choose: impl Fn(&Decision) -> bool) -> Vec<Decision> {
+        self.iter().rev().filter(|decision| choose(decision)).take(count).cloned().collect()
+    }
+
+    /// Last decisions on an instance.
+    pub fn of_instance(&self, id: &InstanceId, count: usize) -> Vec<Decision> {
+        self.last(count, |decision| decision.instance.as_ref() == Some(id))
+    }
+
+    /// Last decisions on a pool.
+    pub fn of_pool(&self, id: &PoolId, count: usize) -> Vec<Decision> {
+        self.last(count, |decision| decision.pool.as_ref() == Some(id))
+    }
+
+    /// Last decisions on a wave.
+    pub fn of_wave(&self, id: &WaveId, count: usize) -> Vec<Decision> {
+        self.last(count, |decision| decision.wave.as_ref() == Some(id))
+    }
+
+    /// Segments that changed since the last call of [`History::mark_saved`], by store key.
+    pub fn unsaved(&self) -> BTreeMap<String, RawSegment> {
+        let per_segment = SEGMENT_MAX as u64;
+        let first = self.total - self.decisions.len() as u64;
+        let mut segments: BTreeMap<u64, Vec<RawDecision>> = BTreeMap::new();
+        for (number, decision) in (first..).zip(&self.decisions) {
+            if number / per_segment >= self.saved / per_segment {
+                segments.entry(number / per_segment).or_default().push(decision.into());
+            }
+        }
+        if self.saved == self.total {
+            segments.clear();
+        }
+        let segments = segments.into_iter().map(|(number, decisions)| {
+            let key = format!("{DECISIONS_PREFIX}{}", number % SEGMENTS);
+            (key, RawSegment { number, decisions })
+        });
+        segments.collect()
+    }
+
+    /// Notes that everything up to now is stored.
+    pub fn mark_saved(&mut self) {
+        self.saved = self.total;
+    }
+
+    /// Restores the history from stored segments; unreadable decisions are left out.
+    pub fn restore(mut segments: Vec<RawSegment>) -> Self {
+        segments.sort_by_key(|segment| segment.number);
+        let total = segments.last().map_or(0, |segment| {
+            segment.number * SEGMENT_MAX as u64 + segment.decisions.len() as u64
+        });
+        let raw = segments.into_iter().flat_map(|segment| segment.decisions);
+        let decisions: VecDeque<Decision> =
+            raw.filter_map(|decision| Decision::try_from(decision).ok()).collect();
+        Self { decisions, total, saved: total }
+    }
+}
+
+impl From<&Decision> for RawDecision {
+    fn from(decision: &Decision) -> Self {
+        Self {
+            at_unix_ms: unix_ms(decision.at),
+            event: decision.event.row().number,
+            instance: decision.instance.clone(),
+            pool: decision.pool.clone(),
+            wave: decision.wave.clone(),
+            inputs: decision.inputs.clone(),
+        }
+    }
+}
+
+impl TryFrom<RawDecision> for Decision {
+    type Error = UnknownEvent;
+
+    fn try_from(raw: RawDecision) -> Result<Self, UnknownEvent> {
+        Ok(Self {
+            at: from_unix_ms(raw.at_unix_ms),
+            event: FleetEvent::from_number(raw.event).ok_or(UnknownEvent(raw.event))?,
+            instance: raw.instance,
+            pool: raw.pool,
+            wave: raw.wave,
+            inputs: raw.inputs,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,45 @@
-//! Pools, availability budgets, moves, maintenance waves and learned failure domains.
+//! Pools, availability budgets, moves, maintenance waves, learned failure domains and repair.
+//!
+//! - [`document`]: the one document that holds each instance's pool and every step in progress;
+//!   [`raw`] is its wire form.
+//! - [`mod@plan`]: one planning round, a plain function from a [`View`] to the next document.
+//! - [`budget`], [`demand`], [`wave`], [`domain`]: the decisions that a round is made of.
+//! - [`explain`], [`history`]: what the fleet did and why.
+//!
+//! All changes go through compare-and-swap of the fleet document.
+
+mod advance;
+pub mod budget;
+pub mod census;
+pub mod code;
+pub mod decision;
+pub mod demand;
+pub mod document;
+pub mod domain;
+pub mod event;
+pub mod explain;
+pub mod history;
+pub mod operate;
+pub mod plan;
+pub mod policy;
+pub mod raw;
+mod repair;
+pub mod view;
+pub mod wave;
+
+pub use budget::{Budget, Budgets, Shortage};
+pub use code::FleetCode;
+pub use decision::{Decision, Inputs, Refusal};
+pub use document::{FleetDocument, Phase, Placement, Step, StepKind, Symptom};
+pub use domain::{DomainId, Domains};
+pub use event::FleetEvent;
+pub use explain::{Explanation, Subject, explain, wave_status};
+pub use history::History;
+pub use operate::request_move;
+pub use plan::{Plan, plan};
+pub use policy::Policy;
+pub use view::{Answers, Demand, Listed, Observed, View};
+pub use wave::WaveStatus;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/raw.rs
@@ -0,0 +1,294 @@
+//! Wire form of the fleet document: versioned JSON, compact by grouping instances by pool.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cassiafold_config::{InstanceId, PoolId};
+use cassiafold_platform::Document;
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Failure, FleetDocument, Phase, Placement, Step, StepKind, Symptom};
+
+/// Format of the wire form that this program reads and writes.
+pub const FORMAT: u32 = 1;
+
+/// Wire form of [`FleetDocument`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawDocument {
+    /// Format of this document.
+    pub format: u32,
+    /// Number of the document.
+    pub number: u64,
+    /// Instances by pool.
+    pub pools: BTreeMap<Arc<str>, RawMembers>,
+    /// Home pools of instances that are not at home.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub homes: BTreeMap<Arc<str>, Arc<str>>,
+    /// Since when an instance is no longer listed, in seconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub vanished_unix_s: BTreeMap<Arc<str>, u64>,
+    /// Earliest start of the next maintenance step, in seconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub not_before_unix_s: BTreeMap<Arc<str>, u64>,
+    /// Failures that have not ended.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub failures: BTreeMap<Arc<str>, RawFailure>,
+    /// Steps in progress.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub steps: BTreeMap<Arc<str>, RawStep>,
+}
+
+/// Members of a pool.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawMembers {
+    /// Instance ids.
+    pub ids: Vec<Arc<str>>,
+    /// For each id the end of the last maintenance in seconds since the Unix epoch; zero for none.
+    pub maintained_unix_s: Vec<u64>,
+}
+
+/// Wire form of [`Failure`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawFailure {
+    /// When it was first seen, in milliseconds since the Unix epoch.
+    pub since_unix_ms: u64,
+    /// What was seen.
+    pub symptom: Symptom,
+    /// Repairs that did not help.
+    pub attempts: u32,
+    /// Earliest next repair, in milliseconds since the Unix epoch.
+    pub retry_at_unix_ms: u64,
+}
+
+/// Wire form of [`Step`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawStep {
+    /// Purpose.
+    pub kind: RawStepKind,
+    /// Phase.
+    pub phase: Phase,
+    /// Document number at the start.
+    pub number: u64,
+    /// Start of the step, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Start of the phase, in milliseconds since the Unix epoch.
+    pub phase_started_unix_ms: u64,
+}
+
+/// Wire form of [`StepKind`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum RawStepKind {
+    /// Maintenance within a wave.
+    Maintain {
+        /// The wave.
+        wave: Arc<str>,
+    },
+    /// Repair.
+    Repair,
+    /// Move to another pool.
+    Move {
+        /// The other pool.
+        to: Arc<str>,
+        /// Whether the other pool becomes the home.
+        settle: bool,
+    },
+}
+
+/// Why a stored fleet document cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FleetDocumentError {
+    /// It was written in a format that this program does not know.
+    #[error("unknown format {0} of the fleet document")]
+    UnknownFormat(u32),
+    /// An instance stands in two pools.
+    #[error("instance {0} stands in two pools")]
+    TwoPools(InstanceId),
+    /// The two lists of a pool differ in length.
+    #[error("pool {0} has lists of different lengths")]
+    Lengths(PoolId),
+    /// An entry names an instance that stands in no pool.
+    #[error("instance {0} stands in no pool")]
+    NoPool(InstanceId),
+}
+
+pub(crate) fn unix_ms(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+pub(crate) fn unix_s(time: SystemTime) -> u64 {
+    unix_ms(time) / 1_000
+}
+
+pub(crate) fn from_unix_ms(unix_ms: u64) -> SystemTime {
+    UNIX_EPOCH.checked_add(Duration::from_millis(unix_ms)).unwrap_or(UNIX_EPOCH)
+}
+
+fn from_unix_s(unix_s: u64) -> SystemTime {
+    from_unix_ms(unix_s.saturating_mul(1_000))
+}
+
+impl Document for FleetDocument {
+    type Wire = RawDocument;
+}
+
+impl From<FleetDocument> for RawDocument {
+    fn from(document: FleetDocument) -> Self {
+        Self::from(&document)
+    }
+}
+
+impl TryFrom<RawDocument> for FleetDocument {
+    type Error = FleetDocumentError;
+
+    fn try_from(raw: RawDocument) -> Result<Self, FleetDocumentError> {
+        if raw.format != FORMAT {
+            return Err(FleetDocumentError::UnknownFormat(raw.format));
+        }
+        let mut placements = BTreeMap::new();
+        let mut seen = BTreeSet::new();
+        for (pool, members) in raw.pools {
+            if members.ids.len() != members.maintained_unix_s.len() {
+                return Err(FleetDocumentError::Lengths(pool));
+            }
+            for (id, maintained) in members.ids.into_iter().zip(members.maintained_unix_s) {
+                if !seen.insert(id.clone()) {
+                    return Err(FleetDocumentError::TwoPools(id));
+                }
+                let mut placement = Placement::new(pool.clone());
+                placement.maintained = (maintained > 0).then(|| from_unix_s(maintained));
+                placements.insert(id, placement);
+            }
+        }
+        let mut document = Self { number: raw.number, placements };
+        document.merge(raw.homes, |placement, home| placement.home = home)?;
+        document.merge(raw.vanished_unix_s, |placement, time| {
+            placement.vanished = Some(from_unix_s(time));
+        })?;
+        document.merge(raw.not_before_unix_s, |placement, time| {
+            placement.not_before = Some(from_unix_s(time));
+        })?;
+        document.merge(raw.failures, |placement, raw| placement.failure = Some(raw.into()))?;
+        document.merge(raw.steps, |placement, raw| placement.step = Some(raw.into()))?;
+        Ok(document)
+    }
+}
+
+impl FleetDocument {
+    fn merge<T>(
+        &mut self,
+        entries: BTreeMap<InstanceId, T>,
+        set: impl Fn(&mut Placement, T),
+    ) -> Result<(), FleetDocumentError> {
+        for (id, entry) in entries {
+            let Some(placement) = self.placements.get_mut(&id) else {
+                return Err(FleetDocumentError::NoPool(id));
+            };
+            set(placement, entry);
+        }
+        Ok(())
+    }
+}
+
+impl From<&FleetDocument> for RawDocument {
+    fn from(document: &FleetDocument) -> Self {
+        let mut raw = Self {
+            format: FORMAT,
+            number: document.number,
+            pools: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            vanished_unix_s: BTreeMap::new(),
+            not_before_unix_s: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            steps: BTreeMap::new(),
+        };
+        for (id, placement) in &document.placements {
+            raw.push(id, placement);
+        }
+        raw
+    }
+}
+
+impl RawDocument {
+    fn push(&mut self, id: &InstanceId, placement: &Placement) {
+        let members = self.pools.entry(placement.pool.clone()).or_default();
+        members.ids.push(id.clone());
+        members.maintained_unix_s.push(placement.maintained.map_or(0, unix_s));
+        if placement.home != placement.pool {
+            self.homes.insert(id.clone(), placement.home.clone());
+        }
+        if let Some(time) = placement.vanished {
+            self.vanished_unix_s.insert(id.clone(), unix_s(time));
+        }
+        if let Some(time) = placement.not_before {
+            self.not_before_unix_s.insert(id.clone(), unix_s(time));
+        }
+        if let Some(failure) = &placement.failure {
+            self.failures.insert(id.clone(), failure.into());
+        }
+        if let Some(step) = &placement.step {
+            self.steps.insert(id.clone(), step.into());
+        }
+    }
+}
+
+impl From<RawFailure> for Failure {
+    fn from(raw: RawFailure) -> Self {
+        Self {
+            since: from_unix_ms(raw.since_unix_ms),
+            symptom: raw.symptom,
+            attempts: raw.attempts,
+            retry_at: from_unix_ms(raw.retry_at_unix_ms),
+        }
+    }
+}
+
+impl From<&Failure> for RawFailure {
+    fn from(failure: &Failure) -> Self {
+        Self {
+            since_unix_ms: unix_ms(failure.since),
+            symptom: failure.symptom,
+            attempts: failure.attempts,
+            retry_at_unix_ms: unix_ms(failure.retry_at),
+        }
+    }
+}
+
+impl From<RawStep> for Step {
+    fn from(raw: RawStep) -> Self {
+        let kind = match raw.kind {
+            RawStepKind::Maintain { wave } => StepKind::Maintain { wave },
+            RawStepKind::Repair => StepKind::Repair,
+            RawStepKind::Move { to, settle } => StepKind::Move { to, settle },
+        };
+        Self {
+            kind,
+            phase: raw.phase,
+            number: raw.number,
+            started: from_unix_ms(raw.started_unix_ms),
+            phase_started: from_unix_ms(raw.phase_started_unix_ms),
+        }
+    }
+}
+
+impl From<&Step> for RawStep {
+    fn from(step: &Step) -> Self {
+        let kind = match step.kind.clone() {
+            StepKind::Maintain { wave } => RawStepKind::Maintain { wave },
+            StepKind::Repair => RawStepKind::Repair,
+            StepKind::Move { to, settle } => RawStepKind::Move { to, settle },
+        };
+        Self {
+            kind,
+            phase: step.phase,
+            number: step.number,
+            started_unix_ms: unix_ms(step.started),
+            phase_started_unix_ms: unix_ms(step.phase_started),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/repair.rs
@@ -0,0 +1,126 @@
+//! Repair of failing instances: drain, reboot, trial, return, or exchange for a spare one.
+
+use std::time::SystemTime;
+
+use cassiafold_config::{InstanceId, PoolId};
+
+use crate::census::spare_pool;
+use crate::code::FleetCode;
+use crate::decision::{Inputs, Refusal};
+use crate::document::{Failure, StepKind};
+use crate::event::FleetEvent;
+use crate::plan::Round;
+use crate::policy::at_least_one;
+
+/// Starts repairs, the oldest failure first.
+pub(crate) fn start(round: &mut Round<'_>) {
+    let failing = round.placements().filter_map(|(id, placement)| {
+        let failure = placement.failure.as_ref()?;
+        Some((failure.since, id.clone()))
+    });
+    let mut ids: Vec<(SystemTime, InstanceId)> = failing.collect();
+    ids.sort();
+    for (_, id) in ids {
+        if check(round, &id).is_ok() {
+            repair(round, &id);
+        }
+    }
+}
+
+/// Whether a repair of `id` may start now, else the rule that holds it back.
+pub(crate) fn check(round: &Round<'_>, id: &InstanceId) -> Result<(), Refusal> {
+    let placement = round.next.placements.get(id).ok_or(FleetCode::UnknownInstance)?;
+    let failure = placement.failure.as_ref().ok_or(FleetCode::NotFailing)?;
+    let listed = round.view.listed.get(id).ok_or(FleetCode::NotListed)?;
+    if placement.step.is_some() {
+        return Err(FleetCode::StepInProgress.into());
+    }
+    if !round.view.config.zone_open(&listed.zone) {
+        return Err(FleetCode::ZoneOut.into());
+    }
+    if !round.view.zone_steady(listed) {
+        return Err(FleetCode::ZoneSilent.into());
+    }
+    let inputs = inputs(round, id, failure);
+    if zone_storm(round, id) {
+        return Err(Refusal { code: FleetCode::ZoneStorm, inputs });
+    }
+    if round.now < failure.since + round.policy.repair_after {
+        return Err(FleetCode::RepairTooSoon.into());
+    }
+    if round.now < failure.retry_at {
+        return Err(Refusal { code: FleetCode::RetryLater, inputs });
+    }
+    let limit = at_least_one(round.policy.repair_share_max, round.next.placements.len());
+    if round.steps(|step| step.kind == StepKind::Repair) >= limit {
+        return Err(FleetCode::RepairLimit.into());
+    }
+    Ok(())
+}
+
+/// Whether so much of the zone of `id` fails that the cause is not in the instances.
+pub(crate) fn zone_storm(round: &Round<'_>, id: &InstanceId) -> bool {
+    let Some(listed) = round.view.listed.get(id) else {
+        return false;
+    };
+    let failing = round.failing.get(&listed.zone).copied().unwrap_or(0);
+    let in_zone = round.view.listed.values().filter(|other| other.zone == listed.zone).count();
+    failing >= round.policy.storm_min && failing as f64 >= round.policy.storm_share * in_zone as f64
+}
+
+fn inputs(round: &Round<'_>, id: &InstanceId, failure: &Failure) -> Inputs {
+    let zone = round.view.listed.get(id).map(|listed| &listed.zone);
+    let failing_in_zone = zone.and_then(|zone| round.failing.get(zone)).copied().unwrap_or(0);
+    Inputs::Failure { symptom: failure.symptom, attempts: failure.attempts, failing_in_zone }
+}
+
+fn repair(round: &mut Round<'_>, id: &InstanceId) {
+    let Some(placement) = round.next.placements.get(id) else {
+        return;
+    };
+    let Some(failure) = placement.failure.clone() else {
+        return;
+    };
+    let home = placement.home.clone();
+    if failure.attempts >= round.policy.repair_attempts_max && exchange(round, id, &home) {
+        return;
+    }
+    let inputs = inputs(round, id, &failure);
+    round.start_step(id, StepKind::Repair);
+    round.decide(FleetEvent::RepairStarted, id, &home, inputs);
+}
+
+/// Makes a spare instance at home in `home` and moves `id` to the spare pool for good. Returns
+/// whether a spare instance was found.
+fn exchange(round: &mut Round<'_>, id: &InstanceId, home: &PoolId) -> bool {
+    let Some(spare) = spare_pool(round.view.config).filter(|spare| *spare != home).cloned() else {
+        return false;
+    };
+    let Some(substitute) = substitute(round, &spare, home) else {
+        return false;
+    };
+    let Some(placement) = round.next.placements.get_mut(&substitute) else {
+        return false;
+    };
+    placement.home = home.clone();
+    placement.pool = home.clone();
+    if let Some(service) = round.view.config.service_of_pool(home) {
+        round.budgets.give(service, &substitute);
+    }
+    round.decide(FleetEvent::InstanceReplaced, id, home, Inputs::None);
+    round.decide(FleetEvent::InstanceAssigned, &substitute, home, Inputs::None);
+    round.start_step(id, StepKind::Move { to: spare, settle: true });
+    true
+}
+
+/// Idle spare instance, best one that shares the fewest failure domains with the pool.
+fn substitute(round: &Round<'_>, spare: &PoolId, home: &PoolId) -> Option<InstanceId> {
+    let service = round.view.config.service_of_pool(home)?;
+    let idle = round.placements().filter(|(id, placement)| {
+        placement.pool == *spare && placement.home == *spare && round.view.available(id, placement)
+    });
+    idle.min_by_key(|(id, _)| round.budgets.neighbours(service, id)).map(|(id, _)| id.clone())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/tests.rs
@@ -0,0 +1,3 @@
+//! Fixtures and random schedules.
+
+pub(crate) mod fixture;
--- /dev/null
+++ b/crates/fleet/src/tests/fixture.rs
@@ -0,0 +1,210 @@
+//! A small fleet whose planning rounds are driven by hand.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cassiafold_config::raw::RawConfig;
+use cassiafold_config::{Config, InstanceId, InstanceState};
+use cassiafold_platform::ListedInstance;
+
+use crate::demand::Trends;
+use crate::document::{FleetDocument, Phase, Placement, Step, StepKind, Symptom};
+use crate::domain::Domains;
+use crate::plan::{Plan, plan};
+use crate::policy::Policy;
+use crate::view::{Answers, Demand, Listed, Observed, View};
+
+/// Monday, 2026-01-05, 00:00 UTC.
+pub fn monday() -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(MONDAY_UNIX_S)
+}
+
+const MONDAY_UNIX_S: u64 = 1_767_571_200;
+
+/// Size and floors of a fleet.
+pub struct Layout {
+    pub zones: usize,
+    pub services: usize,
+    pub per_service: usize,
+    pub spare: usize,
+    pub floor: f64,
+}
+
+pub const SMALL: Layout = Layout { zones: 3, services: 2, per_service: 9, spare: 3, floor: 0.5 };
+
+pub struct Fixture {
+    pub config: Config,
+    pub listed: Listed,
+    pub observed: Observed,
+    pub document: FleetDocument,
+    pub domains: Domains,
+    pub trends: Trends,
+    pub answers: Answers,
+    pub policy: Policy,
+    pub now: SystemTime,
+}
+
+impl Fixture {
+    /// A fleet of `layout` that is adopted and at rest, with the wave `w` over all zones.
+    pub fn new(layout: &Layout) -> Self {
+        let mut fixture = Self {
+            config: config(layout, |_| {}),
+            listed: listed(layout),
+            observed: Observed::default(),
+            document: FleetDocument::default(),
+            domains: Domains::default(),
+            trends: Trends::default(),
+            answers: Answers::default(),
+            policy: Policy::default(),
+            now: monday(),
+        };
+        fixture.round();
+        fixture
+    }
+
+    /// The fleet with a wave that has started.
+    pub fn with_wave(layout: &Layout) -> Self {
+        let mut fixture = Self::new(layout);
+        fixture.config = config(layout, |raw| {
+            let wave = raw.waves.get_mut("w").expect("the wave exists");
+            wave.paused = false;
+        });
+        fixture
+    }
+
+    pub fn view(&self) -> View<'_> {
+        View {
+            now: self.now,
+            config: &self.config,
+            document: &self.document,
+            listed: &self.listed,
+            observed: &self.observed,
+            domains: &self.domains,
+            trends: &self.trends,
+            answers: &self.answers,
+        }
+    }
+
+    /// Plans one round and puts it in force; the entry instances act on it at once.
+    pub fn round(&mut self) -> Plan {
+        let mut plan = plan(&self.view(), &self.policy);
+        if plan.next != self.document {
+            plan.next.number = self.document.number + 1;
+        }
+        self.document = plan.next.clone();
+        self.trends = plan.trends.clone();
+        self.observed.confirmed = self.document.number;
+        plan
+    }
+
+    /// Lets time pass and plans a round.
+    pub fn after(&mut self, time: Duration) -> Plan {
+        self.now += time;
+        self.round()
+    }
+
+    /// Plans a round each minute, with every reboot and trial answered where `answer` says so,
+    /// until `done`.
+    pub fn until(&mut self, answer: bool, done: impl Fn(&Self) -> bool) {
+        for _ in 0..1_000 {
+            if done(self) {
+                return;
+            }
+            self.after(Duration::from_secs(60));
+            if answer {
+                self.answer_all();
+            }
+        }
+        panic!("not done after a thousand minutes");
+    }
+
+    /// Lets every reboot and trial that the document asks for succeed.
+    pub fn answer_all(&mut self) {
+        for (id, placement) in &self.document.placements {
+            let Some(step) = &placement.step else { continue };
+            match step.phase {
+                Phase::Draining => {}
+                Phase::Rebooting => drop(self.answers.rebooted.insert(step.request_id(id))),
+                Phase::Trying => drop(self.answers.tried.insert(step.request_id(id))),
+            }
+        }
+    }
+
+    pub fn fail(&mut self, id: &str, symptom: Symptom) {
+        self.observed.symptoms.insert(id.into(), symptom);
+    }
+
+    pub fn demand(&mut self, service: &str, waiting: u32) {
+        self.observed.demand.insert(service.into(), Demand { running: 0, waiting });
+    }
+
+    pub fn placement(&self, id: &str) -> &Placement {
+        &self.document.placements[id]
+    }
+
+    pub fn step(&self, id: &str) -> Option<&Step> {
+        self.placement(id).step.as_ref()
+    }
+
+    /// Ids of the instances with a step that `choose` picks.
+    pub fn stepping(&self, choose: impl Fn(&StepKind) -> bool) -> Vec<InstanceId> {
+        let placements = self.document.placements.iter();
+        let chosen = placements.filter(|(_, placement)| {
+            placement.step.as_ref().is_some_and(|step| choose(&step.kind))
+        });
+        chosen.map(|(id, _)| id.clone()).collect()
+    }
+
+    pub fn maintaining(&self) -> Vec<InstanceId> {
+        self.stepping(|kind| matches!(kind, StepKind::Maintain { .. }))
+    }
+}
+
+/// Configuration of `layout`, changed by `change` before the check.
+pub fn config(layout: &Layout, change: impl Fn(&mut RawConfig)) -> Config {
+    let zones: Vec<String> = (0..layout.zones).map(|zone| format!("z{zone}")).collect();
+    let services: Vec<String> = (0..layout.services).map(|service| format!("s{service}")).collect();
+    let mut raw = serde_json::json!({
+        "version": 1,
+        "write_id": "test",
+        "zones": {}, "services": {}, "pools": {"spare": {}}, "teams": {}, "waves": {},
+    });
+    for zone in &zones {
+        raw["zones"][zone] = serde_json::json!({"region": "r"});
+    }
+    for service in &services {
+        raw["services"][service] = serde_json::json!({"floor_share": layout.floor});
+        raw["pools"][service] = serde_json::json!({"service": service});
+    }
+    raw["waves"]["w"] = serde_json::json!({
+        "zones": zones,
+        "paused": true,
+        "start_unix_s": MONDAY_UNIX_S,
+        "deadline_unix_s": MONDAY_UNIX_S + 7 * 86_400,
+    });
+    let mut raw: RawConfig = serde_json::from_value(raw).expect("the configuration is well formed");
+    change(&mut raw);
+    Config::try_from(raw).expect("the configuration is valid")
+}
+
+/// Instances of `layout`: zones in turn, four to a rack, racks shared by all services.
+pub fn listed(layout: &Layout) -> Listed {
+    let pools = (0..layout.services).map(|service| (format!("s{service}"), layout.per_service));
+    let mut racked = vec![0; layout.zones];
+    let mut listed = Listed::new();
+    for (pool, count) in pools.chain([("spare".to_owned(), layout.spare)]) {
+        for number in 0..count {
+            let zone = number % layout.zones;
+            let id: InstanceId = format!("{pool}-{number}").into();
+            let instance = ListedInstance {
+                id: id.clone(),
+                address: ([127, 0, 0, 1], 1).into(),
+                zone: format!("z{zone}").into(),
+                rack: format!("r{}", racked[zone] / 4).into(),
+                state: InstanceState::Live,
+            };
+            racked[zone] += 1;
+            listed.insert(id, instance);
+        }
+    }
+    listed
+}
