Send the stand-in's answers without delay

Cause: the stand-in writes head and body apart, and without TCP_NODELAY the body waited for the delayed acknowledgement of the head, about 40 ms.

Conclusion: the loss was the stand-in's, not the request path's.

--- a/crates/standin/src/backend/connection.rs
+++ b/crates/standin/src/backend/connection.rs
@@ -24,6 +24,7 @@
 pub async fn serve(mut stream: TcpStream, shared: &Shared) {
     let mut upset = shared.upset.clone();
     upset.mark_unchanged();
+    let _ = stream.set_nodelay(true);
     if shared.options.faults.on_accept() {
         reset(&stream);
         return;
