Keep the state of attempts out of waiting requests

Cause: the future of a waiting request carried room for two attempts.

Change: attempts are boxed when they begin.

--- a/crates/dispatch/src/proxy.rs
+++ b/crates/dispatch/src/proxy.rs
@@ -85,7 +85,9 @@
         let mut running = self.dispatcher.acquire(order).await?;
         self.budget.deposit(&order.service);
         loop {
-            let failure = match self.attempt(order, running, &mut prepared).await {
+            // Boxed, so that a waiting request does not carry the state of its attempts.
+            let attempt = Box::pin(self.attempt(order, running, &mut prepared));
+            let failure = match attempt.await {
                 Ok(answer) => {
                     self.note_attempts(order, tally.attempts() + 1);
                     return Ok(answer);
