Give slots to those who can use them in time and in their share

Change: under contention a request is refused as not run when its expected run would end after its deadline, on arrival or at its turn. ShareSource may bound what a team runs at this entry instance.

--- a/crates/dispatch/src/code.rs
+++ b/crates/dispatch/src/code.rs
@@ -14,8 +14,8 @@
         InvalidRequestId = 308, 400, "x-request-id must be 1 to 128 letters, digits or one of - _ . :";
         BodyTooLarge = 309, 413, "the request body is longer than the queue takes";
         QueueFull = 310, 429, "the team already has as many requests waiting as the queue takes";
-        CannotStartInTime = 311, 503, "the request cannot start before its deadline";
-        QueueTimeout = 312, 504, "the deadline passed while the request waited in the queue";
+        CannotStartInTime = 311, 503, "the request cannot be answered before its deadline";
+        QueueTimeout = 312, 504, "the request waited in the queue until it could not be answered before its deadline";
         AnswerTimeout = 313, 504, "the deadline passed before the backend server answered";
         RefusedByInstances = 314, 503, "the backend servers tried refused the request without running it";
         AnswerCrossed = 315, 502, "the backend server answered another request";
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -97,6 +97,8 @@
 struct TeamAccount {
     running: u32,
     service_time: Estimate,
+    /// Whether the team was set aside because it runs its part of the slots.
+    over_share: bool,
 }
 
 impl<R> Default for ServiceQueue<R> {
@@ -146,8 +148,13 @@
         self.update_weights();
     }
 
-    /// Takes in the weights anew.
-    pub fn update_weights(&mut self) {
+    /// Takes in the weights and bounds of teams anew.
+    pub fn update_shares(&mut self) {
+        self.update_weights();
+        self.unblock_all();
+    }
+
+    fn update_weights(&mut self) {
         let Some(config) = &self.config else {
             return;
         };
@@ -189,13 +196,14 @@
             return Err(retry_later(DispatchCode::NoInstance, None));
         }
         let expected = self.expected_wait(order);
+        let run = self.expected_run(order);
         let weight = weight(&self.edges, &config, &order.service, &order.team);
         let queue = self.queues.entry(order.service.clone()).or_default();
         if queue.fair.waiting(&order.team) >= service.queue_length_max as usize {
             return Err(retry_later(DispatchCode::QueueFull, expected));
         }
         let remaining = order.deadline.saturating_duration_since(now);
-        if expected.is_some_and(|expected| expected > remaining) {
+        if expected.is_some_and(|expected| expected + run > remaining) {
             return Err(retry_later(DispatchCode::CannotStartInTime, expected));
         }
         queue.fair.set_weight(&order.team, weight);
@@ -225,8 +233,12 @@
     }
 
     /// Whether a request's team waits for its upper limit.
-    pub fn is_blocked(&self, order: &Order) -> bool {
-        self.queues.get(&order.service).is_some_and(|queue| queue.fair.is_blocked(&order.team))
+    pub fn is_at_limit(&self, order: &Order) -> bool {
+        let Some(queue) = self.queues.get(&order.service) else {
+            return false;
+        };
+        let over_share = queue.teams.get(&order.team).is_some_and(|team| team.over_share);
+        queue.fair.is_blocked(&order.team) && !over_share
     }
 
     /// Expected wait of a request that arrives now: what waits before it over the rate at which
@@ -255,6 +267,15 @@
         Duration::try_from_secs_f64(wait_s).ok()
     }
 
+    /// Mean time that requests of the team take once started; zero while nothing is known.
+    fn expected_run(&self, order: &Order) -> Duration {
+        let Some(queue) = self.queues.get(&order.service) else {
+            return Duration::ZERO;
+        };
+        let account = queue.teams.get(&order.team);
+        expected_run(account, &queue.service_time)
+    }
+
     fn weight_of(&self, order: &Order) -> f64 {
         let Some(config) = &self.config else {
             return 1.0;
@@ -275,12 +296,24 @@
             let Some(waiting) = queue.fair.first(&team) else {
                 break;
             };
-            if let Some(code) = refusal(waiting, &config, now) {
+            // Where others wait too, a request that would hardly end in time leaves its slot to them.
+            let run = match queue.fair.len() {
+                1 => Duration::ZERO,
+                _ => expected_run(queue.teams.get(&team), &queue.service_time),
+            };
+            if let Some(code) = refusal(&waiting.order, &config, now + run) {
                 if let Some(waiting) = queue.fair.discard(&team) {
                     replies.push((waiting.reply, waiting.order, Err(Problem::not_run(code))));
                 }
                 continue;
             }
+            let account = queue.teams.entry(team.clone()).or_default();
+            let running_max = self.edges.shares().running_max(service, &team);
+            account.over_share = running_max.is_some_and(|most| account.running >= most.max(1));
+            if account.over_share {
+                queue.fair.block(&team);
+                continue;
+            }
             let wish = Wish { idempotent: waiting.order.idempotent, avoid: &waiting.avoid };
             let domains = self.edges.domains();
             let Some(index) = self.backends.choose(service, wish, domains, &mut self.rng) else {
@@ -296,7 +329,6 @@
                 Some(permit) => permit,
                 None => None,
             };
-            let account = queue.teams.entry(team.clone()).or_default();
             let cost_s = cost_s(account, &queue.service_time);
             account.running += 1;
             queue.running += 1;
@@ -419,12 +451,19 @@
     Problem::not_run(code).with_retry_after(expected.unwrap_or(RETRY_AFTER_DEFAULT))
 }
 
-/// Why a waiting request may not start at all, if so.
-fn refusal<R>(waiting: &Waiting<R>, config: &Config, now: Instant) -> Option<DispatchCode> {
-    if waiting.order.deadline <= now {
+/// Why a waiting request may not start at all, if so. `end` is the earliest time at which its
+/// answer is expected.
+fn refusal(order: &Order, config: &Config, end: Instant) -> Option<DispatchCode> {
+    if order.deadline <= end {
         return Some(DispatchCode::QueueTimeout);
     }
-    (!waiting.order.is_authorized(config)).then_some(DispatchCode::InvalidKey)
+    (!order.is_authorized(config)).then_some(DispatchCode::InvalidKey)
+}
+
+fn expected_run(account: Option<&TeamAccount>, service_time: &Estimate) -> Duration {
+    let of_team = account.and_then(|account| account.service_time.mean_s());
+    let mean_s = of_team.or(service_time.mean_s()).unwrap_or(0.0);
+    Duration::try_from_secs_f64(mean_s).unwrap_or_default()
 }
 
 fn cost_s(account: &TeamAccount, service_time: &Estimate) -> f64 {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -131,8 +131,8 @@
 
     fn timeout(&self, order: &Order) -> Problem {
         let state = self.shared.lock();
-        let blocked = state.core.is_blocked(order);
-        let code = if blocked { DispatchCode::LimitReached } else { DispatchCode::QueueTimeout };
+        let at_limit = state.core.is_at_limit(order);
+        let code = if at_limit { DispatchCode::LimitReached } else { DispatchCode::QueueTimeout };
         Problem::not_run(code).with_retry_after(state.core.retry_after(order))
     }
 
@@ -371,7 +371,7 @@
             () = changed(&mut changes.config) => shared.change(|_| {}),
             () = changed(&mut changes.instances) => shared.change(|_| {}),
             () = changed(&mut changes.limits) => shared.change(Core::unblock_all),
-            () = changed(&mut changes.shares) => shared.change(Core::update_weights),
+            () = changed(&mut changes.shares) => shared.change(Core::update_shares),
             () = changed(&mut changes.peers) => shared.change(Core::update_peers),
             () = holds => {}
             () = sleep_until(hold_end) => {
--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -12,7 +12,14 @@
     /// Weight of `team` at this entry instance; `None` stands for its configured share.
     fn weight(&self, service: &ServiceId, team: &TeamId) -> Option<f64>;
 
-    /// Notifies when weights have changed.
+    /// Most requests of `team` that this entry instance should run while others wait for slots;
+    /// `None` for no bound. Teams that reach few entry instances get their share only when the
+    /// other teams leave them slots. At least one request is always allowed.
+    fn running_max(&self, _service: &ServiceId, _team: &TeamId) -> Option<u32> {
+        None
+    }
+
+    /// Notifies when weights or bounds have changed.
     fn changes(&self) -> watch::Receiver<()>;
 }
 
