--- /dev/null
+++ b/crates/dispatch/benches/decision.rs
@@ -0,0 +1,152 @@
+//! Cost of one decision (which team starts next, and at which backend server) and of taking in a
+//! change, by number of instances and teams.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::raw::RawConfig;
+use cassiafold_config::{Config, Instance, InstanceState, ServiceId};
+use cassiafold_dispatch::core::{Core, End, Ended};
+use cassiafold_dispatch::{Order, Sources};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+const INSTANCES: [usize; 3] = [10, 100, 870];
+const TEAMS: [usize; 3] = [6, 50, 200];
+const BACKLOG: usize = 10;
+const RUN: Duration = Duration::from_millis(50);
+
+fn config(teams: usize) -> Arc<Config> {
+    let team = |index: usize| {
+        let document = serde_json::json!({"share": index % 5 + 1, "upper_limit": 100_000});
+        (format!("team-{index}"), document)
+    };
+    let teams: serde_json::Map<_, _> = (0..teams).map(team).collect();
+    let raw: RawConfig = serde_json::from_value(serde_json::json!({
+        "version": 1,
+        "zones": {"a": {"region": "n"}, "b": {"region": "n"}, "c": {"region": "n"}},
+        "services": {"portal": {"floor_share": 0.5, "queue_length_max": 100_000}},
+        "pools": {"portal": {"service": "portal"}},
+        "teams": teams,
+    }))
+    .expect("the configuration is well formed");
+    Arc::new(Config::try_from(raw).expect("the configuration is valid"))
+}
+
+fn instance(index: usize) -> Instance {
+    let zone = ["a", "b", "c"][index % 3];
+    Instance {
+        id: format!("portal-{index}").into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.into(),
+        rack: format!("{zone}-{}", index / 12).into(),
+        pool: "portal".into(),
+        state: InstanceState::Live,
+    }
+}
+
+/// A core whose slots are all taken and whose teams all have requests waiting.
+struct Full {
+    core: Core<Sources, ()>,
+    service: ServiceId,
+    orders: Vec<Arc<Order>>,
+    running: Vec<(Arc<Order>, usize, f64)>,
+    now: Instant,
+    turn: usize,
+}
+
+impl Full {
+    fn new(instances: usize, teams: usize) -> Self {
+        let (now, service): (Instant, ServiceId) = (Instant::now(), "portal".into());
+        let list: Vec<Instance> = (0..instances).map(instance).collect();
+        let rng = SmallRng::seed_from_u64(3);
+        let mut core = Core::new(<Sources>::default(), "a".into(), rng);
+        core.update(config(teams), &list);
+        let order = |team: usize| {
+            Arc::new(Order {
+                id: "r".into(),
+                service: service.clone(),
+                team: format!("team-{team}").into(),
+                key: Some("key".into()),
+                checked: 1,
+                idempotent: true,
+                deadline: now + Duration::from_secs(600),
+            })
+        };
+        let orders: Vec<_> = (0..teams).map(order).collect();
+        let mut full = Self { core, service, orders, running: Vec::new(), now, turn: 0 };
+        for index in 0..instances * 8 + teams * BACKLOG {
+            let order = full.orders[index % teams].clone();
+            full.core.enqueue(&order, (), now).expect("the queue has room");
+        }
+        full.pump();
+        full
+    }
+
+    fn pump(&mut self) {
+        for ((), order, start) in self.core.pump(&self.service, self.now) {
+            let start = start.expect("the request may start");
+            self.running.push((order, start.index, start.cost_s));
+        }
+    }
+
+    /// One request ends, one arrives, and one starts.
+    fn step(&mut self) {
+        self.turn = self.turn.wrapping_add(7_919);
+        let nth = self.turn % self.running.len();
+        let (order, index, cost_s) = self.running.swap_remove(nth);
+        let ended = Ended { order: &order, index, cost_s, held: RUN, end: End::Completed };
+        black_box(self.core.end(&ended));
+        black_box(self.core.enqueue(&order, (), self.now).expect("the queue has room"));
+        self.pump();
+    }
+}
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    for instances in INSTANCES {
+        for teams in TEAMS {
+            let mut full = Full::new(instances, teams);
+            let id = BenchmarkId::new(format!("{instances} instances"), format!("{teams} teams"));
+            group.bench_function(id, |bench| bench.iter(|| full.step()));
+        }
+    }
+    group.finish();
+}
+
+fn change(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("change");
+    for instances in INSTANCES {
+        let mut full = Full::new(instances, 200);
+        let list: Vec<Instance> = (0..instances).map(instance).collect();
+        let config = config(200);
+        group.bench_function(BenchmarkId::new("instances", instances), |bench| {
+            bench.iter(|| full.core.update(config.clone(), &list));
+        });
+    }
+    group.finish();
+}
+
+fn cancel(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("cancel");
+    for waiting in [100, 10_000] {
+        let mut full = Full::new(10, 6);
+        let order = full.orders[0].clone();
+        for _ in 0..waiting {
+            full.core.enqueue(&order, (), full.now).expect("the queue has room");
+        }
+        group.bench_function(BenchmarkId::new("waiting", waiting), |bench| {
+            bench.iter(|| {
+                let ticket = full.core.enqueue(&order, (), full.now).expect("there is room");
+                full.core.cancel(&full.service, ticket);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision, change, cancel);
+criterion_main!(benches);
