Tested the store client where mutations had gone unnoticed

Five deliberate faults passed the tests: no second read after a stale connection, list pages at different revisions, a watch position beyond a restored store, no move to the next address after silence, and unbounded answers. Scripted servers now answer these cases one by one.

--- a/crates/platform/tests/etcd.rs
+++ b/crates/platform/tests/etcd.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cassiafold_platform::{
@@ -19,6 +20,8 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of clients, each of which starts at a random address.
+const CLIENTS: usize = 40;
 /// How long a server waits for more bytes than a request has.
 const READ_WAIT: Duration = Duration::from_millis(300);
 const LOOPBACK: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
@@ -58,14 +61,11 @@
     (address, task)
 }
 
-/// Reads one request, whose body is JSON and ends with a brace after its head.
-async fn read_request(stream: &mut TcpStream) {
+/// Reads one request.
+async fn read_request(stream: &mut TcpStream) -> String {
     let mut request = Vec::new();
-    while !complete(&request) {
-        if stream.read_buf(&mut request).await.unwrap() == 0 {
-            return;
-        }
-    }
+    while !complete(&request) && stream.read_buf(&mut request).await.unwrap() > 0 {}
+    String::from_utf8(request).unwrap()
 }
 
 fn complete(request: &[u8]) -> bool {
@@ -138,12 +138,14 @@
         stream.write_all(&answer(WRITTEN)).await.unwrap();
     })
     .await;
-    let store = client_with_timeout(&[silent, working], SHORT_TIMEOUT);
-    let results = [store.write(put()).await, store.write(put()).await, store.write(put()).await];
-    let unknown =
-        results.iter().filter(|result| matches!(result, Err(StoreError::OutcomeUnknown(_))));
-    assert!(unknown.count() <= 1, "{results:?}");
-    assert_eq!(results[2], Ok(WriteOutcome::Written(4)));
+    let first_unknown = (0..CLIENTS).map(|_| async {
+        let store = client_with_timeout(&[silent, working], SHORT_TIMEOUT);
+        let first = store.write(put()).await;
+        assert_eq!(store.write(put()).await, Ok(WriteOutcome::Written(4)));
+        matches!(first, Err(StoreError::OutcomeUnknown(_)))
+    });
+    let unknown = join_all(first_unknown).await.into_iter().filter(|unknown| *unknown).count();
+    assert!((1..CLIENTS).contains(&unknown), "{unknown} clients started at the silent address");
 }
 
 #[tokio::test]
@@ -172,6 +174,82 @@
     }
 }
 
+#[tokio::test]
+async fn a_reused_connection_that_breaks_costs_a_read_nothing_and_a_write_its_answer() {
+    let (address, _task) = server(|mut stream| async move {
+        if read_request(&mut stream).await.contains("/v3/kv/range") {
+            stream.write_all(&answer(r#"{"header":{"revision":"4"}}"#)).await.unwrap();
+            read_request(&mut stream).await;
+        }
+    })
+    .await;
+    let store = client(&[address]);
+    for _ in 0..20 {
+        assert_eq!(store.get("key").await, Ok(None));
+    }
+    let written = store.write(put()).await;
+    assert!(matches!(written, Err(StoreError::OutcomeUnknown(_))), "{written:?}");
+}
+
+/// Answers the requests of all connections in turn and returns the bodies that it read.
+async fn scripted(answers: Vec<String>) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let requests = Arc::new(Mutex::new(Vec::new()));
+    let seen = requests.clone();
+    let (address, _) = server(move |mut stream| {
+        let (answers, seen) = (answers.clone(), seen.clone());
+        async move {
+            let request = read_request(&mut stream).await;
+            let number = {
+                let mut seen = seen.lock().unwrap();
+                seen.push(request);
+                seen.len() - 1
+            };
+            stream.write_all(&answer(&answers[number])).await.unwrap();
+        }
+    })
+    .await;
+    (address, requests)
+}
+
+#[tokio::test]
+async fn all_pages_are_read_at_the_revision_of_the_first() {
+    let first =
+        r#"{"header":{"revision":"9"},"kvs":[{"key":"YQ==","mod_revision":"3"}],"more":true}"#;
+    let second = r#"{"header":{"revision":"12"},"kvs":[{"key":"Yg==","mod_revision":"4"}]}"#;
+    let (address, requests) = scripted(vec![first.into(), second.into()]).await;
+    let snapshot = client(&[address]).list("").await.unwrap();
+    assert_eq!((snapshot.revision, snapshot.records.len()), (9, 2));
+    let requests = requests.lock().unwrap();
+    assert!(!requests[0].contains("revision"), "{}", requests[0]);
+    assert!(requests[1].contains(r#""revision":"9""#), "{}", requests[1]);
+}
+
+macro_rules! watch_starts {
+    ($($name:ident: $lines:expr => $error:pat,)+) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (address, _) = scripted(vec![$lines.into()]).await;
+            let result = client(&[address]).watch("k", 5).await;
+            assert!(matches!(result, Err($error)), "{result:?}");
+        }
+    )+};
+}
+
+watch_starts! {
+    a_watch_beyond_a_restored_store_is_compacted:
+        "{\"result\":{\"header\":{\"revision\":\"4\"},\"created\":true}}\n"
+        => StoreError::Compacted,
+    a_watch_before_the_kept_history_is_compacted:
+        "{\"result\":{\"header\":{},\"canceled\":true,\"compact_revision\":\"8\"}}\n"
+        => StoreError::Compacted,
+    a_refused_watch_is_unavailable:
+        "{\"error\":{\"grpc_code\":14,\"message\":\"etcdserver: no leader\"}}\n"
+        => StoreError::Unavailable(_),
+    a_watch_without_its_creation_is_malformed:
+        "{\"result\":{\"header\":{\"revision\":\"9\"}}}\n" => StoreError::Malformed(_),
+    a_watch_of_something_else_is_malformed: "[]\n" => StoreError::Malformed(_),
+}
+
 #[tokio::test]
 async fn an_endless_answer_is_refused() {
     let (address, _task) = server(|mut stream| async move {
@@ -184,7 +262,8 @@
     let settings = EtcdSettings { timeout: TIMEOUT, ..EtcdSettings::new(vec![address], "entry") };
     let metrics = StoreMetrics::default();
     let store = EtcdStore::new(settings, metrics.clone());
-    assert!(matches!(store.get("key").await, Err(StoreError::Malformed(_))));
+    let refused = Err(StoreError::Malformed("answer is too large".into()));
+    assert_eq!(store.get("key").await, refused);
     assert_eq!(metrics.count(StoreCall::Get, CallOutcome::Answered), 1);
 }
 
