--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,7 +11,7 @@
 mod state;
 pub mod store;
 
-pub use backend::{Backend, BackendCounts};
+pub use backend::{Backend, BackendCounts, BackendOptions, Fault, FaultPlan};
 pub use calls::{CallCounts, CallKind};
 pub use command::{FaultCommand, WriteFaultCommand};
 pub use faults::{ClientId, Partition, StoreFaults, WriteFault};
