Run the fleet's planning rounds under the control lease

The planner had no loop around it. The controller reads what is known, plans, writes the document by a settled compare-and-swap and only then asks for reboots, each with the request id that the document gives it. Taking control writes the document once, so that a write prepared by a holder that was paused meanwhile has lost its condition. Entry instances follow document and failure domains by one watch and never go back to a lower number.

--- a/crates/fleet/src/budget/tests.rs
+++ b/crates/fleet/src/budget/tests.rs
@@ -53,8 +53,12 @@
     let slots = prop::collection::btree_set(0_usize..8, 1..3);
     let members = prop::collection::vec(slots, 1..14);
     let strategy = (members, 0_usize..14, 0_usize..4);
-    let config =
-        RunnerConfig { rng_seed: RngSeed::Fixed(51), cases: 2_000, ..RunnerConfig::default() };
+    let config = RunnerConfig {
+        rng_seed: RngSeed::Fixed(51),
+        cases: 2_000,
+        failure_persistence: None,
+        ..RunnerConfig::default()
+    };
     let strategy = strategy.prop_map(|(members, floor, missing)| {
         let members: Vec<Vec<usize>> =
             members.into_iter().map(|slots| slots.into_iter().collect()).collect();
--- /dev/null
+++ b/crates/fleet/src/controller/keep.rs
@@ -0,0 +1,151 @@
+//! What the controller keeps in the store besides the fleet document.
+
+use std::time::SystemTime;
+
+use cassiafold_event::emit;
+use cassiafold_platform::{
+    Document, Envelope, NotApplied, Store, StoreError, UpdateOutcome, Writer, update,
+};
+use tokio::time::{Duration, Instant};
+
+use crate::document::FleetDocument;
+use crate::domain::{DOMAINS_KEY, Domains};
+use crate::event::FleetEvent;
+use crate::history::{DECISIONS_PREFIX, History, RawSegment};
+use crate::plan::Plan;
+use crate::policy::Policy;
+use crate::timeline::{TIMELINE_KEY, Timeline};
+use crate::view::{Listed, View};
+
+/// Time between two saves of the history.
+const SAVE_INTERVAL: Duration = Duration::from_secs(30);
+/// Longest time for one save.
+const SAVE_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Learned failure domains, last decisions and samples.
+#[derive(Debug, Default)]
+pub(super) struct Kept {
+    pub(super) domains: Domains,
+    pub(super) history: History,
+    pub(super) timeline: Timeline,
+    domains_changed: bool,
+    timeline_changed: bool,
+    history_saved: Option<Instant>,
+}
+
+impl Kept {
+    /// Reads everything that is stored.
+    pub(super) async fn load<S: Store>(&mut self, store: &S) -> Result<(), StoreError> {
+        self.domains = read(store, DOMAINS_KEY).await?.unwrap_or_default();
+        self.timeline = read(store, TIMELINE_KEY).await?.unwrap_or_default();
+        let records = store.list(DECISIONS_PREFIX).await?.records;
+        let segments = records.iter().filter_map(|record| {
+            let envelope = Envelope::<RawSegment>::decode(&record.value).ok()?;
+            Some(envelope.value)
+        });
+        self.history = History::restore(segments.collect());
+        Ok(())
+    }
+
+    /// Notes the failures in `document` as evidence, in order of time.
+    pub(super) fn note_failures(
+        &mut self,
+        document: &FleetDocument,
+        now: SystemTime,
+        listed: &Listed,
+    ) {
+        let failures = document.placements.iter().filter_map(|(id, placement)| {
+            let failure = placement.failure.as_ref()?;
+            Some((failure.since, id))
+        });
+        let mut failures: Vec<_> = failures.collect();
+        failures.sort();
+        for (since, id) in failures {
+            self.domains_changed |= self.domains.note(id, since, listed);
+        }
+        if self.domains.advance(now, listed) {
+            self.domains.retain(|id| document.placements.contains_key(id));
+            self.domains_changed = true;
+        }
+    }
+
+    /// Notes the decisions of a round that is in force.
+    pub(super) fn note_round(&mut self, view: &View<'_>, policy: &Policy, plan: &Plan) {
+        self.timeline_changed |= self.timeline.note(view, policy, plan);
+        self.history.extend(plan.decisions.iter().cloned());
+    }
+
+    /// Saves what has changed while `holds` says that control is held. What cannot be saved now
+    /// is saved later.
+    pub(super) async fn save<S: Store>(
+        &mut self,
+        store: &S,
+        writer: &Writer,
+        holds: &(impl Fn() -> bool + Sync),
+    ) {
+        if self.domains_changed {
+            self.domains_changed = !write(store, writer, DOMAINS_KEY, &self.domains, holds).await;
+        }
+        if self.timeline_changed {
+            self.timeline_changed =
+                !write(store, writer, TIMELINE_KEY, &self.timeline, holds).await;
+        }
+        let recent = self.history_saved.is_some_and(|time| time.elapsed() < SAVE_INTERVAL);
+        if !recent {
+            self.history_saved = Some(Instant::now());
+            self.save_history(store, writer, holds).await;
+        }
+    }
+
+    async fn save_history<S: Store>(
+        &mut self,
+        store: &S,
+        writer: &Writer,
+        holds: &(impl Fn() -> bool + Sync),
+    ) {
+        for (key, segment) in self.history.unsaved() {
+            if !write(store, writer, &key, &segment, holds).await {
+                return;
+            }
+        }
+        self.history.mark_saved();
+    }
+}
+
+async fn read<S: Store, T: Document>(store: &S, key: &str) -> Result<Option<T>, StoreError> {
+    let Some(record) = store.get(key).await? else {
+        return Ok(None);
+    };
+    match Envelope::<T>::decode(&record.value) {
+        Ok(envelope) => Ok(Some(envelope.value)),
+        Err(error) => {
+            emit!(FleetEvent::DocumentRefused, key = key, error = error);
+            Ok(None)
+        }
+    }
+}
+
+/// Replaces the value of `key`. Only the holder of control writes these keys.
+async fn write<S: Store, T: Document>(
+    store: &S,
+    writer: &Writer,
+    key: &str,
+    value: &T,
+    holds: &(impl Fn() -> bool + Sync),
+) -> bool {
+    let deadline = Instant::now() + SAVE_DEADLINE;
+    let change = |_: Option<&T>| holds().then(|| value.clone()).ok_or(NoControl);
+    match update(store, writer, key, deadline, change).await {
+        UpdateOutcome::Applied { .. } => true,
+        UpdateOutcome::NotApplied(NotApplied::Unavailable(_) | NotApplied::Refused(NoControl)) => {
+            false
+        }
+        UpdateOutcome::NotApplied(_) | UpdateOutcome::StillUnknown { .. } => {
+            emit!(FleetEvent::StoreFailed, key = key);
+            false
+        }
+    }
+}
+
+/// Control was lost before the write.
+struct NoControl;
--- /dev/null
+++ b/crates/fleet/src/handle.rs
@@ -0,0 +1,148 @@
+//! The fleet as an entry instance follows it: pools, steps and suspected failure domains.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::{Instance, InstanceId, InstanceState, PoolId};
+use cassiafold_event::emit;
+use cassiafold_platform::{Envelope, ListedInstance, Record, Revision, Store, StoreError, Watch};
+use tokio::sync::watch;
+
+use crate::document::{DOCUMENT_KEY, DocumentNumber, FleetDocument};
+use crate::domain::{DOMAINS_KEY, DomainId, Domains};
+use crate::event::FleetEvent;
+
+/// Prefix of the keys that entry instances follow.
+const FLEET_PREFIX: &str = "cassiafold/fleet/";
+/// Wait before the fleet is read again after the store failed.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// What an entry instance knows of the fleet.
+#[derive(Debug, Clone, Default)]
+pub struct FleetState {
+    /// Highest fleet document seen.
+    pub document: Arc<FleetDocument>,
+    /// Learned failure domains last seen.
+    pub domains: Arc<Domains>,
+}
+
+impl FleetState {
+    /// Number to report as confirmed once the request path acts on this state.
+    pub fn number(&self) -> DocumentNumber {
+        self.document.number
+    }
+
+    /// Pool of an instance.
+    pub fn pool_of(&self, id: &InstanceId) -> Option<&PoolId> {
+        Some(&self.document.placements.get(id)?.pool)
+    }
+
+    /// The listed instance with its pool; `Leaving` while a step is in progress on it. `None`
+    /// before the fleet has adopted it.
+    pub fn instance(&self, listed: &ListedInstance) -> Option<Instance> {
+        let placement = self.document.placements.get(&listed.id)?;
+        let state = match placement.takes_work() {
+            true => listed.state,
+            false => InstanceState::Leaving,
+        };
+        Some(Instance {
+            id: listed.id.clone(),
+            address: listed.address,
+            zone: listed.zone.clone(),
+            rack: listed.rack.clone(),
+            pool: placement.pool.clone(),
+            state,
+        })
+    }
+
+    /// Suspected failure domain of an instance, else its declared rack. A retry goes to an
+    /// instance in another domain.
+    pub fn domain_of(&self, listed: &ListedInstance) -> DomainId {
+        self.domains.domain_of(listed)
+    }
+}
+
+/// Shared view of the fleet. Cheap to clone; all clones see the same state.
+#[derive(Debug, Clone)]
+pub struct FleetHandle {
+    state: Arc<watch::Sender<FleetState>>,
+}
+
+impl Default for FleetHandle {
+    fn default() -> Self {
+        Self { state: Arc::new(watch::Sender::new(FleetState::default())) }
+    }
+}
+
+impl FleetHandle {
+    /// State last seen.
+    pub fn load(&self) -> FleetState {
+        self.state.borrow().clone()
+    }
+
+    /// Receiver that sees each new state.
+    pub fn subscribe(&self) -> watch::Receiver<FleetState> {
+        self.state.subscribe()
+    }
+
+    /// Offers a document; a lower number than the one known has no effect.
+    pub fn offer(&self, document: Arc<FleetDocument>) -> bool {
+        self.state.send_if_modified(|state| {
+            let newer = document.number > state.document.number;
+            if newer {
+                state.document = document;
+            }
+            newer
+        })
+    }
+
+    /// Follows the fleet in the store until dropped.
+    pub async fn follow<S: Store>(&self, store: S) {
+        loop {
+            if let Err(error) = self.follow_once(&store).await {
+                emit!(FleetEvent::StoreFailed, error = error);
+            }
+            tokio::time::sleep(RETRY_WAIT).await;
+        }
+    }
+
+    async fn follow_once<S: Store>(&self, store: &S) -> Result<(), StoreError> {
+        let after = self.read(store).await?;
+        let mut watch = store.watch(FLEET_PREFIX, after).await?;
+        loop {
+            let changes = watch.next().await?;
+            for record in changes.into_iter().filter_map(|change| change.record) {
+                self.take(&record);
+            }
+        }
+    }
+
+    async fn read<S: Store>(&self, store: &S) -> Result<Revision, StoreError> {
+        let snapshot = store.list(FLEET_PREFIX).await?;
+        for record in &snapshot.records {
+            self.take(record);
+        }
+        Ok(snapshot.revision)
+    }
+
+    fn take(&self, record: &Record) {
+        match &*record.key {
+            DOCUMENT_KEY => match Envelope::<FleetDocument>::decode(&record.value) {
+                Ok(document) => {
+                    self.offer(Arc::new(document.value));
+                }
+                Err(error) => emit!(FleetEvent::DocumentRefused, error = error),
+            },
+            DOMAINS_KEY => match Envelope::<Domains>::decode(&record.value) {
+                Ok(domains) => {
+                    self.state.send_modify(|state| state.domains = Arc::new(domains.value));
+                }
+                Err(error) => emit!(FleetEvent::DocumentRefused, error = error),
+            },
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,9 @@
 //!   [`raw`] is its wire form.
 //! - [`mod@plan`]: one planning round, a plain function from a [`View`] to the next document.
 //! - [`budget`], [`demand`], [`wave`], [`domain`]: the decisions that a round is made of.
-//! - [`explain`], [`history`]: what the fleet did and why.
+//! - [`controller`]: the loop that plans, writes and carries out; [`environment`] is what it
+//!   needs, [`handle`] what an entry instance sees of it.
+//! - [`explain`], [`history`], [`timeline`]: what the fleet did and why.
 //!
 //! All changes go through compare-and-swap of the fleet document.
 
@@ -12,32 +14,40 @@
 pub mod budget;
 pub mod census;
 pub mod code;
+pub mod controller;
 pub mod decision;
 pub mod demand;
 pub mod document;
 pub mod domain;
+pub mod environment;
 pub mod event;
 pub mod explain;
+pub mod handle;
 pub mod history;
 pub mod operate;
 pub mod plan;
 pub mod policy;
 pub mod raw;
 mod repair;
+pub mod timeline;
 pub mod view;
 pub mod wave;
 
 pub use budget::{Budget, Budgets, Shortage};
 pub use code::FleetCode;
+pub use controller::{Controller, RoundOutcome};
 pub use decision::{Decision, Inputs, Refusal};
 pub use document::{FleetDocument, Phase, Placement, Step, StepKind, Symptom};
 pub use domain::{DomainId, Domains};
+pub use environment::Environment;
 pub use event::FleetEvent;
 pub use explain::{Explanation, Subject, explain, wave_status};
+pub use handle::{FleetHandle, FleetState};
 pub use history::History;
 pub use operate::request_move;
 pub use plan::{Plan, plan};
 pub use policy::Policy;
+pub use timeline::Timeline;
 pub use view::{Answers, Demand, Listed, Observed, View};
 pub use wave::WaveStatus;
 
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -1,3 +1,5 @@
 //! Fixtures and random schedules.
 
 pub(crate) mod fixture;
+mod race;
+mod schedule;
--- /dev/null
+++ b/crates/fleet/src/tests/race.rs
@@ -0,0 +1,313 @@
+//! Two controllers on one store that both believe to be in control: they race, one is paused
+//! in the middle of a round, answers are lost, the store is down.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+
+use cassiafold_config::{Config, InstanceId};
+use cassiafold_platform::{Change, Envelope, ListedInstance, Store, Watch};
+use cassiafold_standin::faults::WriteFault;
+use cassiafold_standin::{MemoryInstances, MemoryStore};
+use proptest::prelude::{Just, Strategy, any, prop, prop_oneof};
+use proptest::test_runner::{Config as RunnerConfig, RngSeed, TestRunner};
+use tokio::time::sleep;
+
+use crate::controller::Controller;
+use crate::document::{DOCUMENT_KEY, FleetDocument, Phase, Symptom};
+use crate::environment::Environment;
+use crate::handle::FleetHandle;
+use crate::policy::Policy;
+use crate::tests::fixture::{Layout, config, listed, monday};
+use crate::tests::schedule::{broken, planned_from, serving};
+use crate::view::{Listed, Observed};
+
+const LAYOUT: Layout = Layout { zones: 3, services: 2, per_service: 8, spare: 2, floor: 0.6 };
+
+/// What the whole fleet is like.
+#[derive(Debug, Clone, Default)]
+struct World {
+    failing: BTreeSet<InstanceId>,
+    elapsed: Duration,
+}
+
+/// One controller's surroundings.
+struct Surroundings {
+    store: MemoryStore,
+    instances: MemoryInstances,
+    config: Arc<Config>,
+    world: Arc<Mutex<World>>,
+    handle: FleetHandle,
+}
+
+impl Environment for Surroundings {
+    type Store = MemoryStore;
+    type List = MemoryInstances;
+    type Control = MemoryInstances;
+
+    fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    fn list(&self) -> &MemoryInstances {
+        &self.instances
+    }
+
+    fn control(&self) -> &MemoryInstances {
+        &self.instances
+    }
+
+    fn config(&self) -> Option<Arc<Config>> {
+        Some(self.config.clone())
+    }
+
+    fn observe(&self) -> Option<Observed> {
+        let world = self.world.lock().expect("no test panics while it holds the lock");
+        let failing = world.failing.iter().map(|id| (id.clone(), Symptom::Unreachable));
+        let confirmed = self.handle.load().number();
+        Some(Observed { confirmed, symptoms: failing.collect(), ..Observed::default() })
+    }
+
+    async fn try_instance(&self, instance: &ListedInstance) -> bool {
+        let world = self.world.lock().expect("no test panics while it holds the lock");
+        !world.failing.contains(&instance.id)
+    }
+
+    fn holds_control(&self) -> bool {
+        true
+    }
+
+    fn now(&self) -> SystemTime {
+        monday() + self.world.lock().expect("no test panics while it holds the lock").elapsed
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Action {
+    Round(bool),
+    Race,
+    /// The first controller stops in the middle of its round while the other goes on.
+    Pause(u64),
+    Lose(WriteFault),
+    Outage,
+    Fail(Vec<usize>),
+    Recover,
+    Wait(u64),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let faults = prop_oneof![
+        Just(WriteFault::LostAnswer),
+        Just(WriteFault::LostRequest),
+        (1_u64..5_000).prop_map(|wait| WriteFault::Late(Duration::from_millis(wait))),
+    ];
+    prop_oneof![
+        any::<bool>().prop_map(Action::Round),
+        Just(Action::Race),
+        Just(Action::Race),
+        (1_u64..20).prop_map(Action::Pause),
+        faults.prop_map(Action::Lose),
+        Just(Action::Outage),
+        prop::collection::vec(0_usize..18, 1..3).prop_map(Action::Fail),
+        Just(Action::Recover),
+        (1_u64..300).prop_map(Action::Wait),
+    ]
+}
+
+struct Race {
+    first: Controller<Surroundings>,
+    second: Controller<Surroundings>,
+    store: MemoryStore,
+    instances: MemoryInstances,
+    world: Arc<Mutex<World>>,
+    config: Arc<Config>,
+    listed: Listed,
+    /// Worlds since the last document was written.
+    worlds: Vec<World>,
+    document: FleetDocument,
+    revision: u64,
+    /// Request ids of every step that came to its reboot.
+    reboots: BTreeSet<Arc<str>>,
+}
+
+impl Race {
+    fn new() -> Self {
+        let store = MemoryStore::default();
+        let instances = MemoryInstances::default();
+        let listed = listed(&LAYOUT);
+        listed.values().for_each(|instance| instances.put(instance.clone()));
+        let unpaused = |raw: &mut cassiafold_config::raw::RawConfig| {
+            raw.waves.get_mut("w").expect("the wave exists").paused = false;
+        };
+        let config = Arc::new(config(&LAYOUT, unpaused));
+        let world = Arc::new(Mutex::new(World::default()));
+        let controller = |name: &str| {
+            let handle = FleetHandle::default();
+            let client = store.client(name);
+            let (follower, followed) = (handle.clone(), client.clone());
+            tokio::spawn(async move { follower.follow(followed).await });
+            let surroundings = Surroundings {
+                store: client,
+                instances: instances.clone(),
+                config: config.clone(),
+                world: world.clone(),
+                handle: handle.clone(),
+            };
+            let policy = Policy { maintenance_share_max: 1.0, pause_min: 4, ..Policy::default() };
+            Controller::new(surroundings, policy, name.into(), handle)
+        };
+        Self {
+            first: controller("a"),
+            second: controller("b"),
+            store,
+            instances,
+            worlds: vec![World::default()],
+            world,
+            config,
+            listed,
+            document: FleetDocument::default(),
+            revision: 0,
+            reboots: BTreeSet::new(),
+        }
+    }
+
+    fn change(&mut self, change: impl FnOnce(&mut World)) {
+        let mut world = self.world.lock().expect("no test panics while it holds the lock");
+        change(&mut world);
+        self.worlds.push(world.clone());
+    }
+
+    async fn act(&mut self, action: &Action) {
+        match action {
+            Action::Round(true) => drop(self.first.round().await),
+            Action::Round(false) => drop(self.second.round().await),
+            Action::Race => {
+                tokio::join!(self.first.round(), self.second.round());
+            }
+            Action::Pause(seconds) => self.pause(Duration::from_secs(*seconds)).await,
+            Action::Lose(fault) => self.store.faults().fail_writes(1, *fault),
+            Action::Outage => {
+                self.store.faults().set_outage(true);
+                tokio::join!(self.first.round(), self.second.round());
+                self.store.faults().set_outage(false);
+                sleep(Duration::from_secs(1)).await;
+            }
+            Action::Fail(numbers) => {
+                let ids: Vec<InstanceId> = self.listed.keys().cloned().collect();
+                let hit = numbers.iter().map(|number| ids[number % ids.len()].clone());
+                self.change(|world| world.failing.extend(hit));
+            }
+            Action::Recover => self.change(|world| world.failing.clear()),
+            Action::Wait(seconds) => {
+                self.change(|world| world.elapsed += Duration::from_secs(*seconds));
+                sleep(Duration::from_secs(*seconds)).await;
+            }
+        }
+        self.check().await;
+    }
+
+    /// Delays the calls of the first controller's round, so that the other writes in between.
+    async fn pause(&mut self, pause: Duration) {
+        self.store.faults().set_delay(Duration::from_millis(900));
+        let faults = self.store.faults();
+        let second = async {
+            sleep(Duration::from_millis(500)).await;
+            faults.set_delay(Duration::ZERO);
+            self.second.round().await;
+            sleep(pause).await;
+            self.second.round().await;
+        };
+        tokio::join!(self.first.round(), second);
+    }
+
+    /// Checks every document that was written since the last check.
+    async fn check(&mut self) {
+        let record = self.store.faults().peek(DOCUMENT_KEY);
+        if record.is_none_or(|record| record.revision <= self.revision) {
+            return;
+        }
+        let mut watch = self.store.watch(DOCUMENT_KEY, self.revision).await.expect("it is up");
+        let changes = watch.next().await.expect("the store is up");
+        watch.close();
+        for change in changes {
+            self.check_change(change);
+        }
+        self.worlds.drain(..self.worlds.len() - 1);
+        self.check_reboots();
+    }
+
+    fn check_change(&mut self, change: Change) {
+        let record = change.record.expect("the document is never removed");
+        let envelope = Envelope::<FleetDocument>::decode(&record.value);
+        let document = envelope.expect("the document is well formed").value;
+        assert_eq!(document.number, self.document.number + 1);
+        let fits = self.worlds.iter().any(|world| self.fits(&document, &world.failing));
+        assert!(fits, "document {} breaks a budget", document.number);
+        for (id, place) in &document.placements {
+            if let Some(step) = place.step.as_ref().filter(|step| step.phase != Phase::Draining) {
+                self.reboots.insert(step.request_id(id));
+            }
+        }
+        self.revision = change.revision;
+        self.document = document;
+    }
+
+    fn fits(&self, document: &FleetDocument, failing: &BTreeSet<InstanceId>) -> bool {
+        let services = planned_from(&self.config, failing, &self.document, document);
+        services.iter().all(|service| {
+            let up = serving(&self.config, &self.listed, failing, document, service);
+            !broken(&self.config, &self.listed, document, &up, service)
+        })
+    }
+
+    /// Each reboot was decided in a stored document, and no decision was carried out twice.
+    fn check_reboots(&self) {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        for (_, request_id) in self.instances.reboots() {
+            *counts.entry(request_id).or_default() += 1;
+        }
+        for (request_id, count) in counts {
+            assert!(self.reboots.contains(&*request_id), "{request_id} was never decided");
+            assert_eq!(count, 1, "{request_id}");
+        }
+    }
+}
+
+fn run(actions: &[Action]) -> usize {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("the runtime starts");
+    runtime.block_on(async {
+        let mut race = Race::new();
+        for action in actions {
+            race.act(action).await;
+        }
+        race.reboots.len()
+    })
+}
+
+#[test]
+fn racing_controllers_break_no_budget_and_repeat_no_reboot() {
+    let config = RunnerConfig {
+        rng_seed: RngSeed::Fixed(53),
+        cases: 150,
+        failure_persistence: None,
+        ..RunnerConfig::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let reboots = std::cell::Cell::new(0);
+    let result = runner.run(&prop::collection::vec(action(), 1..60), |actions| {
+        reboots.set(reboots.get() + run(&actions));
+        Ok(())
+    });
+    result.expect("no schedule breaks a budget");
+    assert!(reboots.get() > 100, "only {} reboots were decided", reboots.get());
+}
+
+#[test]
+fn racing_controllers_finish_the_wave() {
+    let actions: Vec<Action> = (0..400).flat_map(|_| [Action::Race, Action::Wait(20)]).collect();
+    assert!(run(&actions) >= 18);
+}
--- /dev/null
+++ b/crates/fleet/src/tests/schedule.rs
@@ -0,0 +1,225 @@
+//! Random schedules of failures, zone changes, demand and time, checked after each round against
+//! a twin that counts from the instances themselves and tries the failure of each domain.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cassiafold_config::{Config, InstanceId, ServiceId};
+use proptest::prelude::{Just, Strategy, any, prop, prop_oneof};
+use proptest::test_runner::{Config as RunnerConfig, RngSeed, TestRunner};
+
+use crate::document::{FleetDocument, Phase, StepKind, Symptom};
+use crate::tests::fixture::{Fixture, Layout};
+use crate::view::Listed;
+
+const LAYOUT: Layout = Layout { zones: 3, services: 3, per_service: 8, spare: 4, floor: 0.6 };
+
+/// What happens before a round.
+#[derive(Debug, Clone)]
+enum Event {
+    Fail(Vec<usize>),
+    FailRack(usize),
+    Recover,
+    ToggleZone(usize),
+    Demand(usize, u32),
+    Run(usize, u32),
+    Idle,
+    Confirm(bool),
+    Answer,
+    Wait(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        prop::collection::vec(0_usize..28, 1..4).prop_map(Event::Fail),
+        (0_usize..28).prop_map(Event::FailRack),
+        Just(Event::Recover),
+        (0_usize..3).prop_map(Event::ToggleZone),
+        ((0_usize..3), (0_u32..200)).prop_map(|(service, count)| Event::Demand(service, count)),
+        ((0_usize..28), (0_u32..4)).prop_map(|(instance, count)| Event::Run(instance, count)),
+        Just(Event::Idle),
+        any::<bool>().prop_map(Event::Confirm),
+        Just(Event::Answer),
+        Just(Event::Answer),
+        (1_u64..120).prop_map(Event::Wait),
+        (1_u64..900).prop_map(Event::Wait),
+    ]
+}
+
+/// Instances that serve `service`, counted one by one.
+pub fn serving(
+    config: &Config,
+    listed: &Listed,
+    failing: &BTreeSet<InstanceId>,
+    document: &FleetDocument,
+    service: &ServiceId,
+) -> Vec<InstanceId> {
+    let serves = |id: &InstanceId| {
+        let Some(place) = document.placements.get(id) else { return false };
+        let Some(instance) = listed.get(id) else { return false };
+        config.pools[&place.pool].service.as_ref() == Some(service)
+            && !config.zones[&instance.zone].out
+            && !failing.contains(id)
+            && place.failure.is_none()
+            && place.step.is_none()
+    };
+    listed.keys().filter(|id| serves(id)).cloned().collect()
+}
+
+/// Whether a planned step that left `up` in service broke the budget: fewer than the floor, or
+/// fewer once the worst rack fails, as far as a service at full strength could ever bear it.
+pub fn broken(
+    config: &Config,
+    listed: &Listed,
+    document: &FleetDocument,
+    up: &[InstanceId],
+    service: &ServiceId,
+) -> bool {
+    let at_home = |id: &InstanceId| {
+        let place = &document.placements[id];
+        config.pools[&place.home].service.as_ref() == Some(service)
+    };
+    let home = document.placements.keys().filter(|id| at_home(id)).count();
+    let floor = config.services[service].floor.instances(home);
+    let mut racks: BTreeMap<_, usize> = BTreeMap::new();
+    for id in up {
+        *racks.entry((&listed[id].zone, &listed[id].rack)).or_default() += 1;
+    }
+    let worst = racks.values().max().copied().unwrap_or(0);
+    let bearable = home.saturating_sub(floor + 1);
+    up.len() < floor + worst.min(bearable)
+}
+
+/// Services from which a step planned between two documents took a serving instance.
+pub fn planned_from(
+    config: &Config,
+    failing: &BTreeSet<InstanceId>,
+    before: &FleetDocument,
+    after: &FleetDocument,
+) -> BTreeSet<ServiceId> {
+    let mut services = BTreeSet::new();
+    for (id, place) in &after.placements {
+        let Some(old) = before.placements.get(id) else { continue };
+        let started = old.step.is_none() && place.step.is_some();
+        if started
+            && place.failure.is_none()
+            && !failing.contains(id)
+            && let Some(service) = &config.pools[&old.pool].service
+        {
+            services.insert(service.clone());
+        }
+    }
+    services
+}
+
+struct Schedule {
+    fixture: Fixture,
+    confirming: bool,
+}
+
+impl Schedule {
+    fn new() -> Self {
+        let mut fixture = Fixture::with_wave(&LAYOUT);
+        fixture.policy.maintenance_share_max = 1.0;
+        fixture.policy.pause_min = 4;
+        Self { fixture, confirming: true }
+    }
+
+    fn id(&self, number: usize) -> InstanceId {
+        let keys: Vec<&InstanceId> = self.fixture.listed.keys().collect();
+        keys[number % keys.len()].clone()
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Fail(numbers) => {
+                for number in numbers {
+                    let id = self.id(*number);
+                    self.fixture.fail(&id, Symptom::Unreachable);
+                }
+            }
+            Event::FailRack(number) => {
+                let rack = self.fixture.listed[&self.id(*number)].clone();
+                let listed = self.fixture.listed.values();
+                let hit = listed.filter(|it| (&it.zone, &it.rack) == (&rack.zone, &rack.rack));
+                let hit: Vec<InstanceId> = hit.map(|instance| instance.id.clone()).collect();
+                hit.iter().for_each(|id| self.fixture.fail(id, Symptom::Hanging));
+            }
+            Event::Recover => self.fixture.observed.symptoms.clear(),
+            Event::ToggleZone(zone) => {
+                let zone = self.fixture.config.zones.get_mut(&*format!("z{zone}"));
+                let zone = zone.expect("the zone exists");
+                zone.out = !zone.out;
+            }
+            Event::Demand(service, count) => self.fixture.demand(&format!("s{service}"), *count),
+            Event::Run(number, count) => {
+                let id = self.id(*number);
+                self.fixture.observed.running.insert(id, *count);
+            }
+            Event::Idle => self.fixture.observed.running.clear(),
+            Event::Confirm(confirming) => self.confirming = *confirming,
+            Event::Answer => self.fixture.answer_all(),
+            Event::Wait(seconds) => self.fixture.now += Duration::from_secs(*seconds),
+        }
+    }
+
+    fn round(&mut self) {
+        let before = self.fixture.document.clone();
+        let confirmed = self.fixture.observed.confirmed;
+        self.fixture.round();
+        if !self.confirming {
+            self.fixture.observed.confirmed = confirmed;
+        }
+        self.check_budgets(&before);
+        self.check_steps(&before, confirmed);
+    }
+
+    fn check_budgets(&self, before: &FleetDocument) {
+        let Fixture { config, listed, document, observed, .. } = &self.fixture;
+        let failing: BTreeSet<InstanceId> = observed.symptoms.keys().cloned().collect();
+        for service in planned_from(config, &failing, before, document) {
+            let up = serving(config, listed, &failing, document, &service);
+            let short = broken(config, listed, document, &up, &service);
+            assert!(!short, "{service} was left with {up:?}");
+        }
+    }
+
+    /// Reboots and moves only what is drained, everywhere confirmed, or failing for long.
+    fn check_steps(&self, before: &FleetDocument, confirmed: u64) {
+        for (id, place) in &self.fixture.document.placements {
+            let Some(old) = before.placements.get(id) else { continue };
+            let Some(step) = &old.step else { continue };
+            let running = self.fixture.observed.running(id);
+            let rebooting = place.step.as_ref().is_some_and(|it| it.phase == Phase::Rebooting);
+            // Nothing runs on a spare instance, so it needs no drain.
+            let moved = place.pool != old.pool && &*old.pool != "spare";
+            if step.phase == Phase::Draining && (rebooting || moved) {
+                assert!(confirmed >= step.number, "{id} was not out of work everywhere");
+                assert!(running == 0 || old.failure.is_some() || place.failure.is_some());
+            }
+            if moved && step.phase != Phase::Trying {
+                assert!(matches!(step.kind, StepKind::Move { .. }));
+            }
+        }
+    }
+}
+
+#[test]
+fn no_planned_step_breaks_a_budget() {
+    let config = RunnerConfig {
+        rng_seed: RngSeed::Fixed(52),
+        cases: 400,
+        failure_persistence: None,
+        ..RunnerConfig::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let result = runner.run(&prop::collection::vec(event(), 1..60), |events| {
+        let mut schedule = Schedule::new();
+        for event in &events {
+            schedule.apply(event);
+            schedule.round();
+        }
+        Ok(())
+    });
+    result.expect("no schedule breaks a budget");
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -30,7 +30,8 @@
     pub confirmed: DocumentNumber,
     /// Requests that run on each instance; an instance that is missing runs none.
     pub running: BTreeMap<InstanceId, u32>,
-    /// Instances that fail, with what was seen.
+    /// Instances that fail, with what was seen. Entry instances forget what they saw of an
+    /// instance while a step is in progress on it.
     pub symptoms: BTreeMap<InstanceId, Symptom>,
     /// Demand by service.
     pub demand: BTreeMap<ServiceId, Demand>,
--- a/crates/fleet/src/wave.rs
+++ b/crates/fleet/src/wave.rs
@@ -178,7 +178,7 @@
     if !round.view.zone_steady(listed) {
         return Err(FleetCode::ZoneSilent.into());
     }
-    if placement.failure.is_some() {
+    if placement.failure.is_some() || round.view.observed.symptoms.contains_key(id) {
         return Err(FleetCode::Failing.into());
     }
     if !round.view.healthy(id, placement) {
