Hold a short answer until it is whole

Cause: a cut in a short answer reached the caller as a broken transfer although nothing had been passed on yet, and head and body of each answer went out in two writes.

Change: an answer of declared length up to 16 KiB is read before its head is passed on. A cut one is a refusal with outcome unknown, and an idempotent request is tried again.

--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -1,11 +1,15 @@
 //! Body of an answer on its way to the caller.
+//!
+//! A short answer of declared length is held until it is whole, so that a cut one can still be
+//! told as a refusal, or be asked for again. All else is streamed.
 
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
 
@@ -16,6 +20,9 @@
 use crate::health::AttemptResult;
 use crate::pool::ConnectionPool;
 
+/// Longest answer that is held until it is whole.
+pub const HELD_MAX_BYTES: u64 = 16 << 10;
+
 /// Why an answer's body broke off. The caller sees a broken transfer.
 #[derive(Debug, thiserror::Error)]
 pub enum AnswerError {
@@ -32,12 +39,17 @@
 /// When the body has ended, slot and permit are given back and the connection returns to the
 /// pool. When it breaks off or is dropped before, the connection is closed.
 pub struct AnswerBody<E: Edges> {
-    inner: Incoming,
+    source: Source,
     carrier: Option<Carrier<E>>,
     deadline: Pin<Box<Sleep>>,
     flight: Option<Flight>,
 }
 
+enum Source {
+    Stream(Incoming),
+    Held(Option<Bytes>),
+}
+
 /// The connection of an answer and where it goes afterwards.
 pub struct Carrier<E: Edges> {
     /// The connection.
@@ -70,7 +82,8 @@
     /// The body `inner`, which comes over `carrier` until `deadline`.
     pub fn new(inner: Incoming, carrier: Carrier<E>, deadline: Instant) -> Self {
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
-        let mut body = Self { inner, carrier: Some(carrier), deadline, flight: None };
+        let source = Source::Stream(inner);
+        let mut body = Self { source, carrier: Some(carrier), deadline, flight: None };
         body.finish_at_end();
         body
     }
@@ -81,13 +94,24 @@
         self
     }
 
-    /// Whether the length of the answer is known or its end is marked.
-    pub fn has_ended(&self) -> bool {
-        self.carrier.is_none()
+    /// Reads the body until it is whole, if its declared length is short.
+    pub async fn hold(mut self) -> Result<Self, AnswerError> {
+        let length = self.size_hint().exact();
+        if self.is_end_stream() || length.is_none_or(|length| length > HELD_MAX_BYTES) {
+            return Ok(self);
+        }
+        let mut data = BytesMut::new();
+        while let Some(frame) = self.frame().await {
+            if let Ok(more) = frame?.into_data() {
+                data.extend_from_slice(&more);
+            }
+        }
+        self.source = Source::Held(Some(data.freeze()));
+        Ok(self)
     }
 
     fn finish_at_end(&mut self) {
-        if self.inner.is_end_stream() {
+        if self.is_end_stream() {
             self.finish();
         }
     }
@@ -113,7 +137,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
-        match Pin::new(&mut self.inner).poll_frame(cx) {
+        let inner = match &mut self.source {
+            Source::Stream(inner) => inner,
+            Source::Held(data) => {
+                return Poll::Ready(data.take().map(|data| Ok(Frame::data(data))));
+            }
+        };
+        match Pin::new(inner).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.finish_at_end();
                 Poll::Ready(Some(Ok(frame)))
@@ -135,10 +165,18 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        match &self.source {
+            Source::Stream(inner) => inner.is_end_stream(),
+            Source::Held(data) => data.is_none(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        match &self.source {
+            Source::Stream(inner) => inner.size_hint(),
+            Source::Held(data) => {
+                SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
+            }
+        }
     }
 }
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::{AnswerBody, Carrier};
+use crate::answer::{AnswerBody, AnswerError, Carrier};
 use crate::body::{PreparedBody, RequestBody};
 use crate::code::DispatchCode;
 use crate::connection::{Connection, SendError};
@@ -171,7 +171,13 @@
         AttemptResult::Ok
     };
     let carrier = Carrier { connection, pool: pool.clone(), address: instance.address, result };
-    Ok(answer.map(|body| AnswerBody::new(body, carrier, order.deadline)))
+    let (parts, body) = answer.into_parts();
+    let body = AnswerBody::new(body, carrier, order.deadline).hold().await;
+    let body = body.map_err(|error| match error {
+        AnswerError::Broken(_) => unknown(DispatchCode::AnswerLost),
+        AnswerError::Timeout => unknown(DispatchCode::AnswerTimeout),
+    })?;
+    Ok(Response::from_parts(parts, body))
 }
 
 /// Notes that a connection gave no answer in time. Silence on a used connection speaks against
