Test the request path in a storm of random faults

Cause: the faults were proved one at a time, on quiet connections.

Change: 600 requests at once against five backend servers, a quarter of them meeting one of eleven faults and a seventh of the callers going away, for three seeds. Checked: no non-idempotent request runs twice, no refusal as not run is untrue, each whole answer is the caller's own, slots and connections stay in bounds and all slots come back.

--- /dev/null
+++ b/crates/dispatch/tests/storm.rs
@@ -0,0 +1,130 @@
+//! Many requests at once against backend servers that fail at random points, with callers that
+//! go away: what each caller was told stays true, and no bound is exceeded.
+
+mod support;
+
+use std::time::Duration;
+
+use cassiafold_dispatch::Sources;
+use cassiafold_standin::{BackendOptions, Fault, FaultPlan};
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use support::{Fleet, Told, config};
+
+const BACKENDS: usize = 5;
+const SLOTS: u32 = 3;
+const CONNECTIONS: u32 = 6;
+const REQUESTS: usize = 600;
+const RUN_TIME: Duration = Duration::from_millis(5);
+const SETTLE: Duration = Duration::from_millis(800);
+
+const FAULTS: [Fault; 11] = [
+    Fault::ResetOnAccept,
+    Fault::ResetDuringWrite,
+    Fault::ResetAfterRun,
+    Fault::CutHead,
+    Fault::CutBody,
+    Fault::CutChunked,
+    Fault::Slow(Duration::from_millis(500)),
+    Fault::CrossedId,
+    Fault::Unframed,
+    Fault::RefuseNotRun,
+    Fault::ServerError,
+];
+
+struct Sent {
+    id: String,
+    method: Method,
+    /// What the caller was told; none when it went away before.
+    told: Option<Told>,
+}
+
+async fn storm(fleet: &Fleet, seed: u64) -> Vec<Sent> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut calls = Vec::new();
+    for index in 0..REQUESTS {
+        if rng.random_bool(0.25) {
+            fleet.faults.queue(FAULTS[rng.random_range(0..FAULTS.len())]);
+        }
+        let method = if rng.random_bool(0.5) { Method::POST } else { Method::PUT };
+        let id = format!("storm-{index}");
+        let deadline_ms = rng.random_range(100..600);
+        let patience = rng.random_bool(0.15).then(|| rng.random_range(0..40));
+        let call = fleet.call(method.clone(), "/echo", &id).body(id.clone());
+        let call = call.deadline_ms(deadline_ms);
+        calls.push(tokio::spawn(async move {
+            let told = match patience {
+                Some(ms) => tokio::time::timeout(Duration::from_millis(ms), call.send()).await.ok(),
+                None => Some(call.send().await),
+            };
+            Sent { id, method, told }
+        }));
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..3))).await;
+    }
+    let mut sent = Vec::new();
+    for call in calls {
+        sent.push(call.await.expect("the call ends"));
+    }
+    sent
+}
+
+fn check(fleet: &Fleet, sent: &Sent) {
+    let (id, runs) = (&sent.id, fleet.counts.runs(&sent.id));
+    if sent.method == Method::POST {
+        assert!(runs <= 1, "{id} is not idempotent and ran {runs} times");
+    }
+    let Some(told) = &sent.told else {
+        return;
+    };
+    if told.run_state() == "not run" {
+        assert_eq!(runs, 0, "{id} was told {}", told.summary());
+    }
+    if told.code() == 0
+        && let Some(body) = &told.body
+    {
+        assert_eq!(*body, id.as_bytes(), "{id} got another's answer or a part of its own");
+        assert!(runs >= 1, "{id} was answered and never ran");
+    }
+}
+
+async fn run(seed: u64) {
+    let faults = FaultPlan::default();
+    let options = BackendOptions { run_time: RUN_TIME, faults, ..BackendOptions::default() };
+    let document = config(1, |document| {
+        let portal = &mut document["services"]["portal"];
+        portal["slots_per_instance"] = SLOTS.into();
+        portal["connections_per_instance"] = CONNECTIONS.into();
+    });
+    let fleet = Fleet::start_with(&vec![options; BACKENDS], <Sources>::default(), document).await;
+    let sent = storm(&fleet, seed).await;
+    tokio::time::sleep(SETTLE).await;
+    sent.iter().for_each(|sent| check(&fleet, sent));
+    for backend in &fleet.backends {
+        assert!(backend.running_max() <= SLOTS, "{} runs at once", backend.running_max());
+        assert!(backend.connections_max() <= CONNECTIONS, "{}", backend.connections_max());
+    }
+    let whole = sent
+        .iter()
+        .filter(|sent| sent.told.as_ref().is_some_and(|told| told.summary() == "200, whole"));
+    assert!(whole.count() * 2 > REQUESTS, "most requests are answered");
+    let usage = fleet.server.callers().dispatcher().usage();
+    assert_eq!(usage, cassiafold_dispatch::Usage::default(), "slots have come back");
+}
+
+macro_rules! storms {
+    ($($name:ident: $seed:literal;)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                run($seed).await;
+            }
+        )+
+    };
+}
+
+storms! {
+    first_storm: 1;
+    second_storm: 2;
+    third_storm: 3;
+}
