Split the queues, the index and the dispatcher by concern

Change: service_queue, start, backend, choice, running and follow are modules of their own; one function takes slot and permit.

--- a/crates/dispatch/benches/decision.rs
+++ b/crates/dispatch/benches/decision.rs
@@ -7,7 +7,8 @@
 
 use cassiafold_config::raw::RawConfig;
 use cassiafold_config::{Config, Instance, InstanceState, ServiceId};
-use cassiafold_dispatch::core::{Core, End, Ended};
+use cassiafold_dispatch::core::Core;
+use cassiafold_dispatch::start::{End, Ended};
 use cassiafold_dispatch::{Order, Sources};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -14,11 +14,11 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::connection::Connection;
-use crate::core::End;
 use crate::edge::Edges;
 use crate::flight::Flight;
 use crate::health::AttemptResult;
 use crate::pool::ConnectionPool;
+use crate::start::End;
 
 /// Longest answer that is held until it is whole.
 pub const HELD_MAX_BYTES: u64 = 16 << 10;
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -15,8 +15,6 @@
 use crate::body::{PreparedBody, RequestBody};
 use crate::code::DispatchCode;
 use crate::connection::{Connection, SendError};
-use crate::core::End;
-use crate::dispatcher::Running;
 use crate::edge::Edges;
 use crate::event::DispatchEvent;
 use crate::health::AttemptResult;
@@ -24,6 +22,8 @@
 use crate::pool::{ConnectionPool, OpenError, Reuse};
 use crate::problem::RunState;
 use crate::request::{NOT_RUN, REQUEST_ID, RUN_STATE, forward_headers};
+use crate::running::Running;
+use crate::start::End;
 
 /// Longest body of a refusal that is read so that the connection can be used again.
 const REFUSAL_MAX_BYTES: usize = 16 << 10;
--- /dev/null
+++ b/crates/dispatch/src/backend.rs
@@ -0,0 +1,97 @@
+//! One backend server as the index knows it, and the lists in which it waits for requests.
+
+use cassiafold_config::{Instance, ServiceId, ZoneId};
+use tokio::time::Instant;
+
+use crate::health::{Health, Standing};
+
+/// Position of a backend server in the index, valid while it is listed or holds a slot.
+pub type BackendIndex = usize;
+
+/// A backend server as the index knows it.
+#[derive(Debug)]
+pub struct Backend {
+    /// The instance as last listed.
+    pub instance: Instance,
+    /// Health as attempts show it.
+    pub health: Health,
+    /// Requests of this entry instance that hold a slot.
+    pub running: u32,
+    pub(crate) service: Option<ServiceId>,
+    pub(crate) listed: bool,
+    pub(crate) peers_running: u32,
+    pub(crate) slots: u32,
+    pub(crate) full_until: Option<Instant>,
+    pub(crate) place: Option<Place>,
+}
+
+/// List in which a backend server waits for requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum List {
+    Free { zone: usize },
+    Trial,
+}
+
+/// Where a backend server stands in its list.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    pub(crate) list: List,
+    pub(crate) position: usize,
+}
+
+/// Backend servers of one service that take new work.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceBackends {
+    pub(crate) members: Vec<BackendIndex>,
+    pub(crate) zones: Vec<ZoneBackends>,
+    pub(crate) trial: Vec<BackendIndex>,
+    pub(crate) ejected: usize,
+    pub(crate) rate_sum: f64,
+}
+
+/// Backend servers of one zone with a free slot.
+#[derive(Debug)]
+pub(crate) struct ZoneBackends {
+    pub(crate) zone: ZoneId,
+    pub(crate) free: Vec<BackendIndex>,
+}
+
+impl ServiceBackends {
+    pub(crate) fn list_mut(&mut self, list: List) -> &mut Vec<BackendIndex> {
+        match list {
+            List::Free { zone } => &mut self.zones[zone].free,
+            List::Trial => &mut self.trial,
+        }
+    }
+}
+
+impl Backend {
+    /// Load of the backend server for its success rate; lower is better.
+    pub(crate) fn cost(&self) -> f64 {
+        const RATE_MIN: f64 = 0.05;
+        let load = f64::from(self.running + self.peers_running + 1);
+        load / self.health.success_rate().max(RATE_MIN).powi(2)
+    }
+
+    pub(crate) fn hold_end(&self) -> Option<Instant> {
+        match self.health.standing() {
+            Standing::Ejected { until } => Some(until),
+            _ => self.full_until,
+        }
+    }
+
+    pub(crate) fn list(&self, service: &ServiceBackends) -> Option<List> {
+        if self.full_until.is_some() || self.running + self.peers_running >= self.slots {
+            return None;
+        }
+        match self.health.standing() {
+            Standing::Ejected { .. } => None,
+            Standing::Trial if self.running > 0 => None,
+            Standing::Trial => Some(List::Trial),
+            Standing::Healthy => {
+                let zone = service.zones.iter().position(|it| it.zone == self.instance.zone)?;
+                Some(List::Free { zone })
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/backends.rs
+++ b/crates/dispatch/src/backends.rs
@@ -1,82 +1,24 @@
 //! Index of the backend servers: who takes new work, by service and zone.
 //!
 //! The index is updated when something changes, so that a choice takes constant time whatever
-//! the number of instances. Choice: two instances drawn at random from those of the home zone
-//! with a free slot, then the one with the lower load for its success rate; other zones when the
-//! home zone has none.
+//! the number of instances.
 
 use std::collections::HashMap;
 
 use cassiafold_config::{Config, Instance, InstanceId, InstanceState, ServiceId, ZoneId};
-use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-use crate::edge::{DomainHint, PeerLoad};
+use crate::backend::{Backend, BackendIndex, List, Place, ServiceBackends, ZoneBackends};
+use crate::edge::PeerLoad;
 use crate::health::{AttemptResult, Health, Standing, Verdict, ejected_max};
 
-/// Position of a backend server in the index, valid while it is listed or holds a slot.
-pub type BackendIndex = usize;
-
-/// A backend server as the index knows it.
-#[derive(Debug)]
-pub struct Backend {
-    /// The instance as last listed.
-    pub instance: Instance,
-    /// Health as attempts show it.
-    pub health: Health,
-    /// Requests of this entry instance that hold a slot.
-    pub running: u32,
-    service: Option<ServiceId>,
-    listed: bool,
-    peers_running: u32,
-    slots: u32,
-    full_until: Option<Instant>,
-    place: Option<Place>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum List {
-    Free { zone: usize },
-    Trial,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Place {
-    list: List,
-    position: usize,
-}
-
-#[derive(Debug, Default)]
-struct ServiceBackends {
-    members: Vec<BackendIndex>,
-    zones: Vec<ZoneBackends>,
-    trial: Vec<BackendIndex>,
-    ejected: usize,
-    rate_sum: f64,
-}
-
-#[derive(Debug)]
-struct ZoneBackends {
-    zone: ZoneId,
-    free: Vec<BackendIndex>,
-}
-
-/// What a request asks of the choice.
-#[derive(Debug, Clone, Copy)]
-pub struct Wish<'a> {
-    /// Whether the request may run twice without harm; only then it serves as a first trial.
-    pub idempotent: bool,
-    /// Instances that failed the request before; others are preferred.
-    pub avoid: &'a [Instance],
-}
-
 /// Index of the backend servers.
 #[derive(Debug)]
 pub struct Backends {
-    home: ZoneId,
-    backends: slab::Slab<Backend>,
+    pub(crate) home: ZoneId,
+    pub(crate) backends: slab::Slab<Backend>,
     by_id: HashMap<InstanceId, BackendIndex>,
-    services: HashMap<ServiceId, ServiceBackends>,
+    pub(crate) services: HashMap<ServiceId, ServiceBackends>,
 }
 
 /// Counts of one service for gauges.
@@ -246,65 +188,6 @@
         }
     }
 
-    /// Chooses a backend server of `service` for a request; `None` when none has a free slot.
-    pub fn choose(
-        &self,
-        service: &ServiceId,
-        wish: Wish<'_>,
-        domains: &impl DomainHint,
-        rng: &mut impl Rng,
-    ) -> Option<BackendIndex> {
-        let known = self.services.get(service)?;
-        let trial = known.trial.first().copied();
-        if wish.idempotent && wish.avoid.is_empty() && trial.is_some() {
-            return trial;
-        }
-        if wish.avoid.is_empty() {
-            return self.choose_free(known, rng).or(trial);
-        }
-        let mut best: Option<(u8, BackendIndex)> = None;
-        for zone in known.zones.iter().filter(|zone| !zone.free.is_empty()) {
-            let start = rng.random_range(0..zone.free.len());
-            for offset in 0..zone.free.len() {
-                let index = zone.free[(start + offset) % zone.free.len()];
-                let rank = self.closeness(index, wish.avoid, domains);
-                if rank == 0 {
-                    return Some(index);
-                }
-                if best.is_none_or(|(known, _)| rank < known) {
-                    best = Some((rank, index));
-                }
-            }
-        }
-        best.map(|(_, index)| index).or(trial)
-    }
-
-    /// 0: shares no failure domain with an avoided instance; 1: shares one; 2: is one.
-    fn closeness(&self, index: BackendIndex, avoid: &[Instance], domains: &impl DomainHint) -> u8 {
-        let instance = &self.backends[index].instance;
-        let rank = |other: &Instance| {
-            if other.id == instance.id { 2 } else { u8::from(domains.same_domain(instance, other)) }
-        };
-        avoid.iter().map(rank).max().unwrap_or(0)
-    }
-
-    /// The better of two drawn from the home zone, or else from the other zones together.
-    fn choose_free(&self, known: &ServiceBackends, rng: &mut impl Rng) -> Option<BackendIndex> {
-        let near = known.zones.first().filter(|zone| zone.zone == self.home);
-        let zones = match near {
-            Some(near) if !near.free.is_empty() => &known.zones[..1],
-            _ => &known.zones[..],
-        };
-        let total = zones.iter().map(|zone| zone.free.len()).sum();
-        if total == 0 {
-            return None;
-        }
-        let first = nth_free(zones, rng.random_range(0..total))?;
-        let second = nth_free(zones, rng.random_range(0..total))?;
-        let better = self.backends[first].cost() <= self.backends[second].cost();
-        Some(if better { first } else { second })
-    }
-
     /// Takes a slot of the backend server.
     pub fn take_slot(&mut self, index: BackendIndex) {
         self.backends[index].running += 1;
@@ -402,16 +285,6 @@
     }
 }
 
-fn nth_free(zones: &[ZoneBackends], mut nth: usize) -> Option<BackendIndex> {
-    for zone in zones {
-        match zone.free.get(nth) {
-            Some(index) => return Some(*index),
-            None => nth -= zone.free.len(),
-        }
-    }
-    None
-}
-
 fn eject(backend: &mut Backend, service: &mut ServiceBackends, now: Instant) -> Verdict {
     let on_trial = backend.health.standing() == Standing::Trial;
     if !on_trial {
@@ -435,45 +308,5 @@
     Some((id, config.services.get(id)?))
 }
 
-impl ServiceBackends {
-    fn list_mut(&mut self, list: List) -> &mut Vec<BackendIndex> {
-        match list {
-            List::Free { zone } => &mut self.zones[zone].free,
-            List::Trial => &mut self.trial,
-        }
-    }
-}
-
-impl Backend {
-    /// Load of the backend server for its success rate; lower is better.
-    fn cost(&self) -> f64 {
-        const RATE_MIN: f64 = 0.05;
-        let load = f64::from(self.running + self.peers_running + 1);
-        load / self.health.success_rate().max(RATE_MIN).powi(2)
-    }
-
-    fn hold_end(&self) -> Option<Instant> {
-        match self.health.standing() {
-            Standing::Ejected { until } => Some(until),
-            _ => self.full_until,
-        }
-    }
-
-    fn list(&self, service: &ServiceBackends) -> Option<List> {
-        if self.full_until.is_some() || self.running + self.peers_running >= self.slots {
-            return None;
-        }
-        match self.health.standing() {
-            Standing::Ejected { .. } => None,
-            Standing::Trial if self.running > 0 => None,
-            Standing::Trial => Some(List::Trial),
-            Standing::Healthy => {
-                let zone = service.zones.iter().position(|it| it.zone == self.instance.zone)?;
-                Some(List::Free { zone })
-            }
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/backends/tests.rs
+++ b/crates/dispatch/src/backends/tests.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use std::time::Duration;
 
+use crate::choice::Wish;
 use crate::edge::{NoPeers, Racks};
 
 use super::*;
--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -25,10 +25,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::RequestBody;
-use crate::core::End;
-use crate::dispatcher::Running;
 use crate::edge::Edges;
 use crate::event::DispatchEvent;
+use crate::running::Running;
+use crate::start::End;
 
 /// Longest time for which slot and permit of a request that was given up are held.
 pub const SETTLE_MAX: Duration = Duration::from_secs(30);
--- a/crates/dispatch/src/core/tests.rs
+++ b/crates/dispatch/src/core/tests.rs
@@ -10,6 +10,7 @@
 
 use crate::edge::Sources;
 use crate::limit::never;
+use crate::start::End;
 
 use super::*;
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! Queues and slots shared by the tasks of an entry instance.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cassiafold_config::{ActiveConfig, Config, Instance, InstanceId, ServiceId, ZoneId};
@@ -8,18 +8,20 @@
 use tokio::sync::{Notify, broadcast, oneshot, watch};
 use tokio::time::Instant;
 
-use crate::backends::BackendIndex;
+use crate::backend::BackendIndex;
 use crate::code::DispatchCode;
-use crate::core::{Core, End, Ended, PermitOf, Replies, Start};
-use crate::edge::{Edges, PeerLoad, ShareSource};
+use crate::core::Core;
+use crate::edge::Edges;
 use crate::event::DispatchEvent;
 use crate::fair::Ticket;
+use crate::follow::{self, Changes};
 use crate::health::{AttemptResult, Verdict};
-use crate::limit::LimitSource;
 use crate::metrics::Metrics;
 use crate::observe::{Observation, Usage};
 use crate::order::Order;
 use crate::problem::Problem;
+use crate::running::Running;
+use crate::start::{Ended, PermitOf, Replies};
 
 /// Instances of the fleet as last known, each in its pool.
 pub type Instances = watch::Receiver<Arc<Vec<Instance>>>;
@@ -29,7 +31,8 @@
 /// Time for which nothing is sent to a backend server that said it is full.
 const FULL_HOLD: Duration = Duration::from_millis(20);
 
-type ReplySender<E> = oneshot::Sender<Result<Running<E>, Problem>>;
+/// Where the outcome of a wait goes.
+pub(crate) type ReplySender<E> = oneshot::Sender<Result<Running<E>, Problem>>;
 
 /// Queues and slots of one entry instance. Clones share one state.
 pub struct Dispatcher<E: Edges> {
@@ -42,18 +45,20 @@
     }
 }
 
-struct Shared<E: Edges> {
-    edges: E,
+/// What the clones of a dispatcher and its running requests share.
+pub(crate) struct Shared<E: Edges> {
+    pub(crate) edges: E,
     state: Mutex<State<E>>,
-    holds: Notify,
+    pub(crate) holds: Notify,
     observations: broadcast::Sender<Observation>,
-    metrics: Metrics,
+    pub(crate) metrics: Metrics,
 }
 
-struct State<E: Edges> {
-    core: Core<E, ReplySender<E>>,
-    config: watch::Receiver<Option<Arc<Config>>>,
-    instances: Instances,
+/// The queues and where changes of the configuration and of the instances come from.
+pub(crate) struct State<E: Edges> {
+    pub(crate) core: Core<E, ReplySender<E>>,
+    pub(crate) config: watch::Receiver<Option<Arc<Config>>>,
+    pub(crate) instances: Instances,
 }
 
 impl<E: Edges> Dispatcher<E> {
@@ -75,7 +80,7 @@
             observations: broadcast::channel(OBSERVATIONS_MAX).0,
             metrics,
         });
-        tokio::spawn(follow(Arc::downgrade(&shared), Changes::of(&shared)));
+        tokio::spawn(follow::run(Arc::downgrade(&shared), Changes::of(&shared)));
         Self { shared }
     }
 
@@ -133,7 +138,7 @@
         let state = self.shared.lock();
         let at_limit = state.core.is_at_limit(order);
         let code = if at_limit { DispatchCode::LimitReached } else { DispatchCode::QueueTimeout };
-        Problem::not_run(code).with_retry_after(state.core.retry_after(order))
+        state.core.refuse_for_now(code, order)
     }
 
     /// Takes a slot for a second attempt on another instance, if one is free and nobody waits.
@@ -145,9 +150,9 @@
         Some(Running::new(&self.shared, order.clone(), start))
     }
 
-    /// When a request that is refused now should come back.
-    pub fn retry_after(&self, order: &Order) -> Duration {
-        self.shared.lock().core.retry_after(order)
+    /// The refusal of a request with when it should come back.
+    pub fn refuse_for_now(&self, code: DispatchCode, order: &Order) -> Problem {
+        self.shared.lock().core.refuse_for_now(code, order)
     }
 
     /// Duration under which nearly all answers of `service` come, once known.
@@ -180,7 +185,7 @@
 
 impl<E: Edges> State<E> {
     /// Takes in the configuration and the instances when either has changed.
-    fn sync(&mut self) -> bool {
+    pub(crate) fn sync(&mut self) -> bool {
         let config_changed = self.config.has_changed().unwrap_or(false);
         let instances_changed = self.instances.has_changed().unwrap_or(false);
         if !config_changed && !instances_changed && self.core.config().is_some() {
@@ -196,7 +201,7 @@
 }
 
 impl<E: Edges> Shared<E> {
-    fn lock(&self) -> MutexGuard<'_, State<E>> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State<E>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -208,7 +213,7 @@
     }
 
     /// Changes the state, then starts all requests that may start.
-    fn change(self: &Arc<Self>, change: impl FnOnce(&mut Core<E, ReplySender<E>>)) {
+    pub(crate) fn change(self: &Arc<Self>, change: impl FnOnce(&mut Core<E, ReplySender<E>>)) {
         let now = Instant::now();
         let mut replies = Vec::new();
         {
@@ -224,7 +229,12 @@
         self.deliver(replies);
     }
 
-    fn record(self: &Arc<Self>, index: BackendIndex, instance: &InstanceId, result: AttemptResult) {
+    pub(crate) fn record(
+        self: &Arc<Self>,
+        index: BackendIndex,
+        instance: &InstanceId,
+        result: AttemptResult,
+    ) {
         let at = Instant::now();
         let verdict = {
             let mut state = self.lock();
@@ -244,7 +254,7 @@
         let _ = self.observations.send(Observation { instance: instance.clone(), result, at });
     }
 
-    fn end(self: &Arc<Self>, ended: &Ended<'_>) {
+    pub(crate) fn end(self: &Arc<Self>, ended: &Ended<'_>) {
         let now = Instant::now();
         let mut replies = Vec::new();
         {
@@ -270,131 +280,3 @@
         self.shared.lock().core.cancel(&self.order.service, self.ticket);
     }
 }
-
-/// A request that holds a slot and a permit until it is closed or dropped.
-pub struct Running<E: Edges> {
-    shared: Arc<Shared<E>>,
-    order: Arc<Order>,
-    start: Start<PermitOf<E>>,
-    since: Instant,
-    end: End,
-}
-
-impl<E: Edges> Running<E> {
-    fn new(shared: &Arc<Shared<E>>, order: Arc<Order>, start: Start<PermitOf<E>>) -> Self {
-        let since = Instant::now();
-        Self { shared: shared.clone(), order, start, since, end: End::Abandoned }
-    }
-
-    /// Where the request runs.
-    pub fn instance(&self) -> &Instance {
-        &self.start.instance
-    }
-
-    /// The request.
-    pub fn order(&self) -> &Arc<Order> {
-        &self.order
-    }
-
-    /// Whether the request may still start at its instance: asked once more after a connection
-    /// was made, when the configuration or the list of instances has changed since.
-    pub fn may_start(&self) -> bool {
-        let mut state = self.shared.lock();
-        state.sync();
-        let Some(config) = state.core.config() else {
-            return false;
-        };
-        self.order.is_authorized(config)
-            && state.core.backends.takes_work(self.start.index, &self.order.service)
-    }
-
-    /// Notes what the attempt showed about the instance.
-    pub fn record(&self, result: AttemptResult) {
-        self.shared.record(self.start.index, &self.start.instance.id, result);
-        self.shared.metrics.attempt(&self.order, result);
-    }
-
-    /// Gives slot and permit back.
-    pub fn close(mut self, end: End) {
-        self.end = end;
-    }
-}
-
-impl<E: Edges> Drop for Running<E> {
-    fn drop(&mut self) {
-        drop(self.start.permit.take());
-        let held = self.since.elapsed();
-        if self.end == End::Completed {
-            self.shared.metrics.service_time(&self.order, held);
-        }
-        self.shared.end(&Ended {
-            order: &self.order,
-            index: self.start.index,
-            cost_s: self.start.cost_s,
-            held,
-            end: self.end,
-        });
-    }
-}
-
-/// Notifications of all sources.
-struct Changes {
-    config: watch::Receiver<Option<Arc<Config>>>,
-    instances: Instances,
-    limits: watch::Receiver<()>,
-    shares: watch::Receiver<()>,
-    peers: watch::Receiver<()>,
-}
-
-impl Changes {
-    fn of<E: Edges>(shared: &Shared<E>) -> Self {
-        let state = shared.lock();
-        Self {
-            config: state.config.clone(),
-            instances: state.instances.clone(),
-            limits: shared.edges.limits().changes(),
-            shares: shared.edges.shares().changes(),
-            peers: shared.edges.peers().changes(),
-        }
-    }
-}
-
-/// Starts what may start whenever a source changes or a hold ends, until the queues are gone.
-async fn follow<E: Edges>(weak: Weak<Shared<E>>, mut changes: Changes) {
-    loop {
-        let Some(shared) = weak.upgrade() else {
-            return;
-        };
-        let hold_end = shared.lock().core.backends.next_hold_end();
-        let holds = shared.holds.notified();
-        tokio::select! {
-            () = changed(&mut changes.config) => shared.change(|_| {}),
-            () = changed(&mut changes.instances) => shared.change(|_| {}),
-            () = changed(&mut changes.limits) => shared.change(Core::unblock_all),
-            () = changed(&mut changes.shares) => shared.change(Core::update_shares),
-            () = changed(&mut changes.peers) => shared.change(Core::update_peers),
-            () = holds => {}
-            () = sleep_until(hold_end) => {
-                let now = Instant::now();
-                shared.change(|core| core.backends.end_holds(now));
-            }
-            () = tokio::time::sleep(GAUGE_INTERVAL) => shared.change(|_| {}),
-        }
-    }
-}
-
-/// How often the gauges are brought up to date when nothing else happens.
-const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
-
-async fn changed<T>(receiver: &mut watch::Receiver<T>) {
-    if receiver.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
-async fn sleep_until(until: Option<Instant>) {
-    match until {
-        Some(until) => tokio::time::sleep_until(until).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,8 +1,9 @@
 //! The request path: from a caller's request to the answer of a backend server.
 //!
 //! - [`callers`], [`request`], [`body`], [`problem`]: the interface for callers.
-//! - [`core`]: who may start next and where, with [`fair`], [`backends`] and [`health`];
-//!   [`dispatcher`] shares it between tasks.
+//! - [`core`]: who may start next and where, with [`service_queue`], [`fair`],
+//!   [`backends`], [`choice`] and [`health`]; [`dispatcher`] shares it between tasks, and a
+//!   [`running`] request holds its slot.
 //! - [`proxy`]: attempts until a request is answered, with [`attempt`], [`connection`],
 //!   [`pool`], [`answer`] and [`budget`].
 //! - [`edge`], [`limit`], [`observe`]: what the rest of an entry instance gives and gets.
@@ -10,10 +11,12 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod backend;
 pub mod backends;
 pub mod body;
 pub mod budget;
 pub mod callers;
+pub mod choice;
 pub mod code;
 pub mod connection;
 pub mod core;
@@ -23,6 +26,7 @@
 pub mod event;
 pub mod fair;
 pub mod flight;
+mod follow;
 pub mod health;
 pub mod limit;
 pub mod metrics;
@@ -32,7 +36,10 @@
 pub mod problem;
 pub mod proxy;
 pub mod request;
+pub mod running;
 pub mod server;
+pub mod service_queue;
+pub mod start;
 
 pub use callers::{Callers, Phase, router};
 pub use code::DispatchCode;
--- a/crates/dispatch/src/proxy.rs
+++ b/crates/dispatch/src/proxy.rs
@@ -18,11 +18,12 @@
 use crate::answer::AnswerBody;
 use crate::attempt::{self, Conditions, Failure, Outcome, Prepared};
 use crate::budget::RetryBudget;
-use crate::dispatcher::{Dispatcher, Running};
+use crate::dispatcher::Dispatcher;
 use crate::edge::{Edges, PeerLoad};
 use crate::order::Order;
 use crate::pool::{ConnectionPool, Reuse};
 use crate::problem::{Problem, RunState};
+use crate::running::Running;
 
 /// Most attempts that backend servers did not run.
 const NOT_RUN_MAX: u32 = 8;
@@ -134,9 +135,8 @@
     }
 
     fn problem(&self, failure: &Failure, order: &Order) -> Problem {
-        let retry_after = self.dispatcher.retry_after(order);
         match failure.run_state {
-            RunState::NotRun => Problem::not_run(failure.code).with_retry_after(retry_after),
+            RunState::NotRun => self.dispatcher.refuse_for_now(failure.code, order),
             RunState::OutcomeUnknown => Problem::outcome_unknown(failure.code),
         }
     }
