--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -4,9 +4,13 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::error::Faults;
-use crate::id::{PoolId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId};
+use crate::id::{
+    ANONYMOUS_TEAM, PoolId, RegionId, ServiceId, TeamId, Version, WaveId, ZoneId, check_id,
+};
 use crate::key::{KeyHash, KeyPrefix};
-use crate::raw::{RawBlackout, RawConfig, RawPool, RawService, RawTeam, RawWave, RawZone};
+use crate::raw::{
+    RawBlackout, RawChange, RawConfig, RawPool, RawService, RawTeam, RawWave, RawZone,
+};
 
 /// One version of the operators' configuration.
 #[derive(Debug, Clone)]
@@ -25,6 +29,8 @@
     pub teams: BTreeMap<TeamId, Team>,
     /// Maintenance waves by id.
     pub waves: BTreeMap<WaveId, Wave>,
+    /// Who made this version and how, where known.
+    pub change: Option<RawChange>,
     keys: HashMap<KeyPrefix, Vec<(KeyHash, TeamId)>>,
 }
 
@@ -125,7 +131,8 @@
     pub to_hour: u8,
 }
 
-const WEEKDAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
+/// Names of the days of the week, Monday first.
+pub(crate) const WEEKDAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
 
 impl Config {
     /// Returns the team whose key a caller presented.
@@ -154,13 +161,16 @@
         if raw.version == 0 {
             faults.push("version", "must be at least 1");
         }
+        check_ids(&raw, &mut faults);
         let zones = raw.zones.into_iter().map(|(id, zone)| (id, Zone::from(zone))).collect();
         let services = check_services(raw.services, &mut faults);
         let pools = check_pools(raw.pools, &services, &mut faults);
         let (teams, keys) = check_teams(raw.teams, &mut faults);
         let waves = check_waves(raw.waves, &zones, &pools, &mut faults);
         let (version, write_id) = (raw.version, raw.write_id);
-        faults.into_result(Self { version, write_id, zones, services, pools, teams, waves, keys })
+        let change = raw.change;
+        let config = Self { version, write_id, zones, services, pools, teams, waves, change, keys };
+        faults.into_result(config)
     }
 }
 
@@ -170,6 +180,25 @@
     }
 }
 
+fn check_ids(raw: &RawConfig, faults: &mut Faults) {
+    for (id, zone) in &raw.zones {
+        check_id(&format!("zones.{id}"), id, faults);
+        check_id(&format!("zones.{id}.region"), &zone.region, faults);
+    }
+    for id in raw.services.keys() {
+        check_id(&format!("services.{id}"), id, faults);
+    }
+    for id in raw.pools.keys() {
+        check_id(&format!("pools.{id}"), id, faults);
+    }
+    for id in raw.teams.keys() {
+        check_id(&format!("teams.{id}"), id, faults);
+    }
+    for id in raw.waves.keys() {
+        check_id(&format!("waves.{id}"), id, faults);
+    }
+}
+
 fn check_services(
     raw: BTreeMap<ServiceId, RawService>,
     faults: &mut Faults,
@@ -189,11 +218,16 @@
     }
     if raw.connections_per_instance < raw.slots_per_instance {
         let message = "must be at least slots_per_instance";
-        faults.push(format!("{path}.connections_per_instance"), message);
+        let related = format!("{path}.slots_per_instance");
+        faults.push_related(format!("{path}.connections_per_instance"), related, message);
     }
-    if raw.deadline_default_ms == 0 || raw.deadline_default_ms > raw.deadline_max_ms {
-        let message = "must be at least 1 and at most deadline_max_ms";
-        faults.push(format!("{path}.deadline_default_ms"), message);
+    if raw.deadline_default_ms == 0 {
+        faults.push(format!("{path}.deadline_default_ms"), "must be at least 1");
+    }
+    if raw.deadline_default_ms > raw.deadline_max_ms {
+        let message = "must be at most deadline_max_ms";
+        let related = format!("{path}.deadline_max_ms");
+        faults.push_related(format!("{path}.deadline_default_ms"), related, message);
     }
     Service {
         open: raw.open,
@@ -231,7 +265,8 @@
         if let Some(service) = &pool.service
             && !services.contains_key(service)
         {
-            faults.push(format!("pools.{id}.service"), format!("no service named {service}"));
+            let message = format!("no service named {service}");
+            faults.push_related(format!("pools.{id}.service"), "services", message);
         }
     }
     raw.into_iter().map(|(id, pool)| (id, Pool { service: pool.service })).collect()
@@ -247,6 +282,9 @@
     let mut keys = KeyIndex::new();
     for (id, team) in raw {
         let path = format!("teams.{id}");
+        if &*id == ANONYMOUS_TEAM {
+            faults.push(path.clone(), "this id is reserved for work without a key");
+        }
         if team.share == 0 {
             faults.push(format!("{path}.share"), "must be at least 1");
         }
@@ -279,13 +317,17 @@
     let check = |(id, wave): (WaveId, RawWave)| {
         let path = format!("waves.{id}");
         for zone in wave.zones.iter().filter(|zone| !zones.contains_key(*zone)) {
-            faults.push(format!("{path}.zones"), format!("no zone named {zone}"));
+            let message = format!("no zone named {zone}");
+            faults.push_related(format!("{path}.zones"), "zones", message);
         }
         for pool in wave.pools.iter().filter(|pool| !pools.contains_key(*pool)) {
-            faults.push(format!("{path}.pools"), format!("no pool named {pool}"));
+            let message = format!("no pool named {pool}");
+            faults.push_related(format!("{path}.pools"), "pools", message);
         }
         if wave.deadline_unix_s <= wave.start_unix_s {
-            faults.push(format!("{path}.deadline_unix_s"), "must be after start_unix_s");
+            let related = format!("{path}.start_unix_s");
+            let message = "must be after start_unix_s";
+            faults.push_related(format!("{path}.deadline_unix_s"), related, message);
         }
         let blackouts = check_blackouts(&path, &wave.blackouts, faults);
         let wave = Wave {
@@ -319,81 +361,3 @@
     }
     blackouts
 }
-
-impl From<&Config> for RawConfig {
-    fn from(config: &Config) -> Self {
-        Self {
-            version: config.version,
-            write_id: config.write_id.clone(),
-            zones: map(&config.zones, |zone| RawZone {
-                region: zone.region.clone(),
-                out: zone.out,
-            }),
-            services: map(&config.services, |service| RawService::from(service)),
-            pools: map(&config.pools, |pool| RawPool { service: pool.service.clone() }),
-            teams: map(&config.teams, |team| RawTeam::from(team)),
-            waves: map(&config.waves, |wave| RawWave::from(wave)),
-        }
-    }
-}
-
-fn map<K: Ord + Clone, V, W>(from: &BTreeMap<K, V>, f: impl Fn(&V) -> W) -> BTreeMap<K, W> {
-    from.iter().map(|(key, value)| (key.clone(), f(value))).collect()
-}
-
-impl From<&Service> for RawService {
-    fn from(service: &Service) -> Self {
-        let (floor_count, floor_share) = match service.floor {
-            Floor::Count(count) => (Some(count), None),
-            Floor::Share(share) => (None, Some(share)),
-        };
-        Self {
-            open: service.open,
-            floor_count,
-            floor_share,
-            slots_per_instance: service.slots_per_instance,
-            connections_per_instance: service.connections_per_instance,
-            queue_length_max: service.queue_length_max,
-            deadline_default_ms: service.deadline_default.as_millis() as u64,
-            deadline_max_ms: service.deadline_max.as_millis() as u64,
-            body_max_bytes: service.body_max_bytes,
-        }
-    }
-}
-
-impl From<&Team> for RawTeam {
-    fn from(team: &Team) -> Self {
-        Self {
-            share: team.share,
-            upper_limit: team.upper_limit,
-            key_hashes: team.key_hashes.iter().map(|hash| hash.to_hex()).collect(),
-        }
-    }
-}
-
-impl From<&Wave> for RawWave {
-    fn from(wave: &Wave) -> Self {
-        let unix_s = |time: SystemTime| {
-            time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_secs())
-        };
-        Self {
-            zones: wave.zones.clone(),
-            pools: wave.pools.clone(),
-            paused: wave.paused,
-            start_unix_s: unix_s(wave.start),
-            deadline_unix_s: unix_s(wave.deadline),
-            drain_max_ms: wave.drain_max.as_millis() as u64,
-            blackouts: wave.blackouts.iter().map(RawBlackout::from).collect(),
-        }
-    }
-}
-
-impl From<&Blackout> for RawBlackout {
-    fn from(blackout: &Blackout) -> Self {
-        Self {
-            weekday: WEEKDAYS[usize::from(blackout.weekday) % WEEKDAYS.len()].to_owned(),
-            from_hour: blackout.from_hour,
-            to_hour: blackout.to_hour,
-        }
-    }
-}
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -5,6 +5,17 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Key of the current configuration in the store: a [`RawConfig`] as JSON.
+pub const CURRENT_KEY: &str = "cassiafold/config/current";
+
+/// Prefix of the keys of the configuration's history in the store.
+pub const HISTORY_PREFIX: &str = "cassiafold/config/history/";
+
+/// Key of the history of one version; keys sort by version.
+pub fn history_key(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{version:020}")
+}
+
 /// Wire form of [`crate::Config`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +36,26 @@
     /// Maintenance waves by id.
     #[serde(default)]
     pub waves: BTreeMap<Arc<str>, RawWave>,
+    /// Who made this version and how. Set by the operators' interface.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change: Option<RawChange>,
+}
+
+/// Who made a version of the configuration and how.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawChange {
+    /// Operator who asked for the change.
+    pub operator: Arc<str>,
+    /// When the change was accepted, in seconds since the Unix epoch.
+    pub unix_s: u64,
+    /// Version from which the change was made.
+    pub base_version: u64,
+    /// Media type of the patch.
+    pub media_type: Arc<str>,
+    /// The patch; left out where it is long.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub patch: Option<serde_json::Value>,
 }
 
 /// Wire form of [`crate::Zone`].
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,9 +1,21 @@
 //! Small stand-ins of the platform for tests, the demo and the load tool.
 
 pub mod backend;
+pub mod calls;
+pub mod command;
+pub mod faults;
+pub mod gateway;
 pub mod instances;
+mod keyspace;
+pub mod server;
+mod state;
 pub mod store;
 
 pub use backend::{Backend, BackendCounts, BackendOptions, Fault, FaultPlan};
+pub use calls::{CallCounts, CallKind};
+pub use command::{FaultCommand, WriteFaultCommand};
+pub use faults::{ClientId, Partition, StoreFaults, WriteFault};
+pub use gateway::Gateway;
 pub use instances::MemoryInstances;
-pub use store::MemoryStore;
+pub use server::Server;
+pub use store::{MemoryStore, MemoryWatch};
