Add clients and stand-ins of the instance list and control over HTTP

The platform lists instances with a lag and reboots them on request; both were reachable only in memory.

HttpInstanceList reads endpoint slices of at most 4 MB within its deadline. An endpoint that lacks a field is left out and counted in the log; of two entries of one instance the leaving one counts. HttpInstanceControl sends the Redfish reset with a request id; a 4xx or 503 answer had no effect, any other failure after the first byte is an unknown outcome. The stand-ins serve both with a settable lag, outages, refused and lost reboots; a repeated request id finds the first reboot.

--- /dev/null
+++ b/crates/platform/src/discovery.rs
@@ -0,0 +1,156 @@
+//! Client of a list of instances that is served over HTTP as endpoint slices.
+//!
+//! The hostname of an endpoint is the id of the instance. Instances that are not ready or about to
+//! stop are listed as leaving. An endpoint that lacks a field is left out of the list; an answer
+//! that is not a list of endpoint slices is an error.
+
+pub mod message;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassiafold_config::{InstanceId, InstanceState};
+use http::Request;
+use tokio::time::Instant;
+
+use self::message::{Endpoint, EndpointError, EndpointSlice, EndpointSliceList};
+use crate::event::PlatformEvent;
+use crate::http::{Answer, CallError, HttpClient};
+use crate::instances::{InstanceList, ListError, ListedInstance};
+
+/// Path of the list.
+pub const LIST_PATH: &str = "/apis/discovery.k8s.io/v1/endpointslices";
+/// Size of the largest list that is read, in bytes.
+const LIST_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// The usable instances of a list.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Instances in order of id.
+    pub instances: Vec<ListedInstance>,
+    /// Number of endpoints that were left out.
+    pub skipped: usize,
+}
+
+impl From<EndpointSliceList> for Listing {
+    fn from(list: EndpointSliceList) -> Self {
+        let mut instances = BTreeMap::new();
+        let mut skipped = 0;
+        for slice in &list.items {
+            for endpoint in &slice.endpoints {
+                match listed(slice, endpoint) {
+                    Ok(instance) => insert(&mut instances, instance),
+                    Err(_) => skipped += 1,
+                }
+            }
+        }
+        Self { instances: instances.into_values().collect(), skipped }
+    }
+}
+
+/// Adds an instance. Of two endpoints with one id, the one that is leaving counts.
+fn insert(instances: &mut BTreeMap<InstanceId, ListedInstance>, instance: ListedInstance) {
+    let known = instances.get(&instance.id);
+    if known.is_none_or(|known| known.state == InstanceState::Live) {
+        instances.insert(instance.id.clone(), instance);
+    }
+}
+
+fn listed(slice: &EndpointSlice, endpoint: &Endpoint) -> Result<ListedInstance, EndpointError> {
+    let port = slice.ports.first().and_then(|port| port.port);
+    let port = port.ok_or(EndpointError::Missing("port"))?;
+    Ok(ListedInstance {
+        id: text(&endpoint.hostname, "hostname")?,
+        address: SocketAddr::new(endpoint.ip()?, port),
+        zone: text(&endpoint.zone, "zone")?,
+        rack: text(&endpoint.deprecated_topology.rack, "rack")?,
+        state: match endpoint.takes_work() {
+            true => InstanceState::Live,
+            false => InstanceState::Leaving,
+        },
+    })
+}
+
+fn text(field: &Option<Arc<str>>, name: &'static str) -> Result<Arc<str>, EndpointError> {
+    let text = field.as_ref().filter(|text| !text.is_empty());
+    text.cloned().ok_or(EndpointError::Missing(name))
+}
+
+impl From<&ListedInstance> for EndpointSlice {
+    fn from(instance: &ListedInstance) -> Self {
+        let live = instance.state == InstanceState::Live;
+        let conditions = message::EndpointConditions {
+            ready: Some(live),
+            serving: Some(true),
+            terminating: Some(!live),
+        };
+        let endpoint = Endpoint {
+            addresses: vec![instance.address.ip().to_string().into()],
+            conditions,
+            hostname: Some(instance.id.clone()),
+            zone: Some(instance.zone.clone()),
+            deprecated_topology: message::Topology { rack: Some(instance.rack.clone()) },
+        };
+        let port = message::EndpointPort { port: Some(instance.address.port()) };
+        Self { endpoints: vec![endpoint], ports: vec![port] }
+    }
+}
+
+/// Client of the list of instances. Clones share connections.
+#[derive(Debug, Clone)]
+pub struct HttpInstanceList {
+    http: HttpClient,
+    timeout: Duration,
+    skipped: Arc<AtomicUsize>,
+}
+
+impl HttpInstanceList {
+    /// A client, named `client` as user agent, whose calls end after `timeout`.
+    pub fn new(address: SocketAddr, client: impl Into<Arc<str>>, timeout: Duration) -> Self {
+        let http = HttpClient::new(&[address], client);
+        Self { http, timeout, skipped: Arc::default() }
+    }
+
+    async fn fetch(&self) -> Result<Answer, CallError> {
+        let deadline = Instant::now() + self.timeout;
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = http::Uri::from_static(LIST_PATH);
+        match self.http.call(request.clone(), deadline, LIST_BYTES_MAX).await {
+            Err(CallError::Unanswered { stale_connection: true, .. }) => {
+                self.http.call(request, deadline, LIST_BYTES_MAX).await
+            }
+            result => result,
+        }
+    }
+
+    /// Logs the number of endpoints left out when it changes.
+    fn note_skipped(&self, skipped: usize) {
+        if self.skipped.swap(skipped, Ordering::Relaxed) != skipped {
+            cassiafold_event::emit!(PlatformEvent::EndpointsSkipped, count = skipped);
+        }
+    }
+}
+
+impl InstanceList for HttpInstanceList {
+    async fn list(&self) -> Result<Vec<ListedInstance>, ListError> {
+        let answer = self.fetch().await.map_err(|error| match error {
+            CallError::TooLarge { .. } => ListError::Malformed(error.to_string().into()),
+            error => ListError::Unavailable(error.to_string().into()),
+        })?;
+        if !answer.status.is_success() {
+            return Err(ListError::Unavailable(format!("status {}", answer.status).into()));
+        }
+        let list: EndpointSliceList = serde_json::from_slice(&answer.body)
+            .map_err(|error| ListError::Malformed(error.to_string().into()))?;
+        let listing = Listing::from(list);
+        self.note_skipped(listing.skipped);
+        Ok(listing.instances)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //! control of instances. Each is a small trait, so that tests can put a fake in its place.
 
 pub mod backoff;
+pub mod discovery;
 pub mod document;
 pub mod etcd;
 pub mod event;
@@ -9,16 +10,19 @@
 pub mod instances;
 pub mod lease;
 pub mod metrics;
+pub mod redfish;
 pub mod settle;
 pub mod store;
 
 pub use backoff::Backoff;
+pub use discovery::HttpInstanceList;
 pub use document::{Document, DocumentError, Envelope, WriteId, WriteLog, Writer};
 pub use etcd::{EtcdSettings, EtcdStore, EtcdWatch};
 pub use event::PlatformEvent;
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
 pub use lease::{LeaseKeeper, LeaseValidity};
 pub use metrics::{CallOutcome, StoreCall, StoreMetrics};
+pub use redfish::HttpInstanceControl;
 pub use settle::{NotApplied, UpdateOutcome, update};
 pub use store::{
     Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError,
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -1,10 +1,17 @@
 //! In-memory stand-in of the instance list and of the instance control.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use cassiafold_config::{InstanceId, InstanceState};
 use cassiafold_platform::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
+use tokio::time::Instant;
+
+/// Number of former lists that are kept for the lag.
+const FORMER_LISTS_MAX: usize = 1_000;
+
+type Instances = Arc<BTreeMap<InstanceId, ListedInstance>>;
 
 /// In-memory list of instances. Clones share one state.
 #[derive(Debug, Clone, Default)]
@@ -12,10 +19,68 @@
     state: Arc<Mutex<State>>,
 }
 
+/// What goes wrong with one reboot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RebootFault {
+    /// The request is refused and has no effect.
+    Refused,
+    /// The instance is rebooted and the answer is lost.
+    LostAnswer,
+    /// The request is lost and has no effect; the caller is not told.
+    LostRequest,
+}
+
+/// A reboot that was carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reboot {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Id of the request.
+    pub request_id: Arc<str>,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    listed: BTreeMap<InstanceId, ListedInstance>,
-    reboots: Vec<(InstanceId, String)>,
+    instances: Instances,
+    former: VecDeque<Former>,
+    lag: Duration,
+    list_outage: bool,
+    control_outage: bool,
+    reboots: Vec<Reboot>,
+    planned: VecDeque<RebootFault>,
+}
+
+/// A list that was replaced.
+#[derive(Debug)]
+struct Former {
+    instances: Instances,
+    replaced: Instant,
+}
+
+impl State {
+    fn change(&mut self, change: impl FnOnce(&mut BTreeMap<InstanceId, ListedInstance>)) {
+        let mut next = BTreeMap::clone(&self.instances);
+        change(&mut next);
+        let instances = std::mem::replace(&mut self.instances, Arc::new(next));
+        self.former.push_back(Former { instances, replaced: Instant::now() });
+        while self.former.len() > FORMER_LISTS_MAX {
+            self.former.pop_front();
+        }
+    }
+
+    /// The list as it was before the lag.
+    fn lagging(&self) -> Instances {
+        let seen = self.former.iter().find(|former| former.replaced.elapsed() < self.lag);
+        seen.map_or_else(|| self.instances.clone(), |former| former.instances.clone())
+    }
+
+    fn reboot(&mut self, instance: &str, request_id: &str) {
+        let known = self.reboots.iter().any(|reboot| &*reboot.request_id == request_id);
+        if !known {
+            let (instance, request_id) = (instance.into(), request_id.into());
+            self.reboots.push(Reboot { instance, request_id });
+        }
+    }
 }
 
 impl MemoryInstances {
@@ -25,40 +90,86 @@
 
     /// Adds or replaces an instance.
     pub fn put(&self, instance: ListedInstance) {
-        self.lock().listed.insert(instance.id.clone(), instance);
+        self.lock().change(|instances| {
+            instances.insert(instance.id.clone(), instance);
+        });
     }
 
     /// Removes an instance.
     pub fn remove(&self, id: &InstanceId) {
-        self.lock().listed.remove(id);
+        self.lock().change(|instances| {
+            instances.remove(id);
+        });
     }
 
     /// Changes the listed state of an instance.
     pub fn set_state(&self, id: &InstanceId, state: InstanceState) {
-        if let Some(instance) = self.lock().listed.get_mut(id) {
-            instance.state = state;
-        }
+        self.lock().change(|instances| {
+            if let Some(instance) = instances.get_mut(id) {
+                instance.state = state;
+            }
+        });
+    }
+
+    /// Shows changes in the list only after this time.
+    pub fn set_lag(&self, lag: Duration) {
+        self.lock().lag = lag;
+    }
+
+    /// Starts or ends an outage of the list.
+    pub fn set_list_outage(&self, outage: bool) {
+        self.lock().list_outage = outage;
+    }
+
+    /// Starts or ends an outage of the control.
+    pub fn set_control_outage(&self, outage: bool) {
+        self.lock().control_outage = outage;
     }
 
-    /// Reboots carried out so far, each with its request id.
-    pub fn reboots(&self) -> Vec<(InstanceId, String)> {
+    /// Lets the next `count` reboots fail with `fault`.
+    pub fn fail_reboots(&self, count: usize, fault: RebootFault) {
+        self.lock().planned.extend(std::iter::repeat_n(fault, count));
+    }
+
+    /// Reboots carried out so far, each request id once.
+    pub fn reboots(&self) -> Vec<Reboot> {
         self.lock().reboots.clone()
     }
+
+    /// Number of reboots of one instance.
+    pub fn reboot_count(&self, id: &str) -> usize {
+        self.lock().reboots.iter().filter(|reboot| &*reboot.instance == id).count()
+    }
 }
 
 impl InstanceList for MemoryInstances {
     async fn list(&self) -> Result<Vec<ListedInstance>, ListError> {
-        Ok(self.lock().listed.values().cloned().collect())
+        let state = self.lock();
+        if state.list_outage {
+            return Err(ListError::Unavailable("outage".into()));
+        }
+        Ok(state.lagging().values().cloned().collect())
     }
 }
 
 impl InstanceControl for MemoryInstances {
     async fn reboot(&self, instance: &InstanceId, request_id: &str) -> Result<(), ControlError> {
         let mut state = self.lock();
-        let known = state.reboots.iter().any(|(_, known)| known == request_id);
-        if !known {
-            state.reboots.push((instance.clone(), request_id.to_owned()));
+        if state.control_outage {
+            return Err(ControlError::Unavailable("outage".into()));
         }
-        Ok(())
+        match state.planned.pop_front() {
+            Some(RebootFault::Refused) => return Err(ControlError::Unavailable("refused".into())),
+            Some(RebootFault::LostRequest) => {}
+            Some(RebootFault::LostAnswer) => state.reboot(instance, request_id),
+            None => {
+                state.reboot(instance, request_id);
+                return Ok(());
+            }
+        }
+        Err(ControlError::OutcomeUnknown("answer lost".into()))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod calls;
 pub mod command;
+pub mod control;
 pub mod faults;
 pub mod gateway;
 pub mod instances;
@@ -14,8 +15,9 @@
 pub use backend::{Backend, BackendCounts, BackendOptions, Fault, FaultPlan};
 pub use calls::{CallCounts, CallKind};
 pub use command::{FaultCommand, WriteFaultCommand};
+pub use control::{ControlServer, InstanceCommand, ListServer, RebootFaultCommand, RebootMessage};
 pub use faults::{ClientId, Partition, StoreFaults, WriteFault};
 pub use gateway::Gateway;
-pub use instances::MemoryInstances;
+pub use instances::{MemoryInstances, Reboot, RebootFault};
 pub use server::Server;
 pub use store::{MemoryStore, MemoryWatch};
