Show the newest version in status, and let writes arrive late in the interleavings

status compared entry instances with the version in force at the one that answers, so an answer from an entry that is behind called every other one confirmed. It now compares with the newest version known.

2,174 more interleavings, in which a write arrives after its sender was told nothing: no change was lost, doubled or reported wrongly.

--- a/crates/cassiafold/src/status.rs
+++ b/crates/cassiafold/src/status.rs
@@ -27,10 +27,16 @@
     let status = &answer.status;
     println!("answered by {} in zone {}", status.instance_id, status.zone);
     println!("version {} in force, {}", answer.version, readiness(Some(status.ready)));
+    if answer.newest_version > answer.version {
+        println!("version {} in force elsewhere", answer.newest_version);
+    }
     let store = if status.store_reachable { "reachable" } else { "out of reach" };
     println!("key-value service {store}\n");
     let heading = ["ENTRY", "ZONE", "VERSION", "CONFIRMED", "READY", "HEARD_MS_AGO"];
-    print_table(heading, status.entries.iter().map(|entry| entry_row(entry, answer.version)));
+    print_table(
+        heading,
+        status.entries.iter().map(|entry| entry_row(entry, answer.newest_version)),
+    );
     if !status.teams.is_empty() {
         println!();
         let heading = ["TEAM", "UPPER_LIMIT", "SLICE", "RUNNING", "WAITING"];
--- /dev/null
+++ b/crates/config/src/decode/access.rs
@@ -0,0 +1,89 @@
+//! Elements of lists and entries of mappings.
+
+use serde::de::value::StrDeserializer;
+use serde::de::{DeserializeSeed, IntoDeserializer, MapAccess, SeqAccess};
+
+use super::reader::Reader;
+use super::{DecodeError, Sink};
+use crate::node::{Entry, Item, index_path, key_path};
+
+/// Elements of a list.
+pub(super) struct Items<'a, 'p> {
+    items: std::iter::Enumerate<std::slice::Iter<'a, Item>>,
+    path: &'p str,
+    sink: &'a Sink<'a>,
+}
+
+impl<'a, 'p> Items<'a, 'p> {
+    /// The elements of the list at `path`.
+    pub(super) fn new(items: &'a [Item], path: &'p str, sink: &'a Sink<'a>) -> Self {
+        Self { items: items.iter().enumerate(), path, sink }
+    }
+}
+
+impl<'de> SeqAccess<'de> for Items<'_, '_> {
+    type Error = DecodeError;
+
+    fn next_element_seed<T: DeserializeSeed<'de>>(
+        &mut self,
+        seed: T,
+    ) -> Result<Option<T::Value>, DecodeError> {
+        let Some((index, item)) = self.items.next() else { return Ok(None) };
+        let path = index_path(self.path, index);
+        seed.deserialize(Reader { item: Some(item), path, sink: self.sink }).map(Some)
+    }
+}
+
+/// Entries of a mapping, then stand-ins of the missing fields that an earlier pass found.
+pub(super) struct Entries<'a> {
+    entries: std::vec::IntoIter<&'a Entry>,
+    missing: std::vec::IntoIter<&'static str>,
+    value: Option<(Option<&'a Item>, String)>,
+    path: String,
+    sink: &'a Sink<'a>,
+}
+
+impl<'a> Entries<'a> {
+    /// The entries of the mapping at `path`, and the known fields that it lacks.
+    pub(super) fn new(
+        entries: Vec<&'a Entry>,
+        missing: Vec<&'static str>,
+        path: &str,
+        sink: &'a Sink<'a>,
+    ) -> Self {
+        let (entries, missing) = (entries.into_iter(), missing.into_iter());
+        Self { entries, missing, value: None, path: path.to_owned(), sink }
+    }
+}
+
+impl<'de> MapAccess<'de> for Entries<'_> {
+    type Error = DecodeError;
+
+    fn next_key_seed<K: DeserializeSeed<'de>>(
+        &mut self,
+        seed: K,
+    ) -> Result<Option<K::Value>, DecodeError> {
+        if let Some(entry) = self.entries.next() {
+            self.value = Some((Some(&entry.value), key_path(&self.path, &entry.key)));
+            let key: StrDeserializer<'_, DecodeError> = (&*entry.key).into_deserializer();
+            return seed.deserialize(key).map(Some);
+        }
+        let standins = self.sink.standins;
+        let missing = self.missing.by_ref().find(|field| {
+            let path = key_path(&self.path, field);
+            standins.contains(&path)
+        });
+        let Some(field) = missing else { return Ok(None) };
+        self.value = Some((None, key_path(&self.path, field)));
+        let key: StrDeserializer<'_, DecodeError> = field.into_deserializer();
+        seed.deserialize(key).map(Some)
+    }
+
+    fn next_value_seed<V: DeserializeSeed<'de>>(
+        &mut self,
+        seed: V,
+    ) -> Result<V::Value, DecodeError> {
+        let (item, path) = self.value.take().unwrap_or_default();
+        seed.deserialize(Reader { item, path, sink: self.sink })
+    }
+}
--- a/crates/operators/src/status_routes.rs
+++ b/crates/operators/src/status_routes.rs
@@ -19,8 +19,9 @@
 ) -> Json<StatusAnswer> {
     let status = operators.sources.status().status().await;
     let version = operators.active.version();
-    let unconfirmed = confirm::unconfirmed(&status, version);
-    Json(StatusAnswer { version, unconfirmed, status })
+    let newest_version = version.max(confirm::highest(&status));
+    let unconfirmed = confirm::unconfirmed(&status, newest_version);
+    Json(StatusAnswer { version, newest_version, unconfirmed, status })
 }
 
 /// Metrics of this entry instance.
--- a/crates/operators/src/wire.rs
+++ b/crates/operators/src/wire.rs
@@ -50,7 +50,9 @@
 pub struct StatusAnswer {
     /// Version in force at the entry instance that answers.
     pub version: Version,
-    /// Entry instances that are not known to have this version in force.
+    /// Highest version that any entry instance is known to have in force.
+    pub newest_version: Version,
+    /// Entry instances that are not known to have the newest version in force.
     pub unconfirmed: Vec<Unconfirmed>,
     /// State of the entry instances.
     #[serde(flatten)]
--- a/crates/operators/tests/interleaving/main.rs
+++ b/crates/operators/tests/interleaving/main.rs
@@ -126,7 +126,11 @@
             self.case.rollback = false;
             return self.roll_back();
         }
-        let index = self.explorer.choose(self.store.waiting());
+        let late = usize::from(self.store.late() > 0);
+        let index = self.explorer.choose(self.store.waiting() + late);
+        if index == self.store.waiting() {
+            return self.store.arrive();
+        }
         let mut fate = Fate::Answered;
         if self.case.faults > 0 && self.store.is_write(index) {
             let choice = self.explorer.choose(self.case.fates.len() + 1);
@@ -160,6 +164,9 @@
 
     /// Makes one more version from the newest one.
     async fn next_config(&mut self) -> RawConfig {
+        while self.store.late() > 0 {
+            self.store.arrive();
+        }
         self.spread();
         let entry = ConfigStore::new(self.store.clone(), self.actives[0].clone());
         let task = tokio::spawn(async move {
@@ -258,6 +265,7 @@
 
 const ANSWER_LOST: &[Fate] = &[Fate::AnswerLost];
 const LOST: &[Fate] = &[Fate::AnswerLost, Fate::RequestLost];
+const LATE: &[Fate] = &[Fate::Late];
 const ANY_FATE: &[Fate] = &[Fate::AnswerLost, Fate::RequestLost, Fate::Refused];
 const RACE: Case =
     Case { operators: 2, faults: 0, fates: ANY_FATE, rollback: false, repeat: false };
@@ -266,6 +274,8 @@
     two_operators_race: RACE => 20;
     two_operators_race_and_two_answers_or_requests_are_lost:
         Case { faults: 2, fates: LOST, ..RACE } => 6092;
+    two_operators_race_and_a_write_arrives_late:
+        Case { faults: 1, fates: LATE, ..RACE } => 2174;
     one_operator_and_four_writes_fail: Case { operators: 1, faults: 4, ..RACE } => 616;
     operators_repeat_requests_after_a_restart: Case { repeat: true, faults: 1, ..RACE } => 5816;
     the_store_is_restored_at_any_moment: Case { rollback: true, faults: 1, fates: ANSWER_LOST, ..RACE } => 4850;
--- a/crates/operators/tests/interleaving/store.rs
+++ b/crates/operators/tests/interleaving/store.rs
@@ -22,6 +22,8 @@
     RequestLost,
     /// It is refused without effect, and the caller knows.
     Refused,
+    /// Its answer is lost, and it takes effect at a later moment.
+    Late,
 }
 
 #[derive(Debug, Default)]
@@ -31,6 +33,7 @@
     history: Vec<BTreeMap<Arc<str>, (Bytes, Revision)>>,
     waiting: Vec<Waiting>,
     writes: Vec<(Arc<str>, Bytes)>,
+    late: Vec<Write>,
 }
 
 #[derive(Debug)]
@@ -73,6 +76,18 @@
         let _ = waiting.sender.send(fate);
     }
 
+    /// Number of late writes that have not arrived.
+    pub fn late(&self) -> usize {
+        self.lock().late.len()
+    }
+
+    /// Lets the oldest late write arrive.
+    pub fn arrive(&self) {
+        let mut state = self.lock();
+        let write = state.late.remove(0);
+        state.apply(&write);
+    }
+
     /// Every value that was ever written, in order.
     pub fn writes(&self) -> Vec<(Arc<str>, Bytes)> {
         self.lock().writes.clone()
@@ -164,6 +179,10 @@
                 unknown
             }
             Fate::RequestLost => unknown,
+            Fate::Late => {
+                self.lock().late.push(write);
+                unknown
+            }
             Fate::Refused => Err(StoreError::Unavailable("refused".into())),
         }
     }
