--- a/crates/fleet/src/tests/race.rs
+++ b/crates/fleet/src/tests/race.rs
@@ -263,8 +263,8 @@
     /// Each reboot was decided in a stored document, and no decision was carried out twice.
     fn check_reboots(&self) {
         let mut counts: BTreeMap<String, u32> = BTreeMap::new();
-        for (_, request_id) in self.instances.reboots() {
-            *counts.entry(request_id).or_default() += 1;
+        for reboot in self.instances.reboots() {
+            *counts.entry(reboot.request_id.to_string()).or_default() += 1;
         }
         for (request_id, count) in counts {
             assert!(self.reboots.contains(&*request_id), "{request_id} was never decided");
--- a/crates/wire/src/message/tests.rs
+++ b/crates/wire/src/message/tests.rs
@@ -35,8 +35,16 @@
         queues: vec![queue; queues],
         instances: vec![InstanceUsage { instance: 7, running: 8 }; instances],
         fleet_number: 9,
-        draining: vec![InstanceUsage { instance: 10, running: 11 }; instances],
-        symptoms: vec![InstanceSymptom { instance: 12, symptom: Symptom::Hanging }; instances],
+        draining: vec![],
+        symptoms: vec![],
+    }
+}
+
+fn draining_entry() -> EntryReport {
+    EntryReport {
+        draining: vec![InstanceUsage { instance: 10, running: 11 }],
+        symptoms: vec![InstanceSymptom { instance: 12, symptom: Symptom::Hanging }],
+        ..entry(0, 0, 0)
     }
 }
 
@@ -80,27 +88,31 @@
     let instance = Report { entries: vec![entry(0, 0, 1)], ..empty.clone() };
     let relayed = Report { entries: vec![entry(0, 0, 0); 2], ..empty.clone() };
     let named = Report { names: vec![name], ..empty.clone() };
-    let sizes = [&empty, &queue, &instance, &relayed, &named]
+    let draining = Report { entries: vec![draining_entry()], ..empty.clone() };
+    let sizes = [&empty, &queue, &instance, &relayed, &named, &draining]
         .map(|message| round_trip!(message, report, Report).1);
     let hello = round_trip!(hello_message(), hello, Hello).1;
     expect![[r#"
         heartbeat 120
-        first queue 136, first backend server 168
+        first queue 136, first backend server 136
+        first draining and failing instance 152
         further entry 72
         first name 144
         hello 120
     "#]]
     .assert_eq(&format!(
-        "heartbeat {}\nfirst queue {}, first backend server {}\nfurther entry {}\n\
+        "heartbeat {}\nfirst queue {}, first backend server {}\n\
+         first draining and failing instance {}\nfurther entry {}\n\
          first name {}\nhello {hello}\n",
         sizes[0],
         sizes[1],
         sizes[2],
+        sizes[5],
         sizes[3] - sizes[0],
         sizes[4],
     ));
     let many = Report { entries: vec![entry(0, 101, 51)], ..empty };
-    assert_eq!(round_trip!(many, report, Report).1, 96 + 16 + 8 * 100 + 16 + 8 * 50);
+    assert_eq!(round_trip!(many, report, Report).1, 120 + 16 + 8 * 100 + 16 + 8 * 50);
 }
 
 fn read_all(bytes: &[u8]) {
@@ -140,7 +152,7 @@
         let message = Report {
             names: vec!["portal".into(), "parishes".into()],
             ledger_revision: 1,
-            entries: vec![entry(0, 3, 2), entry(1, 1, 0)],
+            entries: vec![entry(0, 3, 2), entry(1, 1, 0), draining_entry()],
         };
         let mut builder = Builder::new_default();
         message.write(builder.init_root::<report::Builder<'_>>());
