--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -19,6 +19,7 @@
         .arg(log_format())
         .arg(output())
         .subcommand(demo())
+        .subcommand(entry())
         .subcommand(check())
         .subcommand(completions())
         .subcommands(verbs::all())
@@ -66,6 +67,20 @@
         )
 }
 
+fn entry() -> Command {
+    Command::new("entry")
+        .about("Runs an entry instance until it is told to stop")
+        .after_help("The first SIGTERM or SIGINT stops gracefully, a second one cuts off.")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .help("Settings file of this entry instance")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks settings files and configuration files and reports every fault")
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -6,10 +6,12 @@
 use clap::ArgMatches;
 use clap_complete::Shell;
 
+use cassiafold_config::Settings;
+
 use crate::error::{Error, Result};
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo};
+use crate::{check, completions, demo, entry};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +33,7 @@
 #[derive(Debug)]
 enum Action {
     Demo(DemoOptions),
+    Entry(Box<Settings>),
     Check(CheckOptions),
     Completions(Shell),
     Verb(Box<Verb>),
@@ -78,6 +81,7 @@
         let logs = if json { LogFormat::Json } else { LogFormat::Text };
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
+            Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
             Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
@@ -92,6 +96,7 @@
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
+            Action::Entry(settings) => entry::run(settings),
             Action::Check(options) => check::run(options),
             Action::Completions(shell) => completions::run(*shell),
             Action::Verb(verb) => verb.run(),
@@ -103,3 +108,10 @@
     let shell = matches.get_one::<Shell>("shell").copied();
     shell.ok_or_else(|| Error::Usage("no shell given".into()))
 }
+
+fn entry_settings(matches: &ArgMatches) -> Result<Settings> {
+    let path = matches.get_one::<PathBuf>("settings").cloned();
+    let path = path.ok_or_else(|| Error::Usage("no settings file given".into()))?;
+    let text = std::fs::read_to_string(&path).map_err(|source| Error::ReadFile { path, source })?;
+    Ok(Settings::from_yaml(&text)?)
+}
--- a/crates/cassiafold/src/demo.rs
+++ b/crates/cassiafold/src/demo.rs
@@ -5,23 +5,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_config::raw::RawConfig;
-use cassiafold_config::{ActiveConfig, Config, InstanceState};
-use cassiafold_dispatch::Sources;
-use cassiafold_platform::ListedInstance;
-use cassiafold_standin::{Backend, BackendCounts, MemoryInstances};
+use bytes::Bytes;
+use cassiafold_config::raw::{CURRENT_KEY, RawConfig};
+use cassiafold_config::{Config, InstanceState, KeyHash, Settings};
+use cassiafold_platform::{Compare, ListedInstance, Store, Write};
+use cassiafold_standin::{Backend, BackendCounts, MemoryInstances, MemoryStore};
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use prometheus_client::registry::Registry;
+use tokio::net::TcpStream;
 
 use crate::command::DemoOptions;
-use crate::entry;
+use crate::entry::{Entry, Platform};
 use crate::error::{Error, Result};
 
 const DEMO_CONFIG: &str = include_str!("demo.yaml");
 const DEMO_KEY: &str = "demo-key";
+const DEMO_CREDENTIAL: &str = "demo-credential";
 const ZONES: [&str; 3] = ["a", "b", "c"];
+const ENTRIES: usize = 3;
 const INSTANCES: usize = 6;
+/// Longest wait until all entry instances are ready.
+const READY_MAX: Duration = Duration::from_secs(20);
+const READY_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait until a backend server takes the first request.
+const FIRST_ANSWER_MAX: Duration = Duration::from_secs(30);
+
+type DemoPlatform = Platform<MemoryStore, MemoryInstances, MemoryInstances>;
 
 /// Runs the demo until it is interrupted, or for one request.
 pub fn run(options: &DemoOptions) -> Result<ExitCode> {
@@ -31,23 +41,32 @@
 
 async fn run_fleet(options: &DemoOptions) -> Result<ExitCode> {
     let config = load_config(options)?;
-    let active = ActiveConfig::default();
-    active.offer(Arc::new(config));
+    let store = MemoryStore::default();
+    store_config(&store, &config).await?;
     let instances = start_backends().await?;
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-    let address = listener.local_addr()?;
-    let mut listed = entry::follow_instances(instances, Arc::new(|_| Some("portal".into())));
-    let _ = listed.changed().await;
-    let server = entry::serve(listener, active, listed, <Sources>::default(), ZONES[0].into())?;
-    println!("callers: http://{address}/queues/portal/ with key {DEMO_KEY}");
+    let mut entries = Vec::new();
+    for index in 0..ENTRIES {
+        let settings = settings(index)?;
+        let client = store.client(settings.instance_id.clone());
+        let platform: DemoPlatform =
+            Platform { store: client, list: instances.clone(), control: instances.clone() };
+        entries.push(Entry::start(&settings, platform, Registry::default()).await?);
+    }
+    wait_ready(&entries).await?;
+    for entry in &entries {
+        let (callers, operators) = (entry.callers_address(), entry.operators_address());
+        println!("callers: http://{callers}/queues/portal/ with key {DEMO_KEY}");
+        println!("operators: {operators} with credential {DEMO_CREDENTIAL}");
+    }
     if options.once {
-        print!("{}", fetch(address).await?);
-        server.close(Duration::ZERO, std::future::pending()).await;
-        return Ok(ExitCode::SUCCESS);
+        print!("{}", first_answer(entries[0].callers_address()).await?);
+    } else {
+        tokio::signal::ctrl_c().await?;
+    }
+    for entry in entries {
+        let forced = async { tokio::signal::ctrl_c().await.unwrap_or_default() };
+        entry.close(Duration::ZERO, forced).await;
     }
-    tokio::signal::ctrl_c().await?;
-    let forced = async { tokio::signal::ctrl_c().await.unwrap_or_default() };
-    server.close(Duration::ZERO, forced).await;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -62,6 +81,27 @@
     Ok(Config::try_from(raw)?)
 }
 
+async fn store_config(store: &MemoryStore, config: &Config) -> Result<()> {
+    let value = serde_json::to_vec(&RawConfig::from(config))?;
+    let write = Write::put(CURRENT_KEY, Compare::Absent, value);
+    let outcome = store.write(write).await;
+    outcome.map_err(|error| Error::Usage(error.to_string()))?;
+    Ok(())
+}
+
+fn settings(index: usize) -> Result<Settings> {
+    let zone = ZONES[index % ZONES.len()];
+    let hash = KeyHash::of(DEMO_CREDENTIAL).to_hex();
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let text = format!(
+        "instance_id: entry-{zone}{index}\nzone: {zone}\nregion: north\n\
+         callers_address: {loopback}\noperators_address: {loopback}\npeers_address: {loopback}\n\
+         store_addresses: [{loopback}]\ninstance_list_address: {loopback}\n\
+         instance_control_address: {loopback}\noperators_key_hash: {hash}\n"
+    );
+    Ok(Settings::from_yaml(&text)?)
+}
+
 async fn start_backends() -> Result<MemoryInstances> {
     let instances = MemoryInstances::default();
     for index in 0..INSTANCES {
@@ -75,7 +115,32 @@
     Ok(instances)
 }
 
-async fn fetch(address: SocketAddr) -> Result<String> {
+async fn wait_ready(entries: &[Entry]) -> Result<()> {
+    let ready = async {
+        while !entries.iter().all(Entry::is_ready) {
+            tokio::time::sleep(READY_INTERVAL).await;
+        }
+    };
+    let ready = tokio::time::timeout(READY_MAX, ready).await;
+    ready.map_err(|_| Error::Usage("the entry instances did not become ready".into()))
+}
+
+/// Asks until a backend server has answered.
+async fn first_answer(address: SocketAddr) -> Result<String> {
+    let answered = async {
+        loop {
+            let (status, body) = fetch(address).await?;
+            if status.is_success() {
+                return Ok(body);
+            }
+            tokio::time::sleep(READY_INTERVAL).await;
+        }
+    };
+    let answered = tokio::time::timeout(FIRST_ANSWER_MAX, answered).await;
+    answered.unwrap_or_else(|_| Err(Error::Usage("no backend server answered".into())))
+}
+
+async fn fetch(address: SocketAddr) -> Result<(http::StatusCode, String)> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
@@ -83,9 +148,10 @@
     let request = http::Request::get("/queues/portal/")
         .header(http::header::HOST, address.to_string())
         .header(http::header::AUTHORIZATION, format!("Bearer {DEMO_KEY}"))
-        .body(Empty::<bytes::Bytes>::new())
+        .body(Empty::<Bytes>::new())
         .map_err(|error| Error::Usage(error.to_string()))?;
     let answer = sender.send_request(request).await?;
+    let status = answer.status();
     let body = answer.into_body().collect().await?.to_bytes();
-    Ok(String::from_utf8_lossy(&body).into_owned())
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
 }
--- /dev/null
+++ b/crates/cassiafold/src/edges.rs
@@ -0,0 +1,214 @@
+//! What the request path asks of the rest of the entry instance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use cassiafold_config::{
+    ActiveConfig, Config, Instance, InstanceId, InstanceState, ServiceId, TeamId,
+};
+use cassiafold_dispatch::{
+    ANONYMOUS_TEAM, DomainHint, LimitSource, PeerLoad, ShareSource, Sources,
+};
+use cassiafold_fleet::FleetHandle;
+use cassiafold_membership::{Escrow, Permit, Roster, Shares};
+use cassiafold_platform::ListedInstance;
+use tokio::sync::watch;
+
+use crate::instances::InstanceView;
+use crate::isolation::Isolation;
+use crate::usage::LocalUsage;
+
+/// Time between two updates of weights and of the load by others.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The bundle of sources of the request path.
+pub type EntryEdges = Sources<Limits, Weights, Load, Domains>;
+
+/// Upper limits by escrow. Anonymous work at open queues has none.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    escrow: Escrow,
+    isolation: Isolation,
+    changes: watch::Sender<()>,
+}
+
+impl Limits {
+    /// Limits by `escrow`; keyed work stops when `isolation` has lasted too long.
+    pub fn new(escrow: Escrow, isolation: Isolation) -> Self {
+        Self { escrow, isolation, changes: watch::Sender::new(()) }
+    }
+
+    /// Passes changes of the escrow on until it has gone.
+    pub async fn follow(self) {
+        let mut changed = self.escrow.changed();
+        while changed.changed().await.is_ok() {
+            self.changes.send_replace(());
+        }
+    }
+}
+
+impl LimitSource for Limits {
+    type Permit = Option<Permit>;
+
+    fn try_acquire(&self, team: &TeamId) -> Option<Option<Permit>> {
+        if &**team == ANONYMOUS_TEAM {
+            return Some(None);
+        }
+        if self.isolation.forbids_keys() {
+            return None;
+        }
+        self.escrow.try_acquire(team).map(Some)
+    }
+
+    fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+}
+
+type WeightTable = HashMap<ServiceId, HashMap<TeamId, f64>>;
+
+/// Local weights that steer towards weighted max-min over all entry instances.
+#[derive(Debug, Clone, Default)]
+pub struct Weights {
+    table: Arc<ArcSwap<WeightTable>>,
+    changes: watch::Sender<()>,
+}
+
+impl Weights {
+    /// Keeps the weights up to date until dropped.
+    pub async fn follow(
+        self,
+        shares: Shares,
+        config: ActiveConfig,
+        instances: InstanceView,
+        usage: LocalUsage,
+    ) {
+        loop {
+            if let Some(config) = config.load() {
+                let table = weigh(&shares, &config, &instances.load(), &usage);
+                if **self.table.load() != table {
+                    self.table.store(Arc::new(table));
+                    self.changes.send_replace(());
+                }
+            }
+            tokio::time::sleep(UPDATE_INTERVAL).await;
+        }
+    }
+}
+
+fn weigh(
+    shares: &Shares,
+    config: &Config,
+    instances: &[Instance],
+    usage: &LocalUsage,
+) -> WeightTable {
+    let local = usage.load();
+    let mut table = WeightTable::new();
+    for (id, service) in &config.services {
+        let live = instances.iter().filter(|instance| {
+            instance.state == InstanceState::Live
+                && config.zone_open(&instance.zone)
+                && config.service_of_pool(&instance.pool) == Some(id)
+        });
+        let capacity = live.count() as u32 * service.slots_per_instance;
+        let weights = shares.weights(id, capacity, &local);
+        let weights = weights.into_iter().map(|weight| (weight.team, weight.weight));
+        table.insert(id.clone(), weights.collect());
+    }
+    table
+}
+
+impl ShareSource for Weights {
+    fn weight(&self, service: &ServiceId, team: &TeamId) -> Option<f64> {
+        self.table.load().get(service)?.get(team).copied()
+    }
+
+    fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+}
+
+#[derive(Debug, Default, PartialEq)]
+struct LoadTable {
+    running: HashMap<InstanceId, u32>,
+    entries: u32,
+}
+
+/// Load that other entry instances put on backend servers.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    table: Arc<ArcSwap<LoadTable>>,
+    changes: watch::Sender<()>,
+}
+
+impl Load {
+    /// Keeps the load up to date until dropped.
+    pub async fn follow(self, roster: Roster) {
+        loop {
+            let table = load_of_others(&roster);
+            if **self.table.load() != table {
+                self.table.store(Arc::new(table));
+                self.changes.send_replace(());
+            }
+            tokio::time::sleep(UPDATE_INTERVAL).await;
+        }
+    }
+}
+
+fn load_of_others(roster: &Roster) -> LoadTable {
+    let usages = roster.usages();
+    let mut running: HashMap<InstanceId, u32> = HashMap::new();
+    for (_, usage) in usages.iter().filter(|(id, _)| *id != roster.me().id) {
+        for (instance, count) in &usage.instances {
+            *running.entry(instance.clone()).or_default() += count;
+        }
+    }
+    LoadTable { running, entries: usages.len() as u32 }
+}
+
+impl PeerLoad for Load {
+    fn running(&self, instance: &InstanceId) -> u32 {
+        self.table.load().running.get(instance).copied().unwrap_or(0)
+    }
+
+    fn entries(&self) -> u32 {
+        self.table.load().entries.max(1)
+    }
+
+    fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+}
+
+/// Suspected failure domains, as the fleet has learned them.
+#[derive(Debug, Clone)]
+pub struct Domains {
+    fleet: FleetHandle,
+}
+
+impl Domains {
+    /// Domains of `fleet`.
+    pub fn new(fleet: FleetHandle) -> Self {
+        Self { fleet }
+    }
+}
+
+impl DomainHint for Domains {
+    fn same_domain(&self, one: &Instance, other: &Instance) -> bool {
+        let state = self.fleet.load();
+        let same_rack = one.zone == other.zone && one.rack == other.rack;
+        same_rack || state.domain_of(&listed(one)) == state.domain_of(&listed(other))
+    }
+}
+
+fn listed(instance: &Instance) -> ListedInstance {
+    ListedInstance {
+        id: instance.id.clone(),
+        address: instance.address,
+        zone: instance.zone.clone(),
+        rack: instance.rack.clone(),
+        state: instance.state,
+    }
+}
--- /dev/null
+++ b/crates/cassiafold/src/fleet_source.rs
@@ -0,0 +1,301 @@
+//! State of the fleet for the operators' interface, from what this entry instance knows.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use cassiafold_config::{ActiveConfig, Config, InstanceId, PoolId, WaveId};
+use cassiafold_fleet::document::DOCUMENT_KEY;
+use cassiafold_fleet::explain::Explanation as FleetExplanation;
+use cassiafold_fleet::history::{DECISIONS_PREFIX, RawSegment};
+use cassiafold_fleet::raw::unix_ms;
+use cassiafold_fleet::{
+    Answers, Budgets, Decision, FleetCode, FleetDocument, FleetHandle, FleetState, History, Listed,
+    Observed, Policy, Refusal, StepKind, Subject as FleetSubject, View, WaveStatus as FleetWave,
+    explain, request_move, wave_status,
+};
+use cassiafold_operators::FleetSource;
+use cassiafold_operators::source::{
+    Decision as ShownDecision, Explanation, MoveAnswer, MoveRefusal, MoveRequest, PoolStatus,
+    Selection, Subject, WaveState, WaveStatus,
+};
+use cassiafold_platform::{Envelope, NotApplied, Store, UpdateOutcome, Writer, update};
+use tokio::time::Instant;
+
+use crate::instances::InstanceView;
+use crate::observer::Observer;
+
+/// Longest time for the store calls of a move.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// State of the fleet as this entry instance knows it.
+#[derive(Debug, Clone)]
+pub struct EntryFleetSource<S> {
+    /// Client of the key-value service.
+    pub store: S,
+    /// Configuration in force.
+    pub config: ActiveConfig,
+    /// The fleet document as last seen.
+    pub fleet: FleetHandle,
+    /// The platform's list.
+    pub instances: InstanceView,
+    /// Reports of the entry instances.
+    pub observer: Observer,
+    /// Bounds of the planner.
+    pub policy: Policy,
+    /// This entry instance, which signs its writes.
+    pub me: InstanceId,
+}
+
+/// What a view borrows from.
+struct Known {
+    config: Arc<Config>,
+    state: FleetState,
+    listed: Listed,
+    observed: Observed,
+    trends: cassiafold_fleet::demand::Trends,
+    answers: Answers,
+    now: SystemTime,
+}
+
+impl Known {
+    fn view(&self) -> View<'_> {
+        View {
+            now: self.now,
+            config: &self.config,
+            document: &self.state.document,
+            listed: &self.listed,
+            observed: &self.observed,
+            domains: &self.state.domains,
+            trends: &self.trends,
+            answers: &self.answers,
+        }
+    }
+}
+
+impl<S: Store> EntryFleetSource<S> {
+    fn known(&self) -> Option<Known> {
+        let listed = self.instances.listed();
+        Some(Known {
+            config: self.config.load()?,
+            state: self.fleet.load(),
+            listed: listed.iter().map(|listed| (listed.id.clone(), listed.clone())).collect(),
+            observed: self.observer.observe(),
+            trends: Default::default(),
+            answers: Answers::default(),
+            now: SystemTime::now(),
+        })
+    }
+
+    /// Decisions as stored; none while the store cannot be reached.
+    async fn history(&self) -> History {
+        let Ok(snapshot) = self.store.list(DECISIONS_PREFIX).await else {
+            return History::default();
+        };
+        let segments = snapshot.records.iter().filter_map(|record| {
+            let envelope = Envelope::<RawSegment>::decode(&record.value).ok()?;
+            Some(envelope.value)
+        });
+        History::restore(segments.collect())
+    }
+}
+
+impl<S: Store> FleetSource for EntryFleetSource<S> {
+    async fn pools(&self) -> Vec<PoolStatus> {
+        let Some(known) = self.known() else { return Vec::new() };
+        let view = known.view();
+        let budgets = Budgets::new(&view, &known.state.document, Default::default());
+        known.config.pools.keys().map(|pool| pool_status(&view, &budgets, pool)).collect()
+    }
+
+    async fn waves(&self) -> Vec<WaveStatus> {
+        let Some(known) = self.known() else { return Vec::new() };
+        let view = known.view();
+        let waves = known.config.waves.keys();
+        let status = |wave| wave_status(&view, &self.policy, wave).map(|state| shown(&view, state));
+        waves.filter_map(status).collect()
+    }
+
+    async fn explain(&self, subject: Subject, id: &str) -> Option<Explanation> {
+        let known = self.known()?;
+        let history = self.history().await;
+        let fleet_subject = match subject {
+            Subject::Instance => FleetSubject::Instance(id.into()),
+            Subject::Pool => FleetSubject::Pool(id.into()),
+            Subject::Team => FleetSubject::Team(id.into()),
+            Subject::Wave => FleetSubject::Wave(id.into()),
+        };
+        let explanation = explain(&known.view(), &self.policy, &history, &fleet_subject).ok()?;
+        Some(Explanation {
+            subject,
+            id: id.into(),
+            summary: summary(&explanation).into(),
+            decisions: explanation.decisions.iter().map(shown_decision).collect(),
+        })
+    }
+
+    async fn move_instances(&self, request: MoveRequest) -> Result<MoveAnswer, MoveRefusal> {
+        let known = self.known().ok_or(MoveRefusal::Unavailable("no configuration yet".into()))?;
+        let writer = Writer::new(self.me.clone());
+        let deadline = Instant::now() + MOVE_TIMEOUT;
+        let mut moved = Vec::new();
+        let change = |current: Option<&FleetDocument>| {
+            let current = current.cloned().unwrap_or_default();
+            let (next, instances) = self.plan_moves(&known, &current, &request)?;
+            moved = instances;
+            Ok::<_, Refusal>(next)
+        };
+        match update(&self.store, &writer, DOCUMENT_KEY, deadline, change).await {
+            UpdateOutcome::Applied { value, .. } => {
+                self.fleet.offer(Arc::new(value));
+                Ok(MoveAnswer { instances: moved })
+            }
+            UpdateOutcome::NotApplied(NotApplied::Refused(refusal)) => {
+                Err(MoveRefusal::Refused(reason(&refusal).into()))
+            }
+            UpdateOutcome::NotApplied(_) => {
+                Err(MoveRefusal::Unavailable("the fleet document cannot be written".into()))
+            }
+            UpdateOutcome::StillUnknown { .. } => {
+                Err(MoveRefusal::OutcomeUnknown("the answer of the store was lost".into()))
+            }
+        }
+    }
+}
+
+impl<S: Store> EntryFleetSource<S> {
+    /// Starts the moves one after the other, each within the budgets that the last one left.
+    fn plan_moves(
+        &self,
+        known: &Known,
+        current: &FleetDocument,
+        request: &MoveRequest,
+    ) -> Result<(FleetDocument, Vec<InstanceId>), Refusal> {
+        let (candidates, count) = candidates(current, request);
+        let mut next = current.clone();
+        let mut moved = Vec::new();
+        let mut refusal = Refusal::from(FleetCode::UnknownInstance);
+        for id in candidates {
+            if moved.len() == count {
+                break;
+            }
+            let under_way = next.placements.get(&id).and_then(|placement| placement.step.as_ref());
+            let repeated = under_way.is_some_and(
+                |step| matches!(&step.kind, StepKind::Move { to, .. } if *to == request.to),
+            );
+            if repeated {
+                moved.push(id);
+                continue;
+            }
+            let view = View { document: &next, ..known.view() };
+            match request_move(&view, &self.policy, &id, &request.to) {
+                Ok(plan) => {
+                    next = plan.next;
+                    moved.push(id);
+                }
+                Err(error) => refusal = error,
+            }
+        }
+        if moved.len() < count || moved.is_empty() {
+            return Err(refusal);
+        }
+        next.number = current.number + 1;
+        Ok((next, moved))
+    }
+}
+
+fn candidates(document: &FleetDocument, request: &MoveRequest) -> (Vec<InstanceId>, usize) {
+    match &request.selection {
+        Selection::Instances(ids) => (ids.clone(), ids.len()),
+        Selection::Count(count) => {
+            let members = document
+                .placements
+                .iter()
+                .filter(|(_, placement)| placement.pool == request.from)
+                .map(|(id, _)| id.clone());
+            (members.collect(), *count as usize)
+        }
+    }
+}
+
+fn pool_status(view: &View<'_>, budgets: &Budgets, pool: &PoolId) -> PoolStatus {
+    let service = view.config.pools.get(pool).and_then(|pool| pool.service.clone());
+    let members = view.document.placements.iter().filter(|(_, placement)| placement.pool == *pool);
+    let (mut instances, mut available, mut in_maintenance, mut failing) = (0, 0, 0, 0);
+    for (id, placement) in members {
+        instances += 1;
+        available += u32::from(view.available(id, placement));
+        in_maintenance += u32::from(placement.step.is_some());
+        failing += u32::from(placement.failure.is_some());
+    }
+    let steps = view.document.placements.values().filter_map(|placement| placement.step.as_ref());
+    let arriving = steps
+        .filter(|step| matches!(&step.kind, StepKind::Move { to, .. } if to == pool))
+        .count() as u32;
+    let budget = service.as_ref().and_then(|service| budgets.get(service));
+    let floor = budget.map_or(0, |budget| budget.floor as u32);
+    let pool = pool.clone();
+    PoolStatus { pool, service, instances, available, in_maintenance, failing, floor, arriving }
+}
+
+fn shown(view: &View<'_>, status: FleetWave) -> WaveStatus {
+    let in_progress = in_wave(view, &status.wave);
+    let zone = in_progress.first().and_then(|id| Some(view.listed.get(id)?.zone.clone()));
+    let state = match status.paused {
+        _ if status.done == status.total => WaveState::Done,
+        _ if view.now > status.deadline => WaveState::Overdue,
+        Some(FleetCode::WaveNotStarted) => WaveState::Scheduled,
+        Some(FleetCode::WavePaused) => WaveState::Paused,
+        Some(_) => WaveState::Waiting,
+        None => WaveState::Running,
+    };
+    WaveStatus {
+        wave: status.wave,
+        state,
+        zone,
+        done: status.done as u32,
+        total: status.total as u32,
+        in_progress,
+        waiting_for: status.paused.map(|code| code.row().meaning.into()),
+    }
+}
+
+fn in_wave(view: &View<'_>, id: &WaveId) -> Vec<InstanceId> {
+    let steps = view.document.placements.iter().filter(|(_, placement)| {
+        let kind = placement.step.as_ref().map(|step| &step.kind);
+        matches!(kind, Some(StepKind::Maintain { wave }) if wave == id)
+    });
+    steps.map(|(instance, _)| instance.clone()).collect()
+}
+
+/// Facts and refusals in one sentence.
+fn summary(explanation: &FleetExplanation) -> String {
+    let facts = explanation.facts.iter().map(|fact| format!("{}: {}", fact.name, fact.value));
+    let refusals = explanation
+        .why_not
+        .iter()
+        .map(|why_not| format!("no {} now: {}", why_not.step, reason(&why_not.refusal)));
+    facts.chain(refusals).collect::<Vec<_>>().join("; ")
+}
+
+fn reason(refusal: &Refusal) -> String {
+    let row = refusal.code.row();
+    match &refusal.inputs {
+        cassiafold_fleet::Inputs::None => format!("{} (code {})", row.meaning, row.number),
+        inputs => format!("{} (code {}; {inputs})", row.meaning, row.number),
+    }
+}
+
+fn shown_decision(decision: &Decision) -> ShownDecision {
+    let row = decision.event.row();
+    let named = [
+        ("instance", decision.instance.clone()),
+        ("pool", decision.pool.clone()),
+        ("wave", decision.wave.clone()),
+        ("inputs", Some(decision.inputs.to_string().into())),
+    ];
+    let inputs: BTreeMap<Arc<str>, Arc<str>> =
+        named.into_iter().filter_map(|(name, value)| Some((name.into(), value?))).collect();
+    let (event, message) = (row.number, row.message.into());
+    ShownDecision { unix_ms: unix_ms(decision.at), event, message, inputs }
+}
--- /dev/null
+++ b/crates/cassiafold/src/instances/tests.rs
@@ -0,0 +1,103 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::{InstanceId, InstanceState};
+use cassiafold_fleet::{FleetDocument, FleetHandle, Placement, Step, StepKind};
+use cassiafold_platform::ListedInstance;
+use cassiafold_standin::MemoryInstances;
+
+use super::{InstanceView, LEAVING_HOLD, LIST_INTERVAL};
+
+fn listed(id: &str) -> ListedInstance {
+    ListedInstance {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        rack: "a-1".into(),
+        state: InstanceState::Live,
+    }
+}
+
+fn document(number: u64, draining: bool) -> Arc<FleetDocument> {
+    let mut placement = Placement::new("portal".into());
+    placement.step = draining.then(|| Step {
+        kind: StepKind::Move { to: "spare".into(), settle: true },
+        phase: cassiafold_fleet::Phase::Draining,
+        number,
+        started: std::time::SystemTime::UNIX_EPOCH,
+        phase_started: std::time::SystemTime::UNIX_EPOCH,
+    });
+    let mut document = FleetDocument { number, ..FleetDocument::default() };
+    document.placements.insert("portal-1".into(), placement);
+    Arc::new(document)
+}
+
+struct Bench {
+    list: MemoryInstances,
+    fleet: FleetHandle,
+    view: InstanceView,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let bench = Self {
+            list: MemoryInstances::default(),
+            fleet: FleetHandle::default(),
+            view: InstanceView::default(),
+        };
+        bench.list.put(listed("portal-1"));
+        let (view, list, fleet) = (bench.view.clone(), bench.list.clone(), bench.fleet.clone());
+        tokio::spawn(async move { view.follow(list, fleet).await });
+        bench
+    }
+
+    fn state(&self) -> Option<InstanceState> {
+        self.view.load().first().map(|instance| instance.state)
+    }
+
+    fn list_as(&self, state: InstanceState) {
+        let id: InstanceId = "portal-1".into();
+        self.list.set_state(&id, state);
+    }
+}
+
+async fn rounds(count: u32) {
+    tokio::time::sleep(LIST_INTERVAL * count + Duration::from_millis(1)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_takes_work_once_the_fleet_has_adopted_it() {
+    let bench = Bench::start();
+    rounds(2).await;
+    assert_eq!(bench.state(), None);
+    bench.fleet.offer(document(1, false));
+    rounds(1).await;
+    assert_eq!(bench.state(), Some(InstanceState::Live));
+    assert_eq!(bench.view.fleet_number(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_draining_instance_is_leaving_before_its_document_counts_as_followed() {
+    let bench = Bench::start();
+    bench.fleet.offer(document(1, false));
+    rounds(1).await;
+    let mut instances = bench.view.subscribe();
+    bench.fleet.offer(document(2, true));
+    instances.changed().await.unwrap();
+    assert_eq!(bench.state(), Some(InstanceState::Leaving));
+    rounds(1).await;
+    assert_eq!(bench.view.fleet_number(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_list_that_goes_back_does_not_bring_a_leaving_instance_to_life() {
+    let bench = Bench::start();
+    bench.fleet.offer(document(1, false));
+    bench.list_as(InstanceState::Leaving);
+    rounds(1).await;
+    bench.list_as(InstanceState::Live);
+    rounds(2).await;
+    assert_eq!(bench.state(), Some(InstanceState::Leaving));
+    tokio::time::sleep(LEAVING_HOLD).await;
+    assert_eq!(bench.state(), Some(InstanceState::Live));
+}
--- /dev/null
+++ b/crates/cassiafold/src/lib.rs
@@ -0,0 +1,47 @@
+//! Fleet capacity and maintenance manager: the program behind the command line.
+
+mod change;
+mod check;
+mod cli;
+mod client;
+mod command;
+mod completions;
+mod config;
+mod demo;
+mod edges;
+mod entry;
+mod environment;
+mod error;
+pub mod event;
+mod explain;
+mod fleet_source;
+mod instances;
+mod isolation;
+mod key;
+mod logs;
+mod observer;
+mod output;
+mod pool;
+mod sources;
+mod status;
+mod status_source;
+mod symptoms;
+mod usage;
+mod verb;
+mod wave;
+mod zone;
+
+use std::process::ExitCode;
+
+/// Runs the command that the command line asks for and returns the exit code.
+pub fn run() -> ExitCode {
+    let command = match command::Command::try_from(cli::build().get_matches()) {
+        Ok(command) => command,
+        Err(error) => return error::report(&error),
+    };
+    logs::init(&command.logs);
+    match command.run() {
+        Ok(code) => code,
+        Err(error) => error::report(&error),
+    }
+}
--- /dev/null
+++ b/crates/cassiafold/src/observer/tests.rs
@@ -0,0 +1,119 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_fleet::{FleetHandle, Symptom};
+use cassiafold_membership::roster::{HEARD_MAX, Heard, Route};
+use cassiafold_membership::usage::Symptom as Seen;
+use cassiafold_membership::{Identity, QueueId, Roster, TeamUsage, Usage};
+use cassiafold_platform::ListedInstance;
+use cassiafold_standin::MemoryInstances;
+
+use super::Observer;
+use crate::instances::InstanceView;
+
+fn roster() -> Roster {
+    Roster::new(Identity {
+        id: "a1".into(),
+        zone: "a".into(),
+        region: "north".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+    })
+}
+
+fn hear(roster: &Roster, id: &str, zone: &str, usage: Usage) {
+    let heard = Heard {
+        id: id.into(),
+        zone: zone.into(),
+        incarnation: 1,
+        heartbeat: 1,
+        config_version: 1,
+        ready: true,
+        usage: Arc::new(usage),
+    };
+    roster.hear(heard, Route::OtherZone);
+}
+
+fn usage(fleet_number: u64) -> Usage {
+    Usage { fleet_number, ..Usage::default() }
+}
+
+fn seeing(symptom: Seen) -> Usage {
+    Usage { symptoms: [("portal-1".into(), symptom)].into(), ..Usage::default() }
+}
+
+async fn observer(roster: &Roster) -> Observer {
+    let (list, view) = (MemoryInstances::default(), InstanceView::default());
+    list.put(ListedInstance {
+        id: "portal-1".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "b".into(),
+        rack: "b-1".into(),
+        state: cassiafold_config::InstanceState::Live,
+    });
+    let followed = view.clone();
+    tokio::spawn(async move { followed.follow(list, FleetHandle::default()).await });
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    Observer::new(roster.clone(), view)
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_document_counts_as_confirmed_only_when_all_have_it() {
+    let roster = roster();
+    roster.beat(Arc::new(usage(7)), 1, true);
+    hear(&roster, "b1", "b", usage(5));
+    assert_eq!(observer(&roster).await.observe().confirmed, 5);
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_on_a_draining_instance_are_summed_over_all_zones() {
+    let roster = roster();
+    let draining = |count| Usage {
+        instances: [("portal-1".into(), count)].into(),
+        draining: [("portal-1".into(), count)].into(),
+        ..Usage::default()
+    };
+    roster.beat(Arc::new(draining(2)), 1, true);
+    hear(&roster, "b1", "b", draining(3));
+    assert_eq!(observer(&roster).await.observe().running(&"portal-1".into()), 5);
+}
+
+#[tokio::test(start_paused = true)]
+async fn demand_is_summed_by_service() {
+    let roster = roster();
+    let queue = QueueId { service: "portal".into(), team: "parishes".into() };
+    let asking = |running, waiting| Usage {
+        queues: [(queue.clone(), TeamUsage { running, waiting })].into(),
+        ..Usage::default()
+    };
+    roster.beat(Arc::new(asking(1, 10)), 1, true);
+    hear(&roster, "b1", "b", asking(2, 20));
+    let demand = observer(&roster).await.observe().demand["portal"];
+    assert_eq!((demand.running, demand.waiting), (3, 30));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_partition_between_zones_is_no_symptom() {
+    let roster = roster();
+    roster.beat(Arc::new(seeing(Seen::Unreachable)), 1, true);
+    hear(&roster, "b1", "b", Usage::default());
+    assert!(observer(&roster).await.observe().symptoms.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_symptom_seen_in_the_own_zone_counts() {
+    let roster = roster();
+    hear(&roster, "b1", "b", seeing(Seen::Hanging));
+    let symptoms = observer(&roster).await.observe().symptoms;
+    assert_eq!(symptoms.get("portal-1"), Some(&Symptom::Hanging));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_zone_whose_entry_instances_fall_silent_is_silent() {
+    let roster = roster();
+    hear(&roster, "b1", "b", Usage::default());
+    let observer = observer(&roster).await;
+    assert!(observer.observe().silent_zones.is_empty());
+    tokio::time::sleep(HEARD_MAX).await;
+    assert!(observer.observe().silent_zones.contains("b"));
+}
--- a/crates/cassiafold/tests/catalogue.rs
+++ b/crates/cassiafold/tests/catalogue.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::process::Command;
 
+use cassiafold::event::EntryEvent;
 use cassiafold_dispatch::{DispatchCode, DispatchEvent};
 use cassiafold_event::{CodeRow, EventRow};
 use cassiafold_fleet::{FleetCode, FleetEvent};
@@ -21,6 +22,7 @@
     ("dispatch", 1300, DispatchEvent::ROWS),
     ("fleet", 1400, FleetEvent::ROWS),
     ("operators", 1500, OperatorsEvent::ROWS),
+    ("cassiafold", 1700, EntryEvent::ROWS),
 ];
 
 /// Packages with the first number of their range, and their result codes.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -48,6 +48,22 @@
     /// Longest time that one request of an operator may take, in milliseconds.
     #[serde(default = "default_operators_timeout_ms")]
     pub operators_timeout_ms: u64,
+    /// Longest time for which keyed work goes on while this entry instance may have missed the
+    /// withdrawal of a key, because it is cut off, in milliseconds.
+    #[serde(default = "default_isolated_keys_max_ms")]
+    pub isolated_keys_max_ms: u64,
+    /// Time for which slices of upper limits may be used without the key-value service, in
+    /// milliseconds. The slices of a lost entry instance return to the others after it.
+    #[serde(default = "default_limits_hold_ms")]
+    pub limits_hold_ms: u64,
+}
+
+fn default_isolated_keys_max_ms() -> u64 {
+    600_000
+}
+
+fn default_limits_hold_ms() -> u64 {
+    3_600_000
 }
 
 fn default_store_timeout_ms() -> u64 {
@@ -103,6 +119,11 @@
     pub confirm_wait: Duration,
     /// Longest time that one request of an operator may take.
     pub operators_timeout: Duration,
+    /// Longest time for which keyed work goes on while this entry instance may have missed the
+    /// withdrawal of a key.
+    pub isolated_keys_max: Duration,
+    /// Time for which slices of upper limits may be used without the key-value service.
+    pub limits_hold: Duration,
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -148,6 +169,8 @@
             stop_wait: Duration::from_millis(raw.stop_wait_ms),
             confirm_wait: Duration::from_millis(raw.confirm_wait_ms),
             operators_timeout: Duration::from_millis(raw.operators_timeout_ms),
+            isolated_keys_max: Duration::from_millis(raw.isolated_keys_max_ms),
+            limits_hold: Duration::from_millis(raw.limits_hold_ms),
         })
     }
 }
--- a/crates/fleet/src/raw.rs
+++ b/crates/fleet/src/raw.rs
@@ -117,7 +117,8 @@
     NoPool(InstanceId),
 }
 
-pub(crate) fn unix_ms(time: SystemTime) -> u64 {
+/// Milliseconds since the Unix epoch; zero before it.
+pub fn unix_ms(time: SystemTime) -> u64 {
     time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
 
--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -220,7 +220,7 @@
         self.sightings.note(&ledger);
         let was_in = self.ledger().is_some_and(|before| before.position(&self.id).is_some());
         let position = ledger.position(&self.id);
-        if was_in && position.is_none() {
+        if was_in && position.is_none() && !self.retired {
             emit!(MembershipEvent::SlicesLost, instance = self.id.instance);
             self.escrow.shut();
         }
@@ -362,7 +362,8 @@
 
     fn report_reclaimed(&self, ledger: &Ledger) {
         let before = self.ledger().map(|ledger| ledger.holders.as_slice()).unwrap_or_default();
-        for holder in before.iter().filter(|holder| ledger.position(&holder.id).is_none()) {
+        let gone = |holder: &&Holder| holder.id != self.id && ledger.position(&holder.id).is_none();
+        for holder in before.iter().filter(gone) {
             let run = holder.id.incarnation;
             emit!(MembershipEvent::SlicesReclaimed, instance = holder.id.instance, run = run);
         }
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -77,6 +77,7 @@
             fleet_number: heard.usage.fleet_number,
             draining,
             symptoms,
+            store_reachable: heard.usage.store_reachable,
         })
     }
 
@@ -230,6 +231,7 @@
             }
         }
         usage.fleet_number = entry.fleet_number;
+        usage.store_reachable = entry.store_reachable;
         usage.draining.clear();
         for draining in &entry.draining {
             usage.draining.insert(self.name(draining.instance)?, draining.running.into());
--- a/crates/membership/src/exchange/tests.rs
+++ b/crates/membership/src/exchange/tests.rs
@@ -43,6 +43,7 @@
             fleet_number,
             draining: by_id(draining),
             symptoms: by_id(symptoms),
+            store_reachable: fleet_number % 2 == 0,
         }
     })
 }
@@ -79,6 +80,7 @@
             prop_assert_eq!(&received[0].id, &sent.id);
             prop_assert_eq!(&truth.instances, &seen.instances);
             prop_assert_eq!(truth.fleet_number, seen.fleet_number);
+            prop_assert_eq!(truth.store_reachable, seen.store_reachable);
             prop_assert_eq!(&truth.draining, &seen.draining);
             prop_assert_eq!(&truth.symptoms, &seen.symptoms);
             prop_assert!(truth.queues.keys().eq(seen.queues.keys()));
@@ -117,6 +119,7 @@
         fleet_number: 0,
         draining: vec![],
         symptoms: vec![],
+        store_reachable: false,
     };
     let report = Report { names: vec!["a".into()], ledger_revision: 0, entries: vec![entry] };
     assert!(Inbox::default().receive(report).is_err());
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -32,7 +32,7 @@
 pub use escrow::{Escrow, EscrowSettings, Permit};
 pub use event::MembershipEvent;
 pub use identity::Identity;
-pub use membership::{Membership, MembershipSettings};
+pub use membership::{Membership, MembershipSettings, Readiness};
 pub use peers::{PeersSettings, Traffic};
 pub use roster::{Confirmation, Confirmations, LiveEntry, Roster};
 pub use shares::{Shares, TeamWeight};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -51,7 +51,8 @@
             incarnation: incarnation(SystemTime::now()),
         };
         let lease_ttl = settings.lease_ttl;
-        let (escrow, peers) = (EscrowSettings::default(), PeersSettings::default());
+        let escrow = EscrowSettings { hold: settings.limits_hold, ..EscrowSettings::default() };
+        let peers = PeersSettings::default();
         Self { identity, lease_ttl, escrow, peers }
     }
 }
@@ -61,6 +62,17 @@
     started.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_micros() as u64)
 }
 
+/// Whether an entry instance takes new requests, as the others are told.
+#[derive(Debug, Clone)]
+pub struct Readiness(Arc<AtomicBool>);
+
+impl Readiness {
+    /// Changes what the others are told.
+    pub fn set(&self, ready: bool) {
+        self.0.store(ready, Ordering::Relaxed);
+    }
+}
+
 /// One entry instance as a member of the fleet.
 #[derive(Debug)]
 pub struct Membership {
@@ -179,6 +191,11 @@
         self.peers.traffic()
     }
 
+    /// Switch that tells the others whether this entry instance takes new requests.
+    pub fn ready(&self) -> Readiness {
+        Readiness(self.ready.clone())
+    }
+
     /// Tells the others whether this entry instance takes new requests.
     pub fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Relaxed);
--- a/crates/membership/src/usage.rs
+++ b/crates/membership/src/usage.rs
@@ -43,6 +43,8 @@
     pub draining: BTreeMap<InstanceId, u32>,
     /// Failing instances.
     pub symptoms: BTreeMap<InstanceId, Symptom>,
+    /// Whether the key-value service answered the entry instance lately.
+    pub store_reachable: bool,
 }
 
 impl Usage {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -58,6 +58,8 @@
   draining @9 :List(InstanceUsage);
   # Failing instances; all of them in each report.
   symptoms @10 :List(InstanceSymptom);
+  # Whether the key-value service answered it lately.
+  storeReachable @11 :Bool;
 }
 
 struct Report {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -116,6 +116,8 @@
     pub draining: Vec<InstanceUsage>,
     /// Failing instances.
     pub symptoms: Vec<InstanceSymptom>,
+    /// Whether the key-value service answered it lately.
+    pub store_reachable: bool,
 }
 
 /// What an entry instance reports to a peer.
@@ -215,6 +217,7 @@
             fleet_number: reader.get_fleet_number(),
             draining: draining.collect(),
             symptoms: symptoms.collect::<Result<_, _>>()?,
+            store_reachable: reader.get_store_reachable(),
         })
     }
 }
@@ -238,6 +241,7 @@
             }
         }
         builder.set_fleet_number(self.fleet_number);
+        builder.set_store_reachable(self.store_reachable);
         if !self.instances.is_empty() {
             let list = builder.reborrow().init_instances(self.instances.len() as u32);
             write_usages(&self.instances, list);
--- a/crates/wire/src/message/tests.rs
+++ b/crates/wire/src/message/tests.rs
@@ -37,6 +37,7 @@
         fleet_number: 9,
         draining: vec![],
         symptoms: vec![],
+        store_reachable: true,
     }
 }
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1341,6 +1341,10 @@
         pub fn has_symptoms(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_store_reachable(self) -> bool {
+            self.reader.get_bool_field(33)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1515,6 +1519,14 @@
         pub fn has_symptoms(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_store_reachable(self) -> bool {
+            self.builder.get_bool_field(33)
+        }
+        #[inline]
+        pub fn set_store_reachable(&mut self, value: bool)  {
+            self.builder.set_bool_field(33, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1526,7 +1538,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 205] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 221] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(252, 53, 54, 156, 6, 5, 177, 185),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
@@ -1536,91 +1548,98 @@
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
             ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 33, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1732,6 +1751,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 82, 101, 97),
+            ::capnp::word(99, 104, 97, 98, 108, 101, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1746,6 +1774,7 @@
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_symptom::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1759,9 +1788,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,9,0,8,3,2,6,5,7,10,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,9,0,8,3,2,6,5,7,11,10,1];
         pub(crate) const TYPE_ID: u64 = 0xb9b1_0506_9c36_35fc;
     }
 }
