Add the stand-in platform as a process of its own

Entry instances in separate processes need one platform to share. `cassiafold standin FILE` starts the store's gateway, the instance list, the instance control and groups of backend servers on loopback addresses from a YAML file, and writes their addresses as one line of JSON once they listen. cassiafold_standin::Platform starts the three platform servers within a process.

--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -19,6 +19,7 @@
         .arg(log_format())
         .arg(output())
         .subcommand(demo())
+        .subcommand(standin())
         .subcommand(check())
         .subcommand(completions())
         .subcommands(verbs::all())
@@ -66,6 +67,19 @@
         )
 }
 
+fn standin() -> Command {
+    Command::new("standin")
+        .about("Runs a stand-in platform and backend servers on loopback until it is interrupted")
+        .after_help("Writes one line of JSON with its addresses once it is ready.")
+        .arg(
+            Arg::new("settings")
+                .help("File with the addresses and the backend servers")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks settings files and configuration files and reports every fault")
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -9,7 +9,7 @@
 use crate::error::{Error, Result};
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo};
+use crate::{check, completions, demo, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +31,7 @@
 #[derive(Debug)]
 enum Action {
     Demo(DemoOptions),
+    Standin(PathBuf),
     Check(CheckOptions),
     Completions(Shell),
     Verb(Box<Verb>),
@@ -78,6 +79,7 @@
         let logs = if json { LogFormat::Json } else { LogFormat::Text };
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
+            Some(("standin", matches)) => Action::Standin(settings(matches)?),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
             Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
@@ -92,6 +94,7 @@
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
+            Action::Standin(settings) => standin::run(settings),
             Action::Check(options) => check::run(options),
             Action::Completions(shell) => completions::run(*shell),
             Action::Verb(verb) => verb.run(),
@@ -103,3 +106,8 @@
     let shell = matches.get_one::<Shell>("shell").copied();
     shell.ok_or_else(|| Error::Usage("no shell given".into()))
 }
+
+fn settings(matches: &ArgMatches) -> Result<PathBuf> {
+    let settings = matches.get_one::<PathBuf>("settings").cloned();
+    settings.ok_or_else(|| Error::Usage("no settings file given".into()))
+}
--- a/crates/cassiafold/src/main.rs
+++ b/crates/cassiafold/src/main.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod output;
 mod pool;
+mod standin;
 mod status;
 mod verb;
 mod wave;
--- /dev/null
+++ b/crates/cassiafold/src/standin.rs
@@ -0,0 +1,92 @@
+//! The stand-in platform and backend servers in a process of their own.
+
+mod settings;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+
+use cassiafold_config::check::from_yaml;
+use cassiafold_config::{InstanceId, InstanceState, RackId, ZoneId};
+use cassiafold_platform::ListedInstance;
+use cassiafold_standin::{Backend, BackendCounts, BackendOptions, Platform, PlatformAddresses};
+use serde::Serialize;
+use tokio::signal::unix::{SignalKind, signal};
+
+use self::settings::{BackendGroup, RawStandinSettings, StandinSettings};
+use crate::error::{Error, Result};
+
+/// What is printed once all servers listen.
+#[derive(Debug, Serialize)]
+struct Ready {
+    platform: PlatformAddresses,
+    backends: Vec<ReadyBackend>,
+}
+
+#[derive(Debug, Serialize)]
+struct ReadyBackend {
+    id: InstanceId,
+    address: SocketAddr,
+    zone: ZoneId,
+    rack: RackId,
+}
+
+/// Runs the stand-ins until the process is interrupted or terminated.
+pub fn run(path: &Path) -> Result<ExitCode> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| Error::ReadFile { path: path.to_owned(), source })?;
+    let settings = from_yaml::<RawStandinSettings, StandinSettings>(&text)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: StandinSettings) -> Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let platform = Platform::start(settings.addresses).await?;
+    let mut backends = Vec::new();
+    for group in &settings.backends {
+        for index in 0..group.count {
+            backends.push(start_backend(&platform, group, index).await?);
+        }
+    }
+    let (backends, listed): (Vec<_>, Vec<_>) = backends.into_iter().unzip();
+    print_line(&Ready { platform: platform.addresses(), backends: listed })?;
+    tokio::select! {
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+        _ = terminate.recv() => {}
+    }
+    backends.into_iter().for_each(Backend::close);
+    platform.close().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn start_backend(
+    platform: &Platform,
+    group: &BackendGroup,
+    index: usize,
+) -> Result<(Backend, ReadyBackend)> {
+    let place = group.place(index);
+    let options = BackendOptions {
+        slots: group.slots,
+        run_time: group.run_time,
+        ..BackendOptions::default()
+    };
+    let backend = Backend::start_with(place.id.clone(), BackendCounts::default(), options).await?;
+    platform.instances.put(ListedInstance {
+        id: place.id.clone(),
+        address: backend.address,
+        zone: place.zone.clone(),
+        rack: place.rack.clone(),
+        state: InstanceState::Live,
+    });
+    let address = backend.address;
+    Ok((backend, ReadyBackend { id: place.id, address, zone: place.zone, rack: place.rack }))
+}
+
+fn print_line(ready: &Ready) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{}", serde_json::to_string(ready)?)?;
+    out.flush()?;
+    Ok(())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gateway;
 pub mod instances;
 mod keyspace;
+pub mod platform;
 pub mod server;
 mod state;
 pub mod store;
@@ -19,5 +20,6 @@
 pub use faults::{ClientId, Partition, StoreFaults, WriteFault};
 pub use gateway::Gateway;
 pub use instances::{MemoryInstances, Reboot, RebootFault};
+pub use platform::{Platform, PlatformAddresses};
 pub use server::Server;
 pub use store::{MemoryStore, MemoryWatch};
