--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -11,12 +11,10 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::{AnswerBody, Carrier};
+use crate::answer::{AnswerBody, AnswerError, Carrier};
 use crate::body::{PreparedBody, RequestBody};
 use crate::code::DispatchCode;
 use crate::connection::{Connection, SendError};
-use crate::core::End;
-use crate::dispatcher::Running;
 use crate::edge::Edges;
 use crate::event::DispatchEvent;
 use crate::health::AttemptResult;
@@ -24,6 +22,8 @@
 use crate::pool::{ConnectionPool, OpenError, Reuse};
 use crate::problem::RunState;
 use crate::request::{NOT_RUN, REQUEST_ID, RUN_STATE, forward_headers};
+use crate::running::Running;
+use crate::start::End;
 
 /// Longest body of a refusal that is read so that the connection can be used again.
 const REFUSAL_MAX_BYTES: usize = 16 << 10;
@@ -171,7 +171,13 @@
         AttemptResult::Ok
     };
     let carrier = Carrier { connection, pool: pool.clone(), address: instance.address, result };
-    Ok(answer.map(|body| AnswerBody::new(body, carrier, order.deadline)))
+    let (parts, body) = answer.into_parts();
+    let body = AnswerBody::new(body, carrier, order.deadline).hold().await;
+    let body = body.map_err(|error| match error {
+        AnswerError::Broken(_) => unknown(DispatchCode::AnswerLost),
+        AnswerError::Timeout => unknown(DispatchCode::AnswerTimeout),
+    })?;
+    Ok(Response::from_parts(parts, body))
 }
 
 /// Notes that a connection gave no answer in time. Silence on a used connection speaks against
