Rescue services below their floor from the reserves of others

When a zone was out and a power feed failed, one service stayed below its floor while others kept a reserve above theirs. A service below its floor may now take from the reserve of the others, not from their floor, and an instance on loan in a quiet service goes to the next peak at once instead of after the wait for donors.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,7 +1,8 @@
 //! Moves for demand and for the availability budgets.
 //!
-//! A service that is short takes spare instances at once. When it stays short it takes instances
-//! that other services do not need, which must drain first. Instances go back to their home pool
+//! A service that is short takes spare instances at once, and instances on loan that other
+//! services do not need, which must drain first. When it stays short it takes such instances from
+//! their home as well; when it is below its floor, at once and from the reserve. Instances go back to their home pool
 //! only after their service has asked for little for some time, or when home needs them.
 
 use std::collections::BTreeMap;
@@ -50,6 +51,19 @@
         self.available < self.demand.max(self.floor)
     }
 
+    /// Whether the floor itself is broken; this outweighs the reserve and demand of others.
+    fn below_floor(&self) -> bool {
+        self.available < self.floor
+    }
+
+    /// Instances that may be given to a service that is short like `receiver`.
+    fn surplus_for(&self, receiver: &Self, factor: f64) -> usize {
+        match receiver.below_floor() {
+            true => self.available.saturating_sub(self.floor),
+            false => self.surplus(factor),
+        }
+    }
+
     fn surplus(&self, factor: f64) -> usize {
         let kept = (self.demand as f64 * factor).ceil() as usize;
         self.available.saturating_sub(kept.max(self.cover))
@@ -158,6 +172,16 @@
     round.view.listed.get(id).is_some_and(|listed| round.view.zone_steady(listed))
 }
 
+/// A service that is short of instances.
+struct Shortfall<'a> {
+    service: &'a ServiceId,
+    /// Pool that receives the instances.
+    pool: PoolId,
+    need: Need,
+    /// Whether other services give instances that are at home there.
+    donate: bool,
+}
+
 fn fill(
     round: &mut Round<'_>,
     service: &ServiceId,
@@ -169,19 +193,20 @@
     if !need.urgent() && !lasted(round, since, round.policy.return_after) {
         return;
     }
-    let donate = need.available < need.floor || lasted(round, since, round.policy.donate_after);
+    let donate = need.below_floor() || lasted(round, since, round.policy.donate_after);
     let Some(pool) = receiving_pool(round, service) else {
         return;
     };
-    let mut need = need;
-    while need.short() > 0 {
+    let mut shortfall = Shortfall { service, pool, need, donate };
+    while shortfall.need.short() > 0 {
+        let need = &shortfall.need;
         let kept = if need.available < need.cover { 0 } else { round.policy.spare_kept };
         if let Some(id) = spares.take(round, service, kept) {
-            assign(round, &id, &pool, service, &need);
-        } else if !donate || !take_from_donor(round, &pool, &need, needs, service) {
+            assign(round, &id, &shortfall);
+        } else if !take_from_donor(round, &shortfall, needs) {
             return;
         }
-        need.available += 1;
+        shortfall.need.available += 1;
     }
 }
 
@@ -202,58 +227,63 @@
 }
 
 /// Moves an idle spare instance at once: nothing runs on it.
-fn assign(round: &mut Round<'_>, id: &InstanceId, pool: &PoolId, service: &ServiceId, need: &Need) {
+fn assign(round: &mut Round<'_>, id: &InstanceId, shortfall: &Shortfall<'_>) {
     if let Some(placement) = round.next.placements.get_mut(id) {
-        placement.pool = pool.clone();
-        round.budgets.give(service, id);
-        round.decide(FleetEvent::InstanceAssigned, id, pool, need.inputs());
+        placement.pool = shortfall.pool.clone();
+        round.budgets.give(shortfall.service, id);
+        let inputs = shortfall.need.inputs();
+        round.decide(FleetEvent::InstanceAssigned, id, &shortfall.pool, inputs);
     }
 }
 
 fn take_from_donor(
     round: &mut Round<'_>,
-    pool: &PoolId,
-    need: &Need,
+    shortfall: &Shortfall<'_>,
     needs: &BTreeMap<ServiceId, Need>,
-    receiver: &ServiceId,
 ) -> bool {
     let factor = round.policy.surplus_factor;
-    let donors = needs.iter().filter(|(id, need)| *id != receiver && need.surplus(factor) > 0);
-    let mut donors: Vec<(&ServiceId, usize)> = donors
-        .filter_map(|(id, need)| {
-            let taken = need.available.checked_sub(round.budgets.get(id)?.available)?;
-            let left = need.surplus(factor).checked_sub(taken)?;
+    let mut donors: Vec<(&ServiceId, usize)> = needs
+        .iter()
+        .filter(|(id, _)| *id != shortfall.service)
+        .filter_map(|(id, donor)| {
+            let taken = donor.available.saturating_sub(round.budgets.get(id)?.available);
+            let left = donor.surplus_for(&shortfall.need, factor).checked_sub(taken)?;
             (left > 0).then_some((id, left))
         })
         .collect();
     donors.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
-    let found = donors.into_iter().find_map(|(id, _)| donated(round, id, pool));
+    let found = donors.into_iter().find_map(|(id, _)| donated(round, id, shortfall));
     let Some(id) = found else {
         return false;
     };
+    let pool = &shortfall.pool;
     round.start_step(&id, StepKind::Move { to: pool.clone(), settle: false });
-    round.decide(FleetEvent::MoveStarted, &id, pool, need.inputs());
+    round.decide(FleetEvent::MoveStarted, &id, pool, shortfall.need.inputs());
     true
 }
 
 /// Instance of `donor` that moves at the least cost: at home in `pool`, on loan, or little used.
-fn donated(round: &Round<'_>, donor: &ServiceId, pool: &PoolId) -> Option<InstanceId> {
+/// Without `donate` only instances on loan are considered.
+fn donated(round: &Round<'_>, donor: &ServiceId, shortfall: &Shortfall<'_>) -> Option<InstanceId> {
     let movable = round.placements().filter(|(id, placement)| {
-        round.view.service_of(placement) == Some(donor) && movable(round, id, placement, donor)
+        round.view.service_of(placement) == Some(donor)
+            && movable(round, id, placement)
+            && (shortfall.donate || placement.home != placement.pool)
+            && match shortfall.need.below_floor() {
+                true => round.budgets.check_floor(donor),
+                false => round.budgets.check(donor, id).is_ok(),
+            }
     });
     let cost = |id: &InstanceId, placement: &Placement| {
         let at_home = placement.home == placement.pool;
-        (placement.home != *pool, at_home, round.view.observed.running(id))
+        (placement.home != shortfall.pool, at_home, round.view.observed.running(id))
     };
     movable.min_by_key(|(id, placement)| cost(id, placement)).map(|(id, _)| id.clone())
 }
 
-fn movable(round: &Round<'_>, id: &InstanceId, placement: &Placement, service: &ServiceId) -> bool {
+fn movable(round: &Round<'_>, id: &InstanceId, placement: &Placement) -> bool {
     let retry = placement.not_before.is_some_and(|time| time > round.now);
-    !retry
-        && round.view.available(id, placement)
-        && steady(round, id)
-        && round.budgets.check(service, id).is_ok()
+    !retry && round.view.available(id, placement) && steady(round, id)
 }
 
 /// Sends one instance on loan back home when its service has asked for little for some time.
@@ -264,7 +294,8 @@
     let loaned = round.placements().filter(|(id, placement)| {
         placement.home != placement.pool
             && round.view.service_of(placement) == Some(service)
-            && movable(round, id, placement, service)
+            && movable(round, id, placement)
+            && round.budgets.check(service, id).is_ok()
     });
     let running = |id: &InstanceId| round.view.observed.running(id);
     let Some((id, home)) = loaned
--- a/crates/fleet/src/demand/tests.rs
+++ b/crates/fleet/src/demand/tests.rs
@@ -127,3 +127,26 @@
     fixture.round();
     assert_eq!(&*fixture.placement("spare-2").pool, "s0");
 }
+
+#[test]
+fn service_below_its_floor_takes_from_the_reserve_of_others_and_not_from_their_floor() {
+    let mut fixture = Fixture::new(&SMALL);
+    let floors = [("s0", 14), ("s1", 6)];
+    for (id, count) in floors {
+        let service = fixture.config.services.get_mut(id).expect("the service exists");
+        service.floor = cassiafold_config::Floor::Count(count);
+    }
+    for _ in 0..20 {
+        fixture.after(SECOND);
+    }
+    assert_eq!((size(&fixture, "s0"), size(&fixture, "s1"), size(&fixture, "spare")), (14, 7, 0));
+    for _ in 0..20 {
+        fixture.after(SECOND);
+    }
+    let service = fixture.config.services.get_mut("s0").expect("the service exists");
+    service.floor = cassiafold_config::Floor::Count(20);
+    for _ in 0..20 {
+        fixture.after(SECOND);
+    }
+    assert_eq!((size(&fixture, "s0"), size(&fixture, "s1")), (15, 6));
+}
