Prove the remaining edges of the request path

Cause: no test showed that an unknown outcome outlives a later refusal, that the retry budget ends retries, that other entry instances' slots are left to them, that a granted request is tested once more before it is sent, and that labels stay bounded.

Change: a fault case, and tests of budget, peers' load, failure domains, dispatcher and metrics.

--- a/crates/dispatch/src/backends/tests.rs
+++ b/crates/dispatch/src/backends/tests.rs
@@ -247,3 +247,52 @@
     backends.give_slot(0);
     assert_eq!(backends.counts(&portal).ejected, 0);
 }
+
+#[test]
+fn after_a_failure_another_rack_is_preferred_and_the_same_instance_comes_last() {
+    // Instances 0 and 1 share a rack, as do 2 and 3.
+    let list: Vec<Instance> = (0..4).map(|index| instance(index, index / 2, 0, false)).collect();
+    let mut backends = Backends::new("a".into());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let portal: ServiceId = "portal".into();
+    for (listed, expected) in [(4, &["i2", "i3"][..]), (2, &["i1"]), (1, &["i0"])] {
+        backends.rebuild(&config(&[false; 3]), &list[..listed], &NoPeers);
+        for _ in 0..20 {
+            let wish = Wish { idempotent: true, avoid: &list[..1] };
+            let index = backends.choose(&portal, wish, &Racks, &mut rng).unwrap();
+            assert!(expected.contains(&&*backends.get(index).instance.id));
+        }
+    }
+}
+
+/// Other entry instances that run so many requests at `i0`.
+#[derive(Debug, Clone)]
+struct Peers(u32);
+
+impl PeerLoad for Peers {
+    fn running(&self, instance: &InstanceId) -> u32 {
+        if &**instance == "i0" { self.0 } else { 0 }
+    }
+
+    fn entries(&self) -> u32 {
+        2
+    }
+
+    fn changes(&self) -> tokio::sync::watch::Receiver<()> {
+        crate::limit::never()
+    }
+}
+
+#[test]
+fn slots_that_others_use_are_left_to_them_until_they_report_less() {
+    let mut backends = pool_of(1, 0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let wish = Wish { idempotent: false, avoid: &[] };
+    let mut can_choose =
+        |backends: &Backends| backends.choose(&"portal".into(), wish, &Racks, &mut rng).is_some();
+    backends.take_slot(0);
+    backends.update_peers(&Peers(1));
+    assert!(!can_choose(&backends));
+    backends.update_peers(&Peers(0));
+    assert!(can_choose(&backends));
+}
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -41,3 +41,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatch/src/budget/tests.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+#[test]
+fn retries_end_with_the_savings_and_go_on_with_a_tenth_of_the_first_attempts() {
+    let (budget, service) = (RetryBudget::default(), ServiceId::from("portal"));
+    let spend = || (0..100).filter(|_| budget.withdraw(&service)).count();
+    assert_eq!(spend(), 10);
+    (0..55).for_each(|_| budget.deposit(&service));
+    assert_eq!(spend(), 5);
+    (0..1_000).for_each(|_| budget.deposit(&service));
+    assert_eq!(spend(), 10);
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -280,3 +280,6 @@
         self.shared.lock().core.cancel(&self.order.service, self.ticket);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/tests.rs
@@ -0,0 +1,100 @@
+use cassiafold_config::InstanceState;
+use cassiafold_config::raw::RawConfig;
+use prometheus_client::registry::Registry;
+
+use crate::edge::Sources;
+use crate::start::End;
+
+use super::*;
+
+fn config(version: u64, zone_out: bool) -> Arc<Config> {
+    let raw: RawConfig = serde_json::from_value(serde_json::json!({
+        "version": version,
+        "zones": {"a": {"region": "n", "out": zone_out}},
+        "services": {"portal": {"floor_share": 0.5, "open": true, "slots_per_instance": 1}},
+        "pools": {"portal": {"service": "portal"}},
+        "teams": {},
+    }))
+    .unwrap();
+    Arc::new(Config::try_from(raw).unwrap())
+}
+
+fn instance(state: InstanceState) -> Instance {
+    Instance {
+        id: "i".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        rack: "r".into(),
+        pool: "portal".into(),
+        state,
+    }
+}
+
+struct Setup {
+    dispatcher: Dispatcher<Sources>,
+    config: ActiveConfig,
+    instances: watch::Sender<Arc<Vec<Instance>>>,
+    order: Arc<Order>,
+}
+
+fn setup() -> Setup {
+    let active = ActiveConfig::default();
+    active.offer(config(1, false));
+    let (sender, instances) = watch::channel(Arc::new(vec![instance(InstanceState::Live)]));
+    let edges = Sources::default();
+    let dispatcher = Dispatcher::start(edges, &active, instances, "a".into(), Metrics::default());
+    let order = Arc::new(Order {
+        id: "r".into(),
+        service: "portal".into(),
+        team: "anonymous".into(),
+        key: None,
+        checked: 1,
+        idempotent: true,
+        deadline: Instant::now() + Duration::from_secs(5),
+    });
+    Setup { dispatcher, config: active, instances: sender, order }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_granted_may_not_start_once_its_zone_is_out() {
+    let Setup { dispatcher, config: active, instances: _kept, order } = setup();
+    let running = dispatcher.acquire(&order).await.unwrap();
+    assert!(running.may_start());
+    active.offer(config(2, true));
+    assert!(!running.may_start());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_granted_may_not_start_on_an_instance_that_leaves() {
+    let Setup { dispatcher, config: _active, instances, order } = setup();
+    let running = dispatcher.acquire(&order).await.unwrap();
+    instances.send_replace(Arc::new(vec![instance(InstanceState::Leaving)]));
+    assert!(!running.may_start());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_granted_request_whose_task_is_gone_gives_its_slot_back() {
+    let Setup { dispatcher, config: _active, instances: _kept, order } = setup();
+    let running = dispatcher.acquire(&order).await.unwrap();
+    let mut waiting = Box::pin(dispatcher.acquire(&order));
+    assert!(futures_util::poll!(waiting.as_mut()).is_pending());
+    running.close(End::Completed);
+    drop(waiting);
+    let next = tokio::time::timeout(Duration::from_secs(1), dispatcher.acquire(&order)).await;
+    assert!(next.unwrap().is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn metrics_show_teams_and_services_of_the_configuration_only() {
+    let Setup { dispatcher, config: _active, instances: _kept, order } = setup();
+    dispatcher.acquire(&order).await.unwrap().close(End::Completed);
+    let unknown = Arc::new(Order { service: "made-up".into(), ..(*order).clone() });
+    assert!(dispatcher.acquire(&unknown).await.is_err());
+    let mut registry = Registry::default();
+    dispatcher.metrics().register(&mut registry);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).unwrap();
+    let line = "dispatch_service_seconds_count{service=\"portal\",team=\"anonymous\"} 1";
+    assert!(text.contains(line), "{text}");
+    assert!(!text.contains("made-up"), "{text}");
+}
--- a/crates/dispatch/tests/faults.rs
+++ b/crates/dispatch/tests/faults.rs
@@ -52,5 +52,6 @@
     end_not_marked: "end not marked";
     refused_as_not_run: "refused as not run";
     refused_by_all_as_not_run: "refused by all as not run";
+    reset_after_the_run_then_refused: "reset after the run, then refused";
     server_error: "server error";
 }
--- a/crates/dispatch/tests/support/faults.rs
+++ b/crates/dispatch/tests/support/faults.rs
@@ -15,6 +15,8 @@
     First(Fault),
     /// The first request, which asks for a long answer.
     Long(Fault),
+    /// The first request; all later ones are refused without being run.
+    ThenRefused(Fault),
     /// Every request at every backend server.
     Every(Fault),
     /// One of the two backend servers refuses connections.
@@ -110,6 +112,12 @@
         (0, "503, code 314, not run"),
         (0, "503, code 314, not run"),
     ),
+    case(
+        "reset after the run, then refused",
+        Strike::ThenRefused(Fault::ResetAfterRun),
+        (1, LOST),
+        (1, "503, code 314, outcome unknown"),
+    ),
     case("server error", Strike::First(Fault::ServerError), (1, "500, whole"), (1, "500, whole")),
 ];
 
@@ -131,6 +139,10 @@
 async fn strike(strike: Strike, fleet: &mut Fleet) {
     match strike {
         Strike::First(fault) | Strike::Long(fault) => fleet.faults.queue(fault),
+        Strike::ThenRefused(fault) => {
+            fleet.faults.queue(fault);
+            fleet.faults.set(Some(Fault::RefuseNotRun));
+        }
         Strike::Every(fault) => fleet.faults.set(Some(fault)),
         Strike::OneRefuses => fleet.backends.remove(0).close(),
         Strike::AllRefuse => fleet.backends.drain(..).for_each(|backend| backend.close()),
