Let a trial take any request in time, and an unsent one move on

Cause: an ejected instance of a service that takes only non-idempotent requests got its trial only when all others were full, and stood in the way of other ejections meanwhile.

Change: a trial prefers idempotent requests for 5 s, then takes any. A request of which nothing was written stays for its sender. The test of cancellations sees the queue empty while the slot is still held, and the peers' load is also tested on a rebuild of the index.

--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -74,10 +74,7 @@
     }
 
     pub(crate) fn hold_end(&self) -> Option<Instant> {
-        match self.health.standing() {
-            Standing::Ejected { until } => Some(until),
-            _ => self.full_until,
-        }
+        [self.health.standing().until(), self.full_until].into_iter().flatten().min()
     }
 
     pub(crate) fn list(&self, service: &ServiceBackends) -> Option<List> {
@@ -86,8 +83,8 @@
         }
         match self.health.standing() {
             Standing::Ejected { .. } => None,
-            Standing::Trial if self.running > 0 => None,
-            Standing::Trial => Some(List::Trial),
+            Standing::Trial { .. } if self.running > 0 => None,
+            Standing::Trial { .. } => Some(List::Trial),
             Standing::Healthy => {
                 let zone = service.zones.iter().position(|it| it.zone == self.instance.zone)?;
                 Some(List::Free { zone })
--- a/crates/dispatch/src/backends.rs
+++ b/crates/dispatch/src/backends.rs
@@ -286,7 +286,7 @@
 }
 
 fn eject(backend: &mut Backend, service: &mut ServiceBackends, now: Instant) -> Verdict {
-    let on_trial = backend.health.standing() == Standing::Trial;
+    let on_trial = matches!(backend.health.standing(), Standing::Trial { .. });
     if !on_trial {
         if service.ejected >= ejected_max(service.members.len()) {
             return Verdict::Unchanged;
--- a/crates/dispatch/src/backends/tests.rs
+++ b/crates/dispatch/src/backends/tests.rs
@@ -112,7 +112,7 @@
                 let chosen = backends.choose(&portal, wish, &Racks, &mut rng);
                 if let Some(index) = chosen {
                     let backend = backends.get(index);
-                    let on_trial = backend.health.standing() == Standing::Trial;
+                    let on_trial = matches!(backend.health.standing(), Standing::Trial { .. });
                     prop_assert!(free.contains(&index) || (on_trial && backend.running == 0));
                     let home = free.iter().any(|it| &*backends.get(*it).instance.zone == "a");
                     let stays = &*backend.instance.zone == "a" || on_trial || !avoid.is_empty();
@@ -243,8 +243,12 @@
     for _ in 0..50 {
         assert_ne!(backends.choose(&portal, wish, &Racks, &mut rng), Some(0));
     }
-    assert_eq!(backends.record(0, AttemptResult::Ok, now), Verdict::Returned);
     backends.give_slot(0);
+    let other = Wish { idempotent: false, avoid: &[] };
+    assert_ne!(backends.choose(&portal, other, &Racks, &mut rng), Some(0));
+    backends.end_holds(now + Duration::from_secs(6));
+    assert_eq!(backends.choose(&portal, other, &Racks, &mut rng), Some(0));
+    assert_eq!(backends.record(0, AttemptResult::Ok, now), Verdict::Returned);
     assert_eq!(backends.counts(&portal).ejected, 0);
 }
 
@@ -295,4 +299,7 @@
     assert!(!can_choose(&backends));
     backends.update_peers(&Peers(0));
     assert!(can_choose(&backends));
+    let list = [instance(0, 0, 0, false)];
+    backends.rebuild(&config(&[false; 3]), &list, &Peers(1));
+    assert!(!can_choose(&backends));
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -10,6 +10,7 @@
 use crate::backend::{BackendIndex, ServiceBackends, ZoneBackends};
 use crate::backends::Backends;
 use crate::edge::DomainHint;
+use crate::health::Standing;
 
 /// What a request asks of the choice.
 #[derive(Debug, Clone, Copy)]
@@ -31,8 +32,10 @@
     ) -> Option<BackendIndex> {
         let known = self.services.get(service)?;
         let trial = known.trial.first().copied();
-        if wish.idempotent && wish.avoid.is_empty() && trial.is_some() {
-            return trial;
+        if wish.avoid.is_empty()
+            && let Some(index) = self.open_trial(known, wish.idempotent)
+        {
+            return Some(index);
         }
         if wish.avoid.is_empty() {
             return self.choose_free(known, rng).or(trial);
@@ -54,6 +57,15 @@
         best.map(|(_, index)| index).or(trial)
     }
 
+    /// A backend server whose trial takes the request before all others.
+    fn open_trial(&self, known: &ServiceBackends, idempotent: bool) -> Option<BackendIndex> {
+        let open_to_all = Standing::Trial { idempotent_until: None };
+        let is_open = |index: &&BackendIndex| {
+            idempotent || self.get(**index).health.standing() == open_to_all
+        };
+        known.trial.iter().find(is_open).copied()
+    }
+
     /// 0: shares no failure domain with an avoided instance; 1: shares one; 2: is one.
     fn closeness(&self, index: BackendIndex, avoid: &[Instance], domains: &impl DomainHint) -> u8 {
         let instance = &self.backends[index].instance;
--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -48,6 +48,8 @@
 struct Line<E: Edges> {
     written_bytes: Arc<AtomicU64>,
     in_flight: Mutex<Option<Running<E>>>,
+    /// Bytes that were written before the request in flight.
+    written_before: AtomicU64,
     /// Asks the task to end.
     close: CancellationToken,
     /// Set by the task once nothing more is written.
@@ -56,6 +58,7 @@
 
 impl<E: Edges> Line<E> {
     fn put(&self, running: Running<E>) {
+        self.written_before.store(self.written_bytes(), Ordering::Release);
         *self.in_flight.lock().unwrap_or_else(PoisonError::into_inner) = Some(running);
     }
 
@@ -70,6 +73,11 @@
     fn written_bytes(&self) -> u64 {
         self.written_bytes.load(Ordering::Acquire)
     }
+
+    /// Whether any byte of the request in flight was written.
+    fn has_written(&self) -> bool {
+        self.written_bytes() != self.written_before.load(Ordering::Acquire)
+    }
 }
 
 /// A request that got no answer.
@@ -92,6 +100,7 @@
         let line = Arc::new(Line {
             written_bytes,
             in_flight: Mutex::new(None),
+            written_before: AtomicU64::new(0),
             close: CancellationToken::new(),
             stopped: CancellationToken::new(),
         });
@@ -116,19 +125,18 @@
         request: Request<RequestBody>,
         running: Running<E>,
     ) -> Result<Response<Incoming>, SendError<E>> {
-        let before = self.line.written_bytes();
         self.line.put(running);
         match self.sender.send_request(request).await {
             Ok(answer) => Ok(answer),
-            Err(_) => Err(self.settle_error(before).await),
+            Err(_) => Err(self.settle_error().await),
         }
     }
 
     /// Tells whether any byte was written, once nothing more can be.
-    async fn settle_error(&self, written_before: u64) -> SendError<E> {
+    async fn settle_error(&self) -> SendError<E> {
         self.line.close.cancel();
         self.line.stopped.cancelled().await;
-        if self.line.written_bytes() != written_before {
+        if self.line.has_written() {
             return SendError::Written;
         }
         self.line.take().map_or(SendError::Written, SendError::NotWritten)
@@ -167,13 +175,15 @@
     }
     let mut io = connection.into_parts().io.into_inner();
     line.stopped.cancel();
-    if line.is_busy() {
+    // A request of which nothing was written stays for its sender to send elsewhere.
+    let may_run = line.is_busy() && line.has_written();
+    if may_run {
         emit!(DispatchEvent::OutcomeHeld);
         settle(&mut io).await;
     }
     drop(io);
     drop(count);
-    if let Some(running) = line.take() {
+    if may_run && let Some(running) = line.take() {
         running.close(End::Abandoned);
     }
 }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -43,8 +43,23 @@
         /// End of the hold.
         until: Instant,
     },
-    /// Takes one request at a time until one has succeeded.
-    Trial,
+    /// Takes one request at a time until one has succeeded, before `idempotent_until` only
+    /// idempotent ones where others take the rest.
+    Trial {
+        /// End of the time in which idempotent requests are preferred.
+        idempotent_until: Option<Instant>,
+    },
+}
+
+impl Standing {
+    /// When the standing changes by itself.
+    pub fn until(self) -> Option<Instant> {
+        match self {
+            Self::Healthy => None,
+            Self::Ejected { until } => Some(until),
+            Self::Trial { idempotent_until } => idempotent_until,
+        }
+    }
 }
 
 /// Points in a row at which an instance is ejected.
@@ -57,6 +72,8 @@
 const RATE_GAIN: f64 = 0.1;
 const HOLD_FIRST: Duration = Duration::from_secs(1);
 const HOLD_MAX: Duration = Duration::from_secs(60);
+/// Time in which a trial prefers idempotent requests.
+const TRIAL_IDEMPOTENT: Duration = Duration::from_secs(5);
 /// Successes in a row after which earlier ejections are forgotten.
 const FORGIVE_AFTER: u32 = 100;
 /// Largest part of a pool that is ejected at a time.
@@ -134,7 +151,7 @@
         if self.successes >= FORGIVE_AFTER {
             self.ejections = 0;
         }
-        if self.standing != Standing::Trial {
+        if !matches!(self.standing, Standing::Trial { .. }) {
             return Verdict::Unchanged;
         }
         self.standing = Standing::Healthy;
@@ -150,7 +167,7 @@
             self.samples >= SAMPLES_MIN && self.success_rate < RELATIVE_RATE_MIN * pool_rate;
         let eject = match self.standing {
             Standing::Healthy => self.failure_points >= FAILURE_POINTS_MAX || low_rate,
-            Standing::Trial => true,
+            Standing::Trial { .. } => true,
             Standing::Ejected { .. } => false,
         };
         if eject { Verdict::Eject } else { Verdict::Unchanged }
@@ -166,13 +183,18 @@
         until
     }
 
-    /// Begins the trial when the hold is over. Returns whether the standing changed.
+    /// Begins the trial when the hold is over, and opens it to all requests later. Returns
+    /// whether the standing changed.
     pub fn end_hold(&mut self, now: Instant) -> bool {
-        let over = matches!(self.standing, Standing::Ejected { until } if until <= now);
-        if over {
-            self.standing = Standing::Trial;
+        if self.standing.until().is_none_or(|until| until > now) {
+            return false;
         }
-        over
+        let idempotent_until = match self.standing {
+            Standing::Ejected { .. } => Some(now + TRIAL_IDEMPOTENT),
+            Standing::Healthy | Standing::Trial { .. } => None,
+        };
+        self.standing = Standing::Trial { idempotent_until };
+        true
     }
 }
 
--- a/crates/dispatch/src/health/tests.rs
+++ b/crates/dispatch/src/health/tests.rs
@@ -54,7 +54,7 @@
         holds_s.push((until - now).as_secs());
         assert!(!health.end_hold(until - Duration::from_millis(1)));
         assert!(health.end_hold(until));
-        assert_eq!(health.standing(), Standing::Trial);
+        assert!(matches!(health.standing(), Standing::Trial { idempotent_until: Some(_) }));
     }
     assert_eq!(holds_s, [1, 2, 4, 8, 16, 32, 60, 60]);
     assert_eq!(health.record(AttemptResult::Ok, 1.0), Verdict::Returned);
--- a/crates/dispatch/tests/changes.rs
+++ b/crates/dispatch/tests/changes.rs
@@ -89,13 +89,15 @@
 #[tokio::test]
 async fn a_wave_of_cancellations_leaves_the_queue_and_runs_nothing() {
     let fleet = slow_fleet(1).await;
-    fleet.faults.queue(Fault::Slow(Duration::from_secs(2)));
+    fleet.faults.queue(Fault::Slow(Duration::from_secs(3)));
     let running = spawn(&fleet, "running");
     until("start", || usage(&fleet) == (1, 0)).await;
     let queued: Vec<_> = (0..200).map(|index| spawn(&fleet, &format!("r{index}"))).collect();
     until("queueing", || usage(&fleet).1 == 200).await;
     let last = tokio::spawn(fleet.call(Method::POST, "/a", "last").key(OTHER_KEY).send());
     queued.iter().for_each(JoinHandle::abort);
+    until("departure", || usage(&fleet) == (1, 1)).await;
+    assert!(!running.is_finished());
     assert_eq!(running.await.unwrap().summary(), "200, whole");
     assert_eq!(last.await.unwrap().summary(), "200, whole");
     assert_eq!(fleet.counts.total(), 2);
