Test an unsent request and the bound of an unknown outcome

Cause: mutations that call every request written survived, and nothing showed that a slot comes back when a backend server stays silent.

Change: two tests of a connection, one on paused time.

--- a/crates/dispatch/src/connection.rs
+++ b/crates/dispatch/src/connection.rs
@@ -259,3 +259,6 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dispatch/src/connection/tests.rs
@@ -0,0 +1,50 @@
+use tokio::net::TcpListener;
+
+use crate::dispatcher::tests::setup;
+use crate::edge::Sources;
+use crate::observe::Usage;
+
+use super::*;
+
+async fn connect() -> (Connection<Sources>, TcpStream) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (connection, accepted) = tokio::join!(Connection::open(address, ()), listener.accept());
+    (connection.unwrap(), accepted.unwrap().0)
+}
+
+fn request() -> Request<RequestBody> {
+    Request::new(RequestBody::Whole { data: None, trailers: None })
+}
+
+#[tokio::test]
+async fn a_request_on_a_connection_closed_before_goes_back_to_its_sender() {
+    let setup = setup();
+    let (mut connection, stream) = connect().await;
+    drop(stream);
+    while !connection.is_closed() {
+        tokio::task::yield_now().await;
+    }
+    let running = setup.dispatcher.acquire(&setup.order).await.unwrap();
+    let error = connection.send(request(), running).await.unwrap_err();
+    assert!(matches!(error, SendError::NotWritten(_)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slot_without_an_outcome_comes_back_at_the_bound() {
+    let setup = setup();
+    let (mut connection, mut stream) = connect().await;
+    let running = setup.dispatcher.acquire(&setup.order).await.unwrap();
+    let mut head = [0; 16];
+    tokio::select! {
+        _ = connection.send(request(), running) => unreachable!("nobody answers"),
+        read = stream.read_exact(&mut head) => drop(read.unwrap()),
+    }
+    drop(connection);
+    let given_up = Instant::now();
+    while setup.dispatcher.usage() != Usage::default() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let held = given_up.elapsed();
+    assert!(held >= SETTLE_MAX && held < SETTLE_MAX + Duration::from_secs(1), "{held:?}");
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -282,4 +282,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/dispatch/src/dispatcher/tests.rs
+++ b/crates/dispatch/src/dispatcher/tests.rs
@@ -30,14 +30,14 @@
     }
 }
 
-struct Setup {
-    dispatcher: Dispatcher<Sources>,
+pub(crate) struct Setup {
+    pub(crate) dispatcher: Dispatcher<Sources>,
     config: ActiveConfig,
     instances: watch::Sender<Arc<Vec<Instance>>>,
-    order: Arc<Order>,
+    pub(crate) order: Arc<Order>,
 }
 
-fn setup() -> Setup {
+pub(crate) fn setup() -> Setup {
     let active = ActiveConfig::default();
     active.offer(config(1, false));
     let (sender, instances) = watch::channel(Arc::new(vec![instance(InstanceState::Live)]));
