Test number ranges, the length of ids and faults that follow from others

Mutations that dropped the upper bound of a number, the length of an id, or the notes on stand-ins passed the tests of check; two more cases make them fail.

--- a/crates/config/src/check/tests.rs
+++ b/crates/config/src/check/tests.rs
@@ -91,6 +91,23 @@
     line 1: pools: is missing
     line 4: teams.b.share: is missing
     line 5: teams.c.upper_limit: is missing"#]];
+    faults_that_follow_from_another_are_not_reported: "\
+version: 1
+zones: {}
+services: {portal: {floor_share: 1, deadline_max_ms: long, deadline_default_ms: 9000}}
+pools: {portal: {service: portals}}
+teams: {t: {share: 4294967296, upper_limit: 1}}
+waves: {w: {zones: [a], start_unix_s: soon, deadline_unix_s: 1}}
+" => expect![[r#"
+    line 3: services.portal.deadline_max_ms: must be a whole number from 0 to 18446744073709551615
+    line 4: pools.portal.service: no service named portals
+    line 5: teams.t.share: must be a whole number from 0 to 4294967295
+    line 6: waves.w.start_unix_s: must be a whole number from 0 to 18446744073709551615
+    line 6: waves.w.zones: no zone named a"#]];
+    an_id_has_64_characters_at_most: &format!(
+        "version: 1\nzones: {{}}\nservices: {{}}\npools: {{{0}: {{}}, {0}x: {{}}}}\nteams: {{}}\n",
+        "p".repeat(64)
+    ) => expect!["line 4: pools.ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppx: an id has 1 to 64 characters out of letters, digits, - and _"];
     broken_yaml_is_reported_at_its_line: "version: 1\nzones: {a: [\n" => expect!["line 2: unclosed bracket '[' at line 2, column 12"];
     an_empty_file_lacks_every_field: "" => expect!["line 1: must be a mapping"];
     a_list_is_no_configuration: "- 1\n" => expect!["line 1: must be a mapping"];
