--- a/crates/cassiafold/tests/catalogue.rs
+++ b/crates/cassiafold/tests/catalogue.rs
@@ -8,6 +8,7 @@
 
 use cassiafold_dispatch::{DispatchCode, DispatchEvent};
 use cassiafold_event::{CodeRow, EventRow};
+use cassiafold_fleet::{FleetCode, FleetEvent};
 use cassiafold_membership::MembershipEvent;
 use cassiafold_operators::{OperatorsCode, OperatorsEvent};
 use cassiafold_platform::PlatformEvent;
@@ -18,12 +19,16 @@
     ("platform", 1100, PlatformEvent::ROWS),
     ("membership", 1200, MembershipEvent::ROWS),
     ("dispatch", 1300, DispatchEvent::ROWS),
+    ("fleet", 1400, FleetEvent::ROWS),
     ("operators", 1500, OperatorsEvent::ROWS),
 ];
 
 /// Packages with the first number of their range, and their result codes.
-const CODES: &[(&str, u16, &[CodeRow])] =
-    &[("dispatch", 300, DispatchCode::ROWS), ("operators", 500, OperatorsCode::ROWS)];
+const CODES: &[(&str, u16, &[CodeRow])] = &[
+    ("dispatch", 300, DispatchCode::ROWS),
+    ("fleet", 400, FleetCode::ROWS),
+    ("operators", 500, OperatorsCode::ROWS),
+];
 
 /// Numbers that one package may use.
 const RANGE: u16 = 100;
