--- a/crates/operators/src/versions.rs
+++ b/crates/operators/src/versions.rs
@@ -8,9 +8,20 @@
 //! A write whose answer was lost is settled by reading back. While the stored document is
 //! unchanged the same write is sent again, and its condition lets it take effect once.
 //!
-//! A store that was restored from an older snapshot holds a lower version than is in force. The
-//! next version is then made from the one in force and skips [`ROLLBACK_GAP`] numbers, since an
-//! entry instance that cannot be reached may hold a version of which only the number is lost.
+//! A store that was restored from an older snapshot holds a lower version than is in force. Three
+//! ways were weighed:
+//!
+//! - refuse patches until somebody repairs the store: safe, but a zone could not be taken out;
+//! - go on from the stored version: reverts what was accepted and gives numbers a second meaning;
+//! - go on from the version in force, which is chosen: nothing that any reachable entry instance
+//!   holds is lost, and the store is repaired by the next patch.
+//!
+//! The next number then skips [`ROLLBACK_GAP`], since an entry instance that cannot be reached may
+//! hold a later version that is lost everywhere else. An entry instance that hears of a higher
+//! version elsewhere than it holds refuses patches until it has it. What remains: when the store
+//! is restored and no entry instance holds or has heard of the later versions, their numbers are
+//! given again; and when the store is restored within the time that a version takes to spread, two
+//! entry instances may hold different content under one number until the next patch.
 
 use std::sync::Arc;
 use std::time::Duration;
