Explain the fleet with facts, reasons and numbered decisions

The interface's explanation had one sentence and could not carry what the fleet tells: facts, the rule that holds each step back, and decisions with their inputs. Its wire types now follow the fleet, with conversions, and so does the progress of waves.

--- a/crates/cassiafold/src/explain.rs
+++ b/crates/cassiafold/src/explain.rs
@@ -1,11 +1,11 @@
 //! `explain`: the last decisions about one thing.
 
-use cassiafold_operators::source::{Decision, Explanation};
+use cassiafold_operators::source::{Decision, Explanation, Fact, Inputs, WhyNot};
 use clap::ArgMatches;
 
 use crate::client::{Call, Client};
 use crate::error::{Error, Result};
-use crate::output::{Output, print_json, print_table};
+use crate::output::{Output, or_dash, print_json, print_table};
 use crate::verb::required;
 
 /// `explain`.
@@ -37,18 +37,49 @@
         if output == Output::Json {
             return print_json(&answer);
         }
-        println!("{} {}: {}\n", self.subject, answer.id, answer.summary);
-        print_table(["UNIX_MS", "EVENT", "DECISION", "INPUTS"], answer.decisions.iter().map(row));
+        print_explanation(&answer);
         Ok(())
     }
 }
 
-fn row(decision: &Decision) -> [String; 4] {
-    let inputs = decision.inputs.iter().map(|(name, value)| format!("{name}={value}"));
+fn print_explanation(explanation: &Explanation) {
+    let fact = |fact: &Fact| [fact.name.to_string(), fact.value.to_string()];
+    print_table(["FACT", "VALUE"], explanation.facts.iter().map(fact));
+    if !explanation.why_not.is_empty() {
+        println!();
+        let heading = ["NOT_NOW", "CODE", "REASON", "INPUTS"];
+        print_table(heading, explanation.why_not.iter().map(why_not_row));
+    }
+    if !explanation.decisions.is_empty() {
+        println!();
+        let heading = ["UNIX_MS", "EVENT", "DECISION", "INSTANCE", "POOL", "WAVE", "INPUTS"];
+        print_table(heading, explanation.decisions.iter().map(decision_row));
+    }
+}
+
+fn why_not_row(why_not: &WhyNot) -> [String; 4] {
+    let reason = &why_not.reason;
+    [
+        why_not.step.to_string(),
+        reason.code.to_string(),
+        reason.meaning.to_string(),
+        inputs_text(&why_not.inputs),
+    ]
+}
+
+fn decision_row(decision: &Decision) -> [String; 7] {
     [
         decision.unix_ms.to_string(),
         decision.event.to_string(),
         decision.message.to_string(),
-        inputs.collect::<Vec<_>>().join(" "),
+        or_dash(decision.instance.as_ref()),
+        or_dash(decision.pool.as_ref()),
+        or_dash(decision.wave.as_ref()),
+        inputs_text(&decision.inputs),
     ]
 }
+
+fn inputs_text(inputs: &Inputs) -> String {
+    let inputs = inputs.iter().map(|(name, value)| format!("{name}={value}"));
+    inputs.collect::<Vec<_>>().join(" ")
+}
--- a/crates/cassiafold/src/wave.rs
+++ b/crates/cassiafold/src/wave.rs
@@ -56,7 +56,7 @@
     if output == Output::Json {
         return print_json(&answer);
     }
-    let heading = ["WAVE", "STATE", "ZONE", "DONE", "TOTAL", "IN_PROGRESS", "WAITING_FOR"];
+    let heading = ["WAVE", "TOTAL", "DONE", "IN_PROGRESS", "SET_BACK", "LATE", "HELD_BACK"];
     print_table(heading, answer.waves.iter().map(row));
     Ok(())
 }
@@ -64,11 +64,11 @@
 fn row(wave: &WaveStatus) -> [String; 7] {
     [
         wave.wave.to_string(),
-        format!("{:?}", wave.state).to_lowercase(),
-        or_dash(wave.zone.as_ref()),
-        wave.done.to_string(),
         wave.total.to_string(),
-        wave.in_progress.join(" "),
-        or_dash(wave.waiting_for.as_ref()),
+        wave.done.to_string(),
+        wave.in_progress.to_string(),
+        wave.set_back.to_string(),
+        if wave.late { "yes" } else { "no" }.to_owned(),
+        or_dash(wave.held_back.as_ref().map(|reason| &reason.meaning)),
     ]
 }
--- /dev/null
+++ b/crates/operators/src/fleet_wire.rs
@@ -0,0 +1,101 @@
+//! Conversion of what the fleet tells to what operators see.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use cassiafold_fleet::FleetCode;
+use cassiafold_fleet::explain::WhyNot as FleetWhyNot;
+use serde_json::Value;
+
+use crate::source::{Decision, Explanation, Fact, Inputs, Reason, WaveStatus, WhyNot};
+
+impl From<cassiafold_fleet::Explanation> for Explanation {
+    fn from(explanation: cassiafold_fleet::Explanation) -> Self {
+        let fact = |fact: cassiafold_fleet::explain::Fact| Fact {
+            name: fact.name.into(),
+            value: fact.value,
+        };
+        Self {
+            facts: explanation.facts.into_iter().map(fact).collect(),
+            why_not: explanation.why_not.into_iter().map(WhyNot::from).collect(),
+            decisions: explanation.decisions.into_iter().map(Decision::from).collect(),
+        }
+    }
+}
+
+impl From<FleetWhyNot> for WhyNot {
+    fn from(why_not: FleetWhyNot) -> Self {
+        Self {
+            step: why_not.step.into(),
+            reason: why_not.refusal.code.into(),
+            inputs: inputs(&why_not.refusal.inputs),
+        }
+    }
+}
+
+impl From<cassiafold_fleet::Decision> for Decision {
+    fn from(decision: cassiafold_fleet::Decision) -> Self {
+        let row = decision.event.row();
+        let since = decision.at.duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self {
+            unix_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            event: row.number,
+            message: row.message.into(),
+            instance: decision.instance,
+            pool: decision.pool,
+            wave: decision.wave,
+            inputs: inputs(&decision.inputs),
+        }
+    }
+}
+
+impl From<FleetCode> for Reason {
+    fn from(code: FleetCode) -> Self {
+        let row = code.row();
+        Self { code: row.number, meaning: row.meaning.into() }
+    }
+}
+
+impl WaveStatus {
+    /// What operators see of a wave at `now`.
+    pub fn at(status: &cassiafold_fleet::WaveStatus, now: SystemTime) -> Self {
+        Self {
+            wave: status.wave.clone(),
+            total: count(status.total),
+            done: count(status.done),
+            in_progress: count(status.in_progress),
+            set_back: count(status.set_back),
+            overdue: count(status.overdue),
+            held_back: status.paused.map(Reason::from),
+            deadline_unix_s: unix_s(status.deadline),
+            expected_end_unix_s: status.expected_end.map(unix_s),
+            late: status.late(now),
+        }
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+fn unix_s(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
+}
+
+/// Fields of the inputs by name, without the name of their kind.
+fn inputs(inputs: &cassiafold_fleet::decision::Inputs) -> Inputs {
+    let Ok(Value::Object(kinds)) = serde_json::to_value(inputs) else { return Inputs::new() };
+    let fields = kinds.into_iter().filter_map(|(_, fields)| match fields {
+        Value::Object(fields) => Some(fields),
+        _ => None,
+    });
+    let text = |value: Value| match value {
+        Value::String(text) => text,
+        other => other.to_string(),
+    };
+    let present = fields.flatten().filter(|(_, value)| !value.is_null());
+    present.map(|(name, value)| (Arc::from(name), Arc::from(text(value)))).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod edit;
 pub mod event;
 mod fleet_routes;
+mod fleet_wire;
 pub mod history;
 mod key_routes;
 pub mod problem;
--- a/crates/operators/src/source.rs
+++ b/crates/operators/src/source.rs
@@ -132,36 +132,33 @@
 pub struct WaveStatus {
     /// The wave.
     pub wave: WaveId,
-    /// Where it stands.
-    pub state: WaveState,
-    /// Availability zone in which it works now.
-    pub zone: Option<ZoneId>,
-    /// Instances that were maintained.
-    pub done: u32,
-    /// Instances that are to be maintained in all.
+    /// Instances that the wave covers.
     pub total: u32,
-    /// Instances that drain or reboot now.
-    pub in_progress: Vec<InstanceId>,
-    /// Why it does not go on.
-    pub waiting_for: Option<Arc<str>>,
+    /// Instances maintained in this wave.
+    pub done: u32,
+    /// Instances under maintenance.
+    pub in_progress: u32,
+    /// Instances that wait for a second try, or are failing.
+    pub set_back: u32,
+    /// Instances last maintained longer ago than the maintenance period.
+    pub overdue: u32,
+    /// Why no step starts, when the wave as a whole is held back.
+    pub held_back: Option<Reason>,
+    /// When the wave must end, in seconds since the Unix epoch.
+    pub deadline_unix_s: u64,
+    /// When it will end at the pace so far, in seconds since the Unix epoch.
+    pub expected_end_unix_s: Option<u64>,
+    /// Whether it has missed its deadline or is expected to.
+    pub late: bool,
 }
 
-/// Where a maintenance wave stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum WaveState {
-    /// Its start has not come.
-    Scheduled,
-    /// Its steps go on.
-    Running,
-    /// Operators have paused it.
-    Paused,
-    /// It waits for the availability budget or a blackout.
-    Waiting,
-    /// All instances were maintained.
-    Done,
-    /// Its deadline has passed before all instances were maintained.
-    Overdue,
+/// A numbered reason.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reason {
+    /// Number of the code in `docs/CODES.md`.
+    pub code: u16,
+    /// What the code means.
+    pub meaning: Arc<str>,
 }
 
 /// Kind of a thing whose decisions can be asked for.
@@ -193,19 +190,37 @@
     pub const ALL: [Self; 4] = [Self::Instance, Self::Pool, Self::Team, Self::Wave];
 }
 
-/// Last decisions about one thing.
+/// What is known about one thing, what was decided and what is held back.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Explanation {
-    /// Kind of the thing.
-    pub subject: Subject,
-    /// The thing.
-    pub id: Arc<str>,
-    /// Its present state in one sentence.
-    pub summary: Arc<str>,
+    /// What is known.
+    pub facts: Vec<Fact>,
+    /// Steps that do not start now, with the rule that decided.
+    pub why_not: Vec<WhyNot>,
     /// Decisions, newest first.
     pub decisions: Vec<Decision>,
 }
 
+/// One thing that is known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fact {
+    /// What is known.
+    pub name: Arc<str>,
+    /// Its value.
+    pub value: Arc<str>,
+}
+
+/// Why a step does not start now.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WhyNot {
+    /// The step.
+    pub step: Arc<str>,
+    /// The rule that decided.
+    pub reason: Reason,
+    /// What it was decided on.
+    pub inputs: Inputs,
+}
+
 /// One decision with its inputs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decision {
@@ -215,10 +230,19 @@
     pub event: u16,
     /// What was decided.
     pub message: Arc<str>,
-    /// What it was decided from.
-    pub inputs: BTreeMap<Arc<str>, Arc<str>>,
+    /// Instance that it concerns.
+    pub instance: Option<InstanceId>,
+    /// Pool that it concerns.
+    pub pool: Option<PoolId>,
+    /// Maintenance wave that it concerns.
+    pub wave: Option<WaveId>,
+    /// What it was decided on.
+    pub inputs: Inputs,
 }
 
+/// Inputs of a decision by name.
+pub type Inputs = BTreeMap<Arc<str>, Arc<str>>;
+
 /// Request to move instances from one pool to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MoveRequest {
