Show fleet state in the operators' new types

Cause: the merge of the operators' interface changed its types for waves and explanations; the program no longer built. Change: facts, refusals and decisions are passed on as typed values with their inputs by name.

--- a/crates/cassiafold/src/fleet_source.rs
+++ b/crates/cassiafold/src/fleet_source.rs
@@ -1,23 +1,22 @@
 //! State of the fleet for the operators' interface, from what this entry instance knows.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use cassiafold_config::{ActiveConfig, Config, InstanceId, PoolId, WaveId};
+use cassiafold_config::{ActiveConfig, Config, InstanceId, PoolId};
 use cassiafold_fleet::document::DOCUMENT_KEY;
-use cassiafold_fleet::explain::Explanation as FleetExplanation;
+use cassiafold_fleet::explain::{Explanation as FleetExplanation, WhyNot as FleetWhyNot};
 use cassiafold_fleet::history::{DECISIONS_PREFIX, RawSegment};
-use cassiafold_fleet::raw::unix_ms;
+use cassiafold_fleet::raw::{unix_ms, unix_s};
 use cassiafold_fleet::{
-    Answers, Budgets, Decision, FleetCode, FleetDocument, FleetHandle, FleetState, History, Listed,
-    Observed, Policy, Refusal, StepKind, Subject as FleetSubject, View, WaveStatus as FleetWave,
-    explain, request_move, wave_status,
+    Answers, Budgets, Decision, FleetCode, FleetDocument, FleetHandle, FleetState, History, Inputs,
+    Listed, Observed, Policy, Refusal, StepKind, Subject as FleetSubject, View,
+    WaveStatus as FleetWave, explain, request_move, wave_status,
 };
 use cassiafold_operators::FleetSource;
 use cassiafold_operators::source::{
-    Decision as ShownDecision, Explanation, MoveAnswer, MoveRefusal, MoveRequest, PoolStatus,
-    Selection, Subject, WaveState, WaveStatus,
+    Decision as ShownDecision, Explanation, Fact, Inputs as ShownInputs, MoveAnswer, MoveRefusal,
+    MoveRequest, PoolStatus, Reason, Selection, Subject, WaveStatus, WhyNot,
 };
 use cassiafold_platform::{Envelope, NotApplied, Store, UpdateOutcome, Writer, update};
 use tokio::time::Instant;
@@ -126,12 +125,7 @@
             Subject::Wave => FleetSubject::Wave(id.into()),
         };
         let explanation = explain(&known.view(), &self.policy, &history, &fleet_subject).ok()?;
-        Some(Explanation {
-            subject,
-            id: id.into(),
-            summary: summary(&explanation).into(),
-            decisions: explanation.decisions.iter().map(shown_decision).collect(),
-        })
+        Some(shown_explanation(explanation))
     }
 
     async fn move_instances(&self, request: MoveRequest) -> Result<MoveAnswer, MoveRefusal> {
@@ -239,63 +233,74 @@
 }
 
 fn shown(view: &View<'_>, status: FleetWave) -> WaveStatus {
-    let in_progress = in_wave(view, &status.wave);
-    let zone = in_progress.first().and_then(|id| Some(view.listed.get(id)?.zone.clone()));
-    let state = match status.paused {
-        _ if status.done == status.total => WaveState::Done,
-        _ if view.now > status.deadline => WaveState::Overdue,
-        Some(FleetCode::WaveNotStarted) => WaveState::Scheduled,
-        Some(FleetCode::WavePaused) => WaveState::Paused,
-        Some(_) => WaveState::Waiting,
-        None => WaveState::Running,
-    };
+    let late = status.late(view.now);
     WaveStatus {
         wave: status.wave,
-        state,
-        zone,
-        done: status.done as u32,
         total: status.total as u32,
-        in_progress,
-        waiting_for: status.paused.map(|code| code.row().meaning.into()),
+        done: status.done as u32,
+        in_progress: status.in_progress as u32,
+        set_back: status.set_back as u32,
+        overdue: status.overdue as u32,
+        held_back: status.paused.map(shown_code),
+        deadline_unix_s: unix_s(status.deadline),
+        expected_end_unix_s: status.expected_end.map(unix_s),
+        late,
     }
 }
 
-fn in_wave(view: &View<'_>, id: &WaveId) -> Vec<InstanceId> {
-    let steps = view.document.placements.iter().filter(|(_, placement)| {
-        let kind = placement.step.as_ref().map(|step| &step.kind);
-        matches!(kind, Some(StepKind::Maintain { wave }) if wave == id)
+fn shown_code(code: FleetCode) -> Reason {
+    let row = code.row();
+    Reason { code: row.number, meaning: row.meaning.into() }
+}
+
+fn shown_explanation(explanation: FleetExplanation) -> Explanation {
+    let facts = explanation.facts.into_iter();
+    let why_not = explanation.why_not.into_iter();
+    Explanation {
+        facts: facts.map(|fact| Fact { name: fact.name.into(), value: fact.value }).collect(),
+        why_not: why_not.map(shown_refusal).collect(),
+        decisions: explanation.decisions.iter().map(shown_decision).collect(),
+    }
+}
+
+fn shown_refusal(why_not: FleetWhyNot) -> WhyNot {
+    let reason = shown_code(why_not.refusal.code);
+    WhyNot { step: why_not.step.into(), reason, inputs: shown_inputs(&why_not.refusal.inputs) }
+}
+
+fn shown_decision(decision: &Decision) -> ShownDecision {
+    let row = decision.event.row();
+    ShownDecision {
+        unix_ms: unix_ms(decision.at),
+        event: row.number,
+        message: row.message.into(),
+        instance: decision.instance.clone(),
+        pool: decision.pool.clone(),
+        wave: decision.wave.clone(),
+        inputs: shown_inputs(&decision.inputs),
+    }
+}
+
+/// Inputs by name, as they are stored.
+fn shown_inputs(inputs: &Inputs) -> ShownInputs {
+    let Ok(serde_json::Value::Object(kinds)) = serde_json::to_value(inputs) else {
+        return ShownInputs::default();
+    };
+    let fields = kinds.into_iter().filter_map(|(_, fields)| match fields {
+        serde_json::Value::Object(fields) => Some(fields),
+        _ => None,
     });
-    steps.map(|(instance, _)| instance.clone()).collect()
+    fields.flatten().map(|(name, value)| (name.into(), text(&value).into())).collect()
 }
 
-/// Facts and refusals in one sentence.
-fn summary(explanation: &FleetExplanation) -> String {
-    let facts = explanation.facts.iter().map(|fact| format!("{}: {}", fact.name, fact.value));
-    let refusals = explanation
-        .why_not
-        .iter()
-        .map(|why_not| format!("no {} now: {}", why_not.step, reason(&why_not.refusal)));
-    facts.chain(refusals).collect::<Vec<_>>().join("; ")
+fn text(value: &serde_json::Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
 
 fn reason(refusal: &Refusal) -> String {
     let row = refusal.code.row();
     match &refusal.inputs {
-        cassiafold_fleet::Inputs::None => format!("{} (code {})", row.meaning, row.number),
+        Inputs::None => format!("{} (code {})", row.meaning, row.number),
         inputs => format!("{} (code {}; {inputs})", row.meaning, row.number),
     }
 }
-
-fn shown_decision(decision: &Decision) -> ShownDecision {
-    let row = decision.event.row();
-    let named = [
-        ("instance", decision.instance.clone()),
-        ("pool", decision.pool.clone()),
-        ("wave", decision.wave.clone()),
-        ("inputs", Some(decision.inputs.to_string().into())),
-    ];
-    let inputs: BTreeMap<Arc<str>, Arc<str>> =
-        named.into_iter().filter_map(|(name, value)| Some((name.into(), value?))).collect();
-    let (event, message) = (row.number, row.message.into());
-    ShownDecision { unix_ms: unix_ms(decision.at), event, message, inputs }
-}
--- a/crates/fleet/src/raw.rs
+++ b/crates/fleet/src/raw.rs
@@ -122,7 +122,8 @@
     time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
 
-pub(crate) fn unix_s(time: SystemTime) -> u64 {
+/// Seconds since the Unix epoch; zero before it.
+pub fn unix_s(time: SystemTime) -> u64 {
     unix_ms(time) / 1_000
 }
 
