--- a/crates/cassiafold/src/fleet_source.rs
+++ b/crates/cassiafold/src/fleet_source.rs
@@ -3,20 +3,17 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use cassiafold_config::{ActiveConfig, Config, InstanceId, PoolId};
+use cassiafold_config::{ActiveConfig, Config, InstanceId, PoolId, WaveId};
 use cassiafold_fleet::document::DOCUMENT_KEY;
-use cassiafold_fleet::explain::{Explanation as FleetExplanation, WhyNot as FleetWhyNot};
 use cassiafold_fleet::history::{DECISIONS_PREFIX, RawSegment};
-use cassiafold_fleet::raw::{unix_ms, unix_s};
 use cassiafold_fleet::{
-    Answers, Budgets, Decision, FleetCode, FleetDocument, FleetHandle, FleetState, History, Inputs,
-    Listed, Observed, Policy, Refusal, StepKind, Subject as FleetSubject, View,
-    WaveStatus as FleetWave, explain, request_move, wave_status,
+    Answers, Budgets, FleetCode, FleetDocument, FleetHandle, FleetState, History, Listed, Observed,
+    Policy, Refusal, StepKind, Subject as FleetSubject, View, WaveStatus as FleetWave, explain,
+    request_move, wave_status,
 };
 use cassiafold_operators::FleetSource;
 use cassiafold_operators::source::{
-    Decision as ShownDecision, Explanation, Fact, Inputs as ShownInputs, MoveAnswer, MoveRefusal,
-    MoveRequest, PoolStatus, Reason, Selection, Subject, WaveStatus, WhyNot,
+    Explanation, MoveAnswer, MoveRefusal, MoveRequest, PoolStatus, Selection, Subject, WaveStatus,
 };
 use cassiafold_platform::{Envelope, NotApplied, Store, UpdateOutcome, Writer, update};
 use tokio::time::Instant;
@@ -125,7 +122,7 @@
             Subject::Wave => FleetSubject::Wave(id.into()),
         };
         let explanation = explain(&known.view(), &self.policy, &history, &fleet_subject).ok()?;
-        Some(shown_explanation(explanation))
+        Some(explanation.into())
     }
 
     async fn move_instances(&self, request: MoveRequest) -> Result<MoveAnswer, MoveRefusal> {
@@ -233,74 +230,23 @@
 }
 
 fn shown(view: &View<'_>, status: FleetWave) -> WaveStatus {
-    let late = status.late(view.now);
-    WaveStatus {
-        wave: status.wave,
-        total: status.total as u32,
-        done: status.done as u32,
-        in_progress: status.in_progress as u32,
-        set_back: status.set_back as u32,
-        overdue: status.overdue as u32,
-        held_back: status.paused.map(shown_code),
-        deadline_unix_s: unix_s(status.deadline),
-        expected_end_unix_s: status.expected_end.map(unix_s),
-        late,
-    }
-}
-
-fn shown_code(code: FleetCode) -> Reason {
-    let row = code.row();
-    Reason { code: row.number, meaning: row.meaning.into() }
+    let in_progress = in_wave(view, &status.wave);
+    let zone = in_progress.first().and_then(|id| Some(view.listed.get(id)?.zone.clone()));
+    WaveStatus::at(&status, view.now, in_progress, zone)
 }
 
-fn shown_explanation(explanation: FleetExplanation) -> Explanation {
-    let facts = explanation.facts.into_iter();
-    let why_not = explanation.why_not.into_iter();
-    Explanation {
-        facts: facts.map(|fact| Fact { name: fact.name.into(), value: fact.value }).collect(),
-        why_not: why_not.map(shown_refusal).collect(),
-        decisions: explanation.decisions.iter().map(shown_decision).collect(),
-    }
-}
-
-fn shown_refusal(why_not: FleetWhyNot) -> WhyNot {
-    let reason = shown_code(why_not.refusal.code);
-    WhyNot { step: why_not.step.into(), reason, inputs: shown_inputs(&why_not.refusal.inputs) }
-}
-
-fn shown_decision(decision: &Decision) -> ShownDecision {
-    let row = decision.event.row();
-    ShownDecision {
-        unix_ms: unix_ms(decision.at),
-        event: row.number,
-        message: row.message.into(),
-        instance: decision.instance.clone(),
-        pool: decision.pool.clone(),
-        wave: decision.wave.clone(),
-        inputs: shown_inputs(&decision.inputs),
-    }
-}
-
-/// Inputs by name, as they are stored.
-fn shown_inputs(inputs: &Inputs) -> ShownInputs {
-    let Ok(serde_json::Value::Object(kinds)) = serde_json::to_value(inputs) else {
-        return ShownInputs::default();
-    };
-    let fields = kinds.into_iter().filter_map(|(_, fields)| match fields {
-        serde_json::Value::Object(fields) => Some(fields),
-        _ => None,
+fn in_wave(view: &View<'_>, id: &WaveId) -> Vec<InstanceId> {
+    let steps = view.document.placements.iter().filter(|(_, placement)| {
+        let kind = placement.step.as_ref().map(|step| &step.kind);
+        matches!(kind, Some(StepKind::Maintain { wave }) if wave == id)
     });
-    fields.flatten().map(|(name, value)| (name.into(), text(&value).into())).collect()
-}
-
-fn text(value: &serde_json::Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+    steps.map(|(instance, _)| instance.clone()).collect()
 }
 
 fn reason(refusal: &Refusal) -> String {
     let row = refusal.code.row();
     match &refusal.inputs {
-        Inputs::None => format!("{} (code {})", row.meaning, row.number),
+        cassiafold_fleet::Inputs::None => format!("{} (code {})", row.meaning, row.number),
         inputs => format!("{} (code {}; {inputs})", row.meaning, row.number),
     }
 }
--- a/crates/cassiafold/src/wave.rs
+++ b/crates/cassiafold/src/wave.rs
@@ -56,17 +56,18 @@
     if output == Output::Json {
         return print_json(&answer);
     }
-    let heading = ["WAVE", "TOTAL", "DONE", "IN_PROGRESS", "SET_BACK", "LATE", "HELD_BACK"];
+    let heading = ["WAVE", "ZONE", "TOTAL", "DONE", "IN_PROGRESS", "SET_BACK", "LATE", "HELD_BACK"];
     print_table(heading, answer.waves.iter().map(row));
     Ok(())
 }
 
-fn row(wave: &WaveStatus) -> [String; 7] {
+fn row(wave: &WaveStatus) -> [String; 8] {
     [
         wave.wave.to_string(),
+        or_dash(wave.zone.as_ref()),
         wave.total.to_string(),
         wave.done.to_string(),
-        wave.in_progress.to_string(),
+        wave.in_progress.join(" "),
         wave.set_back.to_string(),
         if wave.late { "yes" } else { "no" }.to_owned(),
         or_dash(wave.held_back.as_ref().map(|reason| &reason.meaning)),
--- a/crates/operators/src/fleet_wire.rs
+++ b/crates/operators/src/fleet_wire.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use cassiafold_config::{InstanceId, ZoneId};
 use cassiafold_fleet::FleetCode;
 use cassiafold_fleet::explain::WhyNot as FleetWhyNot;
 use serde_json::Value;
@@ -57,13 +58,20 @@
 }
 
 impl WaveStatus {
-    /// What operators see of a wave at `now`.
-    pub fn at(status: &cassiafold_fleet::WaveStatus, now: SystemTime) -> Self {
+    /// What operators see of a wave at `now`, with the instances under maintenance and the zone
+    /// in which they stand.
+    pub fn at(
+        status: &cassiafold_fleet::WaveStatus,
+        now: SystemTime,
+        in_progress: Vec<InstanceId>,
+        zone: Option<ZoneId>,
+    ) -> Self {
         Self {
             wave: status.wave.clone(),
             total: count(status.total),
             done: count(status.done),
-            in_progress: count(status.in_progress),
+            in_progress,
+            zone,
             set_back: count(status.set_back),
             overdue: count(status.overdue),
             held_back: status.paused.map(Reason::from),
--- a/crates/operators/src/source.rs
+++ b/crates/operators/src/source.rs
@@ -137,7 +137,9 @@
     /// Instances maintained in this wave.
     pub done: u32,
     /// Instances under maintenance.
-    pub in_progress: u32,
+    pub in_progress: Vec<InstanceId>,
+    /// Availability zone in which it works now.
+    pub zone: Option<ZoneId>,
     /// Instances that wait for a second try, or are failing.
     pub set_back: u32,
     /// Instances last maintained longer ago than the maintenance period.
