--- a/crates/cassiafold/src/config.rs
+++ b/crates/cassiafold/src/config.rs
@@ -14,9 +14,11 @@
 use crate::change::print_change;
 use crate::client::{Call, Client};
 use crate::error::{Error, Result};
-use crate::output::{Output, or_dash, print_json, print_table};
+use crate::output::{Output, or_dash, print_json, print_table, utc_time};
 use crate::verb::unknown_subcommand;
 
+const MILLISECONDS_PER_SECOND: u64 = 1_000;
+
 /// `config` and its subcommands.
 #[derive(Debug)]
 pub enum ConfigVerb {
@@ -108,7 +110,7 @@
     if output == Output::Json {
         return print_json(&answer);
     }
-    print_table(["VERSION", "OPERATOR", "UNIX_S", "PATCH"], answer.versions.iter().map(row));
+    print_table(["VERSION", "OPERATOR", "TIME", "PATCH"], answer.versions.iter().map(row));
     Ok(())
 }
 
@@ -117,7 +119,9 @@
     [
         record.version.to_string(),
         or_dash(change.map(|change| &change.operator)),
-        or_dash(change.map(|change| change.unix_s)),
+        or_dash(
+            change.map(|change| utc_time(change.unix_s.saturating_mul(MILLISECONDS_PER_SECOND))),
+        ),
         or_dash(change.and_then(|change| change.patch.as_ref())),
     ]
 }
--- a/crates/cassiafold/src/explain.rs
+++ b/crates/cassiafold/src/explain.rs
@@ -5,7 +5,7 @@
 
 use crate::client::{Call, Client};
 use crate::error::{Error, Result};
-use crate::output::{Output, or_dash, print_json, print_table};
+use crate::output::{Output, or_dash, print_json, print_table, utc_time};
 use crate::verb::required;
 
 /// `explain`.
@@ -52,7 +52,7 @@
     }
     if !explanation.decisions.is_empty() {
         println!();
-        let heading = ["UNIX_MS", "EVENT", "DECISION", "INSTANCE", "POOL", "WAVE", "INPUTS"];
+        let heading = ["TIME", "EVENT", "DECISION", "INSTANCE", "POOL", "WAVE", "INPUTS"];
         print_table(heading, explanation.decisions.iter().map(decision_row));
     }
 }
@@ -69,7 +69,7 @@
 
 fn decision_row(decision: &Decision) -> [String; 7] {
     [
-        decision.unix_ms.to_string(),
+        utc_time(decision.unix_ms),
         decision.event.to_string(),
         decision.message.to_string(),
         or_dash(decision.instance.as_ref()),
--- a/crates/cassiafold/src/output.rs
+++ b/crates/cassiafold/src/output.rs
@@ -1,6 +1,7 @@
 //! Output of results: tables for people, JSON for programs.
 
 use clap::ArgMatches;
+use jiff::Timestamp;
 use serde::Serialize;
 
 use crate::error::Result;
@@ -55,6 +56,13 @@
     text
 }
 
+/// Time in UTC as people read it, from milliseconds since the Unix epoch.
+pub fn utc_time(unix_ms: u64) -> String {
+    let unix_ms = i64::try_from(unix_ms).unwrap_or(i64::MAX);
+    Timestamp::from_millisecond(unix_ms)
+        .map_or_else(|_| unix_ms.to_string(), |time| time.to_string())
+}
+
 /// Text of a value that may be absent.
 pub fn or_dash<T: ToString>(value: Option<T>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
