--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -3,15 +3,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use cassiafold_config::Settings;
 use clap::ArgMatches;
 use clap_complete::Shell;
 
-use cassiafold_config::Settings;
-
 use crate::error::{Error, Result};
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo, entry};
+use crate::{check, completions, demo, entry, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +33,7 @@
 enum Action {
     Demo(DemoOptions),
     Entry(Box<Settings>),
+    Standin(PathBuf),
     Check(CheckOptions),
     Completions(Shell),
     Verb(Box<Verb>),
@@ -82,6 +82,7 @@
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
             Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
+            Some(("standin", matches)) => Action::Standin(settings(matches)?),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
             Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
@@ -97,6 +98,7 @@
         match &self.action {
             Action::Demo(options) => demo::run(options),
             Action::Entry(settings) => entry::run(settings),
+            Action::Standin(settings) => standin::run(settings),
             Action::Check(options) => check::run(options),
             Action::Completions(shell) => completions::run(*shell),
             Action::Verb(verb) => verb.run(),
@@ -110,8 +112,12 @@
 }
 
 fn entry_settings(matches: &ArgMatches) -> Result<Settings> {
-    let path = matches.get_one::<PathBuf>("settings").cloned();
-    let path = path.ok_or_else(|| Error::Usage("no settings file given".into()))?;
+    let path = settings(matches)?;
     let text = std::fs::read_to_string(&path).map_err(|source| Error::ReadFile { path, source })?;
     Ok(Settings::from_yaml(&text)?)
 }
+
+fn settings(matches: &ArgMatches) -> Result<PathBuf> {
+    let settings = matches.get_one::<PathBuf>("settings").cloned();
+    settings.ok_or_else(|| Error::Usage("no settings file given".into()))
+}
--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -23,6 +23,7 @@
 mod output;
 mod pool;
 mod sources;
+mod standin;
 mod status;
 mod status_source;
 mod symptoms;
