Add a small bounded load tool

Shares, limits and refusals need to be seen under load without another tool. It counts outcomes by status, result code and run state, and reports latency quantiles from the time at which each request was due, as a table or as JSON.

--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -8,6 +8,7 @@
 use clap_complete::Shell;
 
 use crate::error::EXIT_CODES;
+use crate::load;
 
 /// Builds the definition of the command line.
 pub fn build() -> Command {
@@ -20,6 +21,7 @@
         .arg(output())
         .subcommand(demo())
         .subcommand(standin())
+        .subcommand(load::options::command())
         .subcommand(check())
         .subcommand(completions())
         .subcommands(verbs::all())
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -7,9 +7,10 @@
 use clap_complete::Shell;
 
 use crate::error::{Error, Result};
+use crate::load::LoadOptions;
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo, standin};
+use crate::{check, completions, demo, load, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +33,7 @@
 enum Action {
     Demo(DemoOptions),
     Standin(PathBuf),
+    Load(LoadOptions),
     Check(CheckOptions),
     Completions(Shell),
     Verb(Box<Verb>),
@@ -80,6 +82,7 @@
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
             Some(("standin", matches)) => Action::Standin(settings(matches)?),
+            Some(("load", matches)) => Action::Load(matches.try_into()?),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
             Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
@@ -95,6 +98,7 @@
         match &self.action {
             Action::Demo(options) => demo::run(options),
             Action::Standin(settings) => standin::run(settings),
+            Action::Load(options) => load::run(options),
             Action::Check(options) => check::run(options),
             Action::Completions(shell) => completions::run(*shell),
             Action::Verb(verb) => verb.run(),
--- /dev/null
+++ b/crates/cassiafold/src/load.rs
@@ -0,0 +1,87 @@
+//! Small load tool: sends requests at a fixed rate to entry instances on loopback.
+//!
+//! Each request has a time at which it is due, and its latency counts from that time, so that a
+//! slow answer shows in the latency of the requests that wait behind it. Requests that are still
+//! unsent one timeout after the planned end of the run are given up.
+
+pub mod options;
+mod report;
+mod sender;
+mod tally;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+pub use self::options::LoadOptions;
+use self::report::Report;
+use self::sender::Sender;
+use self::tally::Tally;
+use crate::error::Result;
+
+/// Sends the requests and prints what became of them.
+pub fn run(options: &LoadOptions) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let report = runtime.block_on(send_all(options))?;
+    report.print(options.output)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// When each request is due.
+struct Schedule {
+    start: Instant,
+    interval: Duration,
+    requests: u64,
+    end: Instant,
+    next: AtomicU64,
+}
+
+impl Schedule {
+    /// Waits until the next request is due; `None` once all are taken or the run has ended.
+    async fn take(&self) -> Option<Instant> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        if number >= self.requests {
+            return None;
+        }
+        let due = self.start + self.interval.mul_f64(number as f64);
+        sleep_until(due).await;
+        (Instant::now() < self.end).then_some(due)
+    }
+}
+
+async fn send_all(options: &LoadOptions) -> Result<Report> {
+    let start = Instant::now();
+    let schedule = Arc::new(Schedule {
+        start,
+        interval: Duration::from_secs(1) / options.rate_per_s,
+        requests: options.requests,
+        end: start + options.duration + options.timeout,
+        next: AtomicU64::new(0),
+    });
+    let mut senders = JoinSet::new();
+    for number in 0..options.concurrency {
+        let address = options.addresses[number % options.addresses.len()];
+        let sender = Sender::new(address, options.request.clone(), options.timeout);
+        senders.spawn(send_due(sender, schedule.clone()));
+    }
+    let mut total = Tally::default();
+    while let Some(tally) = senders.join_next().await {
+        total.add(&tally.map_err(std::io::Error::other)?);
+    }
+    Ok(Report::new(&total, options.requests, start.elapsed()))
+}
+
+/// Sends requests, one at a time, as they fall due.
+async fn send_due(mut sender: Sender, schedule: Arc<Schedule>) -> Tally {
+    let mut tally = Tally::default();
+    while let Some(due) = schedule.take().await {
+        let outcome = sender.send().await;
+        tally.record(outcome, due.elapsed());
+    }
+    sender.close();
+    tally
+}
--- a/crates/cassiafold/src/main.rs
+++ b/crates/cassiafold/src/main.rs
@@ -12,6 +12,7 @@
 mod error;
 mod explain;
 mod key;
+mod load;
 mod logs;
 mod output;
 mod pool;
