Test metrics, fault commands and settled updates over the gateway

The names of the store's metrics, the JSON of the fault commands and the calls of a lease were not pinned, and settled updates had run on the in-memory store only. Metric labels are now lower case like the others. A lease costs 3 to 6 renewals in its time to live. Three clients race over the gateway with lost answers, lost requests, late writes and timeouts near the delay of the store; each outcome is true.

--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics of the calls to the key-value service.
 
+use std::fmt::{self, Write};
 use std::time::Duration;
 
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
@@ -14,7 +15,7 @@
 const BUCKETS: u16 = 14;
 
 /// Kind of a call to the key-value service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum StoreCall {
     /// Read of one key.
     Get,
@@ -33,7 +34,7 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CallOutcome {
     /// The service answered.
     Answered,
@@ -43,6 +44,30 @@
     Unknown,
 }
 
+impl EncodeLabelValue for StoreCall {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        encoder.write_str(match self {
+            Self::Get => "get",
+            Self::List => "list",
+            Self::Write => "write",
+            Self::GrantLease => "grant_lease",
+            Self::KeepAlive => "keep_alive",
+            Self::RevokeLease => "revoke_lease",
+            Self::Watch => "watch",
+        })
+    }
+}
+
+impl EncodeLabelValue for CallOutcome {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        encoder.write_str(match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
 /// Labels of a counted call.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -103,3 +128,6 @@
         self.calls.get_or_create(&CallLabels { call, outcome }).get()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/tests/gateway.rs
+++ b/crates/platform/tests/gateway.rs
@@ -7,17 +7,24 @@
 
 use bytes::Bytes;
 use cassiafold_platform::{
-    CallOutcome, Change, Compare, EtcdSettings, EtcdStore, LeaseId, Operation, Store, StoreCall,
-    StoreError, StoreMetrics, VALUE_BYTES_MAX, Watch, Write,
+    CallOutcome, Change, Compare, Document, Envelope, EtcdSettings, EtcdStore, LeaseId, Operation,
+    Store, StoreCall, StoreError, StoreMetrics, UpdateOutcome, VALUE_BYTES_MAX, Watch, Write,
+    Writer, update,
 };
-use cassiafold_standin::{FaultCommand, Gateway, MemoryStore, WriteFaultCommand};
+use cassiafold_standin::{FaultCommand, Gateway, MemoryStore, WriteFault, WriteFaultCommand};
+use futures_util::future::join_all;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestCaseResult, TestRunner};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const TTL: Duration = Duration::from_secs(3600);
 const LONG: Duration = Duration::from_secs(20);
+const LATE: Duration = Duration::from_millis(100);
+/// Time within which one update is settled.
+const UPDATE_TIME: Duration = Duration::from_secs(2);
+/// Timeouts of three clients, of which the first is seldom answered in time.
+const TIMEOUTS: [Duration; 3] = [Duration::from_millis(23), Duration::from_millis(40), LONG];
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -288,3 +295,64 @@
     assert_eq!(metrics.count(StoreCall::Write, CallOutcome::Answered), 3);
     assert_eq!(metrics.count(StoreCall::Watch, CallOutcome::Answered), 1);
 }
+
+type AddOutcome = UpdateOutcome<Numbers, ()>;
+
+/// Adds numbers to a stored list and returns what became of each.
+async fn add_numbers(
+    store: EtcdStore,
+    name: &str,
+    numbers: std::ops::Range<u32>,
+) -> Vec<(u32, AddOutcome)> {
+    let writer = Writer::new(name);
+    let mut outcomes = Vec::new();
+    for number in numbers {
+        let deadline = Instant::now() + UPDATE_TIME;
+        let outcome = update(&store, &writer, "numbers", deadline, |stored: Option<&Numbers>| {
+            let mut numbers = stored.cloned().unwrap_or_default();
+            numbers.0.push(number);
+            Ok(numbers)
+        })
+        .await;
+        outcomes.push((number, outcome));
+    }
+    outcomes
+}
+
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+struct Numbers(Vec<u32>);
+
+impl Document for Numbers {
+    type Wire = Self;
+}
+
+#[tokio::test]
+async fn racing_updates_over_the_gateway_are_true_whatever_is_lost() {
+    let store = MemoryStore::default();
+    let (gateway, _, _) = client(&store).await;
+    store.faults().set_delay(Duration::from_millis(20));
+    store.faults().fail_every(3, WriteFault::LostAnswer);
+    store.faults().plan_writes([Some(WriteFault::LostRequest), None, Some(WriteFault::Late(LATE))]);
+    let updates = TIMEOUTS.iter().zip(0..).map(|(timeout, number)| {
+        let settings = EtcdSettings::new(vec![gateway.address()], "entry");
+        let settings = EtcdSettings { timeout: *timeout, ..settings };
+        let client = EtcdStore::new(settings, StoreMetrics::default());
+        let numbers = number * 10..number * 10 + 3;
+        async move { add_numbers(client, &format!("entry-{number}"), numbers).await }
+    });
+    let outcomes = join_all(updates).await;
+    sleep(LATE * 5).await;
+    let record = store.faults().peek("numbers").unwrap();
+    let numbers = Envelope::<Numbers>::decode(&record.value).unwrap().value.0;
+    for (number, outcome) in outcomes.into_iter().flatten() {
+        let times = numbers.iter().filter(|stored| **stored == number).count();
+        let is_true = match outcome {
+            UpdateOutcome::Applied { .. } => times == 1,
+            UpdateOutcome::NotApplied(_) => times == 0,
+            UpdateOutcome::StillUnknown { .. } => times <= 1,
+        };
+        assert!(is_true, "{number} is stored {times} times: {outcome:?}");
+    }
+    assert!(!numbers.is_empty());
+    gateway.close().await;
+}
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -38,6 +38,16 @@
     assert_eq!(store.faults().peek(KEY), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_lease_costs_three_to_six_calls_in_its_time_to_live() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    sleep(TTL * 100).await;
+    let calls = store.faults().counts("holder").keep_alives;
+    assert!((300..=600).contains(&calls), "{calls} renewals");
+    keeper.close().await.unwrap();
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_dropped_keeper_renews_no_more() {
     let store = MemoryStore::default();
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -113,3 +113,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
