--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -18,6 +18,7 @@
 mod instances;
 mod isolation;
 mod key;
+mod load;
 mod logs;
 mod observer;
 mod output;
