Let operators move instances and bound maintenance of the spare pool by a test

Operators could not ask for a move. A move is planned against the budgets like any other step and written by a settled compare-and-swap.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -146,12 +146,6 @@
         })
     }
 
-    /// Whether an available instance of `service` may go to a service that is below its floor: the
-    /// floor must hold, the reserve may be used.
-    pub fn check_floor(&self, service: &ServiceId) -> bool {
-        self.services.get(service).is_none_or(|budget| budget.margin() > 0)
-    }
-
     /// Counts an instance as taken out of `service`.
     pub fn take(&mut self, service: &ServiceId, id: &InstanceId) {
         let slots = self.index.of(id);
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -269,10 +269,7 @@
         round.view.service_of(placement) == Some(donor)
             && movable(round, id, placement)
             && (shortfall.donate || placement.home != placement.pool)
-            && match shortfall.need.below_floor() {
-                true => round.budgets.check_floor(donor),
-                false => round.budgets.check(donor, id).is_ok(),
-            }
+            && (shortfall.need.below_floor() || round.budgets.check(donor, id).is_ok())
     });
     let cost = |id: &InstanceId, placement: &Placement| {
         let at_home = placement.home == placement.pool;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,7 +45,7 @@
 pub use explain::{Explanation, Subject, explain, wave_status};
 pub use handle::{FleetHandle, FleetState};
 pub use history::History;
-pub use operate::request_move;
+pub use operate::{move_instance, request_move};
 pub use plan::{Plan, plan};
 pub use policy::Policy;
 pub use report::report;
--- a/crates/fleet/src/operate.rs
+++ b/crates/fleet/src/operate.rs
@@ -1,10 +1,12 @@
 //! What operators ask of the fleet.
 
 use cassiafold_config::{InstanceId, PoolId};
+use cassiafold_platform::{Store, UpdateOutcome, Writer, update};
+use tokio::time::Instant;
 
 use crate::code::FleetCode;
 use crate::decision::{Inputs, Refusal};
-use crate::document::StepKind;
+use crate::document::{DOCUMENT_KEY, FleetDocument, StepKind};
 use crate::event::FleetEvent;
 use crate::plan::{Plan, Round};
 use crate::policy::Policy;
@@ -39,3 +41,29 @@
     round.decide(FleetEvent::MoveStarted, id, pool, Inputs::None);
     Ok(round.into_plan())
 }
+
+/// Starts the move of one instance by compare-and-swap of the stored document. `view` gives
+/// everything but the document, which is read from the store.
+pub async fn move_instance<S: Store>(
+    store: &S,
+    writer: &Writer,
+    deadline: Instant,
+    view: &View<'_>,
+    policy: &Policy,
+    id: &InstanceId,
+    pool: &PoolId,
+) -> UpdateOutcome<FleetDocument, Refusal> {
+    let change = |current: Option<&FleetDocument>| {
+        let document = current.ok_or(FleetCode::UnknownInstance)?;
+        let mut plan = request_move(&View { document, ..*view }, policy, id, pool)?;
+        plan.next.number = document.number + 1;
+        for decision in &plan.decisions {
+            decision.log();
+        }
+        Ok(plan.next)
+    };
+    update(store, writer, DOCUMENT_KEY, deadline, change).await
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/wave/tests.rs
+++ b/crates/fleet/src/wave/tests.rs
@@ -225,3 +225,13 @@
     }
     assert!(!down.is_empty());
 }
+
+#[test]
+fn maintenance_leaves_most_of_the_spare_pool_in_reach() {
+    let mut fixture = Fixture::with_wave(&Layout { spare: 24, ..SMALL });
+    fixture.policy.maintenance_share_max = 1.0;
+    fixture.round();
+    let down = fixture.maintaining();
+    assert_eq!(down.iter().filter(|id| id.starts_with("spare")).count(), 6);
+    assert_eq!(code(&fixture, "spare-21"), FleetCode::ParallelLimit);
+}
