Keep pauses of waves and suspected domains among the decisions

Pauses and resumptions of waves were told by the status only, and a suspected domain only by the log. Both are decisions now, kept in the history: one for each member of a domain, so that the explanation of an instance names its group and the evidence.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -20,7 +20,6 @@
 use crate::controller::keep::Kept;
 use crate::demand::Trends;
 use crate::document::{DOCUMENT_KEY, FleetDocument, Phase};
-use crate::domain::Domains;
 use crate::environment::Environment;
 use crate::event::FleetEvent;
 use crate::handle::FleetHandle;
@@ -115,7 +114,7 @@
         let Some((config, listed, observed)) = self.inputs().await else {
             return RoundOutcome::Waiting;
         };
-        self.learn(&listed).await;
+        self.learn(&listed);
         let outcome = self.decide(&config, &listed, &observed).await;
         if self.environment.holds_control() {
             self.carry_out(&listed).await;
@@ -178,17 +177,9 @@
     }
 
     /// Notes the failures of the document as evidence for failure domains.
-    async fn learn(&mut self, listed: &Listed) {
+    fn learn(&mut self, listed: &Listed) {
         let document = self.handle.load().document;
-        let before = names(&self.kept.domains);
         self.kept.note_failures(&document, self.environment.now(), listed);
-        let after = names(&self.kept.domains);
-        for name in after.difference(&before) {
-            emit!(FleetEvent::DomainSuspected, domain = name);
-        }
-        for name in before.difference(&after) {
-            emit!(FleetEvent::DomainDropped, domain = name);
-        }
     }
 
     async fn decide(
@@ -286,9 +277,6 @@
     /// Takes over the results of a round that is in force.
     fn finish(&mut self, view: &View<'_>, plan: Plan) {
         self.kept.note_round(view, &self.policy, &plan);
-        for decision in &plan.decisions {
-            decision.log();
-        }
         self.trends = plan.trends;
         let steps = plan.next.placements.iter();
         let open: BTreeSet<_> = steps
@@ -365,6 +353,5 @@
     now.duration_since(since).unwrap_or_default()
 }
 
-fn names(domains: &Domains) -> BTreeSet<Arc<str>> {
-    domains.suspected().map(crate::domain::Group::domain).collect()
-}
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/controller/keep.rs
+++ b/crates/fleet/src/controller/keep.rs
@@ -1,16 +1,21 @@
 //! What the controller keeps in the store besides the fleet document.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::SystemTime;
 
+use cassiafold_config::{InstanceId, WaveId};
 use cassiafold_event::emit;
 use cassiafold_platform::{
     Document, Envelope, NotApplied, Store, StoreError, UpdateOutcome, Writer, update,
 };
 use tokio::time::{Duration, Instant};
 
+use crate::code::FleetCode;
+use crate::decision::{Decision, Inputs};
 use crate::document::FleetDocument;
-use crate::domain::{DOMAINS_KEY, Domains};
+use crate::domain::{DOMAINS_KEY, Domains, Group};
 use crate::event::FleetEvent;
+use crate::explain::wave_status;
 use crate::history::History;
 use crate::plan::Plan;
 use crate::policy::Policy;
@@ -28,6 +33,7 @@
     pub(super) domains: Domains,
     pub(super) history: History,
     pub(super) timeline: Timeline,
+    paused: BTreeMap<WaveId, FleetCode>,
     domains_changed: bool,
     timeline_changed: bool,
     history_saved: Option<Instant>,
@@ -55,19 +61,68 @@
         });
         let mut failures: Vec<_> = failures.collect();
         failures.sort();
+        let before = self.domains.clone();
         for (since, id) in failures {
             self.domains_changed |= self.domains.note(id, since, listed);
         }
         if self.domains.advance(now, listed) {
             self.domains.retain(|id| document.placements.contains_key(id));
             self.domains_changed = true;
+            self.note_domains(&before, now);
         }
     }
 
+    /// Notes each member of a domain that is suspected now or no longer.
+    fn note_domains(&mut self, before: &Domains, now: SystemTime) {
+        let decisions = |event, from: &Domains, to: &Domains| {
+            let known: BTreeSet<u64> = to.suspected().map(|group| group.number).collect();
+            let changed = from.suspected().filter(|group| !known.contains(&group.number));
+            let members = changed.flat_map(|group| {
+                group.members.keys().map(|id| domain_decision(event, group, id, now))
+            });
+            members.collect::<Vec<_>>()
+        };
+        let suspected = decisions(FleetEvent::DomainSuspected, &self.domains, before);
+        let dropped = decisions(FleetEvent::DomainDropped, before, &self.domains);
+        self.note(suspected);
+        self.note(dropped);
+    }
+
     /// Notes the decisions of a round that is in force.
     pub(super) fn note_round(&mut self, view: &View<'_>, policy: &Policy, plan: &Plan) {
         self.timeline_changed |= self.timeline.note(view, policy, plan);
-        self.history.extend(plan.decisions.iter().cloned());
+        self.note(plan.decisions.iter().cloned());
+        self.note_pauses(view, policy);
+    }
+
+    /// Logs decisions and keeps them.
+    fn note(&mut self, decisions: impl IntoIterator<Item = Decision>) {
+        for decision in decisions {
+            decision.log();
+            self.history.extend([decision]);
+        }
+    }
+
+    /// Notes the waves that pause or resume.
+    fn note_pauses(&mut self, view: &View<'_>, policy: &Policy) {
+        let waves = view.config.waves.keys();
+        let paused: BTreeMap<WaveId, FleetCode> = waves
+            .filter_map(|id| Some((id.clone(), wave_status(view, policy, id)?.paused?)))
+            .collect();
+        let before = std::mem::replace(&mut self.paused, paused.clone());
+        let decision = |event, wave: &WaveId, inputs| Decision {
+            at: view.now,
+            event,
+            instance: None,
+            pool: None,
+            wave: Some(wave.clone()),
+            inputs,
+        };
+        let begun = paused.iter().filter(|(id, code)| before.get(*id) != Some(code));
+        let begun = begun.map(|(id, code)| decision(FleetEvent::WavePaused, id, (*code).into()));
+        let ended = before.keys().filter(|id| !paused.contains_key(*id));
+        let ended = ended.map(|id| decision(FleetEvent::WaveResumed, id, Inputs::None));
+        self.note(begun.chain(ended).collect::<Vec<_>>());
     }
 
     /// Saves what has changed while `holds` says that control is held. What cannot be saved now
@@ -107,6 +162,16 @@
     }
 }
 
+fn domain_decision(event: FleetEvent, group: &Group, id: &InstanceId, at: SystemTime) -> Decision {
+    let inputs = Inputs::Domain {
+        domain: group.domain(),
+        members: group.members.len(),
+        bursts: group.bursts,
+        score_nats: group.score_nats,
+    };
+    Decision { at, event, instance: Some(id.clone()), pool: None, wave: None, inputs }
+}
+
 /// Reads the value of `key`; one that cannot be understood is left out.
 pub(crate) async fn read<S: Store, T: Document>(
     store: &S,
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -74,6 +74,8 @@
     },
     /// A learned failure domain.
     Domain {
+        /// Name of the domain.
+        domain: DomainId,
         /// Number of members.
         members: usize,
         /// Bursts of failures that counted.
@@ -147,8 +149,11 @@
             Self::Drain { running, waited_ms } => {
                 write!(f, "{running} requests running after {waited_ms} ms")
             }
-            Self::Domain { members, bursts, score_nats } => {
-                write!(f, "{members} members, {bursts} shared failures, {score_nats:.1} nats")
+            Self::Domain { domain, members, bursts, score_nats } => {
+                write!(
+                    f,
+                    "{domain}: {members} members, {bursts} shared failures, {score_nats:.1} nats"
+                )
             }
             Self::Reason { code, meaning } => write!(f, "{code}: {meaning}"),
         }
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -1,5 +1,5 @@
 //! Fixtures and random schedules.
 
 pub(crate) mod fixture;
-mod race;
+pub(crate) mod race;
 mod schedule;
--- a/crates/fleet/src/tests/race.rs
+++ b/crates/fleet/src/tests/race.rs
@@ -26,13 +26,13 @@
 
 /// What the whole fleet is like.
 #[derive(Debug, Clone, Default)]
-struct World {
-    failing: BTreeSet<InstanceId>,
+pub(crate) struct World {
+    pub failing: BTreeSet<InstanceId>,
     elapsed: Duration,
 }
 
 /// One controller's surroundings.
-struct Surroundings {
+pub(crate) struct Surroundings {
     store: MemoryStore,
     instances: MemoryInstances,
     config: Arc<Config>,
@@ -114,11 +114,11 @@
     ]
 }
 
-struct Race {
-    first: Controller<Surroundings>,
-    second: Controller<Surroundings>,
-    store: MemoryStore,
-    instances: MemoryInstances,
+pub(crate) struct Race {
+    pub first: Controller<Surroundings>,
+    pub second: Controller<Surroundings>,
+    pub store: MemoryStore,
+    pub instances: MemoryInstances,
     world: Arc<Mutex<World>>,
     config: Arc<Config>,
     listed: Listed,
@@ -131,7 +131,7 @@
 }
 
 impl Race {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let store = MemoryStore::default();
         let instances = MemoryInstances::default();
         let listed = listed(&LAYOUT);
@@ -171,7 +171,7 @@
         }
     }
 
-    fn change(&mut self, change: impl FnOnce(&mut World)) {
+    pub fn change(&mut self, change: impl FnOnce(&mut World)) {
         let mut world = self.world.lock().expect("no test panics while it holds the lock");
         change(&mut world);
         self.worlds.push(world.clone());
@@ -198,14 +198,17 @@
                 self.change(|world| world.failing.extend(hit));
             }
             Action::Recover => self.change(|world| world.failing.clear()),
-            Action::Wait(seconds) => {
-                self.change(|world| world.elapsed += Duration::from_secs(*seconds));
-                sleep(Duration::from_secs(*seconds)).await;
-            }
+            Action::Wait(seconds) => self.wait(Duration::from_secs(*seconds)).await,
         }
         self.check().await;
     }
 
+    /// Lets time pass on the wall clock and on the monotonic one.
+    pub async fn wait(&mut self, time: Duration) {
+        self.change(|world| world.elapsed += time);
+        sleep(time).await;
+    }
+
     /// Delays the calls of the first controller's round, so that the other writes in between.
     async fn pause(&mut self, pause: Duration) {
         self.store.faults().set_delay(Duration::from_millis(900));
