--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -3,10 +3,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use cassiafold_config::Settings;
 use clap::ArgMatches;
+use clap_complete::Shell;
 
-use crate::demo;
 use crate::error::{Error, Result};
+use crate::output::Output;
+use crate::verb::Verb;
+use crate::{check, completions, demo, entry, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +32,11 @@
 #[derive(Debug)]
 enum Action {
     Demo(DemoOptions),
+    Entry(Box<Settings>),
+    Standin(PathBuf),
+    Check(CheckOptions),
+    Completions(Shell),
+    Verb(Box<Verb>),
 }
 
 /// Options of `demo`.
@@ -39,6 +48,31 @@
     pub config: Option<PathBuf>,
 }
 
+/// Options of `check`.
+#[derive(Debug)]
+pub struct CheckOptions {
+    /// Files to check.
+    pub files: Vec<PathBuf>,
+    /// How results are written.
+    pub output: Output,
+}
+
+impl From<&ArgMatches> for DemoOptions {
+    fn from(matches: &ArgMatches) -> Self {
+        Self {
+            once: matches.get_flag("once"),
+            config: matches.get_one::<PathBuf>("config").cloned(),
+        }
+    }
+}
+
+impl From<&ArgMatches> for CheckOptions {
+    fn from(matches: &ArgMatches) -> Self {
+        let files = matches.get_many::<PathBuf>("files").unwrap_or_default().cloned().collect();
+        Self { files, output: Output::from(matches) }
+    }
+}
+
 impl TryFrom<ArgMatches> for Command {
     type Error = Error;
 
@@ -46,11 +80,13 @@
         let json = matches.get_one::<String>("log-format").is_some_and(|name| name == "json");
         let logs = if json { LogFormat::Json } else { LogFormat::Text };
         let action = match matches.subcommand() {
-            Some(("demo", matches)) => Action::Demo(DemoOptions {
-                once: matches.get_flag("once"),
-                config: matches.get_one::<PathBuf>("config").cloned(),
-            }),
-            _ => return Err(Error::Usage("unknown command".into())),
+            Some(("demo", matches)) => Action::Demo(matches.into()),
+            Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
+            Some(("standin", matches)) => Action::Standin(settings(matches)?),
+            Some(("check", matches)) => Action::Check(matches.into()),
+            Some(("completions", matches)) => Action::Completions(shell(matches)?),
+            Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
+            None => return Err(Error::Usage("no command given".into())),
         };
         Ok(Self { logs, action })
     }
@@ -61,6 +97,27 @@
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
+            Action::Entry(settings) => entry::run(settings),
+            Action::Standin(settings) => standin::run(settings),
+            Action::Check(options) => check::run(options),
+            Action::Completions(shell) => completions::run(*shell),
+            Action::Verb(verb) => verb.run(),
         }
     }
 }
+
+fn shell(matches: &ArgMatches) -> Result<Shell> {
+    let shell = matches.get_one::<Shell>("shell").copied();
+    shell.ok_or_else(|| Error::Usage("no shell given".into()))
+}
+
+fn entry_settings(matches: &ArgMatches) -> Result<Settings> {
+    let path = settings(matches)?;
+    let text = std::fs::read_to_string(&path).map_err(|source| Error::ReadFile { path, source })?;
+    Ok(Settings::from_yaml(&text)?)
+}
+
+fn settings(matches: &ArgMatches) -> Result<PathBuf> {
+    let settings = matches.get_one::<PathBuf>("settings").cloned();
+    settings.ok_or_else(|| Error::Usage("no settings file given".into()))
+}
--- a/crates/cassiafold/src/main.rs
+++ b/crates/cassiafold/src/main.rs
@@ -1,22 +1,7 @@
 //! Fleet capacity and maintenance manager.
 
-mod cli;
-mod command;
-mod demo;
-mod entry;
-mod error;
-mod logs;
-
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let command = match command::Command::try_from(cli::build().get_matches()) {
-        Ok(command) => command,
-        Err(error) => return error::report(&error),
-    };
-    logs::init(&command.logs);
-    match command.run() {
-        Ok(code) => code,
-        Err(error) => error::report(&error),
-    }
+    cassiafold::run()
 }
--- /dev/null
+++ b/crates/dispatch/src/answer.rs
@@ -0,0 +1,182 @@
+//! Body of an answer on its way to the caller.
+//!
+//! A short answer of declared length is held until it is whole, so that a cut one can still be
+//! told as a refusal, or be asked for again. All else is streamed.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep};
+
+use crate::connection::Connection;
+use crate::edge::Edges;
+use crate::flight::Flight;
+use crate::health::AttemptResult;
+use crate::pool::ConnectionPool;
+use crate::start::End;
+
+/// Longest answer that is held until it is whole.
+pub const HELD_MAX_BYTES: u64 = 16 << 10;
+
+/// Why an answer's body broke off. The caller sees a broken transfer.
+#[derive(Debug, thiserror::Error)]
+pub enum AnswerError {
+    /// The connection to the backend server broke.
+    #[error("connection to the backend server broke: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The caller's deadline passed.
+    #[error("deadline passed")]
+    Timeout,
+}
+
+/// Body of an answer, with the connection on which it comes.
+///
+/// When the body has ended, slot and permit are given back and the connection returns to the
+/// pool. When it breaks off or is dropped before, the connection is closed.
+pub struct AnswerBody<E: Edges> {
+    source: Source,
+    carrier: Option<Carrier<E>>,
+    deadline: Pin<Box<Sleep>>,
+    flight: Option<Flight>,
+}
+
+enum Source {
+    Stream(Incoming),
+    Held(Option<Bytes>),
+}
+
+/// The connection of an answer and where it goes afterwards.
+pub struct Carrier<E: Edges> {
+    /// The connection.
+    pub connection: Connection<E>,
+    /// The pool to which it returns.
+    pub pool: ConnectionPool<E>,
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// What a whole answer shows about the instance.
+    pub result: AttemptResult,
+}
+
+impl<E: Edges> Carrier<E> {
+    fn finish(mut self) {
+        if let Some(running) = self.connection.finish() {
+            running.record(self.result);
+            running.close(End::Completed);
+        }
+        if !self.connection.is_closed() {
+            self.pool.put(self.address, self.connection);
+        }
+    }
+
+    fn fail(self, result: AttemptResult) {
+        self.connection.with_running(|running| running.record(result));
+    }
+}
+
+impl<E: Edges> AnswerBody<E> {
+    /// The body `inner`, which comes over `carrier` until `deadline`.
+    pub fn new(inner: Incoming, carrier: Carrier<E>, deadline: Instant) -> Self {
+        let deadline = Box::pin(tokio::time::sleep_until(deadline));
+        let source = Source::Stream(inner);
+        let mut body = Self { source, carrier: Some(carrier), deadline, flight: None };
+        body.finish_at_end();
+        body
+    }
+
+    /// Keeps `flight` until the body has ended.
+    pub fn with_flight(mut self, flight: Flight) -> Self {
+        self.flight = Some(flight);
+        self
+    }
+
+    /// Reads the body until it is whole, if its declared length is short.
+    pub async fn hold(mut self) -> Result<Self, AnswerError> {
+        let length = self.size_hint().exact();
+        if self.is_end_stream() || length.is_none_or(|length| length > HELD_MAX_BYTES) {
+            return Ok(self);
+        }
+        let mut data = BytesMut::new();
+        while let Some(frame) = self.frame().await {
+            if let Ok(more) = frame?.into_data() {
+                data.extend_from_slice(&more);
+            }
+        }
+        self.source = Source::Held(Some(data.freeze()));
+        Ok(self)
+    }
+
+    fn finish_at_end(&mut self) {
+        if self.is_end_stream() {
+            self.finish();
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(carrier) = self.carrier.take() {
+            carrier.finish();
+        }
+    }
+
+    fn fail(&mut self, result: AttemptResult) {
+        if let Some(carrier) = self.carrier.take() {
+            carrier.fail(result);
+        }
+    }
+}
+
+impl<E: Edges> Body for AnswerBody<E> {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let inner = match &mut self.source {
+            Source::Stream(inner) => inner,
+            Source::Held(data) => {
+                return Poll::Ready(data.take().map(|data| Ok(Frame::data(data))));
+            }
+        };
+        match Pin::new(inner).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.finish_at_end();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.fail(AttemptResult::Broken);
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
+                self.carrier = None;
+                Poll::Ready(Some(Err(AnswerError::Timeout)))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Stream(inner) => inner.is_end_stream(),
+            Source::Held(data) => data.is_none(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Stream(inner) => inner.size_hint(),
+            Source::Held(data) => {
+                SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
+            }
+        }
+    }
+}
