Keep an outcome unknown when either of two attempts may have run

Cause: when the first of two attempts beside each other broke after the write and the second was refused as not run, only the second counted, and the caller could have been told not run.

Change: the two failures are merged and the unknown one wins. The second attempt is boxed, since few requests need one.

Conclusion: found by reading; the pairs of failures are now tested.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -53,6 +53,17 @@
     pub instance: Instance,
 }
 
+impl Failure {
+    /// The outcome of this attempt and another one beside it. What either may have run stays
+    /// unknown.
+    pub fn or_better<T>(self, other: Result<T, Self>) -> Result<T, Self> {
+        other.map_err(|other| match (self.run_state, other.run_state) {
+            (RunState::OutcomeUnknown, RunState::NotRun) => self,
+            _ => other,
+        })
+    }
+}
+
 /// Outcome of one attempt.
 pub type Outcome<E> = Result<Response<AnswerBody<E>>, Failure>;
 
--- a/crates/dispatch/src/proxy.rs
+++ b/crates/dispatch/src/proxy.rs
@@ -166,11 +166,12 @@
         };
         conditions.reuse = Reuse::Never;
         conditions.superseded = CancellationToken::new();
-        let second = pin!(attempt::run(&self.pool, running, &mut copy, conditions));
+        // Boxed, since few requests need a second attempt.
+        let second = Box::pin(attempt::run(&self.pool, running, &mut copy, conditions));
         match select(first, second).await {
-            Either::Left((Err(_), second)) => second.await,
+            Either::Left((Err(failure), second)) => failure.or_better(second.await),
             Either::Left((answer, _)) => answer,
-            Either::Right((Err(_), first)) => first.await,
+            Either::Right((Err(failure), first)) => failure.or_better(first.await),
             Either::Right((answer, first)) => {
                 superseded.cancel();
                 first.now_or_never();
@@ -211,3 +212,6 @@
     let remaining = order.deadline.saturating_duration_since(now);
     now + conditions.silent_after.min(remaining / 2)
 }
+
+#[cfg(test)]
+mod tests;
