Show what silence does to an instance

Cause: no test told silence on used connections from silence on new ones.

Change: two tests over HTTP, by the observations of attempts.

Conclusion: three silences on new connections eject, those on used ones count for nothing.

--- a/crates/dispatch/tests/changes.rs
+++ b/crates/dispatch/tests/changes.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cassiafold_config::{InstanceState, TeamId};
-use cassiafold_dispatch::{LimitSource, Sources};
+use cassiafold_dispatch::{AttemptResult, LimitSource, Sources};
 use cassiafold_standin::{BackendOptions, Fault};
 use http::Method;
 use support::{Fleet, OTHER_KEY, Told, config};
@@ -270,3 +270,38 @@
     }
     assert!(by_instance.get("portal-0").is_some_and(|count| *count > 1), "{by_instance:?}");
 }
+
+/// Results that are held against the first backend server after `strike`: up to the three
+/// silences that eject it, or of 200 requests.
+async fn silences(strike: impl FnOnce(&Fleet)) -> u32 {
+    let options = [BackendOptions::default(), BackendOptions::default()];
+    let fleet = Fleet::start_with(&options, <Sources>::default(), config(1, |_| {})).await;
+    let get = |id: String| fleet.call(Method::GET, "/a", &id).deadline_ms(5_000).send();
+    for index in 0..20 {
+        assert_eq!(get(format!("warm-{index}")).await.summary(), "200, whole");
+    }
+    let mut observed = fleet.server.callers().dispatcher().observe();
+    strike(&fleet);
+    let mut silences = 0;
+    for index in 0..200 {
+        assert_eq!(get(format!("r{index}")).await.summary(), "200, whole");
+        while let Ok(observation) = observed.try_recv() {
+            let silent = observation.result == AttemptResult::Silent;
+            silences += u32::from(silent && &*observation.instance == "portal-0");
+        }
+        if silences == 3 {
+            break;
+        }
+    }
+    silences
+}
+
+#[tokio::test]
+async fn silence_on_new_connections_condemns_the_instance() {
+    assert_eq!(silences(|fleet| fleet.faults.set(Some(Fault::Silence))).await, 3);
+}
+
+#[tokio::test]
+async fn silence_on_used_connections_does_not_condemn_the_instance() {
+    assert_eq!(silences(|fleet| fleet.backends[0].silence_connections()).await, 0);
+}
