Make the end of a request independent of the number of services

Cause: each end asked every service's queue whether the team was set aside there.

Change: a map names the services at which a team is set aside.

--- a/crates/dispatch/benches/decision.rs
+++ b/crates/dispatch/benches/decision.rs
@@ -20,17 +20,24 @@
 const BACKLOG: usize = 10;
 const RUN: Duration = Duration::from_millis(50);
 
-fn config(teams: usize) -> Arc<Config> {
+fn config(teams: usize, services: usize) -> Arc<Config> {
     let team = |index: usize| {
         let document = serde_json::json!({"share": index % 5 + 1, "upper_limit": 100_000});
         (format!("team-{index}"), document)
     };
     let teams: serde_json::Map<_, _> = (0..teams).map(team).collect();
+    let service = |index: usize| {
+        let document = serde_json::json!({"floor_share": 0.5, "queue_length_max": 100_000});
+        (if index == 0 { "portal".to_owned() } else { format!("service-{index}") }, document)
+    };
+    let documents: serde_json::Map<_, _> = (0..services).map(service).collect();
+    let pools: serde_json::Map<_, _> =
+        documents.keys().map(|name| (name.clone(), serde_json::json!({"service": name}))).collect();
     let raw: RawConfig = serde_json::from_value(serde_json::json!({
         "version": 1,
         "zones": {"a": {"region": "n"}, "b": {"region": "n"}, "c": {"region": "n"}},
-        "services": {"portal": {"floor_share": 0.5, "queue_length_max": 100_000}},
-        "pools": {"portal": {"service": "portal"}},
+        "services": documents,
+        "pools": pools,
         "teams": teams,
     }))
     .expect("the configuration is well formed");
@@ -60,12 +67,12 @@
 }
 
 impl Full {
-    fn new(instances: usize, teams: usize) -> Self {
+    fn new(instances: usize, teams: usize, services: usize) -> Self {
         let (now, service): (Instant, ServiceId) = (Instant::now(), "portal".into());
         let list: Vec<Instance> = (0..instances).map(instance).collect();
         let rng = SmallRng::seed_from_u64(3);
         let mut core = Core::new(<Sources>::default(), "a".into(), rng);
-        core.update(config(teams), &list);
+        core.update(config(teams, services), &list);
         let order = |team: usize| {
             Arc::new(Order {
                 id: "r".into(),
@@ -84,9 +91,22 @@
             full.core.enqueue(&order, (), now).expect("the queue has room");
         }
         full.pump();
+        full.open_queues(services);
         full
     }
 
+    /// Leaves an empty queue at each of the other services.
+    fn open_queues(&mut self, services: usize) {
+        for index in 1..services {
+            let service: ServiceId = format!("service-{index}").into();
+            for order in &self.orders {
+                let order = Order { service: service.clone(), ..(**order).clone() };
+                let ticket = self.core.enqueue_again(&Arc::new(order), Vec::new(), ());
+                self.core.cancel(&service, ticket);
+            }
+        }
+    }
+
     fn pump(&mut self) {
         for ((), order, start) in self.core.pump(&self.service, self.now) {
             let start = start.expect("the request may start");
@@ -110,7 +130,7 @@
     let mut group = criterion.benchmark_group("decision");
     for instances in INSTANCES {
         for teams in TEAMS {
-            let mut full = Full::new(instances, teams);
+            let mut full = Full::new(instances, teams, 1);
             let id = BenchmarkId::new(format!("{instances} instances"), format!("{teams} teams"));
             group.bench_function(id, |bench| bench.iter(|| full.step()));
         }
@@ -118,12 +138,23 @@
     group.finish();
 }
 
+fn services(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("services");
+    for services in [1, 5, 44] {
+        let mut full = Full::new(100, 200, services);
+        group.bench_function(BenchmarkId::from_parameter(services), |bench| {
+            bench.iter(|| full.step());
+        });
+    }
+    group.finish();
+}
+
 fn change(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("change");
     for instances in INSTANCES {
-        let mut full = Full::new(instances, 200);
+        let mut full = Full::new(instances, 200, 1);
         let list: Vec<Instance> = (0..instances).map(instance).collect();
-        let config = config(200);
+        let config = config(200, 1);
         group.bench_function(BenchmarkId::new("instances", instances), |bench| {
             bench.iter(|| full.core.update(config.clone(), &list));
         });
@@ -134,7 +165,7 @@
 fn cancel(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("cancel");
     for waiting in [100, 10_000] {
-        let mut full = Full::new(10, 6);
+        let mut full = Full::new(10, 6, 1);
         let order = full.orders[0].clone();
         for _ in 0..waiting {
             full.core.enqueue(&order, (), full.now).expect("the queue has room");
@@ -149,5 +180,5 @@
     group.finish();
 }
 
-criterion_group!(benches, decision, change, cancel);
+criterion_group!(benches, decision, services, change, cancel);
 criterion_main!(benches);
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -31,6 +31,8 @@
     /// Index of the backend servers.
     pub backends: Backends,
     queues: HashMap<ServiceId, ServiceQueue<R>>,
+    /// Services at which a team is set aside because it runs as much as it may.
+    blocked: HashMap<TeamId, Vec<ServiceId>>,
     rng: SmallRng,
 }
 
@@ -46,7 +48,8 @@
     /// Empty queues of an entry instance in zone `home`.
     pub fn new(edges: E, home: ZoneId, rng: SmallRng) -> Self {
         let backends = Backends::new(home);
-        Self { edges, config: None, backends, queues: HashMap::new(), rng }
+        let (queues, blocked) = (HashMap::new(), HashMap::new());
+        Self { edges, config: None, backends, queues, blocked, rng }
     }
 
     /// Configuration by which requests start.
@@ -89,11 +92,28 @@
 
     /// Lets all teams take their turn that were set aside because they ran as much as they might.
     pub fn unblock_all(&mut self) {
-        for queue in self.queues.values_mut() {
-            for team in queue.fair.blocked() {
-                queue.fair.unblock(&team);
+        let teams: Vec<TeamId> = self.blocked.keys().cloned().collect();
+        for team in teams {
+            self.unblock(&team);
+        }
+    }
+
+    fn block(&mut self, service: &ServiceId, team: &TeamId) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.fair.block(team);
+            self.blocked.entry(team.clone()).or_default().push(service.clone());
+        }
+    }
+
+    /// Lets `team` take its turn again. Returns the services where it was set aside.
+    fn unblock(&mut self, team: &TeamId) -> Vec<ServiceId> {
+        let services = self.blocked.remove(team).unwrap_or_default();
+        for service in &services {
+            if let Some(queue) = self.queues.get_mut(service) {
+                queue.fair.unblock(team);
             }
         }
+        services
     }
 
     /// Appends a request to its queue, or refuses it at once.
@@ -194,17 +214,11 @@
             return Ok(None);
         };
         let (order, avoid) = (first.order.clone(), first.avoid.clone());
-        let start = match self.take(&order, &avoid) {
-            Ok(start) => start,
-            Err(obstacle) => {
-                if let Obstacle::TeamFull = obstacle
-                    && let Some(queue) = self.queues.get_mut(service)
-                {
-                    queue.fair.block(team);
-                }
-                return Err(obstacle);
-            }
-        };
+        let taken = self.take(&order, &avoid);
+        if let Err(Obstacle::TeamFull) = taken {
+            self.block(service, team);
+        }
+        let start = taken?;
         let queue = self.queues.get_mut(service);
         let waiting = queue.and_then(|queue| queue.fair.start(team, start.cost_s));
         Ok(waiting.map(|waiting| (waiting, start)))
@@ -264,12 +278,9 @@
         if let Some(queue) = self.queues.get_mut(&order.service) {
             queue.end(ended);
         }
-        let mut freed = vec![order.service.clone()];
-        for (service, queue) in &mut self.queues {
-            if queue.fair.is_blocked(&order.team) {
-                queue.fair.unblock(&order.team);
-                freed.push(service.clone());
-            }
+        let mut freed = self.unblock(&order.team);
+        if !freed.contains(&order.service) {
+            freed.push(order.service.clone());
         }
         freed
     }
--- a/crates/dispatch/src/fair.rs
+++ b/crates/dispatch/src/fair.rs
@@ -238,12 +238,6 @@
         }
     }
 
-    /// Teams set aside by [`FairQueue::block`].
-    pub fn blocked(&self) -> Vec<TeamId> {
-        let blocked = self.teams.iter().filter(|(_, queue)| queue.blocked);
-        blocked.map(|(team, _)| team.clone()).collect()
-    }
-
     /// Forgets teams without waiting requests that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&TeamId) -> bool) {
         self.teams.retain(|team, queue| queue.length > 0 || keep(team));
