--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -19,6 +19,8 @@
         .arg(log_format())
         .arg(output())
         .subcommand(demo())
+        .subcommand(entry())
+        .subcommand(standin())
         .subcommand(check())
         .subcommand(completions())
         .subcommands(verbs::all())
@@ -66,6 +68,33 @@
         )
 }
 
+fn entry() -> Command {
+    Command::new("entry")
+        .about("Runs an entry instance until it is told to stop")
+        .after_help("The first SIGTERM or SIGINT stops gracefully, a second one cuts off.")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .help("Settings file of this entry instance")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn standin() -> Command {
+    Command::new("standin")
+        .about("Runs a stand-in platform and backend servers on loopback until it is interrupted")
+        .after_help("Writes one line of JSON with its addresses once it is ready.")
+        .arg(
+            Arg::new("settings")
+                .help("File with the addresses and the backend servers")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks settings files and configuration files and reports every fault")
