Hold teams to their part of the slots while all are wanted

Cause: the exchange turned weights at each entry instance, but a slot that comes free is known first to the entry instance that held it, so a team that reaches one entry instance never got its share.

Change: while the targets of the teams take up all slots of a service, each team runs at most its part at this entry instance.

Not measured over the processes themselves.

--- a/crates/cassiafold/src/edges.rs
+++ b/crates/cassiafold/src/edges.rs
@@ -12,7 +12,7 @@
     ANONYMOUS_TEAM, DomainHint, LimitSource, PeerLoad, ShareSource, Sources,
 };
 use cassiafold_fleet::FleetHandle;
-use cassiafold_membership::{Escrow, Permit, Roster, Shares};
+use cassiafold_membership::{Escrow, Permit, Roster, Shares, TeamWeight};
 use cassiafold_platform::ListedInstance;
 use tokio::sync::watch;
 
@@ -23,6 +23,9 @@
 /// Time between two updates of weights and of the load by others.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Part of a request by which a sum of targets may miss the capacity that it takes up.
+const ROUNDING: f64 = 1e-6;
+
 /// The bundle of sources of the request path.
 pub type EntryEdges = Sources<Limits, Weights, Load, Domains>;
 
@@ -67,7 +70,15 @@
     }
 }
 
-type WeightTable = HashMap<ServiceId, HashMap<TeamId, f64>>;
+type WeightTable = HashMap<ServiceId, HashMap<TeamId, Part>>;
+
+/// Part of a service that falls to a team at this entry instance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Part {
+    weight: f64,
+    /// Most requests that run here while teams want more slots than there are.
+    running_max: Option<u32>,
+}
 
 /// Local weights that steer towards weighted max-min over all entry instances.
 #[derive(Debug, Clone, Default)]
@@ -114,15 +125,30 @@
         });
         let capacity = live.count() as u32 * service.slots_per_instance;
         let weights = shares.weights(id, capacity, &local);
-        let weights = weights.into_iter().map(|weight| (weight.team, weight.weight));
-        table.insert(id.clone(), weights.collect());
+        table.insert(id.clone(), parts(capacity, weights));
     }
     table
 }
 
+/// Parts of the teams of a service that runs `capacity` requests at once. When their targets take
+/// up all of it, each team is held to its part, so that those at other entry instances find slots.
+fn parts(capacity: u32, weights: Vec<TeamWeight>) -> HashMap<TeamId, Part> {
+    let wanted: f64 = weights.iter().map(|weight| weight.target).sum();
+    let contended = wanted + ROUNDING >= f64::from(capacity);
+    let part = |weight: TeamWeight| {
+        let running_max = contended.then_some(weight.weight.ceil() as u32);
+        (weight.team, Part { weight: weight.weight, running_max })
+    };
+    weights.into_iter().map(part).collect()
+}
+
 impl ShareSource for Weights {
     fn weight(&self, service: &ServiceId, team: &TeamId) -> Option<f64> {
-        self.table.load().get(service)?.get(team).copied()
+        Some(self.table.load().get(service)?.get(team)?.weight)
+    }
+
+    fn running_max(&self, service: &ServiceId, team: &TeamId) -> Option<u32> {
+        self.table.load().get(service)?.get(team)?.running_max
     }
 
     fn changes(&self) -> watch::Receiver<()> {
@@ -212,3 +238,6 @@
         state: instance.state,
     }
 }
+
+#[cfg(test)]
+mod tests;
