--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -245,6 +245,14 @@
         ids.iter().filter_map(|id| table.entries.get(id)?.address).collect()
     }
 
+    /// Whether this entry instance is the one of its zone that reads the configuration often.
+    pub fn reads_for_zone(&self) -> bool {
+        let own = Member { id: self.me.id.clone(), zone: self.me.zone.clone(), live: true };
+        let members = self.lock().members();
+        let mates = members.iter().filter(|member| member.zone == self.me.zone && member.live);
+        ranked(mates.chain([&own]), &self.me.zone)[0].id == self.me.id
+    }
+
     /// What to report to a target: to the own zone this entry instance and those heard from other
     /// zones, to another zone those of the own zone.
     pub fn outgoing(&self, target: &Target) -> Vec<Heard> {
--- a/crates/membership/src/shares.rs
+++ b/crates/membership/src/shares.rs
@@ -80,6 +80,11 @@
         .collect()
 }
 
+/// Slots that an entry instance should take when the service is full: the sum of its weights.
+pub fn slots_target(weights: &[TeamWeight]) -> u32 {
+    weights.iter().map(|weight| weight.weight).sum::<f64>().round() as u32
+}
+
 /// Usage of one service by team.
 pub fn of_service(usage: &Usage, service: &ServiceId) -> BTreeMap<TeamId, TeamUsage> {
     let queues = usage.queues.iter().filter(|(queue, _)| queue.service == *service);
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -16,12 +16,10 @@
 use crate::event::MembershipEvent;
 use crate::roster::Roster;
 
-/// Time between two reads of the configuration over all live entry instances.
-const REREAD_INTERVAL: Duration = Duration::from_secs(2);
-/// Least time between two reads of one entry instance.
-const REREAD_MIN: Duration = Duration::from_secs(4);
-/// Longest time between two reads of one entry instance.
-const REREAD_MAX: Duration = Duration::from_secs(60);
+/// Longest time between two reads of the configuration in a zone.
+const REREAD_OF_ZONE: Duration = Duration::from_secs(4);
+/// Longest time between two reads of an entry instance that does not read for its zone.
+const REREAD_OF_OTHERS: Duration = Duration::from_secs(60);
 const RETRY_MIN: Duration = Duration::from_millis(200);
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
@@ -159,7 +157,7 @@
     contact: &StoreContact,
     after: Revision,
 ) -> Result<(), StoreError> {
-    let until = Instant::now() + jitter(reread_interval(roster.live(None).len()));
+    let until = Instant::now() + jitter(reread_interval(roster));
     let mut watch = store.watch(CURRENT_KEY, after).await?;
     while let Ok(changes) = timeout_at(until, watch.next()).await {
         for change in changes? {
@@ -171,10 +169,9 @@
     Ok(())
 }
 
-/// With more entry instances each reads less often: what one reads, the others learn from it.
-fn reread_interval(live: usize) -> Duration {
-    let live = u32::try_from(live).unwrap_or(u32::MAX);
-    REREAD_INTERVAL.saturating_mul(2 * live).clamp(REREAD_MIN, REREAD_MAX)
+/// One entry instance of each zone reads often; what it reads, the others learn from it.
+fn reread_interval(roster: &Roster) -> Duration {
+    if roster.reads_for_zone() { REREAD_OF_ZONE } else { REREAD_OF_OTHERS }
 }
 
 #[cfg(test)]
