Space reads of the ledger by the number of holders

Change: a holder reads and writes the ledger at most every 250 ms times the number of holders. Cases for a stale read of the control role and for silent relays are added.

--- a/crates/membership/src/control/tests.rs
+++ b/crates/membership/src/control/tests.rs
@@ -115,3 +115,17 @@
     assert!(!term.is_valid());
     assert!(control.held().is_none());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_stale_read_does_not_give_the_role_to_a_second_one() {
+    let store = MemoryStore::default();
+    let before = store.faults().revision();
+    let (first, _stop) = start(&store, 0);
+    sleep(TTL).await;
+    store.faults().set_stale_reads(Some(before));
+    let (second, _other) = start(&store, 1);
+    for _ in 0..20 {
+        sleep(TTL / 4).await;
+        assert!(first.held().is_some() && second.held().is_none());
+    }
+}
--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -22,8 +22,9 @@
 
 /// Writes within the time for which slices are valid, as long as the service answers.
 const CONFIRMATIONS_PER_HOLD: u32 = 12;
-/// Least time between two writes of one holder, for each holder in the ledger.
-const WRITE_SPACING_PER_HOLDER: Duration = Duration::from_millis(150);
+/// Least time between two reads and between two writes of one holder, for each holder in the
+/// ledger.
+const SPACING_PER_HOLDER: Duration = Duration::from_millis(250);
 /// Longest time between two reads of the ledger.
 const READ_INTERVAL_MAX: Duration = Duration::from_secs(5);
 /// Attempts of one write against conflicts.
@@ -186,6 +187,10 @@
     fn read_due(&self) -> bool {
         let (Some(copy), Some(last)) = (&self.copy, self.last_read) else { return true };
         let short = |team: &TeamId| self.work(team).demand > self.escrow.usable(team);
+        let spacing = SPACING_PER_HOLDER * copy.ledger.holders.len() as u32;
+        if last.elapsed() < spacing {
+            return false;
+        }
         last.elapsed() >= READ_INTERVAL_MAX
             || self.hint.load(Ordering::Relaxed) > copy.revision()
             || self.demand.teams().any(short)
@@ -263,7 +268,7 @@
     }
 
     fn may_write(&self, ledger: &Ledger) -> bool {
-        let spacing = WRITE_SPACING_PER_HOLDER * ledger.holders.len() as u32;
+        let spacing = SPACING_PER_HOLDER * ledger.holders.len() as u32;
         self.last_write.is_none_or(|last| last.elapsed() >= spacing)
     }
 
--- a/crates/membership/src/relay/tests.rs
+++ b/crates/membership/src/relay/tests.rs
@@ -68,9 +68,9 @@
 
 #[test]
 fn a_silent_mate_is_no_relay_but_stays_a_target() {
-    let mut all = members(&[2, 1]);
+    let mut all = members(&[2, 1, 1, 1, 1, 1]);
     all[1].live = false;
-    let targets = targets_of(&all[0], &all);
-    let mate = Target::Mate(all[1].id.clone());
-    assert_eq!(targets, BTreeSet::from([mate, Target::Zone("zone-1".into())]));
+    let zones = (1..6).map(|zone| Target::Zone(format!("zone-{zone}").into()));
+    let expected = zones.chain([Target::Mate(all[1].id.clone())]).collect();
+    assert_eq!(targets_of(&all[0], &all), expected);
 }
