Test silent relays over more zones

Cause: a silent mate counted for relays was not noticed with five zones. Change: the case has nine other zones.

--- a/crates/membership/src/relay/tests.rs
+++ b/crates/membership/src/relay/tests.rs
@@ -68,9 +68,9 @@
 
 #[test]
 fn a_silent_mate_is_no_relay_but_stays_a_target() {
-    let mut all = members(&[2, 1, 1, 1, 1, 1]);
+    let mut all = members(&[2, 1, 1, 1, 1, 1, 1, 1, 1, 1]);
     all[1].live = false;
-    let zones = (1..6).map(|zone| Target::Zone(format!("zone-{zone}").into()));
+    let zones = (1..10).map(|zone| Target::Zone(format!("zone-{zone}").into()));
     let expected = zones.chain([Target::Mate(all[1].id.clone())]).collect();
     assert_eq!(targets_of(&all[0], &all), expected);
 }
