Take over a ledger that went back to an older state

A holder then uses no more than it has both before and after, and moves nothing until work under the lost state must have ended. Conclusion: two cases; leaving out the bound, the wait or the detection fails one of them. An entry instance that joins after the restore is bounded by the restored ledger alone.

--- a/crates/membership/src/escrow.rs
+++ b/crates/membership/src/escrow.rs
@@ -12,6 +12,7 @@
 //! - [`local`]: tokens as the request path sees them.
 //! - [`demand`]: what the holder needs.
 //! - [`silence`]: holders whose slices return.
+//! - [`restore`]: a ledger that went back to an older state.
 //! - [`keeper`]: reads and writes the document.
 
 pub mod demand;
@@ -20,6 +21,7 @@
 pub mod ledger;
 pub mod local;
 pub mod plan;
+pub mod restore;
 pub mod silence;
 
 use std::time::Duration;
--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -16,6 +16,7 @@
 use super::ledger::{Holder, HolderId, LEDGER_KEY, Ledger};
 use super::local::Escrow;
 use super::plan::{Bound, Context, Use, plan, usable};
+use super::restore::Restore;
 use super::silence::Sightings;
 use crate::event::MembershipEvent;
 use crate::usage::UsageSource;
@@ -77,6 +78,7 @@
     last_write: Option<Instant>,
     confirmed: Option<Instant>,
     retired: bool,
+    restore: Restore,
 }
 
 impl<S: Store, U: UsageSource> Keeper<S, U> {
@@ -109,6 +111,7 @@
             last_write: None,
             confirmed: None,
             retired: false,
+            restore: Restore::default(),
         }
     }
 
@@ -199,7 +202,10 @@
     async fn read(&mut self) {
         self.last_read = Some(Instant::now());
         match self.store.get(LEDGER_KEY).await {
-            Ok(Some(record)) => self.adopt_bytes(record.revision, &record.value),
+            Ok(Some(record)) => {
+                self.note_restored(record.revision);
+                self.adopt_bytes(record.revision, &record.value);
+            }
             Ok(None) if self.copy.is_none() => {
                 self.copy = Some(Copy { compare: Compare::Absent, ledger: Ledger::default() });
             }
@@ -214,6 +220,19 @@
         }
     }
 
+    /// Starts anew from the stored ledger when it went back to an older state.
+    fn note_restored(&mut self, revision: Revision) {
+        let Some(copy) = &self.copy else { return };
+        if !self.restore.is_behind(copy.revision() > revision) {
+            return;
+        }
+        emit!(MembershipEvent::LedgerRestored, instance = self.id.instance, revision = revision);
+        let use_max = self.settings.hold + self.deadline_max;
+        self.restore.begin(&copy.ledger, &self.id, use_max);
+        self.pending = None;
+        self.copy = None;
+    }
+
     /// Takes over a newer state of the ledger; an older one is ignored.
     fn adopt(&mut self, revision: Revision, ledger: Ledger) {
         if self.copy.as_ref().is_some_and(|copy| copy.revision() >= revision) {
@@ -253,7 +272,8 @@
         let (tokens, confirmed) = ledger.confirmed(team, me, self.version());
         let ceiling = self.ceilings.get(team).copied().unwrap_or(0);
         let total = ledger.total(team).max(ceiling);
-        usable(Bound { tokens, confirmed, total, limit: self.limit(team) })
+        let tokens = usable(Bound { tokens, confirmed, total, limit: self.limit(team) });
+        self.restore.bound(team, tokens)
     }
 
     fn limit(&self, team: &TeamId) -> u32 {
@@ -302,7 +322,7 @@
         let take = |team: &TeamId, keep: u32| {
             self.escrow.set_usable(team, keep.min(self.escrow.usable(team)))
         };
-        let changed = plan(&mut ledger, &context, work, take);
+        let changed = !self.restore.is_active() && plan(&mut ledger, &context, work, take);
         if !changed && !joins && !self.confirmation_due() {
             return None;
         }
--- a/crates/membership/src/escrow/keeper/tests.rs
+++ b/crates/membership/src/escrow/keeper/tests.rs
@@ -206,3 +206,44 @@
     rounds(&mut world, 10).await;
     assert_eq!(usable(&world, 1), 12);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_restored_ledger_is_taken_over_without_exceeding_the_limit() {
+    let mut world = World::new([12, 3]);
+    rounds(&mut world, 15).await;
+    let revision = world.store.faults().revision();
+    world.entries[1].waiting.set(TEAMS[0], 50);
+    rounds(&mut world, 15).await;
+    assert_eq!(usable(&world, 1), 12);
+    world.store.faults().roll_back(revision);
+    for _ in 0..80 {
+        (0..ENTRIES).for_each(|entry| _ = fill(&mut world, entry));
+        rounds(&mut world, 2).await;
+    }
+    (0..ENTRIES).for_each(|entry| _ = fill(&mut world, entry));
+    assert!(world.running(0) > 0, "work goes on");
+    rounds(&mut world, 60).await;
+    assert_eq!(usable(&world, 1), 12, "tokens move again");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_misses_the_restore_of_the_ledger_is_waited_for() {
+    let mut world = World::new([12, 3]);
+    rounds(&mut world, 15).await;
+    let revision = world.store.faults().revision();
+    world.entries[1].waiting.set(TEAMS[0], 50);
+    rounds(&mut world, 15).await;
+    world.store.faults().cut_off("entry-1", Partition::Requests);
+    world.store.faults().roll_back(revision);
+    world.crash(3, false);
+    world.entries[3].waiting.set(TEAMS[0], 50);
+    for _ in 0..100 {
+        (0..2).for_each(|_| _ = world.start(1, 0, DEADLINE_MAX));
+        for entry in [0, 2, 3] {
+            fill(&mut world, entry);
+        }
+        rounds(&mut world, 1).await;
+    }
+    rounds(&mut world, 120).await;
+    assert_eq!(usable(&world, 3), 12);
+}
