Split settling and leaving from the keeper of slices

Change: settling of unknown writes and the clean leave are modules of their own. Conclusion: no change of behaviour.

--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -393,69 +393,6 @@
         }
     }
 
-    /// Finds out whether a write took effect. The same compare-and-swap is sent again: it can take
-    /// effect once at most, and a conflict proves that the ledger has moved on from its condition.
-    async fn settle(&mut self, pending: Pending) {
-        let sent = Instant::now();
-        match self.store.write(pending.write.clone()).await {
-            Ok(WriteOutcome::Written(revision)) => {
-                self.adopt(revision, pending.ledger);
-                self.confirm(sent);
-            }
-            Ok(WriteOutcome::Conflict) => self.settle_by_read(pending).await,
-            Err(_) => self.pending = Some(pending),
-        }
-    }
-
-    async fn settle_by_read(&mut self, pending: Pending) {
-        self.last_read = Some(Instant::now());
-        let base = self.copy.as_ref().map_or(0, Copy::revision);
-        let record = self.store.get(LEDGER_KEY).await.ok().flatten();
-        let Some(record) = record.filter(|record| record.revision > base) else {
-            self.pending = Some(pending);
-            return;
-        };
-        self.adopt_bytes(record.revision, &record.value);
-        let Some(ledger) = self.ledger() else { return };
-        let mine = ledger.position(&self.id).map(|index| &ledger.holders[index]);
-        if mine.is_some_and(|holder| holder.writes == pending.writes) {
-            self.confirm(pending.sent);
-        }
-    }
-
-    /// Gives back every token that is not in use.
-    async fn leave(&mut self) {
-        self.retired = true;
-        for _ in 0..ATTEMPTS_MAX {
-            if let Some(pending) = self.pending.take() {
-                self.settle(pending).await;
-            }
-            let Some(copy) = self.copy.as_ref().filter(|_| self.pending.is_none()) else { return };
-            let Some(me) = copy.ledger.position(&self.id) else { return };
-            let ledger = self.without_idle(copy.ledger.clone(), me);
-            let Some(pending) = self.pending_write(copy.compare, ledger) else { return };
-            match self.attempt(pending).await {
-                Attempt::Done if self.pending.is_none() => return,
-                Attempt::Done => {}
-                Attempt::Conflict => self.read().await,
-            }
-        }
-    }
-
-    fn without_idle(&self, mut ledger: Ledger, me: usize) -> Ledger {
-        let mut left = 0;
-        for (team, slices) in &mut ledger.teams {
-            let in_use = self.escrow.set_usable(team, 0);
-            slices[me] = super::Slice { tokens: slices[me].tokens.min(in_use), want: 0 };
-            left += slices[me].tokens;
-        }
-        ledger.holders[me].retired = true;
-        if left == 0 {
-            ledger.remove(me);
-        }
-        ledger
-    }
-
     /// Configuration version that the keeper has put in force.
     pub fn version(&self) -> Version {
         self.applied.as_ref().map_or(0, |config| config.version)
@@ -481,5 +418,7 @@
     Conflict,
 }
 
+mod leave;
+mod settle;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/membership/src/escrow/keeper/settle.rs
@@ -0,0 +1,40 @@
+//! Settles writes of the ledger whose outcome is unknown.
+
+use cassiafold_platform::{Store, WriteOutcome};
+use tokio::time::Instant;
+
+use super::{Copy, Keeper, Pending};
+use crate::escrow::ledger::LEDGER_KEY;
+use crate::usage::UsageSource;
+
+impl<S: Store, U: UsageSource> Keeper<S, U> {
+    /// Finds out whether a write took effect. The same compare-and-swap is sent again: it can take
+    /// effect once at most, and a conflict proves that the ledger has moved on from its condition.
+    pub(super) async fn settle(&mut self, pending: Pending) {
+        let sent = Instant::now();
+        match self.store.write(pending.write.clone()).await {
+            Ok(WriteOutcome::Written(revision)) => {
+                self.adopt(revision, pending.ledger);
+                self.confirm(sent);
+            }
+            Ok(WriteOutcome::Conflict) => self.settle_by_read(pending).await,
+            Err(_) => self.pending = Some(pending),
+        }
+    }
+
+    async fn settle_by_read(&mut self, pending: Pending) {
+        self.last_read = Some(Instant::now());
+        let base = self.copy.as_ref().map_or(0, Copy::revision);
+        let record = self.store.get(LEDGER_KEY).await.ok().flatten();
+        let Some(record) = record.filter(|record| record.revision > base) else {
+            self.pending = Some(pending);
+            return;
+        };
+        self.adopt_bytes(record.revision, &record.value);
+        let Some(ledger) = self.ledger() else { return };
+        let mine = ledger.position(&self.id).map(|index| &ledger.holders[index]);
+        if mine.is_some_and(|holder| holder.writes == pending.writes) {
+            self.confirm(pending.sent);
+        }
+    }
+}
