--- a/crates/platform/src/discovery/tests.rs
+++ b/crates/platform/src/discovery/tests.rs
@@ -70,6 +70,27 @@
     a_slice_without_a_port_is_left_out: "\"port\": 8080" => "\"port\": null", skipped: 3;
 }
 
+macro_rules! conditions {
+    ($($name:ident: $conditions:literal => $state:ident;)+) => {$(
+        #[test]
+        fn $name() {
+            let usual = r#"{"ready": true, "serving": true,
+       "terminating": false}"#;
+            assert!(LIST.contains(usual));
+            let listing = listing(&LIST.replace(usual, $conditions));
+            assert_eq!(listing.instances[0].state, InstanceState::$state);
+        }
+    )+};
+}
+
+conditions! {
+    an_instance_without_conditions_is_live: "{}" => Live;
+    an_instance_that_is_not_ready_takes_no_work: r#"{"ready": false}"# => Leaving;
+    a_ready_instance_that_is_terminating_takes_no_work:
+        r#"{"ready": true, "terminating": true}"# => Leaving;
+    unknown_conditions_count_as_usual: r#"{"ready": null, "terminating": null}"# => Live;
+}
+
 #[test]
 fn an_instance_that_one_slice_lists_as_leaving_is_leaving() {
     for replaced in ["portal-0", "portal-2"] {
