--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -20,6 +20,7 @@
         .arg(log_format())
         .arg(output())
         .subcommand(demo())
+        .subcommand(entry())
         .subcommand(standin())
         .subcommand(load::options::command())
         .subcommand(check())
@@ -69,6 +70,20 @@
         )
 }
 
+fn entry() -> Command {
+    Command::new("entry")
+        .about("Runs an entry instance until it is told to stop")
+        .after_help("The first SIGTERM or SIGINT stops gracefully, a second one cuts off.")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .help("Settings file of this entry instance")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn standin() -> Command {
     Command::new("standin")
         .about("Runs a stand-in platform and backend servers on loopback until it is interrupted")
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use cassiafold_config::Settings;
 use clap::ArgMatches;
 use clap_complete::Shell;
 
@@ -10,7 +11,7 @@
 use crate::load::LoadOptions;
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo, load, standin};
+use crate::{check, completions, demo, entry, load, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +33,7 @@
 #[derive(Debug)]
 enum Action {
     Demo(DemoOptions),
+    Entry(Box<Settings>),
     Standin(PathBuf),
     Load(LoadOptions),
     Check(CheckOptions),
@@ -81,6 +83,7 @@
         let logs = if json { LogFormat::Json } else { LogFormat::Text };
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
+            Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
             Some(("standin", matches)) => Action::Standin(settings(matches)?),
             Some(("load", matches)) => Action::Load(matches.try_into()?),
             Some(("check", matches)) => Action::Check(matches.into()),
@@ -97,6 +100,7 @@
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
+            Action::Entry(settings) => entry::run(settings),
             Action::Standin(settings) => standin::run(settings),
             Action::Load(options) => load::run(options),
             Action::Check(options) => check::run(options),
@@ -111,6 +115,12 @@
     shell.ok_or_else(|| Error::Usage("no shell given".into()))
 }
 
+fn entry_settings(matches: &ArgMatches) -> Result<Settings> {
+    let path = settings(matches)?;
+    let text = std::fs::read_to_string(&path).map_err(|source| Error::ReadFile { path, source })?;
+    Ok(Settings::from_yaml(&text)?)
+}
+
 fn settings(matches: &ArgMatches) -> Result<PathBuf> {
     let settings = matches.get_one::<PathBuf>("settings").cloned();
     settings.ok_or_else(|| Error::Usage("no settings file given".into()))
