Write the fleet's page with one command

Cause: the fleet could draw its page of pools, budgets, waves, moves and suspected failure domains, and nobody could ask for it.

Change: `cassiafold report FILE` over `GET /report` of the operators' interface.

Before: no command.

Conclusion: done.

--- a/crates/cassiafold/src/cli/verbs.rs
+++ b/crates/cassiafold/src/cli/verbs.rs
@@ -7,7 +7,7 @@
 
 /// Every verb that speaks to the operators' interface of an entry instance.
 pub fn all() -> Vec<Command> {
-    let verbs = vec![status(), config(), key(), zone(), pool(), wave(), explain()];
+    let verbs = vec![status(), config(), key(), zone(), pool(), wave(), explain(), report()];
     verbs.into_iter().map(|verb| verb.args(connection())).collect()
 }
 
@@ -52,6 +52,15 @@
     Arg::new(id).help(help).required(true)
 }
 
+fn report() -> Command {
+    Command::new("report")
+        .about("Writes a page of pools, budgets, waves, moves and failure domains over time")
+        .arg(
+            name("file", "HTML file to write; an existing one is replaced")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn status() -> Command {
     Command::new("status").about("Shows the version in force at each entry instance, and limits")
 }
--- a/crates/cassiafold/src/fleet_source.rs
+++ b/crates/cassiafold/src/fleet_source.rs
@@ -8,8 +8,8 @@
 use cassiafold_fleet::history::{DECISIONS_PREFIX, RawSegment};
 use cassiafold_fleet::{
     Answers, Budgets, FleetCode, FleetDocument, FleetHandle, FleetState, History, Listed, Observed,
-    Policy, Refusal, StepKind, Subject as FleetSubject, View, WaveStatus as FleetWave, explain,
-    request_move, wave_status,
+    Policy, Refusal, StepKind, Subject as FleetSubject, Timeline, View, WaveStatus as FleetWave,
+    explain, report, request_move, wave_status,
 };
 use cassiafold_operators::FleetSource;
 use cassiafold_operators::source::{
@@ -125,6 +125,12 @@
         Some(explanation.into())
     }
 
+    async fn report(&self) -> Option<String> {
+        let timeline = Timeline::load(&self.store).await.ok()?;
+        let history = self.history().await;
+        report(&timeline, &self.fleet.load().domains, &history).ok()
+    }
+
     async fn move_instances(&self, request: MoveRequest) -> Result<MoveAnswer, MoveRefusal> {
         let known = self.known().ok_or(MoveRefusal::Unavailable("no configuration yet".into()))?;
         let writer = Writer::new(self.me.clone());
--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -23,6 +23,7 @@
 mod observer;
 mod output;
 mod pool;
+mod report;
 mod sources;
 mod standin;
 mod status;
--- a/crates/cassiafold/src/verb.rs
+++ b/crates/cassiafold/src/verb.rs
@@ -12,6 +12,7 @@
 use crate::key::KeyVerb;
 use crate::output::Output;
 use crate::pool::PoolVerb;
+use crate::report::ReportVerb;
 use crate::status::StatusVerb;
 use crate::wave::WaveVerb;
 use crate::zone::ZoneVerb;
@@ -33,6 +34,7 @@
     Pool(PoolVerb),
     Wave(WaveVerb),
     Explain(ExplainVerb),
+    Report(ReportVerb),
 }
 
 impl Verb {
@@ -45,6 +47,7 @@
             "zone" => Action::Zone(matches.try_into()?),
             "pool" => Action::Pool(matches.try_into()?),
             "wave" => Action::Wave(matches.try_into()?),
+            "report" => Action::Report(matches.try_into()?),
             "explain" => Action::Explain(matches.try_into()?),
             _ => return Err(Error::Usage(format!("unknown command {name}"))),
         };
@@ -68,6 +71,7 @@
             Action::Zone(verb) => verb.run(client, output).await,
             Action::Pool(verb) => verb.run(client, output).await,
             Action::Wave(verb) => verb.run(client, output).await,
+            Action::Report(verb) => verb.run(client, output).await,
             Action::Explain(verb) => verb.run(client, output).await,
         }
     }
--- a/crates/cassiafold/tests/verbs.rs
+++ b/crates/cassiafold/tests/verbs.rs
@@ -129,6 +129,14 @@
             below the floor
             exit 7
         "#]];
+    a_page_that_cannot_be_written_is_an_error: ["report", "/no-such-directory/fleet.html"] => expect![[r#"
+        cassiafold: No such file or directory (os error 2)
+        exit 5
+    "#]];
+    a_page_is_written: ["report", "/dev/null"] => expect![[r#"
+        wrote /dev/null
+        exit 0
+    "#]];
     waves_are_shown: ["wave", "status"] => expect![[r#"
         WAVE  ZONE  TOTAL  DONE  IN_PROGRESS  SET_BACK  LATE  HELD_BACK
         w     a     10     1     i1           0         no    -
--- a/crates/operators/src/fleet_routes.rs
+++ b/crates/operators/src/fleet_routes.rs
@@ -16,10 +16,20 @@
 use crate::problem::Problem;
 use crate::router::{Operators, read_json};
 use crate::source::{Explanation, FleetSource, MoveAnswer, MoveRequest, Sources, Subject};
-use crate::wire::{ChangeAnswer, MoveBody, PoolsAnswer, WRITE_ID_HEADER, WavesAnswer};
+use crate::wire::{
+    ChangeAnswer, MoveBody, PoolsAnswer, ReportAnswer, WRITE_ID_HEADER, WavesAnswer,
+};
 
 type Answer<T> = Result<Json<T>, Problem>;
 
+/// Writes a page of the fleet over time.
+pub(crate) async fn report<S: Sources>(
+    State(operators): State<Operators<S>>,
+) -> Answer<ReportAnswer> {
+    let page = operators.sources.fleet().report().await;
+    Ok(Json(ReportAnswer { page: page.ok_or(OperatorsCode::StoreUnavailable)? }))
+}
+
 /// Takes a zone out.
 pub(crate) async fn zone_out<S: Sources>(
     State(operators): State<Operators<S>>,
--- a/crates/operators/src/router.rs
+++ b/crates/operators/src/router.rs
@@ -84,6 +84,7 @@
             .route("/status", get(status_routes::status::<S>))
             .route("/metrics", get(status_routes::metrics::<S>))
             .route("/explain/{subject}/{id}", get(fleet_routes::explain::<S>))
+            .route("/report", get(fleet_routes::report::<S>))
             .route("/pools", get(fleet_routes::pools::<S>))
             .route("/pools/{pool}/move", post(fleet_routes::move_instances::<S>))
             .route("/waves", get(fleet_routes::waves::<S>))
--- a/crates/operators/src/source.rs
+++ b/crates/operators/src/source.rs
@@ -98,6 +98,9 @@
         id: &str,
     ) -> impl Future<Output = Option<Explanation>> + Send;
 
+    /// Writes a page of the fleet over time; `None` while what it shows cannot be read.
+    fn report(&self) -> impl Future<Output = Option<String>> + Send;
+
     /// Asks for a move of instances to another pool. A repeat with the same request id finds the
     /// first.
     fn move_instances(
--- a/crates/operators/src/wire.rs
+++ b/crates/operators/src/wire.rs
@@ -110,5 +110,12 @@
     pub waves: Vec<WaveStatus>,
 }
 
+/// Answer to `GET /report`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// The page, in HTML.
+    pub page: String,
+}
+
 /// Answer to `GET /config`.
 pub type ConfigAnswer = RawConfig;
--- a/crates/operators/tests/http/fake.rs
+++ b/crates/operators/tests/http/fake.rs
@@ -95,6 +95,10 @@
         }]
     }
 
+    async fn report(&self) -> Option<String> {
+        Some("<!DOCTYPE html>".to_owned())
+    }
+
     async fn explain(&self, subject: Subject, id: &str) -> Option<Explanation> {
         let fact = Fact { name: subject.name().into(), value: id.into() };
         let decision = Decision {
