Two entry instances read the configuration often instead of one in each zone

Change: the two first choices among all live entry instances read often, so each part of a partition has its own. The case of a crashed run waits longer before it looks for early returns.

--- a/crates/membership/src/escrow/keeper/tests.rs
+++ b/crates/membership/src/escrow/keeper/tests.rs
@@ -61,9 +61,9 @@
     rounds(&mut world, 15).await;
     world.crash(0, true);
     world.entries[1].waiting.set(TEAMS[0], 50);
-    rounds(&mut world, 20).await;
+    rounds(&mut world, 28).await;
     assert_eq!(usable(&world, 1), 9, "work of the crashed run may still run");
-    rounds(&mut world, 25).await;
+    rounds(&mut world, 20).await;
     assert_eq!(usable(&world, 1), 12);
 }
 
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -16,6 +16,11 @@
 
 /// Time without a heartbeat after which an entry instance does not count as live.
 pub const HEARD_MAX: Duration = Duration::from_secs(5);
+/// Entry instances that read the configuration often; more than one, as one may have lost the
+/// key-value service.
+const READERS: usize = 2;
+/// Name for which readers are chosen by rendezvous hashing.
+const READER_HASH_KEY: &str = "configuration";
 /// Time without a heartbeat or a registration after which an entry instance is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
@@ -245,12 +250,14 @@
         ids.iter().filter_map(|id| table.entries.get(id)?.address).collect()
     }
 
-    /// Whether this entry instance is the one of its zone that reads the configuration often.
-    pub fn reads_for_zone(&self) -> bool {
-        let own = Member { id: self.me.id.clone(), zone: self.me.zone.clone(), live: true };
-        let members = self.lock().members();
-        let mates = members.iter().filter(|member| member.zone == self.me.zone && member.live);
-        ranked(mates.chain([&own]), &self.me.zone)[0].id == self.me.id
+    /// Whether this entry instance is one of those that read the configuration often: the first
+    /// choices among all live ones, so that each part of a partition has its own.
+    pub fn reads_often(&self) -> bool {
+        let live = self.live(None).into_iter();
+        let members: Vec<Member> =
+            live.map(|entry| Member { id: entry.id, zone: entry.zone, live: true }).collect();
+        let readers = ranked(members.iter(), READER_HASH_KEY).into_iter().take(READERS);
+        readers.into_iter().any(|member| member.id == self.me.id)
     }
 
     /// What to report to a target: to the own zone this entry instance and those heard from other
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -16,9 +16,9 @@
 use crate::event::MembershipEvent;
 use crate::roster::Roster;
 
-/// Longest time between two reads of the configuration in a zone.
-const REREAD_OF_ZONE: Duration = Duration::from_secs(4);
-/// Longest time between two reads of an entry instance that does not read for its zone.
+/// Longest time between two reads of an entry instance that reads often.
+const REREAD_OF_READERS: Duration = Duration::from_secs(4);
+/// Longest time between two reads of any other.
 const REREAD_OF_OTHERS: Duration = Duration::from_secs(60);
 const RETRY_MIN: Duration = Duration::from_millis(200);
 const RETRY_MAX: Duration = Duration::from_secs(5);
@@ -169,9 +169,9 @@
     Ok(())
 }
 
-/// One entry instance of each zone reads often; what it reads, the others learn from it.
+/// Few entry instances read often; what they read, the others learn from them.
 fn reread_interval(roster: &Roster) -> Duration {
-    if roster.reads_for_zone() { REREAD_OF_ZONE } else { REREAD_OF_OTHERS }
+    if roster.reads_often() { REREAD_OF_READERS } else { REREAD_OF_OTHERS }
 }
 
 #[cfg(test)]
