--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -1,10 +1,15 @@
 //! Definition of the command line.
 
+mod verbs;
+
 use std::path::PathBuf;
 
 use clap::{Arg, Command, value_parser};
 use clap_complete::Shell;
 
+use crate::error::EXIT_CODES;
+use crate::load;
+
 /// Builds the definition of the command line.
 pub fn build() -> Command {
     Command::new("cassiafold")
@@ -15,8 +20,18 @@
         .arg(log_format())
         .arg(output())
         .subcommand(demo())
+        .subcommand(entry())
+        .subcommand(standin())
+        .subcommand(load::options::command())
         .subcommand(check())
         .subcommand(completions())
+        .subcommands(verbs::all())
+        .after_help(exit_codes())
+}
+
+fn exit_codes() -> String {
+    let rows = EXIT_CODES.iter().map(|row| format!("  {:>3}  {}\n", row.number, row.meaning));
+    format!("Exit codes:\n{}", rows.collect::<String>())
 }
 
 fn log_format() -> Arg {
@@ -55,6 +70,33 @@
         )
 }
 
+fn entry() -> Command {
+    Command::new("entry")
+        .about("Runs an entry instance until it is told to stop")
+        .after_help("The first SIGTERM or SIGINT stops gracefully, a second one cuts off.")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .help("Settings file of this entry instance")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn standin() -> Command {
+    Command::new("standin")
+        .about("Runs a stand-in platform and backend servers on loopback until it is interrupted")
+        .after_help("Writes one line of JSON with its addresses once it is ready.")
+        .arg(
+            Arg::new("settings")
+                .help("File with the addresses and the backend servers")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks settings files and configuration files and reports every fault")
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -3,12 +3,15 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use cassiafold_config::Settings;
 use clap::ArgMatches;
 use clap_complete::Shell;
 
 use crate::error::{Error, Result};
+use crate::load::LoadOptions;
 use crate::output::Output;
-use crate::{check, completions, demo};
+use crate::verb::Verb;
+use crate::{check, completions, demo, entry, load, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,8 +33,12 @@
 #[derive(Debug)]
 enum Action {
     Demo(DemoOptions),
+    Entry(Box<Settings>),
+    Standin(PathBuf),
+    Load(LoadOptions),
     Check(CheckOptions),
     Completions(Shell),
+    Verb(Box<Verb>),
 }
 
 /// Options of `demo`.
@@ -76,9 +83,13 @@
         let logs = if json { LogFormat::Json } else { LogFormat::Text };
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
+            Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
+            Some(("standin", matches)) => Action::Standin(settings(matches)?),
+            Some(("load", matches)) => Action::Load(matches.try_into()?),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
-            _ => return Err(Error::Usage("unknown command".into())),
+            Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
+            None => return Err(Error::Usage("no command given".into())),
         };
         Ok(Self { logs, action })
     }
@@ -89,8 +100,12 @@
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
+            Action::Entry(settings) => entry::run(settings),
+            Action::Standin(settings) => standin::run(settings),
+            Action::Load(options) => load::run(options),
             Action::Check(options) => check::run(options),
             Action::Completions(shell) => completions::run(*shell),
+            Action::Verb(verb) => verb.run(),
         }
     }
 }
@@ -99,3 +114,14 @@
     let shell = matches.get_one::<Shell>("shell").copied();
     shell.ok_or_else(|| Error::Usage("no shell given".into()))
 }
+
+fn entry_settings(matches: &ArgMatches) -> Result<Settings> {
+    let path = settings(matches)?;
+    let text = std::fs::read_to_string(&path).map_err(|source| Error::ReadFile { path, source })?;
+    Ok(Settings::from_yaml(&text)?)
+}
+
+fn settings(matches: &ArgMatches) -> Result<PathBuf> {
+    let settings = matches.get_one::<PathBuf>("settings").cloned();
+    settings.ok_or_else(|| Error::Usage("no settings file given".into()))
+}
--- a/crates/cassiafold/src/output.rs
+++ b/crates/cassiafold/src/output.rs
@@ -1,6 +1,7 @@
 //! Output of results: tables for people, JSON for programs.
 
 use clap::ArgMatches;
+use jiff::Timestamp;
 use serde::Serialize;
 
 use crate::error::Result;
@@ -26,3 +27,43 @@
     println!("{}", serde_json::to_string_pretty(value)?);
     Ok(())
 }
+
+/// Prints rows below a heading, each column as wide as its widest cell.
+pub fn print_table<const N: usize>(
+    heading: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) {
+    print!("{}", table(heading, rows));
+}
+
+fn table<const N: usize>(
+    heading: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) -> String {
+    let mut lines = vec![heading.map(str::to_owned)];
+    lines.extend(rows);
+    let width = |column: usize| {
+        lines.iter().map(|line| line[column].chars().count()).max().unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..N).map(width).collect();
+    let mut text = String::new();
+    for line in &lines {
+        let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        let cells: Vec<String> = cells.collect();
+        text.push_str(cells.join("  ").trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+/// Time in UTC as people read it, from milliseconds since the Unix epoch.
+pub fn utc_time(unix_ms: u64) -> String {
+    let unix_ms = i64::try_from(unix_ms).unwrap_or(i64::MAX);
+    Timestamp::from_millisecond(unix_ms)
+        .map_or_else(|_| unix_ms.to_string(), |time| time.to_string())
+}
+
+/// Text of a value that may be absent.
+pub fn or_dash<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
--- /dev/null
+++ b/crates/cassiafold/tests/processes/caller.rs
@@ -0,0 +1,72 @@
+//! A caller of an entry instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, HOST};
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+const CALL_MAX: Duration = Duration::from_secs(40);
+
+/// What a caller was told.
+#[derive(Debug, Clone, Default)]
+pub struct Told {
+    /// Id of the request.
+    pub request_id: String,
+    /// HTTP status; zero without an answer.
+    pub status: u16,
+    /// Number of the problem, if it was one.
+    pub code: Option<u64>,
+    /// Run state of the problem, if it was one.
+    pub run_state: Option<String>,
+    /// Body of the answer.
+    pub body: String,
+}
+
+/// Sends one request on a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    key: String,
+    request_id: String,
+) -> Told {
+    let id = request_id.clone();
+    let answered = timeout(CALL_MAX, exchange(address, method, path, key, id)).await;
+    let told = answered.ok().flatten().unwrap_or_default();
+    Told { request_id, ..told }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    key: String,
+    request_id: String,
+) -> Option<Told> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address.to_string())
+        .header(AUTHORIZATION, format!("Bearer {key}"))
+        .header("x-request-id", request_id)
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let problem: serde_json::Value = serde_json::from_str(&body).unwrap_or_default();
+    let code = problem["code"].as_u64();
+    let run_state = problem["run_state"].as_str().map(str::to_owned);
+    Some(Told { request_id: String::new(), status, code, run_state, body })
+}
--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -12,7 +12,14 @@
     /// Weight of `team` at this entry instance; `None` stands for its configured share.
     fn weight(&self, service: &ServiceId, team: &TeamId) -> Option<f64>;
 
-    /// Notifies when weights have changed.
+    /// Most requests of `team` that this entry instance should run while others wait for slots;
+    /// `None` for no bound. Teams that reach few entry instances get their share only when the
+    /// other teams leave them slots. At least one request is always allowed.
+    fn running_max(&self, _service: &ServiceId, _team: &TeamId) -> Option<u32> {
+        None
+    }
+
+    /// Notifies when weights or bounds have changed.
     fn changes(&self) -> watch::Receiver<()>;
 }
 
@@ -72,6 +79,14 @@
     pub domains: D,
 }
 
+impl<L> Sources<L> {
+    /// Upper limits from `limits`, and all else as configured and declared.
+    pub fn with_limits(limits: L) -> Self {
+        let (shares, peers, domains) = (ConfiguredShares, NoPeers, Racks);
+        Self { limits, shares, peers, domains }
+    }
+}
+
 impl<L, S, P, D> Edges for Sources<L, S, P, D>
 where
     L: LimitSource,
--- a/crates/dispatch/tests/faults.rs
+++ b/crates/dispatch/tests/faults.rs
@@ -39,7 +39,8 @@
     reset_during_the_write: "reset during the write";
     reset_after_the_run: "reset after the run";
     cut_in_the_headers: "cut in the headers";
-    cut_in_the_body: "cut in the body";
+    cut_in_a_short_body: "cut in a short body";
+    cut_in_a_long_body: "cut in a long body";
     cut_in_a_chunked_body: "cut in a chunked body";
     silence_before_the_run: "silence before the run";
     silence_after_the_run: "silence after the run";
@@ -51,5 +52,6 @@
     end_not_marked: "end not marked";
     refused_as_not_run: "refused as not run";
     refused_by_all_as_not_run: "refused by all as not run";
+    reset_after_the_run_then_refused: "reset after the run, then refused";
     server_error: "server error";
 }
--- /dev/null
+++ b/crates/fleet/src/demand.rs
@@ -0,0 +1,350 @@
+//! Moves for demand and for the availability budgets.
+//!
+//! A service that is short takes spare instances at once, and instances on loan that other
+//! services do not need, which must drain first. When it stays short it takes such instances from
+//! their home as well; when it is below its floor, at once and from the reserve. Instances go back to their home pool
+//! only after their service has asked for little for some time, or when home needs them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime};
+
+use cassiafold_config::{InstanceId, PoolId, ServiceId};
+
+use crate::decision::Inputs;
+use crate::document::{Placement, StepKind};
+use crate::event::FleetEvent;
+use crate::plan::Round;
+use crate::view::View;
+
+/// Since when each service has been short of instances, or asked for little. Kept by the
+/// controller between rounds; losing it only delays moves.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Trends {
+    short: BTreeMap<ServiceId, SystemTime>,
+    quiet: BTreeMap<ServiceId, SystemTime>,
+}
+
+/// Instances that a service needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    /// Instances whose slots hold the running and waiting requests.
+    pub demand: usize,
+    /// Floor of the availability budget.
+    pub floor: usize,
+    /// Floor and the reserve for the worst failure domain.
+    pub cover: usize,
+    /// Instances available, with those on their way.
+    pub available: usize,
+}
+
+impl Need {
+    fn target(&self) -> usize {
+        self.demand.max(self.cover)
+    }
+
+    fn short(&self) -> usize {
+        self.target().saturating_sub(self.available)
+    }
+
+    /// Whether more than the reserve is missing.
+    fn urgent(&self) -> bool {
+        self.available < self.demand.max(self.floor)
+    }
+
+    /// Whether the floor itself is broken; this outweighs the reserve and demand of others.
+    fn below_floor(&self) -> bool {
+        self.available < self.floor
+    }
+
+    /// Instances that may be given to a service that is short like `receiver`.
+    fn surplus_for(&self, receiver: &Self, factor: f64) -> usize {
+        match receiver.below_floor() {
+            true => self.available.saturating_sub(self.floor),
+            false => self.surplus(factor),
+        }
+    }
+
+    fn surplus(&self, factor: f64) -> usize {
+        let kept = (self.demand as f64 * factor).ceil() as usize;
+        self.available.saturating_sub(kept.max(self.cover))
+    }
+
+    fn inputs(&self) -> Inputs {
+        Inputs::Demand { need: self.target(), available: self.available, floor: self.floor }
+    }
+}
+
+/// Instances whose slots hold the demand for a service.
+pub fn demand_instances(view: &View<'_>, id: &ServiceId) -> usize {
+    let Some(service) = view.config.services.get(id) else {
+        return 0;
+    };
+    let demand = view.observed.demand.get(id).copied().unwrap_or_default();
+    let requests = demand.running.saturating_add(demand.waiting);
+    requests.div_ceil(service.slots_per_instance.max(1)) as usize
+}
+
+/// Starts moves.
+pub(crate) fn start(round: &mut Round<'_>) {
+    let needs = needs(round);
+    note_trends(round, &needs);
+    let mut short: Vec<(&ServiceId, &Need)> =
+        needs.iter().filter(|(_, need)| need.short() > 0).collect();
+    short.sort_by_key(|(_, need)| (need.available >= need.floor, !need.urgent(), need.available));
+    let mut spares = Spares::new(round);
+    let movable = Movable::new(round);
+    let sources = Sources { needs: &needs, movable: &movable };
+    for (service, need) in short {
+        fill(round, service, *need, &sources, &mut spares);
+    }
+    for (service, need) in &needs {
+        return_one(round, service, need, &movable);
+    }
+}
+
+fn needs(round: &Round<'_>) -> BTreeMap<ServiceId, Need> {
+    let mut incoming: BTreeMap<&ServiceId, usize> = BTreeMap::new();
+    for placement in round.next.placements.values() {
+        if let Some(StepKind::Move { to, .. }) = placement.step.as_ref().map(|step| &step.kind)
+            && let Some(service) = round.view.config.service_of_pool(to)
+        {
+            *incoming.entry(service).or_default() += 1;
+        }
+    }
+    let need = |(id, budget): (&ServiceId, &crate::budget::Budget)| {
+        let need = Need {
+            demand: demand_instances(round.view, id),
+            floor: budget.floor,
+            cover: budget.floor + budget.reserve(&[]).0,
+            available: budget.available + incoming.get(id).copied().unwrap_or(0),
+        };
+        (id.clone(), need)
+    };
+    round.budgets.iter().map(need).collect()
+}
+
+fn note_trends(round: &mut Round<'_>, needs: &BTreeMap<ServiceId, Need>) {
+    let mut trends = Trends::default();
+    let known = &round.view.trends;
+    for (id, need) in needs {
+        let since =
+            |times: &BTreeMap<ServiceId, SystemTime>| times.get(id).copied().unwrap_or(round.now);
+        if need.short() > 0 {
+            trends.short.insert(id.clone(), since(&known.short));
+        }
+        if need.surplus(round.policy.surplus_factor) > 1 {
+            trends.quiet.insert(id.clone(), since(&known.quiet));
+        }
+    }
+    round.trends = trends;
+}
+
+fn lasted(round: &Round<'_>, since: Option<&SystemTime>, wait: Duration) -> bool {
+    since.is_some_and(|since| round.now.duration_since(*since).unwrap_or_default() >= wait)
+}
+
+/// Idle spare instances of a round.
+struct Spares {
+    ids: Vec<InstanceId>,
+}
+
+impl Spares {
+    fn new(round: &Round<'_>) -> Self {
+        let config = round.view.config;
+        let idle = round.placements().filter(|(id, placement)| {
+            config.pools.get(&placement.pool).is_some_and(|pool| pool.service.is_none())
+                && round.view.available(id, placement)
+                && steady(round, id)
+        });
+        Self { ids: idle.map(|(id, _)| id.clone()).collect() }
+    }
+
+    /// Takes the instance that shares the fewest failure domains with the service.
+    fn take(&mut self, round: &Round<'_>, service: &ServiceId, kept: usize) -> Option<InstanceId> {
+        if self.ids.len() <= kept {
+            return None;
+        }
+        let shared = |id: &InstanceId| round.budgets.neighbours(service, id);
+        let (best, _) = self.ids.iter().enumerate().min_by_key(|(_, id)| shared(id))?;
+        Some(self.ids.swap_remove(best))
+    }
+}
+
+fn steady(round: &Round<'_>, id: &InstanceId) -> bool {
+    round.view.listed.get(id).is_some_and(|listed| round.view.zone_steady(listed))
+}
+
+/// Where instances can come from besides the spare pool.
+struct Sources<'a> {
+    needs: &'a BTreeMap<ServiceId, Need>,
+    movable: &'a Movable,
+}
+
+/// A service that is short of instances.
+struct Shortfall<'a> {
+    service: &'a ServiceId,
+    /// Pool that receives the instances.
+    pool: PoolId,
+    need: Need,
+    /// Whether other services give instances that are at home there.
+    donate: bool,
+}
+
+fn fill(
+    round: &mut Round<'_>,
+    service: &ServiceId,
+    need: Need,
+    sources: &Sources<'_>,
+    spares: &mut Spares,
+) {
+    let since = round.trends.short.get(service);
+    if !need.urgent() && !lasted(round, since, round.policy.return_after) {
+        return;
+    }
+    let donate = need.below_floor() || lasted(round, since, round.policy.donate_after);
+    let Some(pool) = receiving_pool(round, service) else {
+        return;
+    };
+    let mut shortfall = Shortfall { service, pool, need, donate };
+    while shortfall.need.short() > 0 {
+        let need = &shortfall.need;
+        let kept = if need.available < need.cover { 0 } else { round.policy.spare_kept };
+        if let Some(id) = spares.take(round, service, kept) {
+            assign(round, &id, &shortfall);
+        } else if !take_from_donor(round, &shortfall, sources) {
+            return;
+        }
+        shortfall.need.available += 1;
+    }
+}
+
+/// Pool of the service with the fewest instances against its home count.
+fn receiving_pool(round: &Round<'_>, service: &ServiceId) -> Option<PoolId> {
+    let config = round.view.config;
+    let pools = config.pools.iter().filter(|(_, pool)| pool.service.as_ref() == Some(service));
+    let balance = |id: &PoolId| {
+        let present = round.placements().filter(|(_, placement)| placement.pool == *id).count();
+        let home = round.placements().filter(|(_, placement)| placement.home == *id).count();
+        present as i64 - home as i64
+    };
+    let mut ids: Vec<&PoolId> = pools.map(|(id, _)| id).collect();
+    if ids.len() > 1 {
+        ids.sort_by_cached_key(|id| balance(id));
+    }
+    ids.first().map(|id| (*id).clone())
+}
+
+/// Moves an idle spare instance at once: nothing runs on it.
+fn assign(round: &mut Round<'_>, id: &InstanceId, shortfall: &Shortfall<'_>) {
+    if let Some(placement) = round.next.placements.get_mut(id) {
+        placement.pool = shortfall.pool.clone();
+        round.budgets.give(shortfall.service, id);
+        let inputs = shortfall.need.inputs();
+        round.decide(FleetEvent::InstanceAssigned, id, &shortfall.pool, inputs);
+    }
+}
+
+fn take_from_donor(
+    round: &mut Round<'_>,
+    shortfall: &Shortfall<'_>,
+    sources: &Sources<'_>,
+) -> bool {
+    let factor = round.policy.surplus_factor;
+    let mut donors: Vec<(&ServiceId, usize)> = sources
+        .needs
+        .iter()
+        .filter(|(id, _)| *id != shortfall.service)
+        .filter_map(|(id, donor)| {
+            let taken = donor.available.saturating_sub(round.budgets.get(id)?.available);
+            let left = donor.surplus_for(&shortfall.need, factor).checked_sub(taken)?;
+            (left > 0).then_some((id, left))
+        })
+        .collect();
+    donors.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+    let found =
+        donors.into_iter().find_map(|(id, _)| donated(round, id, shortfall, sources.movable));
+    let Some(id) = found else {
+        return false;
+    };
+    let pool = &shortfall.pool;
+    round.start_step(&id, StepKind::Move { to: pool.clone(), settle: false });
+    round.decide(FleetEvent::MoveStarted, &id, pool, shortfall.need.inputs());
+    true
+}
+
+/// Instance of `donor` that moves at the least cost: at home in `pool`, on loan, or little used.
+/// Without `donate` only instances on loan are considered.
+fn donated(
+    round: &Round<'_>,
+    donor: &ServiceId,
+    shortfall: &Shortfall<'_>,
+    movable: &Movable,
+) -> Option<InstanceId> {
+    let candidates = movable.of(donor).iter().filter_map(|id| {
+        let placement = round.next.placements.get(id)?;
+        let loaned = placement.home != placement.pool;
+        (placement.step.is_none() && (shortfall.donate || loaned)).then_some((id, placement))
+    });
+    let cost = |(id, placement): &(&InstanceId, &Placement)| {
+        let at_home = placement.home == placement.pool;
+        (placement.home != shortfall.pool, at_home, round.view.observed.running(id))
+    };
+    let mut candidates: Vec<_> = candidates.collect();
+    candidates.sort_by_key(cost);
+    let allowed =
+        |id: &InstanceId| shortfall.need.below_floor() || round.budgets.check(donor, id).is_ok();
+    candidates.into_iter().map(|(id, _)| id).find(|id| allowed(id)).cloned()
+}
+
+/// Instances that may move, by service, at the start of a round.
+#[derive(Debug, Default)]
+struct Movable {
+    by_service: BTreeMap<ServiceId, Vec<InstanceId>>,
+}
+
+impl Movable {
+    fn new(round: &Round<'_>) -> Self {
+        let mut by_service: BTreeMap<ServiceId, Vec<InstanceId>> = BTreeMap::new();
+        for (id, placement) in round.placements() {
+            if let Some(service) = round.view.service_of(placement)
+                && movable(round, id, placement)
+            {
+                by_service.entry(service.clone()).or_default().push(id.clone());
+            }
+        }
+        Self { by_service }
+    }
+
+    fn of(&self, service: &ServiceId) -> &[InstanceId] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn movable(round: &Round<'_>, id: &InstanceId, placement: &Placement) -> bool {
+    let retry = placement.not_before.is_some_and(|time| time > round.now);
+    !retry && round.view.available(id, placement) && steady(round, id)
+}
+
+/// Sends one instance on loan back home when its service has asked for little for some time.
+fn return_one(round: &mut Round<'_>, service: &ServiceId, need: &Need, movable: &Movable) {
+    if !lasted(round, round.trends.quiet.get(service), round.policy.return_after) {
+        return;
+    }
+    let loaned = movable.of(service).iter().filter_map(|id| {
+        let placement = round.next.placements.get(id)?;
+        let loaned = placement.home != placement.pool && placement.step.is_none();
+        (loaned && round.budgets.check(service, id).is_ok()).then_some((id, placement))
+    });
+    let running = |id: &InstanceId| round.view.observed.running(id);
+    let Some((id, home)) = loaned
+        .min_by_key(|(id, _)| running(id))
+        .map(|(id, placement)| (id.clone(), placement.home.clone()))
+    else {
+        return;
+    };
+    round.start_step(&id, StepKind::Move { to: home.clone(), settle: false });
+    round.decide(FleetEvent::MoveStarted, &id, &home, need.inputs());
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/wire/src/message/tests.rs
+++ b/crates/wire/src/message/tests.rs
@@ -4,7 +4,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use super::{ConfigDocument, EntryReport, Hello, InstanceUsage, Leave, QueueUsage, Report};
+use super::{
+    ConfigDocument, EntryReport, Hello, InstanceSymptom, InstanceUsage, Leave, QueueUsage, Report,
+    Symptom,
+};
 use crate::limits::{CONFIG_BYTES_MAX, ID_BYTES_MAX, reader_options};
 use crate::peer_capnp::{config_document, hello, leave, report};
 
@@ -31,6 +34,18 @@
         ready: true,
         queues: vec![queue; queues],
         instances: vec![InstanceUsage { instance: 7, running: 8 }; instances],
+        fleet_number: 9,
+        draining: vec![],
+        symptoms: vec![],
+        store_reachable: true,
+    }
+}
+
+fn draining_entry() -> EntryReport {
+    EntryReport {
+        draining: vec![InstanceUsage { instance: 10, running: 11 }],
+        symptoms: vec![InstanceSymptom { instance: 12, symptom: Symptom::Hanging }],
+        ..entry(0, 0, 0)
     }
 }
 
@@ -74,27 +89,31 @@
     let instance = Report { entries: vec![entry(0, 0, 1)], ..empty.clone() };
     let relayed = Report { entries: vec![entry(0, 0, 0); 2], ..empty.clone() };
     let named = Report { names: vec![name], ..empty.clone() };
-    let sizes = [&empty, &queue, &instance, &relayed, &named]
+    let draining = Report { entries: vec![draining_entry()], ..empty.clone() };
+    let sizes = [&empty, &queue, &instance, &relayed, &named, &draining]
         .map(|message| round_trip!(message, report, Report).1);
     let hello = round_trip!(hello_message(), hello, Hello).1;
     expect![[r#"
-        heartbeat 96
-        first queue 112, first backend server 112
-        further entry 48
-        first name 120
+        heartbeat 120
+        first queue 136, first backend server 136
+        first draining and failing instance 152
+        further entry 72
+        first name 144
         hello 120
     "#]]
     .assert_eq(&format!(
-        "heartbeat {}\nfirst queue {}, first backend server {}\nfurther entry {}\n\
+        "heartbeat {}\nfirst queue {}, first backend server {}\n\
+         first draining and failing instance {}\nfurther entry {}\n\
          first name {}\nhello {hello}\n",
         sizes[0],
         sizes[1],
         sizes[2],
+        sizes[5],
         sizes[3] - sizes[0],
         sizes[4],
     ));
     let many = Report { entries: vec![entry(0, 101, 51)], ..empty };
-    assert_eq!(round_trip!(many, report, Report).1, 96 + 16 + 8 * 100 + 16 + 8 * 50);
+    assert_eq!(round_trip!(many, report, Report).1, 120 + 16 + 8 * 100 + 16 + 8 * 50);
 }
 
 fn read_all(bytes: &[u8]) {
@@ -134,7 +153,7 @@
         let message = Report {
             names: vec!["portal".into(), "parishes".into()],
             ledger_revision: 1,
-            entries: vec![entry(0, 3, 2), entry(1, 1, 0)],
+            entries: vec![entry(0, 3, 2), entry(1, 1, 0), draining_entry()],
         };
         let mut builder = Builder::new_default();
         message.write(builder.init_root::<report::Builder<'_>>());
