--- a/crates/cassiafold/tests/processes/fleet.rs
+++ b/crates/cassiafold/tests/processes/fleet.rs
@@ -22,6 +22,8 @@
 
 /// Key of the team `parishes`.
 pub const KEY: &str = "the-key";
+/// Key of the team `seminaries`, which has the same share.
+pub const OTHER_KEY: &str = "the-other-key";
 const CREDENTIAL: &str = "the-credential";
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const READY_MAX: Duration = Duration::from_secs(30);
@@ -228,25 +230,45 @@
 
     /// Sends requests to every entry instance, `parallel` at a time to each, for `time`.
     pub fn load(&self, method: Method, parallel: usize, time: Duration) -> JoinHandle<Vec<Told>> {
-        let end = Instant::now() + time;
         let callers = self.entries.iter().flat_map(|entry| vec![entry.callers; parallel]);
-        let callers: Vec<_> =
-            callers.map(|address| tokio::spawn(repeat(address, method.clone(), end))).collect();
-        tokio::spawn(async move {
-            let mut told = Vec::new();
-            for caller in callers {
-                told.extend(caller.await.expect("the caller ends"));
-            }
-            told
-        })
+        load(callers.collect(), &method, KEY, time)
+    }
+
+    /// Sends requests of the team with `key` to one entry instance.
+    pub fn load_at(
+        &self,
+        index: usize,
+        key: &'static str,
+        parallel: usize,
+        time: Duration,
+    ) -> JoinHandle<Vec<Told>> {
+        load(vec![self.entries[index].callers; parallel], &Method::POST, key, time)
     }
 }
 
-async fn repeat(address: SocketAddr, method: Method, end: Instant) -> Vec<Told> {
+fn load(
+    callers: Vec<SocketAddr>,
+    method: &Method,
+    key: &'static str,
+    time: Duration,
+) -> JoinHandle<Vec<Told>> {
+    let end = Instant::now() + time;
+    let repeated = |address| tokio::spawn(repeat(address, method.clone(), key, end));
+    let callers: Vec<_> = callers.into_iter().map(repeated).collect();
+    tokio::spawn(async move {
+        let mut told = Vec::new();
+        for caller in callers {
+            told.extend(caller.await.expect("the caller ends"));
+        }
+        told
+    })
+}
+
+async fn repeat(address: SocketAddr, method: Method, key: &'static str, end: Instant) -> Vec<Told> {
     let mut told = Vec::new();
     while Instant::now() < end {
         let path = "/queues/portal/order".to_owned();
-        let answer = call(address, method.clone(), path, KEY.to_owned(), new_id()).await;
+        let answer = call(address, method.clone(), path, key.to_owned(), new_id()).await;
         if answer.status != 200 {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -287,6 +309,8 @@
         "pools": {"portal": {"service": "portal"}, "spare": {}},
         "teams": {"parishes": {
             "share": 1, "upper_limit": 400, "key_hashes": [KeyHash::of(KEY).to_hex()],
+        }, "seminaries": {
+            "share": 1, "upper_limit": 400, "key_hashes": [KeyHash::of(OTHER_KEY).to_hex()],
         }},
     })
 }
--- a/crates/cassiafold/tests/processes/main.rs
+++ b/crates/cassiafold/tests/processes/main.rs
@@ -7,7 +7,7 @@
 
 use caller::Told;
 use cassiafold_standin::BackendOptions;
-use fleet::{Fleet, KEY, until};
+use fleet::{Fleet, KEY, OTHER_KEY, until};
 use http::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -162,6 +162,23 @@
     assert!(told.iter().all(|told| told.status == 200), "{:?}", first_refusal(&told));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_team_does_not_starve_a_small_one_at_another_entry_instance() {
+    let options = BackendOptions { slots: 4, ..runs_for(Duration::from_millis(50)) };
+    let fleet = Fleet::start(2, 2, options, |config| {
+        config["services"]["portal"]["slots_per_instance"] = 4.into();
+    })
+    .await;
+    let time = Duration::from_secs(8);
+    let large = fleet.load_at(0, KEY, 60, time);
+    let small = fleet.load_at(1, OTHER_KEY, 12, time);
+    let whole = |told: Vec<Told>| told.iter().filter(|told| told.status == 200).count();
+    let (large, small) = (whole(large.await.unwrap()), whole(small.await.unwrap()));
+    println!("whole answers: large {large}, small {small}");
+    let share = (large + small) / 2;
+    assert!(2 * small >= share, "the small team got {small} of its share of {share}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_entry_instance_catches_up_and_never_reverts() {
     let fleet = Fleet::start(3, 3, BackendOptions::default(), |_| {}).await;
