--- a/crates/fleet/examples/measure/deployment.rs
+++ b/crates/fleet/examples/measure/deployment.rs
@@ -42,7 +42,8 @@
     Naive,
 }
 
-pub fn measure() {
+/// Runs every deployment with the planners named, or with all.
+pub fn measure(planners: &[&str]) {
     let brief = |name, zones| Trial {
         layout: Layout { name, zones, services: 5, per_service: 10, spare: 5, floor: 0.6 },
         days: 3,
@@ -70,7 +71,10 @@
     };
     for trial in [brief("Casa Liwayway", 3), brief("Al Batinah", 4), letter] {
         for planner in [Planner::Learned, Planner::Racks, Planner::Naive] {
-            Run::new(&trial, planner).run();
+            let name = format!("{planner:?}").to_lowercase();
+            if planners.is_empty() || planners.contains(&&*name) {
+                Run::new(&trial, planner).run();
+            }
         }
     }
 }
--- a/crates/fleet/examples/measure/main.rs
+++ b/crates/fleet/examples/measure/main.rs
@@ -1,6 +1,7 @@
 //! Measures the fleet's decisions in accelerated time; prints one JSON line for each measurement.
 //!
-//! `cargo run --release -p cassiafold-fleet --example measure -- [domains] [deployments] [rounds]`
+//! `cargo run --release -p cassiafold-fleet --example measure -- [domains] [rounds] [deployments]`
+//! and, to run the deployments of one planner only, `learned`, `racks` or `naive`.
 
 mod deployment;
 mod domains;
@@ -17,7 +18,11 @@
     if wanted("rounds") {
         rounds::measure();
     }
-    if wanted("deployments") {
-        deployment::measure();
+    let planners: Vec<&str> = ["learned", "racks", "naive"]
+        .into_iter()
+        .filter(|planner| arguments.iter().any(|argument| argument == planner))
+        .collect();
+    if wanted("deployments") || !planners.is_empty() {
+        deployment::measure(&planners);
     }
 }
--- a/crates/fleet/examples/measure/naive.rs
+++ b/crates/fleet/examples/measure/naive.rs
@@ -30,16 +30,18 @@
         }
     }
     let limit = (policy.maintenance_share_max * ids.len() as f64) as usize;
+    let maintaining = |place: &&Placement| {
+        place.step.as_ref().is_some_and(|it| matches!(it.kind, StepKind::Maintain { .. }))
+    };
+    let mut maintained = next.placements.values().filter(maintaining).count();
     for id in &ids {
-        let maintaining = |place: &&Placement| {
-            place.step.as_ref().is_some_and(|it| matches!(it.kind, StepKind::Maintain { .. }))
-        };
-        if next.placements.values().filter(maintaining).count() >= limit.max(1) {
+        if maintained >= limit.max(1) {
             break;
         }
         let place = &next.placements[id];
         if place.maintained.is_none() && view.available(id, place) && above_floor(view, &next, id) {
             begin(view, &mut next, id, StepKind::Maintain { wave: "w".into() });
+            maintained += 1;
         }
     }
     (next, moves)
