Seeds for an entry instance that starts while the store is down

Cause: an entry instance that starts during an outage of the key-value service knows no peer. Change: settings take seed_addresses, empty by default, and the membership asks them. Conclusion: the case over TCP (a_new_entry_starts_from_a_peer_while_the_store_is_down) covers what happens from the seeds on; no test reads the field from a settings file.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -31,6 +31,9 @@
     pub instance_list_address: SocketAddr,
     /// Address of the platform's instance control.
     pub instance_control_address: SocketAddr,
+    /// Addresses of entry instances to ask for the others while the key-value service is down.
+    #[serde(default)]
+    pub seed_addresses: Vec<SocketAddr>,
     /// Hash of the operators' credential, in hexadecimal.
     pub operators_key_hash: String,
     /// Timeout of one call to the key-value service, in milliseconds.
@@ -107,6 +110,8 @@
     pub instance_list_address: SocketAddr,
     /// Address of the platform's instance control.
     pub instance_control_address: SocketAddr,
+    /// Addresses of entry instances to ask for the others while the key-value service is down.
+    pub seed_addresses: Vec<SocketAddr>,
     /// Hash of the operators' credential.
     pub operators_key_hash: KeyHash,
     /// Timeout of one call to the key-value service.
@@ -163,6 +168,7 @@
             store_addresses: raw.store_addresses,
             instance_list_address: raw.instance_list_address,
             instance_control_address: raw.instance_control_address,
+            seed_addresses: raw.seed_addresses,
             operators_key_hash,
             store_timeout: Duration::from_millis(raw.store_timeout_ms),
             lease_ttl: Duration::from_millis(raw.lease_ttl_ms),
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -52,7 +52,8 @@
         };
         let lease_ttl = settings.lease_ttl;
         let escrow = EscrowSettings { hold: settings.limits_hold, ..EscrowSettings::default() };
-        let peers = PeersSettings::default();
+        let seeds = settings.seed_addresses.clone();
+        let peers = PeersSettings { seeds, ..PeersSettings::default() };
         Self { identity, lease_ttl, escrow, peers }
     }
 }
