Make an operators' credential without another tool

The settings need the BLAKE3 hash of the operators' credential, and the only way to make it was b3sum, which the machine of an operator may lack: the first step of the operators' page could not be run as written. The command credential makes a random credential and prints it once with its hash. Its test compares both and that two runs differ.

--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -22,6 +22,7 @@
         .subcommand(entry())
         .subcommand(standin())
         .subcommand(check())
+        .subcommand(credential())
         .subcommand(completions())
         .subcommands(verbs::all())
         .after_help(exit_codes())
@@ -108,6 +109,10 @@
         )
 }
 
+fn credential() -> Command {
+    Command::new("credential").about("Makes an operators' credential and shows it with its hash")
+}
+
 fn completions() -> Command {
     Command::new("completions").about("Writes the completions of a shell").arg(
         Arg::new("shell").value_name("SHELL").required(true).value_parser(value_parser!(Shell)),
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -10,7 +10,7 @@
 use crate::error::{Error, Result};
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo, entry, standin};
+use crate::{check, completions, credential, demo, entry, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +35,7 @@
     Entry(Box<Settings>),
     Standin(PathBuf),
     Check(CheckOptions),
+    Credential(Output),
     Completions(Shell),
     Verb(Box<Verb>),
 }
@@ -84,6 +85,7 @@
             Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
             Some(("standin", matches)) => Action::Standin(settings(matches)?),
             Some(("check", matches)) => Action::Check(matches.into()),
+            Some(("credential", matches)) => Action::Credential(Output::from(matches)),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
             Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
             None => return Err(Error::Usage("no command given".into())),
@@ -100,6 +102,7 @@
             Action::Entry(settings) => entry::run(settings),
             Action::Standin(settings) => standin::run(settings),
             Action::Check(options) => check::run(options),
+            Action::Credential(output) => credential::run(*output),
             Action::Completions(shell) => completions::run(*shell),
             Action::Verb(verb) => verb.run(),
         }
--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -7,6 +7,7 @@
 mod command;
 mod completions;
 mod config;
+mod credential;
 mod demo;
 mod edges;
 mod entry;
--- a/crates/cassiafold/tests/command_line.rs
+++ b/crates/cassiafold/tests/command_line.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 
-use cassiafold_config::{Config, Service, Settings};
+use cassiafold_config::{Config, KeyHash, Service, Settings};
 use expect_test::expect;
 
 fn cassiafold(arguments: &[&str]) -> std::process::Output {
@@ -78,6 +78,21 @@
     assert_eq!(cassiafold(&["check", "no-such-file.yaml"]).status.code(), Some(3));
 }
 
+#[test]
+fn a_new_credential_comes_with_the_hash_for_the_settings() {
+    let made = || -> serde_json::Value {
+        let output = cassiafold(&["credential", "--output", "json"]);
+        assert!(output.status.success());
+        serde_json::from_slice(&output.stdout).unwrap()
+    };
+    let made = [made(), made()];
+    for one in &made {
+        let credential = one["credential"].as_str().unwrap();
+        assert_eq!(one["operators_key_hash"], KeyHash::of(credential).to_hex());
+    }
+    assert_ne!(made[0]["credential"], made[1]["credential"]);
+}
+
 #[test]
 fn completions_are_written_for_bash() {
     let output = cassiafold(&["completions", "bash"]);
