Count a failed watch as no answer of the key-value service

The watch on registrations noted an answer before it looked whether there was one. An entry instance that was cut off so counted the service as reachable for some seconds more, and keyed work went on longer than the setting allows: with isolated_keys_max_ms 8000 and 15 s for reachability the last keyed request was served 25 s after the cut-off, where 23 s is the bound. The answer is now noted after the check. The new test fails without the change.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -166,8 +166,9 @@
         let identities: Vec<Identity> = records.values().cloned().collect();
         roster.set_registered(&identities);
         let Ok(changes) = timeout_at(until, watch.next()).await else { break };
+        let changes = changes?;
         contact.note();
-        for change in changes? {
+        for change in changes {
             match change.record.and_then(|record| parse(&record.value)) {
                 Some(registration) => {
                     records.insert(change.key, registration.into());
--- a/crates/membership/src/directory/tests.rs
+++ b/crates/membership/src/directory/tests.rs
@@ -83,3 +83,16 @@
     sleep(2 * TTL).await;
     assert_eq!(store.list(ENTRIES_PREFIX).await.unwrap().records, before);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_fails_is_no_answer_of_the_service() {
+    let store = MemoryStore::default();
+    let contact = StoreContact::default();
+    tokio::spawn(follow(store.client("a1"), Roster::new(identity("a1", 1)), contact.clone()));
+    sleep(TTL / 2).await;
+    let before = contact.age().unwrap();
+    store.faults().set_outage(true);
+    sleep(TTL / 2).await;
+    assert!(before > Duration::ZERO);
+    assert!(contact.age().unwrap() >= before + TTL / 2);
+}
