--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -24,6 +24,7 @@
         .subcommand(standin())
         .subcommand(load::options::command())
         .subcommand(check())
+        .subcommand(credential())
         .subcommand(completions())
         .subcommands(verbs::all())
         .after_help(exit_codes())
@@ -110,6 +111,10 @@
         )
 }
 
+fn credential() -> Command {
+    Command::new("credential").about("Makes an operators' credential and shows it with its hash")
+}
+
 fn completions() -> Command {
     Command::new("completions").about("Writes the completions of a shell").arg(
         Arg::new("shell").value_name("SHELL").required(true).value_parser(value_parser!(Shell)),
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -11,7 +11,7 @@
 use crate::load::LoadOptions;
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, demo, entry, load, standin};
+use crate::{check, completions, credential, demo, entry, load, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +37,7 @@
     Standin(PathBuf),
     Load(LoadOptions),
     Check(CheckOptions),
+    Credential(Output),
     Completions(Shell),
     Verb(Box<Verb>),
 }
@@ -87,6 +88,7 @@
             Some(("standin", matches)) => Action::Standin(settings(matches)?),
             Some(("load", matches)) => Action::Load(matches.try_into()?),
             Some(("check", matches)) => Action::Check(matches.into()),
+            Some(("credential", matches)) => Action::Credential(Output::from(matches)),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
             Some((name, matches)) => Action::Verb(Box::new(Verb::read(name, matches)?)),
             None => return Err(Error::Usage("no command given".into())),
@@ -104,6 +106,7 @@
             Action::Standin(settings) => standin::run(settings),
             Action::Load(options) => load::run(options),
             Action::Check(options) => check::run(options),
+            Action::Credential(output) => credential::run(*output),
             Action::Completions(shell) => completions::run(*shell),
             Action::Verb(verb) => verb.run(),
         }
