Ask for the hold on the upper limit again before the first byte

Cause: a permit was checked when it was given. A process paused between the permit and the first byte, while it made a connection, could start a request after its slice had been given to others.

Change: the request path asks its source of limits once more just before it sends, with the other checks of that moment; the program passes the question to the permit.

Before: nothing asked. After: a permit that lapses after it was given starts nothing (new test; it fails with the question taken out). 5 tests of the dispatcher pass.

The window left is the time between the last check and the write of the first byte.

--- a/crates/cassiafold/src/edges.rs
+++ b/crates/cassiafold/src/edges.rs
@@ -65,6 +65,10 @@
         self.escrow.try_acquire(team).map(Some)
     }
 
+    fn holds(&self, permit: &Option<Permit>) -> bool {
+        permit.as_ref().is_none_or(Permit::is_valid)
+    }
+
     fn changes(&self) -> watch::Receiver<()> {
         self.changes.subscribe()
     }
--- a/crates/dispatch/src/dispatcher/tests.rs
+++ b/crates/dispatch/src/dispatcher/tests.rs
@@ -3,6 +3,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::edge::Sources;
+use crate::limit::LimitSource;
 use crate::start::End;
 
 use super::*;
@@ -72,6 +73,44 @@
     assert!(!running.may_start());
 }
 
+/// Limits whose permits stop counting.
+#[derive(Debug, Clone, Default)]
+struct Lapsing {
+    lapsed: Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl LimitSource for Lapsing {
+    type Permit = ();
+
+    fn try_acquire(&self, _team: &cassiafold_config::TeamId) -> Option<()> {
+        Some(())
+    }
+
+    fn holds(&self, (): &()) -> bool {
+        !self.lapsed.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    fn changes(&self) -> watch::Receiver<()> {
+        crate::limit::never()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_granted_may_not_start_once_its_permit_has_lapsed() {
+    let active = ActiveConfig::default();
+    active.offer(config(1, false));
+    let (_kept, instances) = watch::channel(Arc::new(vec![instance(InstanceState::Live)]));
+    let limits = Lapsing::default();
+    let edges = Sources::with_limits(limits.clone());
+    let dispatcher = Dispatcher::start(edges, &active, instances, "a".into(), Metrics::default());
+    let mut order = Order::clone(&setup().order);
+    (order.team, order.key) = ("parishes".into(), Some("the-key".into()));
+    let running = dispatcher.acquire(&Arc::new(order)).await.unwrap();
+    assert!(running.may_start());
+    limits.lapsed.store(true, std::sync::atomic::Ordering::Relaxed);
+    assert!(!running.may_start());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_granted_request_whose_task_is_gone_gives_its_slot_back() {
     let Setup { dispatcher, config: _active, instances: _kept, order } = setup();
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -14,6 +14,12 @@
     /// Takes a permit if the team may run one more request at this entry instance now.
     fn try_acquire(&self, team: &TeamId) -> Option<Self::Permit>;
 
+    /// Whether a request with `permit` may still start. Time may pass between the permit and the
+    /// first byte sent: a connection is made, or the process is paused.
+    fn holds(&self, _permit: &Self::Permit) -> bool {
+        true
+    }
+
     /// Notifies when permits refused before may be available, for reasons other than the drop
     /// of a permit by the request path itself.
     fn changes(&self) -> watch::Receiver<()>;
--- a/crates/dispatch/src/running.rs
+++ b/crates/dispatch/src/running.rs
@@ -8,6 +8,7 @@
 use crate::dispatcher::Shared;
 use crate::edge::Edges;
 use crate::health::AttemptResult;
+use crate::limit::LimitSource;
 use crate::order::Order;
 use crate::start::{End, Ended, PermitOf, Start};
 
@@ -41,8 +42,13 @@
     }
 
     /// Whether the request may still start at its instance: asked once more after a connection
-    /// was made, when the configuration or the list of instances has changed since.
+    /// was made, as the configuration, the list of instances or the hold on the upper limit may
+    /// have changed since.
     pub fn may_start(&self) -> bool {
+        let limits = self.shared.edges.limits();
+        if self.start.permit.as_ref().is_some_and(|permit| !limits.holds(permit)) {
+            return false;
+        }
         let mut state = self.shared.lock();
         state.sync();
         let Some(config) = state.core.config() else {
