List the start of an operator's move among the decisions

explain did not list the start of a move that an operator asked for: the entry instance that takes the request writes the step into the fleet document, but only the holder of control writes decisions. The holder now notes the start of every move for good that stands in the document and that no decision covers. A decision of its own round is not noted twice. The new test covers both.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -177,9 +177,10 @@
         }
     }
 
-    /// Notes the failures of the document as evidence for failure domains.
+    /// Notes operators' moves, and the failures of the document as evidence for failure domains.
     async fn learn(&mut self, listed: &Listed) {
         let document = self.handle.load().document;
+        self.kept.history.note_moves(&document);
         let before = names(&self.kept.domains);
         self.kept.note_failures(&document, self.environment.now(), listed);
         let after = names(&self.kept.domains);
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::{Decision, Inputs};
+use crate::document::{FleetDocument, StepKind};
 use crate::event::FleetEvent;
 use crate::raw::{from_unix_ms, unix_ms};
 
@@ -84,6 +85,27 @@
         }
     }
 
+    /// Notes the start of moves in progress that no round has decided: operators have.
+    pub fn note_moves(&mut self, document: &FleetDocument) {
+        for (id, placement) in &document.placements {
+            let Some(step) = &placement.step else { continue };
+            let StepKind::Move { to, settle: true } = &step.kind else { continue };
+            let known = |decision: &Decision| {
+                decision.at == step.started && decision.instance.as_ref() == Some(id)
+            };
+            if !self.decisions.iter().rev().any(known) {
+                self.extend([Decision {
+                    at: step.started,
+                    event: FleetEvent::MoveStarted,
+                    instance: Some(id.clone()),
+                    pool: Some(to.clone()),
+                    wave: None,
+                    inputs: Inputs::None,
+                }]);
+            }
+        }
+    }
+
     /// Every decision kept, oldest first.
     pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Decision> {
         self.decisions.iter()
--- a/crates/fleet/src/history/tests.rs
+++ b/crates/fleet/src/history/tests.rs
@@ -3,7 +3,8 @@
 use super::{History, RawSegment, SEGMENT_MAX, SEGMENTS};
 use crate::decision::{Decision, Inputs};
 use crate::event::FleetEvent;
-use crate::tests::fixture::monday;
+use crate::operate::request_move;
+use crate::tests::fixture::{Fixture, SMALL, monday};
 
 fn decision(number: u64) -> Decision {
     Decision {
@@ -56,6 +57,35 @@
     assert_eq!(times, [15, 8].map(|seconds| monday() + Duration::from_secs(seconds)));
 }
 
+#[test]
+fn a_move_by_operators_is_noted_once_and_one_by_a_round_not_again() {
+    let mut fixture = Fixture::new(&SMALL);
+    let mut history = History::default();
+    let placements = fixture.document.placements.iter();
+    let spare =
+        placements.filter(|(_, placement)| fixture.config.pools[&placement.pool].service.is_none());
+    let ids: Vec<_> = spare.map(|(id, _)| id.clone()).take(2).collect();
+    assert_eq!(ids.len(), 2);
+    let pools = &fixture.config.pools;
+    let other = pools.iter().find(|(_, pool)| pool.service.is_some()).unwrap().0.clone();
+    for id in &ids {
+        let plan = request_move(&fixture.view(), &fixture.policy, id, &other).unwrap();
+        fixture.document = plan.next;
+        if *id == ids[1] {
+            history.extend(plan.decisions);
+        }
+    }
+    for _ in 0..2 {
+        history.note_moves(&fixture.document);
+    }
+    for id in &ids {
+        let noted = history.of_instance(id, 9);
+        let events: Vec<_> = noted.iter().map(|decision| decision.event).collect();
+        assert_eq!(events, [FleetEvent::MoveStarted], "{id}");
+        assert_eq!(noted[0].at, fixture.now);
+    }
+}
+
 #[test]
 fn every_event_of_a_decision_is_restored() {
     for number in 1400..1422 {
