--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -176,9 +176,10 @@
         }
     }
 
-    /// Notes the failures of the document as evidence for failure domains.
+    /// Notes operators' moves, and the failures of the document as evidence for failure domains.
     fn learn(&mut self, listed: &Listed) {
         let document = self.handle.load().document;
+        self.kept.history.note_moves(&document);
         self.kept.note_failures(&document, self.environment.now(), listed);
     }
 
