--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`budget`], [`demand`], [`wave`], [`domain`]: the decisions that a round is made of.
 //! - [`controller`]: the loop that plans, writes and carries out; [`environment`] is what it
 //!   needs, [`handle`] what an entry instance sees of it.
-//! - [`explain`], [`history`], [`timeline`], [`mod@report`]: what the fleet did and why.
+//! - [`mod@explain`], [`history`], [`timeline`], [`mod@report`]: what the fleet did and why.
 //!
 //! All changes go through compare-and-swap of the fleet document.
 
