--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -8,6 +8,7 @@
 use clap_complete::Shell;
 
 use crate::error::EXIT_CODES;
+use crate::load;
 
 /// Builds the definition of the command line.
 pub fn build() -> Command {
@@ -21,6 +22,7 @@
         .subcommand(demo())
         .subcommand(entry())
         .subcommand(standin())
+        .subcommand(load::options::command())
         .subcommand(check())
         .subcommand(credential())
         .subcommand(completions())
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -8,9 +8,10 @@
 use clap_complete::Shell;
 
 use crate::error::{Error, Result};
+use crate::load::LoadOptions;
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, credential, demo, entry, standin};
+use crate::{check, completions, credential, demo, entry, load, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +35,7 @@
     Demo(DemoOptions),
     Entry(Box<Settings>),
     Standin(PathBuf),
+    Load(LoadOptions),
     Check(CheckOptions),
     Credential(Output),
     Completions(Shell),
@@ -84,6 +86,7 @@
             Some(("demo", matches)) => Action::Demo(matches.into()),
             Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
             Some(("standin", matches)) => Action::Standin(settings(matches)?),
+            Some(("load", matches)) => Action::Load(matches.try_into()?),
             Some(("check", matches)) => Action::Check(matches.into()),
             Some(("credential", matches)) => Action::Credential(Output::from(matches)),
             Some(("completions", matches)) => Action::Completions(shell(matches)?),
@@ -101,6 +104,7 @@
             Action::Demo(options) => demo::run(options),
             Action::Entry(settings) => entry::run(settings),
             Action::Standin(settings) => standin::run(settings),
+            Action::Load(options) => load::run(options),
             Action::Check(options) => check::run(options),
             Action::Credential(output) => credential::run(*output),
             Action::Completions(shell) => completions::run(*shell),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`budget`], [`demand`], [`wave`], [`domain`]: the decisions that a round is made of.
 //! - [`controller`]: the loop that plans, writes and carries out; [`environment`] is what it
 //!   needs, [`handle`] what an entry instance sees of it.
-//! - [`explain`], [`history`], [`timeline`], [`mod@report`]: what the fleet did and why.
+//! - [`mod@explain`], [`history`], [`timeline`], [`mod@report`]: what the fleet did and why.
 //!
 //! All changes go through compare-and-swap of the fleet document.
 
@@ -45,7 +45,7 @@
 pub use explain::{Explanation, Subject, explain, wave_status};
 pub use handle::{FleetHandle, FleetState};
 pub use history::History;
-pub use operate::request_move;
+pub use operate::{move_instance, request_move};
 pub use plan::{Plan, plan};
 pub use policy::Policy;
 pub use report::report;
--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -16,14 +16,16 @@
 use super::ledger::{Holder, HolderId, LEDGER_KEY, Ledger};
 use super::local::Escrow;
 use super::plan::{Bound, Context, Use, plan, usable};
+use super::restore::Restore;
 use super::silence::Sightings;
 use crate::event::MembershipEvent;
 use crate::usage::UsageSource;
 
 /// Writes within the time for which slices are valid, as long as the service answers.
 const CONFIRMATIONS_PER_HOLD: u32 = 12;
-/// Least time between two writes of one holder, for each holder in the ledger.
-const WRITE_SPACING_PER_HOLDER: Duration = Duration::from_millis(150);
+/// Least time between two reads and between two writes of one holder, for each holder in the
+/// ledger.
+const SPACING_PER_HOLDER: Duration = Duration::from_millis(250);
 /// Longest time between two reads of the ledger.
 const READ_INTERVAL_MAX: Duration = Duration::from_secs(5);
 /// Attempts of one write against conflicts.
@@ -76,6 +78,7 @@
     last_write: Option<Instant>,
     confirmed: Option<Instant>,
     retired: bool,
+    restore: Restore,
 }
 
 impl<S: Store, U: UsageSource> Keeper<S, U> {
@@ -108,6 +111,7 @@
             last_write: None,
             confirmed: None,
             retired: false,
+            restore: Restore::default(),
         }
     }
 
@@ -186,6 +190,10 @@
     fn read_due(&self) -> bool {
         let (Some(copy), Some(last)) = (&self.copy, self.last_read) else { return true };
         let short = |team: &TeamId| self.work(team).demand > self.escrow.usable(team);
+        let spacing = SPACING_PER_HOLDER * copy.ledger.holders.len() as u32;
+        if last.elapsed() < spacing {
+            return false;
+        }
         last.elapsed() >= READ_INTERVAL_MAX
             || self.hint.load(Ordering::Relaxed) > copy.revision()
             || self.demand.teams().any(short)
@@ -194,7 +202,10 @@
     async fn read(&mut self) {
         self.last_read = Some(Instant::now());
         match self.store.get(LEDGER_KEY).await {
-            Ok(Some(record)) => self.adopt_bytes(record.revision, &record.value),
+            Ok(Some(record)) => {
+                self.note_restored(record.revision);
+                self.adopt_bytes(record.revision, &record.value);
+            }
             Ok(None) if self.copy.is_none() => {
                 self.copy = Some(Copy { compare: Compare::Absent, ledger: Ledger::default() });
             }
@@ -209,6 +220,19 @@
         }
     }
 
+    /// Starts anew from the stored ledger when it went back to an older state.
+    fn note_restored(&mut self, revision: Revision) {
+        let Some(copy) = &self.copy else { return };
+        if !self.restore.is_behind(copy.revision() > revision) {
+            return;
+        }
+        emit!(MembershipEvent::LedgerRestored, instance = self.id.instance, revision = revision);
+        let use_max = self.settings.hold + self.deadline_max;
+        self.restore.begin(&copy.ledger, &self.id, use_max);
+        self.pending = None;
+        self.copy = None;
+    }
+
     /// Takes over a newer state of the ledger; an older one is ignored.
     fn adopt(&mut self, revision: Revision, ledger: Ledger) {
         if self.copy.as_ref().is_some_and(|copy| copy.revision() >= revision) {
@@ -248,7 +272,8 @@
         let (tokens, confirmed) = ledger.confirmed(team, me, self.version());
         let ceiling = self.ceilings.get(team).copied().unwrap_or(0);
         let total = ledger.total(team).max(ceiling);
-        usable(Bound { tokens, confirmed, total, limit: self.limit(team) })
+        let tokens = usable(Bound { tokens, confirmed, total, limit: self.limit(team) });
+        self.restore.bound(team, tokens)
     }
 
     fn limit(&self, team: &TeamId) -> u32 {
@@ -263,7 +288,7 @@
     }
 
     fn may_write(&self, ledger: &Ledger) -> bool {
-        let spacing = WRITE_SPACING_PER_HOLDER * ledger.holders.len() as u32;
+        let spacing = SPACING_PER_HOLDER * ledger.holders.len() as u32;
         self.last_write.is_none_or(|last| last.elapsed() >= spacing)
     }
 
@@ -297,7 +322,7 @@
         let take = |team: &TeamId, keep: u32| {
             self.escrow.set_usable(team, keep.min(self.escrow.usable(team)))
         };
-        let changed = plan(&mut ledger, &context, work, take);
+        let changed = !self.restore.is_active() && plan(&mut ledger, &context, work, take);
         if !changed && !joins && !self.confirmation_due() {
             return None;
         }
@@ -369,69 +394,6 @@
         }
     }
 
-    /// Finds out whether a write took effect. The same compare-and-swap is sent again: it can take
-    /// effect once at most, and a conflict proves that the ledger has moved on from its condition.
-    async fn settle(&mut self, pending: Pending) {
-        let sent = Instant::now();
-        match self.store.write(pending.write.clone()).await {
-            Ok(WriteOutcome::Written(revision)) => {
-                self.adopt(revision, pending.ledger);
-                self.confirm(sent);
-            }
-            Ok(WriteOutcome::Conflict) => self.settle_by_read(pending).await,
-            Err(_) => self.pending = Some(pending),
-        }
-    }
-
-    async fn settle_by_read(&mut self, pending: Pending) {
-        self.last_read = Some(Instant::now());
-        let base = self.copy.as_ref().map_or(0, Copy::revision);
-        let record = self.store.get(LEDGER_KEY).await.ok().flatten();
-        let Some(record) = record.filter(|record| record.revision > base) else {
-            self.pending = Some(pending);
-            return;
-        };
-        self.adopt_bytes(record.revision, &record.value);
-        let Some(ledger) = self.ledger() else { return };
-        let mine = ledger.position(&self.id).map(|index| &ledger.holders[index]);
-        if mine.is_some_and(|holder| holder.writes == pending.writes) {
-            self.confirm(pending.sent);
-        }
-    }
-
-    /// Gives back every token that is not in use.
-    async fn leave(&mut self) {
-        self.retired = true;
-        for _ in 0..ATTEMPTS_MAX {
-            if let Some(pending) = self.pending.take() {
-                self.settle(pending).await;
-            }
-            let Some(copy) = self.copy.as_ref().filter(|_| self.pending.is_none()) else { return };
-            let Some(me) = copy.ledger.position(&self.id) else { return };
-            let ledger = self.without_idle(copy.ledger.clone(), me);
-            let Some(pending) = self.pending_write(copy.compare, ledger) else { return };
-            match self.attempt(pending).await {
-                Attempt::Done if self.pending.is_none() => return,
-                Attempt::Done => {}
-                Attempt::Conflict => self.read().await,
-            }
-        }
-    }
-
-    fn without_idle(&self, mut ledger: Ledger, me: usize) -> Ledger {
-        let mut left = 0;
-        for (team, slices) in &mut ledger.teams {
-            let in_use = self.escrow.set_usable(team, 0);
-            slices[me] = super::Slice { tokens: slices[me].tokens.min(in_use), want: 0 };
-            left += slices[me].tokens;
-        }
-        ledger.holders[me].retired = true;
-        if left == 0 {
-            ledger.remove(me);
-        }
-        ledger
-    }
-
     /// Configuration version that the keeper has put in force.
     pub fn version(&self) -> Version {
         self.applied.as_ref().map_or(0, |config| config.version)
@@ -457,5 +419,7 @@
     Conflict,
 }
 
+mod leave;
+mod settle;
 #[cfg(test)]
 mod tests;
