--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -176,17 +176,10 @@
         }
     }
 
-<<<<<<< HEAD
-    /// Notes the failures of the document as evidence for failure domains.
-    fn learn(&mut self, listed: &Listed) {
-        let document = self.handle.load().document;
-=======
     /// Notes operators' moves, and the failures of the document as evidence for failure domains.
-    async fn learn(&mut self, listed: &Listed) {
+    fn learn(&mut self, listed: &Listed) {
         let document = self.handle.load().document;
         self.kept.history.note_moves(&document);
-        let before = names(&self.kept.domains);
->>>>>>> docs
         self.kept.note_failures(&document, self.environment.now(), listed);
     }
 
