Refuse keyed work at once while it is suspended

Cause: an entry instance that has been cut off for longer than isolated_keys_max_ms, or has outlived its hold on upper limits, gave no permits; its keyed requests waited until their deadlines and were then told that their team runs as much as its limit allows, with nothing running. And one started during an outage of the store said it was ready, though it knew no backend server.

Ruled out: a fault of the ledger; the gate was shut as it should be.

Change: limits say when none is given to anybody; such requests, queued ones included, get their final answer at once, code 320 with the time to come back. Readiness needs a known backend server. A holder that leaves no longer logs that another run of it has joined.

--- a/crates/cassiafold/src/edges.rs
+++ b/crates/cassiafold/src/edges.rs
@@ -43,10 +43,24 @@
         Self { escrow, isolation, changes: watch::Sender::new(()) }
     }
 
-    /// Passes changes of the escrow on until it has gone.
+    /// Passes changes of the escrow and of the suspension on until the escrow has gone.
     pub async fn follow(self) {
         let mut changed = self.escrow.changed();
-        while changed.changed().await.is_ok() {
+        let mut suspended = self.are_suspended();
+        loop {
+            tokio::select! {
+                changed = changed.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = tokio::time::sleep(UPDATE_INTERVAL) => {
+                    if self.are_suspended() == suspended {
+                        continue;
+                    }
+                }
+            }
+            suspended = self.are_suspended();
             self.changes.send_replace(());
         }
     }
@@ -65,6 +79,10 @@
         self.escrow.try_acquire(team).map(Some)
     }
 
+    fn are_suspended(&self) -> bool {
+        self.isolation.forbids_keys() || !self.escrow.is_open()
+    }
+
     fn holds(&self, permit: &Option<Permit>) -> bool {
         permit.as_ref().is_none_or(Permit::is_valid)
     }
--- a/crates/dispatch/src/callers.rs
+++ b/crates/dispatch/src/callers.rs
@@ -99,7 +99,9 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.shared.config.load().is_some()
+        self.phase() == Phase::Serving
+            && self.shared.config.load().is_some()
+            && self.shared.dispatcher.knows_instances()
     }
 
     fn phase(&self) -> Phase {
--- a/crates/dispatch/src/code.rs
+++ b/crates/dispatch/src/code.rs
@@ -23,5 +23,6 @@
         Stopping = 317, 503, "this entry instance is stopping";
         InvalidPath = 318, 400, "the path cannot be forwarded";
         BodyBroken = 319, 400, "the request body ended early";
+        LimitsSuspended = 320, 503, "this entry instance is cut off and may have missed changes of keys or upper limits";
     }
 }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -129,6 +129,9 @@
         if !self.backends.any(&order.service) {
             return Err(retry_later(DispatchCode::NoInstance, None));
         }
+        if self.is_suspended(order) {
+            return Err(retry_later(DispatchCode::LimitsSuspended, None));
+        }
         let weight = weight(&self.edges, &config, &order.service, &order.team);
         let queue = self.queues.entry(order.service.clone()).or_default();
         let expected = queue.expected_wait(&order.team, weight);
@@ -174,17 +177,30 @@
         self.queues.get(&order.service).is_some_and(|queue| queue.is_at_limit(&order.team))
     }
 
+    /// Whether a request needs a permit while none is given to anybody.
+    fn is_suspended(&self, order: &Order) -> bool {
+        order.is_limited() && self.edges.limits().are_suspended()
+    }
+
+    /// Why the first request of `team` cannot start any more, if so.
+    fn refusal(&self, service: &ServiceId, team: &TeamId, now: Instant) -> Option<Problem> {
+        let (config, queue) = (self.config.as_ref()?, self.queues.get(service)?);
+        let suspended = || {
+            let first = queue.fair.first(team)?;
+            let problem = || retry_later(DispatchCode::LimitsSuspended, None);
+            self.is_suspended(&first.order).then(problem)
+        };
+        queue.refusal(team, config, now).or_else(suspended)
+    }
+
     /// Starts requests of `service` while slots and upper limits allow.
     pub fn pump(&mut self, service: &ServiceId, now: Instant) -> Replies<R, PermitOf<E>> {
         let mut replies = Vec::new();
-        let Some(config) = self.config.clone() else {
-            return replies;
-        };
-        while let Some(queue) = self.queues.get_mut(service)
-            && let Some(team) = queue.fair.head().cloned()
+        while let Some(team) = self.queues.get(service).and_then(|queue| queue.fair.head()).cloned()
         {
-            if let Some(problem) = queue.refusal(&team, &config, now) {
-                if let Some(waiting) = queue.fair.discard(&team) {
+            if let Some(problem) = self.refusal(service, &team, now) {
+                let queue = self.queues.get_mut(service);
+                if let Some(waiting) = queue.and_then(|queue| queue.fair.discard(&team)) {
                     replies.push((waiting.reply, waiting.order, Err(problem)));
                 }
                 continue;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -160,6 +160,11 @@
         self.shared.lock().core.answer_tail(service)
     }
 
+    /// Whether any backend server is known.
+    pub fn knows_instances(&self) -> bool {
+        !self.shared.lock().instances.borrow().is_empty()
+    }
+
     /// Configuration by which requests start.
     pub fn config(&self) -> Option<Arc<Config>> {
         let mut state = self.shared.lock();
--- a/crates/dispatch/src/dispatcher/tests.rs
+++ b/crates/dispatch/src/dispatcher/tests.rs
@@ -1,5 +1,7 @@
-use cassiafold_config::InstanceState;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use cassiafold_config::raw::RawConfig;
+use cassiafold_config::{InstanceState, TeamId};
 use prometheus_client::registry::Registry;
 
 use crate::edge::Sources;
@@ -74,43 +76,91 @@
 }
 
 /// Limits whose permits stop counting.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct Lapsing {
-    lapsed: Arc<std::sync::atomic::AtomicBool>,
+    lapsed: Arc<AtomicBool>,
+    changes: watch::Sender<()>,
+}
+
+impl Lapsing {
+    fn lapse(&self) {
+        self.lapsed.store(true, Ordering::Relaxed);
+        self.changes.send_replace(());
+    }
 }
 
 impl LimitSource for Lapsing {
     type Permit = ();
 
-    fn try_acquire(&self, _team: &cassiafold_config::TeamId) -> Option<()> {
+    fn try_acquire(&self, _team: &TeamId) -> Option<()> {
         Some(())
     }
 
+    fn are_suspended(&self) -> bool {
+        self.lapsed.load(Ordering::Relaxed)
+    }
+
     fn holds(&self, (): &()) -> bool {
-        !self.lapsed.load(std::sync::atomic::Ordering::Relaxed)
+        !self.are_suspended()
     }
 
     fn changes(&self) -> watch::Receiver<()> {
-        crate::limit::never()
+        self.changes.subscribe()
     }
 }
 
-#[tokio::test(start_paused = true)]
-async fn a_request_that_was_granted_may_not_start_once_its_permit_has_lapsed() {
+struct LapsingSetup {
+    dispatcher: Dispatcher<Sources<Lapsing>>,
+    limits: Lapsing,
+    order: Arc<Order>,
+    _kept: (ActiveConfig, watch::Sender<Arc<Vec<Instance>>>),
+}
+
+fn lapsing_setup() -> LapsingSetup {
     let active = ActiveConfig::default();
     active.offer(config(1, false));
-    let (_kept, instances) = watch::channel(Arc::new(vec![instance(InstanceState::Live)]));
-    let limits = Lapsing::default();
+    let (sender, instances) = watch::channel(Arc::new(vec![instance(InstanceState::Live)]));
+    let limits = Lapsing { lapsed: Arc::default(), changes: watch::Sender::new(()) };
     let edges = Sources::with_limits(limits.clone());
     let dispatcher = Dispatcher::start(edges, &active, instances, "a".into(), Metrics::default());
     let mut order = Order::clone(&setup().order);
     (order.team, order.key) = ("parishes".into(), Some("the-key".into()));
-    let running = dispatcher.acquire(&Arc::new(order)).await.unwrap();
+    LapsingSetup { dispatcher, limits, order: Arc::new(order), _kept: (active, sender) }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_granted_may_not_start_once_its_permit_has_lapsed() {
+    let LapsingSetup { dispatcher, limits, order, _kept } = lapsing_setup();
+    let running = dispatcher.acquire(&order).await.unwrap();
     assert!(running.may_start());
-    limits.lapsed.store(true, std::sync::atomic::Ordering::Relaxed);
+    limits.lapse();
     assert!(!running.may_start());
 }
 
+#[tokio::test(start_paused = true)]
+async fn keyed_requests_are_refused_at_once_while_limits_are_suspended() {
+    let LapsingSetup { dispatcher, limits, order, _kept } = lapsing_setup();
+    let running = dispatcher.acquire(&order).await.unwrap();
+    let began = Instant::now();
+    let waiting = dispatcher.acquire(&order);
+    let suspend = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        limits.lapse();
+    };
+    let (waited, ()) = tokio::join!(waiting, suspend);
+    let suspended = |result: Result<Running<_>, Problem>| {
+        let problem = result.err().unwrap();
+        assert_eq!(problem.code, DispatchCode::LimitsSuspended);
+        assert_eq!(problem.run_state, crate::problem::RunState::NotRun);
+        assert!(problem.retry_after.is_some());
+    };
+    suspended(waited);
+    suspended(dispatcher.acquire(&order).await);
+    assert!(began.elapsed() < Duration::from_secs(1));
+    running.close(End::Completed);
+    assert!(dispatcher.acquire(&setup().order).await.is_ok());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_granted_request_whose_task_is_gone_gives_its_slot_back() {
     let Setup { dispatcher, config: _active, instances: _kept, order } = setup();
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -20,6 +20,12 @@
         true
     }
 
+    /// Whether no permit is given to any team for now, for a reason that ends at no known time.
+    /// Requests are refused at once then.
+    fn are_suspended(&self) -> bool {
+        false
+    }
+
     /// Notifies when permits refused before may be available, for reasons other than the drop
     /// of a permit by the request path itself.
     fn changes(&self) -> watch::Receiver<()>;
--- a/crates/membership/src/escrow/keeper.rs
+++ b/crates/membership/src/escrow/keeper.rs
@@ -248,7 +248,7 @@
             emit!(MembershipEvent::SlicesLost, instance = self.id.instance);
             self.escrow.shut();
         }
-        if position.is_some_and(|position| ledger.holders[position].retired) {
+        if !self.retired && position.is_some_and(|position| ledger.holders[position].retired) {
             emit!(MembershipEvent::SlicesRetired, instance = self.id.instance);
             self.retired = true;
             self.escrow.shut();
