Split the start of an entry instance by concern

Change: module parts holds what the tasks share, with one function each for the request path, the followers, the control loop and the operators' sources.

The demo answers, and the test of a graceful stop with processes passes.

Conclusion: no change of behaviour.

--- a/crates/cassiafold/src/entry.rs
+++ b/crates/cassiafold/src/entry.rs
@@ -2,13 +2,11 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_config::{ActiveConfig, Settings};
 use cassiafold_dispatch::{Callers, Metrics, Server, StopReport};
 use cassiafold_event::emit;
-use cassiafold_fleet::{Controller, FleetHandle, Policy};
 use cassiafold_membership::{Membership, MembershipSettings};
 use cassiafold_operators::{Limits as OperatorsLimits, Operators};
 use cassiafold_platform::{
@@ -21,17 +19,10 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 
-use crate::edges::{Domains, EntryEdges, Limits, Load, Weights};
-use crate::environment::EntryEnvironment;
+use crate::edges::EntryEdges;
 use crate::error::Result;
 use crate::event::EntryEvent;
-use crate::fleet_source::EntryFleetSource;
-use crate::instances::InstanceView;
-use crate::isolation::Isolation;
-use crate::observer::Observer;
-use crate::sources::EntrySources;
-use crate::status_source::EntryStatusSource;
-use crate::symptoms::Symptoms;
+use crate::parts::Parts;
 use crate::usage::LocalUsage;
 
 /// Timeout of calls to the instance list and the instance control.
@@ -138,8 +129,7 @@
         I: InstanceList,
         K: InstanceControl,
     {
-        let config = ActiveConfig::default();
-        let usage = LocalUsage::default();
+        let (config, usage) = (ActiveConfig::default(), LocalUsage::default());
         let peers_listener = TcpListener::bind(settings.peers_address).await?;
         let callers_listener = TcpListener::bind(settings.callers_address).await?;
         let operators_listener = TcpListener::bind(settings.operators_address).await?;
@@ -152,84 +142,17 @@
             config.clone(),
             usage.clone(),
         )?;
-        let (roster, contact) = (membership.roster(), membership.store_contact());
-        let (fleet, instances) = (FleetHandle::default(), InstanceView::default());
-        let isolation = Isolation::new(settings.isolated_keys_max);
-        let (weights, load) = (Weights::default(), Load::default());
-        let limits = Limits::new(membership.escrow(), isolation.clone());
-        let edges = EntryEdges {
-            limits: limits.clone(),
-            shares: weights.clone(),
-            peers: load.clone(),
-            domains: Domains::new(fleet.clone()),
-        };
+        let parts = Parts::new(settings, &membership, config.clone(), usage);
         let metrics = Metrics::default();
         metrics.register(&mut registry);
-        let callers = Callers::start(
-            edges,
-            config.clone(),
-            instances.subscribe(),
-            settings.zone.clone(),
-            metrics,
-        );
-        let symptoms = Symptoms::default();
-        let observer = Observer::new(roster.clone(), instances.clone());
 
         let mut following = JoinSet::new();
-        let dispatcher = callers.dispatcher().clone();
-        following.spawn(symptoms.clone().follow(dispatcher.observe()));
-        let follow_list = (instances.clone(), platform.list.clone(), fleet.clone());
-        following.spawn(async move { follow_list.0.follow(follow_list.1, follow_list.2).await });
-        let follow_fleet = (fleet.clone(), platform.store.clone());
-        following.spawn(async move { follow_fleet.0.follow(follow_fleet.1).await });
-        following.spawn(limits.follow());
-        following.spawn(weights.follow(
-            membership.shares(),
-            config.clone(),
-            instances.clone(),
-            usage.clone(),
-        ));
-        following.spawn(load.follow(roster.clone()));
-        following.spawn(isolation.follow(contact.clone(), roster.clone(), config.clone()));
-        let sampled = usage.clone();
-        following.spawn(sampled.follow(dispatcher, instances.clone(), symptoms, contact.clone()));
+        let callers = parts.start_callers(metrics, &mut following);
+        parts.follow(&platform, &callers, &mut following);
 
-        let stop = CancellationToken::new();
-        let mut ending = JoinSet::new();
-        let environment = EntryEnvironment {
-            store: platform.store.clone(),
-            list: platform.list,
-            control: platform.control,
-            config: config.clone(),
-            observer: observer.clone(),
-            lease: membership.control(),
-        };
-        let me = settings.instance_id.clone();
-        let controller = Controller::new(environment, Policy::default(), me.clone(), fleet.clone());
-        ending.spawn(controller.run(stop.clone().cancelled_owned()));
-        let status = EntryStatusSource {
-            callers: callers.clone(),
-            config: config.clone(),
-            roster,
-            escrow: membership.escrow(),
-            contact,
-            usage,
-        };
-        let fleet_source = EntryFleetSource {
-            store: platform.store.clone(),
-            config: config.clone(),
-            fleet,
-            instances,
-            observer,
-            policy: Policy::default(),
-            me,
-        };
-        let sources = EntrySources {
-            store: platform.store,
-            status,
-            fleet: fleet_source,
-            registry: Arc::new(registry),
-        };
+        let (stop, mut ending) = (CancellationToken::new(), JoinSet::new());
+        ending.spawn(parts.controller(&platform).run(stop.clone().cancelled_owned()));
+        let sources = parts.sources(platform.store, callers.clone(), registry);
         let operators_address = operators_listener.local_addr()?;
         let operators = Operators::new(
             sources,
--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -23,6 +23,7 @@
 mod logs;
 mod observer;
 mod output;
+mod parts;
 mod pool;
 mod report;
 mod sources;
--- /dev/null
+++ b/crates/cassiafold/src/parts.rs
@@ -0,0 +1,172 @@
+//! What the tasks of one entry instance share, and how they are joined.
+
+use std::sync::Arc;
+
+use cassiafold_config::{ActiveConfig, InstanceId, Settings, ZoneId};
+use cassiafold_dispatch::{Callers, Metrics};
+use cassiafold_fleet::{Controller, FleetHandle, Policy};
+use cassiafold_membership::{ControlLease, Escrow, Membership, Roster, Shares, StoreContact};
+use cassiafold_platform::{InstanceControl, InstanceList, Store};
+use prometheus_client::registry::Registry;
+use tokio::task::JoinSet;
+
+use crate::edges::{Domains, EntryEdges, Limits, Load, Weights};
+use crate::entry::Platform;
+use crate::environment::EntryEnvironment;
+use crate::fleet_source::EntryFleetSource;
+use crate::instances::InstanceView;
+use crate::isolation::Isolation;
+use crate::observer::Observer;
+use crate::sources::EntrySources;
+use crate::status_source::EntryStatusSource;
+use crate::symptoms::Symptoms;
+use crate::usage::LocalUsage;
+
+/// What the tasks of one entry instance share. Clones share one state.
+#[derive(Clone)]
+pub struct Parts {
+    me: InstanceId,
+    home: ZoneId,
+    config: ActiveConfig,
+    usage: LocalUsage,
+    roster: Roster,
+    contact: StoreContact,
+    escrow: Escrow,
+    shares: Shares,
+    control: ControlLease,
+    fleet: FleetHandle,
+    instances: InstanceView,
+    isolation: Isolation,
+    symptoms: Symptoms,
+    observer: Observer,
+}
+
+impl Parts {
+    /// The parts around `membership`.
+    pub fn new(
+        settings: &Settings,
+        membership: &Membership,
+        config: ActiveConfig,
+        usage: LocalUsage,
+    ) -> Self {
+        let (roster, instances) = (membership.roster(), InstanceView::default());
+        Self {
+            me: settings.instance_id.clone(),
+            home: settings.zone.clone(),
+            config,
+            usage,
+            contact: membership.store_contact(),
+            escrow: membership.escrow(),
+            shares: membership.shares(),
+            control: membership.control(),
+            fleet: FleetHandle::default(),
+            isolation: Isolation::new(settings.isolated_keys_max),
+            symptoms: Symptoms::default(),
+            observer: Observer::new(roster.clone(), instances.clone()),
+            roster,
+            instances,
+        }
+    }
+
+    /// Starts the request path and the tasks that keep its sources up to date.
+    pub fn start_callers(
+        &self,
+        metrics: Metrics,
+        following: &mut JoinSet<()>,
+    ) -> Callers<EntryEdges> {
+        let (weights, load) = (Weights::default(), Load::default());
+        let limits = Limits::new(self.escrow.clone(), self.isolation.clone());
+        let edges = EntryEdges {
+            limits: limits.clone(),
+            shares: weights.clone(),
+            peers: load.clone(),
+            domains: Domains::new(self.fleet.clone()),
+        };
+        following.spawn(limits.follow());
+        following.spawn(weights.follow(
+            self.shares.clone(),
+            self.config.clone(),
+            self.instances.clone(),
+            self.usage.clone(),
+        ));
+        following.spawn(load.follow(self.roster.clone()));
+        let instances = self.instances.subscribe();
+        Callers::start(edges, self.config.clone(), instances, self.home.clone(), metrics)
+    }
+
+    /// Starts the tasks that follow the platform and the request path.
+    pub fn follow<S, I, K>(
+        &self,
+        platform: &Platform<S, I, K>,
+        callers: &Callers<EntryEdges>,
+        following: &mut JoinSet<()>,
+    ) where
+        S: Store,
+        I: InstanceList,
+    {
+        let (view, list, fleet) =
+            (self.instances.clone(), platform.list.clone(), self.fleet.clone());
+        following.spawn(async move { view.follow(list, fleet).await });
+        let (fleet, store) = (self.fleet.clone(), platform.store.clone());
+        following.spawn(async move { fleet.follow(store).await });
+        let isolation = self.isolation.clone();
+        let (contact, roster) = (self.contact.clone(), self.roster.clone());
+        following.spawn(isolation.follow(contact, roster, self.config.clone()));
+        let dispatcher = callers.dispatcher().clone();
+        following.spawn(self.symptoms.clone().follow(dispatcher.observe()));
+        following.spawn(self.usage.clone().follow(
+            dispatcher,
+            self.instances.clone(),
+            self.symptoms.clone(),
+            self.contact.clone(),
+        ));
+    }
+
+    /// The control loop of the fleet.
+    pub fn controller<S, I, K>(
+        &self,
+        platform: &Platform<S, I, K>,
+    ) -> Controller<EntryEnvironment<S, I, K>>
+    where
+        S: Store,
+        I: InstanceList,
+        K: InstanceControl,
+    {
+        let environment = EntryEnvironment {
+            store: platform.store.clone(),
+            list: platform.list.clone(),
+            control: platform.control.clone(),
+            config: self.config.clone(),
+            observer: self.observer.clone(),
+            lease: self.control.clone(),
+        };
+        Controller::new(environment, Policy::default(), self.me.clone(), self.fleet.clone())
+    }
+
+    /// What the operators' interface shows and changes.
+    pub fn sources<S: Store>(
+        &self,
+        store: S,
+        callers: Callers<EntryEdges>,
+        registry: Registry,
+    ) -> EntrySources<S> {
+        let status = EntryStatusSource {
+            callers,
+            config: self.config.clone(),
+            roster: self.roster.clone(),
+            escrow: self.escrow.clone(),
+            contact: self.contact.clone(),
+            usage: self.usage.clone(),
+        };
+        let fleet = EntryFleetSource {
+            store: store.clone(),
+            config: self.config.clone(),
+            fleet: self.fleet.clone(),
+            instances: self.instances.clone(),
+            observer: self.observer.clone(),
+            policy: Policy::default(),
+            me: self.me.clone(),
+        };
+        EntrySources { store, status, fleet, registry: Arc::new(registry) }
+    }
+}
