Count the calls of the first seconds in the daemon measurement

Cause: the bad hours need what a start costs the store. Change: the example prints the calls of the first 15 s too, and takes the number of sizes as an argument. Before: steady calls only.

--- a/crates/cassiafold/examples/daemon.rs
+++ b/crates/cassiafold/examples/daemon.rs
@@ -2,7 +2,8 @@
 //! the key-value service, over the number of instances and of teams. Prints one JSON object a
 //! line for each size.
 //!
-//! `cargo build --release -p cassiafold && cargo run --release -p cassiafold --example daemon`
+//! `cargo build --release -p cassiafold && cargo run --release -p cassiafold --example daemon`;
+//! with an argument, only that many sizes from the first.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -27,7 +28,7 @@
 
 /// Number of instances and of teams.
 const SIZES: [(usize, usize); 7] =
-    [(100, 200), (200, 200), (400, 200), (870, 200), (870, 50), (870, 100), (870, 400)];
+    [(870, 200), (100, 200), (200, 200), (400, 200), (870, 50), (870, 100), (870, 400)];
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
@@ -161,6 +162,7 @@
     }
     tokio::time::sleep(MEASURE).await;
     let seconds = MEASURE.as_secs_f64();
+    let start_calls: Vec<f64> = before.iter().map(|(_, calls)| *calls as f64).collect();
     let (mut cores, mut memory, mut rates) = (Vec::new(), Vec::new(), Vec::new());
     for (entry, ((time_s, _), calls_before)) in entries.iter().zip(before) {
         let (now_s, resident_bytes) = usage(entry.child.id())?;
@@ -176,6 +178,7 @@
         "core_share": spread(&cores),
         "resident_bytes": spread(&memory),
         "store_calls_per_s": spread(&rates),
+        "store_calls_in_first_15_s": spread(&start_calls),
     });
     println!("{line}");
     drop(entries);
@@ -193,7 +196,8 @@
 async fn main() -> Result<()> {
     let directory: PathBuf = std::env::temp_dir().join(format!("daemon-{}", std::process::id()));
     std::fs::create_dir_all(&directory)?;
-    for (instances, teams) in SIZES {
+    let count = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(SIZES.len());
+    for (instances, teams) in SIZES.into_iter().take(count) {
         measure(instances, teams, &directory).await?;
     }
     std::fs::remove_dir_all(&directory)?;
