Read the list of instances only when it has changed

Cause: at 870 instances the list is 183,151 bytes, and every entry instance read it each second; the weights looked at every instance once for every service four times a second.

Change: the list is asked for with the entity tag of the last answer (RFC 9110), so that an unchanged one is a 304 without a body; capacities of all services come from one pass over the instances.

A platform that sends no entity tags still costs the whole list each second.

--- a/crates/cassiafold/src/edges.rs
+++ b/crates/cassiafold/src/edges.rs
@@ -138,18 +138,25 @@
     usage: &LocalUsage,
 ) -> WeightTable {
     let local = usage.load();
-    let mut table = WeightTable::new();
-    for (id, service) in &config.services {
-        let live = instances.iter().filter(|instance| {
-            instance.state == InstanceState::Live
-                && config.zone_open(&instance.zone)
-                && config.service_of_pool(&instance.pool) == Some(id)
-        });
-        let capacity = live.count() as u32 * service.slots_per_instance;
-        let weights = shares.weights(id, capacity, &local);
-        table.insert(id.clone(), parts(capacity, weights));
+    let capacities = capacities(config, instances);
+    let weigh = |(service, capacity): (&ServiceId, u32)| {
+        let weights = shares.weights(service, capacity, &local);
+        (!weights.is_empty()).then(|| (service.clone(), parts(capacity, weights)))
+    };
+    capacities.into_iter().filter_map(weigh).collect()
+}
+
+/// Requests that each service runs at once on the instances that take work now.
+fn capacities<'a>(config: &'a Config, instances: &[Instance]) -> HashMap<&'a ServiceId, u32> {
+    let mut capacities = HashMap::new();
+    let live = instances.iter().filter(|instance| {
+        instance.state == InstanceState::Live && config.zone_open(&instance.zone)
+    });
+    for service in live.filter_map(|instance| config.service_of_pool(&instance.pool)) {
+        let slots = config.services.get(service).map_or(0, |service| service.slots_per_instance);
+        *capacities.entry(service).or_insert(0) += slots;
     }
-    table
+    capacities
 }
 
 /// Parts of the teams of a service that runs `capacity` requests at once. When their targets take
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -8,13 +8,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cassiafold_config::{InstanceId, InstanceState};
-use http::Request;
+use http::header::IF_NONE_MATCH;
+use http::{HeaderValue, Request, StatusCode};
 use tokio::time::Instant;
 
 use self::message::{Endpoint, EndpointError, EndpointSlice, EndpointSliceList};
@@ -106,19 +107,35 @@
     http: HttpClient,
     timeout: Duration,
     skipped: Arc<AtomicUsize>,
+    cached: Arc<Mutex<Option<Cached>>>,
+}
+
+/// A list as last read, with the entity tag under which the platform knows it (RFC 9110).
+#[derive(Debug, Clone)]
+struct Cached {
+    etag: HeaderValue,
+    instances: Vec<ListedInstance>,
 }
 
 impl HttpInstanceList {
     /// A client, named `client` as user agent, whose calls end after `timeout`.
     pub fn new(address: SocketAddr, client: impl Into<Arc<str>>, timeout: Duration) -> Self {
         let http = HttpClient::new(&[address], client);
-        Self { http, timeout, skipped: Arc::default() }
+        Self { http, timeout, skipped: Arc::default(), cached: Arc::default() }
     }
 
-    async fn fetch(&self) -> Result<Answer, CallError> {
+    fn cached(&self) -> MutexGuard<'_, Option<Cached>> {
+        self.cached.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads the list unless it is still the one with the entity tag `known`.
+    async fn fetch(&self, known: Option<&HeaderValue>) -> Result<Answer, CallError> {
         let deadline = Instant::now() + self.timeout;
         let mut request = Request::new(Bytes::new());
         *request.uri_mut() = http::Uri::from_static(LIST_PATH);
+        if let Some(etag) = known {
+            request.headers_mut().insert(IF_NONE_MATCH, etag.clone());
+        }
         match self.http.call(request.clone(), deadline, LIST_BYTES_MAX).await {
             Err(CallError::Unanswered { stale_connection: true, .. }) => {
                 self.http.call(request, deadline, LIST_BYTES_MAX).await
@@ -137,10 +154,17 @@
 
 impl InstanceList for HttpInstanceList {
     async fn list(&self) -> Result<Vec<ListedInstance>, ListError> {
-        let answer = self.fetch().await.map_err(|error| match error {
+        let cached = self.cached().clone();
+        let known = cached.as_ref().map(|cached| &cached.etag);
+        let answer = self.fetch(known).await.map_err(|error| match error {
             CallError::TooLarge { .. } => ListError::Malformed(error.to_string().into()),
             error => ListError::Unavailable(error.to_string().into()),
         })?;
+        if answer.status == StatusCode::NOT_MODIFIED
+            && let Some(cached) = cached
+        {
+            return Ok(cached.instances);
+        }
         if !answer.status.is_success() {
             return Err(ListError::Unavailable(format!("status {}", answer.status).into()));
         }
@@ -148,7 +172,9 @@
             .map_err(|error| ListError::Malformed(error.to_string().into()))?;
         let listing = Listing::from(list);
         self.note_skipped(listing.skipped);
-        Ok(listing.instances)
+        let instances = listing.instances;
+        *self.cached() = answer.etag.map(|etag| Cached { etag, instances: instances.clone() });
+        Ok(instances)
     }
 }
 
--- a/crates/platform/src/etcd/tests.rs
+++ b/crates/platform/src/etcd/tests.rs
@@ -97,7 +97,7 @@
 
 fn status(code: i32, message: &str) -> Failure {
     let body = json(&ErrorBody { code, message: message.into() });
-    Failure::Status(Answer { status: StatusCode::BAD_REQUEST, body: body.into() })
+    Failure::Status(Answer { status: StatusCode::BAD_REQUEST, etag: None, body: body.into() })
 }
 
 fn unanswered() -> Failure {
@@ -132,7 +132,7 @@
     an_unknown_lease_is_expired: status(grpc::NOT_FOUND, "") => StoreError::LeaseExpired,
     an_internal_error_is_unknown: status(13, "") => StoreError::OutcomeUnknown(_),
     a_status_without_a_code_is_unknown:
-        Failure::Status(Answer { status: StatusCode::NOT_FOUND, body: "no such page".into() })
+        Failure::Status(Answer { status: StatusCode::NOT_FOUND, etag: None, body: "no such page".into() })
         => StoreError::OutcomeUnknown(_),
 }
 
--- a/crates/platform/src/etcd/watch.rs
+++ b/crates/platform/src/etcd/watch.rs
@@ -137,17 +137,21 @@
         };
         let request = post(WATCH_PATH, &WatchRequest { create_request })
             .map_err(|reason| malformed(&reason))?;
-        let (connection, status, body) = self
+        let (connection, parts, body) = self
             .store
             .http
             .open(request, deadline)
             .await
             .map_err(Failure::Call)
             .map_err(read_error)?;
-        if !status.is_success() {
+        if !parts.status.is_success() {
             let body = Limited::new(body, ERROR_BYTES_MAX).collect().await;
             let body = body.map(|body| body.to_bytes()).unwrap_or_default();
-            return Err(read_error(Failure::Status(Answer { status, body })));
+            return Err(read_error(Failure::Status(Answer {
+                status: parts.status,
+                etag: None,
+                body,
+            })));
         }
         let mut stream = Stream {
             body,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::response::Parts;
+use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -56,6 +57,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
+    pub(crate) etag: Option<HeaderValue>,
     pub(crate) body: Bytes,
 }
 
@@ -116,7 +118,7 @@
         deadline: Instant,
         max_bytes: usize,
     ) -> Result<Answer, CallError> {
-        let (mut connection, status, body) = self.open(request, deadline).await?;
+        let (mut connection, parts, body) = self.open(request, deadline).await?;
         let reading = Limited::new(body, max_bytes).collect();
         let body = match timeout_at(deadline, reading).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -128,7 +130,8 @@
         };
         connection.answered = Some(Instant::now());
         self.keep(connection);
-        Ok(Answer { status, body })
+        let etag = parts.headers.get(header::ETAG).cloned();
+        Ok(Answer { status: parts.status, etag, body })
     }
 
     /// Sends a request and returns its answer with the body still to be read.
@@ -136,7 +139,7 @@
         &self,
         request: Request<Bytes>,
         deadline: Instant,
-    ) -> Result<(Connection, StatusCode, Incoming), CallError> {
+    ) -> Result<(Connection, Parts, Incoming), CallError> {
         loop {
             let mut connection = self.connection(deadline).await?;
             let request = self.addressed(&request, connection.endpoint);
@@ -147,7 +150,7 @@
                 Ok(Ok(answer)) => {
                     self.note_success(connection.endpoint);
                     let (parts, body) = answer.into_parts();
-                    return Ok((connection, parts.status, body));
+                    return Ok((connection, parts, body));
                 }
                 Ok(Err(error)) => error,
             };
--- a/crates/platform/tests/instances.rs
+++ b/crates/platform/tests/instances.rs
@@ -12,6 +12,9 @@
 };
 use cassiafold_standin::{ControlServer, ListServer, MemoryInstances, RebootFault};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -62,3 +65,53 @@
     let refused = client.reboot(&id, "wave-1/9").await;
     assert!(matches!(refused, Err(ControlError::Unavailable(_))), "{refused:?}");
 }
+
+#[tokio::test]
+async fn a_changed_list_is_read_again() {
+    let instances = MemoryInstances::default();
+    let server = ListServer::start(LOOPBACK, instances.clone()).await.unwrap();
+    let client = HttpInstanceList::new(server.address(), "entry", TIMEOUT);
+    for index in 0..3 {
+        instances.put(ListedInstance {
+            id: format!("portal-{index}").into(),
+            address: ([127, 0, 0, 1], 8_000 + index).into(),
+            zone: "a".into(),
+            rack: "a-1".into(),
+            state: InstanceState::Live,
+        });
+        for _ in 0..2 {
+            assert_eq!(client.list().await, instances.list().await);
+        }
+    }
+}
+
+/// Answers the first request with a list, and the next ones with 304 where they name its tag.
+async fn tagged_list(listener: TcpListener) {
+    const BODY: &str = r#"{"items":[]}"#;
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buffer = vec![0; 4_096];
+    for number in 0.. {
+        let length = stream.read(&mut buffer).await.unwrap();
+        let head = String::from_utf8_lossy(&buffer[..length]).to_ascii_lowercase();
+        let answer = match (number, head.contains("if-none-match: \"one\"")) {
+            (0, false) => format!(
+                "HTTP/1.1 200 OK\r\netag: \"one\"\r\ncontent-length: {}\r\n\r\n{BODY}",
+                BODY.len()
+            ),
+            (_, true) => "HTTP/1.1 304 Not Modified\r\netag: \"one\"\r\n\r\n".to_owned(),
+            _ => "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n".to_owned(),
+        };
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn an_unchanged_list_is_not_sent_again() {
+    let listener = TcpListener::bind(LOOPBACK).await.unwrap();
+    let client = HttpInstanceList::new(listener.local_addr().unwrap(), "entry", TIMEOUT);
+    let server = tokio::spawn(tagged_list(listener));
+    for _ in 0..3 {
+        assert_eq!(client.list().await, Ok(Vec::new()));
+    }
+    server.abort();
+}
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -17,6 +17,7 @@
 use cassiafold_platform::redfish::{REQUEST_ID_HEADER, ResetRequest};
 use cassiafold_platform::{ControlError, InstanceControl, InstanceList};
 use futures_util::stream;
+use http::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
 use http::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -161,14 +162,19 @@
     }
 }
 
-async fn list(State(instances): State<MemoryInstances>) -> Response {
-    match instances.list().await {
-        Ok(listed) => {
-            let items = listed.iter().map(EndpointSlice::from).collect();
-            Json(EndpointSliceList { items }).into_response()
-        }
-        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+async fn list(State(instances): State<MemoryInstances>, headers: HeaderMap) -> Response {
+    let Ok(listed) = instances.list().await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let items = listed.iter().map(EndpointSlice::from).collect();
+    let Ok(body) = serde_json::to_vec(&EndpointSliceList { items }) else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let etag = format!("\"{}\"", blake3::hash(&body).to_hex());
+    if headers.get(IF_NONE_MATCH).is_some_and(|known| known.as_bytes() == etag.as_bytes()) {
+        return (StatusCode::NOT_MODIFIED, [(ETAG, etag)]).into_response();
     }
+    ([(ETAG, etag), (CONTENT_TYPE, "application/json".to_owned())], body).into_response()
 }
 
 async fn reset(
