--- a/crates/cassiafold/examples/fit.rs
+++ b/crates/cassiafold/examples/fit.rs
@@ -112,7 +112,7 @@
         let largest = points.values().copied().fold(f64::MIN, f64::max);
         let sizes: Vec<String> = points.keys().map(u64::to_string).collect();
         println!(
-            "| {} | {} | {} | {slope:.4} | {zero:.4} | {residual:.4} | {:.0} % |",
+            "| {} | {} | {} | {slope:.3e} | {zero:.3e} | {residual:.3e} | {:.0} % |",
             series.name,
             series.x,
             sizes.join(", "),
