--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -1,6 +1,7 @@
 //! The fleet document: each instance's pool and every step in progress.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -112,6 +113,17 @@
     },
 }
 
+impl fmt::Display for StepKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Maintain { wave } => write!(f, "maintenance in wave {wave}"),
+            Self::Repair => f.write_str("repair"),
+            Self::Move { to, settle: true } => write!(f, "move to {to} for good"),
+            Self::Move { to, settle: false } => write!(f, "move to {to} while it is needed"),
+        }
+    }
+}
+
 /// Phase of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -124,6 +136,16 @@
     Trying,
 }
 
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Draining => "draining",
+            Self::Rebooting => "rebooting",
+            Self::Trying => "waiting for a trial request",
+        })
+    }
+}
+
 impl Placement {
     /// Place of an instance that has just been adopted.
     pub fn new(pool: PoolId) -> Self {
--- a/crates/fleet/src/document/tests.rs
+++ b/crates/fleet/src/document/tests.rs
@@ -3,7 +3,7 @@
 use cassiafold_platform::Envelope;
 use cassiafold_platform::WriteLog;
 
-use super::{FleetDocument, Symptom};
+use super::{FleetDocument, StepKind, Symptom};
 use crate::raw::{FleetDocumentError, RawDocument};
 use crate::tests::fixture::{Fixture, Layout, SMALL};
 
@@ -75,3 +75,23 @@
     let envelope = Envelope { value: document.clone(), writes: WriteLog::default() };
     envelope.encode().expect("the document is encodable").len()
 }
+
+#[test]
+fn steps_are_shown_in_words() {
+    let shown = [
+        StepKind::Maintain { wave: "weekly".into() },
+        StepKind::Repair,
+        StepKind::Move { to: "portal".into(), settle: true },
+        StepKind::Move { to: "portal".into(), settle: false },
+    ]
+    .map(|kind| kind.to_string());
+    assert_eq!(
+        shown,
+        [
+            "maintenance in wave weekly",
+            "repair",
+            "move to portal for good",
+            "move to portal while it is needed",
+        ]
+    );
+}
--- a/crates/fleet/src/explain.rs
+++ b/crates/fleet/src/explain.rs
@@ -117,7 +117,7 @@
     explanation.fact("pool", &placement.pool);
     explanation.fact("home pool", &placement.home);
     if let Some(step) = &placement.step {
-        explanation.fact("step", format!("{:?}, {:?}", step.kind, step.phase));
+        explanation.fact("step", format!("{}, {}", step.kind, step.phase));
     }
     if let Some(failure) = &placement.failure {
         let attempts = failure.attempts;
