--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -21,6 +21,7 @@
         .arg(output())
         .subcommand(demo())
         .subcommand(entry())
+        .subcommand(serve())
         .subcommand(standin())
         .subcommand(load::options::command())
         .subcommand(check())
@@ -85,6 +86,15 @@
         )
 }
 
+fn serve() -> Command {
+    Command::new("serve")
+        .about("Runs an entry instance on the platform that its settings file describes")
+        .after_help(
+            "The settings file is the one that the platform names in the environment. Log lines \
+             go to standard output. SIGTERM stops gracefully.",
+        )
+}
+
 fn standin() -> Command {
     Command::new("standin")
         .about("Runs a stand-in platform and backend servers on loopback until it is interrupted")
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -6,12 +6,13 @@
 use cassiafold_config::Settings;
 use clap::ArgMatches;
 use clap_complete::Shell;
+use env_logger::Target;
 
 use crate::error::{Error, Result};
 use crate::load::LoadOptions;
 use crate::output::Output;
 use crate::verb::Verb;
-use crate::{check, completions, credential, demo, entry, load, standin};
+use crate::{check, completions, credential, demo, entry, load, serve, standin};
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +35,7 @@
 enum Action {
     Demo(DemoOptions),
     Entry(Box<Settings>),
+    Serve,
     Standin(PathBuf),
     Load(LoadOptions),
     Check(CheckOptions),
@@ -85,6 +87,7 @@
         let action = match matches.subcommand() {
             Some(("demo", matches)) => Action::Demo(matches.into()),
             Some(("entry", matches)) => Action::Entry(Box::new(entry_settings(matches)?)),
+            Some(("serve", _)) => Action::Serve,
             Some(("standin", matches)) => Action::Standin(settings(matches)?),
             Some(("load", matches)) => Action::Load(matches.try_into()?),
             Some(("check", matches)) => Action::Check(matches.into()),
@@ -98,11 +101,20 @@
 }
 
 impl Command {
+    /// Where log lines go. An instance writes them to standard output, which the platform keeps.
+    pub fn log_target(&self) -> Target {
+        match self.action {
+            Action::Serve => Target::Stdout,
+            _ => Target::Stderr,
+        }
+    }
+
     /// Runs the command and returns its exit code.
     pub fn run(&self) -> Result<ExitCode> {
         match &self.action {
             Action::Demo(options) => demo::run(options),
             Action::Entry(settings) => entry::run(settings),
+            Action::Serve => serve::run(),
             Action::Standin(settings) => standin::run(settings),
             Action::Load(options) => load::run(options),
             Action::Check(options) => check::run(options),
--- a/crates/cassiafold/src/error.rs
+++ b/crates/cassiafold/src/error.rs
@@ -27,6 +27,9 @@
     /// Settings or a configuration are at fault.
     #[error("{0}")]
     Faults(#[from] Faults),
+    /// The platform's settings cannot be used.
+    #[error("{0}")]
+    PlatformSettings(#[from] cassiafold_adapter::SettingsError),
     /// The network or the runtime failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -100,7 +103,7 @@
         ExitCode::from(match self {
             Self::Usage(_) => 2,
             Self::ReadFile { .. } => 3,
-            Self::Faults(_) => 4,
+            Self::Faults(_) | Self::PlatformSettings(_) => 4,
             Self::Io(_) | Self::Json(_) => 5,
             Self::Request(_) | Self::Unreachable(_) => 6,
             Self::Refused(problem) => refusal_code(problem),
--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -26,6 +26,7 @@
 mod parts;
 mod pool;
 mod report;
+mod serve;
 mod sources;
 mod standin;
 mod status;
@@ -44,7 +45,7 @@
         Ok(command) => command,
         Err(error) => return error::report(&error),
     };
-    logs::init(&command.logs);
+    logs::init(&command.logs, command.log_target());
     match command.run() {
         Ok(code) => code,
         Err(error) => error::report(&error),
--- a/crates/cassiafold/src/logs.rs
+++ b/crates/cassiafold/src/logs.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 
-use env_logger::Env;
+use env_logger::{Env, Target};
 use log::kv::{Key, Value, VisitSource};
 use serde_json::{Map, json};
 
@@ -10,10 +10,11 @@
 
 const DEFAULT_FILTER: &str = "info";
 
-/// Starts logging to standard error; the variable `RUST_LOG` sets the filter.
-pub fn init(format: &LogFormat) {
+/// Starts logging; the variable `RUST_LOG` sets the filter.
+pub fn init(format: &LogFormat, target: Target) {
     let mut builder =
         env_logger::Builder::from_env(Env::default().default_filter_or(DEFAULT_FILTER));
+    builder.target(target);
     if *format == LogFormat::Json {
         builder.format(|out, record| {
             let mut fields = Fields(Map::new());
--- /dev/null
+++ b/crates/cassiafold/src/serve.rs
@@ -0,0 +1,168 @@
+//! One entry instance on the users' platform: its tasks and how they are joined.
+
+use std::convert::Infallible;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassiafold_adapter::settings::PlatformSettings;
+use cassiafold_adapter::{PlatformSite, callers, read_settings, settings_path};
+use cassiafold_event::emit;
+use cassiafold_jobs::desk::Desk;
+use cassiafold_jobs::event::JobsEvent;
+use cassiafold_jobs::owner::{self, OwnerSettings};
+use cassiafold_jobs::view::{self, ViewSender};
+use cassiafold_platform::StoreMetrics;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use prometheus_client::registry::Registry;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::error::Result;
+
+/// Time to live of the lease on the ownership.
+const OWNER_LEASE: Duration = Duration::from_millis(3_000);
+/// Longest random delay before a free ownership is claimed.
+const CLAIM_DELAY_MAX: Duration = Duration::from_millis(80);
+/// An instance whose view of the store is older than this takes no new callers.
+const VIEW_AGE_MAX: Duration = Duration::from_millis(2_600);
+/// Time after a stop in which callers are still sent here: two readiness checks and a bit.
+const LEAVING: Duration = Duration::from_millis(2_300);
+/// Time that requests in progress have to end after that.
+const DRAINING: Duration = Duration::from_millis(2_500);
+/// Longest time in which a caller must send the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+type PlatformDesk = Arc<Desk<PlatformSite>>;
+
+/// Runs an entry instance until SIGTERM.
+pub fn run() -> Result<ExitCode> {
+    let settings = read_settings(settings_path())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: PlatformSettings) -> Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let reload = signal(SignalKind::hangup())?;
+    let callers = TcpListener::bind(settings.callers_address).await?;
+    let readiness = TcpListener::bind(settings.ready_address).await?;
+    let mut registry = Registry::with_prefix("cassiafold");
+    let store_metrics = StoreMetrics::default();
+    store_metrics.register(&mut registry);
+    let site = PlatformSite::new(&settings, store_metrics);
+    let (sender, views) = ViewSender::new();
+    let desk = Arc::new(Desk::new(site.clone(), views.clone(), sender.clone()));
+    let stop = CancellationToken::new();
+    emit!(JobsEvent::NodeStarted, instance = settings.instance, zone = settings.zone);
+
+    tokio::spawn(view::follow(site.clone(), sender));
+    tokio::spawn(report_reloads(reload));
+    tokio::spawn(answer_readiness(readiness, desk.clone(), stop.clone()));
+    let owner_settings = OwnerSettings {
+        instance: settings.instance.clone(),
+        lease_ttl: OWNER_LEASE,
+        claim_delay_max: CLAIM_DELAY_MAX,
+        scheduler: settings.scheduler,
+    };
+    let owner = tokio::spawn(owner::campaign(site, owner_settings, views, stop.clone()));
+    let closing = CancellationToken::new();
+    let serving = tokio::spawn(serve_callers(callers, desk, closing.clone()));
+    terminate.recv().await;
+    stop.cancel();
+    // The ownership is given back while callers are still sent here.
+    let leaving = tokio::time::Instant::now() + LEAVING;
+    let _ = owner.await;
+    tokio::time::sleep_until(leaving).await;
+    closing.cancel();
+    let _ = timeout(DRAINING, serving).await;
+    emit!(JobsEvent::NodeStopped, instance = settings.instance);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads the settings again on SIGHUP and tells what came of it. The addresses stay.
+async fn report_reloads(mut reload: Signal) {
+    while reload.recv().await.is_some() {
+        match read_settings(settings_path()) {
+            Ok(settings) => emit!(JobsEvent::NodeReloaded, instance = settings.instance),
+            Err(error) => emit!(JobsEvent::NodeNotReloaded, error = error),
+        }
+    }
+}
+
+async fn serve_callers(listener: TcpListener, desk: PlatformDesk, closing: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_caller(stream, desk.clone(), &graceful),
+            Err(error) => {
+                emit!(JobsEvent::ConnectionNotAccepted, error = error);
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+    graceful.shutdown().await;
+}
+
+fn serve_caller(stream: TcpStream, desk: PlatformDesk, graceful: &GracefulShutdown) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let desk = desk.clone();
+        async move { Ok::<_, Infallible>(callers::answer(&desk, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .half_close(true)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    // A connection that the caller breaks off needs no more than to be forgotten.
+    tokio::spawn(async move { drop(connection.await) });
+}
+
+/// Answers readiness checks: 200 while this instance can serve callers.
+async fn answer_readiness(listener: TcpListener, desk: PlatformDesk, stop: CancellationToken) {
+    loop {
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                emit!(JobsEvent::ConnectionNotAccepted, error = error);
+                sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        let (desk, stop) = (desk.clone(), stop.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let is_ready = desk.is_ready(VIEW_AGE_MAX) && !stop.is_cancelled();
+            std::future::ready(Ok::<_, Infallible>(readiness(&request, is_ready)))
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { drop(connection.await) });
+    }
+}
+
+fn readiness(request: &Request<Incoming>, is_ready: bool) -> Response<Full<Bytes>> {
+    let status = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/ready") if is_ready => StatusCode::OK,
+        (&Method::GET, "/ready") => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/jobs/src/desk.rs
@@ -0,0 +1,451 @@
+//! What callers ask of any entry instance: submit, cancel, look at a job, count a queue.
+//!
+//! A job is accepted by one transaction that creates its record and holds only while the
+//! configuration that admitted it is in force. A refusal that says a job never runs is given only
+//! where nothing of the job can be in the store, now or later.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use cassiafold_config::TeamId;
+use cassiafold_event::emit;
+use cassiafold_platform::{
+    Compare, Moment, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    TransactionalStore, since_boot,
+};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::cluster::{ClusterConfig, Queue, QueueId};
+use crate::event::JobsEvent;
+use crate::record::{
+    JobRecord, JobState, StateRecord, WAITING_KEY, WaitingRecord, cancel_key, job_key, state_key,
+};
+use crate::site::{Formats, OperatorItem, Site};
+use crate::spec::{JobId, JobSpec};
+use crate::view::{View, ViewSender};
+use std::sync::Arc;
+
+/// Time after which a caller may come back when the store does not answer.
+const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time between two attempts of the same call to the store.
+const ATTEMPT_GAP: Duration = Duration::from_millis(40);
+/// How long a count of waiting jobs is used again.
+const WAITING_AGE_MAX: Duration = Duration::from_millis(400);
+/// Final states that are remembered.
+const FINAL_STATES_MAX: usize = 4_096;
+/// Time kept of a caller's timeout to bring the answer back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(60);
+
+/// A caller's request, with what the caller shows and how long it waits.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Host name that the caller addressed.
+    pub host: Arc<str>,
+    /// Path that the caller addressed.
+    pub path: Arc<str>,
+    /// The caller's key.
+    pub key: Option<Arc<str>>,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// Why a call is not served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// No configuration is known yet.
+    NoConfig,
+    /// No such queue exists.
+    NoQueue,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The path names no job.
+    NoJob,
+}
+
+/// Answer to a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Submitted {
+    /// The job is stored.
+    Accepted,
+    /// The job is not stored and never will be; the caller may come back after this time.
+    Refused(Duration),
+    /// It is not known whether the job is stored.
+    Unknown,
+    /// The call is not allowed.
+    Denied(Denial),
+}
+
+/// Answer to a cancel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cancelled {
+    /// The cancel is stored.
+    Accepted,
+    /// No such job exists.
+    NoSuchJob,
+    /// It is not known whether the cancel is stored.
+    Unknown,
+    /// The call is not allowed.
+    Denied(Denial),
+}
+
+/// Answer to a question about a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Looked {
+    /// State of the job.
+    State(JobState),
+    /// No such job exists.
+    NoSuchJob,
+    /// The store did not answer.
+    Unknown,
+    /// The call is not allowed.
+    Denied(Denial),
+}
+
+/// Answer to a question about a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Counted {
+    /// Jobs that wait.
+    Waiting(u32),
+    /// The store did not answer.
+    Unknown,
+    /// The call is not allowed.
+    Denied(Denial),
+}
+
+/// What a path below a queue names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// The queue itself.
+    Queue,
+    /// One of its jobs.
+    Job(JobId),
+}
+
+/// Serves callers at one entry instance.
+#[derive(Debug)]
+pub struct Desk<S: Site> {
+    site: S,
+    views: watch::Receiver<Arc<View>>,
+    sender: ViewSender,
+    waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
+    finals: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
+}
+
+/// A call that is allowed.
+struct Admitted {
+    queue: Queue,
+    team: Option<TeamId>,
+    target: Target,
+    config_revision: Revision,
+}
+
+impl<S: Site> Desk<S> {
+    /// A desk that follows the operator's view.
+    pub fn new(site: S, views: watch::Receiver<Arc<View>>, sender: ViewSender) -> Self {
+        Self { site, views, sender, waiting: Mutex::default(), finals: Mutex::default() }
+    }
+
+    /// Whether this instance can serve callers: it has a configuration, and the store has
+    /// answered within `age_max`.
+    pub fn is_ready(&self, age_max: Duration) -> bool {
+        let view = self.views.borrow().clone();
+        let age = since_boot().saturating_sub(view.confirmed);
+        view.config.is_some() && age < age_max
+    }
+
+    /// Largest body that callers may send.
+    pub fn body_bytes_max(&self) -> Option<usize> {
+        self.views.borrow().config.as_ref().and_then(|config| config.body_bytes_max)
+    }
+
+    fn admit(&self, call: &Call) -> Result<Admitted, Denial> {
+        let view = self.views.borrow().clone();
+        let config = view.config.as_ref().ok_or(Denial::NoConfig)?;
+        let (queue, rest) = config.route(&call.host, &call.path).ok_or(Denial::NoQueue)?;
+        let team = call.key.as_ref().and_then(|key| config.keys.get(key)).cloned();
+        if team.is_none() && !queue.is_public {
+            return Err(Denial::UnknownKey);
+        }
+        let target = target(rest).ok_or(Denial::NoJob)?;
+        let config_revision = view.config_revision;
+        Ok(Admitted { queue: queue.clone(), team, target, config_revision })
+    }
+
+    /// Accepts a job, if the caller may submit it and the store takes it.
+    pub async fn submit(&self, call: &Call, spec: JobSpec) -> Submitted {
+        let deadline = call.deadline - ANSWER_MARGIN;
+        let mut may_be_stored = false;
+        loop {
+            let admitted = match self.admit(call) {
+                Ok(admitted) => admitted,
+                Err(denial) => return denied(denial, may_be_stored),
+            };
+            let Target::Job(id) = admitted.target else {
+                return Submitted::Denied(Denial::NoJob);
+            };
+            match self.store_job(&admitted, id, &spec).await {
+                Ok(Stored::Created) => {
+                    emit!(
+                        JobsEvent::JobAccepted,
+                        job = format_args!("{id:016x}"),
+                        queue = admitted.queue.id,
+                        team = admitted.team.as_deref().unwrap_or("-"),
+                        config_revision = admitted.config_revision
+                    );
+                    return Submitted::Accepted;
+                }
+                Ok(Stored::Present) => return Submitted::Accepted,
+                Ok(Stored::ConfigChanged) => continue,
+                Err(StoreError::Unavailable(reason)) if !may_be_stored => {
+                    emit!(
+                        JobsEvent::JobRefused,
+                        job = format_args!("{id:016x}"),
+                        reason = reason
+                    );
+                    return Submitted::Refused(STORE_RETRY_AFTER);
+                }
+                Err(StoreError::Unavailable(_)) => {}
+                Err(error) => {
+                    may_be_stored = true;
+                    emit!(
+                        JobsEvent::JobUnsettled,
+                        job = format_args!("{id:016x}"),
+                        error = error
+                    );
+                }
+            }
+            if Instant::now() + ATTEMPT_GAP >= deadline {
+                return Submitted::Unknown;
+            }
+            sleep(ATTEMPT_GAP).await;
+        }
+    }
+
+    async fn store_job(
+        &self,
+        admitted: &Admitted,
+        id: JobId,
+        spec: &JobSpec,
+    ) -> Result<Stored, StoreError> {
+        let record = JobRecord {
+            queue: admitted.queue.id.clone(),
+            service: admitted.queue.service.clone(),
+            team: admitted.team.clone(),
+            spec: spec.clone(),
+        };
+        let bytes = record.encode().map_err(|error| {
+            StoreError::Unavailable(error.to_string().into())
+        })?;
+        let key = job_key(id);
+        let transaction = Transaction::default()
+            .expect(key.clone(), Compare::Absent)
+            .expect(S::Formats::CONFIG_KEY, Compare::Revision(admitted.config_revision))
+            .put(key.clone(), bytes, None);
+        match self.site.store().commit(transaction).await? {
+            TransactionOutcome::Written(_) => Ok(Stored::Created),
+            TransactionOutcome::Conflict(records) => {
+                if records.iter().any(|record| record.key == key) {
+                    return Ok(Stored::Present);
+                }
+                self.adopt(&records);
+                Ok(Stored::ConfigChanged)
+            }
+        }
+    }
+
+    /// Takes over the configuration that a conflict has shown.
+    fn adopt(&self, records: &[Record]) {
+        for record in records.iter().filter(|record| *record.key == *S::Formats::CONFIG_KEY) {
+            match self.site.formats().operator_item(record) {
+                Ok(OperatorItem::Config(config)) => {
+                    self.sender.adopt_config(*config, record.revision);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
+                }
+            }
+        }
+    }
+
+    /// Stores the cancel of a job.
+    pub async fn cancel(&self, call: &Call) -> Cancelled {
+        let admitted = match self.admit(call) {
+            Ok(admitted) => admitted,
+            Err(denial) => return Cancelled::Denied(denial),
+        };
+        let Target::Job(id) = admitted.target else { return Cancelled::Denied(Denial::NoJob) };
+        let deadline = call.deadline - ANSWER_MARGIN;
+        loop {
+            match self.store_cancel(id, admitted.team.as_ref()).await {
+                Ok(true) => {
+                    emit!(JobsEvent::JobCancelled, job = format_args!("{id:016x}"));
+                    return Cancelled::Accepted;
+                }
+                Ok(false) => return Cancelled::NoSuchJob,
+                Err(error) if Instant::now() + ATTEMPT_GAP >= deadline => {
+                    emit!(
+                        JobsEvent::StateUnknown,
+                        job = format_args!("{id:016x}"),
+                        error = error
+                    );
+                    return Cancelled::Unknown;
+                }
+                Err(_) => sleep(ATTEMPT_GAP).await,
+            }
+        }
+    }
+
+    async fn store_cancel(&self, id: JobId, team: Option<&TeamId>) -> Result<bool, StoreError> {
+        let Some(record) = self.site.store().get(&job_key(id)).await? else { return Ok(false) };
+        if !owns(&record, team) {
+            return Ok(false);
+        }
+        let transaction = Transaction::default()
+            .expect(record.key.clone(), Compare::Revision(record.revision))
+            .put(cancel_key(id), Vec::new(), None);
+        let outcome = self.site.store().commit(transaction).await?;
+        Ok(matches!(outcome, TransactionOutcome::Written(_)))
+    }
+
+    /// State of a job.
+    pub async fn look(&self, call: &Call) -> Looked {
+        let admitted = match self.admit(call) {
+            Ok(admitted) => admitted,
+            Err(denial) => return Looked::Denied(denial),
+        };
+        let Target::Job(id) = admitted.target else { return Looked::Denied(Denial::NoJob) };
+        let deadline = call.deadline - ANSWER_MARGIN;
+        loop {
+            match self.read_state(id, admitted.team.as_ref()).await {
+                Ok(Some(state)) => return Looked::State(state),
+                Ok(None) => return Looked::NoSuchJob,
+                Err(error) if Instant::now() + ATTEMPT_GAP >= deadline => {
+                    emit!(
+                        JobsEvent::StateUnknown,
+                        job = format_args!("{id:016x}"),
+                        error = error
+                    );
+                    return Looked::Unknown;
+                }
+                Err(_) => sleep(ATTEMPT_GAP).await,
+            }
+        }
+    }
+
+    async fn read_state(
+        &self,
+        id: JobId,
+        team: Option<&TeamId>,
+    ) -> Result<Option<JobState>, StoreError> {
+        if let Some((state, of_team)) = self.final_state(id) {
+            return Ok(may_see(of_team.as_ref(), team).then_some(state));
+        }
+        if let Some(record) = self.site.store().get(&state_key(id)).await? {
+            let state = StateRecord::try_from(&record.value[..])
+                .map_err(|error| StoreError::Malformed(error.to_string().into()))?;
+            self.keep_final(id, &state);
+            return Ok(may_see(state.team.as_ref(), team).then_some(state.state));
+        }
+        let record = self.site.store().get(&job_key(id)).await?;
+        Ok(record.filter(|record| owns(record, team)).map(|_| JobState::Queued))
+    }
+
+    fn final_state(&self, id: JobId) -> Option<(JobState, Option<TeamId>)> {
+        self.finals.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned()
+    }
+
+    fn keep_final(&self, id: JobId, record: &StateRecord) {
+        if !record.state.is_final() {
+            return;
+        }
+        let mut finals = self.finals.lock().unwrap_or_else(PoisonError::into_inner);
+        if finals.len() >= FINAL_STATES_MAX {
+            finals.clear();
+        }
+        finals.insert(id, (record.state, record.team.clone()));
+    }
+
+    /// Number of a queue's jobs that wait.
+    pub async fn count(&self, call: &Call) -> Counted {
+        let admitted = match self.admit(call) {
+            Ok(admitted) => admitted,
+            Err(denial) => return Counted::Denied(denial),
+        };
+        match self.waiting().await {
+            Ok(waiting) => Counted::Waiting(count_of(&waiting, &admitted.queue.id)),
+            Err(error) => {
+                emit!(JobsEvent::StateUnknown, queue = admitted.queue.id, error = error);
+                Counted::Unknown
+            }
+        }
+    }
+
+    async fn waiting(&self) -> Result<Arc<WaitingRecord>, StoreError> {
+        let now = since_boot();
+        let kept = self.waiting.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some((at, record)) = kept
+            && now.saturating_sub(at) < WAITING_AGE_MAX
+        {
+            return Ok(record);
+        }
+        let record = match self.site.store().get(WAITING_KEY).await? {
+            None => WaitingRecord::default(),
+            Some(record) => serde_json::from_slice(&record.value)
+                .map_err(|error| StoreError::Malformed(error.to_string().into()))?,
+        };
+        let record = Arc::new(record);
+        let mut kept = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        *kept = Some((now, record.clone()));
+        Ok(record)
+    }
+
+    /// What a call's path names, if the call is allowed.
+    pub fn target(&self, call: &Call) -> Result<Target, Denial> {
+        self.admit(call).map(|admitted| admitted.target)
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<ClusterConfig>> {
+        self.views.borrow().config.clone()
+    }
+}
+
+enum Stored {
+    Created,
+    Present,
+    ConfigChanged,
+}
+
+fn denied(denial: Denial, may_be_stored: bool) -> Submitted {
+    match may_be_stored {
+        true => Submitted::Unknown,
+        false => Submitted::Denied(denial),
+    }
+}
+
+fn count_of(waiting: &WaitingRecord, queue: &QueueId) -> u32 {
+    waiting.jobs.get(queue).copied().unwrap_or_default()
+}
+
+/// What the rest of a path names: nothing, or a job of 16 hexadecimal digits.
+fn target(rest: &str) -> Option<Target> {
+    if rest.is_empty() {
+        return Some(Target::Queue);
+    }
+    let is_job = rest.len() == 16 && rest.bytes().all(|digit| digit.is_ascii_hexdigit());
+    is_job.then(|| JobId::from_str_radix(rest, 16).ok().map(Target::Job)).flatten()
+}
+
+/// Whether a team may see what belongs to another; what belongs to none is seen by all.
+fn may_see(owner: Option<&TeamId>, team: Option<&TeamId>) -> bool {
+    owner.is_none() || team.is_none() || owner == team
+}
+
+fn owns(record: &Record, team: Option<&TeamId>) -> bool {
+    let owner = JobRecord::try_from(&record.value[..]).ok().and_then(|record| record.team);
+    may_see(owner.as_ref(), team)
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,18 @@
+//! Jobs of many tasks: accepted once by any entry instance, placed on workers by one owner, and
+//! kept in the platform's store.
+
+pub mod cluster;
+pub mod desk;
+pub mod edges;
+pub mod event;
+pub mod job;
+pub mod order;
+pub mod owner;
+pub mod pace;
+pub mod placement;
+pub mod record;
+pub mod scheduler;
+pub mod site;
+pub mod spec;
+pub mod view;
+pub mod worker;
--- /dev/null
+++ b/crates/jobs/src/owner.rs
@@ -0,0 +1,244 @@
+//! The instance that places the jobs: it owns a key in the store, and carries out what the
+//! scheduler decides.
+//!
+//! Ownership lies under a lease and is taken by a transaction; its revision is the fencing token.
+//! Orders are given only while the lease surely holds. A later owner waits for what an earlier
+//! one may have started at workers that do not answer.
+
+mod carry;
+mod claim;
+mod follow;
+mod load;
+mod write;
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cassiafold_event::emit;
+use cassiafold_platform::{LeaseKeeper, LeaseValidity, Moment, since_boot};
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use self::carry::Outcome;
+use self::claim::Ownership;
+use self::follow::{Followed, Listing};
+use self::write::{Writer, Written};
+use crate::event::JobsEvent;
+use crate::scheduler::{Scheduler, SchedulerSettings};
+use crate::site::Site;
+use crate::view::View;
+
+/// Time between two writes of states that nobody waits for.
+const WRITE_INTERVAL: Duration = Duration::from_millis(120);
+/// Time between two writes while callers wait for final states.
+const URGENT_WRITE_INTERVAL: Duration = Duration::from_millis(12);
+/// Time between two lists of machines while a wave is open.
+const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
+/// Messages that wait for the owner's loop.
+const QUEUE_LENGTH: usize = 4_096;
+
+/// Settings of an owner.
+#[derive(Debug, Clone)]
+pub struct OwnerSettings {
+    /// Name of this instance.
+    pub instance: Arc<str>,
+    /// Time to live of the lease on the ownership.
+    pub lease_ttl: Duration,
+    /// Longest random delay before a free ownership is claimed.
+    pub claim_delay_max: Duration,
+    /// Times of the scheduler.
+    pub scheduler: SchedulerSettings,
+}
+
+/// Claims the ownership whenever it is free and places jobs while it holds, until `stop`.
+pub async fn campaign<S: Site>(
+    site: S,
+    settings: OwnerSettings,
+    views: watch::Receiver<Arc<View>>,
+    stop: CancellationToken,
+) {
+    loop {
+        let claimed = tokio::select! {
+            claimed = claim::claim(&site, &settings) => claimed,
+            () = stop.cancelled() => return,
+        };
+        let token = claimed.token;
+        emit!(JobsEvent::OwnerBegan, token = token);
+        let reason = place(&site, &settings, views.clone(), claimed, &stop).await;
+        emit!(JobsEvent::OwnerEnded, token = token, reason = reason);
+    }
+}
+
+/// Something that the owner's loop has to take in.
+enum Message {
+    Outcome(Outcome),
+    Followed(Followed),
+    Written(Written),
+}
+
+/// A tenure in progress.
+struct Office<S: Site> {
+    site: S,
+    scheduler: Scheduler,
+    lease: LeaseValidity,
+    sender: mpsc::Sender<Message>,
+    workers: Listing,
+    writer: Writer<S>,
+    written: Moment,
+    machines_asked: Option<Moment>,
+    is_fenced: bool,
+}
+
+async fn place<S: Site>(
+    site: &S,
+    settings: &OwnerSettings,
+    mut views: watch::Receiver<Arc<View>>,
+    ownership: Ownership<S>,
+    stop: &CancellationToken,
+) -> &'static str {
+    let Ownership { lease, token, .. } = ownership;
+    let loading = load::load(site, settings.scheduler, token);
+    let loaded = tokio::select! {
+        loaded = loading => loaded,
+        () = lease.ended() => return "lease ended while loading",
+        () = stop.cancelled() => {
+            give_back(lease).await;
+            return "stopped while loading";
+        }
+    };
+    let (sender, mut messages) = mpsc::channel(QUEUE_LENGTH);
+    let mut office = Office {
+        site: site.clone(),
+        scheduler: loaded.scheduler,
+        lease: lease.validity(),
+        workers: Listing::new(loaded.workers),
+        writer: Writer::new(site.clone(), token, loaded.sequence),
+        sender: sender.clone(),
+        written: since_boot(),
+        machines_asked: None,
+        is_fenced: false,
+    };
+    let _following = [
+        spawn(follow::inbox(site.clone(), loaded.inbox_revision, sender.clone())),
+        spawn(follow::workers(site.clone(), loaded.workers_revision, sender)),
+    ];
+    office.take_view(&views.borrow_and_update().clone());
+    office.workers.read_first(site);
+    office.list_workers();
+    let reason = loop {
+        let now = since_boot();
+        let due = office.scheduler.next_due(now).saturating_sub(now);
+        tokio::select! {
+            message = messages.recv() => match message {
+                Some(message) => office.take_in(message),
+                None => break "queue closed",
+            },
+            changed = views.changed() => match changed {
+                Ok(()) => office.take_view(&views.borrow_and_update().clone()),
+                Err(_) => break "view closed",
+            },
+            () = sleep(due) => {}
+            () = lease.ended() => break "lease ended",
+            () = stop.cancelled() => break "stopped",
+        }
+        while let Ok(message) = messages.try_recv() {
+            office.take_in(message);
+        }
+        if office.is_fenced {
+            break "a later owner was obeyed";
+        }
+        office.act();
+    };
+    if stop.is_cancelled() {
+        office.finish(&mut messages).await;
+        give_back(lease).await;
+    }
+    reason
+}
+
+async fn give_back<S: cassiafold_platform::Store>(lease: LeaseKeeper<S>) {
+    if let Err(error) = lease.close().await {
+        emit!(JobsEvent::StoreLost, error = error);
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
+
+/// The time of day, as Unix time.
+fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+impl<S: Site> Office<S> {
+    fn take_view(&mut self, view: &View) {
+        let now = since_boot();
+        if let Some(config) = &view.config {
+            self.scheduler.configure(config.clone());
+        }
+        self.scheduler.evacuate(view.evacuated.clone());
+        self.scheduler.set_waves(&view.waves, now);
+    }
+
+    fn take_in(&mut self, message: Message) {
+        let now = since_boot();
+        match message {
+            Message::Outcome(outcome) => self.take_outcome(outcome, now),
+            Message::Followed(followed) => self.take_followed(followed, now),
+            Message::Written(written) => self.take_written(written),
+        }
+    }
+
+    fn take_followed(&mut self, followed: Followed, now: Moment) {
+        match followed {
+            Followed::Job { id, record, revision } => {
+                self.scheduler.add_job(id, *record, revision, None, now);
+            }
+            Followed::Cancel(id) => self.scheduler.cancel(id, now),
+            Followed::Workers(change) => {
+                self.workers.apply(change, now);
+                self.scheduler.set_workers(self.workers.entries(now), now);
+            }
+        }
+    }
+
+    fn list_workers(&mut self) {
+        let now = since_boot();
+        self.scheduler.set_workers(self.workers.entries(now), now);
+    }
+
+    /// Carries out what is due.
+    fn act(&mut self) {
+        let now = since_boot();
+        if self.workers.is_due(now) {
+            self.scheduler.set_workers(self.workers.entries(now), now);
+        }
+        if self.lease.is_valid() {
+            for order in self.scheduler.plan(unix_now(), now) {
+                self.carry_out(order, now);
+            }
+            self.list_machines(now);
+        }
+        self.write(now);
+    }
+
+    /// Writes what is left before the ownership is given back.
+    async fn finish(&mut self, messages: &mut mpsc::Receiver<Message>) {
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(400);
+        loop {
+            self.written = Moment::ZERO;
+            self.write(since_boot());
+            if !self.writer.is_busy() {
+                return;
+            }
+            match tokio::time::timeout_at(deadline, messages.recv()).await {
+                Ok(Some(Message::Written(written))) => self.take_written(written),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/carry.rs
@@ -0,0 +1,175 @@
+//! Carrying out orders, each as a task of its own.
+
+use std::future::Future;
+
+use cassiafold_platform::{Moment, since_boot};
+
+use super::{MACHINES_INTERVAL, Message, Office};
+use crate::cluster::Machine;
+use crate::edges::{
+    Advice, Advisor, Look, LookError, MachineOutcome, Machines, OrderOutcome, Refusal, Workers,
+};
+use crate::job::WorkerSlot;
+use crate::scheduler::{MachineOrder, Order, Question};
+use crate::site::Site;
+use crate::spec::{RunNumber, TaskId};
+
+/// What came of an order.
+pub(super) enum Outcome {
+    Look { worker: WorkerSlot, sent: Moment, result: Result<Look, LookError> },
+    Start { worker: WorkerSlot, task: TaskId, run: RunNumber, outcome: OrderOutcome },
+    Stop { worker: WorkerSlot, task: TaskId, run: RunNumber, outcome: OrderOutcome },
+    Pace(OrderOutcome),
+    Advice { question: Question, advice: Option<Advice>, sent: Moment },
+    Machine { order: MachineOrder, outcome: MachineOutcome },
+    Machines { machines: Option<Vec<Machine>>, sent: Moment },
+}
+
+impl<S: Site> Office<S> {
+    /// Runs a call and sends what came of it to the loop.
+    fn run(&self, call: impl Future<Output = Outcome> + Send + 'static) {
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            // The loop that gave the order may be over.
+            let _ = sender.send(Message::Outcome(outcome)).await;
+        });
+    }
+
+    pub(super) fn carry_out(&mut self, order: Order, now: Moment) {
+        match order {
+            Order::Look { worker } => self.look(worker, now),
+            Order::Start { worker, task, run, ticket } => {
+                self.start(worker, task, run, ticket, now);
+            }
+            Order::Stop { worker, task, run } => self.stop(worker, task, run),
+            Order::Pace { worker, task, run, percent } => {
+                let (workers, token) = (self.site.workers().clone(), self.scheduler.token());
+                let address = self.scheduler.worker(worker).address.clone();
+                self.run(async move {
+                    Outcome::Pace(workers.pace(&address, task, run, percent, token).await)
+                });
+            }
+            Order::Ask(question) => {
+                let advisor = self.site.advisor().clone();
+                self.run(async move {
+                    let sent = since_boot();
+                    let advice = advisor.advise(question.step, question.workers.clone()).await;
+                    Outcome::Advice { question, advice, sent }
+                });
+            }
+            Order::Machine(order) => self.order_machine(order),
+        }
+    }
+
+    fn look(&mut self, worker: WorkerSlot, now: Moment) {
+        let request = self.scheduler.look_request(worker, now);
+        let address = self.scheduler.worker(worker).address.clone();
+        let workers = self.site.workers().clone();
+        self.run(async move {
+            let sent = since_boot();
+            let result = workers.look(&address, request).await;
+            Outcome::Look { worker, sent, result }
+        });
+    }
+
+    fn start(
+        &mut self,
+        worker: WorkerSlot,
+        task: TaskId,
+        run: RunNumber,
+        ticket: Option<std::sync::Arc<str>>,
+        now: Moment,
+    ) {
+        let Some(request) = self.scheduler.start_request(worker, task, run, ticket, now) else {
+            self.scheduler.note_start(worker, task, run, OrderOutcome::NotSent, now);
+            return;
+        };
+        let address = self.scheduler.worker(worker).address.clone();
+        let (workers, lease) = (self.site.workers().clone(), self.lease.clone());
+        self.run(async move {
+            let outcome = match lease.is_valid() {
+                true => workers.start(&address, request).await,
+                false => OrderOutcome::NotSent,
+            };
+            Outcome::Start { worker, task, run, outcome }
+        });
+    }
+
+    fn stop(&mut self, worker: WorkerSlot, task: TaskId, run: RunNumber) {
+        let (workers, token) = (self.site.workers().clone(), self.scheduler.token());
+        let address = self.scheduler.worker(worker).address.clone();
+        self.run(async move {
+            let outcome = workers.stop(&address, task, run, token).await;
+            Outcome::Stop { worker, task, run, outcome }
+        });
+    }
+
+    fn order_machine(&mut self, order: MachineOrder) {
+        let (machines, token) = (self.site.machines().clone(), self.scheduler.token());
+        let lease = self.lease.clone();
+        self.run(async move {
+            let outcome = match &order {
+                _ if !lease.is_valid() => MachineOutcome::Busy,
+                MachineOrder::Maintain { machine, wave } => {
+                    machines.maintain(machine.clone(), *wave, token).await
+                }
+                MachineOrder::Move { machine, service } => {
+                    machines.move_to(machine.clone(), service.clone(), token).await
+                }
+            };
+            Outcome::Machine { order, outcome }
+        });
+    }
+
+    /// Asks for the machines, if they are needed and the last answer is old.
+    pub(super) fn list_machines(&mut self, now: Moment) {
+        let is_due = self.machines_asked.is_none_or(|at| now >= at + MACHINES_INTERVAL);
+        if !is_due || !self.scheduler.needs_machines() {
+            return;
+        }
+        self.machines_asked = Some(now);
+        let machines = self.site.machines().clone();
+        self.run(async move {
+            let sent = since_boot();
+            Outcome::Machines { machines: machines.list().await, sent }
+        });
+    }
+
+    pub(super) fn take_outcome(&mut self, outcome: Outcome, now: Moment) {
+        match outcome {
+            Outcome::Look { worker, result: Err(LookError::Fenced), .. } => {
+                self.is_fenced = true;
+                self.scheduler.note_look_failed(worker, &LookError::Fenced, now);
+            }
+            Outcome::Look { worker, sent, result: Ok(look) } => {
+                self.scheduler.note_look(worker, sent, now, look);
+            }
+            Outcome::Look { worker, result: Err(error), .. } => {
+                self.scheduler.note_look_failed(worker, &error, now);
+            }
+            Outcome::Start { worker, task, run, outcome } => {
+                self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
+                self.scheduler.note_start(worker, task, run, outcome, now);
+            }
+            Outcome::Stop { worker, task, run, outcome } => {
+                self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
+                self.scheduler.note_stop(worker, task, run, outcome, now);
+            }
+            Outcome::Pace(outcome) => {
+                self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
+            }
+            Outcome::Advice { question, advice, sent } => {
+                self.scheduler.note_advice(&question, advice, sent, now);
+            }
+            Outcome::Machine { order, outcome } => {
+                self.scheduler.note_machine(&order, outcome, now);
+            }
+            Outcome::Machines { machines: Some(machines), sent } => {
+                self.scheduler.set_machines(machines, sent);
+            }
+            // The next list is asked for after the usual time.
+            Outcome::Machines { machines: None, .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/claim.rs
@@ -0,0 +1,94 @@
+//! Taking the ownership.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_platform::{
+    Compare, LeaseKeeper, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    TransactionalStore, Watch,
+};
+use tokio::time::sleep;
+
+use super::OwnerSettings;
+use crate::edges::FencingToken;
+use crate::record::OWNER_KEY;
+use crate::site::Site;
+
+/// Time between two attempts to reach the store.
+const RETRY: Duration = Duration::from_millis(120);
+
+/// A claimed ownership.
+pub(super) struct Ownership<S: Site> {
+    /// Lease under which it lies.
+    pub(super) lease: LeaseKeeper<S::Store>,
+    /// Revision at which it was claimed.
+    pub(super) token: FencingToken,
+}
+
+/// Waits until the ownership is free, and claims it.
+pub(super) async fn claim<S: Site>(site: &S, settings: &OwnerSettings) -> Ownership<S> {
+    loop {
+        match try_claim(site, settings).await {
+            Ok(Some(ownership)) => return ownership,
+            Ok(None) => {}
+            Err(_) => sleep(RETRY).await,
+        }
+    }
+}
+
+async fn try_claim<S: Site>(
+    site: &S,
+    settings: &OwnerSettings,
+) -> Result<Option<Ownership<S>>, StoreError> {
+    let snapshot = site.store().list(OWNER_KEY).await?;
+    let held = snapshot.records.first();
+    // The key of a former process of this instance: that process is over.
+    let is_own = held.is_some_and(|record| instance_of(record) == Some(&*settings.instance));
+    if held.is_some() && !is_own {
+        wait_until_free(site, snapshot.revision).await?;
+        sleep(settings.claim_delay_max.mul_f64(rand::random())).await;
+        return Ok(None);
+    }
+    let lease = LeaseKeeper::start(site.store().clone(), settings.lease_ttl).await?;
+    let compare = held.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
+    let claim: Arc<str> = format!("{} {:016x}", settings.instance, rand::random::<u64>()).into();
+    let token = write_claim(site, compare, &claim, lease.id()).await?;
+    Ok(token.map(|token| Ownership { lease, token }))
+}
+
+fn instance_of(record: &Record) -> Option<&str> {
+    std::str::from_utf8(&record.value).ok()?.split(' ').next()
+}
+
+async fn wait_until_free<S: Site>(site: &S, after: Revision) -> Result<(), StoreError> {
+    let mut changes = site.store().watch(OWNER_KEY, after).await?;
+    loop {
+        if changes.next().await?.iter().any(|change| change.record.is_none()) {
+            return Ok(());
+        }
+    }
+}
+
+/// Writes a claim; where the answer is lost the key tells whether it was written.
+async fn write_claim<S: Site>(
+    site: &S,
+    compare: Compare,
+    claim: &Arc<str>,
+    lease: i64,
+) -> Result<Option<FencingToken>, StoreError> {
+    let transaction = Transaction::default().expect(OWNER_KEY, compare).put(
+        OWNER_KEY,
+        claim.as_bytes().to_vec(),
+        Some(lease),
+    );
+    match site.store().commit(transaction).await {
+        Ok(TransactionOutcome::Written(revision)) => Ok(Some(revision)),
+        Ok(TransactionOutcome::Conflict(_)) => Ok(None),
+        Err(StoreError::OutcomeUnknown(_)) => {
+            let record = site.store().get(OWNER_KEY).await?;
+            let own = record.filter(|record| record.value == claim.as_bytes());
+            Ok(own.map(|record| record.revision))
+        }
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/load.rs
@@ -0,0 +1,140 @@
+//! Reading what earlier owners left in the store.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::{
+    Compare, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    TransactionalStore, since_boot,
+};
+use tokio::time::sleep;
+
+use super::write::Sequence;
+use crate::edges::FencingToken;
+use crate::event::JobsEvent;
+use crate::record::{
+    CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, OWNER_KEY, STATE_PREFIX,
+    SEQUENCE_KEY, StateRecord, WORKERS_KEY, job_of,
+};
+use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
+use crate::site::{Formats, Site};
+use crate::spec::{JobId, RunNumber};
+
+/// Time between two attempts to read the store.
+const RETRY: Duration = Duration::from_millis(100);
+/// Run numbers that one owner may use for one task.
+const RUNS_PER_TENURE: RunNumber = 1_000;
+
+/// What an owner starts with.
+pub(super) struct Loaded {
+    pub(super) scheduler: Scheduler,
+    pub(super) sequence: Sequence,
+    pub(super) inbox_revision: Revision,
+    pub(super) workers: Vec<Record>,
+    pub(super) workers_revision: Revision,
+}
+
+/// Reads everything, again and again until it succeeds.
+pub(super) async fn load<S: Site>(
+    site: &S,
+    settings: SchedulerSettings,
+    token: FencingToken,
+) -> Loaded {
+    loop {
+        match try_load(site, settings, token).await {
+            Ok(loaded) => return loaded,
+            Err(error) => emit!(JobsEvent::StoreLost, error = error),
+        }
+        sleep(RETRY).await;
+    }
+}
+
+async fn try_load<S: Site>(
+    site: &S,
+    settings: SchedulerSettings,
+    token: FencingToken,
+) -> Result<Loaded, StoreError> {
+    let store = site.store();
+    let (inbox, states, sequence, known, listed) = tokio::try_join!(
+        store.list(INBOX_PREFIX),
+        store.list(STATE_PREFIX),
+        store.get(SEQUENCE_KEY),
+        store.get(WORKERS_KEY),
+        store.list(S::Formats::WORKERS_PREFIX),
+    )?;
+    let sequence = begin_sequence(site, token, sequence).await?;
+    let known_workers = known.map(|record| known_workers(&record)).transpose()?.unwrap_or_default();
+    let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
+    let now = since_boot();
+    let tenure = Tenure { token, run_base, known_workers };
+    let mut scheduler = Scheduler::new(settings, tenure, now);
+    let states = read_states(&states.records);
+    for record in &inbox.records {
+        let Some(id) = job_of(&record.key, JOB_PREFIX) else { continue };
+        match JobRecord::try_from(&record.value[..]) {
+            Ok(job) => {
+                let stored = states.get(&id);
+                scheduler.add_job(id, job, record.revision, stored, now);
+                if let Some(stored) = stored {
+                    scheduler.restore_occurrences(id, stored, now);
+                }
+            }
+            Err(error) => emit!(JobsEvent::ItemUnreadable, key = record.key, error = error),
+        }
+    }
+    for record in &inbox.records {
+        if let Some(id) = job_of(&record.key, CANCEL_PREFIX) {
+            scheduler.cancel(id, now);
+        }
+    }
+    Ok(Loaded {
+        scheduler,
+        sequence,
+        inbox_revision: inbox.revision,
+        workers: listed.records,
+        workers_revision: listed.revision,
+    })
+}
+
+fn known_workers(record: &Record) -> Result<Vec<KnownWorker>, StoreError> {
+    serde_json::from_slice(&record.value)
+        .map_err(|error| StoreError::Malformed(error.to_string().into()))
+}
+
+fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
+    let mut states = HashMap::with_capacity(records.len());
+    for record in records {
+        let Some(id) = job_of(&record.key, STATE_PREFIX) else { continue };
+        match StateRecord::try_from(&record.value[..]) {
+            Ok(state) => drop(states.insert(id, state)),
+            Err(error) => emit!(JobsEvent::ItemUnreadable, key = record.key, error = error),
+        }
+    }
+    states
+}
+
+/// Begins this owner's chain of writes, so that none of an earlier one is applied any more.
+async fn begin_sequence<S: Site>(
+    site: &S,
+    token: FencingToken,
+    stored: Option<Record>,
+) -> Result<Sequence, StoreError> {
+    let former = stored.as_ref().map(Sequence::read).transpose()?;
+    let next = match former {
+        Some(former) if former.token == token => Sequence { number: former.number + 1, ..former },
+        Some(former) => Sequence { token, tenure: former.tenure + 1, number: 0, revision: 0 },
+        None => Sequence { token, tenure: 0, number: 0, revision: 0 },
+    };
+    let compare = stored.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
+    let transaction = Transaction::default()
+        .expect(OWNER_KEY, Compare::Revision(token))
+        .expect(SEQUENCE_KEY, compare)
+        .put(SEQUENCE_KEY, next.encode()?, None);
+    match site.store().commit(transaction).await? {
+        TransactionOutcome::Written(revision) => Ok(Sequence { revision, ..next }),
+        TransactionOutcome::Conflict(_) => {
+            Err(StoreError::OutcomeUnknown("another write came between".into()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/write.rs
@@ -0,0 +1,180 @@
+//! The owner's writes, one after the other.
+//!
+//! Each write names the one before it, by the revision of the sequence key. A write whose answer
+//! was lost is sent again; if it had taken effect, the sequence key shows its number. One that is
+//! carried out late finds the key changed and has no effect.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::{
+    Compare, Moment, Record, Revision, StoreError, Transaction, TransactionOutcome,
+    TransactionalStore,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::{Message, Office, URGENT_WRITE_INTERVAL, WRITE_INTERVAL};
+use crate::edges::FencingToken;
+use crate::event::JobsEvent;
+use crate::record::{OWNER_KEY, SEQUENCE_KEY};
+use crate::scheduler::Flush;
+use crate::site::{Formats, Site};
+
+/// Time between two attempts of the same write.
+const RETRY: Duration = Duration::from_millis(60);
+
+/// Where the chain of writes stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Sequence {
+    /// Token of the owner.
+    pub(super) token: FencingToken,
+    /// Number of owners before it.
+    pub(super) tenure: u64,
+    /// Number of the write.
+    pub(super) number: u64,
+    /// Revision of the sequence key.
+    #[serde(skip)]
+    pub(super) revision: Revision,
+}
+
+impl Sequence {
+    pub(super) fn read(record: &Record) -> Result<Self, StoreError> {
+        let sequence: Self = serde_json::from_slice(&record.value)
+            .map_err(|error| StoreError::Malformed(error.to_string().into()))?;
+        Ok(Self { revision: record.revision, ..sequence })
+    }
+
+    pub(super) fn encode(&self) -> Result<Vec<u8>, StoreError> {
+        serde_json::to_vec(self).map_err(|error| StoreError::Malformed(error.to_string().into()))
+    }
+}
+
+/// Outcome of a write.
+pub(super) enum Written {
+    /// It took effect.
+    Done { flush: Flush, sequence: Sequence },
+    /// Another owner has come.
+    Deposed,
+}
+
+/// Writes of one owner.
+pub(super) struct Writer<S: Site> {
+    site: S,
+    token: FencingToken,
+    sequence: Sequence,
+    is_busy: bool,
+}
+
+impl<S: Site> Writer<S> {
+    pub(super) fn new(site: S, token: FencingToken, sequence: Sequence) -> Self {
+        Self { site, token, sequence, is_busy: false }
+    }
+
+    pub(super) fn is_busy(&self) -> bool {
+        self.is_busy
+    }
+
+    fn start(&mut self, flush: Flush, sender: mpsc::Sender<Message>) {
+        self.is_busy = true;
+        let (site, token, sequence) = (self.site.clone(), self.token, self.sequence);
+        tokio::spawn(async move {
+            let written = write(&site, token, sequence, flush).await;
+            // The loop that asked for the write may be over.
+            let _ = sender.send(Message::Written(written)).await;
+        });
+    }
+}
+
+async fn write<S: Site>(
+    site: &S,
+    token: FencingToken,
+    former: Sequence,
+    flush: Flush,
+) -> Written {
+    let next = Sequence { number: former.number + 1, ..former };
+    let transaction = transaction(site, token, former, next, &flush);
+    loop {
+        match site.store().commit(transaction.clone()).await {
+            Ok(TransactionOutcome::Written(revision)) => {
+                return Written::Done { flush, sequence: Sequence { revision, ..next } };
+            }
+            Ok(TransactionOutcome::Conflict(records)) => {
+                return match settle(token, next, &records) {
+                    Some(sequence) => Written::Done { flush, sequence },
+                    None => Written::Deposed,
+                };
+            }
+            Err(error) => emit!(JobsEvent::StoreLost, error = error),
+        }
+        sleep(RETRY).await;
+    }
+}
+
+/// Whether a write had taken effect whose conditions are no longer met.
+fn settle(token: FencingToken, next: Sequence, records: &[Record]) -> Option<Sequence> {
+    let find = |key: &str| records.iter().find(|record| *record.key == *key);
+    let owner = find(OWNER_KEY)?;
+    let stored = Sequence::read(find(SEQUENCE_KEY)?).ok()?;
+    let is_own = owner.revision == token && stored.token == token && stored.number == next.number;
+    is_own.then_some(stored)
+}
+
+fn transaction<S: Site>(
+    site: &S,
+    token: FencingToken,
+    former: Sequence,
+    next: Sequence,
+    flush: &Flush,
+) -> Transaction {
+    let sequence = match next.encode() {
+        Ok(bytes) => bytes,
+        // Three numbers can always be written as JSON.
+        Err(error) => unreachable!("sequence: {error}"),
+    };
+    let mut transaction = Transaction::default()
+        .expect(OWNER_KEY, Compare::Revision(token))
+        .expect(SEQUENCE_KEY, Compare::Revision(former.revision))
+        .put(SEQUENCE_KEY, sequence, None);
+    for (key, value) in &flush.puts {
+        transaction = transaction.put(Arc::clone(key), value.clone(), None);
+    }
+    for (number, is_complete) in &flush.waves {
+        let (key, value) = site.formats().wave_status(*number, *is_complete);
+        transaction = transaction.put(key, value, None);
+    }
+    for key in &flush.removals {
+        transaction = transaction.delete(Arc::clone(key));
+    }
+    transaction
+}
+
+impl<S: Site> Office<S> {
+    /// Starts the next write, if one is due.
+    pub(super) fn write(&mut self, now: Moment) {
+        let interval = match self.scheduler.is_flush_urgent() {
+            true => URGENT_WRITE_INTERVAL,
+            false => WRITE_INTERVAL,
+        };
+        if self.writer.is_busy || now.saturating_sub(self.written) < interval {
+            return;
+        }
+        self.written = now;
+        if let Some(flush) = self.scheduler.take_flush(now) {
+            self.writer.start(flush, self.sender.clone());
+        }
+    }
+
+    pub(super) fn take_written(&mut self, written: Written) {
+        match written {
+            Written::Done { flush, sequence } => {
+                self.writer.sequence = sequence;
+                self.writer.is_busy = false;
+                self.scheduler.note_flushed(&flush);
+            }
+            Written::Deposed => self.is_fenced = true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/placement.rs
@@ -0,0 +1,112 @@
+//! On which worker a task is started.
+
+use std::sync::Arc;
+
+use crate::job::WorkerSlot;
+use crate::spec::Resources;
+
+/// A worker as the placement sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The worker.
+    pub slot: WorkerSlot,
+    /// All its resources.
+    pub room: Resources,
+    /// What is free of them.
+    pub free: Resources,
+    /// Its labels, of which the second names its rack.
+    pub labels: Vec<Arc<str>>,
+    /// Tasks of the same step there.
+    pub same_step: u32,
+    /// Tasks there that serve users.
+    pub serving: u32,
+    /// Tasks there that run on what others leave unused.
+    pub opportunistic: u32,
+    /// Whether most of what it ran lately failed there.
+    pub is_suspect: bool,
+    /// Whether the task failed there before.
+    pub is_avoided: bool,
+}
+
+/// What a task asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Demand {
+    /// Resources that it takes from a worker's room.
+    pub reserved: Resources,
+    /// Label that the worker must have.
+    pub label: Option<Arc<str>>,
+    /// Rack that holds its data.
+    pub data_rack: Option<Arc<str>>,
+    /// Most tasks of the step on one worker.
+    pub per_worker_max: Option<u32>,
+    /// Whether it serves users of its own.
+    pub serves: bool,
+    /// Whether it runs on what others leave unused.
+    pub opportunistic: bool,
+}
+
+impl Candidate {
+    /// Whether a task may be started there now.
+    fn admits(&self, demand: &Demand) -> bool {
+        demand.reserved.fits(&self.free) && self.qualifies(demand)
+    }
+
+    /// Whether a task may run there at all, once there is room.
+    fn qualifies(&self, demand: &Demand) -> bool {
+        let labelled = demand.label.as_ref().is_none_or(|label| self.labels.contains(label));
+        let apart = demand.per_worker_max.is_none_or(|most| self.same_step < most);
+        labelled && apart
+    }
+
+    /// Rank of the worker for a task; the lowest is taken.
+    fn rank(&self, demand: &Demand) -> Rank {
+        let data_rack = demand.data_rack.as_ref();
+        let disturbance = match (demand.serves, demand.opportunistic) {
+            (true, _) => 2 * self.opportunistic + self.serving,
+            (_, true) => 4 * self.serving + self.opportunistic,
+            _ => 0,
+        };
+        let left = self.free.minus(&demand.reserved).processors_milli;
+        Rank {
+            is_suspect: self.is_suspect,
+            is_avoided: self.is_avoided,
+            far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
+            disturbance,
+            used_milli: self.room.processors_milli.saturating_sub(left),
+        }
+    }
+}
+
+/// Reasons against a worker, the weightiest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_suspect: bool,
+    is_avoided: bool,
+    far_from_data: bool,
+    disturbance: u32,
+    used_milli: u32,
+}
+
+/// Chooses a worker for a task.
+///
+/// Answers the load pattern of short tasks beside tasks that serve users: each kind goes where it
+/// is disturbed least, and among equals to the worker with the most left.
+pub fn choose(demand: &Demand, candidates: &[Candidate]) -> Option<WorkerSlot> {
+    let fitting = candidates.iter().filter(|candidate| candidate.admits(demand));
+    fitting.min_by_key(|candidate| candidate.rank(demand)).map(|candidate| candidate.slot)
+}
+
+/// Chooses the worker whose room is kept for a task that fits nowhere now.
+///
+/// Answers the load pattern of a few large tasks among many small ones, which would otherwise
+/// take each bit of room as it becomes free.
+pub fn reserve(demand: &Demand, candidates: &[Candidate]) -> Option<WorkerSlot> {
+    let fitting = candidates.iter().filter(|candidate| {
+        demand.reserved.fits(&candidate.room)
+            && candidate.qualifies(demand)
+            && !candidate.is_suspect
+    });
+    fitting
+        .max_by_key(|candidate| candidate.free.processors_milli)
+        .map(|candidate| candidate.slot)
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler.rs
@@ -0,0 +1,230 @@
+//! The owner's state: jobs, workers, and what follows from each answer.
+//!
+//! Everything here is computed from typed input and the time given with it. Orders to workers,
+//! writes to the store and questions to the placement policy come out as values; carrying them
+//! out is up to [`crate::owner`].
+
+mod advice;
+mod ends;
+mod flush;
+mod inbox;
+mod looks;
+mod orders;
+mod pace;
+mod plan;
+mod upkeep;
+mod workers;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::{InstanceId, ServiceId, TeamId, ZoneId};
+use cassiafold_platform::Moment;
+
+pub use self::advice::Question;
+pub use self::flush::Flush;
+pub use self::upkeep::MachineOrder;
+use self::advice::StepTickets;
+use self::upkeep::{SentOrder, WaveProgress};
+use crate::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerId};
+use crate::edges::FencingToken;
+use crate::job::{Job, WorkerSlot};
+use crate::record::{KnownWorker, WaitingRecord};
+use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
+use crate::worker::Worker;
+
+/// Times that the platform's settings give.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SchedulerSettings {
+    /// How long a run may go on without a look: the longest lease that workers grant.
+    pub hold: Duration,
+    /// How long a run may take to end after an order to stop.
+    pub stop_max: Duration,
+    /// How long an unavailable task may go without counting against its step's budget.
+    pub notice: Duration,
+    /// How long the orders of two owners to one machine must be apart.
+    pub machine_lease: Duration,
+    /// How long a machine takes from one service to another.
+    pub move_time: Duration,
+    /// How long the state of an ended job is kept.
+    pub status_kept: Duration,
+}
+
+/// What the owner knows when its tenure begins.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tenure {
+    /// Its token.
+    pub token: FencingToken,
+    /// Number below which earlier owners may have used run numbers.
+    pub run_base: RunNumber,
+    /// Workers that earlier owners gave tasks to.
+    pub known_workers: Vec<KnownWorker>,
+}
+
+/// An order that is to be carried out now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Look at a worker.
+    Look {
+        /// The worker.
+        worker: WorkerSlot,
+    },
+    /// Start a task.
+    Start {
+        /// The worker.
+        worker: WorkerSlot,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: RunNumber,
+        /// Permission of the placement policy.
+        ticket: Option<Arc<str>>,
+    },
+    /// Stop a run.
+    Stop {
+        /// The worker.
+        worker: WorkerSlot,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: RunNumber,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// The worker.
+        worker: WorkerSlot,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: RunNumber,
+        /// The share.
+        percent: u8,
+    },
+    /// Ask the placement policy.
+    Ask(Question),
+    /// Move or maintain a machine.
+    Machine(MachineOrder),
+}
+
+/// State of one owner.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: SchedulerSettings,
+    tenure: Tenure,
+    config: Arc<ClusterConfig>,
+    evacuated: HashSet<ZoneId>,
+    workers: Vec<Worker>,
+    /// The present life of each worker.
+    present: HashMap<WorkerId, WorkerSlot>,
+    jobs: HashMap<JobId, Job>,
+    /// Steps whose turn has come and that are not done, by service.
+    ready: HashMap<ServiceId, Vec<StepId>>,
+    /// Jobs that repeat.
+    scheduled: Vec<JobId>,
+    /// What each team has running.
+    team_use: HashMap<TeamId, Resources>,
+    /// Until when runs of an earlier owner may go on at workers that have not answered.
+    uncertain_until: Moment,
+    /// Services in which something has changed since the last plan.
+    changed: HashSet<ServiceId>,
+    /// Jobs whose state in the store is behind.
+    dirty: HashSet<JobId>,
+    /// Whether something waits for the next write.
+    is_flush_urgent: bool,
+    /// Runs that shall end.
+    stopping: Vec<(WorkerSlot, TaskId)>,
+    tickets: HashMap<StepId, StepTickets>,
+    questions_open: usize,
+    machines: Vec<Machine>,
+    machines_listed: Option<Moment>,
+    waves: BTreeMap<WaveNumber, WaveProgress>,
+    /// The last order to each machine.
+    machines_ordered: HashMap<InstanceId, SentOrder>,
+    /// Arrivals of each team beyond its weight, as a level that its weight drains.
+    team_levels: HashMap<TeamId, (f64, Moment)>,
+    began: Moment,
+    waiting_written: Option<(Moment, WaitingRecord)>,
+    planned_all: Moment,
+}
+
+impl Scheduler {
+    /// A scheduler at the begin of a tenure.
+    pub fn new(settings: SchedulerSettings, tenure: Tenure, now: Moment) -> Self {
+        let mut scheduler = Self {
+            settings,
+            config: Arc::default(),
+            evacuated: HashSet::new(),
+            workers: Vec::new(),
+            present: HashMap::new(),
+            jobs: HashMap::new(),
+            ready: HashMap::new(),
+            scheduled: Vec::new(),
+            team_use: HashMap::new(),
+            uncertain_until: now,
+            changed: HashSet::new(),
+            dirty: HashSet::new(),
+            is_flush_urgent: false,
+            stopping: Vec::new(),
+            tickets: HashMap::new(),
+            questions_open: 0,
+            machines: Vec::new(),
+            machines_listed: None,
+            waves: BTreeMap::new(),
+            machines_ordered: HashMap::new(),
+            team_levels: HashMap::new(),
+            began: now,
+            waiting_written: None,
+            planned_all: now,
+            tenure,
+        };
+        scheduler.uncertain_until = now + scheduler.settings.hold * 103 / 100;
+        scheduler.add_known_workers(now);
+        scheduler
+    }
+
+    /// Takes over a new configuration.
+    pub fn configure(&mut self, config: Arc<ClusterConfig>) {
+        self.config = config;
+        self.mark_all_changed();
+    }
+
+    /// Takes over the zones to which nothing may be sent.
+    pub fn evacuate(&mut self, zones: HashSet<ZoneId>) {
+        self.evacuated = zones;
+        self.mark_all_changed();
+    }
+
+    /// Takes over the waves of maintenance that the operator asks for.
+    pub fn set_waves(&mut self, waves: &[Wave], now: Moment) {
+        for wave in waves {
+            self.waves
+                .entry(wave.number)
+                .or_insert_with(|| WaveProgress::new(wave.clone(), now));
+        }
+    }
+
+    /// The owner's token.
+    pub fn token(&self) -> FencingToken {
+        self.tenure.token
+    }
+
+    /// A worker's life.
+    pub fn worker(&self, slot: WorkerSlot) -> &Worker {
+        &self.workers[slot]
+    }
+
+    /// A job.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    fn mark_changed(&mut self, slot: WorkerSlot) {
+        let service = self.workers[slot].entry.service.clone();
+        self.changed.insert(service);
+    }
+
+    fn mark_all_changed(&mut self) {
+        self.changed.extend(self.ready.keys().cloned());
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -0,0 +1,179 @@
+//! What the end of a run changes.
+
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+
+use super::Scheduler;
+use crate::edges::{EndedRow, RunEnd};
+use crate::event::JobsEvent;
+use crate::job::WorkerSlot;
+use crate::record::JobState;
+use crate::spec::{JobId, Resources, StepId, TaskId};
+use crate::worker::RunPhase;
+
+/// Ends that are remembered of each worker to tell a bad worker from a bad job.
+const RECENT_ENDS: usize = 8;
+/// Delay before a task that failed starts again.
+const FAILED_DELAY: Duration = Duration::from_millis(50);
+
+impl Scheduler {
+    /// Takes in a run that has ended.
+    pub(super) fn run_ended(&mut self, slot: WorkerSlot, row: &EndedRow, now: Moment) {
+        let known = self.workers[slot].runs.get(&row.task).is_some_and(|run| run.number == row.run);
+        if known {
+            self.release(slot, row.task, now);
+        }
+        let Some(job) = self.jobs.get_mut(&row.task.step.job) else { return };
+        if let Some(task) = job.task_mut(row.task) {
+            task.last_run = task.last_run.max(row.run);
+            if row.checkpoint.is_some() {
+                task.checkpoint = row.checkpoint.clone();
+            }
+        }
+        match row.end {
+            RunEnd::Done => self.task_done(row.task, now),
+            RunEnd::Failed => self.task_failed(slot, row, now),
+            RunEnd::Stopped | RunEnd::Expired | RunEnd::Broken | RunEnd::Alone => {
+                emit!(
+                    JobsEvent::RunEnded,
+                    task = row.task,
+                    run = row.run,
+                    end = format_args!("{:?}", row.end)
+                );
+            }
+        }
+        if matches!(row.end, RunEnd::Done | RunEnd::Failed) {
+            let worker = &mut self.workers[slot];
+            worker.recent.push((row.task.step.job, row.end == RunEnd::Failed));
+            let excess = worker.recent.len().saturating_sub(RECENT_ENDS);
+            worker.recent.drain(..excess);
+        }
+    }
+
+    fn task_done(&mut self, id: TaskId, now: Moment) {
+        let job_id = id.step.job;
+        let Some(job) = self.jobs.get_mut(&job_id).filter(|job| job.is_live()) else { return };
+        let Some(spec) = job.spec(id.step.step) else { return };
+        if spec.long_running {
+            self.mark_service_changed(job_id);
+            return;
+        }
+        let gang = spec.gang;
+        let Some(step) = job.step_mut(id.step) else { return };
+        let members = if gang { 0..step.tasks.len() } else { id.index as usize..id.index as usize + 1 };
+        let mut copies: Vec<(WorkerSlot, TaskId)> = Vec::new();
+        for index in members {
+            let Some(task) = step.tasks.get_mut(index).filter(|task| !task.is_done) else { continue };
+            task.is_done = true;
+            step.done += 1;
+            let index = u32::try_from(index).unwrap_or(u32::MAX);
+            copies.extend(task.copies.iter().map(|slot| (*slot, TaskId { index, ..id })));
+        }
+        let is_done = step.is_done();
+        self.dirty.insert(job_id);
+        for (slot, task) in copies {
+            self.stop_run(slot, task, now);
+        }
+        if is_done {
+            self.tickets.remove(&id.step);
+            self.advance(job_id, id.step.occurrence, now);
+        }
+    }
+
+    fn task_failed(&mut self, slot: WorkerSlot, row: &EndedRow, now: Moment) {
+        let id = row.task;
+        let attempts_max = self.attempts_max(id.step.job);
+        let Some(job) = self.jobs.get_mut(&id.step.job).filter(|job| job.is_live()) else { return };
+        let Some(spec) = job.spec(id.step.step) else { return };
+        let (long_running, gang) = (spec.long_running, spec.gang);
+        // The failures of a gang are counted at its first member.
+        let counted = if gang { TaskId { index: 0, ..id } } else { id };
+        let Some(task) = job.task_mut(counted).filter(|task| !task.is_done) else { return };
+        if !task.failed_runs.contains(&row.run) {
+            task.failed_runs.push(row.run);
+        }
+        let failures = task.failed_runs.len();
+        if long_running {
+            task.failed_runs.clear();
+        }
+        if let Some(task) = job.task_mut(id) {
+            task.avoid.push(slot);
+            task.not_before = now + FAILED_DELAY;
+        }
+        self.dirty.insert(id.step.job);
+        emit!(
+            JobsEvent::RunFailed,
+            task = id,
+            run = row.run,
+            worker = self.workers[slot].entry.id,
+            failures = failures,
+            attempts_max = attempts_max
+        );
+        if !long_running && failures >= attempts_max as usize {
+            self.finish(id.step.job, JobState::Failed, now);
+        }
+        self.mark_service_changed(id.step.job);
+    }
+
+    /// How often a task of a job may fail; a queue that is no longer configured keeps one try.
+    fn attempts_max(&self, job: JobId) -> u32 {
+        let queue = self.jobs.get(&job).map(|job| &job.record.queue);
+        let queue = queue.and_then(|queue| self.config.queues.get(queue));
+        queue.map_or(u32::MAX, |queue| queue.attempts_max.max(1))
+    }
+
+    /// Orders a run to end.
+    pub(super) fn stop_run(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        let Some(run) = self.workers[slot].runs.get_mut(&task) else { return };
+        if run.is_stopping() {
+            return;
+        }
+        run.phase = RunPhase::Stopping { next_try: now, confirmed: None };
+        self.stopping.push((slot, task));
+    }
+
+    /// Forgets a run that has ended or never began.
+    pub(super) fn release(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        let Some(run) = self.workers[slot].remove(task) else { return };
+        self.count_use(task.step.job, &run.counted, false);
+        self.mark_changed(slot);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if let Some(entry) = job.task_mut(task) {
+            entry.copies.retain(|copy| *copy != slot);
+            entry.last_ended = Some(now);
+        }
+        self.mark_service_changed(task.step.job);
+    }
+
+    /// Forgets everything that ran on a worker.
+    pub(super) fn lose_runs(&mut self, slot: WorkerSlot, now: Moment) {
+        let tasks: Vec<TaskId> = self.workers[slot].runs.keys().copied().collect();
+        for task in tasks {
+            self.dirty.insert(task.step.job);
+            self.release(slot, task, now);
+        }
+    }
+
+    pub(super) fn mark_service_changed(&mut self, job: JobId) {
+        if let Some(job) = self.jobs.get(&job) {
+            self.changed.insert(job.record.service.clone());
+        }
+    }
+
+    /// Counts what a team has running.
+    pub(super) fn count_use(&mut self, job: JobId, amount: &Resources, is_more: bool) {
+        let Some(team) = self.jobs.get(&job).and_then(|job| job.record.team.clone()) else {
+            return;
+        };
+        let used = self.team_use.entry(team).or_default();
+        *used = if is_more { used.plus(amount) } else { used.minus(amount) };
+    }
+
+    /// Whether no member of a step is ordered, runs or is being stopped.
+    pub(super) fn is_step_idle(&self, step: StepId) -> bool {
+        let step = self.jobs.get(&step.job).and_then(|job| job.step(step));
+        step.is_some_and(|step| step.tasks.iter().all(|task| task.copies.is_empty()))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -0,0 +1,168 @@
+//! What the owner writes to the store, and what may be said once it is written.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+
+use super::Scheduler;
+use crate::cluster::WaveNumber;
+use crate::event::JobsEvent;
+use crate::job::{Job, WorkerSlot};
+use crate::record::{
+    JobState, KnownWorker, RecordError, WAITING_KEY, WORKERS_KEY, WaitingRecord, cancel_key,
+    job_key, state_key,
+};
+use crate::spec::JobId;
+
+/// States of jobs in one write.
+const STATES_MAX: usize = 24;
+/// Ended jobs that are removed in one write.
+const REMOVALS_MAX: usize = 1;
+/// Time between two writes of the number of waiting jobs.
+const WAITING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// One write of the owner, and what follows from it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Flush {
+    /// Values to store.
+    pub puts: Vec<(Arc<str>, Vec<u8>)>,
+    /// Keys to remove.
+    pub removals: Vec<Arc<str>>,
+    /// Waves whose status is to be stored, with whether they are complete.
+    pub waves: Vec<(WaveNumber, bool)>,
+    ends: Vec<(WorkerSlot, u64)>,
+    recorded: Vec<WorkerSlot>,
+    removed: Vec<JobId>,
+}
+
+impl Scheduler {
+    /// Whether something should be written without delay.
+    pub fn is_flush_urgent(&self) -> bool {
+        self.is_flush_urgent
+    }
+
+    /// The next write; `None` when the store is up to date.
+    pub fn take_flush(&mut self, now: Moment) -> Option<Flush> {
+        let mut flush = Flush::default();
+        self.collect_states(&mut flush);
+        self.collect_workers(&mut flush);
+        self.collect_waiting(now, &mut flush);
+        self.collect_removals(now, &mut flush);
+        flush.waves = self.wave_statuses();
+        if self.dirty.is_empty() {
+            self.is_flush_urgent = false;
+            flush.ends = self
+                .workers
+                .iter()
+                .enumerate()
+                .filter(|(_, worker)| !worker.is_gone && worker.ends_seen > worker.ends_stored)
+                .map(|(slot, worker)| (slot, worker.ends_seen))
+                .collect();
+        }
+        let writes = !flush.puts.is_empty() || !flush.removals.is_empty() || !flush.waves.is_empty();
+        if !writes {
+            // Ends that changed no job may be acknowledged at once.
+            self.note_flushed(&flush);
+            return None;
+        }
+        Some(flush)
+    }
+
+    fn collect_states(&mut self, flush: &mut Flush) {
+        // Final states come first, since callers wait for them.
+        let mut ids: Vec<JobId> = self.dirty.iter().copied().collect();
+        ids.sort_by_key(|id| (self.jobs.get(id).is_some_and(Job::is_live), *id));
+        for id in ids.into_iter().take(STATES_MAX) {
+            self.dirty.remove(&id);
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.is_dirty = false;
+            match job.to_state().encode() {
+                Ok(bytes) => flush.puts.push((state_key(id), bytes)),
+                Err(error) => report(id, &error),
+            }
+        }
+    }
+
+    fn collect_workers(&mut self, flush: &mut Flush) {
+        let Some(known) = self.unrecorded_workers() else { return };
+        match encode_workers(&known) {
+            Ok(bytes) => flush.puts.push((WORKERS_KEY.into(), bytes)),
+            Err(error) => return report(0, &error),
+        }
+        let present = self.workers.iter().enumerate().filter(|(_, worker)| !worker.is_gone);
+        flush.recorded = present.map(|(slot, _)| slot).collect();
+    }
+
+    fn collect_waiting(&mut self, now: Moment, flush: &mut Flush) {
+        let last = self.waiting_written.as_ref();
+        if last.is_some_and(|(at, _)| now.saturating_sub(*at) < WAITING_INTERVAL) {
+            return;
+        }
+        let waiting = self.waiting();
+        if last.is_some_and(|(_, written)| *written == waiting) {
+            return;
+        }
+        match serde_json::to_vec(&waiting) {
+            Ok(bytes) => flush.puts.push((WAITING_KEY.into(), bytes)),
+            Err(error) => return report(0, &error.into()),
+        }
+        self.waiting_written = Some((now, waiting));
+    }
+
+    /// Accepted jobs of which no task has started, by queue.
+    fn waiting(&self) -> WaitingRecord {
+        let mut waiting = WaitingRecord::default();
+        let jobs = self.jobs.values().filter(|job| job.is_live() && !job.has_started);
+        for job in jobs {
+            *waiting.jobs.entry(job.record.queue.clone()).or_default() += 1;
+        }
+        waiting
+    }
+
+    fn collect_removals(&mut self, now: Moment, flush: &mut Flush) {
+        let kept = self.settings.status_kept;
+        let over = self.jobs.values().filter(|job| {
+            job.final_since.is_some_and(|since| now.saturating_sub(since) > kept)
+                && !self.dirty.contains(&job.id)
+        });
+        let ids: Vec<JobId> = over.take(REMOVALS_MAX).map(|job| job.id).collect();
+        for id in ids {
+            flush.removals.extend([job_key(id), cancel_key(id), state_key(id)]);
+            flush.removed.push(id);
+        }
+    }
+
+    /// Takes in that a write has taken effect.
+    pub fn note_flushed(&mut self, flush: &Flush) {
+        for (slot, number) in &flush.ends {
+            let worker = &mut self.workers[*slot];
+            // A new life counts its ends from the start.
+            if worker.ends_seen >= *number {
+                worker.ends_stored = worker.ends_stored.max(*number);
+            }
+        }
+        for slot in &flush.recorded {
+            self.workers[*slot].is_recorded = true;
+            self.mark_changed(*slot);
+        }
+        for id in &flush.removed {
+            self.jobs.remove(id);
+        }
+        self.note_wave_statuses(&flush.waves);
+    }
+
+    /// Counts of jobs by what they have come to, for metrics.
+    pub fn count_jobs(&self, state: JobState) -> usize {
+        self.jobs.values().filter(|job| job.state == state).count()
+    }
+}
+
+fn encode_workers(known: &[KnownWorker]) -> Result<Vec<u8>, RecordError> {
+    Ok(serde_json::to_vec(known)?)
+}
+
+fn report(id: JobId, error: &RecordError) {
+    emit!(JobsEvent::RecordNotEncoded, job = format_args!("{id:016x}"), error = error);
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -0,0 +1,170 @@
+//! Jobs that are accepted, cancelled and due.
+
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::{Moment, Revision};
+
+use super::Scheduler;
+use crate::event::JobsEvent;
+use crate::job::Job;
+use crate::record::{JobRecord, JobState, StateRecord};
+use crate::spec::{JobId, OccurrenceNumber, TaskId};
+
+/// Seconds of its weight that a team may send at once before its jobs count as beyond it.
+const WEIGHT_BURST_S: f64 = 2.0;
+
+impl Scheduler {
+    /// Adds an accepted job, with its stored state where it has one.
+    pub fn add_job(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        accepted_revision: Revision,
+        stored: Option<&StateRecord>,
+        now: Moment,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(id, record, accepted_revision, stored, now);
+        job.beyond_weight = self.is_beyond_weight(&job, now);
+        if !job.is_live() {
+            self.jobs.insert(id, job);
+            return;
+        }
+        let repeats = job.record.spec.schedule.is_some();
+        // A job that an earlier owner cannot have seen starts with the first number.
+        let fresh = accepted_revision > self.tenure.token && stored.is_none();
+        let run_base = if fresh { 0 } else { self.tenure.run_base };
+        if !repeats {
+            job.begin(0, stored, run_base, now);
+        }
+        self.jobs.insert(id, job);
+        match repeats {
+            true => self.scheduled.push(id),
+            false => self.advance(id, 0, now),
+        }
+    }
+
+    /// Raises the level of the job's team by one job and tells whether it exceeds its weight.
+    fn is_beyond_weight(&mut self, job: &Job, now: Moment) -> bool {
+        let Some(team) = job.record.team.clone() else { return false };
+        let Some(weight) = self.config.teams.get(&team).map(|team| team.weight) else {
+            return false;
+        };
+        if weight <= 0.0 {
+            return false;
+        }
+        let (level, at) = self.team_levels.entry(team).or_insert((0.0, now));
+        let drained = weight * now.saturating_sub(*at).as_secs_f64();
+        *level = (*level - drained).max(0.0) + 1.0;
+        *at = now;
+        *level > (weight * WEIGHT_BURST_S).max(1.0)
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.is_live() {
+            self.finish(id, JobState::Cancelled, now);
+        }
+    }
+
+    /// Begins the repetitions that are due at a time of day.
+    pub fn begin_due(&mut self, unix: Duration, now: Moment) {
+        let mut begun: Vec<(JobId, OccurrenceNumber)> = Vec::new();
+        for id in &self.scheduled {
+            let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_live()) else { continue };
+            let Some(schedule) = job.record.spec.schedule else { continue };
+            for number in 0..schedule.occurrences {
+                if schedule.due_unix(number) > unix {
+                    break;
+                }
+                let known = job.occurrences.contains_key(&number) || job.ended.contains(&number);
+                if !known {
+                    job.begin(number, None, self.tenure.run_base, now);
+                    begun.push((*id, number));
+                }
+            }
+        }
+        for (id, number) in begun {
+            self.advance(id, number, now);
+        }
+        let jobs = &self.jobs;
+        self.scheduled.retain(|id| jobs.get(id).is_some_and(Job::is_live));
+    }
+
+    /// Restores repetitions of a scheduled job that had begun under an earlier owner.
+    pub fn restore_occurrences(&mut self, id: JobId, stored: &StateRecord, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_live()) else { return };
+        if job.record.spec.schedule.is_none() {
+            return;
+        }
+        let mut numbers: Vec<_> = stored.tasks.iter().map(|row| row.occurrence).collect();
+        numbers.dedup();
+        for number in numbers {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.begin(number, Some(stored), self.tenure.run_base, now);
+            }
+            self.advance(id, number, now);
+        }
+    }
+
+    /// Lets the steps start whose predecessors are done, and ends what is done.
+    pub(super) fn advance(&mut self, id: JobId, number: OccurrenceNumber, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_live()) else { return };
+        let service = job.record.service.clone();
+        let ready = job.ready_steps(number, now);
+        if job.occurrences.get(&number).is_some_and(|occurrence| occurrence.is_done()) {
+            job.occurrences.remove(&number);
+            job.ended.push(number);
+            job.is_dirty = true;
+            let all_ended = job.ended.len() >= job.record.spec.occurrences() as usize;
+            self.dirty.insert(id);
+            if all_ended {
+                self.finish(id, JobState::Completed, now);
+            }
+            return;
+        }
+        if !ready.is_empty() {
+            self.ready.entry(service.clone()).or_default().extend(ready);
+            self.changed.insert(service);
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn finish(&mut self, id: JobId, state: JobState, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.state = state;
+        job.is_dirty = true;
+        job.final_since = Some(now);
+        let service = job.record.service.clone();
+        let age = now.saturating_sub(job.seen);
+        self.dirty.insert(id);
+        self.is_flush_urgent = true;
+        emit!(
+            JobsEvent::JobEnded,
+            job = format_args!("{id:016x}"),
+            state = format_args!("{state:?}"),
+            age_ms = age.as_millis()
+        );
+        let running: Vec<(usize, TaskId)> = self
+            .workers
+            .iter()
+            .enumerate()
+            .flat_map(|(slot, worker)| {
+                let of_job = worker.runs.keys().filter(|task| task.step.job == id);
+                of_job.map(move |task| (slot, *task))
+            })
+            .collect();
+        for (slot, task) in running {
+            self.stop_run(slot, task, now);
+        }
+        if let Some(steps) = self.ready.get_mut(&service) {
+            steps.retain(|step| step.job != id);
+        }
+        self.tickets.retain(|step, _| step.job != id);
+        self.changed.insert(service);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -0,0 +1,151 @@
+//! Orders to workers and what their outcomes change.
+
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+
+use super::Scheduler;
+use crate::edges::{OrderOutcome, Refusal, StartRequest};
+use crate::event::JobsEvent;
+use crate::job::WorkerSlot;
+use crate::spec::{RunNumber, TaskId};
+use crate::worker::RunPhase;
+
+/// How long a worker that had no room or was unwell gets no more work.
+const BLOCKED: Duration = Duration::from_millis(300);
+/// Time between two orders to stop the same run.
+const STOP_RETRY: Duration = Duration::from_millis(300);
+/// Added to a run number that a worker has called outdated.
+const RUN_STEP: RunNumber = 8;
+
+impl Scheduler {
+    /// The order that starts a run; `None` when there is nothing to start any more.
+    pub fn start_request(
+        &mut self,
+        slot: WorkerSlot,
+        task: TaskId,
+        run: RunNumber,
+        ticket: Option<std::sync::Arc<str>>,
+        now: Moment,
+    ) -> Option<StartRequest> {
+        let hold = self.settings.hold;
+        let token = self.tenure.token;
+        let ordered = self.workers[slot].runs.get(&task)?;
+        if ordered.number != run || ordered.phase != RunPhase::Ordered {
+            return None;
+        }
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.spec(task.step.step)?;
+        let saved = match spec.gang {
+            true => job.task(TaskId { index: 0, ..task })?.checkpoint.clone(),
+            false => job.task(task)?.checkpoint.clone(),
+        };
+        let text = job.record.spec.text.clone();
+        let checkpoint = saved.filter(|_| spec.checkpoints);
+        let lease_until = self.workers[slot].extend_lease(hold, now)?;
+        Some(StartRequest { token, task, run, text, checkpoint, lease_until, ticket })
+    }
+
+    /// Takes in the outcome of an order to start a run.
+    pub fn note_start(
+        &mut self,
+        slot: WorkerSlot,
+        task: TaskId,
+        run: RunNumber,
+        outcome: OrderOutcome,
+        now: Moment,
+    ) {
+        let worker = &mut self.workers[slot];
+        let id = worker.entry.id.clone();
+        let ordered = worker.runs.get_mut(&task);
+        let Some(ordered) = ordered.filter(|ordered| ordered.number == run) else { return };
+        if outcome != OrderOutcome::Accepted {
+            emit!(
+                JobsEvent::StartNotAccepted,
+                task = task,
+                run = run,
+                worker = id,
+                outcome = format_args!("{outcome:?}")
+            );
+        }
+        match outcome {
+            OrderOutcome::Accepted => {
+                if ordered.phase == RunPhase::Ordered {
+                    ordered.phase = RunPhase::Running;
+                }
+                ordered.confirmed = ordered.confirmed.or(Some(now));
+            }
+            OrderOutcome::Unknown => self.stop_run(slot, task, now),
+            OrderOutcome::NotSent => self.start_failed(slot, task, now),
+            OrderOutcome::Refused(refusal) => self.start_refused(slot, task, refusal, now),
+        }
+    }
+
+    fn start_refused(&mut self, slot: WorkerSlot, task: TaskId, refusal: Refusal, now: Moment) {
+        if refusal == Refusal::OtherLife {
+            self.lose_worker(slot, now);
+            return;
+        }
+        if refusal == Refusal::NoTicket {
+            self.drop_ticket(task.step, slot);
+        }
+        if refusal == Refusal::Outdated {
+            let job = self.jobs.get_mut(&task.step.job);
+            if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
+                entry.last_run += RUN_STEP;
+            }
+        }
+        if matches!(refusal, Refusal::NoRoom | Refusal::Unhealthy | Refusal::Malformed) {
+            self.workers[slot].blocked_until = now + BLOCKED;
+        }
+        self.start_failed(slot, task, now);
+    }
+
+    fn start_failed(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        self.release(slot, task, now);
+        self.workers[slot].blocked_until = self.workers[slot].blocked_until.max(now + BLOCKED);
+    }
+
+    /// Takes in the outcome of an order to stop a run.
+    pub fn note_stop(
+        &mut self,
+        slot: WorkerSlot,
+        task: TaskId,
+        run: RunNumber,
+        outcome: OrderOutcome,
+        now: Moment,
+    ) {
+        if outcome == OrderOutcome::Refused(Refusal::OtherLife) {
+            self.lose_worker(slot, now);
+            return;
+        }
+        let ordered = self.workers[slot].runs.get_mut(&task);
+        let Some(ordered) = ordered.filter(|ordered| ordered.number == run) else { return };
+        let RunPhase::Stopping { confirmed, .. } = &mut ordered.phase else { return };
+        if outcome == OrderOutcome::Accepted {
+            *confirmed = confirmed.or(Some(now));
+        }
+    }
+
+    /// Orders to stop that are due.
+    pub(super) fn due_stops(&mut self, now: Moment) -> Vec<super::Order> {
+        let mut orders = Vec::new();
+        let workers = &mut self.workers;
+        self.stopping.retain(|(slot, task)| {
+            let Some(run) = workers[*slot].runs.get_mut(task) else { return false };
+            let RunPhase::Stopping { next_try, confirmed } = &mut run.phase else { return false };
+            if *next_try > now {
+                return true;
+            }
+            // A confirmed stop is repeated only if its run goes on past all bounds.
+            *next_try = match confirmed {
+                Some(_) => now + STOP_RETRY * 10,
+                None => now + STOP_RETRY,
+            };
+            orders.push(super::Order::Stop { worker: *slot, task: *task, run: run.number });
+            true
+        });
+        orders
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/pace.rs
@@ -0,0 +1,67 @@
+//! Slows opportunistic tasks down where they disturb tasks that serve users.
+
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+
+use super::{Order, Scheduler};
+use crate::event::JobsEvent;
+use crate::job::WorkerSlot;
+use crate::pace::next_percent;
+use crate::spec::TaskId;
+use crate::worker::RunPhase;
+
+/// Time between two changes on one worker: a reading covers the half second before it.
+const PACE_INTERVAL: Duration = Duration::from_millis(600);
+
+impl Scheduler {
+    /// Orders the changes of pace that are due.
+    pub(super) fn plan_pace(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        for slot in 0..self.workers.len() {
+            let worker = &self.workers[slot];
+            let is_due = worker.is_confirmed && now >= worker.pace_due && !worker.runs.is_empty();
+            if !is_due {
+                continue;
+            }
+            self.workers[slot].pace_due = now + PACE_INTERVAL;
+            self.pace_worker(slot, orders);
+        }
+    }
+
+    fn pace_worker(&mut self, slot: WorkerSlot, orders: &mut Vec<Order>) {
+        let mut load = 0.0_f64;
+        let mut fillers: Vec<TaskId> = Vec::new();
+        for (task, run) in &self.workers[slot].runs {
+            let Some(spec) = self.spec(task.step) else { continue };
+            if run.phase != RunPhase::Running {
+                continue;
+            }
+            if let Some(target) = spec.tail_target {
+                let target_ms = target.as_secs_f64() * 1_000.0;
+                load = load.max(f64::from(run.reading) / target_ms.max(1.0));
+            }
+            if spec.opportunistic {
+                fillers.push(*task);
+            }
+        }
+        for task in fillers {
+            let worker = &mut self.workers[slot];
+            let Some(run) = worker.runs.get_mut(&task) else { continue };
+            let percent = next_percent(run.pace_percent, load);
+            if percent == run.pace_percent {
+                continue;
+            }
+            run.pace_percent = percent;
+            let number = run.number;
+            emit!(
+                JobsEvent::PaceChanged,
+                task = task,
+                worker = worker.entry.id,
+                load = format_args!("{load:.2}"),
+                percent = percent
+            );
+            orders.push(Order::Pace { worker: slot, task, run: number, percent });
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -0,0 +1,417 @@
+//! Which orders follow from the present state.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_platform::Moment;
+
+use super::{Order, Scheduler};
+use crate::job::{Job, WorkerSlot};
+use crate::order::{Contender, sort};
+use crate::placement::{Candidate, Demand, choose, reserve};
+use crate::record::JobState;
+use crate::spec::{StepId, StepSpec, TaskId};
+use crate::worker::{LookPhase, Run, RunPhase};
+
+/// Time after which services are planned again without news, for delays that have passed.
+const REPLAN_INTERVAL: Duration = Duration::from_millis(50);
+/// A step that has found no room for this long has a worker kept for it.
+const RESERVE_AFTER: Duration = Duration::from_millis(400);
+/// Most workers of a service that are kept for steps that found no room.
+const RESERVED_MAX: usize = 2;
+/// Ends of different jobs that must have failed on a worker before it is suspected.
+const SUSPECT_JOBS: usize = 3;
+
+impl Scheduler {
+    /// The orders that are due now, at a time of day `unix`.
+    pub fn plan(&mut self, unix: Duration, now: Moment) -> Vec<Order> {
+        let mut orders = Vec::new();
+        if now.saturating_sub(self.planned_all) >= REPLAN_INTERVAL {
+            self.planned_all = now;
+            self.begin_due(unix, now);
+            self.mark_all_changed();
+            for slot in 0..self.workers.len() {
+                if !self.workers[slot].is_gone {
+                    self.expire(slot, now);
+                }
+            }
+            self.plan_upkeep(now, &mut orders);
+        }
+        for service in std::mem::take(&mut self.changed) {
+            self.plan_service(&service, now, &mut orders);
+        }
+        orders.extend(self.due_stops(now));
+        self.plan_pace(now, &mut orders);
+        self.due_looks(now, &mut orders);
+        orders
+    }
+
+    /// When the next order falls due without news.
+    pub fn next_due(&self, now: Moment) -> Moment {
+        let looks = self.workers.iter().filter(|worker| !worker.is_gone);
+        let due = looks.filter_map(|worker| match worker.look {
+            LookPhase::DueAt(at) => Some(at),
+            LookPhase::InFlight => None,
+        });
+        due.min().unwrap_or(Moment::MAX).min(now + REPLAN_INTERVAL)
+    }
+
+    fn due_looks(&self, now: Moment, orders: &mut Vec<Order>) {
+        for (worker, life) in self.workers.iter().enumerate() {
+            let is_due = matches!(life.look, LookPhase::DueAt(at) if at <= now);
+            if is_due && !life.is_gone {
+                orders.push(Order::Look { worker });
+            }
+        }
+    }
+
+    fn plan_service(&mut self, service: &str, now: Moment, orders: &mut Vec<Order>) {
+        let Some(mut steps) = self.ready.remove(service) else { return };
+        let jobs = &self.jobs;
+        steps.retain(|id| {
+            let job = jobs.get(&id.job).filter(|job| job.is_live());
+            job.and_then(|job| job.step(*id)).is_some_and(|step| !step.is_done())
+        });
+        let is_certain = self.is_certain(service, now);
+        let mut contenders: Vec<Contender> = steps
+            .iter()
+            .filter(|id| self.has_waiting(**id, now))
+            .filter_map(|id| self.contender(*id))
+            .filter(|contender| is_certain || self.is_new(contender.step))
+            .collect();
+        self.ready.insert(service.into(), steps);
+        if contenders.is_empty() {
+            return;
+        }
+        sort(&mut contenders, now);
+        let mut candidates = self.candidates(service, now);
+        let mut reserved = 0;
+        for contender in &contenders {
+            let open = self.place_step(contender.step, &mut candidates, now, orders);
+            let Some(demand) = open else { continue };
+            let waited = now.saturating_sub(self.ready_since(contender.step, now));
+            if reserved < RESERVED_MAX && (contender.long_running || waited >= RESERVE_AFTER) {
+                let kept = reserve(&demand, &candidates);
+                reserved += usize::from(kept.is_some());
+                candidates.retain(|candidate| Some(candidate.slot) != kept);
+            }
+            if candidates.is_empty() {
+                break;
+            }
+        }
+    }
+
+    /// Whether no earlier owner can have started anything of a step's job.
+    fn is_new(&self, step: StepId) -> bool {
+        let job = self.jobs.get(&step.job);
+        job.is_some_and(|job| job.accepted_revision > self.tenure.token)
+    }
+
+    fn has_waiting(&self, id: StepId, now: Moment) -> bool {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        step.is_some_and(|step| {
+            step.tasks.iter().any(|task| task.is_waiting() && task.not_before <= now)
+        })
+    }
+
+    fn ready_since(&self, id: StepId, now: Moment) -> Moment {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        step.map_or(now, |step| step.ready_since)
+    }
+
+    fn contender(&self, id: StepId) -> Option<Contender> {
+        let job = self.jobs.get(&id.job)?;
+        let spec = job.spec(id.step)?;
+        let queue = self.config.queues.get(&job.record.queue);
+        let accepted = job.occurrences.get(&id.occurrence).map_or(job.seen, |one| one.due);
+        let chain = longest_chain(job, id.occurrence, true);
+        let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
+        let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
+        Some(Contender {
+            step: id,
+            priority: queue.map_or(u8::MAX, |queue| queue.priority),
+            long_running: spec.long_running,
+            beyond_weight: job.beyond_weight,
+            accepted,
+            objective: accepted + chain.mul_f64(stretch) + slack,
+            chain_left: longest_chain(job, id.occurrence, false),
+            work_left: work_left(job, id.occurrence),
+        })
+    }
+
+    fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
+        let of_service = self.workers.iter().enumerate().filter(|(_, worker)| {
+            *worker.entry.service == *service
+                && worker.is_usable(now)
+                && !self.evacuated.contains(&worker.entry.zone)
+        });
+        of_service
+            .map(|(slot, worker)| {
+                let count = |wanted: fn(&StepSpec) -> bool| {
+                    let specs = worker.runs.keys().filter_map(|task| self.spec(task.step));
+                    u32::try_from(specs.filter(|spec| wanted(spec)).count()).unwrap_or(u32::MAX)
+                };
+                Candidate {
+                    slot,
+                    room: worker.entry.room,
+                    free: worker.free(),
+                    labels: worker.entry.labels.clone(),
+                    same_step: 0,
+                    serving: count(|spec| spec.tail_target.is_some()),
+                    opportunistic: count(|spec| spec.opportunistic),
+                    is_suspect: is_suspect(&worker.recent),
+                    is_avoided: false,
+                }
+            })
+            .collect()
+    }
+
+    pub(super) fn spec(&self, step: StepId) -> Option<&StepSpec> {
+        self.jobs.get(&step.job).and_then(|job| job.spec(step.step))
+    }
+
+    /// Starts what fits of a step; returns what it asks for if tasks are left over.
+    fn place_step(
+        &mut self,
+        id: StepId,
+        candidates: &mut Vec<Candidate>,
+        now: Moment,
+        orders: &mut Vec<Order>,
+    ) -> Option<Demand> {
+        let spec = self.spec(id)?.clone();
+        let demand = Demand {
+            reserved: spec.reserved(),
+            label: spec.label.clone(),
+            data_rack: spec.data_rack.clone(),
+            per_worker_max: spec.per_worker_max,
+            serves: spec.tail_target.is_some(),
+            opportunistic: spec.opportunistic,
+        };
+        self.count_same_step(id, &spec, candidates);
+        let asks = self.advice_policy(id).is_some();
+        if asks {
+            self.ask(id, candidates, now, orders);
+        }
+        let tickets = asks.then(|| self.valid_tickets(id, now));
+        if spec.gang {
+            return self.place_gang(id, &spec, &demand, candidates, tickets.as_ref(), orders, now);
+        }
+        let waiting = self.waiting_tasks(id, now);
+        for index in waiting {
+            let task = TaskId { step: id, index };
+            if !self.team_admits(id, &spec) {
+                return None;
+            }
+            let allowed = self.allowed(task, candidates, tickets.as_ref());
+            let Some(slot) = choose(&demand, &allowed) else { return Some(demand) };
+            let ticket = tickets.as_ref().and_then(|tickets| tickets.get(&slot).cloned());
+            let run = self.next_run(task);
+            self.order_start(task, run, slot, &spec, ticket, now, orders);
+            take(candidates, slot, &demand);
+        }
+        None
+    }
+
+    /// Starts all members of a gang or none; returns what it asks for if it did not fit.
+    #[expect(clippy::too_many_arguments, reason = "one call from one place")]
+    fn place_gang(
+        &mut self,
+        id: StepId,
+        spec: &StepSpec,
+        demand: &Demand,
+        candidates: &mut Vec<Candidate>,
+        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
+        orders: &mut Vec<Order>,
+        now: Moment,
+    ) -> Option<Demand> {
+        if !self.is_step_idle(id) || self.waiting_tasks(id, now).len() < spec.tasks as usize {
+            return None;
+        }
+        let whole = (0..spec.tasks).fold(Default::default(), |sum, _| spec.needs.plus(&sum));
+        if !self.team_admits_amount(id, &whole) {
+            return None;
+        }
+        let mut racks: Vec<Option<Arc<str>>> = vec![None];
+        if spec.same_rack {
+            racks = candidates.iter().map(|candidate| candidate.labels.get(1).cloned()).collect();
+            racks.sort();
+            racks.dedup();
+        }
+        for rack in racks {
+            let mut pool = candidates.clone();
+            pool.retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
+            let Some(slots) = self.gang_slots(id, spec, demand, pool, tickets) else { continue };
+            let first = TaskId { step: id, index: 0 };
+            let members = (0..spec.tasks).map(|index| TaskId { index, ..first });
+            let run = members.map(|task| self.next_run(task)).max().unwrap_or(1);
+            for (index, slot) in (0..).zip(slots) {
+                let ticket = tickets.and_then(|tickets| tickets.get(&slot).cloned());
+                let task = TaskId { index, ..first };
+                self.order_start(task, run, slot, spec, ticket, now, orders);
+                take(candidates, slot, demand);
+            }
+            return None;
+        }
+        Some(demand.clone())
+    }
+
+    fn gang_slots(
+        &self,
+        id: StepId,
+        spec: &StepSpec,
+        demand: &Demand,
+        mut pool: Vec<Candidate>,
+        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
+    ) -> Option<Vec<WorkerSlot>> {
+        let mut slots = Vec::with_capacity(spec.tasks as usize);
+        for index in 0..spec.tasks {
+            let allowed = self.allowed(TaskId { step: id, index }, &pool, tickets);
+            let slot = choose(demand, &allowed)?;
+            take(&mut pool, slot, demand);
+            slots.push(slot);
+        }
+        Some(slots)
+    }
+
+    fn waiting_tasks(&self, id: StepId, now: Moment) -> Vec<u32> {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        let tasks = step.map_or(&[][..], |step| &step.tasks);
+        let waiting = tasks.iter().enumerate().filter(|(_, task)| {
+            task.is_waiting() && task.not_before <= now
+        });
+        waiting.filter_map(|(index, _)| u32::try_from(index).ok()).collect()
+    }
+
+    /// The candidates that a task may use, with what speaks against them.
+    fn allowed(
+        &self,
+        task: TaskId,
+        candidates: &[Candidate],
+        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
+    ) -> Vec<Candidate> {
+        let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
+        let avoid = entry.map_or(&[][..], |entry| &entry.avoid);
+        let allowed = candidates.iter().filter(|candidate| {
+            tickets.is_none_or(|tickets| tickets.contains_key(&candidate.slot))
+                && !self.workers[candidate.slot].runs.contains_key(&task)
+        });
+        allowed
+            .map(|candidate| Candidate {
+                is_avoided: avoid.contains(&candidate.slot),
+                ..candidate.clone()
+            })
+            .collect()
+    }
+
+    fn count_same_step(&self, id: StepId, spec: &StepSpec, candidates: &mut [Candidate]) {
+        for candidate in candidates {
+            candidate.same_step = 0;
+            if spec.per_worker_max.is_some() {
+                let tasks = self.workers[candidate.slot].runs.keys();
+                let same = tasks.filter(|task| task.step == id).count();
+                candidate.same_step = u32::try_from(same).unwrap_or(u32::MAX);
+            }
+        }
+    }
+
+    fn team_admits(&self, id: StepId, spec: &StepSpec) -> bool {
+        self.team_admits_amount(id, &spec.needs)
+    }
+
+    fn team_admits_amount(&self, id: StepId, needs: &crate::spec::Resources) -> bool {
+        let team = self.jobs.get(&id.job).and_then(|job| job.record.team.as_ref());
+        let Some(team) = team else { return true };
+        let Some(limits) = self.config.teams.get(team) else { return true };
+        let used = self.team_use.get(team).copied().unwrap_or_default();
+        limits.admits(&used, needs)
+    }
+
+    fn next_run(&self, task: TaskId) -> u32 {
+        let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
+        entry.map_or(0, |entry| entry.last_run) + 1
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
+    fn order_start(
+        &mut self,
+        task: TaskId,
+        run: u32,
+        slot: WorkerSlot,
+        spec: &StepSpec,
+        ticket: Option<Arc<str>>,
+        now: Moment,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if !job.has_started {
+            job.has_started = true;
+            job.state = JobState::Running;
+            self.dirty.insert(job.id);
+        }
+        let Some(entry) = job.task_mut(task) else { return };
+        entry.last_run = run;
+        entry.copies.push(slot);
+        self.count_use(task.step.job, &spec.needs, true);
+        let ordered = Run {
+            number: run,
+            phase: RunPhase::Ordered,
+            since: now,
+            confirmed: None,
+            reserved: spec.reserved(),
+            counted: spec.needs,
+            percent: 0,
+            progressed: now,
+            reading: 0,
+            pace_percent: 100,
+        };
+        self.workers[slot].add(task, ordered);
+        orders.push(Order::Start { worker: slot, task, run, ticket });
+    }
+}
+
+/// Takes the room of a placed task from a candidate.
+fn take(candidates: &mut [Candidate], slot: WorkerSlot, demand: &Demand) {
+    let Some(chosen) = candidates.iter_mut().find(|candidate| candidate.slot == slot) else {
+        return;
+    };
+    chosen.free = chosen.free.minus(&demand.reserved);
+    chosen.same_step += 1;
+    chosen.serving += u32::from(demand.serves);
+    chosen.opportunistic += u32::from(demand.opportunistic);
+}
+
+/// Whether runs of several jobs have failed on a worker lately, and most of them.
+fn is_suspect(recent: &[(u64, bool)]) -> bool {
+    let mut failed: Vec<u64> =
+        recent.iter().filter(|(_, failed)| *failed).map(|(job, _)| *job).collect();
+    let failures = failed.len();
+    failed.sort_unstable();
+    failed.dedup();
+    failed.len() >= SUSPECT_JOBS && 2 * failures >= recent.len()
+}
+
+/// The longest chain of estimated run times of a repetition; of all its steps, or of those that
+/// are not done.
+fn longest_chain(job: &Job, occurrence: u32, with_done: bool) -> Duration {
+    let steps = job.occurrences.get(&occurrence).map_or(&[][..], |one| &one.steps);
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for (step, spec) in steps.iter().zip(&job.record.spec.steps) {
+        let begins = spec.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
+        let begin = begins.max().copied().unwrap_or_default();
+        let own = if step.is_done() && !with_done { Duration::ZERO } else { spec.estimate };
+        ends.push(begin + own);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+/// Estimated work of a repetition that is not done, in core-seconds.
+fn work_left(job: &Job, occurrence: u32) -> f64 {
+    let steps = job.occurrences.get(&occurrence).map_or(&[][..], |one| &one.steps);
+    let each = steps.iter().zip(&job.record.spec.steps).map(|(step, spec)| {
+        let open = spec.tasks.saturating_sub(step.done);
+        let cores = f64::from(spec.needs.processors_milli) / 1_000.0;
+        f64::from(open) * cores * spec.estimate.as_secs_f64()
+    });
+    each.sum()
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -0,0 +1,315 @@
+//! Waves of maintenance: which machine is taken down next.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use cassiafold_config::{InstanceId, ServiceId};
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+
+use super::{Order, Scheduler};
+use crate::cluster::{Machine, MachineState, Wave, WaveNumber};
+use crate::edges::MachineOutcome;
+use crate::event::JobsEvent;
+use crate::job::WorkerSlot;
+use crate::spec::TaskId;
+use crate::worker::RunPhase;
+
+/// Machines that are emptied ahead of those that are down, as a multiple of the most at once.
+const EMPTIED_AHEAD: usize = 1;
+/// Part of a wave's term after which machines are taken down though short tasks run there.
+const PATIENT_PART: f64 = 0.75;
+/// Time between two orders to the same machine.
+const ORDER_RETRY: Duration = Duration::from_millis(700);
+/// Longest time for which one machine is emptied before it is taken down.
+const EMPTYING_MAX: Duration = Duration::from_millis(4_500);
+
+/// An order to a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MachineOrder {
+    /// Maintain it.
+    Maintain {
+        /// The machine.
+        machine: InstanceId,
+        /// The wave.
+        wave: WaveNumber,
+    },
+    /// Move it to another service.
+    Move {
+        /// The machine.
+        machine: InstanceId,
+        /// The service.
+        service: ServiceId,
+    },
+}
+
+impl MachineOrder {
+    /// The machine that the order is for.
+    pub fn machine(&self) -> &InstanceId {
+        match self {
+            Self::Maintain { machine, .. } | Self::Move { machine, .. } => machine,
+        }
+    }
+}
+
+/// The last order to a machine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SentOrder {
+    at: Moment,
+    /// Whether it may still be carried out.
+    is_open: bool,
+}
+
+/// How far a wave is.
+#[derive(Debug)]
+pub(super) struct WaveProgress {
+    wave: Wave,
+    since: Moment,
+    /// Machines whose maintenance has begun, and when.
+    begun: HashMap<InstanceId, Moment>,
+    /// Machines that get no new work until they are taken down, and since when.
+    emptied: HashMap<InstanceId, Moment>,
+    /// Last status that lies in the store: whether the wave is complete.
+    stored: Option<bool>,
+}
+
+impl WaveProgress {
+    pub(super) fn new(wave: Wave, now: Moment) -> Self {
+        let (begun, emptied) = (HashMap::new(), HashMap::new());
+        Self { wave, since: now, begun, emptied, stored: None }
+    }
+}
+
+impl Scheduler {
+    /// Whether machines have to be listed, since a wave is open.
+    pub fn needs_machines(&self) -> bool {
+        self.waves.values().any(|wave| wave.stored != Some(true))
+    }
+
+    /// Takes over the list of machines, asked for at `sent`.
+    pub fn set_machines(&mut self, machines: Vec<Machine>, sent: Moment) {
+        self.machines = machines;
+        self.machines_listed = Some(sent);
+    }
+
+    /// Takes in the outcome of an order to a machine.
+    pub fn note_machine(&mut self, order: &MachineOrder, outcome: MachineOutcome, now: Moment) {
+        emit!(
+            JobsEvent::MachineOrdered,
+            machine = order.machine(),
+            order = format_args!("{order:?}"),
+            outcome = format_args!("{outcome:?}")
+        );
+        let is_open = outcome == MachineOutcome::Unknown;
+        if let Some(ordered) = self.machines_ordered.get_mut(order.machine()) {
+            ordered.is_open = is_open;
+        }
+        if outcome != MachineOutcome::Accepted {
+            return;
+        }
+        if let MachineOrder::Maintain { machine, wave } = order
+            && let Some(progress) = self.waves.get_mut(wave)
+        {
+            progress.begun.entry(machine.clone()).or_insert(now);
+            progress.emptied.remove(machine);
+            self.is_flush_urgent = true;
+        }
+        if let Some(slot) = self.worker_of(order.machine()) {
+            self.lose_worker(slot, now);
+        }
+    }
+
+    fn worker_of(&self, machine: &str) -> Option<WorkerSlot> {
+        let listed = self.machines.iter().find(|listed| *listed.id == *machine)?;
+        self.present.get(listed.worker.as_ref()?).copied()
+    }
+
+    /// Orders the maintenance that is due.
+    pub(super) fn plan_upkeep(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        let settled = now.saturating_sub(self.began) > self.settings.machine_lease;
+        if self.machines.is_empty() || !settled {
+            return;
+        }
+        let numbers: Vec<WaveNumber> = self.waves.keys().copied().collect();
+        for number in numbers {
+            self.plan_wave(number, now, orders);
+        }
+    }
+
+    fn plan_wave(&mut self, number: WaveNumber, now: Moment, orders: &mut Vec<Order>) {
+        let Some(progress) = self.waves.get(&number) else { return };
+        if progress.stored == Some(true) {
+            return;
+        }
+        let down = self.down_count(progress);
+        let free = progress.wave.at_once_max.saturating_sub(down);
+        let mut open = self.open_machines(progress);
+        open.sort_by_key(|(machine, slot)| {
+            let runs = slot.map_or(0, |slot| 1 + self.workers[slot].runs.len());
+            (!progress.emptied.contains_key(&machine.id), runs, machine.id.clone())
+        });
+        let patience = progress.wave.term.mul_f64(PATIENT_PART);
+        let is_late = now.saturating_sub(progress.since) > patience;
+        let mut taken: Vec<InstanceId> = Vec::new();
+        let mut emptied: BTreeSet<InstanceId> = BTreeSet::new();
+        let ahead = progress.wave.at_once_max * (1 + EMPTIED_AHEAD);
+        for (machine, slot) in open {
+            let since = progress.emptied.get(&machine.id).copied();
+            let waited = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+            let patient = !is_late && waited < EMPTYING_MAX;
+            let is_free = slot.is_none_or(|slot| self.may_take_down(slot, patient));
+            let is_repeat = self.is_order_open(&machine.id);
+            if is_repeat || (is_free && taken.len() < free) {
+                taken.push(machine.id);
+            } else if emptied.len() + down < ahead {
+                emptied.insert(machine.id);
+            }
+        }
+        self.empty_machines(number, emptied, now);
+        for machine in taken {
+            self.order_maintenance(number, machine, now, orders);
+        }
+    }
+
+    /// Machines of a wave that are down for it, or may be.
+    fn down_count(&self, progress: &WaveProgress) -> usize {
+        let is_back = |machine: &InstanceId, begun: Moment| {
+            let listed = self.machines.iter().find(|listed| listed.id == *machine);
+            let seen_after = self.machines_listed.is_some_and(|at| at > begun);
+            seen_after && listed.is_none_or(|listed| listed.state == MachineState::Up)
+        };
+        let begun = progress.begun.iter().filter(|(machine, at)| !is_back(machine, **at)).count();
+        let unknown = progress.wave.machines.iter().filter(|machine| {
+            let ordered = self.is_order_open(machine);
+            let listed = self.machines.iter().find(|listed| listed.id == **machine);
+            let down = listed.is_some_and(|listed| listed.state == MachineState::Maintenance);
+            (ordered || down) && !progress.begun.contains_key(*machine)
+        });
+        begun + unknown.count()
+    }
+
+    /// Whether an order to a machine was sent and may still be carried out.
+    fn is_order_open(&self, machine: &str) -> bool {
+        self.machines_ordered.get(machine).is_some_and(|ordered| ordered.is_open)
+    }
+
+    /// Machines of a wave whose maintenance has not begun, with their workers.
+    fn open_machines(&self, progress: &WaveProgress) -> Vec<(Machine, Option<WorkerSlot>)> {
+        let of_wave = self.machines.iter().filter(|machine| {
+            progress.wave.machines.contains(&machine.id)
+                && !progress.begun.contains_key(&machine.id)
+                && machine.state == MachineState::Up
+        });
+        of_wave
+            .map(|machine| {
+                let worker = machine.worker.as_ref();
+                let slot = worker.and_then(|worker| self.present.get(worker)).copied();
+                (machine.clone(), slot)
+            })
+            .collect()
+    }
+
+    /// Whether a worker's machine may go down now without breaking a budget.
+    fn may_take_down(&self, slot: WorkerSlot, patient: bool) -> bool {
+        self.workers[slot].runs.iter().all(|(task, _)| {
+            let Some(spec) = self.spec(task.step) else { return true };
+            if !spec.long_running {
+                return !patient;
+            }
+            self.may_interrupt(*task)
+        })
+    }
+
+    /// Whether a long-running task may be ended by the fleet's own action.
+    pub(super) fn may_interrupt(&self, task: TaskId) -> bool {
+        let Some(budget) = self.spec(task.step).and_then(|spec| spec.unavailable_max) else {
+            return true;
+        };
+        let Some(step) = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step)) else {
+            return true;
+        };
+        let away = (0..).zip(&step.tasks).filter(|(index, other)| {
+            let id = TaskId { index: *index, ..task };
+            *index != task.index && !other.copies.iter().any(|slot| self.is_at_work(*slot, id))
+        });
+        u32::try_from(away.count()).unwrap_or(u32::MAX) < budget
+    }
+
+    fn is_at_work(&self, slot: WorkerSlot, task: TaskId) -> bool {
+        let worker = &self.workers[slot];
+        let run = worker.runs.get(&task);
+        worker.is_confirmed
+            && run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
+    }
+
+    /// Keeps new work off the machines that are taken down next, and off no others.
+    fn empty_machines(
+        &mut self,
+        number: WaveNumber,
+        emptied: BTreeSet<InstanceId>,
+        now: Moment,
+    ) {
+        let Some(progress) = self.waves.get_mut(&number) else { return };
+        let former = std::mem::take(&mut progress.emptied);
+        progress.emptied = emptied
+            .iter()
+            .map(|machine| (machine.clone(), former.get(machine).copied().unwrap_or(now)))
+            .collect();
+        for machine in former.keys().filter(|machine| !emptied.contains(*machine)) {
+            if let Some(slot) = self.worker_of(machine) {
+                self.workers[slot].is_cordoned = false;
+                self.mark_changed(slot);
+            }
+        }
+        for machine in &emptied {
+            if let Some(slot) = self.worker_of(machine) {
+                self.workers[slot].is_cordoned = true;
+            }
+        }
+    }
+
+    fn order_maintenance(
+        &mut self,
+        number: WaveNumber,
+        machine: InstanceId,
+        now: Moment,
+        orders: &mut Vec<Order>,
+    ) {
+        if let Some(slot) = self.worker_of(&machine) {
+            self.workers[slot].is_cordoned = true;
+        }
+        let last = self.machines_ordered.get(&machine);
+        if last.is_some_and(|last| now.saturating_sub(last.at) < ORDER_RETRY) {
+            return;
+        }
+        self.machines_ordered.insert(machine.clone(), SentOrder { at: now, is_open: true });
+        orders.push(Order::Machine(MachineOrder::Maintain { machine, wave: number }));
+    }
+
+    /// Waves whose status in the store is behind.
+    pub(super) fn wave_statuses(&self) -> Vec<(WaveNumber, bool)> {
+        let behind = self.waves.values().filter_map(|progress| {
+            let is_complete = self.is_complete(progress);
+            (progress.stored != Some(is_complete)).then_some((progress.wave.number, is_complete))
+        });
+        behind.collect()
+    }
+
+    /// Whether the maintenance of each machine has begun, but of those that have left for good.
+    fn is_complete(&self, progress: &WaveProgress) -> bool {
+        let listed_lately = self.machines_listed.is_some_and(|at| at > progress.since);
+        listed_lately
+            && progress.wave.machines.iter().all(|machine| {
+                let is_listed = self.machines.iter().any(|listed| listed.id == *machine);
+                progress.begun.contains_key(machine) || !is_listed
+            })
+    }
+
+    pub(super) fn note_wave_statuses(&mut self, statuses: &[(WaveNumber, bool)]) {
+        for (number, is_complete) in statuses {
+            if let Some(progress) = self.waves.get_mut(number) {
+                progress.stored = Some(*is_complete);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -0,0 +1,120 @@
+//! Workers as the platform lists them.
+
+use std::collections::HashSet;
+
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+
+use super::Scheduler;
+use crate::cluster::{WorkerEntry, WorkerId};
+use crate::event::JobsEvent;
+use crate::job::WorkerSlot;
+use crate::record::KnownWorker;
+use crate::spec::Resources;
+use crate::worker::Worker;
+
+impl Scheduler {
+    /// Adds the workers to which earlier owners gave tasks, listed or not.
+    pub(super) fn add_known_workers(&mut self, now: Moment) {
+        for known in self.tenure.known_workers.clone() {
+            let entry = WorkerEntry {
+                id: known.id,
+                born_unix: None,
+                service: known.service,
+                address: known.address,
+                zone: known.zone,
+                labels: Vec::new(),
+                room: Resources::default(),
+                is_draining: false,
+            };
+            let slot = self.add_worker(entry, now);
+            self.workers[slot].is_listed = false;
+            self.workers[slot].is_recorded = true;
+        }
+    }
+
+    fn add_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerSlot {
+        let slot = self.workers.len();
+        self.present.insert(entry.id.clone(), slot);
+        self.workers.push(Worker::new(entry, self.uncertain_until, now));
+        slot
+    }
+
+    /// Takes over the list of workers.
+    pub fn set_workers(&mut self, entries: Vec<WorkerEntry>, now: Moment) {
+        let listed: HashSet<WorkerId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for entry in entries {
+            self.note_entry(entry, now);
+        }
+        for slot in 0..self.workers.len() {
+            let worker = &mut self.workers[slot];
+            if worker.is_listed && !listed.contains(&worker.entry.id) {
+                worker.is_listed = false;
+                emit!(JobsEvent::WorkerUnlisted, worker = worker.entry.id);
+                self.mark_changed(slot);
+            }
+        }
+    }
+
+    fn note_entry(&mut self, entry: WorkerEntry, now: Moment) {
+        let Some(slot) = self.present.get(&entry.id).copied() else {
+            let (id, service) = (entry.id.clone(), entry.service.clone());
+            let slot = self.add_worker(entry, now);
+            self.is_flush_urgent = true;
+            emit!(JobsEvent::WorkerListed, worker = id, service = service, slot = slot);
+            return;
+        };
+        let worker = &mut self.workers[slot];
+        let same_place = worker.entry.address == entry.address
+            && (worker.entry.service == entry.service || !worker.is_listed);
+        let born = worker.entry.born_unix;
+        let same_life = born.is_none() || entry.born_unix.is_none() || born == entry.born_unix;
+        if worker.is_gone || !same_place || !same_life {
+            self.lose_worker(slot, now);
+            self.add_worker(entry, now);
+            self.is_flush_urgent = true;
+            return;
+        }
+        let changed = !worker.is_listed || worker.entry != entry;
+        let drains = entry.is_draining && !worker.entry.is_draining;
+        worker.is_listed = true;
+        worker.entry = WorkerEntry { born_unix: born.or(entry.born_unix), ..entry };
+        if drains {
+            emit!(JobsEvent::WorkerDraining, worker = worker.entry.id, runs = worker.runs.len());
+        }
+        if changed {
+            self.mark_changed(slot);
+        }
+    }
+
+    /// Ends a worker's life: everything that ran there is over.
+    pub(super) fn lose_worker(&mut self, slot: WorkerSlot, now: Moment) {
+        let worker = &mut self.workers[slot];
+        if worker.is_gone {
+            return;
+        }
+        worker.is_gone = true;
+        worker.is_listed = false;
+        let id = worker.entry.id.clone();
+        emit!(JobsEvent::WorkerLost, worker = id, runs = worker.runs.len());
+        self.lose_runs(slot, now);
+        if self.present.get(&id) == Some(&slot) {
+            self.present.remove(&id);
+        }
+    }
+
+    /// Whether runs of an earlier owner are known for all workers of a service.
+    pub(super) fn is_certain(&self, service: &str, now: Moment) -> bool {
+        now >= self.uncertain_until
+            || self.workers.iter().all(|worker| {
+                worker.was_confirmed || worker.is_gone || *worker.entry.service != *service
+            })
+    }
+
+    /// Workers to be named in the store, if that list has changed.
+    pub(super) fn unrecorded_workers(&self) -> Option<Vec<KnownWorker>> {
+        let present = || self.workers.iter().filter(|worker| !worker.is_gone);
+        let missing = present().any(|worker| !worker.is_recorded && worker.is_listed);
+        missing.then(|| present().map(|worker| KnownWorker::from(&worker.entry)).collect())
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/view.rs
@@ -0,0 +1,145 @@
+//! What the operator wants, followed in the store.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::ZoneId;
+use cassiafold_event::emit;
+use cassiafold_platform::{Moment, Record, Revision, Store, StoreError, Watch, since_boot};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::cluster::{ClusterConfig, Wave};
+use crate::event::JobsEvent;
+use crate::site::{Formats, OperatorItem, Site};
+
+/// Time between two attempts to reach the store.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// What the operator wants, as of one revision.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// The configuration; `None` before the first one is known.
+    pub config: Option<Arc<ClusterConfig>>,
+    /// Revision of the configuration's key.
+    pub config_revision: Revision,
+    /// Zones to which nothing may be sent.
+    pub evacuated: HashSet<ZoneId>,
+    /// Waves of maintenance.
+    pub waves: Vec<Wave>,
+    /// When the store last answered.
+    pub confirmed: Moment,
+}
+
+/// Publishes the view, and takes in configurations that are found elsewhere.
+#[derive(Debug, Clone)]
+pub struct ViewSender(watch::Sender<Arc<View>>);
+
+impl ViewSender {
+    /// A sender with an empty view, and a first receiver.
+    pub fn new() -> (Self, watch::Receiver<Arc<View>>) {
+        let (sender, receiver) = watch::channel(Arc::default());
+        (Self(sender), receiver)
+    }
+
+    /// Takes over a configuration unless a newer one is in force.
+    pub fn adopt_config(&self, config: ClusterConfig, revision: Revision) {
+        self.0.send_if_modified(|view| {
+            let held = view.config.as_ref().map_or(0, |held| held.version);
+            if revision <= view.config_revision || config.version < held {
+                return false;
+            }
+            emit!(JobsEvent::ConfigInForce, version = config.version, revision = revision);
+            let mut next = View::clone(view);
+            next.config = Some(Arc::new(config));
+            next.config_revision = revision;
+            *view = Arc::new(next);
+            true
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut View)) {
+        self.0.send_modify(|view| {
+            let mut next = View::clone(view);
+            change(&mut next);
+            *view = Arc::new(next);
+        });
+    }
+}
+
+/// Follows the operator's keys until it is dropped.
+pub async fn follow<S: Site>(site: S, sender: ViewSender) {
+    let mut items: BTreeMap<Arc<str>, OperatorItem> = BTreeMap::new();
+    let mut is_lost = false;
+    loop {
+        let error = match follow_once(&site, &sender, &mut items, &mut is_lost).await {
+            Ok(()) => continue,
+            Err(error) => error,
+        };
+        if !is_lost {
+            emit!(JobsEvent::StoreLost, error = error);
+        }
+        is_lost = true;
+        sleep(RETRY).await;
+    }
+}
+
+async fn follow_once<S: Site>(
+    site: &S,
+    sender: &ViewSender,
+    items: &mut BTreeMap<Arc<str>, OperatorItem>,
+    is_lost: &mut bool,
+) -> Result<(), StoreError> {
+    let asked = since_boot();
+    let snapshot = site.store().list(S::Formats::OPERATOR_PREFIX).await?;
+    if std::mem::take(is_lost) {
+        emit!(JobsEvent::StoreRegained, revision = snapshot.revision);
+    }
+    items.clear();
+    for record in &snapshot.records {
+        take_in(site, sender, items, record);
+    }
+    publish(sender, items, asked);
+    let mut changes = site.store().watch(S::Formats::OPERATOR_PREFIX, snapshot.revision).await?;
+    loop {
+        let asked = since_boot();
+        for change in changes.next().await? {
+            match &change.record {
+                Some(record) => take_in(site, sender, items, record),
+                None => drop(items.remove(&change.key)),
+            }
+        }
+        publish(sender, items, asked);
+    }
+}
+
+fn take_in<S: Site>(
+    site: &S,
+    sender: &ViewSender,
+    items: &mut BTreeMap<Arc<str>, OperatorItem>,
+    record: &Record,
+) {
+    match site.formats().operator_item(record) {
+        Ok(OperatorItem::Config(config)) => sender.adopt_config(*config, record.revision),
+        Ok(item) => drop(items.insert(record.key.clone(), item)),
+        Err(error) => emit!(JobsEvent::ItemUnreadable, key = record.key, error = error),
+    }
+}
+
+fn publish(sender: &ViewSender, items: &BTreeMap<Arc<str>, OperatorItem>, asked: Moment) {
+    let mut evacuated = HashSet::new();
+    let mut waves = Vec::new();
+    for item in items.values() {
+        match item {
+            OperatorItem::Evacuation(zone) => drop(evacuated.insert(zone.clone())),
+            OperatorItem::Wave(wave) => waves.push(wave.clone()),
+            OperatorItem::Config(_) | OperatorItem::Other => {}
+        }
+    }
+    sender.change(|view| {
+        view.evacuated = evacuated;
+        view.waves = waves;
+        view.confirmed = asked;
+    });
+}
--- /dev/null
+++ b/crates/jobs/src/worker.rs
@@ -0,0 +1,216 @@
+//! A worker's life in the owner's memory: what runs there, and until when it may run.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_platform::Moment;
+
+use crate::cluster::WorkerEntry;
+use crate::edges::WorkerAddress;
+use crate::spec::{Resources, RunNumber, TaskId};
+
+/// A worker's clock may run this many percent slow.
+const CLOCK_SLOW_PERCENT: u32 = 2;
+/// Added to the time at which runs are taken as over, for the resolution of the clocks.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(100);
+/// A worker whose last answer is older than this gets no new work. Workers without work answer
+/// every two seconds.
+const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_600);
+
+/// What is happening to a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The order to start it is on its way.
+    Ordered,
+    /// The worker has confirmed it.
+    Running,
+    /// It shall end; the order to stop it is due at `next_try`.
+    Stopping {
+        /// When the order to stop is sent, or sent again.
+        next_try: Moment,
+        /// When the worker confirmed the order.
+        confirmed: Option<Moment>,
+    },
+}
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Its number.
+    pub number: RunNumber,
+    /// What is happening to it.
+    pub phase: RunPhase,
+    /// When it was ordered or first seen.
+    pub since: Moment,
+    /// When the worker confirmed it.
+    pub confirmed: Option<Moment>,
+    /// What it takes of the worker's room.
+    pub reserved: Resources,
+    /// What it counts against its team's limit.
+    pub counted: Resources,
+    /// Progress in percent.
+    pub percent: u8,
+    /// When the progress last changed.
+    pub progressed: Moment,
+    /// Last reading, see [`crate::edges::RunningRow`].
+    pub reading: u32,
+    /// Share of its speed at which it may work, in percent.
+    pub pace_percent: u8,
+}
+
+impl Run {
+    /// Whether an order to stop it was given.
+    pub fn is_stopping(&self) -> bool {
+        matches!(self.phase, RunPhase::Stopping { .. })
+    }
+}
+
+/// Whether a look is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LookPhase {
+    /// The next one is due at this moment.
+    DueAt(Moment),
+    /// One is on its way.
+    InFlight,
+}
+
+/// One life of a worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// What it says of itself.
+    pub entry: WorkerEntry,
+    /// Where it is called.
+    pub address: WorkerAddress,
+    /// Whether the platform lists it.
+    pub is_listed: bool,
+    /// Whether this life is over.
+    pub is_gone: bool,
+    /// Whether the store names it as a worker that was given tasks.
+    pub is_recorded: bool,
+    /// Whether it has answered under this owner's token since the last failed look.
+    pub is_confirmed: bool,
+    /// Whether it has ever answered under this owner's token.
+    pub was_confirmed: bool,
+    /// Whether it gets no more work because its machine is about to be moved or maintained.
+    pub is_cordoned: bool,
+    /// What was ordered, runs, or is being stopped there.
+    pub runs: HashMap<TaskId, Run>,
+    /// Sum of what the runs take.
+    pub reserved: Resources,
+    /// Number of the last end that was taken in.
+    pub ends_seen: u64,
+    /// Number of the last end whose effect is in the store.
+    pub ends_stored: u64,
+    /// Looks.
+    pub look: LookPhase,
+    /// Looks that failed since the last one that succeeded.
+    pub failed_looks: u32,
+    /// When it last answered.
+    pub answered: Option<Moment>,
+    /// When nothing runs there any more unless the lease is extended.
+    pub expires: Moment,
+    /// When it may be given work again after it had no room or was unwell.
+    pub blocked_until: Moment,
+    /// When the pace of its opportunistic tasks is decided next.
+    pub pace_due: Moment,
+    /// Recent ends: the job and whether it failed, the latest last.
+    pub recent: Vec<(u64, bool)>,
+    clock: Option<(Duration, Moment)>,
+    lease_until: Duration,
+}
+
+impl Worker {
+    /// A worker that was listed; what an earlier owner started there may run until `expires`.
+    pub fn new(entry: WorkerEntry, expires: Moment, now: Moment) -> Self {
+        let address = WorkerAddress { id: entry.id.clone(), address: entry.address };
+        Self {
+            entry,
+            address,
+            is_listed: true,
+            is_gone: false,
+            is_recorded: false,
+            is_confirmed: false,
+            was_confirmed: false,
+            is_cordoned: false,
+            runs: HashMap::new(),
+            reserved: Resources::default(),
+            ends_seen: 0,
+            ends_stored: 0,
+            look: LookPhase::DueAt(now),
+            failed_looks: 0,
+            answered: None,
+            expires,
+            blocked_until: Moment::ZERO,
+            pace_due: Moment::ZERO,
+            recent: Vec::new(),
+            clock: None,
+            lease_until: Duration::ZERO,
+        }
+    }
+
+    /// Notes an answer with the worker's clock.
+    pub fn note_clock(&mut self, clock: Duration, received: Moment) {
+        self.clock = Some((clock, received));
+        self.answered = Some(received);
+    }
+
+    /// Extends the lease of everything there by `hold` from now and returns its end on the
+    /// worker's clock; `None` while that clock is unknown.
+    pub fn extend_lease(&mut self, hold: Duration, now: Moment) -> Option<Duration> {
+        let (clock, received) = self.clock?;
+        let until = clock + now.saturating_sub(received) + hold;
+        self.lease_until = self.lease_until.max(until);
+        let left = self.lease_until.saturating_sub(clock);
+        let slow = left * 100 / (100 - CLOCK_SLOW_PERCENT);
+        self.expires = self.expires.max(received + slow + EXPIRY_MARGIN);
+        Some(self.lease_until)
+    }
+
+    /// Forgets what was known of the former life at this address.
+    pub fn begin_life(&mut self, born_unix: Option<Duration>, now: Moment) {
+        self.entry.born_unix = born_unix;
+        self.ends_seen = 0;
+        self.ends_stored = 0;
+        self.clock = None;
+        self.lease_until = Duration::ZERO;
+        self.expires = now;
+        self.recent.clear();
+    }
+
+    /// What is free of its room.
+    pub fn free(&self) -> Resources {
+        self.entry.room.minus(&self.reserved)
+    }
+
+    /// Whether it may be given work now.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        let answers = self.answered.is_some_and(|at| now.saturating_sub(at) < ANSWER_AGE_MAX);
+        self.is_listed
+            && !self.is_gone
+            && self.is_recorded
+            && self.is_confirmed
+            && !self.is_cordoned
+            && !self.entry.is_draining
+            && answers
+            && self.blocked_until <= now
+    }
+
+    /// Label of its rack.
+    pub fn rack(&self) -> Option<&Arc<str>> {
+        self.entry.rack()
+    }
+
+    /// Adds a run.
+    pub fn add(&mut self, task: TaskId, run: Run) {
+        self.reserved = self.reserved.plus(&run.reserved);
+        self.runs.insert(task, run);
+    }
+
+    /// Removes a run.
+    pub fn remove(&mut self, task: TaskId) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        self.reserved = self.reserved.minus(&run.reserved);
+        Some(run)
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -33,7 +33,7 @@
 
 /// Why a call failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub(crate) enum CallError {
+pub enum CallError {
     /// No byte of the request was sent.
     #[error("request not sent: {0}")]
     NotSent(Arc<str>),
@@ -55,15 +55,18 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) etag: Option<HeaderValue>,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Its entity tag.
+    pub etag: Option<HeaderValue>,
+    /// Its whole body.
+    pub body: Bytes,
 }
 
 /// Client of one service. Clones share its connections.
 #[derive(Debug, Clone)]
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     shared: Arc<Mutex<Shared>>,
     user_agent: Arc<str>,
 }
@@ -91,7 +94,7 @@
 
 /// An open connection, closed when dropped.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     endpoint: usize,
     answered: Option<Instant>,
@@ -100,19 +103,27 @@
 
 impl HttpClient {
     /// A client of the service at `addresses`, which starts with a random one.
-    pub(crate) fn new(addresses: &[SocketAddr], user_agent: impl Into<Arc<str>>) -> Self {
+    pub fn new(addresses: &[SocketAddr], user_agent: impl Into<Arc<str>>) -> Self {
         let endpoints: Vec<Endpoint> = addresses.iter().copied().map(Endpoint::new).collect();
         let preferred = rand::random_range(0..endpoints.len().max(1));
         let shared = Shared { endpoints, preferred, idle: Vec::new() };
         Self { shared: Arc::new(Mutex::new(shared)), user_agent: user_agent.into() }
     }
 
+    /// Leaves an address alone for at most `delay_max` after failed connects.
+    pub fn with_delay_max(self, delay_max: Duration) -> Self {
+        for endpoint in &mut self.lock().endpoints {
+            endpoint.backoff = Backoff::new(CONNECT_DELAY_MIN.min(delay_max), delay_max);
+        }
+        self
+    }
+
     fn lock(&self) -> MutexGuard<'_, Shared> {
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sends a request and reads its whole answer of at most `max_bytes`.
-    pub(crate) async fn call(
+    pub async fn call(
         &self,
         request: Request<Bytes>,
         deadline: Instant,
@@ -135,7 +146,7 @@
     }
 
     /// Sends a request and returns its answer with the body still to be read.
-    pub(crate) async fn open(
+    pub async fn open(
         &self,
         request: Request<Bytes>,
         deadline: Instant,
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -1,8 +1,10 @@
 //! Keeps a lease of the store alive and knows, without asking, until when it surely holds.
 //!
-//! The validity is measured on the monotonic clock from before each renewal was sent, so that it
-//! ends before the store ends the lease, however long the holder or the answer is delayed. Check
-//! it at the moment of use: a holder that was paused finds it over when it wakes up.
+//! The validity is measured from before each renewal was sent, so that it ends before the store
+//! ends the lease, however long the holder or the answer is delayed. Both the monotonic clock and
+//! the time since boot are consulted and the later one counts, since the monotonic clock stands
+//! still while a machine is suspended. Check the validity at the moment of use: a holder that was
+//! paused finds it over when it wakes up.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,6 +15,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::backoff::jitter;
+use crate::clock::{Moment, since_boot};
 use crate::event::PlatformEvent;
 use crate::store::{LeaseId, Store, StoreError};
 
@@ -26,12 +29,31 @@
 /// Tells whether a lease holds now. Clones are cheap and share the same lease.
 #[derive(Debug, Clone)]
 pub struct LeaseValidity {
-    start: Instant,
+    start: Stamp,
     valid_ns: Arc<AtomicU64>,
 }
 
+/// A moment on both clocks.
+#[derive(Debug, Clone, Copy)]
+struct Stamp {
+    monotonic: Instant,
+    boot: Moment,
+}
+
+impl Stamp {
+    fn now() -> Self {
+        Self { monotonic: Instant::now(), boot: since_boot() }
+    }
+
+    /// Time from `earlier` to this moment on the clock that advanced more.
+    fn since(&self, earlier: &Self) -> Duration {
+        let monotonic = self.monotonic.duration_since(earlier.monotonic);
+        monotonic.max(self.boot.saturating_sub(earlier.boot))
+    }
+}
+
 impl LeaseValidity {
-    fn new(start: Instant) -> Self {
+    fn new(start: Stamp) -> Self {
         Self { start, valid_ns: Arc::default() }
     }
 
@@ -43,12 +65,12 @@
     /// How long the lease surely holds from now on.
     pub fn remaining(&self) -> Duration {
         let valid = Duration::from_nanos(self.valid_ns.load(Ordering::Acquire));
-        valid.saturating_sub(self.start.elapsed())
+        valid.saturating_sub(Stamp::now().since(&self.start))
     }
 
     /// Notes a renewal that was sent at `sent` and answered with a time to live.
-    fn renew(&self, sent: Instant, ttl: Duration) {
-        let until = sent.duration_since(self.start) + (ttl - ttl / MARGIN_DIVISOR);
+    fn renew(&self, sent: Stamp, ttl: Duration) {
+        let until = sent.since(&self.start) + (ttl - ttl / MARGIN_DIVISOR);
         let until_ns = u64::try_from(until.as_nanos()).unwrap_or(u64::MAX);
         self.valid_ns.fetch_max(until_ns, Ordering::AcqRel);
     }
@@ -71,7 +93,7 @@
 impl<S: Store> LeaseKeeper<S> {
     /// Grants a lease and starts to renew it.
     pub async fn start(store: S, ttl: Duration) -> Result<Self, StoreError> {
-        let sent = Instant::now();
+        let sent = Stamp::now();
         let id = store.grant_lease(ttl).await?;
         let validity = LeaseValidity::new(sent);
         validity.renew(sent, ttl);
@@ -121,7 +143,7 @@
     let mut interval = ttl / RENEWALS_PER_TTL;
     loop {
         sleep(jitter(interval)).await;
-        let sent = Instant::now();
+        let sent = Stamp::now();
         let answer = timeout(ttl / RENEWALS_PER_TTL, store.keep_alive(id)).await;
         interval = match answer {
             Ok(Ok(granted)) => {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,11 +2,12 @@
 //! control of instances. Each is a small trait, so that tests can put a fake in its place.
 
 pub mod backoff;
+pub mod clock;
 pub mod discovery;
 pub mod document;
 pub mod etcd;
 pub mod event;
-mod http;
+pub mod http;
 pub mod instances;
 pub mod lease;
 pub mod metrics;
@@ -15,16 +16,19 @@
 pub mod store;
 
 pub use backoff::Backoff;
+pub use clock::{Moment, since_boot};
 pub use discovery::HttpInstanceList;
 pub use document::{Document, DocumentError, Envelope, WriteId, WriteLog, Writer};
 pub use etcd::{EtcdSettings, EtcdStore, EtcdWatch};
 pub use event::PlatformEvent;
+pub use http::{Answer, CallError, HttpClient};
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
 pub use lease::{LeaseKeeper, LeaseValidity};
 pub use metrics::{CallOutcome, StoreCall, StoreMetrics};
 pub use redfish::HttpInstanceControl;
 pub use settle::{NotApplied, UpdateOutcome, update};
 pub use store::{
-    Change, Compare, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError,
-    VALUE_BYTES_MAX, Watch, Write, WriteOutcome,
+    Change, Compare, Effect, Expectation, LeaseId, Operation, Record, Revision, Snapshot, Store,
+    StoreError, Transaction, TransactionOutcome, TransactionalStore, VALUE_BYTES_MAX, Watch, Write,
+    WriteOutcome,
 };
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -156,6 +156,82 @@
     ) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
 }
 
+/// Condition on one key of a [`Transaction`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Expectation {
+    /// Key that the condition is about.
+    pub key: Arc<str>,
+    /// State that the key must have.
+    pub compare: Compare,
+}
+
+/// Change of one key by a [`Transaction`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Effect {
+    /// Key to change.
+    pub key: Arc<str>,
+    /// What happens to the key.
+    pub operation: Operation,
+}
+
+/// A change of several keys that takes effect as a whole, if all conditions are met.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Conditions.
+    pub expectations: Vec<Expectation>,
+    /// Effects.
+    pub effects: Vec<Effect>,
+}
+
+impl Transaction {
+    /// Adds a condition.
+    pub fn expect(mut self, key: impl Into<Arc<str>>, compare: Compare) -> Self {
+        self.expectations.push(Expectation { key: key.into(), compare });
+        self
+    }
+
+    /// Adds a value to store, bound to `lease` where one is given.
+    pub fn put(
+        mut self,
+        key: impl Into<Arc<str>>,
+        value: impl Into<Bytes>,
+        lease: Option<LeaseId>,
+    ) -> Self {
+        let operation = Operation::Put { value: value.into(), lease };
+        self.effects.push(Effect { key: key.into(), operation });
+        self
+    }
+
+    /// Adds a key to remove.
+    pub fn delete(mut self, key: impl Into<Arc<str>>) -> Self {
+        self.effects.push(Effect { key: key.into(), operation: Operation::Delete });
+        self
+    }
+
+    /// Number of conditions and effects.
+    pub fn entries(&self) -> usize {
+        self.expectations.len() + self.effects.len()
+    }
+}
+
+/// Answer to a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TransactionOutcome {
+    /// The transaction took effect at this revision.
+    Written(Revision),
+    /// A condition was not met and nothing changed; the keys of the conditions that exist.
+    Conflict(Vec<Record>),
+}
+
+/// A store that changes several keys at once.
+pub trait TransactionalStore: Store {
+    /// Applies a transaction if its conditions are met.
+    fn commit(
+        &self,
+        transaction: Transaction,
+    ) -> impl Future<Output = Result<TransactionOutcome, StoreError>> + Send;
+}
+
 /// Stream of changes below a prefix.
 pub trait Watch: Send + 'static {
     /// Waits for the next changes, in order of revision.
