--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -104,6 +104,9 @@
         if let Some(ordered) = self.machines_ordered.get_mut(order.machine()) {
             ordered.is_open = is_open;
         }
+        if let Some(slot) = self.worker_of(order.machine()) {
+            self.workers[slot].is_leaving = is_open;
+        }
         if outcome != MachineOutcome::Accepted {
             return;
         }
@@ -137,10 +140,17 @@
     }
 
     fn plan_wave(&mut self, number: WaveNumber, now: Moment, orders: &mut Vec<Order>) {
-        let Some(progress) = self.waves.get(&number) else { return };
-        if progress.stored == Some(true) {
-            return;
+        // Taken out while workers are marked, and put back below.
+        let Some(mut progress) = self.waves.remove(&number) else { return };
+        if progress.stored != Some(true) {
+            self.take_down(&mut progress, now, orders);
         }
+        self.waves.insert(number, progress);
+    }
+
+    /// Takes down the machines of a wave that may go now, the emptiest first, and keeps new work
+    /// off those that follow.
+    fn take_down(&mut self, progress: &mut WaveProgress, now: Moment, orders: &mut Vec<Order>) {
         let down = self.down_count(progress);
         let free = progress.wave.at_once_max.saturating_sub(down);
         let mut open = self.open_machines(progress);
@@ -160,14 +170,17 @@
             let is_free = slot.is_none_or(|slot| self.may_take_down(slot, patient));
             let is_repeat = self.is_order_open(&machine.id);
             if is_repeat || (is_free && taken.len() < free) {
+                if let Some(slot) = slot {
+                    self.workers[slot].is_leaving = true;
+                }
                 taken.push(machine.id);
             } else if emptied.len() + down < ahead {
                 emptied.insert(machine.id);
             }
         }
-        self.empty_machines(number, emptied, now);
+        self.empty_machines(progress, emptied, now);
         for machine in taken {
-            self.order_maintenance(number, machine, now, orders);
+            self.order_maintenance(progress.wave.number, machine, now, orders);
         }
     }
 
@@ -239,17 +252,17 @@
         let worker = &self.workers[slot];
         let run = worker.runs.get(&task);
         worker.is_confirmed
+            && !worker.is_leaving
             && run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
     }
 
     /// Keeps new work off the machines that are taken down next, and off no others.
     fn empty_machines(
         &mut self,
-        number: WaveNumber,
+        progress: &mut WaveProgress,
         emptied: BTreeSet<InstanceId>,
         now: Moment,
     ) {
-        let Some(progress) = self.waves.get_mut(&number) else { return };
         let former = std::mem::take(&mut progress.emptied);
         progress.emptied = emptied
             .iter()
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -94,6 +94,8 @@
     pub was_confirmed: bool,
     /// Whether it gets no more work because its machine is about to be moved or maintained.
     pub is_cordoned: bool,
+    /// Whether its machine was ordered to move or to be maintained.
+    pub is_leaving: bool,
     /// What was ordered, runs, or is being stopped there.
     pub runs: HashMap<TaskId, Run>,
     /// Sum of what the runs take.
@@ -133,6 +135,7 @@
             is_confirmed: false,
             was_confirmed: false,
             is_cordoned: false,
+            is_leaving: false,
             runs: HashMap::new(),
             reserved: Resources::default(),
             ends_seen: 0,
