Keep which machines were maintained, and lose a worker only when it is seen down

Change: machines whose maintenance has begun lie in the store; after an accepted order the next list of machines tells whether the worker went down. One log line for each lost and regained dependency in place of one for each attempt.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod job;
 pub mod order;
+pub mod outage;
 pub mod owner;
 pub mod pace;
 pub mod placement;
--- a/crates/jobs/src/owner/carry.rs
+++ b/crates/jobs/src/owner/carry.rs
@@ -124,7 +124,8 @@
 
     /// Asks for the machines, if they are needed and the last answer is old.
     pub(super) fn list_machines(&mut self, now: Moment) {
-        let is_due = self.machines_asked.is_none_or(|at| now >= at + MACHINES_INTERVAL);
+        let is_due = self.machines_asked.is_none_or(|at| now >= at + MACHINES_INTERVAL)
+            || self.scheduler.take_list_wish();
         if !is_due || !self.scheduler.needs_machines() {
             return;
         }
@@ -166,7 +167,7 @@
                 self.scheduler.note_machine(&order, outcome, now);
             }
             Outcome::Machines { machines: Some(machines), sent } => {
-                self.scheduler.set_machines(machines, sent);
+                self.scheduler.set_machines(machines, sent, now);
             }
             // The next list is asked for after the usual time.
             Outcome::Machines { machines: None, .. } => {}
--- a/crates/jobs/src/owner/follow.rs
+++ b/crates/jobs/src/owner/follow.rs
@@ -12,6 +12,7 @@
 use super::Message;
 use crate::cluster::WorkerEntry;
 use crate::event::JobsEvent;
+use crate::outage::Outage;
 use crate::record::{CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, job_of};
 use crate::site::{Formats, Site};
 use crate::spec::JobId;
@@ -46,9 +47,10 @@
 /// Sends each new job and each cancel.
 pub(super) async fn inbox<S: Site>(site: S, from: Revision, sender: mpsc::Sender<Message>) {
     let mut after = Some(from);
+    let mut outage = Outage::new(INBOX_PREFIX);
     loop {
-        if let Err(error) = inbox_once(&site, &mut after, &sender).await {
-            emit!(JobsEvent::StoreLost, prefix = INBOX_PREFIX, error = error);
+        if let Err(error) = inbox_once(&site, &mut after, &sender, &mut outage).await {
+            outage.note_failure(&error);
         }
         if sender.is_closed() {
             return;
@@ -61,6 +63,7 @@
     site: &S,
     after: &mut Option<Revision>,
     sender: &mpsc::Sender<Message>,
+    outage: &mut Outage,
 ) -> Result<(), StoreError> {
     let from = match after.take() {
         Some(revision) => revision,
@@ -74,7 +77,9 @@
     };
     let mut changes = site.store().watch(INBOX_PREFIX, from).await?;
     loop {
-        for record in changes.next().await?.iter().filter_map(|change| change.record.as_ref()) {
+        let news = changes.next().await?;
+        outage.note_success();
+        for record in news.iter().filter_map(|change| change.record.as_ref()) {
             send_inbox(record, sender).await;
         }
         if sender.is_closed() {
@@ -107,9 +112,10 @@
 /// Sends each change of the workers' reports.
 pub(super) async fn workers<S: Site>(site: S, from: Revision, sender: mpsc::Sender<Message>) {
     let mut after = Some(from);
+    let mut outage = Outage::new(S::Formats::WORKERS_PREFIX);
     loop {
-        if let Err(error) = workers_once(&site, &mut after, &sender).await {
-            emit!(JobsEvent::StoreLost, prefix = S::Formats::WORKERS_PREFIX, error = error);
+        if let Err(error) = workers_once(&site, &mut after, &sender, &mut outage).await {
+            outage.note_failure(&error);
         }
         if sender.is_closed() {
             return;
@@ -122,6 +128,7 @@
     site: &S,
     after: &mut Option<Revision>,
     sender: &mpsc::Sender<Message>,
+    outage: &mut Outage,
 ) -> Result<(), StoreError> {
     let from = match after.take() {
         Some(revision) => revision,
@@ -134,7 +141,9 @@
     };
     let mut changes = site.store().watch(S::Formats::WORKERS_PREFIX, from).await?;
     loop {
-        let some = changes.next().await?.iter().map(|change| read_change(site, change)).collect();
+        let news = changes.next().await?;
+        outage.note_success();
+        let some = news.iter().map(|change| read_change(site, change)).collect();
         send_workers(WorkersChange::Some(some), sender).await;
         if sender.is_closed() {
             return Ok(());
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -8,14 +8,16 @@
     Compare, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, since_boot,
 };
+use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
 use super::write::Sequence;
 use crate::edges::FencingToken;
 use crate::event::JobsEvent;
+use crate::outage::Outage;
 use crate::record::{
-    CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, OWNER_KEY, STATE_PREFIX,
-    SEQUENCE_KEY, StateRecord, WORKERS_KEY, job_of,
+    BegunRecord, CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, OWNER_KEY,
+    SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_KEY, job_of,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -41,10 +43,11 @@
     settings: SchedulerSettings,
     token: FencingToken,
 ) -> Loaded {
+    let mut outage = Outage::new("load");
     loop {
         match try_load(site, settings, token).await {
             Ok(loaded) => return loaded,
-            Err(error) => emit!(JobsEvent::StoreLost, error = error),
+            Err(error) => outage.note_failure(&error),
         }
         sleep(RETRY).await;
     }
@@ -56,18 +59,20 @@
     token: FencingToken,
 ) -> Result<Loaded, StoreError> {
     let store = site.store();
-    let (inbox, states, sequence, known, listed) = tokio::try_join!(
+    let (inbox, states, sequence, known, begun, listed) = tokio::try_join!(
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
         store.get(WORKERS_KEY),
+        store.get(WAVES_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = begin_sequence(site, token, sequence).await?;
-    let known_workers = known.map(|record| known_workers(&record)).transpose()?.unwrap_or_default();
+    let known_workers: Vec<KnownWorker> = read_json(known)?;
+    let begun: BegunRecord = read_json(begun)?;
     let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
     let now = since_boot();
-    let tenure = Tenure { token, run_base, known_workers };
+    let tenure = Tenure { token, run_base, known_workers, begun };
     let mut scheduler = Scheduler::new(settings, tenure, now);
     let states = read_states(&states.records);
     for record in &inbox.records {
@@ -97,7 +102,9 @@
     })
 }
 
-fn known_workers(record: &Record) -> Result<Vec<KnownWorker>, StoreError> {
+/// A record in JSON; the default where there is none.
+fn read_json<T: DeserializeOwned + Default>(record: Option<Record>) -> Result<T, StoreError> {
+    let Some(record) = record else { return Ok(T::default()) };
     serde_json::from_slice(&record.value)
         .map_err(|error| StoreError::Malformed(error.to_string().into()))
 }
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_event::emit;
 use cassiafold_platform::{
     Compare, Moment, Record, Revision, StoreError, Transaction, TransactionOutcome,
     TransactionalStore,
@@ -18,7 +17,7 @@
 
 use super::{Message, Office, URGENT_WRITE_INTERVAL, WRITE_INTERVAL};
 use crate::edges::FencingToken;
-use crate::event::JobsEvent;
+use crate::outage::Outage;
 use crate::record::{OWNER_KEY, SEQUENCE_KEY};
 use crate::scheduler::Flush;
 use crate::site::{Formats, Site};
@@ -96,9 +95,11 @@
 ) -> Written {
     let next = Sequence { number: former.number + 1, ..former };
     let transaction = transaction(site, token, former, next, &flush);
+    let mut outage = Outage::new("owner's writes");
     loop {
         match site.store().commit(transaction.clone()).await {
             Ok(TransactionOutcome::Written(revision)) => {
+                outage.note_success();
                 return Written::Done { flush, sequence: Sequence { revision, ..next } };
             }
             Ok(TransactionOutcome::Conflict(records)) => {
@@ -107,7 +108,7 @@
                     None => Written::Deposed,
                 };
             }
-            Err(error) => emit!(JobsEvent::StoreLost, error = error),
+            Err(error) => outage.note_failure(&error),
         }
         sleep(RETRY).await;
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -8,6 +8,7 @@
 //! | `cassiafold/owner` | the owner, under its lease | name of its instance |
 //! | `cassiafold/sequence` | the owner | number of its last write, so that none is applied late |
 //! | `cassiafold/workers` | the owner | workers that were given tasks |
+//! | `cassiafold/waves` | the owner | machines whose maintenance has begun, by wave |
 //! | `cassiafold/waiting` | the owner | jobs that wait, by queue |
 
 use std::collections::BTreeMap;
@@ -15,10 +16,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_config::{ServiceId, TeamId, ZoneId};
+use cassiafold_config::{InstanceId, ServiceId, TeamId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::{QueueId, WorkerEntry, WorkerId};
+use crate::cluster::{QueueId, WaveNumber, WorkerEntry, WorkerId};
 use crate::spec::{
     JobId, JobSpec, OccurrenceNumber, Resources, RunNumber, Schedule, StepNumber, StepSpec,
     TaskNumber,
@@ -38,6 +39,8 @@
 pub const SEQUENCE_KEY: &str = "cassiafold/sequence";
 /// Key of the workers that were given tasks.
 pub const WORKERS_KEY: &str = "cassiafold/workers";
+/// Key of the machines whose maintenance has begun.
+pub const WAVES_KEY: &str = "cassiafold/waves";
 /// Key of the jobs that wait.
 pub const WAITING_KEY: &str = "cassiafold/waiting";
 
@@ -156,6 +159,9 @@
     pub jobs: BTreeMap<QueueId, u32>,
 }
 
+/// Machines whose maintenance has begun, by wave.
+pub type BegunRecord = BTreeMap<WaveNumber, Vec<InstanceId>>;
+
 /// A worker that was given tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownWorker {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -30,7 +30,7 @@
 use crate::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerId};
 use crate::edges::FencingToken;
 use crate::job::{Job, WorkerSlot};
-use crate::record::{KnownWorker, WaitingRecord};
+use crate::record::{BegunRecord, KnownWorker, WaitingRecord};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use crate::worker::Worker;
 
@@ -60,6 +60,8 @@
     pub run_base: RunNumber,
     /// Workers that earlier owners gave tasks to.
     pub known_workers: Vec<KnownWorker>,
+    /// Machines that earlier owners maintained.
+    pub begun: BegunRecord,
 }
 
 /// An order that is to be carried out now.
@@ -138,6 +140,8 @@
     questions_open: usize,
     machines: Vec<Machine>,
     machines_listed: Option<Moment>,
+    is_list_wanted: bool,
+    begun_written: BegunRecord,
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// The last order to each machine.
     machines_ordered: HashMap<InstanceId, SentOrder>,
@@ -170,6 +174,8 @@
             questions_open: 0,
             machines: Vec::new(),
             machines_listed: None,
+            is_list_wanted: false,
+            begun_written: tenure.begun.clone(),
             waves: BTreeMap::new(),
             machines_ordered: HashMap::new(),
             team_levels: HashMap::new(),
@@ -198,9 +204,10 @@
     /// Takes over the waves of maintenance that the operator asks for.
     pub fn set_waves(&mut self, waves: &[Wave], now: Moment) {
         for wave in waves {
+            let begun = self.tenure.begun.get(&wave.number).map_or(&[][..], Vec::as_slice);
             self.waves
                 .entry(wave.number)
-                .or_insert_with(|| WaveProgress::new(wave.clone(), now));
+                .or_insert_with(|| WaveProgress::new(wave.clone(), begun, now));
         }
     }
 
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -11,7 +11,7 @@
 use crate::event::JobsEvent;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
-    JobState, KnownWorker, RecordError, WAITING_KEY, WORKERS_KEY, WaitingRecord, cancel_key,
+    JobState, KnownWorker, RecordError, WAITING_KEY, WAVES_KEY, WORKERS_KEY, WaitingRecord, cancel_key,
     job_key, state_key,
 };
 use crate::spec::JobId;
@@ -48,6 +48,7 @@
         let mut flush = Flush::default();
         self.collect_states(&mut flush);
         self.collect_workers(&mut flush);
+        self.collect_begun(&mut flush);
         self.collect_waiting(now, &mut flush);
         self.collect_removals(now, &mut flush);
         flush.waves = self.wave_statuses();
@@ -95,6 +96,18 @@
         flush.recorded = present.map(|(slot, _)| slot).collect();
     }
 
+    fn collect_begun(&mut self, flush: &mut Flush) {
+        let begun = self.begun_record();
+        if begun == self.begun_written || begun.values().all(Vec::is_empty) {
+            return;
+        }
+        match serde_json::to_vec(&begun) {
+            Ok(bytes) => flush.puts.push((WAVES_KEY.into(), bytes)),
+            Err(error) => return report(0, &error.into()),
+        }
+        self.begun_written = begun;
+    }
+
     fn collect_waiting(&mut self, now: Moment, flush: &mut Flush) {
         let last = self.waiting_written.as_ref();
         if last.is_some_and(|(at, _)| now.saturating_sub(*at) < WAITING_INTERVAL) {
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -12,6 +12,7 @@
 use crate::edges::MachineOutcome;
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
+use crate::record::BegunRecord;
 use crate::spec::TaskId;
 use crate::worker::RunPhase;
 
@@ -74,9 +75,10 @@
 }
 
 impl WaveProgress {
-    pub(super) fn new(wave: Wave, now: Moment) -> Self {
-        let (begun, emptied) = (HashMap::new(), HashMap::new());
-        Self { wave, since: now, begun, emptied, stored: None }
+    /// A wave of which `begun` was maintained under earlier owners.
+    pub(super) fn new(wave: Wave, begun: &[InstanceId], now: Moment) -> Self {
+        let begun = begun.iter().map(|machine| (machine.clone(), now)).collect();
+        Self { wave, since: now, begun, emptied: HashMap::new(), stored: None }
     }
 }
 
@@ -86,12 +88,49 @@
         self.waves.values().any(|wave| wave.stored != Some(true))
     }
 
+    /// Whether machines should be listed without delay, since one was ordered.
+    pub fn take_list_wish(&mut self) -> bool {
+        std::mem::take(&mut self.is_list_wanted)
+    }
+
     /// Takes over the list of machines, asked for at `sent`.
-    pub fn set_machines(&mut self, machines: Vec<Machine>, sent: Moment) {
+    pub fn set_machines(&mut self, machines: Vec<Machine>, sent: Moment, now: Moment) {
+        let leaving: Vec<WorkerSlot> = (0..self.workers.len())
+            .filter(|slot| {
+                let worker = &self.workers[*slot];
+                !worker.is_gone && worker.leaving_since.is_some_and(|since| since < sent)
+            })
+            .collect();
+        for slot in leaving {
+            let id = &self.workers[slot].entry.id;
+            let is_up = machines.iter().any(|machine| {
+                machine.state == MachineState::Up && machine.worker.as_ref() == Some(id)
+            });
+            if !is_up {
+                self.lose_worker(slot, now);
+                continue;
+            }
+            // The order had been carried out before; the worker is the one that came after it.
+            let worker = &mut self.workers[slot];
+            worker.leaving_since = None;
+            worker.is_leaving = false;
+            worker.is_cordoned = false;
+            self.mark_changed(slot);
+        }
         self.machines = machines;
         self.machines_listed = Some(sent);
     }
 
+    /// Machines whose maintenance has begun, by wave, as they shall lie in the store.
+    pub(super) fn begun_record(&self) -> BegunRecord {
+        let begun = self.waves.values().map(|progress| {
+            let mut machines: Vec<InstanceId> = progress.begun.keys().cloned().collect();
+            machines.sort();
+            (progress.wave.number, machines)
+        });
+        begun.collect()
+    }
+
     /// Takes in the outcome of an order to a machine.
     pub fn note_machine(&mut self, order: &MachineOrder, outcome: MachineOutcome, now: Moment) {
         emit!(
@@ -104,10 +143,14 @@
         if let Some(ordered) = self.machines_ordered.get_mut(order.machine()) {
             ordered.is_open = is_open;
         }
+        let accepted = outcome == MachineOutcome::Accepted;
         if let Some(slot) = self.worker_of(order.machine()) {
-            self.workers[slot].is_leaving = is_open;
+            let worker = &mut self.workers[slot];
+            worker.is_leaving = is_open || accepted;
+            // Whether it has gone down, or had been maintained before, the next list shows.
+            worker.leaving_since = accepted.then_some(now);
         }
-        if outcome != MachineOutcome::Accepted {
+        if !accepted {
             return;
         }
         if let MachineOrder::Maintain { machine, wave } = order
@@ -117,9 +160,7 @@
             progress.emptied.remove(machine);
             self.is_flush_urgent = true;
         }
-        if let Some(slot) = self.worker_of(order.machine()) {
-            self.lose_worker(slot, now);
-        }
+        self.is_list_wanted = true;
     }
 
     fn worker_of(&self, machine: &str) -> Option<WorkerSlot> {
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -12,6 +12,7 @@
 
 use crate::cluster::{ClusterConfig, Wave};
 use crate::event::JobsEvent;
+use crate::outage::Outage;
 use crate::site::{Formats, OperatorItem, Site};
 
 /// Time between two attempts to reach the store.
@@ -71,16 +72,11 @@
 /// Follows the operator's keys until it is dropped.
 pub async fn follow<S: Site>(site: S, sender: ViewSender) {
     let mut items: BTreeMap<Arc<str>, OperatorItem> = BTreeMap::new();
-    let mut is_lost = false;
+    let mut outage = Outage::new("operator's view");
     loop {
-        let error = match follow_once(&site, &sender, &mut items, &mut is_lost).await {
-            Ok(()) => continue,
-            Err(error) => error,
-        };
-        if !is_lost {
-            emit!(JobsEvent::StoreLost, error = error);
+        if let Err(error) = follow_once(&site, &sender, &mut items, &mut outage).await {
+            outage.note_failure(&error);
         }
-        is_lost = true;
         sleep(RETRY).await;
     }
 }
@@ -89,13 +85,11 @@
     site: &S,
     sender: &ViewSender,
     items: &mut BTreeMap<Arc<str>, OperatorItem>,
-    is_lost: &mut bool,
+    outage: &mut Outage,
 ) -> Result<(), StoreError> {
     let asked = since_boot();
     let snapshot = site.store().list(S::Formats::OPERATOR_PREFIX).await?;
-    if std::mem::take(is_lost) {
-        emit!(JobsEvent::StoreRegained, revision = snapshot.revision);
-    }
+    outage.note_success();
     items.clear();
     for record in &snapshot.records {
         take_in(site, sender, items, record);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -96,6 +96,8 @@
     pub is_cordoned: bool,
     /// Whether its machine was ordered to move or to be maintained.
     pub is_leaving: bool,
+    /// When such an order was accepted.
+    pub leaving_since: Option<Moment>,
     /// What was ordered, runs, or is being stopped there.
     pub runs: HashMap<TaskId, Run>,
     /// Sum of what the runs take.
@@ -136,6 +138,7 @@
             was_confirmed: false,
             is_cordoned: false,
             is_leaving: false,
+            leaving_since: None,
             runs: HashMap::new(),
             reserved: Resources::default(),
             ends_seen: 0,
