Thin out a machine that runs several tasks of one step before it goes down

Change: tasks on the machine itself count as away; long-running tasks go to different workers where they can, and one of several on a machine that is emptied is stopped first.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -43,6 +43,9 @@
     pub serves: bool,
     /// Whether it runs on what others leave unused.
     pub opportunistic: bool,
+    /// Whether the tasks of its step go to different workers where they can, so that the loss of
+    /// one worker ends one of them.
+    pub spreads: bool,
 }
 
 impl Candidate {
@@ -70,6 +73,7 @@
         Rank {
             is_suspect: self.is_suspect,
             is_avoided: self.is_avoided,
+            same_step: if demand.spreads { self.same_step } else { 0 },
             far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
             disturbance,
             used_milli: self.room.processors_milli.saturating_sub(left),
@@ -82,6 +86,7 @@
 struct Rank {
     is_suspect: bool,
     is_avoided: bool,
+    same_step: u32,
     far_from_data: bool,
     disturbance: u32,
     used_milli: u32,
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -187,6 +187,7 @@
             per_worker_max: spec.per_worker_max,
             serves: spec.tail_target.is_some(),
             opportunistic: spec.opportunistic,
+            spreads: spec.long_running,
         };
         self.count_same_step(id, &spec, candidates);
         let asks = self.advice_policy(id).is_some();
@@ -307,7 +308,7 @@
     fn count_same_step(&self, id: StepId, spec: &StepSpec, candidates: &mut [Candidate]) {
         for candidate in candidates {
             candidate.same_step = 0;
-            if spec.per_worker_max.is_some() {
+            if spec.per_worker_max.is_some() || spec.long_running {
                 let tasks = self.workers[candidate.slot].runs.keys();
                 let same = tasks.filter(|task| task.step == id).count();
                 candidate.same_step = u32::try_from(same).unwrap_or(u32::MAX);
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -219,6 +219,11 @@
                 emptied.insert(machine.id);
             }
         }
+        for machine in &emptied {
+            if let Some(slot) = self.worker_of(machine) {
+                self.thin_out(slot, now);
+            }
+        }
         self.empty_machines(progress, emptied, now);
         for machine in taken {
             self.order_maintenance(progress.wave.number, machine, now, orders);
@@ -270,12 +275,37 @@
             if !spec.long_running {
                 return !patient;
             }
-            self.may_interrupt(*task)
+            self.may_interrupt(*task, slot)
         })
     }
 
-    /// Whether a long-running task may be ended by the fleet's own action.
-    pub(super) fn may_interrupt(&self, task: TaskId) -> bool {
+    /// Lets a long-running task end early on a machine that is emptied, where too many of its
+    /// step run there for the machine to go down at once.
+    fn thin_out(&mut self, slot: WorkerSlot, now: Moment) {
+        let tasks: Vec<TaskId> = self.workers[slot].runs.keys().copied().collect();
+        let crowded = tasks.iter().copied().find(|task| {
+            let others = tasks.iter().filter(|other| other.step == task.step).count();
+            let is_budgeted = self.spec(task.step).is_some_and(|spec| spec.unavailable_max.is_some());
+            is_budgeted && others > 1 && self.may_stop(*task)
+        });
+        if let Some(task) = crowded {
+            self.stop_run(slot, task, now);
+        }
+    }
+
+    /// Whether one long-running task may be stopped by the fleet's own action.
+    fn may_stop(&self, task: TaskId) -> bool {
+        self.within_budget(task, None)
+    }
+
+    /// Whether a long-running task may be ended together with all else on its worker.
+    fn may_interrupt(&self, task: TaskId, slot: WorkerSlot) -> bool {
+        self.within_budget(task, Some(slot))
+    }
+
+    /// Whether enough other tasks of a step are at work for one to be ended, beside those on
+    /// `lost`.
+    fn within_budget(&self, task: TaskId, lost: Option<WorkerSlot>) -> bool {
         let Some(budget) = self.spec(task.step).and_then(|spec| spec.unavailable_max) else {
             return true;
         };
@@ -284,7 +314,8 @@
         };
         let away = (0..).zip(&step.tasks).filter(|(index, other)| {
             let id = TaskId { index: *index, ..task };
-            *index != task.index && !other.copies.iter().any(|slot| self.is_at_work(*slot, id))
+            let at_work = |slot: &WorkerSlot| Some(*slot) != lost && self.is_at_work(*slot, id);
+            *index != task.index && !other.copies.iter().any(at_work)
         });
         u32::try_from(away.count()).unwrap_or(u32::MAX) < budget
     }
