Move machines with the turns of demand

Change: arrivals are followed by service, turns are recognised and the next one foreseen; machines move from the spare pool and from idle services, and idle ones back to the spare pool.

--- /dev/null
+++ b/crates/jobs/src/balance.rs
@@ -0,0 +1,140 @@
+//! How many machines each service should have, and which machines move.
+
+use std::collections::BTreeMap;
+
+use cassiafold_config::{InstanceId, ServiceId};
+
+/// Part of a machine's processors that short tasks can fill.
+const USABLE_PART: f64 = 0.9;
+/// Time within which waiting work should be done, in seconds.
+const BACKLOG_TIME_S: f64 = 1.5;
+/// Machines that a service keeps beyond its need.
+const KEPT_MACHINES: usize = 1;
+/// Most moves that are ordered at once.
+const MOVES_MAX: usize = 12;
+
+/// What a service asks of its machines, in cores.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Rate at which work arrives.
+    pub arriving: f64,
+    /// Short tasks that run.
+    pub running: f64,
+    /// Work of short tasks that wait, in core-seconds.
+    pub waiting_core_s: f64,
+    /// Long-running tasks.
+    pub long_running: f64,
+    /// Rate at which work will arrive when a machine that is ordered now has come.
+    pub expected: f64,
+}
+
+impl Load {
+    /// Cores that serve this load without a lasting queue.
+    ///
+    /// Answers the load pattern of a turn: the rate decides, and what has queued up before the
+    /// machines came is worked off within a second or two.
+    pub fn cores(&self) -> f64 {
+        let rate = self.arriving.max(self.running).max(self.expected);
+        self.long_running + (rate + self.waiting_core_s / BACKLOG_TIME_S) / USABLE_PART
+    }
+}
+
+/// A service and its machines.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Pool {
+    /// Whether its machines are off.
+    pub is_spare: bool,
+    /// Whether it may lose machines to the spare pool or to others.
+    pub may_shrink: bool,
+    /// Machines that it will have once all orders are carried out.
+    pub machines: usize,
+    /// Machines that can leave at once: nothing runs there.
+    pub idle: Vec<InstanceId>,
+    /// Machines that it needs.
+    pub needed: usize,
+}
+
+/// A machine that moves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The machine.
+    pub machine: InstanceId,
+    /// Service that it moves to.
+    pub service: ServiceId,
+}
+
+/// Number of machines of `cores_each` that give `cores`.
+pub fn machines_for(cores: f64, cores_each: f64) -> usize {
+    if cores_each <= 0.0 {
+        return 0;
+    }
+    (cores / cores_each).ceil().max(0.0) as usize
+}
+
+/// Chooses the moves that bring machines to where they are needed, and idle ones to the spare
+/// pool.
+///
+/// Answers the load pattern of services that ask in turn for more than they have: the one with
+/// the greatest want is served first, from the spare pool before others' idle machines.
+pub fn choose_moves(pools: &BTreeMap<ServiceId, Pool>) -> Vec<Move> {
+    let mut pools = pools.clone();
+    let mut moves = Vec::new();
+    while moves.len() < MOVES_MAX
+        && let Some(service) = most_wanting(&pools)
+    {
+        let Some(donor) = donor(&pools, &service) else { break };
+        moves.extend(shift(&mut pools, &donor, &service));
+    }
+    let Some(spare) = spare_of(&pools) else { return moves };
+    while moves.len() < MOVES_MAX
+        && let Some(donor) = most_idle(&pools)
+    {
+        moves.extend(shift(&mut pools, &donor, &spare));
+    }
+    moves
+}
+
+fn most_wanting(pools: &BTreeMap<ServiceId, Pool>) -> Option<ServiceId> {
+    let wanting = pools.iter().filter(|(_, pool)| !pool.is_spare && pool.machines < pool.needed);
+    let most = wanting.max_by_key(|(_, pool)| pool.needed - pool.machines);
+    most.map(|(service, _)| service.clone())
+}
+
+fn donor(pools: &BTreeMap<ServiceId, Pool>, to: &ServiceId) -> Option<ServiceId> {
+    let spare = pools.iter().find(|(_, pool)| pool.is_spare && !pool.idle.is_empty());
+    if let Some((service, _)) = spare {
+        return Some(service.clone());
+    }
+    let giving = pools.iter().filter(|(service, pool)| *service != to && has_surplus(pool));
+    let most = giving.max_by_key(|(_, pool)| pool.machines - pool.needed);
+    most.map(|(service, _)| service.clone())
+}
+
+fn has_surplus(pool: &Pool) -> bool {
+    !pool.is_spare
+        && pool.may_shrink
+        && !pool.idle.is_empty()
+        && pool.machines > pool.needed + KEPT_MACHINES
+}
+
+fn most_idle(pools: &BTreeMap<ServiceId, Pool>) -> Option<ServiceId> {
+    let giving = pools.iter().filter(|(_, pool)| has_surplus(pool));
+    let most = giving.max_by_key(|(_, pool)| pool.machines - pool.needed);
+    most.map(|(service, _)| service.clone())
+}
+
+fn spare_of(pools: &BTreeMap<ServiceId, Pool>) -> Option<ServiceId> {
+    pools.iter().find(|(_, pool)| pool.is_spare).map(|(service, _)| service.clone())
+}
+
+fn shift(
+    pools: &mut BTreeMap<ServiceId, Pool>,
+    from: &ServiceId,
+    to: &ServiceId,
+) -> Option<Move> {
+    let giving = pools.get_mut(from)?;
+    let machine = giving.idle.pop()?;
+    giving.machines = giving.machines.saturating_sub(1);
+    pools.get_mut(to)?.machines += 1;
+    Some(Move { machine, service: to.clone() })
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -1,9 +1,11 @@
 //! Jobs of many tasks: accepted once by any entry instance, placed on workers by one owner, and
 //! kept in the platform's store.
 
+pub mod balance;
 pub mod cluster;
 pub mod desk;
 pub mod edges;
+pub mod estimate;
 pub mod event;
 pub mod job;
 pub mod order;
@@ -15,5 +17,6 @@
 pub mod scheduler;
 pub mod site;
 pub mod spec;
+pub mod turns;
 pub mod view;
 pub mod worker;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -18,6 +18,8 @@
     pub labels: Vec<Arc<str>>,
     /// Tasks of the same step there.
     pub same_step: u32,
+    /// Tasks there that run until their jobs are cancelled.
+    pub long_running: u32,
     /// Tasks there that serve users.
     pub serving: u32,
     /// Tasks there that run on what others leave unused.
@@ -39,13 +41,12 @@
     pub data_rack: Option<Arc<str>>,
     /// Most tasks of the step on one worker.
     pub per_worker_max: Option<u32>,
+    /// Whether it runs until its job is cancelled.
+    pub long_running: bool,
     /// Whether it serves users of its own.
     pub serves: bool,
     /// Whether it runs on what others leave unused.
     pub opportunistic: bool,
-    /// Whether the tasks of its step go to different workers where they can, so that the loss of
-    /// one worker ends one of them.
-    pub spreads: bool,
 }
 
 impl Candidate {
@@ -73,9 +74,9 @@
         Rank {
             is_suspect: self.is_suspect,
             is_avoided: self.is_avoided,
-            same_step: if demand.spreads { self.same_step } else { 0 },
             far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
             disturbance,
+            settles_anew: demand.long_running && self.long_running == 0,
             used_milli: self.room.processors_milli.saturating_sub(left),
         }
     }
@@ -86,16 +87,17 @@
 struct Rank {
     is_suspect: bool,
     is_avoided: bool,
-    same_step: u32,
     far_from_data: bool,
     disturbance: u32,
+    settles_anew: bool,
     used_milli: u32,
 }
 
 /// Chooses a worker for a task.
 ///
 /// Answers the load pattern of short tasks beside tasks that serve users: each kind goes where it
-/// is disturbed least, and among equals to the worker with the most left.
+/// is disturbed least, and among equals to the worker with the most left. Long-running tasks
+/// gather on few workers, so that the other machines stay free to move.
 pub fn choose(demand: &Demand, candidates: &[Candidate]) -> Option<WorkerSlot> {
     let fitting = candidates.iter().filter(|candidate| candidate.admits(demand));
     fitting.min_by_key(|candidate| candidate.rank(demand)).map(|candidate| candidate.slot)
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! out is up to [`crate::owner`].
 
 mod advice;
+mod balance;
 mod ends;
 mod flush;
 mod inbox;
@@ -32,6 +33,8 @@
 use crate::job::{Job, WorkerSlot};
 use crate::record::{BegunRecord, KnownWorker, WaitingRecord};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
+use crate::estimate::Durations;
+use crate::turns::Turns;
 use crate::worker::Worker;
 
 /// Times that the platform's settings give.
@@ -122,6 +125,8 @@
     jobs: HashMap<JobId, Job>,
     /// Steps whose turn has come and that are not done, by service.
     ready: HashMap<ServiceId, Vec<StepId>>,
+    /// Cancels of jobs that have not been seen.
+    early_cancels: HashSet<JobId>,
     /// Jobs that repeat.
     scheduled: Vec<JobId>,
     /// What each team has running.
@@ -142,6 +147,11 @@
     machines_listed: Option<Moment>,
     is_list_wanted: bool,
     begun_written: BegunRecord,
+    /// Machines that were ordered to move: where to, and when.
+    moving: HashMap<InstanceId, (ServiceId, Moment)>,
+    balanced: Moment,
+    turns: Turns,
+    durations: Durations,
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// The last order to each machine.
     machines_ordered: HashMap<InstanceId, SentOrder>,
@@ -163,6 +173,7 @@
             present: HashMap::new(),
             jobs: HashMap::new(),
             ready: HashMap::new(),
+            early_cancels: HashSet::new(),
             scheduled: Vec::new(),
             team_use: HashMap::new(),
             uncertain_until: now,
@@ -176,6 +187,10 @@
             machines_listed: None,
             is_list_wanted: false,
             begun_written: tenure.begun.clone(),
+            moving: HashMap::new(),
+            balanced: now,
+            turns: Turns::default(),
+            durations: Durations::default(),
             waves: BTreeMap::new(),
             machines_ordered: HashMap::new(),
             team_levels: HashMap::new(),
--- /dev/null
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -0,0 +1,165 @@
+//! Moves of machines between services.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cassiafold_config::ServiceId;
+use cassiafold_platform::Moment;
+
+use super::upkeep::MachineOrder;
+use super::{Order, Scheduler};
+use crate::balance::{Load, Pool, choose_moves, machines_for};
+use crate::cluster::{Machine, MachineState};
+use crate::worker::Worker;
+
+/// Time between two decisions.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from an order to move until the worker takes work, beyond the move itself.
+const ARRIVAL: Duration = Duration::from_millis(500);
+/// How long an expected turn counts before its begin is seen.
+const LATENESS_MAX: Duration = Duration::from_millis(1_500);
+/// A list of machines that is older than this is not used.
+const LIST_AGE_MAX: Duration = Duration::from_millis(2_000);
+/// An order to move that has not shown in the list after this time is given up.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(6_000);
+/// A machine whose worker had work this lately is not idle.
+const IDLE_AFTER: Duration = Duration::from_millis(300);
+
+impl Scheduler {
+    /// Orders the moves that are due.
+    pub(super) fn plan_moves(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        if now.saturating_sub(self.balanced) < BALANCE_INTERVAL {
+            return;
+        }
+        self.balanced = now;
+        self.turns.update(now);
+        let is_listed = self.machines_listed.is_some_and(|at| now < at + LIST_AGE_MAX);
+        let settled = now.saturating_sub(self.began) > self.settings.machine_lease;
+        if !is_listed || !settled {
+            return;
+        }
+        self.forget_done_moves(now);
+        let pools = self.pools(now);
+        for moved in choose_moves(&pools) {
+            self.moving.insert(moved.machine.clone(), (moved.service.clone(), now));
+            if let Some(slot) = self.worker_of(&moved.machine) {
+                self.workers[slot].is_cordoned = true;
+                self.workers[slot].is_leaving = true;
+            }
+            let (machine, service) = (moved.machine, moved.service);
+            orders.push(Order::Machine(MachineOrder::Move { machine, service }));
+        }
+    }
+
+    /// Forgets moves that the list shows as done, and those that came to nothing.
+    fn forget_done_moves(&mut self, now: Moment) {
+        let machines = &self.machines;
+        let listed = self.machines_listed;
+        self.moving.retain(|id, (service, ordered)| {
+            let machine = machines.iter().find(|machine| machine.id == *id);
+            let seen_after = listed.is_some_and(|at| at > *ordered);
+            let is_done = machine.is_none_or(|machine| machine.service == *service);
+            !(seen_after && is_done) && now < *ordered + MOVE_TIMEOUT
+        });
+    }
+
+    fn pools(&self, now: Moment) -> BTreeMap<ServiceId, Pool> {
+        let mut pools: BTreeMap<ServiceId, Pool> = BTreeMap::new();
+        for (id, service) in &self.config.services {
+            let pool = Pool { is_spare: service.is_spare, ..Pool::default() };
+            pools.insert(id.clone(), pool);
+        }
+        for machine in &self.machines {
+            let target = self.moving.get(&machine.id).map(|(service, _)| service);
+            let Some(pool) = pools.get_mut(target.unwrap_or(&machine.service)) else { continue };
+            if machine.state == MachineState::Down {
+                continue;
+            }
+            pool.machines += 1;
+            if target.is_none() && self.is_idle(machine, now) {
+                pool.idle.push(machine.id.clone());
+            }
+        }
+        let cores_each = self.cores_each();
+        for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
+            let load = self.load(id, now);
+            pool.needed = machines_for(load.cores(), cores_each);
+            pool.may_shrink = self.may_shrink(id, now);
+        }
+        pools
+    }
+
+    /// Whether a machine can move now without ending anything.
+    fn is_idle(&self, machine: &Machine, now: Moment) -> bool {
+        if machine.state != MachineState::Up {
+            return false;
+        }
+        let is_spare = self.config.services.get(&machine.service).is_some_and(|one| one.is_spare);
+        let Some(slot) = machine.worker.as_ref().and_then(|id| self.present.get(id)) else {
+            return is_spare;
+        };
+        let worker = &self.workers[*slot];
+        let rested = worker.last_work.is_none_or(|at| now >= at + IDLE_AFTER);
+        worker.is_confirmed && !worker.is_leaving && worker.runs.is_empty() && rested
+    }
+
+    /// Cores of the usual machine.
+    fn cores_each(&self) -> f64 {
+        let rooms = self.machines.iter().map(|machine| machine.room.processors_milli);
+        let (sum, count) = rooms.fold((0.0, 0.0), |(sum, count), milli| {
+            (sum + f64::from(milli) / 1_000.0, count + 1.0)
+        });
+        if count == 0.0 { 0.0 } else { sum / count }
+    }
+
+    fn load(&self, service: &ServiceId, now: Moment) -> Load {
+        let ratio = self.durations.ratio();
+        let mut load = Load { arriving: self.turns.rate(service) * ratio, ..Load::default() };
+        let workers = self.workers.iter().filter(|worker| worker.entry.service == *service);
+        for worker in workers.filter(|worker| !worker.is_gone) {
+            self.add_running(worker, &mut load);
+        }
+        for id in self.ready.get(service).into_iter().flatten() {
+            let Some(spec) = self.spec(*id) else { continue };
+            let waiting = self.waiting_tasks(*id, now).len() as f64;
+            let cores = waiting * f64::from(spec.reserved().processors_milli) / 1_000.0;
+            match spec.long_running {
+                true => load.long_running += cores,
+                false => load.waiting_core_s += cores * spec.estimate.as_secs_f64() * ratio,
+            }
+        }
+        load.expected = self.expected_rate(service, now) * ratio;
+        load
+    }
+
+    fn add_running(&self, worker: &Worker, load: &mut Load) {
+        for (task, run) in &worker.runs {
+            let cores = f64::from(run.reserved.processors_milli) / 1_000.0;
+            match self.spec(task.step).is_some_and(|spec| spec.long_running) {
+                true => load.long_running += cores,
+                false => load.running += cores,
+            }
+        }
+    }
+
+    /// Rate of the turn that begins before a machine that is ordered now would have come, in
+    /// estimated cores; 0 if there is none.
+    fn expected_rate(&self, service: &ServiceId, now: Moment) -> f64 {
+        let Some(forecast) = self.turns.forecast() else { return 0.0 };
+        let lead = self.settings.move_time + ARRIVAL;
+        let begins = forecast.onset.at;
+        let is_near = now + lead >= begins && now < begins + LATENESS_MAX;
+        match is_near && forecast.onset.service == *service {
+            true => forecast.rate.unwrap_or(0.0),
+            false => 0.0,
+        }
+    }
+
+    /// Whether a service may give machines away: it has had a turn, and its next is not near.
+    fn may_shrink(&self, service: &ServiceId, now: Moment) -> bool {
+        let is_current = self.turns.current().is_some_and(|onset| onset.service == *service);
+        !is_current
+            && self.turns.has_had_turn(service)
+            && self.expected_rate(service, now) == 0.0
+    }
+}
--- a/crates/jobs/src/scheduler/ends.rs
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -23,6 +23,7 @@
     pub(super) fn run_ended(&mut self, slot: WorkerSlot, row: &EndedRow, now: Moment) {
         let known = self.workers[slot].runs.get(&row.task).is_some_and(|run| run.number == row.run);
         if known {
+            self.note_duration(slot, row, now);
             self.release(slot, row.task, now);
         }
         let Some(job) = self.jobs.get_mut(&row.task.step.job) else { return };
@@ -52,6 +53,16 @@
         }
     }
 
+    fn note_duration(&mut self, slot: WorkerSlot, row: &EndedRow, now: Moment) {
+        let Some(run) = self.workers[slot].runs.get(&row.task) else { return };
+        let taken = now.saturating_sub(run.confirmed.unwrap_or(run.since));
+        let Some(spec) = self.spec(row.task.step) else { return };
+        if row.end == RunEnd::Done && !spec.long_running {
+            let estimate = spec.estimate;
+            self.durations.note(estimate, taken);
+        }
+    }
+
     fn task_done(&mut self, id: TaskId, now: Moment) {
         let job_id = id.step.job;
         let Some(job) = self.jobs.get_mut(&job_id).filter(|job| job.is_live()) else { return };
@@ -137,6 +148,7 @@
     /// Forgets a run that has ended or never began.
     pub(super) fn release(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
         let Some(run) = self.workers[slot].remove(task) else { return };
+        self.workers[slot].last_work = Some(now);
         self.count_use(task.step.job, &run.counted, false);
         self.mark_changed(slot);
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -6,6 +6,7 @@
 use cassiafold_platform::{Moment, Revision};
 
 use super::Scheduler;
+use super::plan::work_left;
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
@@ -40,11 +41,18 @@
         if !repeats {
             job.begin(0, stored, run_base, now);
         }
+        if fresh && !job.record.spec.is_long_running() {
+            self.turns.note(&job.record.service, work_left(&job, 0), now);
+        }
         self.jobs.insert(id, job);
         match repeats {
             true => self.scheduled.push(id),
             false => self.advance(id, 0, now),
         }
+        // After an outage of the store its cancel may have come first.
+        if self.early_cancels.remove(&id) {
+            self.cancel(id, now);
+        }
     }
 
     /// Raises the level of the job's team by one job and tells whether it exceeds its weight.
@@ -65,7 +73,10 @@
 
     /// Cancels a job.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            self.early_cancels.insert(id);
+            return;
+        };
         if job.is_live() {
             self.finish(id, JobState::Cancelled, now);
         }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -37,6 +37,7 @@
                 }
             }
             self.plan_upkeep(now, &mut orders);
+            self.plan_moves(now, &mut orders);
         }
         for service in std::mem::take(&mut self.changed) {
             self.plan_service(&service, now, &mut orders);
@@ -158,6 +159,7 @@
                     free: worker.free(),
                     labels: worker.entry.labels.clone(),
                     same_step: 0,
+                    long_running: count(|spec| spec.long_running),
                     serving: count(|spec| spec.tail_target.is_some()),
                     opportunistic: count(|spec| spec.opportunistic),
                     is_suspect: is_suspect(&worker.recent),
@@ -185,9 +187,9 @@
             label: spec.label.clone(),
             data_rack: spec.data_rack.clone(),
             per_worker_max: spec.per_worker_max,
+            long_running: spec.long_running,
             serves: spec.tail_target.is_some(),
             opportunistic: spec.opportunistic,
-            spreads: spec.long_running,
         };
         self.count_same_step(id, &spec, candidates);
         let asks = self.advice_policy(id).is_some();
@@ -275,7 +277,7 @@
         Some(slots)
     }
 
-    fn waiting_tasks(&self, id: StepId, now: Moment) -> Vec<u32> {
+    pub(super) fn waiting_tasks(&self, id: StepId, now: Moment) -> Vec<u32> {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         let tasks = step.map_or(&[][..], |step| &step.tasks);
         let waiting = tasks.iter().enumerate().filter(|(_, task)| {
@@ -378,6 +380,7 @@
     };
     chosen.free = chosen.free.minus(&demand.reserved);
     chosen.same_step += 1;
+    chosen.long_running += u32::from(demand.long_running);
     chosen.serving += u32::from(demand.serves);
     chosen.opportunistic += u32::from(demand.opportunistic);
 }
@@ -407,7 +410,7 @@
 }
 
 /// Estimated work of a repetition that is not done, in core-seconds.
-fn work_left(job: &Job, occurrence: u32) -> f64 {
+pub(super) fn work_left(job: &Job, occurrence: u32) -> f64 {
     let steps = job.occurrences.get(&occurrence).map_or(&[][..], |one| &one.steps);
     let each = steps.iter().zip(&job.record.spec.steps).map(|(step, spec)| {
         let open = spec.tasks.saturating_sub(step.done);
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -22,6 +22,8 @@
 const PATIENT_PART: f64 = 0.75;
 /// Time between two orders to the same machine.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
+/// An order without an answer may be carried out until this time has passed.
+const LATE_ORDER_MAX: Duration = Duration::from_secs(13);
 /// Longest time for which one machine is emptied before it is taken down.
 const EMPTYING_MAX: Duration = Duration::from_millis(4_500);
 
@@ -86,6 +88,7 @@
     /// Whether machines have to be listed, since a wave is open.
     pub fn needs_machines(&self) -> bool {
         self.waves.values().any(|wave| wave.stored != Some(true))
+            || self.config.services.values().any(|service| service.is_spare)
     }
 
     /// Whether machines should be listed without delay, since one was ordered.
@@ -144,11 +147,19 @@
             ordered.is_open = is_open;
         }
         let accepted = outcome == MachineOutcome::Accepted;
+        if !accepted && !is_open {
+            self.moving.remove(order.machine());
+        }
         if let Some(slot) = self.worker_of(order.machine()) {
             let worker = &mut self.workers[slot];
             worker.is_leaving = is_open || accepted;
+            worker.is_cordoned &= worker.is_leaving;
             // Whether it has gone down, or had been maintained before, the next list shows.
-            worker.leaving_since = accepted.then_some(now);
+            worker.leaving_since = match outcome {
+                MachineOutcome::Accepted => Some(now),
+                MachineOutcome::Unknown => Some(now + LATE_ORDER_MAX),
+                _ => None,
+            };
         }
         if !accepted {
             return;
@@ -163,7 +174,7 @@
         self.is_list_wanted = true;
     }
 
-    fn worker_of(&self, machine: &str) -> Option<WorkerSlot> {
+    pub(super) fn worker_of(&self, machine: &str) -> Option<WorkerSlot> {
         let listed = self.machines.iter().find(|listed| *listed.id == *machine)?;
         self.present.get(listed.worker.as_ref()?).copied()
     }
@@ -342,7 +353,7 @@
             .collect();
         for machine in former.keys().filter(|machine| !emptied.contains(*machine)) {
             if let Some(slot) = self.worker_of(machine) {
-                self.workers[slot].is_cordoned = false;
+                self.workers[slot].is_cordoned = self.workers[slot].is_leaving;
                 self.mark_changed(slot);
             }
         }
--- /dev/null
+++ b/crates/jobs/src/turns.rs
@@ -0,0 +1,168 @@
+//! Which service has its turn of high demand, and which one follows.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use cassiafold_config::ServiceId;
+use cassiafold_platform::Moment;
+
+/// Length of a bin of arrivals.
+const BIN: Duration = Duration::from_millis(125);
+/// Bins over which the present rate is taken.
+const RATE_BINS: usize = 6;
+/// Share of all arriving work that makes a service the one that has its turn.
+const DOMINANT_SHARE: f64 = 0.6;
+/// Jobs that must have arrived within the rate's bins for a turn to begin.
+const ONSET_JOBS: u32 = 3;
+/// Onsets that are remembered.
+const ONSETS_MAX: usize = 64;
+/// Shortest time between two onsets; what comes sooner is chance.
+const TURN_MIN: Duration = Duration::from_millis(1_500);
+
+/// Work that arrives for each service, and the turns seen in it.
+#[derive(Debug, Default)]
+pub struct Turns {
+    arrivals: HashMap<ServiceId, Arrivals>,
+    onsets: VecDeque<Onset>,
+}
+
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// Number of a bin, core-seconds and jobs that arrived in it; the latest last.
+    bins: VecDeque<(u128, f64, u32)>,
+    /// Core-seconds that arrived since its last onset.
+    since_onset: f64,
+    /// Rate of its last whole turn, in cores.
+    turn_rate: Option<f64>,
+}
+
+/// Begin of a turn.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Onset {
+    /// The service.
+    pub service: ServiceId,
+    /// When its demand rose.
+    pub at: Moment,
+}
+
+/// A turn that is expected.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Forecast {
+    /// Its begin.
+    pub onset: Onset,
+    /// Rate at which work is expected to arrive, in cores; `None` if it has had no turn yet.
+    pub rate: Option<f64>,
+}
+
+fn bin_of(now: Moment) -> u128 {
+    now.as_millis() / BIN.as_millis()
+}
+
+impl Arrivals {
+    fn forget_before(&mut self, bin: u128) {
+        while self.bins.front().is_some_and(|(number, _, _)| *number < bin) {
+            self.bins.pop_front();
+        }
+    }
+
+    fn recent(&self) -> (f64, u32) {
+        self.bins.iter().fold((0.0, 0), |(work, jobs), bin| (work + bin.1, jobs + bin.2))
+    }
+}
+
+impl Turns {
+    /// Notes a job with its estimated work in core-seconds.
+    pub fn note(&mut self, service: &ServiceId, core_seconds: f64, now: Moment) {
+        let bin = bin_of(now);
+        let arrivals = self.arrivals.entry(service.clone()).or_default();
+        arrivals.since_onset += core_seconds;
+        match arrivals.bins.back_mut() {
+            Some((number, work, jobs)) if *number == bin => {
+                *work += core_seconds;
+                *jobs += 1;
+            }
+            _ => arrivals.bins.push_back((bin, core_seconds, 1)),
+        }
+    }
+
+    /// Takes in that time has passed: a turn may have begun.
+    pub fn update(&mut self, now: Moment) {
+        let first = bin_of(now).saturating_sub(RATE_BINS as u128 - 1);
+        for arrivals in self.arrivals.values_mut() {
+            arrivals.forget_before(first);
+        }
+        let total: f64 = self.arrivals.values().map(|arrivals| arrivals.recent().0).sum();
+        let dominant = self.arrivals.iter().find(|(_, arrivals)| {
+            let (work, jobs) = arrivals.recent();
+            jobs >= ONSET_JOBS && work >= DOMINANT_SHARE * total
+        });
+        let Some(service) = dominant.map(|(service, _)| service.clone()) else { return };
+        let last = self.onsets.back();
+        let is_new = last.is_none_or(|last| last.service != service && now >= last.at + TURN_MIN);
+        if is_new {
+            self.begin(service, now);
+        }
+    }
+
+    fn begin(&mut self, service: ServiceId, now: Moment) {
+        if let Some(last) = self.onsets.back()
+            && let Some(arrivals) = self.arrivals.get_mut(&last.service)
+        {
+            let length_s = now.saturating_sub(last.at).as_secs_f64();
+            arrivals.turn_rate = Some(arrivals.since_onset / length_s.max(BIN.as_secs_f64()));
+        }
+        if let Some(arrivals) = self.arrivals.get_mut(&service) {
+            arrivals.since_onset = arrivals.recent().0;
+        }
+        self.onsets.push_back(Onset { service, at: now });
+        if self.onsets.len() > ONSETS_MAX {
+            self.onsets.pop_front();
+        }
+    }
+
+    /// Rate at which work arrives for a service, in cores.
+    pub fn rate(&self, service: &str) -> f64 {
+        let work = self.arrivals.get(service).map_or(0.0, |arrivals| arrivals.recent().0);
+        work / (BIN.as_secs_f64() * RATE_BINS as f64)
+    }
+
+    /// Service that has its turn.
+    pub fn current(&self) -> Option<&Onset> {
+        self.onsets.back()
+    }
+
+    /// Whether a service has had a turn.
+    pub fn has_had_turn(&self, service: &str) -> bool {
+        self.onsets.iter().any(|onset| *onset.service == *service)
+    }
+
+    /// The turn that follows the present one.
+    ///
+    /// Answers the load pattern of queues whose demand rises by turns: the order and the lengths
+    /// repeat. Until the order has been seen once, the service whose turn is longest ago follows,
+    /// after as long as turns took so far.
+    pub fn forecast(&self) -> Option<Forecast> {
+        let current = self.onsets.back()?;
+        let (next, gap) = self.seen_successor(current).or_else(|| self.guessed_successor())?;
+        let rate = self.arrivals.get(&next).and_then(|arrivals| arrivals.turn_rate);
+        Some(Forecast { onset: Onset { service: next, at: current.at + gap }, rate })
+    }
+
+    fn seen_successor(&self, current: &Onset) -> Option<(ServiceId, Duration)> {
+        let earlier = self.onsets.iter().zip(self.onsets.iter().skip(1));
+        let mut pairs: Vec<_> = earlier.filter(|(one, _)| one.service == current.service).collect();
+        let (one, next) = pairs.pop()?;
+        Some((next.service.clone(), next.at.saturating_sub(one.at)))
+    }
+
+    fn guessed_successor(&self) -> Option<(ServiceId, Duration)> {
+        let all_had_turns = self.arrivals.keys().all(|service| self.has_had_turn(service));
+        if !all_had_turns || self.onsets.len() < 2 {
+            return None;
+        }
+        let oldest = self.onsets.front()?;
+        let span = self.onsets.back()?.at.saturating_sub(oldest.at);
+        let gaps = u32::try_from(self.onsets.len() - 1).unwrap_or(u32::MAX);
+        Some((oldest.service.clone(), span / gaps))
+    }
+}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -116,6 +116,8 @@
     pub expires: Moment,
     /// When it may be given work again after it had no room or was unwell.
     pub blocked_until: Moment,
+    /// When the last run there ended.
+    pub last_work: Option<Moment>,
     /// When the pace of its opportunistic tasks is decided next.
     pub pace_due: Moment,
     /// Recent ends: the job and whether it failed, the latest last.
@@ -148,6 +150,7 @@
             answered: None,
             expires,
             blocked_until: Moment::ZERO,
+            last_work: None,
             pace_due: Moment::ZERO,
             recent: Vec::new(),
             clock: None,
