--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -44,7 +44,8 @@
 pub struct Pool {
     /// Whether its machines are off.
     pub is_spare: bool,
-    /// Whether it may lose machines to the spare pool or to others.
+    /// Whether it may lose machines to the spare pool; to a service that wants them it always
+    /// may.
     pub may_shrink: bool,
     /// Machines that it will have once all orders are carried out.
     pub machines: usize,
@@ -106,19 +107,18 @@
         return Some(service.clone());
     }
     let giving = pools.iter().filter(|(service, pool)| *service != to && has_surplus(pool));
-    let most = giving.max_by_key(|(_, pool)| pool.machines - pool.needed);
+    let most = giving.max_by_key(|(_, pool)| (pool.may_shrink, pool.machines - pool.needed));
     most.map(|(service, _)| service.clone())
 }
 
 fn has_surplus(pool: &Pool) -> bool {
     !pool.is_spare
-        && pool.may_shrink
         && !pool.idle.is_empty()
         && pool.machines > pool.needed + KEPT_MACHINES
 }
 
 fn most_idle(pools: &BTreeMap<ServiceId, Pool>) -> Option<ServiceId> {
-    let giving = pools.iter().filter(|(_, pool)| has_surplus(pool));
+    let giving = pools.iter().filter(|(_, pool)| pool.may_shrink && has_surplus(pool));
     let most = giving.max_by_key(|(_, pool)| pool.machines - pool.needed);
     most.map(|(service, _)| service.clone())
 }
