Give up silent workers at once when their machines are listed as down

Cause: after a change of owner jobs in progress waited 6 s for workers that had long gone, since the list of known workers kept them; tasks on a crashed rack waited 6 s for their lease. Change: only workers that earlier owners knew hold a service back, the list drops those that are gone, and the list of machines, asked for after a worker fell silent, tells that it is down.

--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -34,6 +34,7 @@
     pub waves: Vec<(WaveNumber, bool)>,
     ends: Vec<(WorkerSlot, u64)>,
     recorded: Vec<WorkerSlot>,
+    unrecorded: Vec<WorkerSlot>,
     removed: Vec<JobId>,
 }
 
@@ -92,8 +93,12 @@
             Ok(bytes) => flush.puts.push((WORKERS_KEY.into(), bytes)),
             Err(error) => return report(0, &error),
         }
-        let present = self.workers.iter().enumerate().filter(|(_, worker)| !worker.is_gone);
-        flush.recorded = present.map(|(slot, _)| slot).collect();
+        for (slot, worker) in self.workers.iter().enumerate() {
+            match worker.is_gone {
+                true => flush.unrecorded.push(slot),
+                false => flush.recorded.push(slot),
+            }
+        }
     }
 
     fn collect_begun(&mut self, flush: &mut Flush) {
@@ -160,6 +165,9 @@
             self.workers[*slot].is_recorded = true;
             self.mark_changed(*slot);
         }
+        for slot in &flush.unrecorded {
+            self.workers[*slot].is_recorded = false;
+        }
         for id in &flush.removed {
             self.jobs.remove(id);
         }
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -60,6 +60,7 @@
         worker.note_clock(look.clock, now);
         let first = !worker.is_confirmed;
         worker.is_confirmed = true;
+        worker.silent_since = None;
         worker.was_confirmed = true;
         worker.failed_looks = 0;
         // A worker that was lost from sight may hold runs whose lease is about to end.
@@ -209,6 +210,7 @@
             emit!(JobsEvent::LookFailed, worker = worker.entry.id, error = error);
         }
         worker.is_confirmed = false;
+        worker.silent_since = worker.silent_since.or(Some(now));
         worker.failed_looks += 1;
         if *error == LookError::OtherLife {
             self.lose_worker(slot, now);
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -122,6 +122,26 @@
         }
         self.machines = machines;
         self.machines_listed = Some(sent);
+        self.lose_downed(sent, now);
+    }
+
+    /// Gives up silent workers whose machines are down or run another worker, by a list that was
+    /// asked for after they had fallen silent.
+    fn lose_downed(&mut self, sent: Moment, now: Moment) {
+        for slot in 0..self.workers.len() {
+            let worker = &self.workers[slot];
+            let is_silent = worker.silent_since.is_some_and(|since| since < sent);
+            if worker.is_gone || !is_silent {
+                continue;
+            }
+            let id = &worker.entry.id;
+            let is_up = self.machines.iter().any(|machine| {
+                machine.worker.as_ref() == Some(id) && machine.state == MachineState::Up
+            });
+            if !is_up {
+                self.lose_worker(slot, now);
+            }
+        }
     }
 
     /// Machines whose maintenance has begun, by wave, as they shall lie in the store.
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -30,6 +30,7 @@
             let slot = self.add_worker(entry, now);
             self.workers[slot].is_listed = false;
             self.workers[slot].is_recorded = true;
+            self.workers[slot].is_inherited = true;
         }
     }
 
@@ -107,7 +108,8 @@
     pub(super) fn is_certain(&self, service: &str, now: Moment) -> bool {
         now >= self.uncertain_until
             || self.workers.iter().all(|worker| {
-                worker.was_confirmed || worker.is_gone || *worker.entry.service != *service
+                let is_known = worker.was_confirmed || worker.is_gone;
+                !worker.is_inherited || is_known || *worker.entry.service != *service
             })
     }
 
@@ -115,6 +117,8 @@
     pub(super) fn unrecorded_workers(&self) -> Option<Vec<KnownWorker>> {
         let present = || self.workers.iter().filter(|worker| !worker.is_gone);
         let missing = present().any(|worker| !worker.is_recorded && worker.is_listed);
-        missing.then(|| present().map(|worker| KnownWorker::from(&worker.entry)).collect())
+        let surplus = self.workers.iter().any(|worker| worker.is_gone && worker.is_recorded);
+        (missing || surplus)
+            .then(|| present().map(|worker| KnownWorker::from(&worker.entry)).collect())
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -92,6 +92,10 @@
     pub is_confirmed: bool,
     /// Whether it has ever answered under this owner's token.
     pub was_confirmed: bool,
+    /// Whether earlier owners may have given it tasks.
+    pub is_inherited: bool,
+    /// When it stopped answering.
+    pub silent_since: Option<Moment>,
     /// Whether it gets no more work because its machine is about to be moved or maintained.
     pub is_cordoned: bool,
     /// Whether its machine was ordered to move or to be maintained.
@@ -138,6 +142,8 @@
             is_recorded: false,
             is_confirmed: false,
             was_confirmed: false,
+            is_inherited: false,
+            silent_since: None,
             is_cordoned: false,
             is_leaving: false,
             leaving_since: None,
