Fill the fullest worker first, so that machines become idle and can move

Change: short tasks fill the workers with long-running tasks first, then the fullest that fits. One log line with what each service has and needs when machines move.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -23,6 +23,7 @@
         LookFailed = 1625, Info, "worker did not answer";
         LeaseOver = 1626, Info, "lease of the runs on a silent worker is over";
         MachineOrdered = 1630, Info, "machine ordered to move or to be maintained";
+        PoolsBalanced = 1631, Info, "machines move between services";
         OwnerBegan = 1640, Info, "this instance now places the jobs";
         OwnerEnded = 1641, Info, "this instance no longer places the jobs";
         ConfigInForce = 1642, Info, "configuration in force";
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -70,14 +70,13 @@
             (_, true) => 4 * self.serving + self.opportunistic,
             _ => 0,
         };
-        let left = self.free.minus(&demand.reserved).processors_milli;
         Rank {
             is_suspect: self.is_suspect,
             is_avoided: self.is_avoided,
             far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
             disturbance,
-            settles_anew: demand.long_running && self.long_running == 0,
-            used_milli: self.room.processors_milli.saturating_sub(left),
+            settles_anew: self.long_running == 0,
+            free_milli: self.free.processors_milli,
         }
     }
 }
@@ -90,14 +89,15 @@
     far_from_data: bool,
     disturbance: u32,
     settles_anew: bool,
-    used_milli: u32,
+    free_milli: u32,
 }
 
 /// Chooses a worker for a task.
 ///
 /// Answers the load pattern of short tasks beside tasks that serve users: each kind goes where it
-/// is disturbed least, and among equals to the worker with the most left. Long-running tasks
-/// gather on few workers, so that the other machines stay free to move.
+/// is disturbed least, and among equals to the worker with the least left. Long-running tasks
+/// gather on few workers, and short ones fill these first, so that the other machines become free
+/// to move as soon as demand falls.
 pub fn choose(demand: &Demand, candidates: &[Candidate]) -> Option<WorkerSlot> {
     let fitting = candidates.iter().filter(|candidate| candidate.admits(demand));
     fitting.min_by_key(|candidate| candidate.rank(demand)).map(|candidate| candidate.slot)
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use cassiafold_config::ServiceId;
+use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
 use super::upkeep::MachineOrder;
 use super::{Order, Scheduler};
 use crate::balance::{Load, Pool, choose_moves, machines_for};
 use crate::cluster::{Machine, MachineState};
+use crate::event::JobsEvent;
 use crate::worker::Worker;
 
 /// Time between two decisions.
@@ -40,7 +42,11 @@
         }
         self.forget_done_moves(now);
         let pools = self.pools(now);
-        for moved in choose_moves(&pools) {
+        let moves = choose_moves(&pools);
+        if !moves.is_empty() {
+            report(&pools, moves.len());
+        }
+        for moved in moves {
             self.moving.insert(moved.machine.clone(), (moved.service.clone(), now));
             if let Some(slot) = self.worker_of(&moved.machine) {
                 self.workers[slot].is_cordoned = true;
@@ -163,3 +169,12 @@
             && self.expected_rate(service, now) == 0.0
     }
 }
+
+/// One line with what each service has and needs.
+fn report(pools: &BTreeMap<ServiceId, Pool>, moves: usize) {
+    let each = pools.iter().map(|(service, pool)| {
+        format!("{service}={}/{} idle {}", pool.machines, pool.needed, pool.idle.len())
+    });
+    let pools = each.collect::<Vec<_>>().join(", ");
+    emit!(JobsEvent::PoolsBalanced, moves = moves, pools = pools);
+}
