--- a/crates/cassiafold/tests/catalogue.rs
+++ b/crates/cassiafold/tests/catalogue.rs
@@ -10,6 +10,7 @@
 use cassiafold_dispatch::{DispatchCode, DispatchEvent};
 use cassiafold_event::{CodeRow, EventRow};
 use cassiafold_fleet::{FleetCode, FleetEvent};
+use cassiafold_jobs::event::JobsEvent;
 use cassiafold_membership::MembershipEvent;
 use cassiafold_operators::{OperatorsCode, OperatorsEvent};
 use cassiafold_platform::PlatformEvent;
@@ -22,6 +23,7 @@
     ("dispatch", 1300, DispatchEvent::ROWS),
     ("fleet", 1400, FleetEvent::ROWS),
     ("operators", 1500, OperatorsEvent::ROWS),
+    ("jobs", 1600, JobsEvent::ROWS),
     ("cassiafold", 1700, EntryEvent::ROWS),
 ];
 
--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -112,9 +112,7 @@
 }
 
 fn has_surplus(pool: &Pool) -> bool {
-    !pool.is_spare
-        && !pool.idle.is_empty()
-        && pool.machines > pool.needed + KEPT_MACHINES
+    !pool.is_spare && !pool.idle.is_empty() && pool.machines > pool.needed + KEPT_MACHINES
 }
 
 fn most_idle(pools: &BTreeMap<ServiceId, Pool>) -> Option<ServiceId> {
@@ -127,11 +125,7 @@
     pools.iter().find(|(_, pool)| pool.is_spare).map(|(service, _)| service.clone())
 }
 
-fn shift(
-    pools: &mut BTreeMap<ServiceId, Pool>,
-    from: &ServiceId,
-    to: &ServiceId,
-) -> Option<Move> {
+fn shift(pools: &mut BTreeMap<ServiceId, Pool>, from: &ServiceId, to: &ServiceId) -> Option<Move> {
     let giving = pools.get_mut(from)?;
     let machine = giving.idle.pop()?;
     giving.machines = giving.machines.saturating_sub(1);
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -200,21 +200,13 @@
                 Ok(Stored::Present) => return Submitted::Accepted,
                 Ok(Stored::ConfigChanged) => continue,
                 Err(StoreError::Unavailable(reason)) if !may_be_stored => {
-                    emit!(
-                        JobsEvent::JobRefused,
-                        job = format_args!("{id:016x}"),
-                        reason = reason
-                    );
+                    emit!(JobsEvent::JobRefused, job = format_args!("{id:016x}"), reason = reason);
                     return Submitted::Refused(STORE_RETRY_AFTER);
                 }
                 Err(StoreError::Unavailable(_)) => {}
                 Err(error) => {
                     may_be_stored = true;
-                    emit!(
-                        JobsEvent::JobUnsettled,
-                        job = format_args!("{id:016x}"),
-                        error = error
-                    );
+                    emit!(JobsEvent::JobUnsettled, job = format_args!("{id:016x}"), error = error);
                 }
             }
             if Instant::now() + ATTEMPT_GAP >= deadline {
@@ -236,9 +228,8 @@
             team: admitted.team.clone(),
             spec: spec.clone(),
         };
-        let bytes = record.encode().map_err(|error| {
-            StoreError::Unavailable(error.to_string().into())
-        })?;
+        let bytes =
+            record.encode().map_err(|error| StoreError::Unavailable(error.to_string().into()))?;
         let key = job_key(id);
         let transaction = Transaction::default()
             .expect(key.clone(), Compare::Absent)
@@ -287,11 +278,7 @@
                 }
                 Ok(false) => return Cancelled::NoSuchJob,
                 Err(error) if Instant::now() + ATTEMPT_GAP >= deadline => {
-                    emit!(
-                        JobsEvent::StateUnknown,
-                        job = format_args!("{id:016x}"),
-                        error = error
-                    );
+                    emit!(JobsEvent::StateUnknown, job = format_args!("{id:016x}"), error = error);
                     return Cancelled::Unknown;
                 }
                 Err(_) => sleep(ATTEMPT_GAP).await,
@@ -324,11 +311,7 @@
                 Ok(Some(state)) => return Looked::State(state),
                 Ok(None) => return Looked::NoSuchJob,
                 Err(error) if Instant::now() + ATTEMPT_GAP >= deadline => {
-                    emit!(
-                        JobsEvent::StateUnknown,
-                        job = format_args!("{id:016x}"),
-                        error = error
-                    );
+                    emit!(JobsEvent::StateUnknown, job = format_args!("{id:016x}"), error = error);
                     return Looked::Unknown;
                 }
                 Err(_) => sleep(ATTEMPT_GAP).await,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -164,7 +164,8 @@
         let mut ready = Vec::new();
         let specs = self.record.spec.steps.iter();
         for (position, (step, spec)) in occurrence.steps.iter_mut().zip(specs).enumerate() {
-            let free = spec.after.iter().all(|earlier| done.get(usize::from(*earlier)) == Some(&true));
+            let free =
+                spec.after.iter().all(|earlier| done.get(usize::from(*earlier)) == Some(&true));
             if step.is_ready || !free {
                 continue;
             }
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -58,7 +58,6 @@
 
 /// Puts contenders into the order in which they are served.
 pub fn sort(contenders: &mut [Contender], now: Moment) {
-    contenders.sort_by(|one, other| {
-        compare(one, other, now).then_with(|| one.step.cmp(&other.step))
-    });
+    contenders
+        .sort_by(|one, other| compare(one, other, now).then_with(|| one.step.cmp(&other.step)));
 }
--- a/crates/jobs/src/owner/follow.rs
+++ b/crates/jobs/src/owner/follow.rs
@@ -94,9 +94,7 @@
         Followed::Cancel(id)
     } else if let Some(id) = job_of(&record.key, JOB_PREFIX) {
         match JobRecord::try_from(&record.value[..]) {
-            Ok(job) => {
-                Followed::Job { id, record: Box::new(job), revision: record.revision }
-            }
+            Ok(job) => Followed::Job { id, record: Box::new(job), revision: record.revision },
             Err(error) => {
                 emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
                 return;
@@ -158,9 +156,8 @@
 }
 
 fn read_all<S: Site>(site: &S, records: &[Record]) -> Vec<(Arc<str>, WorkerEntry)> {
-    let read = records.iter().filter_map(|record| {
-        Some((record.key.clone(), read_worker(site, record)?))
-    });
+    let read =
+        records.iter().filter_map(|record| Some((record.key.clone(), read_worker(site, record)?)));
     read.collect()
 }
 
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -87,12 +87,7 @@
     }
 }
 
-async fn write<S: Site>(
-    site: &S,
-    token: FencingToken,
-    former: Sequence,
-    flush: Flush,
-) -> Written {
+async fn write<S: Site>(site: &S, token: FencingToken, former: Sequence, flush: Flush) -> Written {
     let next = Sequence { number: former.number + 1, ..former };
     let transaction = transaction(site, token, former, next, &flush);
     let mut outage = Outage::new("owner's writes");
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -113,7 +113,5 @@
             && candidate.qualifies(demand)
             && !candidate.is_suspect
     });
-    fitting
-        .max_by_key(|candidate| candidate.free.processors_milli)
-        .map(|candidate| candidate.slot)
+    fitting.max_by_key(|candidate| candidate.free.processors_milli).map(|candidate| candidate.slot)
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -24,16 +24,16 @@
 use cassiafold_platform::Moment;
 
 pub use self::advice::Question;
+use self::advice::StepTickets;
 pub use self::flush::Flush;
 pub use self::upkeep::MachineOrder;
-use self::advice::StepTickets;
 use self::upkeep::{SentOrder, WaveProgress};
 use crate::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerId};
 use crate::edges::FencingToken;
+use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{BegunRecord, KnownWorker, WaitingRecord};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
-use crate::estimate::Durations;
 use crate::turns::Turns;
 use crate::worker::Worker;
 
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -47,11 +47,7 @@
     }
 
     /// Tickets of a step that can be used now.
-    pub(super) fn valid_tickets(
-        &self,
-        step: StepId,
-        now: Moment,
-    ) -> HashMap<WorkerSlot, Arc<str>> {
+    pub(super) fn valid_tickets(&self, step: StepId, now: Moment) -> HashMap<WorkerSlot, Arc<str>> {
         let known = self.tickets.get(&step).map(|known| &known.tickets);
         let valid = known.into_iter().flatten().filter(|(_, (_, until))| now < *until);
         valid.map(|(slot, (text, _))| (*slot, text.clone())).collect()
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -164,9 +164,7 @@
     /// Whether a service may give machines away: it has had a turn, and its next is not near.
     fn may_shrink(&self, service: &ServiceId, now: Moment) -> bool {
         let is_current = self.turns.current().is_some_and(|onset| onset.service == *service);
-        !is_current
-            && self.turns.has_had_turn(service)
-            && self.expected_rate(service, now) == 0.0
+        !is_current && self.turns.has_had_turn(service) && self.expected_rate(service, now) == 0.0
     }
 }
 
--- a/crates/jobs/src/scheduler/ends.rs
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -73,10 +73,13 @@
         }
         let gang = spec.gang;
         let Some(step) = job.step_mut(id.step) else { return };
-        let members = if gang { 0..step.tasks.len() } else { id.index as usize..id.index as usize + 1 };
+        let members =
+            if gang { 0..step.tasks.len() } else { id.index as usize..id.index as usize + 1 };
         let mut copies: Vec<(WorkerSlot, TaskId)> = Vec::new();
         for index in members {
-            let Some(task) = step.tasks.get_mut(index).filter(|task| !task.is_done) else { continue };
+            let Some(task) = step.tasks.get_mut(index).filter(|task| !task.is_done) else {
+                continue;
+            };
             task.is_done = true;
             step.done += 1;
             let index = u32::try_from(index).unwrap_or(u32::MAX);
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -11,8 +11,8 @@
 use crate::event::JobsEvent;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
-    JobState, KnownWorker, RecordError, WAITING_KEY, WAVES_KEY, WORKERS_KEY, WaitingRecord, cancel_key,
-    job_key, state_key,
+    JobState, KnownWorker, RecordError, WAITING_KEY, WAVES_KEY, WORKERS_KEY, WaitingRecord,
+    cancel_key, job_key, state_key,
 };
 use crate::spec::JobId;
 
@@ -63,7 +63,8 @@
                 .map(|(slot, worker)| (slot, worker.ends_seen))
                 .collect();
         }
-        let writes = !flush.puts.is_empty() || !flush.removals.is_empty() || !flush.waves.is_empty();
+        let writes =
+            !flush.puts.is_empty() || !flush.removals.is_empty() || !flush.waves.is_empty();
         if !writes {
             // Ends that changed no job may be acknowledged at once.
             self.note_flushed(&flush);
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -177,7 +177,7 @@
     fn place_step(
         &mut self,
         id: StepId,
-        candidates: &mut Vec<Candidate>,
+        candidates: &mut [Candidate],
         now: Moment,
         orders: &mut Vec<Order>,
     ) -> Option<Demand> {
@@ -223,7 +223,7 @@
         id: StepId,
         spec: &StepSpec,
         demand: &Demand,
-        candidates: &mut Vec<Candidate>,
+        candidates: &mut [Candidate],
         tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
         orders: &mut Vec<Order>,
         now: Moment,
@@ -242,7 +242,7 @@
             racks.dedup();
         }
         for rack in racks {
-            let mut pool = candidates.clone();
+            let mut pool = candidates.to_vec();
             pool.retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
             let Some(slots) = self.gang_slots(id, spec, demand, pool, tickets) else { continue };
             let first = TaskId { step: id, index: 0 };
@@ -280,9 +280,10 @@
     pub(super) fn waiting_tasks(&self, id: StepId, now: Moment) -> Vec<u32> {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         let tasks = step.map_or(&[][..], |step| &step.tasks);
-        let waiting = tasks.iter().enumerate().filter(|(_, task)| {
-            task.is_waiting() && task.not_before <= now
-        });
+        let waiting = tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.is_waiting() && task.not_before <= now);
         waiting.filter_map(|(index, _)| u32::try_from(index).ok()).collect()
     }
 
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -316,7 +316,8 @@
         let tasks: Vec<TaskId> = self.workers[slot].runs.keys().copied().collect();
         let crowded = tasks.iter().copied().find(|task| {
             let others = tasks.iter().filter(|other| other.step == task.step).count();
-            let is_budgeted = self.spec(task.step).is_some_and(|spec| spec.unavailable_max.is_some());
+            let is_budgeted =
+                self.spec(task.step).is_some_and(|spec| spec.unavailable_max.is_some());
             is_budgeted && others > 1 && self.may_stop(*task)
         });
         if let Some(task) = crowded {
--- /dev/null
+++ b/crates/jobs/tests/decisions.rs
@@ -0,0 +1,166 @@
+//! Decisions as plain functions, each with the load pattern that it answers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cassiafold_config::ServiceId;
+use cassiafold_jobs::balance::{Load, Pool, choose_moves, machines_for};
+use cassiafold_jobs::order::{Contender, sort};
+use cassiafold_jobs::pace::next_percent;
+use cassiafold_jobs::spec::StepId;
+use cassiafold_jobs::turns::Turns;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn pool(machines: usize, idle: usize, needed: usize, may_shrink: bool) -> Pool {
+    let idle = (0..idle).map(|number| format!("m{number}").into()).collect();
+    Pool { is_spare: false, may_shrink, machines, idle, needed }
+}
+
+fn moved(pools: &[(&str, Pool)]) -> BTreeMap<ServiceId, usize> {
+    let pools: BTreeMap<ServiceId, Pool> =
+        pools.iter().map(|(id, pool)| (ServiceId::from(*id), pool.clone())).collect();
+    let mut counts = BTreeMap::new();
+    for one in choose_moves(&pools) {
+        *counts.entry(one.service).or_default() += 1;
+    }
+    counts
+}
+
+macro_rules! moves {
+    ($($name:ident: $pools:expr => $expected:expr;)+) => {
+        $(#[test] fn $name() {
+            let expected: BTreeMap<ServiceId, usize> = $expected
+                .into_iter()
+                .map(|(id, count): (&str, usize)| (ServiceId::from(id), count))
+                .collect();
+            assert_eq!(moved(&$pools), expected);
+        })+
+    };
+}
+
+moves! {
+    a_service_in_want_takes_idle_machines_before_any_turn_is_known:
+        [("busy", pool(2, 0, 6, false)), ("calm", pool(9, 7, 1, false))] => [("busy", 4)];
+    the_spare_pool_gives_first:
+        [
+            ("busy", pool(2, 0, 4, false)),
+            ("calm", pool(9, 7, 1, true)),
+            ("off", Pool { is_spare: true, ..pool(2, 2, 0, false) }),
+        ] => [("busy", 2), ("off", 7)];
+    idle_machines_go_to_the_spare_pool_only_after_a_turn:
+        [
+            ("early", pool(9, 7, 1, false)),
+            ("late", pool(9, 7, 1, true)),
+            ("off", Pool { is_spare: true, ..pool(0, 0, 0, false) }),
+        ] => [("off", 7)];
+    a_service_keeps_what_it_needs:
+        [("busy", pool(2, 0, 9, false)), ("calm", pool(5, 5, 3, true))] => [("busy", 1)];
+}
+
+#[test]
+fn a_backlog_asks_for_machines_beyond_the_rate() {
+    let steady = Load { arriving: 90.0, ..Load::default() };
+    let queued = Load { waiting_core_s: 150.0, ..steady };
+    assert!(queued.cores() > steady.cores() + 90.0);
+    assert_eq!(machines_for(steady.cores(), 64.0), 2);
+}
+
+fn contender(job: u64, work_left: f64, accepted: Duration) -> Contender {
+    Contender {
+        step: StepId { job, occurrence: 0, step: 0 },
+        priority: 0,
+        long_running: false,
+        beyond_weight: false,
+        accepted,
+        objective: accepted + ms(3_000),
+        chain_left: ms(1_000),
+        work_left,
+    }
+}
+
+fn order(mut contenders: Vec<Contender>, now: Duration) -> Vec<u64> {
+    sort(&mut contenders, now);
+    contenders.into_iter().map(|contender| contender.step.job).collect()
+}
+
+#[test]
+fn small_jobs_that_can_meet_their_objective_come_first() {
+    let contenders = vec![contender(1, 9.0, ms(0)), contender(2, 1.0, ms(10))];
+    assert_eq!(order(contenders, ms(100)), [2, 1]);
+}
+
+#[test]
+fn jobs_that_missed_their_objective_follow_in_order_of_age() {
+    let late = |job, accepted| Contender { chain_left: ms(5_000), ..contender(job, 1.0, accepted) };
+    let contenders = vec![late(1, ms(20)), late(2, ms(10)), contender(3, 50.0, ms(30))];
+    assert_eq!(order(contenders, ms(100)), [3, 2, 1]);
+}
+
+#[test]
+fn long_running_tasks_come_before_all_others() {
+    let long = Contender { long_running: true, priority: 5, ..contender(1, 9.0, ms(50)) };
+    assert_eq!(order(vec![contender(2, 1.0, ms(0)), long], ms(100)), [1, 2]);
+}
+
+#[test]
+fn what_a_team_sends_beyond_its_weight_comes_last_of_its_priority() {
+    let beyond = Contender { beyond_weight: true, ..contender(1, 1.0, ms(0)) };
+    assert_eq!(order(vec![beyond, contender(2, 9.0, ms(50))], ms(100)), [2, 1]);
+}
+
+#[test]
+fn an_opportunistic_task_is_halved_at_once_and_let_go_step_by_step() {
+    assert_eq!(next_percent(100, 1.2), 50);
+    assert_eq!(next_percent(12, 1.2), 0);
+    assert_eq!(next_percent(50, 0.8), 50);
+    assert_eq!(next_percent(50, 0.5), 65);
+    assert_eq!(next_percent(95, 0.5), 100);
+}
+
+/// Plays turns of `length` each, in which one service after the other asks.
+fn play(turns: &mut Turns, order: &[&str], length: Duration) -> Duration {
+    let mut now = ms(1_000);
+    for service in order {
+        let end = now + length;
+        while now < end {
+            turns.note(&ServiceId::from(*service), 5.0, now);
+            turns.update(now);
+            now += ms(50);
+        }
+    }
+    now
+}
+
+#[test]
+fn a_turn_is_recognised_within_half_a_second() {
+    let mut turns = Turns::default();
+    let end = play(&mut turns, &["a", "b"], ms(4_000));
+    let onset = turns.current().expect("a turn").clone();
+    assert_eq!(&*onset.service, "b");
+    let begin = end - ms(4_000);
+    assert!(onset.at >= begin && onset.at <= begin + ms(700), "{:?}", onset.at - begin);
+}
+
+#[test]
+fn after_one_round_the_next_turn_is_foreseen() {
+    let mut turns = Turns::default();
+    let now = play(&mut turns, &["a", "b", "c", "a"], ms(4_000));
+    let forecast = turns.forecast().expect("a forecast");
+    assert_eq!(&*forecast.onset.service, "b");
+    // The scheduler counts a forecast until this long after its time.
+    let off = forecast.onset.at.abs_diff(now);
+    assert!(off < ms(1_500), "{off:?}");
+    let rate = forecast.rate.expect("a rate");
+    assert!((80.0..120.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn before_a_round_is_over_nothing_is_foreseen() {
+    let mut turns = Turns::default();
+    turns.note(&ServiceId::from("c"), 0.1, ms(900));
+    play(&mut turns, &["a", "b"], ms(4_000));
+    assert_eq!(turns.forecast(), None);
+}
--- /dev/null
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -0,0 +1,531 @@
+//! A small emulator of workers, of the store and of owners that come and go, in virtual time.
+//!
+//! It drives the scheduler as the owner's loop does, loses and delays calls by a seed, and checks
+//! at the workers what the scheduler has promised.
+
+#![allow(dead_code, reason = "each test file uses a part of the emulator")]
+
+pub mod faults;
+pub mod worker;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_jobs::cluster::{ClusterConfig, Queue, Service, Team, WorkerEntry};
+use cassiafold_jobs::edges::{Look, LookError, LookRequest, OrderOutcome, StartRequest};
+use cassiafold_jobs::record::{
+    JobRecord, JobState, KnownWorker, STATE_PREFIX, StateRecord, WORKERS_KEY, job_of,
+};
+use cassiafold_jobs::scheduler::{Flush, Order, Scheduler, SchedulerSettings, Tenure};
+use cassiafold_jobs::spec::{JobId, JobSpec, Resources, RunNumber, StepSpec, TaskId};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use self::faults::Faults;
+use self::worker::EmulatedWorker;
+
+pub const SERVICE: &str = "s";
+pub const QUEUE: &str = "q";
+pub const TEAM: &str = "t";
+/// Time of day at the begin of the emulation.
+const UNIX_START: Duration = Duration::from_secs(1_000_000);
+/// Longest lease that workers grant.
+pub const HOLD: Duration = Duration::from_millis(6_000);
+
+pub fn settings() -> SchedulerSettings {
+    SchedulerSettings {
+        hold: HOLD,
+        stop_max: Duration::from_millis(900),
+        notice: Duration::from_millis(4_500),
+        machine_lease: Duration::from_millis(3_000),
+        move_time: Duration::from_millis(1_500),
+        status_kept: Duration::from_secs(150),
+    }
+}
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn cores(cores: u32) -> Resources {
+    Resources { processors_milli: cores * 1_000, memory_bytes: 1 << 30, accelerators: 0 }
+}
+
+/// A step of equal tasks.
+pub fn step(tasks: u32, cores_each: u32, after: &[u16]) -> StepSpec {
+    StepSpec {
+        tasks,
+        needs: cores(cores_each),
+        estimate: ms(500),
+        after: after.to_vec(),
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        queue: QUEUE.into(),
+        service: SERVICE.into(),
+        team: Some(TEAM.into()),
+        spec: JobSpec { text: "text".into(), steps, schedule: None },
+    }
+}
+
+pub fn config(limit: Resources) -> Arc<ClusterConfig> {
+    let queue = Queue {
+        id: QUEUE.into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        service: SERVICE.into(),
+        priority: 0,
+        attempts_max: 3,
+        stretch: 1.5,
+        latency_objective: ms(600),
+        is_public: false,
+        advice: None,
+    };
+    let team = Team { weight: 100.0, limit };
+    Arc::new(ClusterConfig {
+        version: 1,
+        queues: HashMap::from([(queue.id.clone(), queue)]),
+        teams: HashMap::from([(TEAM.into(), team)]),
+        keys: HashMap::new(),
+        services: HashMap::from([(SERVICE.into(), Service::default())]),
+        body_bytes_max: None,
+    })
+}
+
+/// The life of a worker that has received an order; what it carries out late dies with it.
+#[derive(Debug, Clone, Copy)]
+struct Life {
+    worker: usize,
+    born: Duration,
+}
+
+/// Something that happens at a moment.
+enum Event {
+    Look { owner: u64, slot: usize, worker: usize, request: LookRequest, sent: Duration },
+    LookDone { owner: u64, slot: usize, sent: Duration, result: Result<Look, LookError> },
+    Start { owner: u64, slot: usize, to: Life, request: StartRequest, answers: bool },
+    StartDone { owner: u64, slot: usize, task: TaskId, run: RunNumber, outcome: OrderOutcome },
+    Stop { owner: u64, slot: usize, to: Life, task: TaskId, run: RunNumber, answers: bool },
+    StopDone { owner: u64, slot: usize, task: TaskId, run: RunNumber, outcome: OrderOutcome },
+    Flushed { owner: u64, flush: Flush },
+    RunEnds { worker: usize, task: TaskId, run: RunNumber },
+    Crash { worker: usize },
+    Restart { worker: usize },
+    OwnerDies,
+    OwnerComes,
+    Tick,
+}
+
+struct Scheduled(Reverse<(Duration, u64)>, Event);
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.cmp(&other.0)
+    }
+}
+
+/// The emulated deployment.
+pub struct Emulator {
+    pub now: Duration,
+    pub workers: Vec<EmulatedWorker>,
+    pub jobs: BTreeMap<JobId, JobRecord>,
+    pub states: HashMap<JobId, StateRecord>,
+    /// Breaks of promises, in the order in which they were seen.
+    pub broken: Vec<String>,
+    pub starts: usize,
+    faults: Faults,
+    known: Vec<KnownWorker>,
+    scheduler: Option<Scheduler>,
+    owner: u64,
+    is_writing: bool,
+    events: BinaryHeap<Scheduled>,
+    sequence: u64,
+    random: StdRng,
+    config: Arc<ClusterConfig>,
+    done: HashSet<TaskId>,
+    failed: HashMap<TaskId, u32>,
+    limit: Resources,
+}
+
+impl Emulator {
+    pub fn new(seed: u64, workers: usize, limit: Resources, faults: Faults) -> Self {
+        let room = Resources { memory_bytes: 64 << 30, ..cores(16) };
+        let make = |number| EmulatedWorker::new(number, room);
+        let mut emulator = Self {
+            now: ms(10_000),
+            workers: (0..workers).map(make).collect(),
+            jobs: BTreeMap::new(),
+            states: HashMap::new(),
+            broken: Vec::new(),
+            starts: 0,
+            faults,
+            known: Vec::new(),
+            scheduler: None,
+            owner: 1,
+            is_writing: false,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            random: StdRng::seed_from_u64(seed),
+            config: config(limit),
+            done: HashSet::new(),
+            failed: HashMap::new(),
+            limit,
+        };
+        emulator.begin_tenure();
+        emulator.at(Duration::ZERO, Event::Tick);
+        emulator
+    }
+
+    fn at(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        let key = Reverse((self.now + delay, self.sequence));
+        self.events.push(Scheduled(key, event));
+    }
+
+    /// Lets a worker crash after `delay` and come back with a new life.
+    pub fn crash(&mut self, worker: usize, delay: Duration, down: Duration) {
+        self.at(delay, Event::Crash { worker });
+        self.at(delay + down, Event::Restart { worker });
+    }
+
+    /// Lets the owner die after `delay`, and another one come.
+    pub fn replace_owner(&mut self, delay: Duration, gap: Duration) {
+        self.at(delay, Event::OwnerDies);
+        self.at(delay + gap, Event::OwnerComes);
+    }
+
+    pub fn submit(&mut self, id: JobId, record: JobRecord) {
+        self.jobs.insert(id, record.clone());
+        let (now, revision) = (self.now, u64::MAX);
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.add_job(id, record, revision, None, now);
+        }
+    }
+
+    fn entries(&self) -> Vec<WorkerEntry> {
+        self.workers.iter().filter(|worker| worker.is_up).map(EmulatedWorker::entry).collect()
+    }
+
+    fn begin_tenure(&mut self) {
+        let tenure = Tenure {
+            token: self.owner,
+            run_base: u32::try_from(self.owner - 1).unwrap_or(0) * 1_000,
+            known_workers: self.known.clone(),
+            ..Tenure::default()
+        };
+        let mut scheduler = Scheduler::new(settings(), tenure, self.now);
+        scheduler.configure(self.config.clone());
+        for (id, record) in &self.jobs {
+            let stored = self.states.get(id);
+            scheduler.add_job(*id, record.clone(), 0, stored, self.now);
+        }
+        scheduler.set_workers(self.entries(), self.now);
+        self.scheduler = Some(scheduler);
+        self.is_writing = false;
+    }
+
+    /// Plays until `end`, or until all jobs have ended and are stored.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while let Some(Scheduled(Reverse((at, _)), event)) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.take(event);
+            self.act();
+        }
+    }
+
+    pub fn state(&self, id: JobId) -> JobState {
+        self.states.get(&id).map_or(JobState::Queued, |state| state.state)
+    }
+
+    fn act(&mut self) {
+        let Some(mut scheduler) = self.scheduler.take() else { return };
+        let orders = scheduler.plan(UNIX_START + self.now, self.now);
+        for order in orders {
+            self.carry_out(&mut scheduler, order);
+        }
+        if !self.is_writing
+            && let Some(flush) = scheduler.take_flush(self.now)
+        {
+            self.is_writing = true;
+            self.store(&flush);
+            let owner = self.owner;
+            self.at(ms(5), Event::Flushed { owner, flush });
+        }
+        self.scheduler = Some(scheduler);
+    }
+
+    fn store(&mut self, flush: &Flush) {
+        for (key, value) in &flush.puts {
+            if let Some(id) = job_of(key, STATE_PREFIX) {
+                let state = StateRecord::try_from(&value[..]).expect("state");
+                self.states.insert(id, state);
+            } else if &**key == WORKERS_KEY {
+                self.known = serde_json::from_slice(value).expect("workers");
+            }
+        }
+    }
+
+    fn worker_number(&self, id: &str) -> usize {
+        self.workers.iter().position(|worker| *worker.id == *id).expect("known worker")
+    }
+
+    fn life(&self, id: &str) -> Life {
+        let worker = self.worker_number(id);
+        Life { worker, born: self.workers[worker].born }
+    }
+
+    /// Whether a life goes on that has received an order.
+    fn lives(&self, life: Life) -> bool {
+        self.workers[life.worker].is_up && self.workers[life.worker].born == life.born
+    }
+
+    fn latency(&mut self) -> Duration {
+        Duration::from_micros(self.random.random_range(300..3_000))
+    }
+
+    fn carry_out(&mut self, scheduler: &mut Scheduler, order: Order) {
+        let (owner, latency) = (self.owner, self.latency());
+        match order {
+            Order::Look { worker: slot } => {
+                let request = scheduler.look_request(slot, self.now);
+                let worker = self.worker_number(&scheduler.worker(slot).entry.id);
+                let sent = self.now;
+                self.at(latency, Event::Look { owner, slot, worker, request, sent });
+            }
+            Order::Start { worker: slot, task, run, ticket } => {
+                let Some(request) = scheduler.start_request(slot, task, run, ticket, self.now)
+                else {
+                    scheduler.note_start(slot, task, run, OrderOutcome::NotSent, self.now);
+                    return;
+                };
+                let to = self.life(&scheduler.worker(slot).entry.id);
+                let (delay, answers) = self.faults.order(&mut self.random, latency);
+                let start = Event::Start { owner, slot, to, request, answers };
+                self.at(delay, start);
+                if !answers {
+                    let outcome = OrderOutcome::Unknown;
+                    self.at(ms(800), Event::StartDone { owner, slot, task, run, outcome });
+                }
+            }
+            Order::Stop { worker: slot, task, run } => {
+                let to = self.life(&scheduler.worker(slot).entry.id);
+                let (delay, answers) = self.faults.order(&mut self.random, latency);
+                self.at(delay, Event::Stop { owner, slot, to, task, run, answers });
+                if !answers {
+                    let outcome = OrderOutcome::Unknown;
+                    self.at(ms(800), Event::StopDone { owner, slot, task, run, outcome });
+                }
+            }
+            Order::Pace { .. } | Order::Ask(_) | Order::Machine(_) => {}
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let owner = self.owner;
+        let now = self.now;
+        match event {
+            Event::Tick => {
+                self.expire_leases();
+                if let Some(scheduler) = &mut self.scheduler {
+                    let entries =
+                        self.workers.iter().filter(|one| one.is_up).map(EmulatedWorker::entry);
+                    scheduler.set_workers(entries.collect(), now);
+                }
+                self.at(ms(20), Event::Tick);
+            }
+            Event::Look { owner, slot, worker, request, sent } => {
+                self.look(owner, slot, worker, request, sent);
+            }
+            Event::LookDone { owner: from, slot, sent, result } if from == owner => {
+                let Some(scheduler) = &mut self.scheduler else { return };
+                match result {
+                    Ok(look) => scheduler.note_look(slot, sent, now, look),
+                    Err(error) => scheduler.note_look_failed(slot, &error, now),
+                }
+            }
+            Event::Start { owner, slot, to, request, answers } => {
+                self.start(owner, slot, to, request, answers);
+            }
+            Event::StartDone { owner: from, slot, task, run, outcome } if from == owner => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.note_start(slot, task, run, outcome, now);
+                }
+            }
+            Event::Stop { owner, slot, to, task, run, answers } => {
+                let outcome = match self.lives(to) {
+                    true => self.workers[to.worker].stop(task, run, owner, now),
+                    false => OrderOutcome::NotSent,
+                };
+                if answers {
+                    let latency = self.latency();
+                    self.at(latency, Event::StopDone { owner, slot, task, run, outcome });
+                }
+            }
+            Event::StopDone { owner: from, slot, task, run, outcome } if from == owner => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.note_stop(slot, task, run, outcome, now);
+                }
+            }
+            Event::Flushed { owner: from, flush } if from == owner => {
+                self.is_writing = false;
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.note_flushed(&flush);
+                }
+            }
+            Event::RunEnds { worker, task, run } => self.end_run(worker, task, run),
+            Event::Crash { worker } => self.workers[worker].crash(),
+            Event::Restart { worker } => self.workers[worker].restart(now),
+            Event::OwnerDies => self.scheduler = None,
+            Event::OwnerComes => {
+                self.owner += 1;
+                self.begin_tenure();
+            }
+            // Answers to an owner that is gone.
+            Event::LookDone { .. }
+            | Event::StartDone { .. }
+            | Event::StopDone { .. }
+            | Event::Flushed { .. } => {}
+        }
+    }
+
+    fn look(
+        &mut self,
+        owner: u64,
+        slot: usize,
+        worker: usize,
+        request: LookRequest,
+        sent: Duration,
+    ) {
+        let (delay, answers) = self.faults.look(&mut self.random);
+        let now = self.now;
+        let result = match answers {
+            true => self.workers[worker].look(request, now),
+            false => Err(LookError::NoAnswer("lost".into())),
+        };
+        if let Ok(look) = &result {
+            for row in &look.ended {
+                if row.number <= request.acknowledged {
+                    self.broken.push(format!("{}: listed an acknowledged end", row.task));
+                }
+            }
+        }
+        for end in self.workers[worker].take_acknowledged() {
+            self.note_acknowledged(end);
+        }
+        self.at(delay, Event::LookDone { owner, slot, sent, result });
+    }
+
+    /// An end that was acknowledged must be in the store.
+    fn note_acknowledged(&mut self, task: TaskId) {
+        let state = self.states.get(&task.step.job);
+        let stored = state.is_some_and(|state| {
+            state.state.is_final()
+                || state
+                    .tasks
+                    .iter()
+                    .any(|row| row.done && row.step == task.step.step && row.index == task.index)
+        });
+        if !stored {
+            self.broken.push(format!("{task}: its end was acknowledged but not stored"));
+        }
+        self.done.insert(task);
+    }
+
+    fn start(&mut self, owner: u64, slot: usize, to: Life, request: StartRequest, answers: bool) {
+        let (task, run, now) = (request.task, request.run, self.now);
+        let worker = to.worker;
+        let outcome = match self.lives(to) {
+            true => self.workers[worker].start(&request, now, &self.jobs),
+            false => OrderOutcome::NotSent,
+        };
+        if outcome == OrderOutcome::Accepted && self.workers[worker].is_new(task, run, now) {
+            self.starts += 1;
+            self.check_start(worker, task);
+            let length = ms(self.random.random_range(200..1_500));
+            self.at(length, Event::RunEnds { worker, task, run });
+        }
+        if answers {
+            let latency = self.latency();
+            self.at(latency, Event::StartDone { owner, slot, task, run, outcome });
+        }
+    }
+
+    fn check_start(&mut self, worker: usize, task: TaskId) {
+        let others = self.workers.iter().enumerate().filter(|(number, other)| {
+            *number != worker && other.is_up && other.runs.contains_key(&task)
+        });
+        if others.count() > 0 {
+            self.broken.push(format!("{task}: two runs at once"));
+        }
+        if self.done.contains(&task) {
+            self.broken.push(format!("{task}: started though its end was acknowledged"));
+        }
+        let spec = &self.jobs[&task.step.job].spec;
+        for earlier in &spec.steps[usize::from(task.step.step)].after {
+            let step = cassiafold_jobs::spec::StepId { step: *earlier, ..task.step };
+            let tasks = 0..spec.steps[usize::from(*earlier)].tasks;
+            let all_done = tasks.map(|index| TaskId { step, index }).all(|one| self.has_ended(one));
+            if !all_done {
+                self.broken.push(format!("{task}: started before step {earlier} was done"));
+            }
+        }
+        if self.failed.get(&task).copied().unwrap_or(0) >= 3 {
+            self.broken.push(format!("{task}: started after three failures"));
+        }
+        if !self.workers[worker].reserved().fits(&self.workers[worker].room) {
+            self.broken.push(format!("{task}: worker over its room"));
+        }
+        let used = self
+            .workers
+            .iter()
+            .filter(|one| one.is_up)
+            .fold(Resources::default(), |sum, one| sum.plus(&one.reserved()));
+        if self.limit.processors_milli > 0 && used.processors_milli > self.limit.processors_milli {
+            self.broken.push(format!("{task}: team over its limit"));
+        }
+    }
+
+    fn has_ended(&self, task: TaskId) -> bool {
+        self.done.contains(&task)
+            || self.workers.iter().any(|worker| worker.has_done(task))
+            || self.states.get(&task.step.job).is_some_and(|state| {
+                state
+                    .tasks
+                    .iter()
+                    .any(|row| row.done && row.step == task.step.step && row.index == task.index)
+            })
+    }
+
+    fn end_run(&mut self, worker: usize, task: TaskId, run: RunNumber) {
+        let fails = self.random.random_bool(self.faults.failing);
+        if self.workers[worker].finish(task, run, fails, self.now) && fails {
+            *self.failed.entry(task).or_default() += 1;
+        }
+    }
+
+    fn expire_leases(&mut self) {
+        for worker in &mut self.workers {
+            worker.expire(self.now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -0,0 +1,223 @@
+//! An emulated worker: fences, leases, runs and their ends.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_jobs::cluster::WorkerEntry;
+use cassiafold_jobs::edges::{
+    EndedRow, Look, LookError, LookRequest, OrderOutcome, Refusal, RunEnd, RunningRow, StartRequest,
+};
+use cassiafold_jobs::record::JobRecord;
+use cassiafold_jobs::spec::{JobId, Resources, RunNumber, TaskId};
+
+use super::{HOLD, SERVICE};
+
+/// A run on an emulated worker.
+#[derive(Debug, Clone)]
+pub struct EmulatedRun {
+    pub number: RunNumber,
+    pub began: Duration,
+    pub needs: Resources,
+}
+
+/// One emulated worker.
+#[derive(Debug)]
+pub struct EmulatedWorker {
+    pub id: Arc<str>,
+    pub room: Resources,
+    pub is_up: bool,
+    pub runs: BTreeMap<TaskId, EmulatedRun>,
+    pub born: Duration,
+    token: u64,
+    ended: Vec<EndedRow>,
+    next_number: u64,
+    highest: HashMap<TaskId, RunNumber>,
+    lease_until: Duration,
+    acknowledged: Vec<TaskId>,
+}
+
+impl EmulatedWorker {
+    pub fn new(number: usize, room: Resources) -> Self {
+        Self {
+            id: format!("w{number}").into(),
+            room,
+            is_up: true,
+            runs: BTreeMap::new(),
+            born: Duration::from_secs(1),
+            token: 0,
+            ended: Vec::new(),
+            next_number: 1,
+            highest: HashMap::new(),
+            lease_until: Duration::ZERO,
+            acknowledged: Vec::new(),
+        }
+    }
+
+    pub fn entry(&self) -> WorkerEntry {
+        WorkerEntry {
+            id: self.id.clone(),
+            born_unix: Some(self.born),
+            service: SERVICE.into(),
+            address: "127.0.0.1:1".parse().expect("address"),
+            zone: "z".into(),
+            labels: vec!["a".into(), "r1".into()],
+            room: self.room,
+            is_draining: false,
+        }
+    }
+
+    fn clock(&self, now: Duration) -> Duration {
+        now - self.born
+    }
+
+    pub fn reserved(&self) -> Resources {
+        self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.needs))
+    }
+
+    pub fn crash(&mut self) {
+        self.is_up = false;
+        self.runs.clear();
+        self.ended.clear();
+        self.highest.clear();
+        self.next_number = 1;
+        self.token = 0;
+        self.lease_until = Duration::ZERO;
+    }
+
+    pub fn restart(&mut self, now: Duration) {
+        self.is_up = true;
+        self.born = now;
+    }
+
+    pub fn look(&mut self, request: LookRequest, now: Duration) -> Result<Look, LookError> {
+        if !self.is_up {
+            return Err(LookError::NoAnswer("down".into()));
+        }
+        if request.token < self.token {
+            return Err(LookError::Fenced);
+        }
+        self.token = request.token;
+        self.extend(request.lease_until, now);
+        let (forgotten, kept): (Vec<_>, Vec<_>) =
+            self.ended.drain(..).partition(|row| row.number <= request.acknowledged);
+        self.ended = kept;
+        let done = forgotten.iter().filter(|row| row.end == RunEnd::Done);
+        self.acknowledged.extend(done.map(|row| row.task));
+        let running = self.runs.iter().map(|(task, run)| RunningRow {
+            task: *task,
+            run: run.number,
+            checkpoint: None,
+            percent: 50,
+            reading: 0,
+        });
+        Ok(Look {
+            clock: self.clock(now),
+            born_unix: Some(self.born),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    pub fn take_acknowledged(&mut self) -> Vec<TaskId> {
+        std::mem::take(&mut self.acknowledged)
+    }
+
+    fn extend(&mut self, until: Option<Duration>, now: Duration) {
+        let Some(until) = until else { return };
+        let latest = self.clock(now) + HOLD;
+        self.lease_until = self.lease_until.max(until.min(latest));
+    }
+
+    pub fn start(
+        &mut self,
+        request: &StartRequest,
+        now: Duration,
+        jobs: &BTreeMap<JobId, JobRecord>,
+    ) -> OrderOutcome {
+        if !self.is_up {
+            return OrderOutcome::NotSent;
+        }
+        if request.token < self.token {
+            return OrderOutcome::Refused(Refusal::Fenced);
+        }
+        self.token = request.token;
+        if request.lease_until <= self.clock(now) {
+            return OrderOutcome::Refused(Refusal::TooLate);
+        }
+        self.extend(Some(request.lease_until), now);
+        let running = self.runs.get(&request.task).map(|run| run.number);
+        if running == Some(request.run) {
+            return OrderOutcome::Accepted;
+        }
+        let highest = self.highest.get(&request.task).copied().unwrap_or(0);
+        if running.is_some() || request.run <= highest {
+            return OrderOutcome::Refused(Refusal::Outdated);
+        }
+        let step = usize::from(request.task.step.step);
+        let needs = jobs[&request.task.step.job].spec.steps[step].needs;
+        let run = EmulatedRun { number: request.run, began: now, needs };
+        self.runs.insert(request.task, run);
+        OrderOutcome::Accepted
+    }
+
+    /// Whether a run began at this very moment.
+    pub fn is_new(&self, task: TaskId, run: RunNumber, now: Duration) -> bool {
+        self.runs.get(&task).is_some_and(|one| one.number == run && one.began == now)
+    }
+
+    pub fn stop(
+        &mut self,
+        task: TaskId,
+        run: RunNumber,
+        token: u64,
+        now: Duration,
+    ) -> OrderOutcome {
+        if !self.is_up {
+            return OrderOutcome::NotSent;
+        }
+        if token < self.token {
+            return OrderOutcome::Refused(Refusal::Fenced);
+        }
+        self.token = token;
+        let highest = self.highest.entry(task).or_default();
+        *highest = (*highest).max(run);
+        if self.runs.get(&task).is_some_and(|one| one.number <= run) {
+            self.end(task, RunEnd::Stopped, now);
+        }
+        OrderOutcome::Accepted
+    }
+
+    fn end(&mut self, task: TaskId, end: RunEnd, _now: Duration) {
+        let Some(run) = self.runs.remove(&task) else { return };
+        let highest = self.highest.entry(task).or_default();
+        *highest = (*highest).max(run.number);
+        let number = self.next_number;
+        self.next_number += 1;
+        self.ended.push(EndedRow { number, task, run: run.number, end, checkpoint: None });
+    }
+
+    /// Ends a run by itself; false if it is not there.
+    pub fn finish(&mut self, task: TaskId, run: RunNumber, fails: bool, now: Duration) -> bool {
+        let is_there = self.runs.get(&task).is_some_and(|one| one.number == run);
+        if is_there {
+            let end = if fails { RunEnd::Failed } else { RunEnd::Done };
+            self.end(task, end, now);
+        }
+        is_there
+    }
+
+    pub fn expire(&mut self, now: Duration) {
+        if !self.is_up || self.lease_until > self.clock(now) {
+            return;
+        }
+        let tasks: Vec<TaskId> = self.runs.keys().copied().collect();
+        for task in tasks {
+            self.end(task, RunEnd::Expired, now);
+        }
+    }
+
+    pub fn has_done(&self, task: TaskId) -> bool {
+        self.ended.iter().any(|row| row.task == task && row.end == RunEnd::Done)
+    }
+}
