Take the machines of a wave down evenly, the spared ones at once

Change: machines that no service wants go down at once, others at the pace that keeps the term; machines with long-running tasks begin to be emptied first; a service keeps the machines that it needed within the last seconds.

--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -1,15 +1,17 @@
 //! How many machines each service should have, and which machines move.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use cassiafold_config::{InstanceId, ServiceId};
+use cassiafold_platform::Moment;
 
 /// Part of a machine's processors that short tasks can fill.
 const USABLE_PART: f64 = 0.9;
 /// Time within which waiting work should be done, in seconds.
 const BACKLOG_TIME_S: f64 = 1.5;
 /// Machines that a service keeps beyond its need.
-const KEPT_MACHINES: usize = 1;
+pub const KEPT_MACHINES: usize = 1;
 /// Most moves that are ordered at once.
 const MOVES_MAX: usize = 12;
 
@@ -39,6 +41,29 @@
     }
 }
 
+/// How long a need counts after it was last seen, before machines go to the spare pool.
+const NEED_MEMORY: Duration = Duration::from_millis(2_500);
+
+/// The greatest need of a service within the last seconds.
+///
+/// Answers the load pattern of demand that dips for a moment within a turn: machines that would
+/// be wanted back at once stay.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RecentNeed {
+    seen: VecDeque<(Moment, usize)>,
+}
+
+impl RecentNeed {
+    /// Notes a need and returns the greatest one that still counts.
+    pub fn note(&mut self, needed: usize, now: Moment) -> usize {
+        self.seen.push_back((now, needed));
+        while self.seen.front().is_some_and(|(at, _)| now >= *at + NEED_MEMORY) {
+            self.seen.pop_front();
+        }
+        self.seen.iter().map(|(_, needed)| *needed).max().unwrap_or(needed)
+    }
+}
+
 /// A service and its machines.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Pool {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -28,6 +28,7 @@
 pub use self::flush::Flush;
 pub use self::upkeep::MachineOrder;
 use self::upkeep::{SentOrder, WaveProgress};
+use crate::balance::RecentNeed;
 use crate::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerId};
 use crate::edges::FencingToken;
 use crate::estimate::Durations;
@@ -150,6 +151,10 @@
     /// Machines that were ordered to move: where to, and when.
     moving: HashMap<InstanceId, (ServiceId, Moment)>,
     balanced: Moment,
+    /// What each service needed lately.
+    needs: HashMap<ServiceId, RecentNeed>,
+    /// Machines of each service that no service wants.
+    surplus: HashMap<ServiceId, usize>,
     turns: Turns,
     durations: Durations,
     waves: BTreeMap<WaveNumber, WaveProgress>,
@@ -189,6 +194,8 @@
             begun_written: tenure.begun.clone(),
             moving: HashMap::new(),
             balanced: now,
+            needs: HashMap::new(),
+            surplus: HashMap::new(),
             turns: Turns::default(),
             durations: Durations::default(),
             waves: BTreeMap::new(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -1,6 +1,6 @@
 //! Moves of machines between services.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use cassiafold_config::ServiceId;
@@ -9,7 +9,7 @@
 
 use super::upkeep::MachineOrder;
 use super::{Order, Scheduler};
-use crate::balance::{Load, Pool, choose_moves, machines_for};
+use crate::balance::{KEPT_MACHINES, Load, Pool, choose_moves, machines_for};
 use crate::cluster::{Machine, MachineState};
 use crate::event::JobsEvent;
 use crate::worker::Worker;
@@ -43,6 +43,7 @@
         self.forget_done_moves(now);
         let pools = self.pools(now);
         let moves = choose_moves(&pools);
+        self.surplus = surplus(&pools);
         if !moves.is_empty() {
             report(&pools, moves.len());
         }
@@ -69,7 +70,7 @@
         });
     }
 
-    fn pools(&self, now: Moment) -> BTreeMap<ServiceId, Pool> {
+    fn pools(&mut self, now: Moment) -> BTreeMap<ServiceId, Pool> {
         let mut pools: BTreeMap<ServiceId, Pool> = BTreeMap::new();
         for (id, service) in &self.config.services {
             let pool = Pool { is_spare: service.is_spare, ..Pool::default() };
@@ -90,7 +91,8 @@
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
             let load = self.load(id, now);
             pool.needed = machines_for(load.cores(), cores_each);
-            pool.may_shrink = self.may_shrink(id, now);
+            let lately = self.needs.entry(id.clone()).or_default().note(pool.needed, now);
+            pool.may_shrink = self.may_shrink(id, now) && pool.machines > lately + KEPT_MACHINES;
         }
         pools
     }
@@ -168,6 +170,16 @@
     }
 }
 
+/// Machines of each service that no service wants; none while one of them wants more.
+fn surplus(pools: &BTreeMap<ServiceId, Pool>) -> HashMap<ServiceId, usize> {
+    let is_wanting = pools.values().any(|pool| !pool.is_spare && pool.machines < pool.needed);
+    let each = pools.iter().map(|(service, pool)| {
+        let beyond = if is_wanting { 0 } else { pool.machines.saturating_sub(pool.needed) };
+        (service.clone(), beyond)
+    });
+    each.collect()
+}
+
 /// One line with what each service has and needs.
 fn report(pools: &BTreeMap<ServiceId, Pool>, moves: usize) {
     let each = pools.iter().map(|(service, pool)| {
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -16,8 +16,13 @@
 use crate::spec::TaskId;
 use crate::worker::RunPhase;
 
-/// Machines that are emptied ahead of those that are down, as a multiple of the most at once.
+/// Time that one machine of a wave takes, from the order until its new worker takes work, with
+/// the order's turn-around.
+const UPKEEP_TIME: Duration = Duration::from_millis(3_000);
+/// Machines that are emptied beyond those that are down at once.
 const EMPTIED_AHEAD: usize = 1;
+/// Part of a wave's term that is left unplanned.
+const SPARE_PART: f64 = 0.25;
 /// Part of a wave's term after which machines are taken down though short tasks run there.
 const PATIENT_PART: f64 = 0.75;
 /// Time between two orders to the same machine.
@@ -224,29 +229,34 @@
     /// off those that follow.
     fn take_down(&mut self, progress: &mut WaveProgress, now: Moment, orders: &mut Vec<Order>) {
         let down = self.down_count(progress);
-        let free = progress.wave.at_once_max.saturating_sub(down);
         let mut open = self.open_machines(progress);
+        let at_once = at_once(progress, open.len(), now);
+        let free = progress.wave.at_once_max.saturating_sub(down);
+        let paced = at_once.saturating_sub(down);
+        // Machines with long-running tasks take longest to empty, so these begin first.
         open.sort_by_key(|(machine, slot)| {
             let runs = slot.map_or(0, |slot| 1 + self.workers[slot].runs.len());
-            (!progress.emptied.contains_key(&machine.id), runs, machine.id.clone())
+            let is_settled = slot.is_some_and(|slot| self.hosts_long_running(slot));
+            (!progress.emptied.contains_key(&machine.id), !is_settled, runs, machine.id.clone())
         });
         let patience = progress.wave.term.mul_f64(PATIENT_PART);
         let is_late = now.saturating_sub(progress.since) > patience;
         let mut taken: Vec<InstanceId> = Vec::new();
         let mut emptied: BTreeSet<InstanceId> = BTreeSet::new();
-        let ahead = progress.wave.at_once_max * (1 + EMPTIED_AHEAD);
         for (machine, slot) in open {
             let since = progress.emptied.get(&machine.id).copied();
             let waited = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
             let patient = !is_late && waited < EMPTYING_MAX;
             let is_free = slot.is_none_or(|slot| self.may_take_down(slot, patient));
             let is_repeat = self.is_order_open(&machine.id);
-            if is_repeat || (is_free && taken.len() < free) {
+            let is_spared = slot.is_none_or(|slot| self.is_spared(slot));
+            let most = if is_spared { free } else { paced };
+            if is_repeat || (is_free && taken.len() < most) {
                 if let Some(slot) = slot {
                     self.workers[slot].is_leaving = true;
                 }
                 taken.push(machine.id);
-            } else if emptied.len() + down < ahead {
+            } else if emptied.len() < at_once + EMPTIED_AHEAD {
                 emptied.insert(machine.id);
             }
         }
@@ -261,6 +271,17 @@
         }
     }
 
+    /// Whether a worker's machine is one that no service wants now.
+    fn is_spared(&self, slot: WorkerSlot) -> bool {
+        let worker = &self.workers[slot];
+        worker.runs.is_empty() && self.surplus.get(&worker.entry.service).is_some_and(|it| *it > 0)
+    }
+
+    fn hosts_long_running(&self, slot: WorkerSlot) -> bool {
+        let mut tasks = self.workers[slot].runs.keys();
+        tasks.any(|task| self.spec(task.step).is_some_and(|spec| spec.long_running))
+    }
+
     /// Machines of a wave that are down for it, or may be.
     fn down_count(&self, progress: &WaveProgress) -> usize {
         let is_back = |machine: &InstanceId, begun: Moment| {
@@ -430,3 +451,15 @@
         }
     }
 }
+
+/// How many machines of a wave are down at once: as few as keep its term.
+///
+/// Answers the load pattern of a wave that begins while a service has its turn: the machines that
+/// are wanted go down evenly over the term and not all at its begin.
+fn at_once(progress: &WaveProgress, open: usize, now: Moment) -> usize {
+    let planned = progress.wave.term.mul_f64(1.0 - SPARE_PART);
+    let left = (progress.since + planned).saturating_sub(now);
+    let rounds = (left.as_secs_f64() / UPKEEP_TIME.as_secs_f64()).floor().max(1.0);
+    let needed = (open as f64 / rounds).ceil() as usize;
+    needed.clamp(1, progress.wave.at_once_max.max(1))
+}
