Give tasks of emptied machines a place, and tasks that must be apart their machines

The pool counted two machines and asked for none. Change: a machine that takes no new work does not count; a task is stopped for a wave only if another worker has room; a service gets as many machines as its tasks that must be apart need.

--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -79,7 +79,7 @@
         for machine in &self.machines {
             let target = self.moving.get(&machine.id).map(|(service, _)| service);
             let Some(pool) = pools.get_mut(target.unwrap_or(&machine.service)) else { continue };
-            if machine.state == MachineState::Down {
+            if machine.state == MachineState::Down || self.is_emptied(machine) {
                 continue;
             }
             pool.machines += 1;
@@ -90,13 +90,21 @@
         let cores_each = self.cores_each();
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
             let load = self.load(id, now);
-            pool.needed = machines_for(load.cores(), cores_each);
+            pool.needed = machines_for(load.cores(), cores_each).max(self.apart(id));
             let lately = self.needs.entry(id.clone()).or_default().note(pool.needed, now);
             pool.may_shrink = self.may_shrink(id, now) && pool.machines > lately + KEPT_MACHINES;
         }
         pools
     }
 
+    /// Whether a machine takes no new work, since it is about to be maintained.
+    fn is_emptied(&self, machine: &Machine) -> bool {
+        let slot = machine.worker.as_ref().and_then(|id| self.present.get(id));
+        slot.is_some_and(|slot| {
+            self.workers[*slot].is_cordoned && !self.moving.contains_key(&machine.id)
+        })
+    }
+
     /// Whether a machine can move now without ending anything.
     fn is_idle(&self, machine: &Machine, now: Moment) -> bool {
         if machine.state != MachineState::Up {
@@ -140,6 +148,18 @@
         load
     }
 
+    /// Workers that the steps of a service need, since only so many of their tasks may share one.
+    fn apart(&self, service: &ServiceId) -> usize {
+        let steps = self.ready.get(service).into_iter().flatten();
+        let each = steps.filter_map(|id| {
+            let spec = self.spec(*id)?;
+            let step = self.jobs.get(&id.job)?.step(*id)?;
+            let open = spec.tasks.saturating_sub(step.done);
+            Some(open.div_ceil(spec.per_worker_max?) as usize)
+        });
+        each.max().unwrap_or(0)
+    }
+
     fn add_running(&self, worker: &Worker, load: &mut Load) {
         for (task, run) in &worker.runs {
             let cores = f64::from(run.reserved.processors_milli) / 1_000.0;
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -141,7 +141,7 @@
         })
     }
 
-    fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
         let of_service = self.workers.iter().enumerate().filter(|(_, worker)| {
             *worker.entry.service == *service
                 && worker.is_usable(now)
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -339,13 +339,28 @@
             let others = tasks.iter().filter(|other| other.step == task.step).count();
             let is_budgeted =
                 self.spec(task.step).is_some_and(|spec| spec.unavailable_max.is_some());
-            is_budgeted && others > 1 && self.may_stop(*task)
+            is_budgeted && others > 1 && self.may_stop(*task) && self.has_place(*task, slot, now)
         });
         if let Some(task) = crowded {
             self.stop_run(slot, task, now);
         }
     }
 
+    /// Whether another worker of the service has room for a task.
+    fn has_place(&self, task: TaskId, slot: WorkerSlot, now: Moment) -> bool {
+        let Some(spec) = self.spec(task.step) else { return false };
+        let service = &self.workers[slot].entry.service;
+        self.candidates(service, now).iter().any(|candidate| {
+            let others = self.workers[candidate.slot].runs.keys();
+            let same_step = others.filter(|other| other.step == task.step).count();
+            let most = spec.per_worker_max.map_or(usize::MAX, |most| most as usize);
+            candidate.slot != slot
+                && spec.reserved().fits(&candidate.free)
+                && same_step < most
+                && spec.label.as_ref().is_none_or(|label| candidate.labels.contains(label))
+        })
+    }
+
     /// Whether one long-running task may be stopped by the fleet's own action.
     fn may_stop(&self, task: TaskId) -> bool {
         self.within_budget(task, None)
