Notice a silent store by the first unanswered call

Change: after two unanswered attempts the caller is told that the outcome is unknown and may come back elsewhere; until the store is heard again calls are refused at once but for a probe every 300 ms, and readiness is withdrawn. An instance that follows itself orders machines at once.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -30,6 +30,10 @@
 
 /// Time after which a caller may come back when the store does not answer.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Attempts of one call to the store whose answers were lost, after which the caller is told.
+const ATTEMPTS_MAX: usize = 2;
+/// While the store does not answer one call is let through this often, to see whether it does.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two attempts of the same call to the store.
 const ATTEMPT_GAP: Duration = Duration::from_millis(40);
 /// How long a count of waiting jobs is used again.
@@ -130,6 +134,7 @@
     site: S,
     views: watch::Receiver<Arc<View>>,
     sender: ViewSender,
+    silence: Mutex<Silence>,
     waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
     finals: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
 }
@@ -145,7 +150,14 @@
 impl<S: Site> Desk<S> {
     /// A desk that follows the operator's view.
     pub fn new(site: S, views: watch::Receiver<Arc<View>>, sender: ViewSender) -> Self {
-        Self { site, views, sender, waiting: Mutex::default(), finals: Mutex::default() }
+        Self {
+            site,
+            views,
+            sender,
+            silence: Mutex::default(),
+            waiting: Mutex::default(),
+            finals: Mutex::default(),
+        }
     }
 
     /// Whether this instance can serve callers: it has a configuration, and the store has
@@ -153,7 +165,40 @@
     pub fn is_ready(&self, age_max: Duration) -> bool {
         let view = self.views.borrow().clone();
         let age = since_boot().saturating_sub(view.confirmed);
-        view.config.is_some() && age < age_max
+        view.config.is_some() && age < age_max && !self.is_store_silent()
+    }
+
+    /// Whether the last call to the store was not answered, and nothing was heard since.
+    fn is_store_silent(&self) -> bool {
+        let silence = *self.silence.lock().unwrap_or_else(PoisonError::into_inner);
+        let confirmed = self.views.borrow().confirmed;
+        silence.since.is_some_and(|since| confirmed < since)
+    }
+
+    /// Whether a call may be sent: the store answers, or it is time to see whether it does.
+    fn may_call(&self) -> bool {
+        if !self.is_store_silent() {
+            return true;
+        }
+        let now = since_boot();
+        let mut silence = self.silence.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = now >= silence.probed + PROBE_INTERVAL;
+        if is_due {
+            silence.probed = now;
+        }
+        is_due
+    }
+
+    /// Notes whether the store has answered a call.
+    fn heard<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        let mut silence = self.silence.lock().unwrap_or_else(PoisonError::into_inner);
+        match &result {
+            Err(StoreError::OutcomeUnknown(_) | StoreError::Unavailable(_)) => {
+                silence.since = silence.since.or(Some(since_boot()));
+            }
+            _ => silence.since = None,
+        }
+        result
     }
 
     /// Largest body that callers may send.
@@ -177,16 +222,19 @@
     /// Accepts a job, if the caller may submit it and the store takes it.
     pub async fn submit(&self, call: &Call, spec: JobSpec) -> Submitted {
         let deadline = call.deadline - ANSWER_MARGIN;
-        let mut may_be_stored = false;
+        let mut unanswered = 0;
         loop {
             let admitted = match self.admit(call) {
                 Ok(admitted) => admitted,
-                Err(denial) => return denied(denial, may_be_stored),
+                Err(denial) => return denied(denial, unanswered > 0),
             };
             let Target::Job(id) = admitted.target else {
                 return Submitted::Denied(Denial::NoJob);
             };
-            match self.store_job(&admitted, id, &spec).await {
+            if unanswered == 0 && !self.may_call() {
+                return refuse(id, "the store does not answer");
+            }
+            match self.heard(self.store_job(&admitted, id, &spec).await) {
                 Ok(Stored::Created) => {
                     emit!(
                         JobsEvent::JobAccepted,
@@ -199,17 +247,16 @@
                 }
                 Ok(Stored::Present) => return Submitted::Accepted,
                 Ok(Stored::ConfigChanged) => continue,
-                Err(StoreError::Unavailable(reason)) if !may_be_stored => {
-                    emit!(JobsEvent::JobRefused, job = format_args!("{id:016x}"), reason = reason);
-                    return Submitted::Refused(STORE_RETRY_AFTER);
+                Err(StoreError::Unavailable(reason)) if unanswered == 0 => {
+                    return refuse(id, &reason);
                 }
-                Err(StoreError::Unavailable(_)) => {}
+                Err(StoreError::Unavailable(_)) => unanswered += 1,
                 Err(error) => {
-                    may_be_stored = true;
+                    unanswered += 1;
                     emit!(JobsEvent::JobUnsettled, job = format_args!("{id:016x}"), error = error);
                 }
             }
-            if Instant::now() + ATTEMPT_GAP >= deadline {
+            if unanswered >= ATTEMPTS_MAX || Instant::now() + ATTEMPT_GAP >= deadline {
                 return Submitted::Unknown;
             }
             sleep(ATTEMPT_GAP).await;
@@ -271,7 +318,10 @@
         let Target::Job(id) = admitted.target else { return Cancelled::Denied(Denial::NoJob) };
         let deadline = call.deadline - ANSWER_MARGIN;
         loop {
-            match self.store_cancel(id, admitted.team.as_ref()).await {
+            if !self.may_call() {
+                return Cancelled::Unknown;
+            }
+            match self.heard(self.store_cancel(id, admitted.team.as_ref()).await) {
                 Ok(true) => {
                     emit!(JobsEvent::JobCancelled, job = format_args!("{id:016x}"));
                     return Cancelled::Accepted;
@@ -307,7 +357,10 @@
         let Target::Job(id) = admitted.target else { return Looked::Denied(Denial::NoJob) };
         let deadline = call.deadline - ANSWER_MARGIN;
         loop {
-            match self.read_state(id, admitted.team.as_ref()).await {
+            if self.final_state(id).is_none() && !self.may_call() {
+                return Looked::Unknown;
+            }
+            match self.heard(self.read_state(id, admitted.team.as_ref()).await) {
                 Ok(Some(state)) => return Looked::State(state),
                 Ok(None) => return Looked::NoSuchJob,
                 Err(error) if Instant::now() + ATTEMPT_GAP >= deadline => {
@@ -397,6 +450,21 @@
     }
 }
 
+/// How long the store has not answered this desk.
+#[derive(Debug, Clone, Copy, Default)]
+struct Silence {
+    /// Since when; `None` while it answers.
+    since: Option<Moment>,
+    /// When a call was last let through all the same.
+    probed: Moment,
+}
+
+/// Refuses a job of which nothing was sent to the store.
+fn refuse(id: JobId, reason: &str) -> Submitted {
+    emit!(JobsEvent::JobRefused, job = format_args!("{id:016x}"), reason = reason);
+    Submitted::Refused(STORE_RETRY_AFTER)
+}
+
 enum Stored {
     Created,
     Present,
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -98,8 +98,8 @@
     ownership: Ownership<S>,
     stop: &CancellationToken,
 ) -> &'static str {
-    let Ownership { lease, token, .. } = ownership;
-    let loading = load::load(site, settings.scheduler, token);
+    let Ownership { lease, token, follows_itself } = ownership;
+    let loading = load::load(site, settings.scheduler, token, follows_itself);
     let loaded = tokio::select! {
         loaded = loading => loaded,
         () = lease.ended() => return "lease ended while loading",
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -42,10 +42,11 @@
     site: &S,
     settings: SchedulerSettings,
     token: FencingToken,
+    follows_itself: bool,
 ) -> Loaded {
     let mut outage = Outage::new("load");
     loop {
-        match try_load(site, settings, token).await {
+        match try_load(site, settings, token, follows_itself).await {
             Ok(loaded) => return loaded,
             Err(error) => outage.note_failure(&error),
         }
@@ -57,6 +58,7 @@
     site: &S,
     settings: SchedulerSettings,
     token: FencingToken,
+    follows_itself: bool,
 ) -> Result<Loaded, StoreError> {
     let store = site.store();
     let (inbox, states, sequence, known, begun, listed) = tokio::try_join!(
@@ -70,9 +72,10 @@
     let sequence = begin_sequence(site, token, sequence).await?;
     let known_workers: Vec<KnownWorker> = read_json(known)?;
     let begun: BegunRecord = read_json(begun)?;
+    let is_first_holder = follows_itself || sequence.tenure == 0;
     let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
     let now = since_boot();
-    let tenure = Tenure { token, run_base, known_workers, begun };
+    let tenure = Tenure { token, run_base, known_workers, begun, is_first_holder };
     let mut scheduler = Scheduler::new(settings, tenure, now);
     let states = read_states(&states.records);
     for record in &inbox.records {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -66,6 +66,8 @@
     pub known_workers: Vec<KnownWorker>,
     /// Machines that earlier owners maintained.
     pub begun: BegunRecord,
+    /// Whether no other instance can have given orders to machines lately.
+    pub is_first_holder: bool,
 }
 
 /// An order that is to be carried out now.
@@ -248,6 +250,11 @@
         self.jobs.get(&id)
     }
 
+    /// Whether the last order that another owner may have given to a machine is long enough ago.
+    fn may_order_machines(&self, now: Moment) -> bool {
+        self.tenure.is_first_holder || now.saturating_sub(self.began) > self.settings.machine_lease
+    }
+
     fn mark_changed(&mut self, slot: WorkerSlot) {
         let service = self.workers[slot].entry.service.clone();
         self.changed.insert(service);
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -36,8 +36,7 @@
         self.balanced = now;
         self.turns.update(now);
         let is_listed = self.machines_listed.is_some_and(|at| now < at + LIST_AGE_MAX);
-        let settled = now.saturating_sub(self.began) > self.settings.machine_lease;
-        if !is_listed || !settled {
+        if !is_listed || !self.may_order_machines(now) {
             return;
         }
         self.forget_done_moves(now);
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -206,8 +206,7 @@
 
     /// Orders the maintenance that is due.
     pub(super) fn plan_upkeep(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        let settled = now.saturating_sub(self.began) > self.settings.machine_lease;
-        if self.machines.is_empty() || !settled {
+        if self.machines.is_empty() || !self.may_order_machines(now) {
             return;
         }
         let numbers: Vec<WaveNumber> = self.waves.keys().copied().collect();
