Test desk, store and owner together on stand-ins

Change: transactions in the stand-in store, at one revision; a site of stand-ins in real time; tests of acceptance, repeated ids, lost and late writes, a change of owner, cancels and denials.

--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -161,7 +161,7 @@
     desk.list(Desk::machines(2, MachineState::Up));
     desk.wave_of(&[slot], 1);
     while desk.machine_orders.is_empty() {
-        assert!(desk.running[&slot].len() >= 1 && desk.running() >= 2, "one away at a time");
+        assert!(!desk.running[&slot].is_empty() && desk.running() >= 2, "one away at a time");
         desk.pass(ms(10));
     }
     assert_eq!(desk.running[&slot].len(), 1);
--- /dev/null
+++ b/crates/jobs/tests/service.rs
@@ -0,0 +1,186 @@
+//! Desk, store and owner together, on stand-ins and in real time.
+
+mod emulator;
+mod site;
+
+use std::time::Duration;
+
+use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted};
+use cassiafold_jobs::record::{JobState, STATE_PREFIX, job_key};
+use cassiafold_jobs::spec::JobId;
+use cassiafold_platform::Store;
+use cassiafold_standin::WriteFault;
+
+use self::emulator::{job, ms, step};
+use self::site::{TestSite, call};
+
+const KEY: Option<&str> = Some("k1");
+
+async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    for _ in 0..400 {
+        if let Some(found) = look().await {
+            return found;
+        }
+        tokio::time::sleep(ms(20)).await;
+    }
+    panic!("not within 8 s: {what}");
+}
+
+async fn site(workers: usize) -> TestSite {
+    let site = TestSite::new(workers);
+    site.configure(1, &["k1"]).await;
+    site.list_workers().await;
+    site
+}
+
+async fn ready(desk: &Desk<TestSite>) {
+    until("ready", async || desk.is_ready(Duration::from_secs(60)).then_some(())).await;
+}
+
+fn path(id: JobId) -> String {
+    format!("/q/{id:016x}")
+}
+
+async fn submit(site: &TestSite, desk: &Desk<TestSite>, id: JobId) -> Submitted {
+    let record = job(vec![step(3, 1, &[]), step(2, 1, &[0])]);
+    site.workers.know(id, record.clone());
+    desk.submit(&call(&path(id), KEY), record.spec).await
+}
+
+async fn completed(desk: &Desk<TestSite>, id: JobId) {
+    let done = Looked::State(JobState::Completed);
+    until("completed", async || {
+        (desk.look(&call(&path(id), KEY)).await == done).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_accepted_job_is_done_and_shown_as_completed() {
+    let site = site(2).await;
+    let desk = site.desk();
+    ready(&desk).await;
+    let _owner = site.owner("one");
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+    completed(&desk, 1).await;
+    assert_eq!(site.workers.starts.lock().expect("lock").len(), 5);
+}
+
+#[tokio::test]
+async fn another_instance_goes_on_when_the_owner_stops() {
+    let site = site(2).await;
+    let desk = site.desk();
+    ready(&desk).await;
+    let first = site.client("one").owner("one");
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+    completed(&desk, 1).await;
+    let _second = site.client("two").owner("two");
+    first.cancel();
+    assert_eq!(submit(&site, &desk, 2).await, Submitted::Accepted);
+    completed(&desk, 2).await;
+    let starts = site.workers.starts.lock().expect("lock").clone();
+    assert_eq!(starts.iter().filter(|(task, _)| task.step.job == 1).count(), 5);
+}
+
+#[tokio::test]
+async fn a_lost_answer_to_an_accepted_job_is_settled() {
+    let site = site(1).await;
+    let desk = site.client("front").desk();
+    ready(&desk).await;
+    site.client("front").store.faults().fail_writes(1, WriteFault::LostAnswer);
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+}
+
+#[tokio::test]
+async fn a_job_whose_write_comes_late_is_not_called_refused() {
+    let site = site(1).await;
+    let desk = site.client("front").desk();
+    ready(&desk).await;
+    let late = WriteFault::Late(ms(300));
+    site.client("front").store.faults().fail_writes(2, late);
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Unknown);
+    let stored = || async { site.store.get(&job_key(1)).await.expect("store") };
+    until("stored", async || stored().await.map(drop)).await;
+}
+
+#[tokio::test]
+async fn late_writes_of_the_owner_do_not_bring_back_old_states() {
+    let site = site(2).await;
+    let desk = site.desk();
+    ready(&desk).await;
+    let owned = site.client("one");
+    let _owner = owned.owner("one");
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+    for _ in 0..4 {
+        owned.store.faults().fail_writes(1, WriteFault::Late(ms(400)));
+        tokio::time::sleep(ms(60)).await;
+    }
+    completed(&desk, 1).await;
+    tokio::time::sleep(ms(600)).await;
+    let states = site.store.list(STATE_PREFIX).await.expect("store").records;
+    let text = String::from_utf8_lossy(&states[0].value).into_owned();
+    assert!(text.contains("completed"), "{text}");
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_is_refused_though_the_instance_has_not_heard_of_it() {
+    let site = site(1).await;
+    let (sender, views) = cassiafold_jobs::view::ViewSender::new();
+    let desk = Desk::new(site.clone(), views, sender.clone());
+    let follower = tokio::spawn(cassiafold_jobs::view::follow(site.clone(), sender));
+    ready(&desk).await;
+    follower.abort();
+    site.configure(2, &["k2"]).await;
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Denied(Denial::UnknownKey));
+    assert_eq!(site.store.get(&job_key(1)).await.expect("store"), None);
+}
+
+#[tokio::test]
+async fn a_cancelled_job_ends_and_an_unknown_one_is_gone() {
+    let site = site(0).await;
+    let desk = site.desk();
+    ready(&desk).await;
+    let _owner = site.owner("one");
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+    until("counted", async || {
+        (desk.count(&call("/q/", KEY)).await == Counted::Waiting(1)).then_some(())
+    })
+    .await;
+    assert_eq!(desk.cancel(&call(&path(1), KEY)).await, Cancelled::Accepted);
+    let cancelled = Looked::State(JobState::Cancelled);
+    until("cancelled", async || {
+        (desk.look(&call(&path(1), KEY)).await == cancelled).then_some(())
+    })
+    .await;
+    assert_eq!(desk.cancel(&call(&path(9), KEY)).await, Cancelled::NoSuchJob);
+    assert_eq!(desk.look(&call(&path(9), KEY)).await, Looked::NoSuchJob);
+}
+
+macro_rules! denials {
+    ($($name:ident: $path:expr, $key:expr => $denial:expr;)+) => {
+        $(#[tokio::test] async fn $name() {
+            let site = site(0).await;
+            let desk = site.desk();
+            ready(&desk).await;
+            let spec = job(vec![step(1, 1, &[])]).spec;
+            let answer = desk.submit(&call($path, $key), spec).await;
+            assert_eq!(answer, Submitted::Denied($denial));
+        })+
+    };
+}
+
+denials! {
+    a_path_without_queue_is_denied: "/other/0000000000000001", KEY => Denial::NoQueue;
+    a_call_without_key_is_denied: "/q/0000000000000001", None => Denial::UnknownKey;
+    a_call_with_an_unknown_key_is_denied: "/q/0000000000000001", Some("x") => Denial::UnknownKey;
+    a_name_that_is_no_id_is_denied: "/q/none", KEY => Denial::NoJob;
+}
+
+#[tokio::test]
+async fn a_desk_without_configuration_denies_all() {
+    let desk = TestSite::new(0).desk();
+    let spec = job(vec![step(1, 1, &[])]).spec;
+    let answer = desk.submit(&call(&path(1), KEY), spec).await;
+    assert_eq!(answer, Submitted::Denied(Denial::NoConfig));
+}
--- /dev/null
+++ b/crates/jobs/tests/site/mod.rs
@@ -0,0 +1,256 @@
+//! A site of stand-ins: the in-memory store, and workers in this process.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cassiafold_config::{InstanceId, ServiceId};
+use cassiafold_jobs::cluster::{ClusterConfig, Machine, WaveNumber, WorkerEntry, WorkerId};
+use cassiafold_jobs::desk::{Call, Desk};
+use cassiafold_jobs::edges::{
+    Advice, Advisor, FencingToken, Look, LookError, LookRequest, MachineOutcome, Machines,
+    OrderOutcome, StartRequest, WorkerAddress, Workers,
+};
+use cassiafold_jobs::owner::{self, OwnerSettings};
+use cassiafold_jobs::record::JobRecord;
+use cassiafold_jobs::site::{Formats, ItemError, OperatorItem, Site};
+use cassiafold_jobs::spec::{JobId, Resources, RunNumber, StepId, TaskId};
+use cassiafold_jobs::view::{self, View, ViewSender};
+use cassiafold_platform::{Record, Store, Write, since_boot};
+use cassiafold_standin::MemoryStore;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::emulator::worker::EmulatedWorker;
+use crate::emulator::{SERVICE, TEAM, config, cores, ms, settings};
+
+/// How long each task takes.
+const TASK_TIME: Duration = Duration::from_millis(40);
+
+#[derive(Debug, Clone)]
+pub struct TestSite {
+    pub store: MemoryStore,
+    pub workers: TestWorkers,
+}
+
+#[derive(Debug, Clone)]
+pub struct TestWorkers {
+    pub list: Arc<Mutex<Vec<EmulatedWorker>>>,
+    jobs: Arc<Mutex<BTreeMap<JobId, JobRecord>>>,
+    pub starts: Arc<Mutex<Vec<(TaskId, RunNumber)>>>,
+}
+
+#[derive(Debug, Clone)]
+pub struct TestFormats;
+
+#[derive(Debug, Clone)]
+pub struct Nothing;
+
+impl TestSite {
+    pub fn new(workers: usize) -> Self {
+        let room = Resources { memory_bytes: 64 << 30, ..cores(16) };
+        let list = (0..workers).map(|number| EmulatedWorker::new(number, room)).collect();
+        let workers = TestWorkers {
+            list: Arc::new(Mutex::new(list)),
+            jobs: Arc::default(),
+            starts: Arc::default(),
+        };
+        Self { store: MemoryStore::default(), workers }
+    }
+
+    /// The site as another instance sees it, whose calls to the store can be disturbed alone.
+    pub fn client(&self, name: &str) -> Self {
+        Self { store: self.store.client(name).with_timeout(ms(150)), ..self.clone() }
+    }
+
+    /// Writes a configuration of one queue and these keys.
+    pub async fn configure(&self, version: u64, keys: &[&str]) {
+        let held = self.store.get(TestFormats::CONFIG_KEY).await.expect("store");
+        let compare = held.map_or(cassiafold_platform::Compare::Absent, |record| {
+            cassiafold_platform::Compare::Revision(record.revision)
+        });
+        let text = format!("{version} {}", keys.join(" "));
+        let write = Write::put(TestFormats::CONFIG_KEY, compare, text);
+        self.store.write(write).await.expect("store");
+    }
+
+    pub async fn list_workers(&self) {
+        let ids: Vec<WorkerId> = {
+            let list = self.workers.list.lock().expect("lock");
+            list.iter().map(|worker| worker.id.clone()).collect()
+        };
+        for id in ids {
+            let key = format!("{}{id}", TestFormats::WORKERS_PREFIX);
+            let write = Write::put(key, cassiafold_platform::Compare::Absent, "up");
+            self.store.write(write).await.expect("store");
+        }
+    }
+
+    pub fn desk(&self) -> Desk<Self> {
+        let (sender, views) = ViewSender::new();
+        tokio::spawn(view::follow(self.clone(), sender.clone()));
+        Desk::new(self.clone(), views, sender)
+    }
+
+    /// Starts an owner, which stops with the token.
+    pub fn owner(&self, instance: &str) -> CancellationToken {
+        let stop = CancellationToken::new();
+        let (sender, views): (ViewSender, watch::Receiver<Arc<View>>) = ViewSender::new();
+        tokio::spawn(view::follow(self.clone(), sender));
+        let settings = OwnerSettings {
+            instance: instance.into(),
+            lease_ttl: ms(1_000),
+            claim_delay_max: ms(20),
+            scheduler: settings(),
+        };
+        tokio::spawn(owner::campaign(self.clone(), settings, views, stop.clone()));
+        stop
+    }
+}
+
+/// A caller's request for a path.
+pub fn call(path: &str, key: Option<&str>) -> Call {
+    Call {
+        host: "h".into(),
+        path: path.into(),
+        key: key.map(Arc::from),
+        deadline: tokio::time::Instant::now() + ms(2_000),
+    }
+}
+
+impl TestWorkers {
+    fn with<T>(&self, id: &str, act: impl FnOnce(&mut EmulatedWorker) -> T) -> T {
+        let mut list = self.list.lock().expect("lock");
+        let worker = list.iter_mut().find(|worker| *worker.id == *id).expect("known worker");
+        act(worker)
+    }
+}
+
+impl Workers for TestWorkers {
+    async fn look(&self, worker: &WorkerAddress, request: LookRequest) -> Result<Look, LookError> {
+        tokio::time::sleep(ms(5)).await;
+        self.with(&worker.id, |one| one.look(request, since_boot()))
+    }
+
+    async fn start(&self, worker: &WorkerAddress, request: StartRequest) -> OrderOutcome {
+        let (task, run, now) = (request.task, request.run, since_boot());
+        let jobs = self.jobs.lock().expect("lock").clone();
+        let outcome = self.with(&worker.id, |one| one.start(&request, now, &jobs));
+        if outcome == OrderOutcome::Accepted {
+            self.starts.lock().expect("lock").push((task, run));
+            let (workers, id) = (self.clone(), worker.id.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(TASK_TIME).await;
+                workers.with(&id, |one| one.finish(task, run, false, since_boot()));
+            });
+        }
+        outcome
+    }
+
+    async fn stop(
+        &self,
+        worker: &WorkerAddress,
+        task: TaskId,
+        run: RunNumber,
+        token: FencingToken,
+    ) -> OrderOutcome {
+        self.with(&worker.id, |one| one.stop(task, run, token, since_boot()))
+    }
+
+    async fn pace(
+        &self,
+        _worker: &WorkerAddress,
+        _task: TaskId,
+        _run: RunNumber,
+        _percent: u8,
+        _token: FencingToken,
+    ) -> OrderOutcome {
+        OrderOutcome::Accepted
+    }
+
+    fn forget(&self, _worker: &WorkerAddress) {}
+}
+
+impl TestWorkers {
+    /// Tells the workers what the tasks of a job need.
+    pub fn know(&self, id: JobId, record: JobRecord) {
+        self.jobs.lock().expect("lock").insert(id, record);
+    }
+}
+
+impl Formats for TestFormats {
+    const OPERATOR_PREFIX: &'static str = "op/";
+    const CONFIG_KEY: &'static str = "op/config";
+    const WORKERS_PREFIX: &'static str = "workers/";
+
+    fn operator_item(&self, record: &Record) -> Result<OperatorItem, ItemError> {
+        let text = std::str::from_utf8(&record.value).map_err(|_| ItemError("bytes".into()))?;
+        let mut words = text.split(' ');
+        let version = words.next().and_then(|word| word.parse().ok());
+        let keys: HashMap<Arc<str>, Arc<str>> =
+            words.map(|key| (key.into(), TEAM.into())).collect();
+        let base = config(Resources::default());
+        let version = version.ok_or_else(|| ItemError("version".into()))?;
+        let config = ClusterConfig { version, keys, ..(*base).clone() };
+        Ok(OperatorItem::Config(Box::new(config)))
+    }
+
+    fn worker_entry(&self, record: &Record) -> Result<WorkerEntry, ItemError> {
+        let id = record.key.strip_prefix(Self::WORKERS_PREFIX).expect("prefix");
+        let number = id.trim_start_matches('w').parse().expect("number");
+        let room = Resources { memory_bytes: 64 << 30, ..cores(16) };
+        Ok(WorkerEntry { service: SERVICE.into(), ..EmulatedWorker::new(number, room).entry() })
+    }
+
+    fn wave_status(&self, number: WaveNumber, is_complete: bool) -> (Arc<str>, Vec<u8>) {
+        (format!("status/{number}").into(), is_complete.to_string().into_bytes())
+    }
+}
+
+impl Machines for Nothing {
+    async fn list(&self) -> Option<Vec<Machine>> {
+        None
+    }
+
+    async fn move_to(&self, _: InstanceId, _: ServiceId, _: FencingToken) -> MachineOutcome {
+        MachineOutcome::Refused
+    }
+
+    async fn maintain(&self, _: InstanceId, _: WaveNumber, _: FencingToken) -> MachineOutcome {
+        MachineOutcome::Refused
+    }
+}
+
+impl Advisor for Nothing {
+    async fn advise(&self, _: StepId, _: Vec<WorkerId>) -> Option<Advice> {
+        None
+    }
+}
+
+impl Site for TestSite {
+    type Store = MemoryStore;
+    type Workers = TestWorkers;
+    type Machines = Nothing;
+    type Advisor = Nothing;
+    type Formats = TestFormats;
+
+    fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    fn workers(&self) -> &TestWorkers {
+        &self.workers
+    }
+
+    fn machines(&self) -> &Nothing {
+        &Nothing
+    }
+
+    fn advisor(&self) -> &Nothing {
+        &Nothing
+    }
+
+    fn formats(&self) -> &TestFormats {
+        &TestFormats
+    }
+}
--- a/crates/standin/src/keyspace.rs
+++ b/crates/standin/src/keyspace.rs
@@ -65,22 +65,36 @@
 
     /// Carries out `operation` and returns the revision after it.
     pub(crate) fn apply(&mut self, key: &Arc<str>, operation: Operation) -> Revision {
+        self.apply_all([(key.clone(), operation)])
+    }
+
+    /// Carries out several operations at one revision, and returns it.
+    pub(crate) fn apply_all(
+        &mut self,
+        operations: impl IntoIterator<Item = (Arc<str>, Operation)>,
+    ) -> Revision {
+        let next = self.revision + 1;
+        for (key, operation) in operations {
+            self.apply_at(&key, operation, next);
+        }
+        self.trim();
+        self.revision
+    }
+
+    fn apply_at(&mut self, key: &Arc<str>, operation: Operation, revision: Revision) {
         let (value, lease) = match operation {
             Operation::Put { value, lease } => (Some(value), lease),
             Operation::Delete => (None, None),
         };
         if value.is_none() && !self.values.contains_key(key) {
-            return self.revision;
+            return;
         }
-        self.revision += 1;
-        let revision = self.revision;
+        self.revision = revision;
         let record = value.map(|value| Record { key: key.clone(), value, revision });
         let entry = Entry { change: Change { key: key.clone(), record, revision }, lease };
         apply_to(&mut self.values, &entry);
         self.history_bytes += entry.size();
         self.history.push_back(entry);
-        self.trim();
-        revision
     }
 
     fn trim(&mut self) {
--- a/crates/standin/src/state.rs
+++ b/crates/standin/src/state.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cassiafold_platform::{LeaseId, Operation, Revision, StoreError, Write, WriteOutcome};
+use cassiafold_platform::{
+    Effect, Expectation, LeaseId, Operation, Revision, StoreError, Transaction, TransactionOutcome,
+};
 use tokio::time::Instant;
 
 use crate::calls::CallCounts;
@@ -52,16 +54,26 @@
         self.leases.values().map(|lease| lease.expires).min()
     }
 
-    pub(crate) fn write(&mut self, write: Write) -> Result<WriteOutcome, StoreError> {
-        if !self.keys.meets(&write.key, write.compare) {
-            return Ok(WriteOutcome::Conflict);
+    pub(crate) fn commit(
+        &mut self,
+        transaction: Transaction,
+    ) -> Result<TransactionOutcome, StoreError> {
+        let is_met = |one: &Expectation| self.keys.meets(&one.key, one.compare);
+        if !transaction.expectations.iter().all(is_met) {
+            let keys = transaction.expectations.iter().map(|one| &one.key);
+            return Ok(TransactionOutcome::Conflict(
+                keys.filter_map(|key| self.keys.get(key, None)).collect(),
+            ));
         }
-        if let Operation::Put { lease: Some(lease), .. } = &write.operation
-            && !self.leases.contains_key(lease)
-        {
+        let is_bound = |effect: &Effect| match effect.operation {
+            Operation::Put { lease: Some(lease), .. } => self.leases.contains_key(&lease),
+            _ => true,
+        };
+        if !transaction.effects.iter().all(is_bound) {
             return Err(StoreError::LeaseExpired);
         }
-        Ok(WriteOutcome::Written(self.keys.apply(&write.key, write.operation)))
+        let operations = transaction.effects.into_iter().map(|one| (one.key, one.operation));
+        Ok(TransactionOutcome::Written(self.keys.apply_all(operations)))
     }
 
     pub(crate) fn grant(&mut self, ttl: Duration) -> LeaseId {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use cassiafold_platform::{
-    Change, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError, VALUE_BYTES_MAX,
-    Watch, Write, WriteOutcome,
+    Change, Effect, Expectation, LeaseId, Operation, Record, Revision, Snapshot, Store, StoreError,
+    Transaction, TransactionOutcome, TransactionalStore, VALUE_BYTES_MAX, Watch, Write,
+    WriteOutcome,
 };
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -172,11 +173,11 @@
         }
     }
 
-    fn write_late(&self, write: Write, delay: Duration) {
+    fn commit_late(&self, transaction: Transaction, delay: Duration) {
         let shared = self.shared.clone();
         tokio::spawn(async move {
             sleep(delay).await;
-            shared.change(|state| state.write(write))
+            shared.change(|state| state.commit(transaction))
         });
     }
 }
@@ -224,26 +225,13 @@
     }
 
     async fn write(&self, write: Write) -> Result<WriteOutcome, StoreError> {
-        check_size(&write.operation)?;
-        let passage = self.request(CallKind::Write).await.map_err(Refusal::of_write)?;
-        let fault = self.shared.lock().faults.next_write();
-        let unknown = Err(StoreError::OutcomeUnknown("answer lost".into()));
-        match fault {
-            None => {}
-            Some(WriteFault::LostRequest) => return unknown,
-            Some(WriteFault::Late(delay)) => {
-                self.write_late(write, delay);
-                return unknown;
-            }
-            Some(WriteFault::LostAnswer) => {
-                let _ = self.shared.change(|state| state.write(write));
-                return unknown;
-            }
-        }
-        let result = self.shared.change(|state| state.write(write));
-        match self.answer(passage).await {
-            true => result,
-            false => Err(StoreError::OutcomeUnknown("no answer before the timeout".into())),
+        let expectation = Expectation { key: write.key.clone(), compare: write.compare };
+        let effect = Effect { key: write.key, operation: write.operation };
+        let transaction =
+            Transaction { expectations: vec![expectation], effects: vec![effect] };
+        match self.commit(transaction).await? {
+            TransactionOutcome::Written(revision) => Ok(WriteOutcome::Written(revision)),
+            TransactionOutcome::Conflict(_) => Ok(WriteOutcome::Conflict),
         }
     }
 
@@ -274,6 +262,34 @@
     }
 }
 
+impl TransactionalStore for MemoryStore {
+    async fn commit(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
+        for effect in &transaction.effects {
+            check_size(&effect.operation)?;
+        }
+        let passage = self.request(CallKind::Write).await.map_err(Refusal::of_write)?;
+        let fault = self.shared.lock().faults.next_write();
+        let unknown = Err(StoreError::OutcomeUnknown("answer lost".into()));
+        match fault {
+            None => {}
+            Some(WriteFault::LostRequest) => return unknown,
+            Some(WriteFault::Late(delay)) => {
+                self.commit_late(transaction, delay);
+                return unknown;
+            }
+            Some(WriteFault::LostAnswer) => {
+                let _ = self.shared.change(|state| state.commit(transaction));
+                return unknown;
+            }
+        }
+        let result = self.shared.change(|state| state.commit(transaction));
+        match self.answer(passage).await {
+            true => result,
+            false => Err(StoreError::OutcomeUnknown("no answer before the timeout".into())),
+        }
+    }
+}
+
 /// Watch on a [`MemoryStore`].
 #[derive(Debug)]
 pub struct MemoryWatch {
