--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -49,10 +49,8 @@
 
 async fn completed(desk: &Desk<TestSite>, id: JobId) {
     let done = Looked::State(JobState::Completed);
-    until("completed", async || {
-        (desk.look(&call(&path(id), KEY)).await == done).then_some(())
-    })
-    .await;
+    until("completed", async || (desk.look(&call(&path(id), KEY)).await == done).then_some(()))
+        .await;
 }
 
 #[tokio::test]
@@ -149,10 +147,8 @@
     .await;
     assert_eq!(desk.cancel(&call(&path(1), KEY)).await, Cancelled::Accepted);
     let cancelled = Looked::State(JobState::Cancelled);
-    until("cancelled", async || {
-        (desk.look(&call(&path(1), KEY)).await == cancelled).then_some(())
-    })
-    .await;
+    until("cancelled", async || (desk.look(&call(&path(1), KEY)).await == cancelled).then_some(()))
+        .await;
     assert_eq!(desk.cancel(&call(&path(9), KEY)).await, Cancelled::NoSuchJob);
     assert_eq!(desk.look(&call(&path(9), KEY)).await, Looked::NoSuchJob);
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -227,8 +227,7 @@
     async fn write(&self, write: Write) -> Result<WriteOutcome, StoreError> {
         let expectation = Expectation { key: write.key.clone(), compare: write.compare };
         let effect = Effect { key: write.key, operation: write.operation };
-        let transaction =
-            Transaction { expectations: vec![expectation], effects: vec![effect] };
+        let transaction = Transaction { expectations: vec![expectation], effects: vec![effect] };
         match self.commit(transaction).await? {
             TransactionOutcome::Written(revision) => Ok(WriteOutcome::Written(revision)),
             TransactionOutcome::Conflict(_) => Ok(WriteOutcome::Conflict),
