--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -54,7 +54,7 @@
 /// Outcome of a write.
 pub(super) enum Written {
     /// It took effect.
-    Done { flush: Flush, sequence: Sequence },
+    Done { flush: Box<Flush>, sequence: Sequence },
     /// Another owner has come.
     Deposed,
 }
@@ -76,7 +76,7 @@
         self.is_busy
     }
 
-    fn start(&mut self, flush: Flush, sender: mpsc::Sender<Message>) {
+    fn start(&mut self, flush: Box<Flush>, sender: mpsc::Sender<Message>) {
         self.is_busy = true;
         let (site, token, sequence) = (self.site.clone(), self.token, self.sequence);
         tokio::spawn(async move {
@@ -87,7 +87,12 @@
     }
 }
 
-async fn write<S: Site>(site: &S, token: FencingToken, former: Sequence, flush: Flush) -> Written {
+async fn write<S: Site>(
+    site: &S,
+    token: FencingToken,
+    former: Sequence,
+    flush: Box<Flush>,
+) -> Written {
     let next = Sequence { number: former.number + 1, ..former };
     let transaction = transaction(site, token, former, next, &flush);
     let mut outage = Outage::new("owner's writes");
@@ -159,7 +164,7 @@
         }
         self.written = now;
         if let Some(flush) = self.scheduler.take_flush(now) {
-            self.writer.start(flush, self.sender.clone());
+            self.writer.start(Box::new(flush), self.sender.clone());
         }
     }
 
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -286,7 +286,10 @@
         let is_back = |machine: &InstanceId, begun: Moment| {
             let listed = self.machines.iter().find(|listed| listed.id == *machine);
             let seen_after = self.machines_listed.is_some_and(|at| at > begun);
-            seen_after && listed.is_none_or(|listed| listed.state == MachineState::Up)
+            let is_up = |listed: &Machine| {
+                matches!(listed.state, MachineState::Up | MachineState::Moving)
+            };
+            seen_after && listed.is_none_or(is_up)
         };
         let begun = progress.begun.iter().filter(|(machine, at)| !is_back(machine, **at)).count();
         let unknown = progress.wave.machines.iter().filter(|machine| {
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -170,6 +170,26 @@
     assert_eq!(desk.running(), 3);
 }
 
+#[test]
+fn a_maintained_machine_that_moves_does_not_hold_up_its_wave() {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[0, 1], 1);
+    desk.pass(ms(100));
+    let first = desk.machine_orders.remove(0);
+    desk.scheduler.note_machine(&first, MachineOutcome::Accepted, desk.now);
+    desk.now += ms(10);
+    desk.list(Desk::machines(2, MachineState::Maintenance));
+    desk.pass(ms(2_500));
+    assert_eq!(desk.machine_orders, vec![], "one at a time");
+    let mut machines = Desk::machines(2, MachineState::Up);
+    let number = usize::from(&**first.machine() == "m1");
+    machines[number].state = MachineState::Moving;
+    desk.list(machines);
+    desk.pass(ms(200));
+    assert_eq!(desk.machine_orders.len(), 1);
+}
+
 #[test]
 fn a_task_is_not_stopped_for_a_wave_while_no_other_worker_has_room() {
     let mut desk = Desk::new(1, Tenure::default());
