Serve metrics of desk and owner, and test the process without a platform

Cause: on-call engineers had logs alone. Change: counters and histograms by queue, team and outcome on port 7001; a process test.

--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -1,6 +1,7 @@
 //! One entry instance on the users' platform: its tasks and how they are joined.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,8 +12,9 @@
 use cassiafold_event::emit;
 use cassiafold_jobs::desk::Desk;
 use cassiafold_jobs::event::JobsEvent;
+use cassiafold_jobs::metrics::JobsMetrics;
 use cassiafold_jobs::owner::{self, OwnerSettings};
-use cassiafold_jobs::view::{self, ViewSender};
+use cassiafold_jobs::view::{self, View, ViewSender};
 use cassiafold_platform::StoreMetrics;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -24,6 +26,7 @@
 use prometheus_client::registry::Registry;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -61,20 +64,24 @@
     let mut registry = Registry::with_prefix("cassiafold");
     let store_metrics = StoreMetrics::default();
     store_metrics.register(&mut registry);
+    let metrics = JobsMetrics::default();
+    metrics.register(&mut registry);
     let site = PlatformSite::new(&settings, store_metrics);
     let (sender, views) = ViewSender::new();
-    let desk = Arc::new(Desk::new(site.clone(), views.clone(), sender.clone()));
+    let desk = Arc::new(Desk::new(site.clone(), views.clone(), sender.clone(), metrics.clone()));
     let stop = CancellationToken::new();
     emit!(JobsEvent::NodeStarted, instance = settings.instance, zone = settings.zone);
 
     tokio::spawn(view::follow(site.clone(), sender));
     tokio::spawn(report_reloads(reload));
+    tokio::spawn(serve_metrics(settings.metrics_address, registry, views.clone(), metrics.clone()));
     tokio::spawn(answer_readiness(readiness, desk.clone(), stop.clone()));
     let owner_settings = OwnerSettings {
         instance: settings.instance.clone(),
         lease_ttl: OWNER_LEASE,
         claim_delay_max: CLAIM_DELAY_MAX,
         scheduler: settings.scheduler,
+        metrics: metrics.clone(),
     };
     let owner = tokio::spawn(owner::campaign(site, owner_settings, views, stop.clone()));
     let closing = CancellationToken::new();
@@ -135,6 +142,51 @@
     tokio::spawn(async move { drop(connection.await) });
 }
 
+/// Serves the metrics as text; without them the instance works on.
+async fn serve_metrics(
+    address: SocketAddr,
+    registry: Registry,
+    views: watch::Receiver<Arc<View>>,
+    metrics: JobsMetrics,
+) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => return emit!(JobsEvent::MetricsNotServed, error = error),
+    };
+    let registry = Arc::new(registry);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                emit!(JobsEvent::ConnectionNotAccepted, error = error);
+                sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        let (registry, views, metrics) = (registry.clone(), views.clone(), metrics.clone());
+        let service = service_fn(move |_: Request<Incoming>| {
+            let version = views.borrow().config.as_ref().map_or(0, |config| config.version);
+            metrics.note_config(version);
+            std::future::ready(Ok::<_, Infallible>(metrics_page(&registry)))
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { drop(connection.await) });
+    }
+}
+
+fn metrics_page(registry: &Registry) -> Response<Full<Bytes>> {
+    let mut text = String::new();
+    match prometheus_client::encoding::text::encode(&mut text, registry) {
+        Ok(()) => Response::new(Full::from(text)),
+        Err(error) => {
+            emit!(JobsEvent::MetricsNotServed, error = error);
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
 /// Answers readiness checks: 200 while this instance can serve callers.
 async fn answer_readiness(listener: TcpListener, desk: PlatformDesk, stop: CancellationToken) {
     loop {
--- /dev/null
+++ b/crates/cassiafold/tests/serve.rs
@@ -0,0 +1,108 @@
+//! `cassiafold serve` as a process on loopback, where nothing of the platform answers.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// Port of the metrics, as in `deploy/system.toml`.
+const METRICS_PORT: u16 = 7_001;
+
+struct Instance {
+    process: Child,
+    ip: Ipv4Addr,
+    front: u16,
+    ready: u16,
+}
+
+fn free_port(ip: Ipv4Addr) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("bind");
+    listener.local_addr().expect("address").port()
+}
+
+impl Instance {
+    fn start(ip: Ipv4Addr) -> Self {
+        let (front, ready, store) = (free_port(ip), free_port(ip), free_port(ip));
+        let settings = format!(
+            "Node: n\nZone: z\nListen:\n  Front: \"{ip}:{front}\"\n  Ready: \"{ip}:{ready}\"\n\
+             platform:\n  Addr: \"{ip}:{store}\"\nCloud:\n  Addr: \"{ip}:{store}\"\nBounds: {{}}\n"
+        );
+        let path = std::env::temp_dir().join(format!("cassiafold-serve-{ip}.yaml"));
+        std::fs::write(&path, settings).expect("settings");
+        let variable = ["CASSIAFOLD", "CONFIG"].join("_");
+        let process = Command::new(env!("CARGO_BIN_EXE_cassiafold"))
+            .args(["--log-format", "json", "serve"])
+            .env(variable, path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("process");
+        Self { process, ip, front, ready }
+    }
+
+    fn get(&self, port: u16, path: &str) -> String {
+        let end = Instant::now() + Duration::from_secs(10);
+        let address = SocketAddr::from((self.ip, port));
+        loop {
+            match TcpStream::connect(address) {
+                Ok(stream) => return exchange(stream, path),
+                Err(error) if Instant::now() > end => panic!("{address}: {error}"),
+                Err(_) => std::thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.process.id()).expect("pid");
+        kill(Pid::from_raw(pid), signal).expect("signal");
+    }
+}
+
+fn exchange(mut stream: TcpStream, path: &str) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).expect("request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("answer");
+    answer
+}
+
+#[test]
+fn an_instance_without_store_is_not_ready_refuses_at_once_and_stops_when_told() {
+    let mut instance = Instance::start(Ipv4Addr::new(127, 77, 1, 1));
+    let ready = instance.get(instance.ready, "/ready");
+    assert!(ready.starts_with("HTTP/1.1 503"), "{ready}");
+    let began = Instant::now();
+    let refused = instance.get(instance.front, "/q/0000000000000001");
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.contains("retry-after: 1"), "{refused}");
+    assert!(began.elapsed() < Duration::from_secs(1));
+    instance.signal(Signal::SIGHUP);
+    let metrics = instance.get(METRICS_PORT, "/metrics");
+    assert!(metrics.contains("cassiafold_tenures_total 0"), "{metrics}");
+    instance.signal(Signal::SIGTERM);
+    let status = instance.process.wait().expect("status");
+    assert!(status.success(), "{status}");
+    let mut log = String::new();
+    let output = instance.process.stdout.as_mut().expect("output");
+    output.read_to_string(&mut log).expect("log");
+    for message in ["instance started", "settings read again", "instance stopped"] {
+        assert!(log.contains(message), "{message} in {log}");
+    }
+}
+
+#[test]
+fn malformed_settings_end_the_process_with_code_4() {
+    let path = std::env::temp_dir().join("cassiafold-serve-malformed.yaml");
+    std::fs::write(&path, "Node: n\n").expect("settings");
+    let variable = ["CASSIAFOLD", "CONFIG"].join("_");
+    let status = Command::new(env!("CARGO_BIN_EXE_cassiafold"))
+        .arg("serve")
+        .env(variable, path)
+        .stderr(Stdio::null())
+        .status()
+        .expect("process");
+    assert_eq!(status.code(), Some(4));
+}
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -20,6 +20,7 @@
 
 use crate::cluster::{ClusterConfig, Queue, QueueId};
 use crate::event::JobsEvent;
+use crate::metrics::JobsMetrics;
 use crate::record::{
     JobRecord, JobState, StateRecord, WAITING_KEY, WaitingRecord, cancel_key, job_key, state_key,
 };
@@ -82,6 +83,18 @@
     Denied(Denial),
 }
 
+impl Submitted {
+    /// Name of the outcome, for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused(_) => "refused",
+            Self::Unknown => "unknown",
+            Self::Denied(_) => "denied",
+        }
+    }
+}
+
 /// Answer to a cancel.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cancelled {
@@ -95,6 +108,18 @@
     Denied(Denial),
 }
 
+impl Cancelled {
+    /// Name of the outcome, for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::NoSuchJob => "no_such_job",
+            Self::Unknown => "unknown",
+            Self::Denied(_) => "denied",
+        }
+    }
+}
+
 /// Answer to a question about a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Looked {
@@ -108,6 +133,18 @@
     Denied(Denial),
 }
 
+impl Looked {
+    /// Name of the outcome, for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::State(_) => "state",
+            Self::NoSuchJob => "no_such_job",
+            Self::Unknown => "unknown",
+            Self::Denied(_) => "denied",
+        }
+    }
+}
+
 /// Answer to a question about a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Counted {
@@ -119,6 +156,17 @@
     Denied(Denial),
 }
 
+impl Counted {
+    /// Name of the outcome, for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Waiting(_) => "count",
+            Self::Unknown => "unknown",
+            Self::Denied(_) => "denied",
+        }
+    }
+}
+
 /// What a path below a queue names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -134,6 +182,7 @@
     site: S,
     views: watch::Receiver<Arc<View>>,
     sender: ViewSender,
+    metrics: JobsMetrics,
     silence: Mutex<Silence>,
     waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
     finals: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
@@ -149,11 +198,17 @@
 
 impl<S: Site> Desk<S> {
     /// A desk that follows the operator's view.
-    pub fn new(site: S, views: watch::Receiver<Arc<View>>, sender: ViewSender) -> Self {
+    pub fn new(
+        site: S,
+        views: watch::Receiver<Arc<View>>,
+        sender: ViewSender,
+        metrics: JobsMetrics,
+    ) -> Self {
         Self {
             site,
             views,
             sender,
+            metrics,
             silence: Mutex::default(),
             waiting: Mutex::default(),
             finals: Mutex::default(),
@@ -206,6 +261,13 @@
         self.views.borrow().config.as_ref().and_then(|config| config.body_bytes_max)
     }
 
+    fn note_call(&self, kind: &'static str, call: &Call, outcome: &'static str, taken: Duration) {
+        let admitted = self.admit(call).ok();
+        let queue = admitted.as_ref().map(|admitted| &admitted.queue.id);
+        let team = admitted.as_ref().and_then(|admitted| admitted.team.as_ref());
+        self.metrics.note_call(kind, queue, team, outcome, taken);
+    }
+
     fn admit(&self, call: &Call) -> Result<Admitted, Denial> {
         let view = self.views.borrow().clone();
         let config = view.config.as_ref().ok_or(Denial::NoConfig)?;
@@ -221,6 +283,13 @@
 
     /// Accepts a job, if the caller may submit it and the store takes it.
     pub async fn submit(&self, call: &Call, spec: JobSpec) -> Submitted {
+        let began = Instant::now();
+        let answer = self.submit_once(call, spec).await;
+        self.note_call("submit", call, answer.name(), began.elapsed());
+        answer
+    }
+
+    async fn submit_once(&self, call: &Call, spec: JobSpec) -> Submitted {
         let deadline = call.deadline - ANSWER_MARGIN;
         let mut unanswered = 0;
         loop {
@@ -311,6 +380,13 @@
 
     /// Stores the cancel of a job.
     pub async fn cancel(&self, call: &Call) -> Cancelled {
+        let began = Instant::now();
+        let answer = self.cancel_once(call).await;
+        self.note_call("cancel", call, answer.name(), began.elapsed());
+        answer
+    }
+
+    async fn cancel_once(&self, call: &Call) -> Cancelled {
         let admitted = match self.admit(call) {
             Ok(admitted) => admitted,
             Err(denial) => return Cancelled::Denied(denial),
@@ -350,6 +426,13 @@
 
     /// State of a job.
     pub async fn look(&self, call: &Call) -> Looked {
+        let began = Instant::now();
+        let answer = self.look_once(call).await;
+        self.note_call("look", call, answer.name(), began.elapsed());
+        answer
+    }
+
+    async fn look_once(&self, call: &Call) -> Looked {
         let admitted = match self.admit(call) {
             Ok(admitted) => admitted,
             Err(denial) => return Looked::Denied(denial),
@@ -407,6 +490,13 @@
 
     /// Number of a queue's jobs that wait.
     pub async fn count(&self, call: &Call) -> Counted {
+        let began = Instant::now();
+        let answer = self.count_once(call).await;
+        self.note_call("count", call, answer.name(), began.elapsed());
+        answer
+    }
+
+    async fn count_once(&self, call: &Call) -> Counted {
         let admitted = match self.admit(call) {
             Ok(admitted) => admitted,
             Err(denial) => return Counted::Denied(denial),
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -36,5 +36,6 @@
         NodeReloaded = 1652, Info, "settings read again";
         NodeNotReloaded = 1653, Warn, "changed settings cannot be used";
         ConnectionNotAccepted = 1654, Warn, "connection could not be accepted";
+        MetricsNotServed = 1655, Warn, "metrics cannot be served";
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod estimate;
 pub mod event;
 pub mod job;
+pub mod metrics;
 pub mod order;
 pub mod outage;
 pub mod owner;
--- /dev/null
+++ b/crates/jobs/src/metrics.rs
@@ -0,0 +1,175 @@
+//! Metrics of the desk and of the owner.
+//!
+//! Labels are queues, teams and outcomes; queues and teams come from the configuration, which
+//! bounds their number.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_config::TeamId;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::cluster::QueueId;
+use crate::edges::{MachineOutcome, OrderOutcome, RunEnd};
+
+/// Upper bound of the first bucket of durations, in seconds.
+const FIRST_BUCKET_S: f64 = 0.002;
+/// Number of buckets, each twice as wide as the one before.
+const BUCKETS: u16 = 12;
+/// Label of calls without queue or team.
+const NONE: &str = "none";
+
+/// Labels of a caller's request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// What was asked for.
+    pub call: &'static str,
+    /// The queue.
+    pub queue: Arc<str>,
+    /// The team.
+    pub team: Arc<str>,
+    /// How it was answered.
+    pub outcome: &'static str,
+}
+
+/// Label of an outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// Kind of the order.
+    pub order: &'static str,
+    /// Its outcome.
+    pub outcome: &'static str,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Durations;
+
+impl MetricConstructor<Histogram> for Durations {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+    }
+}
+
+/// Counters, gauges and histograms. Clones share them.
+#[derive(Debug, Clone)]
+pub struct JobsMetrics {
+    calls: Family<CallLabels, Counter>,
+    call_seconds: Family<OutcomeLabels, Histogram, Durations>,
+    orders: Family<OutcomeLabels, Counter>,
+    ends: Family<OutcomeLabels, Counter>,
+    tenures: Counter,
+    owns: Gauge,
+    config_version: Gauge,
+}
+
+impl Default for JobsMetrics {
+    fn default() -> Self {
+        Self {
+            calls: Family::default(),
+            call_seconds: Family::new_with_constructor(Durations),
+            orders: Family::default(),
+            ends: Family::default(),
+            tenures: Counter::default(),
+            owns: Gauge::default(),
+            config_version: Gauge::default(),
+        }
+    }
+}
+
+impl JobsMetrics {
+    /// Adds all metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("calls", "Requests of callers", self.calls.clone());
+        registry.register_with_unit(
+            "call",
+            "Time until callers are answered",
+            Unit::Seconds,
+            self.call_seconds.clone(),
+        );
+        registry.register("orders", "Orders to workers and machines", self.orders.clone());
+        registry.register("ends", "Ends of runs", self.ends.clone());
+        registry.register("tenures", "Tenures as owner", self.tenures.clone());
+        registry.register("owns", "Whether this instance places the jobs", self.owns.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+    }
+
+    /// Counts a caller's request.
+    pub fn note_call(
+        &self,
+        call: &'static str,
+        queue: Option<&QueueId>,
+        team: Option<&TeamId>,
+        outcome: &'static str,
+        taken: Duration,
+    ) {
+        let text = |name: Option<&Arc<str>>| name.cloned().unwrap_or_else(|| NONE.into());
+        let labels = CallLabels { call, queue: text(queue), team: text(team), outcome };
+        self.calls.get_or_create(&labels).inc();
+        let labels = OutcomeLabels { order: call, outcome };
+        self.call_seconds.get_or_create(&labels).observe(taken.as_secs_f64());
+    }
+
+    /// Counts an order to a worker.
+    pub fn note_order(&self, order: &'static str, outcome: OrderOutcome) {
+        let outcome = match outcome {
+            OrderOutcome::Accepted => "accepted",
+            OrderOutcome::Refused(_) => "refused",
+            OrderOutcome::NotSent => "not_sent",
+            OrderOutcome::Unknown => "unknown",
+        };
+        self.orders.get_or_create(&OutcomeLabels { order, outcome }).inc();
+    }
+
+    /// Counts an order to a machine.
+    pub fn note_machine(&self, order: &'static str, outcome: MachineOutcome) {
+        let outcome = match outcome {
+            MachineOutcome::Accepted => "accepted",
+            MachineOutcome::Busy => "busy",
+            MachineOutcome::Fenced => "fenced",
+            MachineOutcome::Refused => "refused",
+            MachineOutcome::Unknown => "unknown",
+        };
+        self.orders.get_or_create(&OutcomeLabels { order, outcome }).inc();
+    }
+
+    /// Counts a look at a worker.
+    pub fn note_look(&self, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        self.orders.get_or_create(&OutcomeLabels { order: "look", outcome }).inc();
+    }
+
+    /// Counts the end of a run.
+    pub fn note_end(&self, end: RunEnd) {
+        let outcome = match end {
+            RunEnd::Done => "done",
+            RunEnd::Failed => "failed",
+            RunEnd::Stopped => "stopped",
+            RunEnd::Expired => "expired",
+            RunEnd::Broken => "broken",
+            RunEnd::Alone => "alone",
+        };
+        self.ends.get_or_create(&OutcomeLabels { order: "run", outcome }).inc();
+    }
+
+    /// Notes that this instance has become the owner, or is no longer.
+    pub fn note_owner(&self, owns: bool) {
+        self.owns.set(i64::from(owns));
+        if owns {
+            self.tenures.inc();
+        }
+    }
+
+    /// Notes the configuration in force.
+    pub fn note_config(&self, version: u64) {
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+}
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -26,6 +26,7 @@
 use self::follow::{Followed, Listing};
 use self::write::{Writer, Written};
 use crate::event::JobsEvent;
+use crate::metrics::JobsMetrics;
 use crate::scheduler::{Scheduler, SchedulerSettings};
 use crate::site::Site;
 use crate::view::View;
@@ -50,6 +51,8 @@
     pub claim_delay_max: Duration,
     /// Times of the scheduler.
     pub scheduler: SchedulerSettings,
+    /// Metrics.
+    pub metrics: JobsMetrics,
 }
 
 /// Claims the ownership whenever it is free and places jobs while it holds, until `stop`.
@@ -66,7 +69,9 @@
         };
         let token = claimed.token;
         emit!(JobsEvent::OwnerBegan, token = token);
+        settings.metrics.note_owner(true);
         let reason = place(&site, &settings, views.clone(), claimed, &stop).await;
+        settings.metrics.note_owner(false);
         emit!(JobsEvent::OwnerEnded, token = token, reason = reason);
     }
 }
@@ -89,6 +94,7 @@
     written: Moment,
     machines_asked: Option<Moment>,
     is_fenced: bool,
+    metrics: JobsMetrics,
 }
 
 async fn place<S: Site>(
@@ -119,6 +125,7 @@
         written: since_boot(),
         machines_asked: None,
         is_fenced: false,
+        metrics: settings.metrics.clone(),
     };
     let _following = [
         spawn(follow::inbox(site.clone(), loaded.inbox_revision, sender.clone())),
--- a/crates/jobs/src/owner/carry.rs
+++ b/crates/jobs/src/owner/carry.rs
@@ -137,7 +137,30 @@
         });
     }
 
+    /// Counts what came of an order.
+    fn count(&self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Look { result, .. } => {
+                self.metrics.note_look(result.is_ok());
+                for row in result.iter().flat_map(|look| &look.ended) {
+                    self.metrics.note_end(row.end);
+                }
+            }
+            Outcome::Start { outcome, .. } => self.metrics.note_order("start", *outcome),
+            Outcome::Stop { outcome, .. } => self.metrics.note_order("stop", *outcome),
+            Outcome::Pace(outcome) => self.metrics.note_order("pace", *outcome),
+            Outcome::Machine { order: MachineOrder::Maintain { .. }, outcome } => {
+                self.metrics.note_machine("maintain", *outcome);
+            }
+            Outcome::Machine { order: MachineOrder::Move { .. }, outcome } => {
+                self.metrics.note_machine("move", *outcome);
+            }
+            Outcome::Advice { .. } | Outcome::Machines { .. } => {}
+        }
+    }
+
     pub(super) fn take_outcome(&mut self, outcome: Outcome, now: Moment) {
+        self.count(&outcome);
         match outcome {
             Outcome::Look { worker, result: Err(LookError::Fenced), .. } => {
                 self.is_fenced = true;
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -286,9 +286,8 @@
         let is_back = |machine: &InstanceId, begun: Moment| {
             let listed = self.machines.iter().find(|listed| listed.id == *machine);
             let seen_after = self.machines_listed.is_some_and(|at| at > begun);
-            let is_up = |listed: &Machine| {
-                matches!(listed.state, MachineState::Up | MachineState::Moving)
-            };
+            let is_up =
+                |listed: &Machine| matches!(listed.state, MachineState::Up | MachineState::Moving);
             seen_after && listed.is_none_or(is_up)
         };
         let begun = progress.begun.iter().filter(|(machine, at)| !is_back(machine, **at)).count();
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -130,7 +130,8 @@
 async fn a_withdrawn_key_is_refused_though_the_instance_has_not_heard_of_it() {
     let site = site(1).await;
     let (sender, views) = cassiafold_jobs::view::ViewSender::new();
-    let desk = Desk::new(site.clone(), views, sender.clone());
+    let metrics = cassiafold_jobs::metrics::JobsMetrics::default();
+    let desk = Desk::new(site.clone(), views, sender.clone(), metrics);
     let follower = tokio::spawn(cassiafold_jobs::view::follow(site.clone(), sender));
     ready(&desk).await;
     follower.abort();
--- a/crates/jobs/tests/site/mod.rs
+++ b/crates/jobs/tests/site/mod.rs
@@ -11,6 +11,7 @@
     Advice, Advisor, FencingToken, Look, LookError, LookRequest, MachineOutcome, Machines,
     OrderOutcome, StartRequest, WorkerAddress, Workers,
 };
+use cassiafold_jobs::metrics::JobsMetrics;
 use cassiafold_jobs::owner::{self, OwnerSettings};
 use cassiafold_jobs::record::JobRecord;
 use cassiafold_jobs::site::{Formats, ItemError, OperatorItem, Site};
@@ -89,7 +90,7 @@
     pub fn desk(&self) -> Desk<Self> {
         let (sender, views) = ViewSender::new();
         tokio::spawn(view::follow(self.clone(), sender.clone()));
-        Desk::new(self.clone(), views, sender)
+        Desk::new(self.clone(), views, sender, JobsMetrics::default())
     }
 
     /// Starts an owner, which stops with the token.
@@ -102,6 +103,7 @@
             lease_ttl: ms(1_000),
             claim_delay_max: ms(20),
             scheduler: settings(),
+            metrics: JobsMetrics::default(),
         };
         tokio::spawn(owner::campaign(self.clone(), settings, views, stop.clone()));
         stop
