Send a write without answer again early, and tolerate one lost look

Change: writes of the owner and acceptances are sent again after 150 ms and 200 ms, doubling; their conditions keep them from counting twice. The test of late writes loses three answers in place of two, since three attempts are made now.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -16,7 +16,7 @@
     TransactionalStore, since_boot,
 };
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::cluster::{ClusterConfig, Queue, QueueId};
 use crate::event::JobsEvent;
@@ -32,7 +32,10 @@
 /// Time after which a caller may come back when the store does not answer.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Attempts of one call to the store whose answers were lost, after which the caller is told.
-const ATTEMPTS_MAX: usize = 2;
+const ATTEMPTS_MAX: u32 = 3;
+/// Time after which a call without answer is sent again, on another connection. It doubles from
+/// attempt to attempt, so that a slow store is given its time.
+const FIRST_ATTEMPT: Duration = Duration::from_millis(200);
 /// While the store does not answer one call is let through this often, to see whether it does.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two attempts of the same call to the store.
@@ -303,7 +306,10 @@
             if unanswered == 0 && !self.may_call() {
                 return refuse(id, "the store does not answer");
             }
-            match self.heard(self.store_job(&admitted, id, &spec).await) {
+            let patience = FIRST_ATTEMPT * (1 << unanswered);
+            let attempt = timeout(patience, self.store_job(&admitted, id, &spec)).await;
+            let lost = || Err(StoreError::OutcomeUnknown("no answer yet".into()));
+            match self.heard(attempt.unwrap_or_else(|_| lost())) {
                 Ok(Stored::Created) => {
                     emit!(
                         JobsEvent::JobAccepted,
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -13,7 +13,7 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{Message, Office, URGENT_WRITE_INTERVAL, WRITE_INTERVAL};
 use crate::edges::FencingToken;
@@ -23,7 +23,12 @@
 use crate::site::{Formats, Site};
 
 /// Time between two attempts of the same write.
-const RETRY: Duration = Duration::from_millis(60);
+const RETRY: Duration = Duration::from_millis(20);
+/// Time after which a write without answer is sent again, on another connection. It doubles from
+/// attempt to attempt, so that a slow store is given its time.
+const FIRST_ATTEMPT: Duration = Duration::from_millis(150);
+/// Longest such time.
+const ATTEMPT_MAX: Duration = Duration::from_millis(1_200);
 
 /// Where the chain of writes stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,8 +101,12 @@
     let next = Sequence { number: former.number + 1, ..former };
     let transaction = transaction(site, token, former, next, &flush);
     let mut outage = Outage::new("owner's writes");
+    let mut patience = FIRST_ATTEMPT;
     loop {
-        match site.store().commit(transaction.clone()).await {
+        let attempt = timeout(patience, site.store().commit(transaction.clone())).await;
+        patience = (patience * 2).min(ATTEMPT_MAX);
+        let lost = || Err(StoreError::OutcomeUnknown("no answer yet".into()));
+        match attempt.unwrap_or_else(|_| lost()) {
             Ok(TransactionOutcome::Written(revision)) => {
                 outage.note_success();
                 return Written::Done { flush, sequence: Sequence { revision, ..next } };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -14,6 +14,8 @@
 const CLOCK_SLOW_PERCENT: u32 = 2;
 /// Added to the time at which runs are taken as over, for the resolution of the clocks.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(100);
+/// Lost looks in a row after which a worker gets no new work until it answers again.
+const FAILED_LOOKS_MAX: u32 = 1;
 /// A worker whose last answer is older than this gets no new work. Workers without work answer
 /// every two seconds.
 const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_600);
@@ -198,13 +200,15 @@
         self.entry.room.minus(&self.reserved)
     }
 
-    /// Whether it may be given work now.
+    /// Whether it may be given work now. One lost look is no reason against it: an order carries
+    /// the owner's token, and the next look shows whether its life is still the same.
     pub fn is_usable(&self, now: Moment) -> bool {
         let answers = self.answered.is_some_and(|at| now.saturating_sub(at) < ANSWER_AGE_MAX);
         self.is_listed
             && !self.is_gone
             && self.is_recorded
-            && self.is_confirmed
+            && self.was_confirmed
+            && (self.is_confirmed || self.failed_looks <= FAILED_LOOKS_MAX)
             && !self.is_cordoned
             && !self.entry.is_draining
             && answers
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -96,7 +96,7 @@
     let desk = site.client("front").desk();
     ready(&desk).await;
     let late = WriteFault::Late(ms(300));
-    site.client("front").store.faults().fail_writes(2, late);
+    site.client("front").store.faults().fail_writes(3, late);
     assert_eq!(submit(&site, &desk, 1).await, Submitted::Unknown);
     let stored = || async { site.store.get(&job_key(1)).await.expect("store") };
     until("stored", async || stored().await.map(drop)).await;
