--- a/crates/jobs/src/owner/carry.rs
+++ b/crates/jobs/src/owner/carry.rs
@@ -16,7 +16,7 @@
 
 /// What came of an order.
 pub(super) enum Outcome {
-    Look { worker: WorkerSlot, sent: Moment, result: Result<Look, LookError> },
+    Look { worker: WorkerSlot, is_probe: bool, sent: Moment, result: Result<Look, LookError> },
     Start { worker: WorkerSlot, task: TaskId, run: RunNumber, outcome: OrderOutcome },
     Stop { worker: WorkerSlot, task: TaskId, run: RunNumber, outcome: OrderOutcome },
     Pace(OrderOutcome),
@@ -38,7 +38,7 @@
 
     pub(super) fn carry_out(&mut self, order: Order, now: Moment) {
         match order {
-            Order::Look { worker } => self.look(worker, now),
+            Order::Look { worker, is_probe } => self.look(worker, is_probe, now),
             Order::Start { worker, task, run, ticket } => {
                 self.start(worker, task, run, ticket, now);
             }
@@ -62,14 +62,14 @@
         }
     }
 
-    fn look(&mut self, worker: WorkerSlot, now: Moment) {
-        let request = self.scheduler.look_request(worker, now);
+    fn look(&mut self, worker: WorkerSlot, is_probe: bool, now: Moment) {
+        let request = self.scheduler.look_request(worker, is_probe, now);
         let address = self.scheduler.worker(worker).address.clone();
         let workers = self.site.workers().clone();
         self.run(async move {
             let sent = since_boot();
             let result = workers.look(&address, request).await;
-            Outcome::Look { worker, sent, result }
+            Outcome::Look { worker, is_probe, sent, result }
         });
     }
 
@@ -162,15 +162,12 @@
     pub(super) fn take_outcome(&mut self, outcome: Outcome, now: Moment) {
         self.count(&outcome);
         match outcome {
-            Outcome::Look { worker, result: Err(LookError::Fenced), .. } => {
-                self.is_fenced = true;
-                self.scheduler.note_look_failed(worker, &LookError::Fenced, now);
+            Outcome::Look { worker, is_probe, sent, result: Ok(look) } => {
+                self.scheduler.note_look(worker, is_probe, sent, now, look);
             }
-            Outcome::Look { worker, sent, result: Ok(look) } => {
-                self.scheduler.note_look(worker, sent, now, look);
-            }
-            Outcome::Look { worker, result: Err(error), .. } => {
-                self.scheduler.note_look_failed(worker, &error, now);
+            Outcome::Look { worker, is_probe, result: Err(error), .. } => {
+                self.is_fenced |= error == LookError::Fenced;
+                self.scheduler.note_look_failed(worker, is_probe, &error, now);
             }
             Outcome::Start { worker, task, run, outcome } => {
                 self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -28,6 +28,7 @@
 pub use self::flush::Flush;
 pub use self::upkeep::MachineOrder;
 use self::upkeep::{SentOrder, WaveProgress};
+use self::workers::Burial;
 use crate::balance::RecentNeed;
 use crate::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerId};
 use crate::edges::FencingToken;
@@ -77,6 +78,8 @@
     Look {
         /// The worker.
         worker: WorkerSlot,
+        /// Whether it is asked beside another look that waits for an end.
+        is_probe: bool,
     },
     /// Start a task.
     Start {
@@ -123,6 +126,8 @@
     config: Arc<ClusterConfig>,
     evacuated: HashSet<ZoneId>,
     workers: Vec<Worker>,
+    /// Lives that are over and still listed: when they were found over, and their begin.
+    buried: HashMap<WorkerId, Burial>,
     /// The present life of each worker.
     present: HashMap<WorkerId, WorkerSlot>,
     jobs: HashMap<JobId, Job>,
@@ -177,6 +182,7 @@
             config: Arc::default(),
             evacuated: HashSet::new(),
             workers: Vec::new(),
+            buried: HashMap::new(),
             present: HashMap::new(),
             jobs: HashMap::new(),
             ready: HashMap::new(),
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -26,14 +26,17 @@
 
 impl Scheduler {
     /// The look that is due at a worker. It extends the lease of what runs there.
-    pub fn look_request(&mut self, slot: WorkerSlot, now: Moment) -> LookRequest {
+    pub fn look_request(&mut self, slot: WorkerSlot, is_probe: bool, now: Moment) -> LookRequest {
         let hold = self.settings.hold;
         let token = self.tenure.token;
         let worker = &mut self.workers[slot];
-        worker.look = LookPhase::InFlight;
+        if !is_probe {
+            worker.look = LookPhase::InFlight;
+        }
         let lease_until = worker.is_confirmed.then(|| worker.extend_lease(hold, now)).flatten();
         let wait = match (worker.is_confirmed, worker.runs.is_empty()) {
             (false, _) => Duration::ZERO,
+            _ if is_probe => Duration::ZERO,
             (true, true) => WAIT_IDLE,
             (true, false) => WAIT_BUSY,
         };
@@ -44,7 +47,17 @@
     }
 
     /// Takes in what a look showed, that was sent at `sent` and answered at `now`.
-    pub fn note_look(&mut self, slot: WorkerSlot, sent: Moment, now: Moment, look: Look) {
+    ///
+    /// A look that was sent before one that has been taken in shows ends alone: what it says of
+    /// runs may be older.
+    pub fn note_look(
+        &mut self,
+        slot: WorkerSlot,
+        is_probe: bool,
+        sent: Moment,
+        now: Moment,
+        look: Look,
+    ) {
         let worker = &mut self.workers[slot];
         if worker.is_gone {
             return;
@@ -65,7 +78,11 @@
         worker.failed_looks = 0;
         // A worker that was lost from sight may hold runs whose lease is about to end.
         let next = if first { now } else { now + LOOK_GAP };
-        worker.look = LookPhase::DueAt(next);
+        if !is_probe {
+            worker.look = LookPhase::DueAt(next);
+        }
+        let is_latest = sent >= worker.look_sent;
+        worker.look_sent = worker.look_sent.max(sent);
         if first {
             self.mark_changed(slot);
         }
@@ -73,6 +90,9 @@
         for row in look.ended {
             self.note_end(slot, row, now);
         }
+        if !is_latest {
+            return;
+        }
         for row in look.running {
             shown.insert(row.task);
             self.note_running(slot, row, now);
@@ -200,8 +220,18 @@
     }
 
     /// Takes in that a look brought nothing.
-    pub fn note_look_failed(&mut self, slot: WorkerSlot, error: &LookError, now: Moment) {
+    pub fn note_look_failed(
+        &mut self,
+        slot: WorkerSlot,
+        is_probe: bool,
+        error: &LookError,
+        now: Moment,
+    ) {
         let worker = &mut self.workers[slot];
+        if is_probe {
+            // The look that waits tells whether the worker is lost.
+            return;
+        }
         worker.look = LookPhase::DueAt(now + RETRY_GAP);
         if worker.is_gone {
             return;
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -15,7 +15,7 @@
 /// How long a worker that had no room or was unwell gets no more work.
 const BLOCKED: Duration = Duration::from_millis(300);
 /// Time between two orders to stop the same run.
-const STOP_RETRY: Duration = Duration::from_millis(300);
+const STOP_RETRY: Duration = Duration::from_millis(120);
 /// Added to a run number that a worker has called outdated.
 const RUN_STEP: RunNumber = 8;
 
@@ -123,8 +123,10 @@
         let ordered = self.workers[slot].runs.get_mut(&task);
         let Some(ordered) = ordered.filter(|ordered| ordered.number == run) else { return };
         let RunPhase::Stopping { confirmed, .. } = &mut ordered.phase else { return };
-        if outcome == OrderOutcome::Accepted {
-            *confirmed = confirmed.or(Some(now));
+        if outcome == OrderOutcome::Accepted && confirmed.is_none() {
+            *confirmed = Some(now);
+            // A run that had never begun shows no end: the next look tells that it is not there.
+            self.workers[slot].is_probe_due = true;
         }
     }
 
@@ -140,7 +142,7 @@
             }
             // A confirmed stop is repeated only if its run goes on past all bounds.
             *next_try = match confirmed {
-                Some(_) => now + STOP_RETRY * 10,
+                Some(_) => now + STOP_RETRY * 20,
                 None => now + STOP_RETRY,
             };
             orders.push(super::Order::Stop { worker: *slot, task: *task, run: run.number });
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -60,12 +60,18 @@
         due.min().unwrap_or(Moment::MAX).min(now + REPLAN_INTERVAL)
     }
 
-    fn due_looks(&self, now: Moment, orders: &mut Vec<Order>) {
-        for (worker, life) in self.workers.iter().enumerate() {
+    fn due_looks(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        for (worker, life) in self.workers.iter_mut().enumerate() {
+            if life.is_gone {
+                continue;
+            }
             let is_due = matches!(life.look, LookPhase::DueAt(at) if at <= now);
-            if is_due && !life.is_gone {
-                orders.push(Order::Look { worker });
+            if is_due {
+                orders.push(Order::Look { worker, is_probe: false });
+            } else if life.is_probe_due {
+                orders.push(Order::Look { worker, is_probe: true });
             }
+            life.is_probe_due = false;
         }
     }
 
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -1,18 +1,28 @@
 //! Workers as the platform lists them.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
 use super::Scheduler;
-use crate::cluster::{WorkerEntry, WorkerId};
+use crate::cluster::{MachineState, WorkerEntry, WorkerId};
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::record::KnownWorker;
 use crate::spec::Resources;
 use crate::worker::Worker;
 
+/// A life that is over though it is still listed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Burial {
+    /// When it was found to be over.
+    at: Moment,
+    /// Its begin.
+    born_unix: Option<Duration>,
+}
+
 impl Scheduler {
     /// Adds the workers to which earlier owners gave tasks, listed or not.
     pub(super) fn add_known_workers(&mut self, now: Moment) {
@@ -44,6 +54,7 @@
     /// Takes over the list of workers.
     pub fn set_workers(&mut self, entries: Vec<WorkerEntry>, now: Moment) {
         let listed: HashSet<WorkerId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        self.buried.retain(|id, _| listed.contains(id));
         for entry in entries {
             self.note_entry(entry, now);
         }
@@ -59,6 +70,9 @@
 
     fn note_entry(&mut self, entry: WorkerEntry, now: Moment) {
         let Some(slot) = self.present.get(&entry.id).copied() else {
+            if self.is_buried(&entry) {
+                return;
+            }
             let (id, service) = (entry.id.clone(), entry.service.clone());
             let slot = self.add_worker(entry, now);
             self.is_flush_urgent = true;
@@ -88,6 +102,17 @@
         }
     }
 
+    /// Whether a report is the last one of a life that is over.
+    fn is_buried(&self, entry: &WorkerEntry) -> bool {
+        let Some(burial) = self.buried.get(&entry.id) else { return false };
+        // A list of machines that was asked for since may show that the worker lives.
+        let is_seen_up = self.machines_listed.is_some_and(|at| at > burial.at)
+            && self.machines.iter().any(|machine| {
+                machine.state == MachineState::Up && machine.worker.as_ref() == Some(&entry.id)
+            });
+        !is_seen_up && entry.born_unix == burial.born_unix
+    }
+
     /// Ends a worker's life: everything that ran there is over.
     pub(super) fn lose_worker(&mut self, slot: WorkerSlot, now: Moment) {
         let worker = &mut self.workers[slot];
@@ -97,6 +122,9 @@
         worker.is_gone = true;
         worker.is_listed = false;
         let id = worker.entry.id.clone();
+        let burial = Burial { at: now, born_unix: worker.entry.born_unix };
+        self.buried.insert(id.clone(), burial);
+        let worker = &self.workers[slot];
         emit!(JobsEvent::WorkerLost, worker = id, runs = worker.runs.len());
         self.lose_runs(slot, now);
         if self.present.get(&id) == Some(&slot) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -114,6 +114,10 @@
     pub ends_stored: u64,
     /// Looks.
     pub look: LookPhase,
+    /// Whether a look beside the one that waits is due, since a stop was confirmed.
+    pub is_probe_due: bool,
+    /// When the latest look that was answered had been sent.
+    pub look_sent: Moment,
     /// Looks that failed since the last one that succeeded.
     pub failed_looks: u32,
     /// When it last answered.
@@ -154,6 +158,8 @@
             ends_seen: 0,
             ends_stored: 0,
             look: LookPhase::DueAt(now),
+            is_probe_due: false,
+            look_sent: Moment::ZERO,
             failed_looks: 0,
             answered: None,
             expires,
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -108,16 +108,65 @@
 
 /// Something that happens at a moment.
 enum Event {
-    Look { owner: u64, slot: usize, worker: usize, request: LookRequest, sent: Duration },
-    LookDone { owner: u64, slot: usize, sent: Duration, result: Result<Look, LookError> },
-    Start { owner: u64, slot: usize, to: Life, request: StartRequest, answers: bool },
-    StartDone { owner: u64, slot: usize, task: TaskId, run: RunNumber, outcome: OrderOutcome },
-    Stop { owner: u64, slot: usize, to: Life, task: TaskId, run: RunNumber, answers: bool },
-    StopDone { owner: u64, slot: usize, task: TaskId, run: RunNumber, outcome: OrderOutcome },
-    Flushed { owner: u64, flush: Flush },
-    RunEnds { worker: usize, task: TaskId, run: RunNumber },
-    Crash { worker: usize },
-    Restart { worker: usize },
+    Look {
+        owner: u64,
+        slot: usize,
+        is_probe: bool,
+        worker: usize,
+        request: LookRequest,
+        sent: Duration,
+    },
+    LookDone {
+        owner: u64,
+        slot: usize,
+        is_probe: bool,
+        sent: Duration,
+        result: Result<Look, LookError>,
+    },
+    Start {
+        owner: u64,
+        slot: usize,
+        to: Life,
+        request: StartRequest,
+        answers: bool,
+    },
+    StartDone {
+        owner: u64,
+        slot: usize,
+        task: TaskId,
+        run: RunNumber,
+        outcome: OrderOutcome,
+    },
+    Stop {
+        owner: u64,
+        slot: usize,
+        to: Life,
+        task: TaskId,
+        run: RunNumber,
+        answers: bool,
+    },
+    StopDone {
+        owner: u64,
+        slot: usize,
+        task: TaskId,
+        run: RunNumber,
+        outcome: OrderOutcome,
+    },
+    Flushed {
+        owner: u64,
+        flush: Flush,
+    },
+    RunEnds {
+        worker: usize,
+        task: TaskId,
+        run: RunNumber,
+    },
+    Crash {
+        worker: usize,
+    },
+    Restart {
+        worker: usize,
+    },
     OwnerDies,
     OwnerComes,
     Tick,
@@ -310,11 +359,11 @@
     fn carry_out(&mut self, scheduler: &mut Scheduler, order: Order) {
         let (owner, latency) = (self.owner, self.latency());
         match order {
-            Order::Look { worker: slot } => {
-                let request = scheduler.look_request(slot, self.now);
+            Order::Look { worker: slot, is_probe } => {
+                let request = scheduler.look_request(slot, is_probe, self.now);
                 let worker = self.worker_number(&scheduler.worker(slot).entry.id);
                 let sent = self.now;
-                self.at(latency, Event::Look { owner, slot, worker, request, sent });
+                self.at(latency, Event::Look { owner, slot, is_probe, worker, request, sent });
             }
             Order::Start { worker: slot, task, run, ticket } => {
                 let Some(request) = scheduler.start_request(slot, task, run, ticket, self.now)
@@ -359,14 +408,14 @@
                 }
                 self.at(ms(20), Event::Tick);
             }
-            Event::Look { owner, slot, worker, request, sent } => {
-                self.look(owner, slot, worker, request, sent);
+            Event::Look { owner, slot, is_probe, worker, request, sent } => {
+                self.look(owner, slot, is_probe, worker, request, sent);
             }
-            Event::LookDone { owner: from, slot, sent, result } if from == owner => {
+            Event::LookDone { owner: from, slot, is_probe, sent, result } if from == owner => {
                 let Some(scheduler) = &mut self.scheduler else { return };
                 match result {
-                    Ok(look) => scheduler.note_look(slot, sent, now, look),
-                    Err(error) => scheduler.note_look_failed(slot, &error, now),
+                    Ok(look) => scheduler.note_look(slot, is_probe, sent, now, look),
+                    Err(error) => scheduler.note_look_failed(slot, false, &error, now),
                 }
             }
             Event::Start { owner, slot, to, request, answers } => {
@@ -418,6 +467,7 @@
         &mut self,
         owner: u64,
         slot: usize,
+        is_probe: bool,
         worker: usize,
         request: LookRequest,
         sent: Duration,
@@ -438,7 +488,7 @@
         for end in self.workers[worker].take_acknowledged() {
             self.note_acknowledged(end);
         }
-        self.at(delay, Event::LookDone { owner, slot, sent, result });
+        self.at(delay, Event::LookDone { owner, slot, is_probe, sent, result });
     }
 
     /// An end that was acknowledged must be in the store.
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -83,8 +83,8 @@
 
     fn carry_out(&mut self, order: Order) {
         match order {
-            Order::Look { worker } => {
-                let _ = self.scheduler.look_request(worker, self.now);
+            Order::Look { worker, is_probe } => {
+                let _ = self.scheduler.look_request(worker, is_probe, self.now);
                 let rows = self.running.get(&worker).cloned().unwrap_or_default();
                 let row = |(task, run)| RunningRow {
                     task,
@@ -95,7 +95,7 @@
                 };
                 let running = rows.into_iter().map(row).collect();
                 let look = Look { clock: self.now, running, ..Look::default() };
-                self.scheduler.note_look(worker, self.now, self.now, look);
+                self.scheduler.note_look(worker, is_probe, self.now, self.now, look);
             }
             Order::Start { worker, task, run, .. } => {
                 self.running.entry(worker).or_default().push((task, run));
@@ -267,7 +267,7 @@
     desk.pass(ms(100));
     let slot = *desk.running.keys().next().expect("one worker runs it");
     let error = LookError::NoAnswer("timeout".into());
-    desk.scheduler.note_look_failed(slot, &error, desk.now);
+    desk.scheduler.note_look_failed(slot, false, &error, desk.now);
     desk.now += ms(10);
     let mut machines = Desk::machines(2, MachineState::Up);
     machines[slot].state = MachineState::Down;
@@ -286,11 +286,11 @@
     let slot = *desk.running.keys().next().expect("one worker runs it");
     let error = LookError::NoAnswer("timeout".into());
     for _ in 0..28 {
-        desk.scheduler.note_look_failed(slot, &error, desk.now);
+        desk.scheduler.note_look_failed(slot, false, &error, desk.now);
         desk.now += ms(200);
         desk.list(Desk::machines(2, MachineState::Up));
         for order in desk.scheduler.plan(Duration::ZERO, desk.now) {
-            if !matches!(order, Order::Look { worker } if worker == slot) {
+            if !matches!(order, Order::Look { worker, .. } if worker == slot) {
                 desk.carry_out(order);
             }
         }
@@ -320,12 +320,12 @@
     let ended = vec![EndedRow { number: 7, task, run, end, checkpoint: None }];
     desk.running.clear();
     let look = Look { clock: desk.now, ended, ..Look::default() };
-    desk.scheduler.note_look(0, desk.now, desk.now, look);
+    desk.scheduler.note_look(0, false, desk.now, desk.now, look);
     desk.pass(ms(100));
-    assert_eq!(desk.scheduler.look_request(0, desk.now).acknowledged, 7);
+    assert_eq!(desk.scheduler.look_request(0, false, desk.now).acknowledged, 7);
     let error = LookError::NoAnswer("reset".into());
-    desk.scheduler.note_look_failed(0, &error, desk.now);
-    let request = desk.scheduler.look_request(0, desk.now);
+    desk.scheduler.note_look_failed(0, false, &error, desk.now);
+    let request = desk.scheduler.look_request(0, false, desk.now);
     assert_eq!((request.acknowledged, request.lease_until), (0, None));
 }
 
@@ -344,9 +344,9 @@
     };
     let life = |born| Look { clock: ms(1), born_unix: Some(ms(born)), ..Look::default() };
     let first = Look { ended: vec![row(5, runs[0])], ..life(1_000) };
-    desk.scheduler.note_look(0, desk.now, desk.now, first);
+    desk.scheduler.note_look(0, false, desk.now, desk.now, first);
     let second = Look { ended: vec![row(1, runs[1])], ..life(2_000) };
-    desk.scheduler.note_look(0, desk.now, desk.now, second);
+    desk.scheduler.note_look(0, false, desk.now, desk.now, second);
     assert_eq!(desk.scheduler.job(1).map(|job| job.state), Some(JobState::Completed));
 }
 
@@ -385,9 +385,9 @@
                 began.insert(task.step.job, desk.now - now);
             }
             match order {
-                Order::Look { worker } if worker == silent => {
-                    let _ = desk.scheduler.look_request(worker, desk.now);
-                    desk.scheduler.note_look_failed(worker, &error, desk.now);
+                Order::Look { worker, .. } if worker == silent => {
+                    let _ = desk.scheduler.look_request(worker, false, desk.now);
+                    desk.scheduler.note_look_failed(worker, false, &error, desk.now);
                 }
                 order => desk.carry_out(order),
             }
