Ask a silent store by reads of our own, not with callers' jobs

Change: the first call without answer starts reads until one is answered; meanwhile jobs are refused at once.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use cassiafold_config::TeamId;
@@ -36,8 +37,10 @@
 /// Time after which a call without answer is sent again, on another connection. It doubles from
 /// attempt to attempt, so that a slow store is given its time.
 const FIRST_ATTEMPT: Duration = Duration::from_millis(200);
-/// While the store does not answer one call is let through this often, to see whether it does.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of the read that tells whether the store answers.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two such reads.
+const CHECK_GAP: Duration = Duration::from_millis(60);
 /// Time between two attempts of the same call to the store.
 const ATTEMPT_GAP: Duration = Duration::from_millis(40);
 /// How long a count of waiting jobs is used again.
@@ -186,7 +189,8 @@
     views: watch::Receiver<Arc<View>>,
     sender: ViewSender,
     metrics: JobsMetrics,
-    silence: Mutex<Silence>,
+    /// Whether the store is being asked whether it answers.
+    is_silent: Arc<AtomicBool>,
     waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
     finals: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
 }
@@ -212,7 +216,7 @@
             views,
             sender,
             metrics,
-            silence: Mutex::default(),
+            is_silent: Arc::default(),
             waiting: Mutex::default(),
             finals: Mutex::default(),
         }
@@ -226,35 +230,17 @@
         view.config.is_some() && age < age_max && !self.is_store_silent()
     }
 
-    /// Whether the last call to the store was not answered, and nothing was heard since.
+    /// Whether the store did not answer a call, and has not answered a read since.
     fn is_store_silent(&self) -> bool {
-        let silence = *self.silence.lock().unwrap_or_else(PoisonError::into_inner);
-        let confirmed = self.views.borrow().confirmed;
-        silence.since.is_some_and(|since| confirmed < since)
+        self.is_silent.load(Ordering::Relaxed)
     }
 
-    /// Whether a call may be sent: the store answers, or it is time to see whether it does.
-    fn may_call(&self) -> bool {
-        if !self.is_store_silent() {
-            return true;
-        }
-        let now = since_boot();
-        let mut silence = self.silence.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_due = now >= silence.probed + PROBE_INTERVAL;
-        if is_due {
-            silence.probed = now;
-        }
-        is_due
-    }
-
-    /// Notes whether the store has answered a call.
+    /// Notes whether the store has answered a call. If not, it is read until it answers.
     fn heard<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
-        let mut silence = self.silence.lock().unwrap_or_else(PoisonError::into_inner);
-        match &result {
-            Err(StoreError::OutcomeUnknown(_) | StoreError::Unavailable(_)) => {
-                silence.since = silence.since.or(Some(since_boot()));
-            }
-            _ => silence.since = None,
+        let is_lost =
+            matches!(result, Err(StoreError::OutcomeUnknown(_) | StoreError::Unavailable(_)));
+        if is_lost && !self.is_silent.swap(true, Ordering::Relaxed) {
+            tokio::spawn(wait_for_store(self.site.store().clone(), self.is_silent.clone()));
         }
         result
     }
@@ -303,7 +289,7 @@
             let Target::Job(id) = admitted.target else {
                 return Submitted::Denied(Denial::NoJob);
             };
-            if unanswered == 0 && !self.may_call() {
+            if unanswered == 0 && self.is_store_silent() {
                 return refuse(id, "the store does not answer");
             }
             let patience = FIRST_ATTEMPT * (1 << unanswered);
@@ -400,7 +386,7 @@
         let Target::Job(id) = admitted.target else { return Cancelled::Denied(Denial::NoJob) };
         let deadline = call.deadline - ANSWER_MARGIN;
         loop {
-            if !self.may_call() {
+            if self.is_store_silent() {
                 return Cancelled::Unknown;
             }
             match self.heard(self.store_cancel(id, admitted.team.as_ref()).await) {
@@ -446,7 +432,7 @@
         let Target::Job(id) = admitted.target else { return Looked::Denied(Denial::NoJob) };
         let deadline = call.deadline - ANSWER_MARGIN;
         loop {
-            if self.final_state(id).is_none() && !self.may_call() {
+            if self.final_state(id).is_none() && self.is_store_silent() {
                 return Looked::Unknown;
             }
             match self.heard(self.read_state(id, admitted.team.as_ref()).await) {
@@ -546,13 +532,15 @@
     }
 }
 
-/// How long the store has not answered this desk.
-#[derive(Debug, Clone, Copy, Default)]
-struct Silence {
-    /// Since when; `None` while it answers.
-    since: Option<Moment>,
-    /// When a call was last let through all the same.
-    probed: Moment,
+/// Reads the store until it answers.
+async fn wait_for_store<S: Store>(store: S, is_silent: Arc<AtomicBool>) {
+    loop {
+        if let Ok(Ok(_)) = timeout(CHECK_TIMEOUT, store.get(WAITING_KEY)).await {
+            is_silent.store(false, Ordering::Relaxed);
+            return;
+        }
+        sleep(CHECK_GAP).await;
+    }
 }
 
 /// Refuses a job of which nothing was sent to the store.
