--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -10,7 +10,7 @@
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
-use crate::spec::{JobId, OccurrenceNumber, TaskId};
+use crate::spec::{JobId, OccurrenceNumber, StepId, TaskId};
 
 /// Seconds of its weight that a team may send at once before its jobs count as beyond it.
 const WEIGHT_BURST_S: f64 = 2.0;
@@ -105,6 +105,18 @@
         self.scheduled.retain(|id| jobs.get(id).is_some_and(Job::is_live));
     }
 
+    /// Begins a repetition of which a worker knows a run: an earlier owner had begun it.
+    pub(super) fn ensure_begun(&mut self, step: StepId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&step.job).filter(|job| job.is_live()) else { return };
+        let repeats = job.record.spec.schedule.is_some();
+        let is_known = job.occurrences.contains_key(&step.occurrence);
+        if !repeats || is_known || step.occurrence >= job.record.spec.occurrences() {
+            return;
+        }
+        job.begin(step.occurrence, None, self.tenure.run_base, now);
+        self.advance(step.job, step.occurrence, now);
+    }
+
     /// Restores repetitions of a scheduled job that had begun under an earlier owner.
     pub fn restore_occurrences(&mut self, id: JobId, stored: &StateRecord, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_live()) else { return };
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -107,6 +107,7 @@
         }
         worker.ends_seen = row.number;
         self.is_flush_urgent |= row.end == RunEnd::Done;
+        self.ensure_begun(row.task.step, now);
         self.run_ended(slot, &row, now);
     }
 
@@ -138,6 +139,7 @@
     /// Takes over a run that was not ordered by this owner, or lets it end where it must not be.
     fn adopt(&mut self, slot: WorkerSlot, row: RunningRow, token: u64, now: Moment) {
         let id = row.task;
+        self.ensure_begun(id.step, now);
         let job = self.jobs.get_mut(&id.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(id.step.step)).cloned();
         let is_live = job.as_ref().is_some_and(|job| job.is_live());
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -13,7 +13,7 @@
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::{JobState, StateRecord};
 use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure};
-use cassiafold_jobs::spec::{JobId, Resources, StepSpec, TaskId};
+use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TaskId};
 
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{SERVICE, config, cores, job, ms, settings, step};
@@ -350,6 +350,30 @@
     assert_eq!(desk.scheduler.job(1).map(|job| job.state), Some(JobState::Completed));
 }
 
+#[test]
+fn runs_of_a_repetition_that_an_earlier_owner_began_are_taken_over() {
+    let mut desk = Desk::new(1, Tenure { token: 50, run_base: 1_000, ..Tenure::default() });
+    let mut record = job(vec![step(2, 1, &[])]);
+    let first_unix = Duration::from_secs(500);
+    record.spec.schedule =
+        Some(Schedule { first_unix, interval: Duration::from_secs(1), occurrences: 2 });
+    let touched =
+        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
+    desk.scheduler.add_job(1, record, 40, Some(&touched), desk.now);
+    let task = |index| TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
+    let end = RunEnd::Done;
+    let ended = vec![EndedRow { number: 1, task: task(0), run: 3, end, checkpoint: None }];
+    let running =
+        vec![RunningRow { task: task(1), run: 4, checkpoint: None, percent: 50, reading: 0 }];
+    let look = Look { clock: desk.now, running, ended, ..Look::default() };
+    desk.scheduler.note_look(0, false, desk.now, desk.now, look);
+    desk.running.insert(0, vec![(task(1), 4)]);
+    desk.pass(ms(300));
+    assert_eq!(desk.running[&0], vec![(task(1), 4)], "neither stopped nor started again");
+    let known = desk.scheduler.job(1).and_then(|job| job.task(task(0))).map(|task| task.is_done);
+    assert_eq!(known, Some(true));
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
