Acknowledge ends while others keep coming, and keep writes within 32 entries

A write with waves and removals could have had 33 entries. Change: each job that falls behind remembers how many ends had been taken in; ends before the first of these are acknowledged. Half of a write is for the jobs that fell behind first.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -39,8 +39,6 @@
     pub occurrences: BTreeMap<OccurrenceNumber, Occurrence>,
     /// Repetitions that have ended.
     pub ended: Vec<OccurrenceNumber>,
-    /// Whether the state in the store is behind.
-    pub is_dirty: bool,
     /// When the stored final state may be removed.
     pub final_since: Option<Moment>,
 }
@@ -122,7 +120,6 @@
             beyond_weight: false,
             occurrences: BTreeMap::new(),
             ended: state.map(|state| state.ended.clone()).unwrap_or_default(),
-            is_dirty: false,
             final_since: stored.is_final().then_some(now),
         }
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -143,8 +143,11 @@
     uncertain_until: Moment,
     /// Services in which something has changed since the last plan.
     changed: HashSet<ServiceId>,
-    /// Jobs whose state in the store is behind.
-    dirty: HashSet<JobId>,
+    /// Jobs whose state in the store is behind, with the number of ends taken in when it first
+    /// fell behind.
+    dirty: HashMap<JobId, u64>,
+    /// Number of ends taken in, from all workers.
+    ends_taken: u64,
     /// Whether something waits for the next write.
     is_flush_urgent: bool,
     /// Runs that shall end.
@@ -191,7 +194,8 @@
             team_use: HashMap::new(),
             uncertain_until: now,
             changed: HashSet::new(),
-            dirty: HashSet::new(),
+            dirty: HashMap::new(),
+            ends_taken: 0,
             is_flush_urgent: false,
             stopping: Vec::new(),
             tickets: HashMap::new(),
@@ -261,6 +265,11 @@
         self.tenure.is_first_holder || now.saturating_sub(self.began) > self.settings.machine_lease
     }
 
+    fn mark_dirty(&mut self, job: JobId) {
+        let ends_taken = self.ends_taken;
+        self.dirty.entry(job).or_insert(ends_taken);
+    }
+
     fn mark_changed(&mut self, slot: WorkerSlot) {
         let service = self.workers[slot].entry.service.clone();
         self.changed.insert(service);
--- a/crates/jobs/src/scheduler/ends.rs
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -86,7 +86,7 @@
             copies.extend(task.copies.iter().map(|slot| (*slot, TaskId { index, ..id })));
         }
         let is_done = step.is_done();
-        self.dirty.insert(job_id);
+        self.mark_dirty(job_id);
         for (slot, task) in copies {
             self.stop_run(slot, task, now);
         }
@@ -116,7 +116,7 @@
             task.avoid.push(slot);
             task.not_before = now + FAILED_DELAY;
         }
-        self.dirty.insert(id.step.job);
+        self.mark_dirty(id.step.job);
         emit!(
             JobsEvent::RunFailed,
             task = id,
@@ -166,7 +166,7 @@
     pub(super) fn lose_runs(&mut self, slot: WorkerSlot, now: Moment) {
         let tasks: Vec<TaskId> = self.workers[slot].runs.keys().copied().collect();
         for task in tasks {
-            self.dirty.insert(task.step.job);
+            self.mark_dirty(task.step.job);
             self.release(slot, task, now);
         }
     }
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -16,13 +16,24 @@
 };
 use crate::spec::JobId;
 
-/// States of jobs in one write.
-const STATES_MAX: usize = 24;
+/// States of jobs in one write. The store takes 32 entries: beside the states there are two
+/// conditions, the sequence, three lists, waves and removals.
+const STATES_MAX: usize = 20;
+/// Statuses of waves in one write.
+const WAVES_MAX: usize = 3;
 /// Ended jobs that are removed in one write.
 const REMOVALS_MAX: usize = 1;
 /// Time between two writes of the number of waiting jobs.
 const WAITING_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Ends of a worker's life up to a number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct StoredEnds {
+    worker: WorkerSlot,
+    life: u32,
+    number: u64,
+}
+
 /// One write of the owner, and what follows from it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Flush {
@@ -32,7 +43,7 @@
     pub removals: Vec<Arc<str>>,
     /// Waves whose status is to be stored, with whether they are complete.
     pub waves: Vec<(WaveNumber, bool)>,
-    ends: Vec<(WorkerSlot, u64)>,
+    ends: Vec<StoredEnds>,
     recorded: Vec<WorkerSlot>,
     unrecorded: Vec<WorkerSlot>,
     removed: Vec<JobId>,
@@ -54,16 +65,9 @@
         self.collect_waiting(now, &mut flush);
         self.collect_removals(now, &mut flush);
         flush.waves = self.wave_statuses();
-        if self.dirty.is_empty() {
-            self.is_flush_urgent = false;
-            flush.ends = self
-                .workers
-                .iter()
-                .enumerate()
-                .filter(|(_, worker)| !worker.is_gone && worker.ends_seen > worker.ends_stored)
-                .map(|(slot, worker)| (slot, worker.ends_seen))
-                .collect();
-        }
+        flush.waves.truncate(WAVES_MAX);
+        self.is_flush_urgent &= !self.dirty.is_empty();
+        flush.ends = self.storable_ends();
         let writes =
             !flush.puts.is_empty() || !flush.removals.is_empty() || !flush.waves.is_empty();
         if !writes {
@@ -74,14 +78,36 @@
         Some(flush)
     }
 
+    /// Ends whose effects are in the store once this write has taken effect.
+    fn storable_ends(&self) -> Vec<StoredEnds> {
+        let open_since = self.dirty.values().min().copied().unwrap_or(u64::MAX);
+        let workers = self.workers.iter().enumerate().filter(|(_, worker)| !worker.is_gone);
+        let ends = workers.filter_map(|(worker, life)| {
+            let storable = life.ends_open.iter().take_while(|(_, order)| *order < open_since);
+            let number = storable.last()?.0;
+            Some(StoredEnds { worker, life: life.life, number })
+        });
+        ends.collect()
+    }
+
+    /// Jobs whose states are written next: those that fell behind first, so that no end stays
+    /// unacknowledged, and final ones, since callers wait for them.
+    fn next_dirty(&self) -> Vec<JobId> {
+        let mut ids: Vec<JobId> = self.dirty.keys().copied().collect();
+        ids.sort_by_key(|id| (self.dirty[id], *id));
+        let rest = ids.split_off(ids.len().min(STATES_MAX / 2));
+        let (live, ended): (Vec<JobId>, Vec<JobId>) =
+            rest.into_iter().partition(|id| self.jobs.get(id).is_some_and(Job::is_live));
+        ids.extend(ended);
+        ids.extend(live);
+        ids.truncate(STATES_MAX);
+        ids
+    }
+
     fn collect_states(&mut self, flush: &mut Flush) {
-        // Final states come first, since callers wait for them.
-        let mut ids: Vec<JobId> = self.dirty.iter().copied().collect();
-        ids.sort_by_key(|id| (self.jobs.get(id).is_some_and(Job::is_live), *id));
-        for id in ids.into_iter().take(STATES_MAX) {
+        for id in self.next_dirty() {
             self.dirty.remove(&id);
             let Some(job) = self.jobs.get_mut(&id) else { continue };
-            job.is_dirty = false;
             match job.to_state().encode() {
                 Ok(bytes) => {
                     flush.puts.push((state_key(id), bytes));
@@ -148,7 +174,7 @@
         let kept = self.settings.status_kept;
         let over = self.jobs.values().filter(|job| {
             job.final_since.is_some_and(|since| now.saturating_sub(since) > kept)
-                && !self.dirty.contains(&job.id)
+                && !self.dirty.contains_key(&job.id)
         });
         let ids: Vec<JobId> = over.take(REMOVALS_MAX).map(|job| job.id).collect();
         for id in ids {
@@ -159,11 +185,12 @@
 
     /// Takes in that a write has taken effect.
     pub fn note_flushed(&mut self, flush: &Flush) {
-        for (slot, number) in &flush.ends {
-            let worker = &mut self.workers[*slot];
+        for ends in &flush.ends {
+            let worker = &mut self.workers[ends.worker];
             // A new life counts its ends from the start.
-            if worker.ends_seen >= *number {
-                worker.ends_stored = worker.ends_stored.max(*number);
+            if worker.life == ends.life {
+                worker.ends_stored = worker.ends_stored.max(ends.number);
+                worker.ends_open.retain(|(number, _)| *number > ends.number);
             }
         }
         for slot in &flush.recorded {
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -141,9 +141,8 @@
         if job.occurrences.get(&number).is_some_and(|occurrence| occurrence.is_done()) {
             job.occurrences.remove(&number);
             job.ended.push(number);
-            job.is_dirty = true;
             let all_ended = job.ended.len() >= job.record.spec.occurrences() as usize;
-            self.dirty.insert(id);
+            self.mark_dirty(id);
             if all_ended {
                 self.finish(id, JobState::Completed, now);
             }
@@ -159,11 +158,10 @@
     pub(super) fn finish(&mut self, id: JobId, state: JobState, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = state;
-        job.is_dirty = true;
         job.final_since = Some(now);
         let service = job.record.service.clone();
         let age = now.saturating_sub(job.seen);
-        self.dirty.insert(id);
+        self.mark_dirty(id);
         self.is_flush_urgent = true;
         emit!(
             JobsEvent::JobEnded,
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -106,6 +106,8 @@
             return;
         }
         worker.ends_seen = row.number;
+        self.ends_taken += 1;
+        worker.ends_open.push_back((row.number, self.ends_taken));
         self.is_flush_urgent |= row.end == RunEnd::Done;
         self.ensure_begun(row.task.step, now);
         self.run_ended(slot, &row, now);
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -120,12 +120,13 @@
     /// Whether tasks of a job may start: the store says so, or is about to be told.
     fn announce(&mut self, step: StepId) -> bool {
         let Some(job) = self.jobs.get_mut(&step.job) else { return false };
-        if !job.is_announced && job.state == JobState::Queued {
+        let is_announced = job.is_announced;
+        if !is_announced && job.state == JobState::Queued {
             job.state = JobState::Running;
-            self.dirty.insert(step.job);
+            self.mark_dirty(step.job);
             self.is_flush_urgent = true;
         }
-        job.is_announced
+        is_announced
     }
 
     fn has_waiting(&self, id: StepId, now: Moment) -> bool {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker's life in the owner's memory: what runs there, and until when it may run.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -110,6 +110,11 @@
     pub reserved: Resources,
     /// Number of the last end that was taken in.
     pub ends_seen: u64,
+    /// Ends that were taken in and may not be stored: the number and the order among the ends of
+    /// all workers.
+    pub ends_open: VecDeque<(u64, u64)>,
+    /// Counts the lives under this id.
+    pub life: u32,
     /// Number of the last end whose effect is in the store.
     pub ends_stored: u64,
     /// Looks.
@@ -156,6 +161,8 @@
             runs: HashMap::new(),
             reserved: Resources::default(),
             ends_seen: 0,
+            ends_open: VecDeque::new(),
+            life: 0,
             ends_stored: 0,
             look: LookPhase::DueAt(now),
             is_probe_due: false,
@@ -195,6 +202,8 @@
         self.entry.born_unix = born_unix;
         self.ends_seen = 0;
         self.ends_stored = 0;
+        self.ends_open.clear();
+        self.life += 1;
         self.clock = None;
         self.lease_until = Duration::ZERO;
         self.expires = now;
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -374,6 +374,52 @@
     assert_eq!(known, Some(true));
 }
 
+#[test]
+fn a_write_never_has_more_entries_than_the_store_takes() {
+    let mut desk = Desk::new(1, Tenure::default());
+    for id in 1..200 {
+        desk.submit(id, vec![step(1, 1, &[])]);
+        desk.scheduler.cancel(id, desk.now);
+    }
+    let wave = |number| Wave { number, machines: Vec::new(), term: ms(1), at_once_max: 1 };
+    let waves: Vec<Wave> = (1..20).map(wave).collect();
+    desk.scheduler.set_waves(&waves, desk.now);
+    let conditions_and_sequence = 3;
+    for _ in 0..30 {
+        let Some(flush) = desk.scheduler.take_flush(desk.now) else { break };
+        let entries = flush.puts.len() + flush.removals.len() + flush.waves.len();
+        assert!(conditions_and_sequence + entries <= 32, "{entries}");
+        desk.scheduler.note_flushed(&flush);
+        desk.now += Duration::from_secs(60);
+    }
+}
+
+#[test]
+fn ends_are_acknowledged_though_new_ones_keep_coming() {
+    let mut desk = Desk::new(1, Tenure::default());
+    let mut number = 0;
+    for id in 1..400 {
+        desk.submit(id, vec![step(2, 0, &[])]);
+        desk.pass(ms(20));
+        let (task, run) = desk.running[&0][0];
+        desk.running.clear();
+        number += 1;
+        let row = EndedRow { number, task, run, end: RunEnd::Done, checkpoint: None };
+        let look = Look { clock: desk.now, ended: vec![row], ..Look::default() };
+        desk.scheduler.note_look(0, false, desk.now, desk.now, look);
+        // More jobs change between two writes than one write takes.
+        for other in 0..30 {
+            desk.submit(id * 1_000 + other, vec![step(1, 1, &[])]);
+            desk.scheduler.cancel(id * 1_000 + other, desk.now);
+        }
+        if let Some(flush) = desk.scheduler.take_flush(desk.now) {
+            desk.scheduler.note_flushed(&flush);
+        }
+    }
+    let acknowledged = desk.scheduler.look_request(0, false, desk.now).acknowledged;
+    assert!(acknowledged > 200, "{acknowledged} of {number}");
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
