Show no count of waiting jobs that is too old, and let strong machines own first

Change: the number carries its time, is written each second, and is not shown when it is older than four; machines with more of a core and a faster link claim first.

--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -36,6 +36,14 @@
 const OWNER_LEASE: Duration = Duration::from_millis(2_000);
 /// Longest random delay before a free ownership is claimed.
 const CLAIM_DELAY_MAX: Duration = Duration::from_millis(80);
+/// Delay for each time that a machine is weaker than a strong one.
+const CLAIM_DELAY_STEP: Duration = Duration::from_millis(50);
+/// Most such delays.
+const CLAIM_DELAY_STEPS_MAX: f64 = 10.0;
+/// Share of a core with which a machine claims without delay.
+const STRONG_CPU_SHARE: f64 = 0.25;
+/// Link with which a machine claims without delay.
+const STRONG_LINK_MBPS: f64 = 100.0;
 /// An instance whose view of the store is older than this takes no new callers.
 const VIEW_AGE_MAX: Duration = Duration::from_millis(2_600);
 /// Time after a stop in which callers are still sent here: two readiness checks and a bit.
@@ -80,6 +88,7 @@
         instance: settings.instance.clone(),
         lease_ttl: OWNER_LEASE,
         claim_delay_max: CLAIM_DELAY_MAX,
+        claim_delay: claim_delay(&settings),
         scheduler: settings.scheduler,
         metrics: metrics.clone(),
     };
@@ -98,6 +107,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Delay before a free ownership is claimed: an owner reads all jobs and orders all tasks, so the
+/// machines with more of a core and a faster link come first.
+fn claim_delay(settings: &PlatformSettings) -> Duration {
+    let processor = (STRONG_CPU_SHARE / settings.cpu_share.max(0.01) - 1.0).max(0.0);
+    let link = (STRONG_LINK_MBPS / settings.link_mbps.max(1.0) - 1.0).max(0.0);
+    CLAIM_DELAY_STEP.mul_f64((processor + link).min(CLAIM_DELAY_STEPS_MAX))
+}
+
 /// Reads the settings again on SIGHUP and tells what came of it. The addresses stay.
 async fn report_reloads(mut reload: Signal) {
     while reload.recv().await.is_some() {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -8,7 +8,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cassiafold_config::TeamId;
 use cassiafold_event::emit;
@@ -45,6 +45,8 @@
 const ATTEMPT_GAP: Duration = Duration::from_millis(40);
 /// How long a count of waiting jobs is used again.
 const WAITING_AGE_MAX: Duration = Duration::from_millis(400);
+/// Counts older than this are not shown. An owner counts each second; clocks of instances differ.
+const COUNT_AGE_MAX: Duration = Duration::from_millis(4_000);
 /// Final states that are remembered.
 const FINAL_STATES_MAX: usize = 4_096;
 /// Time kept of a caller's timeout to bring the answer back.
@@ -494,6 +496,10 @@
             Err(denial) => return Counted::Denied(denial),
         };
         match self.waiting().await {
+            Ok(waiting) if is_outdated(&waiting, unix_now()) => {
+                emit!(JobsEvent::CountOutdated, queue = admitted.queue.id);
+                Counted::Unknown
+            }
             Ok(waiting) => Counted::Waiting(count_of(&waiting, &admitted.queue.id)),
             Err(error) => {
                 emit!(JobsEvent::StateUnknown, queue = admitted.queue.id, error = error);
@@ -562,6 +568,16 @@
     }
 }
 
+/// Whether nobody has counted for so long that the numbers say nothing.
+fn is_outdated(waiting: &WaitingRecord, unix: Duration) -> bool {
+    unix > Duration::from_millis(waiting.counted_unix_ms) + COUNT_AGE_MAX
+}
+
+/// The time of day, as Unix time.
+fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 fn count_of(waiting: &WaitingRecord, queue: &QueueId) -> u32 {
     waiting.jobs.get(queue).copied().unwrap_or_default()
 }
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -10,6 +10,7 @@
         JobEnded = 1604, Info, "job ended";
         StateUnknown = 1605, Warn, "state of a job could not be read";
         JobStarted = 1606, Info, "first task of a job ordered to start";
+        CountOutdated = 1607, Warn, "number of waiting jobs is too old to be shown";
         RunFailed = 1610, Info, "run failed";
         RunEnded = 1611, Info, "run ended without result";
         RunAdopted = 1612, Info, "run of an earlier owner taken over";
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -49,6 +49,8 @@
     pub lease_ttl: Duration,
     /// Longest random delay before a free ownership is claimed.
     pub claim_delay_max: Duration,
+    /// Delay before that, longer on weaker machines.
+    pub claim_delay: Duration,
     /// Times of the scheduler.
     pub scheduler: SchedulerSettings,
     /// Metrics.
--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -48,7 +48,8 @@
     let is_own = held.is_some_and(|record| instance_of(record) == Some(&*settings.instance));
     if held.is_some() && !is_own {
         wait_until_free(site, snapshot.revision).await?;
-        sleep(settings.claim_delay_max.mul_f64(rand::random())).await;
+        let random = settings.claim_delay_max.mul_f64(rand::random());
+        sleep(settings.claim_delay + random).await;
         return Ok(None);
     }
     let lease = LeaseKeeper::start(site.store().clone(), settings.lease_ttl).await?;
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -157,6 +157,9 @@
 pub struct WaitingRecord {
     /// Number of accepted jobs of which no task has started.
     pub jobs: BTreeMap<QueueId, u32>,
+    /// Unix time of the count in milliseconds.
+    #[serde(default)]
+    pub counted_unix_ms: u64,
 }
 
 /// Machines whose maintenance has begun, by wave.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -175,6 +175,8 @@
     began: Moment,
     waiting_written: Option<(Moment, WaitingRecord)>,
     planned_all: Moment,
+    /// Time of day at the last plan.
+    unix: Duration,
 }
 
 impl Scheduler {
@@ -216,6 +218,7 @@
             began: now,
             waiting_written: None,
             planned_all: now,
+            unix: Duration::ZERO,
             tenure,
         };
         scheduler.uncertain_until = now + scheduler.settings.hold * 103 / 100;
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -25,6 +25,9 @@
 const REMOVALS_MAX: usize = 1;
 /// Time between two writes of the number of waiting jobs.
 const WAITING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which that number is written again though it has not changed, so that readers can
+/// tell that an owner counts.
+const WAITING_REFRESH: Duration = Duration::from_millis(1_000);
 
 /// Ends of a worker's life up to a number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -150,7 +153,8 @@
             return;
         }
         let waiting = self.waiting();
-        if last.is_some_and(|(_, written)| *written == waiting) {
+        let is_recent = |at: Moment| now.saturating_sub(at) < WAITING_REFRESH;
+        if last.is_some_and(|(at, written)| written.jobs == waiting.jobs && is_recent(*at)) {
             return;
         }
         match serde_json::to_vec(&waiting) {
@@ -162,7 +166,8 @@
 
     /// Accepted jobs of which no task has started, by queue.
     fn waiting(&self) -> WaitingRecord {
-        let mut waiting = WaitingRecord::default();
+        let counted_unix_ms = u64::try_from(self.unix.as_millis()).unwrap_or(u64::MAX);
+        let mut waiting = WaitingRecord { counted_unix_ms, ..WaitingRecord::default() };
         let jobs = self.jobs.values().filter(|job| job.is_live() && !job.has_started);
         for job in jobs {
             *waiting.jobs.entry(job.record.queue.clone()).or_default() += 1;
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -29,6 +29,7 @@
     /// The orders that are due now, at a time of day `unix`.
     pub fn plan(&mut self, unix: Duration, now: Moment) -> Vec<Order> {
         let mut orders = Vec::new();
+        self.unix = unix;
         if now.saturating_sub(self.planned_all) >= REPLAN_INTERVAL {
             self.planned_all = now;
             self.begin_due(unix, now);
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted};
-use cassiafold_jobs::record::{JobState, STATE_PREFIX, job_key};
+use cassiafold_jobs::record::{JobState, STATE_PREFIX, WAITING_KEY, job_key};
 use cassiafold_jobs::spec::JobId;
-use cassiafold_platform::Store;
+use cassiafold_platform::{Compare, Store, Write};
 use cassiafold_standin::WriteFault;
 
 use self::emulator::{job, ms, step};
@@ -159,6 +159,17 @@
     assert_eq!(desk.look(&call(&path(9), KEY)).await, Looked::NoSuchJob);
 }
 
+#[tokio::test]
+async fn an_old_count_is_not_shown() {
+    let site = site(0).await;
+    let desk = site.desk();
+    ready(&desk).await;
+    let old = r#"{"jobs":{"q":3},"counted_unix_ms":1000}"#;
+    let write = Write::put(WAITING_KEY, Compare::Absent, old);
+    site.store.write(write).await.expect("store");
+    assert_eq!(desk.count(&call("/q/", KEY)).await, Counted::Unknown);
+}
+
 macro_rules! denials {
     ($($name:ident: $path:expr, $key:expr => $denial:expr;)+) => {
         $(#[tokio::test] async fn $name() {
--- a/crates/jobs/tests/site/mod.rs
+++ b/crates/jobs/tests/site/mod.rs
@@ -102,6 +102,7 @@
             instance: instance.into(),
             lease_ttl: ms(1_000),
             claim_delay_max: ms(20),
+            claim_delay: ms(0),
             scheduler: settings(),
             metrics: JobsMetrics::default(),
         };
