Read the desk and the following of the store from top to bottom

Change: types of calls and answers in desk/answer.rs; one loop for any feed. No change of behaviour.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -4,6 +4,8 @@
 //! configuration that admitted it is in force. A refusal that says a job never runs is given only
 //! where nothing of the job can be in the store, now or later.
 
+mod answer;
+
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -19,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+pub use self::answer::{Call, Cancelled, Counted, Denial, Looked, Submitted, Target};
 use crate::cluster::{ClusterConfig, Queue, QueueId};
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
@@ -52,138 +55,6 @@
 /// Time kept of a caller's timeout to bring the answer back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 
-/// A caller's request, with what the caller shows and how long it waits.
-#[derive(Debug, Clone)]
-pub struct Call {
-    /// Host name that the caller addressed.
-    pub host: Arc<str>,
-    /// Path that the caller addressed.
-    pub path: Arc<str>,
-    /// The caller's key.
-    pub key: Option<Arc<str>>,
-    /// When the caller stops waiting.
-    pub deadline: Instant,
-}
-
-/// Why a call is not served.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Denial {
-    /// No configuration is known yet.
-    NoConfig,
-    /// No such queue exists.
-    NoQueue,
-    /// The key is missing or unknown.
-    UnknownKey,
-    /// The path names no job.
-    NoJob,
-}
-
-/// Answer to a submission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Submitted {
-    /// The job is stored.
-    Accepted,
-    /// The job is not stored and never will be; the caller may come back after this time.
-    Refused(Duration),
-    /// It is not known whether the job is stored.
-    Unknown,
-    /// The call is not allowed.
-    Denied(Denial),
-}
-
-impl Submitted {
-    /// Name of the outcome, for metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::Refused(_) => "refused",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
-        }
-    }
-}
-
-/// Answer to a cancel.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cancelled {
-    /// The cancel is stored.
-    Accepted,
-    /// No such job exists.
-    NoSuchJob,
-    /// It is not known whether the cancel is stored.
-    Unknown,
-    /// The call is not allowed.
-    Denied(Denial),
-}
-
-impl Cancelled {
-    /// Name of the outcome, for metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::NoSuchJob => "no_such_job",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
-        }
-    }
-}
-
-/// Answer to a question about a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Looked {
-    /// State of the job.
-    State(JobState),
-    /// No such job exists.
-    NoSuchJob,
-    /// The store did not answer.
-    Unknown,
-    /// The call is not allowed.
-    Denied(Denial),
-}
-
-impl Looked {
-    /// Name of the outcome, for metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::State(_) => "state",
-            Self::NoSuchJob => "no_such_job",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
-        }
-    }
-}
-
-/// Answer to a question about a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Counted {
-    /// Jobs that wait.
-    Waiting(u32),
-    /// The store did not answer.
-    Unknown,
-    /// The call is not allowed.
-    Denied(Denial),
-}
-
-impl Counted {
-    /// Name of the outcome, for metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Waiting(_) => "count",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
-        }
-    }
-}
-
-/// What a path below a queue names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Target {
-    /// The queue itself.
-    Queue,
-    /// One of its jobs.
-    Job(JobId),
-}
-
 /// Serves callers at one entry instance.
 #[derive(Debug)]
 pub struct Desk<S: Site> {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -23,7 +23,7 @@
 
 use self::carry::Outcome;
 use self::claim::Ownership;
-use self::follow::{Followed, Listing};
+use self::follow::{Followed, Inbox, Listing, Reports};
 use self::write::{Writer, Written};
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
@@ -129,9 +129,10 @@
         is_fenced: false,
         metrics: settings.metrics.clone(),
     };
+    let reports = Reports { site: site.clone() };
     let _following = [
-        spawn(follow::inbox(site.clone(), loaded.inbox_revision, sender.clone())),
-        spawn(follow::workers(site.clone(), loaded.workers_revision, sender)),
+        spawn(follow::follow(site.clone(), Inbox, loaded.inbox_revision, sender.clone())),
+        spawn(follow::follow(site.clone(), reports, loaded.workers_revision, sender)),
     ];
     office.take_view(&views.borrow_and_update().clone());
     office.workers.read_first(site);
--- a/crates/jobs/src/owner/follow.rs
+++ b/crates/jobs/src/owner/follow.rs
@@ -44,23 +44,48 @@
     Some(Vec<(Arc<str>, Option<WorkerEntry>)>),
 }
 
-/// Sends each new job and each cancel.
-pub(super) async fn inbox<S: Site>(site: S, from: Revision, sender: mpsc::Sender<Message>) {
+/// What is followed below one prefix.
+pub(super) trait Feed: Send + 'static {
+    /// Start of the keys.
+    const PREFIX: &'static str;
+    /// Time between two looks, in which changes gather.
+    const GAP: Duration;
+
+    /// What all records say, read after the store had been away.
+    fn all(&self, records: &[Record]) -> Vec<Followed>;
+
+    /// What changes say.
+    fn some(&self, changes: &[Change]) -> Vec<Followed>;
+}
+
+/// New jobs and cancels.
+pub(super) struct Inbox;
+
+/// Workers' reports of themselves.
+pub(super) struct Reports<S: Site> {
+    pub(super) site: S,
+}
+
+/// Sends what a feed shows after a revision, until nobody takes it any more.
+pub(super) async fn follow<S: Site, F: Feed>(
+    site: S,
+    feed: F,
+    from: Revision,
+    sender: mpsc::Sender<Message>,
+) {
     let mut after = Some(from);
-    let mut outage = Outage::new(INBOX_PREFIX);
-    loop {
-        if let Err(error) = inbox_once(&site, &mut after, &sender, &mut outage).await {
+    let mut outage = Outage::new(F::PREFIX);
+    while !sender.is_closed() {
+        if let Err(error) = follow_once(&site, &feed, &mut after, &sender, &mut outage).await {
             outage.note_failure(&error);
         }
-        if sender.is_closed() {
-            return;
-        }
         sleep(RETRY).await;
     }
 }
 
-async fn inbox_once<S: Site>(
+async fn follow_once<S: Site, F: Feed>(
     site: &S,
+    feed: &F,
     after: &mut Option<Revision>,
     sender: &mpsc::Sender<Message>,
     outage: &mut Outage,
@@ -68,91 +93,67 @@
     let from = match after.take() {
         Some(revision) => revision,
         None => {
-            let snapshot = site.store().list(INBOX_PREFIX).await?;
-            for record in &snapshot.records {
-                send_inbox(record, sender).await;
-            }
+            let snapshot = site.store().list(F::PREFIX).await?;
+            send(feed.all(&snapshot.records), sender).await;
             snapshot.revision
         }
     };
-    let mut changes = site.store().watch(INBOX_PREFIX, from).await?;
-    loop {
+    let mut changes = site.store().watch(F::PREFIX, from).await?;
+    while !sender.is_closed() {
         let news = changes.next().await?;
         outage.note_success();
-        for record in news.iter().filter_map(|change| change.record.as_ref()) {
-            send_inbox(record, sender).await;
-        }
-        if sender.is_closed() {
-            return Ok(());
-        }
-        sleep(INBOX_GAP).await;
+        send(feed.some(&news), sender).await;
+        sleep(F::GAP).await;
     }
+    Ok(())
 }
 
-async fn send_inbox(record: &Record, sender: &mpsc::Sender<Message>) {
-    let followed = if let Some(id) = job_of(&record.key, CANCEL_PREFIX) {
-        Followed::Cancel(id)
-    } else if let Some(id) = job_of(&record.key, JOB_PREFIX) {
-        match JobRecord::try_from(&record.value[..]) {
-            Ok(job) => Followed::Job { id, record: Box::new(job), revision: record.revision },
-            Err(error) => {
-                emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
-                return;
-            }
-        }
-    } else {
-        return;
-    };
-    // The loop that takes the messages may be over.
-    let _ = sender.send(Message::Followed(followed)).await;
+async fn send(news: Vec<Followed>, sender: &mpsc::Sender<Message>) {
+    for followed in news {
+        // The loop that takes the messages may be over.
+        let _ = sender.send(Message::Followed(followed)).await;
+    }
 }
 
-/// Sends each change of the workers' reports.
-pub(super) async fn workers<S: Site>(site: S, from: Revision, sender: mpsc::Sender<Message>) {
-    let mut after = Some(from);
-    let mut outage = Outage::new(S::Formats::WORKERS_PREFIX);
-    loop {
-        if let Err(error) = workers_once(&site, &mut after, &sender, &mut outage).await {
-            outage.note_failure(&error);
-        }
-        if sender.is_closed() {
-            return;
-        }
-        sleep(RETRY).await;
+impl Feed for Inbox {
+    const PREFIX: &'static str = INBOX_PREFIX;
+    const GAP: Duration = INBOX_GAP;
+
+    fn all(&self, records: &[Record]) -> Vec<Followed> {
+        records.iter().filter_map(read_inbox).collect()
+    }
+
+    fn some(&self, changes: &[Change]) -> Vec<Followed> {
+        changes.iter().filter_map(|change| read_inbox(change.record.as_ref()?)).collect()
     }
 }
 
-async fn workers_once<S: Site>(
-    site: &S,
-    after: &mut Option<Revision>,
-    sender: &mpsc::Sender<Message>,
-    outage: &mut Outage,
-) -> Result<(), StoreError> {
-    let from = match after.take() {
-        Some(revision) => revision,
-        None => {
-            let snapshot = site.store().list(S::Formats::WORKERS_PREFIX).await?;
-            let all = read_all(site, &snapshot.records);
-            send_workers(WorkersChange::All(all), sender).await;
-            snapshot.revision
-        }
-    };
-    let mut changes = site.store().watch(S::Formats::WORKERS_PREFIX, from).await?;
-    loop {
-        let news = changes.next().await?;
-        outage.note_success();
-        let some = news.iter().map(|change| read_change(site, change)).collect();
-        send_workers(WorkersChange::Some(some), sender).await;
-        if sender.is_closed() {
-            return Ok(());
-        }
-        sleep(WORKERS_GAP).await;
+impl<S: Site> Feed for Reports<S> {
+    const PREFIX: &'static str = S::Formats::WORKERS_PREFIX;
+    const GAP: Duration = WORKERS_GAP;
+
+    fn all(&self, records: &[Record]) -> Vec<Followed> {
+        vec![Followed::Workers(WorkersChange::All(read_all(&self.site, records)))]
+    }
+
+    fn some(&self, changes: &[Change]) -> Vec<Followed> {
+        let some = changes.iter().map(|change| read_change(&self.site, change)).collect();
+        vec![Followed::Workers(WorkersChange::Some(some))]
     }
 }
 
-async fn send_workers(change: WorkersChange, sender: &mpsc::Sender<Message>) {
-    // The loop that takes the messages may be over.
-    let _ = sender.send(Message::Followed(Followed::Workers(change))).await;
+fn read_inbox(record: &Record) -> Option<Followed> {
+    if let Some(id) = job_of(&record.key, CANCEL_PREFIX) {
+        return Some(Followed::Cancel(id));
+    }
+    let id = job_of(&record.key, JOB_PREFIX)?;
+    match JobRecord::try_from(&record.value[..]) {
+        Ok(job) => Some(Followed::Job { id, record: Box::new(job), revision: record.revision }),
+        Err(error) => {
+            emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
+            None
+        }
+    }
 }
 
 fn read_all<S: Site>(site: &S, records: &[Record]) -> Vec<(Arc<str>, WorkerEntry)> {
