Keep orders on their way when a worker is seen in a new life

Cause: read-through: a look that shows a new life released all runs there, also one whose start was on its way and could still reach that life, while the task was started elsewhere. The test failed before.

--- a/crates/jobs/src/scheduler/ends.rs
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -11,7 +11,7 @@
 use crate::job::WorkerSlot;
 use crate::record::JobState;
 use crate::spec::{JobId, Resources, StepId, TaskId};
-use crate::worker::RunPhase;
+use crate::worker::{Run, RunPhase};
 
 /// Ends that are remembered of each worker to tell a bad worker from a bad job.
 const RECENT_ENDS: usize = 8;
@@ -164,7 +164,18 @@
 
     /// Forgets everything that ran on a worker.
     pub(super) fn lose_runs(&mut self, slot: WorkerSlot, now: Moment) {
-        let tasks: Vec<TaskId> = self.workers[slot].runs.keys().copied().collect();
+        self.lose_runs_if(slot, now, |_| true);
+    }
+
+    /// Forgets what ran on a worker and meets a condition.
+    pub(super) fn lose_runs_if(
+        &mut self,
+        slot: WorkerSlot,
+        now: Moment,
+        is_lost: impl Fn(&Run) -> bool,
+    ) {
+        let runs = self.workers[slot].runs.iter().filter(|(_, run)| is_lost(run));
+        let tasks: Vec<TaskId> = runs.map(|(task, _)| *task).collect();
         for task in tasks {
             self.mark_dirty(task.step.job);
             self.release(slot, task, now);
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -416,6 +416,37 @@
     assert!(acknowledged > 0, "none of 300 ends");
 }
 
+#[test]
+fn an_order_on_its_way_to_a_new_life_is_not_given_elsewhere() {
+    let mut desk = Desk::new(2, Tenure::default());
+    let life = |born| Look { clock: ms(1), born_unix: Some(ms(born)), ..Look::default() };
+    for slot in 0..2 {
+        desk.scheduler.note_look(slot, false, desk.now, desk.now, life(1_000));
+    }
+    desk.submit(1, vec![step(1, 1, &[])]);
+    let mut starts = Vec::new();
+    for _ in 0..3 {
+        desk.now += ms(10);
+        for order in desk.scheduler.plan(Duration::ZERO, desk.now) {
+            if let Order::Start { worker, .. } = order {
+                starts.push(worker);
+            }
+        }
+        if let Some(flush) = desk.scheduler.take_flush(desk.now) {
+            desk.scheduler.note_flushed(&flush);
+        }
+    }
+    assert_eq!(starts.len(), 1);
+    let slot = starts[0];
+    let error = LookError::NoAnswer("reset".into());
+    desk.scheduler.note_look_failed(slot, false, &error, desk.now);
+    desk.scheduler.note_look(slot, false, desk.now, desk.now, life(2_000));
+    desk.now += ms(100);
+    let orders = desk.scheduler.plan(Duration::ZERO, desk.now);
+    let again = orders.iter().filter(|order| matches!(order, Order::Start { .. })).count();
+    assert_eq!(again, 0);
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
