Take no machine down whose worker has not answered the new owner

Change: a worker's machine goes down only once its runs are known or their lease is over. The test failed before.

--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -246,7 +246,7 @@
             let since = progress.emptied.get(&machine.id).copied();
             let waited = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
             let patient = !is_late && waited < EMPTYING_MAX;
-            let is_free = slot.is_none_or(|slot| self.may_take_down(slot, patient));
+            let is_free = slot.is_none_or(|slot| self.may_take_down(slot, patient, now));
             let is_repeat = self.is_order_open(&machine.id);
             let is_spared = slot.is_none_or(|slot| self.is_spared(slot));
             let most = if is_spared { free } else { paced };
@@ -322,14 +322,20 @@
     }
 
     /// Whether a worker's machine may go down now without breaking a budget.
-    fn may_take_down(&self, slot: WorkerSlot, patient: bool) -> bool {
-        self.workers[slot].runs.iter().all(|(task, _)| {
-            let Some(spec) = self.spec(task.step) else { return true };
-            if !spec.long_running {
-                return !patient;
-            }
-            self.may_interrupt(*task, slot)
-        })
+    ///
+    /// What runs on a worker that has not answered this owner is not known until its lease is
+    /// over.
+    fn may_take_down(&self, slot: WorkerSlot, patient: bool, now: Moment) -> bool {
+        let worker = &self.workers[slot];
+        let is_known = worker.was_confirmed || now >= worker.expires;
+        is_known
+            && self.workers[slot].runs.iter().all(|(task, _)| {
+                let Some(spec) = self.spec(task.step) else { return true };
+                if !spec.long_running {
+                    return !patient;
+                }
+                self.may_interrupt(*task, slot)
+            })
     }
 
     /// Lets a long-running task end early on a machine that is emptied, where too many of its
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -447,6 +447,25 @@
     assert_eq!(again, 0);
 }
 
+#[test]
+fn a_machine_whose_worker_has_not_been_looked_at_does_not_go_down() {
+    let now = ms(100_000);
+    let tenure = Tenure { token: 50, is_first_holder: true, ..Tenure::default() };
+    let mut scheduler = Scheduler::new(settings(), tenure, now);
+    scheduler.configure(config(Resources::default()));
+    let entries = (0..2).map(|number| EmulatedWorker::new(number, cores(16)).entry());
+    scheduler.set_workers(entries.collect(), now);
+    let running = HashMap::new();
+    let mut desk = Desk { scheduler, now, running, machine_orders: Vec::new() };
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[0, 1], 2);
+    desk.now += ms(60);
+    let is_machine = |order: &Order| matches!(order, Order::Machine(_));
+    assert!(!desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
+    desk.pass(ms(300));
+    assert!(!desk.machine_orders.is_empty(), "afterwards one goes down after the other");
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
