Take a run of an earlier owner for available only once it cannot be ending

Change: a run that was taken over counts as at work only after the longest time that a run takes to end. The test failed before.

--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -162,6 +162,7 @@
             number: row.run,
             phase: RunPhase::Running,
             since: now,
+            is_adopted: true,
             confirmed: Some(now),
             reserved,
             counted,
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -393,6 +393,7 @@
             number: run,
             phase: RunPhase::Ordered,
             since: now,
+            is_adopted: false,
             confirmed: None,
             reserved: spec.reserved(),
             counted: spec.needs,
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -25,6 +25,8 @@
 const SPARE_PART: f64 = 0.25;
 /// Part of a wave's term after which machines are taken down though short tasks run there.
 const PATIENT_PART: f64 = 0.75;
+/// Added to the longest time that a run takes to end, for orders on their way.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two orders to the same machine.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
 /// An order without an answer may be carried out until this time has passed.
@@ -334,7 +336,7 @@
                 if !spec.long_running {
                     return !patient;
                 }
-                self.may_interrupt(*task, slot)
+                self.may_interrupt(*task, slot, now)
             })
     }
 
@@ -346,7 +348,10 @@
             let others = tasks.iter().filter(|other| other.step == task.step).count();
             let is_budgeted =
                 self.spec(task.step).is_some_and(|spec| spec.unavailable_max.is_some());
-            is_budgeted && others > 1 && self.may_stop(*task) && self.has_place(*task, slot, now)
+            is_budgeted
+                && others > 1
+                && self.may_stop(*task, now)
+                && self.has_place(*task, slot, now)
         });
         if let Some(task) = crowded {
             self.stop_run(slot, task, now);
@@ -369,18 +374,18 @@
     }
 
     /// Whether one long-running task may be stopped by the fleet's own action.
-    fn may_stop(&self, task: TaskId) -> bool {
-        self.within_budget(task, None)
+    fn may_stop(&self, task: TaskId, now: Moment) -> bool {
+        self.within_budget(task, None, now)
     }
 
     /// Whether a long-running task may be ended together with all else on its worker.
-    fn may_interrupt(&self, task: TaskId, slot: WorkerSlot) -> bool {
-        self.within_budget(task, Some(slot))
+    fn may_interrupt(&self, task: TaskId, slot: WorkerSlot, now: Moment) -> bool {
+        self.within_budget(task, Some(slot), now)
     }
 
     /// Whether enough other tasks of a step are at work for one to be ended, beside those on
     /// `lost`.
-    fn within_budget(&self, task: TaskId, lost: Option<WorkerSlot>) -> bool {
+    fn within_budget(&self, task: TaskId, lost: Option<WorkerSlot>, now: Moment) -> bool {
         let Some(budget) = self.spec(task.step).and_then(|spec| spec.unavailable_max) else {
             return true;
         };
@@ -389,18 +394,25 @@
         };
         let away = (0..).zip(&step.tasks).filter(|(index, other)| {
             let id = TaskId { index: *index, ..task };
-            let at_work = |slot: &WorkerSlot| Some(*slot) != lost && self.is_at_work(*slot, id);
+            let at_work =
+                |slot: &WorkerSlot| Some(*slot) != lost && self.is_at_work(*slot, id, now);
             *index != task.index && !other.copies.iter().any(at_work)
         });
         u32::try_from(away.count()).unwrap_or(u32::MAX) < budget
     }
 
-    fn is_at_work(&self, slot: WorkerSlot, task: TaskId) -> bool {
+    /// Whether a long-running task is available. One that an earlier owner ordered to end is still
+    /// listed as running for a while.
+    fn is_at_work(&self, slot: WorkerSlot, task: TaskId, now: Moment) -> bool {
         let worker = &self.workers[slot];
-        let run = worker.runs.get(&task);
+        let Some(run) = worker.runs.get(&task) else { return false };
+        let may_be_ending =
+            run.is_adopted && now < run.since + self.settings.stop_max + STOP_MARGIN;
         worker.is_confirmed
             && !worker.is_leaving
-            && run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
+            && !may_be_ending
+            && run.phase == RunPhase::Running
+            && run.percent >= 100
     }
 
     /// Keeps new work off the machines that are taken down next, and off no others.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -45,6 +45,8 @@
     pub phase: RunPhase,
     /// When it was ordered or first seen.
     pub since: Moment,
+    /// Whether an earlier owner ordered it, and may have ordered it to end.
+    pub is_adopted: bool,
     /// When the worker confirmed it.
     pub confirmed: Option<Moment>,
     /// What it takes of the worker's room.
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -466,6 +466,29 @@
     assert!(!desk.machine_orders.is_empty(), "afterwards one goes down after the other");
 }
 
+#[test]
+fn a_run_that_an_earlier_owner_may_be_stopping_does_not_count_as_at_work() {
+    let mut desk = Desk::new(2, Tenure { token: 50, ..Tenure::default() });
+    let touched =
+        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
+    let record = job(vec![long_running(2, Some(1))]);
+    desk.scheduler.add_job(1, record, 40, Some(&touched), desk.now);
+    for slot in 0..2 {
+        let index = u32::try_from(slot).expect("small");
+        let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
+        desk.running.insert(slot, vec![(task, 1)]);
+    }
+    desk.pass(ms(50));
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[0, 1], 1);
+    desk.pass(settings().stop_max);
+    assert_eq!(desk.machine_orders, vec![]);
+    desk.pass(ms(2_500));
+    let mut machines: Vec<_> = desk.machine_orders.iter().map(MachineOrder::machine).collect();
+    machines.dedup();
+    assert_eq!(machines.len(), 1, "one of them goes down");
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
