--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -477,8 +477,10 @@
         let index = u32::try_from(slot).expect("small");
         let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
         desk.running.insert(slot, vec![(task, 1)]);
+        let row = RunningRow { task, run: 1, checkpoint: None, percent: 100, reading: 0 };
+        let look = Look { clock: desk.now, running: vec![row], ..Look::default() };
+        desk.scheduler.note_look(slot, false, desk.now, desk.now, look);
     }
-    desk.pass(ms(50));
     desk.list(Desk::machines(2, MachineState::Up));
     desk.wave_of(&[0, 1], 1);
     desk.pass(settings().stop_max);
