--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -9,7 +9,7 @@
         JobCancelled = 1603, Info, "cancel of a job stored";
         JobEnded = 1604, Info, "job ended";
         StateUnknown = 1605, Warn, "state of a job could not be read";
-        JobStarted = 1606, Info, "first task of a job ordered to start";
+        JobStarted = 1606, Info, "first task of a job has begun";
         CountOutdated = 1607, Warn, "number of waiting jobs is too old to be shown";
         RunFailed = 1610, Info, "run failed";
         RunEnded = 1611, Info, "run ended without result";
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -26,7 +26,7 @@
     pub seen: Moment,
     /// What it has come to.
     pub state: JobState,
-    /// Whether some task was ordered to start.
+    /// Whether a worker has begun some task.
     pub has_started: bool,
     /// Whether the store says that tasks may have been started. None is before it does, so that
     /// a later owner can tell which jobs nobody has touched.
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -129,6 +129,7 @@
                 run.progressed = now;
             }
             run.reading = row.reading;
+            self.note_started(slot, row.task, now);
             self.note_checkpoint(row.task, row.checkpoint);
             return;
         }
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -75,6 +75,7 @@
                     ordered.phase = RunPhase::Running;
                 }
                 ordered.confirmed = ordered.confirmed.or(Some(now));
+                self.note_started(slot, task, now);
             }
             OrderOutcome::Unknown => self.stop_run(slot, task, now),
             OrderOutcome::NotSent => self.start_failed(slot, task, now),
@@ -82,6 +83,20 @@
         }
     }
 
+    /// Notes that a task of a job has begun, which counts as waiting no more.
+    pub(super) fn note_started(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if std::mem::replace(&mut job.has_started, true) {
+            return;
+        }
+        emit!(
+            JobsEvent::JobStarted,
+            job = format_args!("{:016x}", job.id),
+            waited_ms = now.saturating_sub(job.seen).as_millis(),
+            worker = self.workers[slot].entry.id
+        );
+    }
+
     fn start_refused(&mut self, slot: WorkerSlot, task: TaskId, refusal: Refusal, now: Moment) {
         if refusal == Refusal::OtherLife {
             self.lose_worker(slot, now);
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -4,11 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
 use super::{Order, Scheduler};
-use crate::event::JobsEvent;
 use crate::job::{Job, WorkerSlot};
 use crate::order::{Contender, sort};
 use crate::placement::{Candidate, Demand, choose, reserve};
@@ -375,16 +373,6 @@
         orders: &mut Vec<Order>,
     ) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        if !job.has_started {
-            job.has_started = true;
-            let waited = now.saturating_sub(job.seen);
-            emit!(
-                JobsEvent::JobStarted,
-                job = format_args!("{:016x}", job.id),
-                waited_ms = waited.as_millis(),
-                worker = self.workers[slot].entry.id
-            );
-        }
         let Some(entry) = job.task_mut(task) else { return };
         entry.last_run = run;
         entry.copies.push(slot);
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -491,6 +491,21 @@
     assert_eq!(machines.len(), 1, "one of them goes down");
 }
 
+#[test]
+fn a_job_waits_until_a_worker_has_begun_one_of_its_tasks() {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.submit(1, vec![step(1, 1, &[])]);
+    let _ = desk.scheduler.plan(Duration::ZERO, desk.now);
+    let flush = desk.scheduler.take_flush(desk.now).expect("a write");
+    desk.scheduler.note_flushed(&flush);
+    let orders = desk.scheduler.plan(Duration::ZERO, desk.now);
+    let start = orders.into_iter().find(|order| matches!(order, Order::Start { .. }));
+    let has_started = |desk: &Desk| desk.scheduler.job(1).map(|job| job.has_started);
+    assert_eq!(has_started(&desk), Some(false), "the order is on its way");
+    desk.carry_out(start.expect("a start"));
+    assert_eq!(has_started(&desk), Some(true));
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
