Name a machine in the store before it is ordered

After an outage of the store 6 machines of 52 wanted stood beside 29 idle ones for 3 s, in the middle of a turn.

Change: an owner stores a machine's name with its instance before the order (key cassiafold/ordered, written with the next flush); the next owner leaves only the machines alone that another instance named. That also closes a gap: an own process that followed another instance's owner by way of a short restart might order at once before. Maintenance is decided anew when the name is stored, so budgets are checked at the order. Tests of machines moved to a file of their own.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -106,8 +106,8 @@
     ownership: Ownership<S>,
     stop: &CancellationToken,
 ) -> &'static str {
-    let Ownership { lease, token, follows_itself } = ownership;
-    let loading = load::load(site, settings.scheduler, token, follows_itself);
+    let Ownership { lease, token } = ownership;
+    let loading = load::load(site, settings.scheduler, token, &settings.instance);
     let loaded = tokio::select! {
         loaded = loading => loaded,
         () = lease.ended() => return "lease ended while loading",
--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -23,8 +23,6 @@
     pub(super) lease: LeaseKeeper<S::Store>,
     /// Revision at which it was claimed.
     pub(super) token: FencingToken,
-    /// Whether the last owner was a former process of this instance.
-    pub(super) follows_itself: bool,
 }
 
 /// Waits until the ownership is free, and claims it.
@@ -56,7 +54,7 @@
     let compare = held.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
     let claim: Arc<str> = format!("{} {:016x}", settings.instance, rand::random::<u64>()).into();
     let token = write_claim(site, compare, &claim, lease.id()).await?;
-    Ok(token.map(|token| Ownership { lease, token, follows_itself: is_own }))
+    Ok(token.map(|token| Ownership { lease, token }))
 }
 
 fn instance_of(record: &Record) -> Option<&str> {
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -1,6 +1,7 @@
 //! Reading what earlier owners left in the store.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_event::emit;
@@ -16,8 +17,9 @@
 use crate::event::JobsEvent;
 use crate::outage::Outage;
 use crate::record::{
-    BegunRecord, CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, OWNER_KEY,
-    SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_KEY, job_of,
+    BegunRecord, CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY,
+    OWNER_KEY, OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_KEY,
+    job_of,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -42,11 +44,11 @@
     site: &S,
     settings: SchedulerSettings,
     token: FencingToken,
-    follows_itself: bool,
+    instance: &Arc<str>,
 ) -> Loaded {
     let mut outage = Outage::new("load");
     loop {
-        match try_load(site, settings, token, follows_itself).await {
+        match try_load(site, settings, token, instance).await {
             Ok(loaded) => return loaded,
             Err(error) => outage.note_failure(&error),
         }
@@ -58,24 +60,26 @@
     site: &S,
     settings: SchedulerSettings,
     token: FencingToken,
-    follows_itself: bool,
+    instance: &Arc<str>,
 ) -> Result<Loaded, StoreError> {
     let store = site.store();
-    let (inbox, states, sequence, known, begun, listed) = tokio::try_join!(
+    let (inbox, states, sequence, known, begun, ordered, listed) = tokio::try_join!(
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
         store.get(WORKERS_KEY),
         store.get(WAVES_KEY),
+        store.get(ORDERED_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = begin_sequence(site, token, sequence).await?;
     let known_workers: Vec<KnownWorker> = read_json(known)?;
     let begun: BegunRecord = read_json(begun)?;
-    let is_first_holder = follows_itself || sequence.tenure == 0;
+    let ordered: OrderedRecord = read_json(ordered)?;
     let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
     let now = since_boot();
-    let tenure = Tenure { token, run_base, known_workers, begun, is_first_holder };
+    let instance = Arc::clone(instance);
+    let tenure = Tenure { token, run_base, known_workers, begun, ordered, instance };
     let mut scheduler = Scheduler::new(settings, tenure, now);
     let states = read_states(&states.records);
     for record in &inbox.records {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -9,6 +9,7 @@
 //! | `cassiafold/sequence` | the owner | number of its last write, so that none is applied late |
 //! | `cassiafold/workers` | the owner | workers that were given tasks |
 //! | `cassiafold/waves` | the owner | machines whose maintenance has begun, by wave |
+//! | `cassiafold/ordered` | the owner | machines that were ordered lately, with who ordered them |
 //! | `cassiafold/waiting` | the owner | jobs that wait, by queue |
 
 use std::collections::BTreeMap;
@@ -41,6 +42,8 @@
 pub const WORKERS_KEY: &str = "cassiafold/workers";
 /// Key of the machines whose maintenance has begun.
 pub const WAVES_KEY: &str = "cassiafold/waves";
+/// Key of the machines that were ordered lately.
+pub const ORDERED_KEY: &str = "cassiafold/ordered";
 /// Key of the jobs that wait.
 pub const WAITING_KEY: &str = "cassiafold/waiting";
 
@@ -165,6 +168,9 @@
 /// Machines whose maintenance has begun, by wave.
 pub type BegunRecord = BTreeMap<WaveNumber, Vec<InstanceId>>;
 
+/// Machines that were ordered lately, with the instance that ordered them.
+pub type OrderedRecord = BTreeMap<InstanceId, Arc<str>>;
+
 /// A worker that was given tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownWorker {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod balance;
 mod ends;
 mod flush;
+mod holders;
 mod inbox;
 mod looks;
 mod orders;
@@ -26,6 +27,7 @@
 pub use self::advice::Question;
 use self::advice::StepTickets;
 pub use self::flush::Flush;
+use self::holders::Holders;
 pub use self::upkeep::MachineOrder;
 use self::upkeep::{SentOrder, WaveProgress};
 use self::workers::Burial;
@@ -34,7 +36,7 @@
 use crate::edges::FencingToken;
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
-use crate::record::{BegunRecord, KnownWorker, WaitingRecord};
+use crate::record::{BegunRecord, KnownWorker, OrderedRecord, WaitingRecord};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use crate::turns::Turns;
 use crate::worker::Worker;
@@ -67,8 +69,10 @@
     pub known_workers: Vec<KnownWorker>,
     /// Machines that earlier owners maintained.
     pub begun: BegunRecord,
-    /// Whether no other instance can have given orders to machines lately.
-    pub is_first_holder: bool,
+    /// Machines that earlier owners may have ordered lately.
+    pub ordered: OrderedRecord,
+    /// Name of the owner's instance.
+    pub instance: Arc<str>,
 }
 
 /// An order that is to be carried out now.
@@ -158,8 +162,11 @@
     machines_listed: Option<Moment>,
     is_list_wanted: bool,
     begun_written: BegunRecord,
-    /// Machines that were ordered to move: where to, and when.
+    /// Machines that were ordered to move, or are about to be: where to, and since when.
     moving: HashMap<InstanceId, (ServiceId, Moment)>,
+    /// Moves whose machines are not named in the store yet.
+    moves_due: Vec<MachineOrder>,
+    holders: Holders,
     balanced: Moment,
     /// What each service needed lately.
     needs: HashMap<ServiceId, RecentNeed>,
@@ -172,7 +179,6 @@
     machines_ordered: HashMap<InstanceId, SentOrder>,
     /// Arrivals of each team beyond its weight, as a level that its weight drains.
     team_levels: HashMap<TeamId, (f64, Moment)>,
-    began: Moment,
     waiting_written: Option<(Moment, WaitingRecord)>,
     planned_all: Moment,
     /// Time of day at the last plan.
@@ -182,6 +188,8 @@
 impl Scheduler {
     /// A scheduler at the begin of a tenure.
     pub fn new(settings: SchedulerSettings, tenure: Tenure, now: Moment) -> Self {
+        let instance = Arc::clone(&tenure.instance);
+        let holders = Holders::new(instance, settings.machine_lease, tenure.ordered.clone(), now);
         let mut scheduler = Self {
             settings,
             config: Arc::default(),
@@ -207,6 +215,8 @@
             is_list_wanted: false,
             begun_written: tenure.begun.clone(),
             moving: HashMap::new(),
+            moves_due: Vec::new(),
+            holders,
             balanced: now,
             needs: HashMap::new(),
             surplus: HashMap::new(),
@@ -215,7 +225,6 @@
             waves: BTreeMap::new(),
             machines_ordered: HashMap::new(),
             team_levels: HashMap::new(),
-            began: now,
             waiting_written: None,
             planned_all: now,
             unix: Duration::ZERO,
@@ -263,11 +272,6 @@
         self.jobs.get(&id)
     }
 
-    /// Whether the last order that another owner may have given to a machine is long enough ago.
-    fn may_order_machines(&self, now: Moment) -> bool {
-        self.tenure.is_first_holder || now.saturating_sub(self.began) > self.settings.machine_lease
-    }
-
     fn mark_dirty(&mut self, job: JobId) {
         let ends_taken = self.ends_taken;
         self.dirty.entry(job).or_insert(ends_taken);
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -11,6 +11,7 @@
 use super::{Order, Scheduler};
 use crate::balance::{KEPT_MACHINES, Load, Pool, choose_moves, machines_for};
 use crate::cluster::{Machine, MachineState};
+use crate::edges::MachineOutcome;
 use crate::event::JobsEvent;
 use crate::worker::Worker;
 
@@ -28,15 +29,15 @@
 const IDLE_AFTER: Duration = Duration::from_millis(300);
 
 impl Scheduler {
-    /// Orders the moves that are due.
-    pub(super) fn plan_moves(&mut self, now: Moment, orders: &mut Vec<Order>) {
+    /// Chooses the moves that are due.
+    pub(super) fn plan_moves(&mut self, now: Moment) {
         if now.saturating_sub(self.balanced) < BALANCE_INTERVAL {
             return;
         }
         self.balanced = now;
         self.turns.update(now);
         let is_listed = self.machines_listed.is_some_and(|at| now < at + LIST_AGE_MAX);
-        if !is_listed || !self.may_order_machines(now) {
+        if !is_listed {
             return;
         }
         self.forget_done_moves(now);
@@ -53,7 +54,20 @@
                 self.workers[slot].is_leaving = true;
             }
             let (machine, service) = (moved.machine, moved.service);
-            orders.push(Order::Machine(MachineOrder::Move { machine, service }));
+            self.moves_due.push(MachineOrder::Move { machine, service });
+        }
+    }
+
+    /// Orders the moves whose machines are named in the store.
+    pub(super) fn order_moves(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        for order in std::mem::take(&mut self.moves_due) {
+            if self.holders.may_order(order.machine(), now) {
+                orders.push(Order::Machine(order));
+            } else if self.moving.contains_key(order.machine()) {
+                self.moves_due.push(order);
+            } else {
+                self.note_machine(&order, MachineOutcome::Busy, now);
+            }
         }
     }
 
@@ -106,7 +120,7 @@
 
     /// Whether a machine can move now without ending anything.
     fn is_idle(&self, machine: &Machine, now: Moment) -> bool {
-        if machine.state != MachineState::Up {
+        if machine.state != MachineState::Up || self.holders.is_held(&machine.id, now) {
             return false;
         }
         let is_spare = self.config.services.get(&machine.service).is_some_and(|one| one.is_spare);
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -11,14 +11,14 @@
 use crate::event::JobsEvent;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
-    JobState, KnownWorker, RecordError, WAITING_KEY, WAVES_KEY, WORKERS_KEY, WaitingRecord,
-    cancel_key, job_key, state_key,
+    JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, WAITING_KEY, WAVES_KEY,
+    WORKERS_KEY, WaitingRecord, cancel_key, job_key, state_key,
 };
 use crate::spec::JobId;
 
 /// States of jobs in one write. The store takes 32 entries: beside the states there are two
-/// conditions, the sequence, three lists, waves and removals.
-const STATES_MAX: usize = 20;
+/// conditions, the sequence, four lists, waves and removals.
+const STATES_MAX: usize = 19;
 /// Statuses of waves in one write.
 const WAVES_MAX: usize = 3;
 /// Ended jobs that are removed in one write.
@@ -51,12 +51,13 @@
     unrecorded: Vec<WorkerSlot>,
     removed: Vec<JobId>,
     announced: Vec<JobId>,
+    ordered: OrderedRecord,
 }
 
 impl Scheduler {
     /// Whether something should be written without delay.
     pub fn is_flush_urgent(&self) -> bool {
-        self.is_flush_urgent
+        self.is_flush_urgent || self.holders.is_write_wanted()
     }
 
     /// The next write; `None` when the store is up to date.
@@ -65,6 +66,7 @@
         self.collect_states(&mut flush);
         self.collect_workers(&mut flush);
         self.collect_begun(&mut flush);
+        self.collect_ordered(now, &mut flush);
         self.collect_waiting(now, &mut flush);
         self.collect_removals(now, &mut flush);
         flush.waves = self.wave_statuses();
@@ -147,6 +149,15 @@
         self.begun_written = begun;
     }
 
+    fn collect_ordered(&mut self, now: Moment, flush: &mut Flush) {
+        let Some(ordered) = self.holders.take_record(now) else { return };
+        match serde_json::to_vec(&ordered) {
+            Ok(bytes) => flush.puts.push((ORDERED_KEY.into(), bytes)),
+            Err(error) => return report(0, &error.into()),
+        }
+        flush.ordered = ordered;
+    }
+
     fn collect_waiting(&mut self, now: Moment, flush: &mut Flush) {
         let last = self.waiting_written.as_ref();
         if last.is_some_and(|(at, _)| now.saturating_sub(*at) < WAITING_INTERVAL) {
@@ -211,6 +222,7 @@
         for id in &flush.announced {
             self.note_announced(*id);
         }
+        self.holders.note_stored(&flush.ordered);
         self.note_wave_statuses(&flush.waves);
     }
 
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -38,8 +38,9 @@
                 }
             }
             self.plan_upkeep(now, &mut orders);
-            self.plan_moves(now, &mut orders);
+            self.plan_moves(now);
         }
+        self.order_moves(now, &mut orders);
         for service in std::mem::take(&mut self.changed) {
             self.plan_service(&service, now, &mut orders);
         }
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -170,6 +170,9 @@
             outcome = format_args!("{outcome:?}")
         );
         let is_open = outcome == MachineOutcome::Unknown;
+        if is_open {
+            self.holders.extend(order.machine(), now + LATE_ORDER_MAX);
+        }
         if let Some(ordered) = self.machines_ordered.get_mut(order.machine()) {
             ordered.is_open = is_open;
         }
@@ -208,7 +211,7 @@
 
     /// Orders the maintenance that is due.
     pub(super) fn plan_upkeep(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        if self.machines.is_empty() || !self.may_order_machines(now) {
+        if self.machines.is_empty() {
             return;
         }
         let numbers: Vec<WaveNumber> = self.waves.keys().copied().collect();
@@ -230,7 +233,7 @@
     /// off those that follow.
     fn take_down(&mut self, progress: &mut WaveProgress, now: Moment, orders: &mut Vec<Order>) {
         let down = self.down_count(progress);
-        let mut open = self.open_machines(progress);
+        let mut open = self.open_machines(progress, now);
         let at_once = at_once(progress, open.len(), now);
         let free = progress.wave.at_once_max.saturating_sub(down);
         let paced = at_once.saturating_sub(down);
@@ -243,6 +246,8 @@
         let patience = progress.wave.term.mul_f64(PATIENT_PART);
         let is_late = now.saturating_sub(progress.since) > patience;
         let mut taken: Vec<InstanceId> = Vec::new();
+        // Machines that go as soon as they are named in the store.
+        let mut named = 0;
         let mut emptied: BTreeSet<InstanceId> = BTreeSet::new();
         for (machine, slot) in open {
             let since = progress.emptied.get(&machine.id).copied();
@@ -252,7 +257,12 @@
             let is_repeat = self.is_order_open(&machine.id);
             let is_spared = slot.is_none_or(|slot| self.is_spared(slot));
             let most = if is_spared { free } else { paced };
-            if is_repeat || (is_free && taken.len() < most) {
+            if is_repeat || (is_free && taken.len() + named < most) {
+                if !self.holders.may_order(&machine.id, now) {
+                    named += 1;
+                    emptied.insert(machine.id);
+                    continue;
+                }
                 if let Some(slot) = slot {
                     self.workers[slot].is_leaving = true;
                 }
@@ -307,12 +317,18 @@
         self.machines_ordered.get(machine).is_some_and(|ordered| ordered.is_open)
     }
 
-    /// Machines of a wave whose maintenance has not begun, with their workers.
-    fn open_machines(&self, progress: &WaveProgress) -> Vec<(Machine, Option<WorkerSlot>)> {
+    /// Machines of a wave whose maintenance has not begun, with their workers, but those that
+    /// another instance ordered lately.
+    fn open_machines(
+        &self,
+        progress: &WaveProgress,
+        now: Moment,
+    ) -> Vec<(Machine, Option<WorkerSlot>)> {
         let of_wave = self.machines.iter().filter(|machine| {
             progress.wave.machines.contains(&machine.id)
                 && !progress.begun.contains_key(&machine.id)
                 && machine.state == MachineState::Up
+                && !self.holders.is_held(&machine.id, now)
         });
         of_wave
             .map(|machine| {
--- /dev/null
+++ b/crates/jobs/tests/machines.rs
@@ -0,0 +1,283 @@
+//! Single situations of machines, of moves and of maintenance that the scheduler has to get right.
+//! Each was a fault once.
+
+mod desk;
+mod emulator;
+
+use std::time::Duration;
+
+use cassiafold_jobs::cluster::MachineState;
+use cassiafold_jobs::edges::{Look, LookError, MachineOutcome, RunningRow};
+use cassiafold_jobs::job::WorkerSlot;
+use cassiafold_jobs::record::{JobState, ORDERED_KEY, OrderedRecord, StateRecord};
+use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure};
+use cassiafold_jobs::spec::{Resources, StepId, TaskId};
+
+use self::desk::{Desk, long_running};
+use self::emulator::worker::EmulatedWorker;
+use self::emulator::{SERVICE, config, cores, job, ms, settings, step};
+
+#[test]
+fn machines_with_tasks_of_one_step_do_not_go_down_together() {
+    let mut desk = Desk::new(3, Tenure::default());
+    desk.submit(1, vec![long_running(2, Some(1))]);
+    desk.pass(ms(1_500));
+    assert_eq!(desk.running(), 2);
+    desk.list(Desk::machines(3, MachineState::Up));
+    desk.wave_of(&[0, 1, 2], 3);
+    desk.pass(ms(300));
+    let busy: Vec<WorkerSlot> =
+        desk.running.iter().filter(|(_, runs)| !runs.is_empty()).map(|(slot, _)| *slot).collect();
+    let ordered = desk
+        .machine_orders
+        .iter()
+        .filter(|order| busy.iter().any(|slot| **order.machine() == *format!("m{slot}")));
+    assert_eq!(ordered.count(), 1);
+}
+
+#[test]
+fn a_machine_with_several_tasks_of_a_step_is_thinned_out_first() {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.submit(1, vec![long_running(3, None)]);
+    desk.pass(ms(1_500));
+    let slot = *desk.running.keys().next().expect("one worker runs all");
+    assert_eq!(desk.running[&slot].len(), 3);
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[slot], 1);
+    while desk.machine_orders.is_empty() {
+        assert!(!desk.running[&slot].is_empty() && desk.running() >= 2, "one away at a time");
+        desk.pass(ms(10));
+    }
+    assert_eq!(desk.running[&slot].len(), 1);
+    assert_eq!(desk.running(), 3);
+}
+
+#[test]
+fn a_maintained_machine_that_moves_does_not_hold_up_its_wave() {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[0, 1], 1);
+    desk.pass(ms(100));
+    let first = desk.machine_orders.remove(0);
+    desk.scheduler.note_machine(&first, MachineOutcome::Accepted, desk.now);
+    desk.now += ms(10);
+    desk.list(Desk::machines(2, MachineState::Maintenance));
+    desk.pass(ms(2_500));
+    assert_eq!(desk.machine_orders, vec![], "one at a time");
+    let mut machines = Desk::machines(2, MachineState::Up);
+    let number = usize::from(&**first.machine() == "m1");
+    machines[number].state = MachineState::Moving;
+    desk.list(machines);
+    desk.pass(ms(200));
+    assert_eq!(desk.machine_orders.len(), 1);
+}
+
+#[test]
+fn a_task_is_not_stopped_for_a_wave_while_no_other_worker_has_room() {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.submit(1, vec![long_running(3, None)]);
+    desk.pass(ms(1_500));
+    desk.list(Desk::machines(1, MachineState::Up));
+    desk.wave_of(&[0], 1);
+    desk.pass(ms(3_000));
+    assert_eq!(desk.running(), 3);
+}
+
+#[test]
+fn a_machine_comes_for_tasks_whose_only_worker_is_emptied() {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.submit(1, vec![long_running(3, None)]);
+    desk.pass(ms(1_500));
+    let mut machines = Desk::machines(2, MachineState::Up);
+    machines[1].service = "spare".into();
+    machines[1].worker = None;
+    desk.list(machines);
+    desk.wave_of(&[0], 1);
+    desk.pass(ms(1_000));
+    let order = MachineOrder::Move { machine: "m1".into(), service: SERVICE.into() };
+    assert_eq!(desk.machine_orders, vec![order]);
+}
+
+#[test]
+fn tasks_that_must_be_apart_get_as_many_machines() {
+    let mut desk = Desk::new(1, Tenure::default());
+    let mut machines = Desk::machines(4, MachineState::Up);
+    for machine in &mut machines[1..] {
+        machine.service = "spare".into();
+        machine.worker = None;
+    }
+    desk.list(machines);
+    desk.submit(1, vec![long_running(3, Some(1))]);
+    desk.pass(ms(1_000));
+    assert_eq!(desk.machine_orders.len(), 2);
+}
+
+#[test]
+fn an_order_that_had_been_carried_out_before_loses_no_worker() {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.pass(ms(100));
+    desk.list(Desk::machines(1, MachineState::Up));
+    let order = MachineOrder::Maintain { machine: "m0".into(), wave: 1 };
+    desk.scheduler.note_machine(&order, MachineOutcome::Accepted, desk.now);
+    desk.pass(ms(100));
+    desk.list(Desk::machines(1, MachineState::Up));
+    desk.pass(ms(300));
+    assert_eq!(desk.running(), 1);
+    assert!(!desk.scheduler.worker(0).is_gone);
+}
+
+#[test]
+fn an_order_that_took_a_machine_down_loses_its_worker() {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.pass(ms(100));
+    desk.list(Desk::machines(2, MachineState::Up));
+    for number in 0..2 {
+        let order = MachineOrder::Maintain { machine: format!("m{number}").into(), wave: 1 };
+        desk.scheduler.note_machine(&order, MachineOutcome::Accepted, desk.now);
+    }
+    desk.pass(ms(100));
+    desk.list(Desk::machines(2, MachineState::Maintenance));
+    assert!(desk.scheduler.worker(0).is_gone && desk.scheduler.worker(1).is_gone);
+}
+
+#[test]
+fn a_silent_worker_is_given_up_at_once_when_its_machine_is_down() {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.pass(ms(100));
+    let slot = *desk.running.keys().next().expect("one worker runs it");
+    let error = LookError::NoAnswer("timeout".into());
+    desk.scheduler.note_look_failed(slot, false, &error, desk.now);
+    desk.now += ms(10);
+    let mut machines = Desk::machines(2, MachineState::Up);
+    machines[slot].state = MachineState::Down;
+    desk.list(machines);
+    assert!(desk.scheduler.worker(slot).is_gone);
+    desk.pass(ms(100));
+    let other = 1 - slot;
+    assert_eq!(desk.running.get(&other).map(Vec::len), Some(1));
+}
+
+#[test]
+fn a_silent_worker_whose_machine_is_up_keeps_its_tasks_until_the_lease_is_over() {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.pass(ms(100));
+    let slot = *desk.running.keys().next().expect("one worker runs it");
+    let error = LookError::NoAnswer("timeout".into());
+    for _ in 0..28 {
+        desk.scheduler.note_look_failed(slot, false, &error, desk.now);
+        desk.now += ms(200);
+        desk.list(Desk::machines(2, MachineState::Up));
+        for order in desk.scheduler.plan(Duration::ZERO, desk.now) {
+            if !matches!(order, Order::Look { worker, .. } if worker == slot) {
+                desk.carry_out(order);
+            }
+        }
+    }
+    assert_eq!(desk.running(), 1, "nothing else was started within 5.6 s");
+}
+
+#[test]
+fn a_machine_whose_worker_has_not_been_looked_at_does_not_go_down() {
+    let now = ms(100_000);
+    let tenure = Tenure { token: 50, ..Tenure::default() };
+    let mut scheduler = Scheduler::new(settings(), tenure, now);
+    scheduler.configure(config(Resources::default()));
+    let entries = (0..2).map(|number| EmulatedWorker::new(number, cores(16)).entry());
+    scheduler.set_workers(entries.collect(), now);
+    let mut desk = Desk::of(scheduler, now);
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[0, 1], 2);
+    desk.now += ms(60);
+    let is_machine = |order: &Order| matches!(order, Order::Machine(_));
+    assert!(!desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
+    desk.pass(ms(300));
+    assert!(!desk.machine_orders.is_empty(), "afterwards one goes down after the other");
+}
+
+#[test]
+fn a_run_that_an_earlier_owner_may_be_stopping_does_not_count_as_at_work() {
+    let mut desk = Desk::new(2, Tenure { token: 50, ..Tenure::default() });
+    let touched =
+        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
+    let record = job(vec![long_running(2, Some(1))]);
+    desk.scheduler.add_job(1, record, 40, Some(&touched), desk.now);
+    for slot in 0..2 {
+        let index = u32::try_from(slot).expect("small");
+        let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
+        desk.running.insert(slot, vec![(task, 1)]);
+        let row = RunningRow { task, run: 1, checkpoint: None, percent: 100, reading: 0 };
+        let look = Look { clock: desk.now, running: vec![row], ..Look::default() };
+        desk.scheduler.note_look(slot, false, desk.now, desk.now, look);
+    }
+    desk.list(Desk::machines(2, MachineState::Up));
+    desk.wave_of(&[0, 1], 1);
+    desk.pass(settings().stop_max);
+    assert_eq!(desk.machine_orders, vec![]);
+    desk.pass(ms(2_500));
+    let mut machines: Vec<_> = desk.machine_orders.iter().map(MachineOrder::machine).collect();
+    machines.dedup();
+    assert_eq!(machines.len(), 1, "one of them goes down");
+}
+
+/// A desk with an empty service whose two machines are in the spare pool, and a job that wants
+/// one of them.
+fn wanting(ordered: &[(&str, &str)]) -> Desk {
+    let ordered: OrderedRecord =
+        ordered.iter().map(|(machine, holder)| ((*machine).into(), (*holder).into())).collect();
+    let tenure = Tenure { token: 50, ordered, instance: "a".into(), ..Tenure::default() };
+    let mut desk = Desk::begin(0, tenure);
+    let mut machines = Desk::machines(2, MachineState::Up);
+    for machine in &mut machines {
+        machine.service = "spare".into();
+        machine.worker = None;
+    }
+    desk.list(machines);
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk
+}
+
+fn ordered(desk: &Desk) -> Vec<&str> {
+    desk.machine_orders.iter().map(|order| &**order.machine()).collect()
+}
+
+#[test]
+fn a_new_owner_moves_machines_at_once_that_nobody_ordered_lately() {
+    let mut desk = wanting(&[("m1", "b")]);
+    desk.pass(ms(300));
+    assert_eq!(ordered(&desk), ["m0"]);
+}
+
+#[test]
+fn a_new_owner_waits_for_machines_that_another_instance_ordered_lately() {
+    let mut desk = wanting(&[("m0", "b"), ("m1", "b")]);
+    desk.pass(settings().machine_lease);
+    assert!(ordered(&desk).is_empty());
+    desk.list(desk.listed.clone());
+    desk.pass(ms(500));
+    assert_eq!(ordered(&desk).len(), 1);
+}
+
+#[test]
+fn a_new_owner_orders_machines_at_once_that_its_own_instance_ordered_lately() {
+    let mut desk = wanting(&[("m0", "b"), ("m1", "a")]);
+    desk.pass(ms(300));
+    assert_eq!(ordered(&desk), ["m1"]);
+}
+
+#[test]
+fn a_machine_is_named_in_the_store_before_it_is_ordered() {
+    let mut desk = wanting(&[]);
+    let is_machine = |order: &Order| matches!(order, Order::Machine(_));
+    desk.now += ms(250);
+    assert!(!desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
+    assert!(desk.scheduler.is_flush_urgent());
+    let flush = desk.scheduler.take_flush(desk.now).expect("a write");
+    assert!(flush.puts.iter().any(|(key, _)| &**key == ORDERED_KEY));
+    assert!(!desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
+    desk.scheduler.note_flushed(&flush);
+    assert!(desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
+}
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -1,129 +1,21 @@
-//! Single situations that the scheduler has to get right. Each was a fault once.
+//! Single situations of jobs and workers that the scheduler has to get right. Each was a fault
+//! once.
 
+mod desk;
 mod emulator;
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_jobs::cluster::{Machine, MachineState, Service, Wave};
-use cassiafold_jobs::edges::{
-    EndedRow, Look, LookError, MachineOutcome, OrderOutcome, RunEnd, RunningRow,
-};
-use cassiafold_jobs::job::WorkerSlot;
+use cassiafold_jobs::cluster::Wave;
+use cassiafold_jobs::edges::{EndedRow, Look, LookError, RunEnd, RunningRow};
 use cassiafold_jobs::record::{JobState, StateRecord};
-use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure};
-use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TaskId};
+use cassiafold_jobs::scheduler::{Order, Scheduler, Tenure};
+use cassiafold_jobs::spec::{Resources, Schedule, StepId, TaskId};
 
+use self::desk::Desk;
 use self::emulator::worker::EmulatedWorker;
-use self::emulator::{SERVICE, config, cores, job, ms, settings, step};
-
-/// Revision of jobs that were accepted after the owner had begun.
-const LATE: u64 = u64::MAX;
-
-/// A scheduler with workers that carry out what they are told at once.
-struct Desk {
-    scheduler: Scheduler,
-    now: Duration,
-    running: HashMap<WorkerSlot, Vec<(TaskId, u32)>>,
-    machine_orders: Vec<MachineOrder>,
-}
-
-impl Desk {
-    fn new(workers: usize, tenure: Tenure) -> Self {
-        let now = ms(100_000);
-        let mut scheduler = Scheduler::new(settings(), tenure, now);
-        let mut config = (*config(Resources::default())).clone();
-        let spare = Service { is_spare: true, ..Service::default() };
-        config.services.insert("spare".into(), spare);
-        scheduler.configure(Arc::new(config));
-        let room = Resources { memory_bytes: 64 << 30, ..cores(16) };
-        let make = |number| EmulatedWorker::new(number, room).entry();
-        scheduler.set_workers((0..workers).map(make).collect(), now);
-        let running = HashMap::new();
-        let mut desk = Self { scheduler, now, running, machine_orders: Vec::new() };
-        desk.pass(ms(3_500));
-        desk
-    }
-
-    fn machines(count: usize, state: MachineState) -> Vec<Machine> {
-        let make = |number: usize| Machine {
-            id: format!("m{number}").into(),
-            service: SERVICE.into(),
-            state,
-            zone: "z".into(),
-            worker: Some(format!("w{number}").into()),
-            labels: Vec::new(),
-            room: cores(16),
-        };
-        (0..count).map(make).collect()
-    }
-
-    fn list(&mut self, machines: Vec<Machine>) {
-        self.scheduler.set_machines(machines, self.now, self.now);
-    }
-
-    fn submit(&mut self, id: JobId, steps: Vec<StepSpec>) {
-        self.scheduler.add_job(id, job(steps), LATE, None, self.now);
-    }
-
-    /// Lets time pass in which each order is carried out.
-    fn pass(&mut self, length: Duration) {
-        let end = self.now + length;
-        while self.now < end {
-            for order in self.scheduler.plan(Duration::ZERO, self.now) {
-                self.carry_out(order);
-            }
-            if let Some(flush) = self.scheduler.take_flush(self.now) {
-                self.scheduler.note_flushed(&flush);
-            }
-            self.now += ms(10);
-        }
-    }
-
-    fn carry_out(&mut self, order: Order) {
-        match order {
-            Order::Look { worker, is_probe } => {
-                let _ = self.scheduler.look_request(worker, is_probe, self.now);
-                let rows = self.running.get(&worker).cloned().unwrap_or_default();
-                let row = |(task, run)| RunningRow {
-                    task,
-                    run,
-                    checkpoint: None,
-                    percent: 100,
-                    reading: 0,
-                };
-                let running = rows.into_iter().map(row).collect();
-                let look = Look { clock: self.now, running, ..Look::default() };
-                self.scheduler.note_look(worker, is_probe, self.now, self.now, look);
-            }
-            Order::Start { worker, task, run, .. } => {
-                self.running.entry(worker).or_default().push((task, run));
-                self.scheduler.note_start(worker, task, run, OrderOutcome::Accepted, self.now);
-            }
-            Order::Stop { worker, task, run } => {
-                self.running.entry(worker).or_default().retain(|(other, _)| *other != task);
-                self.scheduler.note_stop(worker, task, run, OrderOutcome::Accepted, self.now);
-            }
-            Order::Machine(order) => self.machine_orders.push(order),
-            Order::Pace { .. } | Order::Ask(_) => {}
-        }
-    }
-
-    fn running(&self) -> usize {
-        self.running.values().map(Vec::len).sum()
-    }
-
-    fn wave_of(&mut self, machines: &[usize], at_once_max: usize) {
-        let machines = machines.iter().map(|number| format!("m{number}").into()).collect();
-        let wave = Wave { number: 1, machines, term: ms(20_000), at_once_max };
-        self.scheduler.set_waves(&[wave], self.now);
-    }
-}
-
-fn long_running(tasks: u32, per_worker_max: Option<u32>) -> StepSpec {
-    StepSpec { long_running: true, unavailable_max: Some(1), per_worker_max, ..step(tasks, 2, &[]) }
-}
+use self::emulator::{config, cores, job, ms, settings, step};
 
 #[test]
 fn a_cancel_that_comes_before_its_job_ends_it() {
@@ -135,169 +27,6 @@
     assert_eq!(desk.scheduler.job(7).map(|job| job.state), Some(JobState::Cancelled));
 }
 
-#[test]
-fn machines_with_tasks_of_one_step_do_not_go_down_together() {
-    let mut desk = Desk::new(3, Tenure::default());
-    desk.submit(1, vec![long_running(2, Some(1))]);
-    desk.pass(ms(1_500));
-    assert_eq!(desk.running(), 2);
-    desk.list(Desk::machines(3, MachineState::Up));
-    desk.wave_of(&[0, 1, 2], 3);
-    desk.pass(ms(300));
-    let busy: Vec<WorkerSlot> =
-        desk.running.iter().filter(|(_, runs)| !runs.is_empty()).map(|(slot, _)| *slot).collect();
-    let ordered = desk
-        .machine_orders
-        .iter()
-        .filter(|order| busy.iter().any(|slot| **order.machine() == *format!("m{slot}")));
-    assert_eq!(ordered.count(), 1);
-}
-
-#[test]
-fn a_machine_with_several_tasks_of_a_step_is_thinned_out_first() {
-    let mut desk = Desk::new(2, Tenure::default());
-    desk.submit(1, vec![long_running(3, None)]);
-    desk.pass(ms(1_500));
-    let slot = *desk.running.keys().next().expect("one worker runs all");
-    assert_eq!(desk.running[&slot].len(), 3);
-    desk.list(Desk::machines(2, MachineState::Up));
-    desk.wave_of(&[slot], 1);
-    while desk.machine_orders.is_empty() {
-        assert!(!desk.running[&slot].is_empty() && desk.running() >= 2, "one away at a time");
-        desk.pass(ms(10));
-    }
-    assert_eq!(desk.running[&slot].len(), 1);
-    assert_eq!(desk.running(), 3);
-}
-
-#[test]
-fn a_maintained_machine_that_moves_does_not_hold_up_its_wave() {
-    let mut desk = Desk::new(2, Tenure::default());
-    desk.list(Desk::machines(2, MachineState::Up));
-    desk.wave_of(&[0, 1], 1);
-    desk.pass(ms(100));
-    let first = desk.machine_orders.remove(0);
-    desk.scheduler.note_machine(&first, MachineOutcome::Accepted, desk.now);
-    desk.now += ms(10);
-    desk.list(Desk::machines(2, MachineState::Maintenance));
-    desk.pass(ms(2_500));
-    assert_eq!(desk.machine_orders, vec![], "one at a time");
-    let mut machines = Desk::machines(2, MachineState::Up);
-    let number = usize::from(&**first.machine() == "m1");
-    machines[number].state = MachineState::Moving;
-    desk.list(machines);
-    desk.pass(ms(200));
-    assert_eq!(desk.machine_orders.len(), 1);
-}
-
-#[test]
-fn a_task_is_not_stopped_for_a_wave_while_no_other_worker_has_room() {
-    let mut desk = Desk::new(1, Tenure::default());
-    desk.submit(1, vec![long_running(3, None)]);
-    desk.pass(ms(1_500));
-    desk.list(Desk::machines(1, MachineState::Up));
-    desk.wave_of(&[0], 1);
-    desk.pass(ms(3_000));
-    assert_eq!(desk.running(), 3);
-}
-
-#[test]
-fn a_machine_comes_for_tasks_whose_only_worker_is_emptied() {
-    let mut desk = Desk::new(1, Tenure::default());
-    desk.submit(1, vec![long_running(3, None)]);
-    desk.pass(ms(1_500));
-    let mut machines = Desk::machines(2, MachineState::Up);
-    machines[1].service = "spare".into();
-    machines[1].worker = None;
-    desk.list(machines);
-    desk.wave_of(&[0], 1);
-    desk.pass(ms(1_000));
-    let order = MachineOrder::Move { machine: "m1".into(), service: SERVICE.into() };
-    assert_eq!(desk.machine_orders, vec![order]);
-}
-
-#[test]
-fn tasks_that_must_be_apart_get_as_many_machines() {
-    let mut desk = Desk::new(1, Tenure::default());
-    let mut machines = Desk::machines(4, MachineState::Up);
-    for machine in &mut machines[1..] {
-        machine.service = "spare".into();
-        machine.worker = None;
-    }
-    desk.list(machines);
-    desk.submit(1, vec![long_running(3, Some(1))]);
-    desk.pass(ms(1_000));
-    assert_eq!(desk.machine_orders.len(), 2);
-}
-
-#[test]
-fn an_order_that_had_been_carried_out_before_loses_no_worker() {
-    let mut desk = Desk::new(1, Tenure::default());
-    desk.submit(1, vec![step(1, 1, &[])]);
-    desk.pass(ms(100));
-    desk.list(Desk::machines(1, MachineState::Up));
-    let order = MachineOrder::Maintain { machine: "m0".into(), wave: 1 };
-    desk.scheduler.note_machine(&order, MachineOutcome::Accepted, desk.now);
-    desk.pass(ms(100));
-    desk.list(Desk::machines(1, MachineState::Up));
-    desk.pass(ms(300));
-    assert_eq!(desk.running(), 1);
-    assert!(!desk.scheduler.worker(0).is_gone);
-}
-
-#[test]
-fn an_order_that_took_a_machine_down_loses_its_worker() {
-    let mut desk = Desk::new(2, Tenure::default());
-    desk.submit(1, vec![step(1, 1, &[])]);
-    desk.pass(ms(100));
-    desk.list(Desk::machines(2, MachineState::Up));
-    for number in 0..2 {
-        let order = MachineOrder::Maintain { machine: format!("m{number}").into(), wave: 1 };
-        desk.scheduler.note_machine(&order, MachineOutcome::Accepted, desk.now);
-    }
-    desk.pass(ms(100));
-    desk.list(Desk::machines(2, MachineState::Maintenance));
-    assert!(desk.scheduler.worker(0).is_gone && desk.scheduler.worker(1).is_gone);
-}
-
-#[test]
-fn a_silent_worker_is_given_up_at_once_when_its_machine_is_down() {
-    let mut desk = Desk::new(2, Tenure::default());
-    desk.submit(1, vec![step(1, 1, &[])]);
-    desk.pass(ms(100));
-    let slot = *desk.running.keys().next().expect("one worker runs it");
-    let error = LookError::NoAnswer("timeout".into());
-    desk.scheduler.note_look_failed(slot, false, &error, desk.now);
-    desk.now += ms(10);
-    let mut machines = Desk::machines(2, MachineState::Up);
-    machines[slot].state = MachineState::Down;
-    desk.list(machines);
-    assert!(desk.scheduler.worker(slot).is_gone);
-    desk.pass(ms(100));
-    let other = 1 - slot;
-    assert_eq!(desk.running.get(&other).map(Vec::len), Some(1));
-}
-
-#[test]
-fn a_silent_worker_whose_machine_is_up_keeps_its_tasks_until_the_lease_is_over() {
-    let mut desk = Desk::new(2, Tenure::default());
-    desk.submit(1, vec![step(1, 1, &[])]);
-    desk.pass(ms(100));
-    let slot = *desk.running.keys().next().expect("one worker runs it");
-    let error = LookError::NoAnswer("timeout".into());
-    for _ in 0..28 {
-        desk.scheduler.note_look_failed(slot, false, &error, desk.now);
-        desk.now += ms(200);
-        desk.list(Desk::machines(2, MachineState::Up));
-        for order in desk.scheduler.plan(Duration::ZERO, desk.now) {
-            if !matches!(order, Order::Look { worker, .. } if worker == slot) {
-                desk.carry_out(order);
-            }
-        }
-    }
-    assert_eq!(desk.running(), 1, "nothing else was started within 5.6 s");
-}
-
 #[test]
 fn nothing_starts_before_the_store_says_that_it_may_have() {
     let mut desk = Desk::new(1, Tenure::default());
@@ -447,50 +176,6 @@
     assert_eq!(again, 0);
 }
 
-#[test]
-fn a_machine_whose_worker_has_not_been_looked_at_does_not_go_down() {
-    let now = ms(100_000);
-    let tenure = Tenure { token: 50, is_first_holder: true, ..Tenure::default() };
-    let mut scheduler = Scheduler::new(settings(), tenure, now);
-    scheduler.configure(config(Resources::default()));
-    let entries = (0..2).map(|number| EmulatedWorker::new(number, cores(16)).entry());
-    scheduler.set_workers(entries.collect(), now);
-    let running = HashMap::new();
-    let mut desk = Desk { scheduler, now, running, machine_orders: Vec::new() };
-    desk.list(Desk::machines(2, MachineState::Up));
-    desk.wave_of(&[0, 1], 2);
-    desk.now += ms(60);
-    let is_machine = |order: &Order| matches!(order, Order::Machine(_));
-    assert!(!desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
-    desk.pass(ms(300));
-    assert!(!desk.machine_orders.is_empty(), "afterwards one goes down after the other");
-}
-
-#[test]
-fn a_run_that_an_earlier_owner_may_be_stopping_does_not_count_as_at_work() {
-    let mut desk = Desk::new(2, Tenure { token: 50, ..Tenure::default() });
-    let touched =
-        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
-    let record = job(vec![long_running(2, Some(1))]);
-    desk.scheduler.add_job(1, record, 40, Some(&touched), desk.now);
-    for slot in 0..2 {
-        let index = u32::try_from(slot).expect("small");
-        let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
-        desk.running.insert(slot, vec![(task, 1)]);
-        let row = RunningRow { task, run: 1, checkpoint: None, percent: 100, reading: 0 };
-        let look = Look { clock: desk.now, running: vec![row], ..Look::default() };
-        desk.scheduler.note_look(slot, false, desk.now, desk.now, look);
-    }
-    desk.list(Desk::machines(2, MachineState::Up));
-    desk.wave_of(&[0, 1], 1);
-    desk.pass(settings().stop_max);
-    assert_eq!(desk.machine_orders, vec![]);
-    desk.pass(ms(2_500));
-    let mut machines: Vec<_> = desk.machine_orders.iter().map(MachineOrder::machine).collect();
-    machines.dedup();
-    assert_eq!(machines.len(), 1, "one of them goes down");
-}
-
 #[test]
 fn a_job_waits_until_a_worker_has_begun_one_of_its_tasks() {
     let mut desk = Desk::new(1, Tenure::default());
@@ -529,8 +214,7 @@
     scheduler.add_job(1, job(vec![step(1, 1, &[])]), 40, Some(&touched), now);
     scheduler.add_job(2, job(vec![step(1, 1, &[])]), 60, None, now);
     scheduler.add_job(3, job(vec![step(1, 1, &[])]), 41, None, now);
-    let running = HashMap::new();
-    let mut desk = Desk { scheduler, now, running, machine_orders: Vec::new() };
+    let mut desk = Desk::of(scheduler, now);
     let error = LookError::NoAnswer("timeout".into());
     let silent = (0..2).find(|slot| *desk.scheduler.worker(*slot).entry.id == *known.id);
     let silent = silent.expect("the known worker");
