Renew a lease without waiting for the attempt before

Cause: a renewal was given up after a third of the time to live, and the next one waited for it. A store that takes longer than that for each answer kept the lease alive for its keeper, who took it for lost: nobody placed anything.

Change: attempts overlap and may take three quarters of the time to live each. Test a_slow_store_ends_no_lease fails on the code before.

--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -10,8 +10,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::backoff::jitter;
@@ -25,6 +27,8 @@
 const RENEWALS_PER_TTL: u32 = 3;
 /// Renewals per time to live after one has failed.
 const RETRIES_PER_TTL: u32 = 10;
+/// Part of the time to live that an attempt may take: the rest of it would be of little use.
+const ATTEMPT_PART: f64 = 0.75;
 
 /// Tells whether a lease holds now. Clones are cheap and share the same lease.
 #[derive(Debug, Clone)]
@@ -133,6 +137,23 @@
     }
 }
 
+/// An attempt to renew a lease.
+struct Renewal {
+    sent: Stamp,
+    /// `None` if it has taken too long.
+    answer: Option<Result<Duration, StoreError>>,
+}
+
+async fn attempt<S: Store>(store: &S, id: LeaseId, ttl: Duration) -> Renewal {
+    let sent = Stamp::now();
+    let answer = timeout(ttl.mul_f64(ATTEMPT_PART), store.keep_alive(id)).await.ok();
+    Renewal { sent, answer }
+}
+
+/// Renews a lease until the store says that it has expired.
+///
+/// An attempt does not wait for the one before it: a slow store or a connection on which an
+/// answer was lost delays that attempt alone.
 async fn renew<S: Store>(
     store: S,
     id: LeaseId,
@@ -140,26 +161,32 @@
     validity: LeaseValidity,
     ended: watch::Sender<bool>,
 ) {
-    let mut interval = ttl / RENEWALS_PER_TTL;
+    let interval = || jitter(ttl / RENEWALS_PER_TTL);
+    let mut attempts = FuturesUnordered::new();
+    let mut next = Instant::now() + interval();
     loop {
-        sleep(jitter(interval)).await;
-        let sent = Stamp::now();
-        let answer = timeout(ttl / RENEWALS_PER_TTL, store.keep_alive(id)).await;
-        interval = match answer {
-            Ok(Ok(granted)) => {
-                validity.renew(sent, granted.min(ttl));
-                ttl / RENEWALS_PER_TTL
+        let renewal = tokio::select! {
+            () = sleep_until(next) => {
+                attempts.push(attempt(&store, id, ttl));
+                next = Instant::now() + interval();
+                continue;
+            }
+            Some(renewal) = attempts.next() => renewal,
+        };
+        match renewal.answer {
+            Some(Ok(granted)) => {
+                validity.renew(renewal.sent, granted.min(ttl));
+                continue;
             }
-            Ok(Err(StoreError::LeaseExpired)) => break,
-            Ok(Err(error)) => {
+            Some(Err(StoreError::LeaseExpired)) => break,
+            Some(Err(error)) => {
                 cassiafold_event::emit!(PlatformEvent::LeaseRenewalFailed, error = error);
-                ttl / RETRIES_PER_TTL
             }
-            Err(_) => {
+            None => {
                 cassiafold_event::emit!(PlatformEvent::LeaseRenewalFailed, error = "timeout");
-                ttl / RETRIES_PER_TTL
             }
-        };
+        }
+        next = next.min(Instant::now() + jitter(ttl / RETRIES_PER_TTL));
     }
     validity.end();
     ended.send_replace(true);
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -86,6 +86,17 @@
     assert!(keeper.is_valid());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_ends_no_lease() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    store.faults().set_delay(TTL.mul_f64(0.45));
+    for _ in 0..100 {
+        sleep(TTL / 10).await;
+        assert!(keeper.is_valid());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn lost_answers_end_the_validity_before_the_lease() {
     let store = MemoryStore::default();
