Shorten the owner's lease to 1.2 s

Cause: of the seconds that a lost owner costs, 2 s were its lease.

Change: 1.2 s in place of 2 s, or what the store grants at least (TtlMinMs, read from the settings now).

--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -33,7 +33,7 @@
 use crate::error::Result;
 
 /// Time to live of the lease on the ownership.
-const OWNER_LEASE: Duration = Duration::from_millis(2_000);
+const OWNER_LEASE: Duration = Duration::from_millis(1_200);
 /// Longest random delay before a free ownership is claimed.
 const CLAIM_DELAY_MAX: Duration = Duration::from_millis(80);
 /// Delay for each time that a machine is weaker than a strong one.
@@ -86,7 +86,7 @@
     tokio::spawn(answer_readiness(readiness, desk.clone(), stop.clone()));
     let owner_settings = OwnerSettings {
         instance: settings.instance.clone(),
-        lease_ttl: OWNER_LEASE,
+        lease_ttl: OWNER_LEASE.max(settings.lease_ttl_min),
         claim_delay_max: CLAIM_DELAY_MAX,
         claim_delay: claim_delay(&settings),
         scheduler: settings.scheduler,
