Log what each service asks of its machines

Cause: event 1631 told how many machines each service needs and not why; the share of arriving, running and waiting work could not be told apart when more machines moved than were used.

Change: the line names them.

--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -1,6 +1,7 @@
 //! How many machines each service should have, and which machines move.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 use cassiafold_config::{InstanceId, ServiceId};
@@ -30,6 +31,14 @@
     pub expected: f64,
 }
 
+impl fmt::Display for Load {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { arriving, running, waiting_core_s, long_running, expected } = self;
+        write!(f, "{arriving:.0} arriving {running:.0} running {waiting_core_s:.0} waiting ")?;
+        write!(f, "{long_running:.0} long {expected:.0} expected")
+    }
+}
+
 impl Load {
     /// Cores that serve this load without a lasting queue.
     ///
@@ -78,6 +87,8 @@
     pub idle: Vec<InstanceId>,
     /// Machines that it needs.
     pub needed: usize,
+    /// What it asks of them.
+    pub load: Load,
 }
 
 /// A machine that moves.
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -104,6 +104,7 @@
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
             let load = self.load(id, now);
             pool.needed = machines_for(load.cores(), cores_each).max(self.apart(id));
+            pool.load = load;
             let lately = self.needs.entry(id.clone()).or_default().note(pool.needed, now);
             pool.may_shrink = self.may_shrink(id, now) && pool.machines > lately + KEPT_MACHINES;
         }
@@ -216,7 +217,8 @@
 /// One line with what each service has and needs.
 fn report(pools: &BTreeMap<ServiceId, Pool>, moves: usize) {
     let each = pools.iter().map(|(service, pool)| {
-        format!("{service}={}/{} idle {}", pool.machines, pool.needed, pool.idle.len())
+        let Pool { machines, needed, idle, load, .. } = pool;
+        format!("{service}={machines}/{needed} idle {} ({load})", idle.len())
     });
     let pools = each.collect::<Vec<_>>().join(", ");
     emit!(JobsEvent::PoolsBalanced, moves = moves, pools = pools);
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -16,7 +16,7 @@
 
 fn pool(machines: usize, idle: usize, needed: usize, may_shrink: bool) -> Pool {
     let idle = (0..idle).map(|number| format!("m{number}").into()).collect();
-    Pool { is_spare: false, may_shrink, machines, idle, needed }
+    Pool { is_spare: false, may_shrink, machines, idle, needed, load: Load::default() }
 }
 
 fn moved(pools: &[(&str, Pool)]) -> BTreeMap<ServiceId, usize> {
