Expect a young turn to ask for as much as the others did

Change: a service whose turn has begun less than 3 s ago is expected to ask for its last turn's rate, or for the mean of the others' rates if it has had none. A single large job counts with the cores that it can use at once.

--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -187,6 +187,9 @@
     /// Rate of the turn that begins before a machine that is ordered now would have come, in
     /// estimated cores; 0 if there is none.
     fn expected_rate(&self, service: &ServiceId, now: Moment) -> f64 {
+        if let Some(rate) = self.turns.young_turn_rate(service, now) {
+            return rate;
+        }
         let Some(forecast) = self.turns.forecast() else { return 0.0 };
         let lead = self.settings.move_time + ARRIVAL;
         let begins = forecast.onset.at;
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -10,7 +10,8 @@
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
-use crate::spec::{JobId, OccurrenceNumber, StepId, TaskId};
+use crate::spec::{JobId, OccurrenceNumber, StepId, StepSpec, TaskId};
+use crate::turns::Work;
 
 /// Seconds of its weight that a team may send at once before its jobs count as beyond it.
 const WEIGHT_BURST_S: f64 = 2.0;
@@ -41,7 +42,10 @@
             job.begin(0, stored, run_base, now);
         }
         if accepted_revision > self.tenure.token && !job.record.spec.is_long_running() {
-            self.turns.note(&job.record.service, work_left(&job, 0), now);
+            let cores = job.record.spec.steps.iter().map(StepSpec::cores);
+            let work =
+                Work { core_seconds: work_left(&job, 0), cores_max: cores.fold(0.0, f64::max) };
+            self.turns.note(&job.record.service, work, now);
         }
         self.jobs.insert(id, job);
         match repeats {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -127,6 +127,11 @@
 }
 
 impl StepSpec {
+    /// Cores that all its tasks use together.
+    pub fn cores(&self) -> f64 {
+        f64::from(self.tasks) * f64::from(self.needs.processors_milli) / 1_000.0
+    }
+
     /// Resources that a task takes from a worker's room.
     pub fn reserved(&self) -> Resources {
         match self.opportunistic {
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -16,6 +16,8 @@
 const ONSET_JOBS: u32 = 3;
 /// Onsets that are remembered.
 const ONSETS_MAX: usize = 64;
+/// How long demand may rise in a turn.
+const RISE: Duration = Duration::from_millis(3_000);
 /// Shortest time between two onsets; what comes sooner is chance.
 const TURN_MIN: Duration = Duration::from_millis(1_500);
 
@@ -26,10 +28,29 @@
     onsets: VecDeque<Onset>,
 }
 
+/// Work of one job.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// All its work.
+    pub core_seconds: f64,
+    /// Most cores that it can use at once.
+    pub cores_max: f64,
+}
+
+/// What arrived within one bin.
+#[derive(Debug)]
+struct Bin {
+    number: u128,
+    core_seconds: f64,
+    jobs: u32,
+    /// The job with the most work.
+    largest: Work,
+}
+
 #[derive(Debug, Default)]
 struct Arrivals {
-    /// Number of a bin, core-seconds and jobs that arrived in it; the latest last.
-    bins: VecDeque<(u128, f64, u32)>,
+    /// Bins in which something arrived, the latest last.
+    bins: VecDeque<Bin>,
     /// Core-seconds that arrived since its last onset.
     since_onset: f64,
     /// Rate of its last whole turn, in cores.
@@ -60,28 +81,47 @@
 
 impl Arrivals {
     fn forget_before(&mut self, bin: u128) {
-        while self.bins.front().is_some_and(|(number, _, _)| *number < bin) {
+        while self.bins.front().is_some_and(|one| one.number < bin) {
             self.bins.pop_front();
         }
     }
 
     fn recent(&self) -> (f64, u32) {
-        self.bins.iter().fold((0.0, 0), |(work, jobs), bin| (work + bin.1, jobs + bin.2))
+        self.bins
+            .iter()
+            .fold((0.0, 0), |(work, jobs), bin| (work + bin.core_seconds, jobs + bin.jobs))
+    }
+
+    /// Rate of the present bins, in cores.
+    ///
+    /// Answers the load pattern of a single large job: it counts with the cores that it can use
+    /// and not with all its work, which its steps do one after the other.
+    fn rate(&self) -> f64 {
+        let window_s = BIN.as_secs_f64() * RATE_BINS as f64;
+        let largest = self.bins.iter().map(|bin| bin.largest);
+        let largest = largest.max_by(|a, b| a.core_seconds.total_cmp(&b.core_seconds));
+        let largest = largest.unwrap_or_default();
+        let others = self.recent().0 - largest.core_seconds;
+        others / window_s + (largest.core_seconds / window_s).min(largest.cores_max)
     }
 }
 
 impl Turns {
-    /// Notes a job with its estimated work in core-seconds.
-    pub fn note(&mut self, service: &ServiceId, core_seconds: f64, now: Moment) {
-        let bin = bin_of(now);
+    /// Notes a job with its estimated work.
+    pub fn note(&mut self, service: &ServiceId, work: Work, now: Moment) {
+        let number = bin_of(now);
+        let core_seconds = work.core_seconds;
         let arrivals = self.arrivals.entry(service.clone()).or_default();
         arrivals.since_onset += core_seconds;
         match arrivals.bins.back_mut() {
-            Some((number, work, jobs)) if *number == bin => {
-                *work += core_seconds;
-                *jobs += 1;
+            Some(bin) if bin.number == number => {
+                bin.core_seconds += core_seconds;
+                bin.jobs += 1;
+                if core_seconds > bin.largest.core_seconds {
+                    bin.largest = work;
+                }
             }
-            _ => arrivals.bins.push_back((bin, core_seconds, 1)),
+            _ => arrivals.bins.push_back(Bin { number, core_seconds, jobs: 1, largest: work }),
         }
     }
 
@@ -122,8 +162,7 @@
 
     /// Rate at which work arrives for a service, in cores.
     pub fn rate(&self, service: &str) -> f64 {
-        let work = self.arrivals.get(service).map_or(0.0, |arrivals| arrivals.recent().0);
-        work / (BIN.as_secs_f64() * RATE_BINS as f64)
+        self.arrivals.get(service).map_or(0.0, Arrivals::rate)
     }
 
     /// Service that has its turn.
@@ -136,6 +175,27 @@
         self.onsets.iter().any(|onset| *onset.service == *service)
     }
 
+    /// Rate that a service whose turn has just begun will reach, in cores; `None` when no turn has
+    /// been seen to its end, or the turn is no longer young.
+    ///
+    /// Answers the load pattern of a turn whose demand rises over some seconds: machines ordered
+    /// by the present rate would come after it. A service that has had no turn is expected to ask
+    /// for as much as the others did.
+    pub fn young_turn_rate(&self, service: &str, now: Moment) -> Option<f64> {
+        let current = self.onsets.back()?;
+        if *current.service != *service || now >= current.at + RISE {
+            return None;
+        }
+        let own = self.arrivals.get(service).and_then(|arrivals| arrivals.turn_rate);
+        own.or_else(|| self.mean_turn_rate())
+    }
+
+    fn mean_turn_rate(&self) -> Option<f64> {
+        let known = || self.arrivals.values().filter_map(|arrivals| arrivals.turn_rate);
+        let count = known().count();
+        (count > 0).then(|| known().sum::<f64>() / count as f64)
+    }
+
     /// The turn that follows the present one.
     ///
     /// Answers the load pattern of queues whose demand rises by turns: the order and the lengths
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -8,7 +8,7 @@
 use cassiafold_jobs::order::{Contender, sort};
 use cassiafold_jobs::pace::next_percent;
 use cassiafold_jobs::spec::StepId;
-use cassiafold_jobs::turns::Turns;
+use cassiafold_jobs::turns::{Turns, Work};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -120,13 +120,29 @@
     assert_eq!(next_percent(95, 0.5), 100);
 }
 
+fn work(core_seconds: f64, cores_max: f64) -> Work {
+    Work { core_seconds, cores_max }
+}
+
+#[test]
+fn a_single_large_job_counts_with_the_cores_that_it_can_use() {
+    let mut turns = Turns::default();
+    let now = ms(1_000);
+    turns.note(&"a".into(), work(900.0, 55.0), now);
+    assert_eq!(turns.rate("a"), 55.0);
+    for _ in 0..3 {
+        turns.note(&"a".into(), work(75.0, 55.0), now);
+    }
+    assert_eq!(turns.rate("a"), 300.0 + 55.0);
+}
+
 /// Plays turns of `length` each, in which one service after the other asks.
 fn play(turns: &mut Turns, order: &[&str], length: Duration) -> Duration {
     let mut now = ms(1_000);
     for service in order {
         let end = now + length;
         while now < end {
-            turns.note(&ServiceId::from(*service), 5.0, now);
+            turns.note(&ServiceId::from(*service), work(5.0, 5.0), now);
             turns.update(now);
             now += ms(50);
         }
@@ -157,10 +173,27 @@
     assert!((80.0..120.0).contains(&rate), "{rate}");
 }
 
+#[test]
+fn a_young_turn_is_expected_to_ask_for_as_much_as_the_others_did() {
+    let mut turns = Turns::default();
+    let now = play(&mut turns, &["a", "b"], ms(4_000));
+    assert_eq!(turns.young_turn_rate("b", now), None, "it has risen");
+    let end = now + ms(800);
+    let mut now = now;
+    while now < end {
+        turns.note(&"c".into(), work(1.0, 1.0), now);
+        turns.update(now);
+        now += ms(50);
+    }
+    let rate = turns.young_turn_rate("c", now).expect("a rate");
+    assert!((80.0..120.0).contains(&rate), "{rate}, while 20 arrives");
+    assert_eq!(turns.young_turn_rate("a", now), None, "another has its turn");
+}
+
 #[test]
 fn before_a_round_is_over_nothing_is_foreseen() {
     let mut turns = Turns::default();
-    turns.note(&ServiceId::from("c"), 0.1, ms(900));
+    turns.note(&ServiceId::from("c"), work(0.1, 0.1), ms(900));
     play(&mut turns, &["a", "b"], ms(4_000));
     assert_eq!(turns.forecast(), None);
 }
