Keep the turns of demand in the store

Change: begins and rates of turns are written at the begin of each turn (cassiafold/turns) and taken over by the next owner, by the time of day. A clock that jumps shifts forecasts for one tenure and nothing else. The rate of a turn is only told by an owner that saw all of it.

--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -12,14 +12,15 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
+use super::unix_now;
 use super::write::Sequence;
 use crate::edges::FencingToken;
 use crate::event::JobsEvent;
 use crate::outage::Outage;
 use crate::record::{
     BegunRecord, CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY,
-    OWNER_KEY, OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_KEY,
-    job_of,
+    OWNER_KEY, OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, TURNS_KEY, TurnsRecord,
+    WAVES_KEY, WORKERS_KEY, job_of,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -63,23 +64,34 @@
     instance: &Arc<str>,
 ) -> Result<Loaded, StoreError> {
     let store = site.store();
-    let (inbox, states, sequence, known, begun, ordered, listed) = tokio::try_join!(
+    let (inbox, states, sequence, known, begun, ordered, turns, listed) = tokio::try_join!(
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
         store.get(WORKERS_KEY),
         store.get(WAVES_KEY),
         store.get(ORDERED_KEY),
+        store.get(TURNS_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = begin_sequence(site, token, sequence).await?;
     let known_workers: Vec<KnownWorker> = read_json(known)?;
     let begun: BegunRecord = read_json(begun)?;
     let ordered: OrderedRecord = read_json(ordered)?;
+    let turns: TurnsRecord = read_json(turns)?;
     let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
     let now = since_boot();
     let instance = Arc::clone(instance);
-    let tenure = Tenure { token, run_base, known_workers, begun, ordered, instance };
+    let tenure = Tenure {
+        token,
+        run_base,
+        known_workers,
+        begun,
+        ordered,
+        instance,
+        turns,
+        began_unix: unix_now(),
+    };
     let mut scheduler = Scheduler::new(settings, tenure, now);
     let states = read_states(&states.records);
     for record in &inbox.records {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -36,9 +36,9 @@
 use crate::edges::FencingToken;
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
-use crate::record::{BegunRecord, KnownWorker, OrderedRecord, WaitingRecord};
+use crate::record::{BegunRecord, KnownWorker, OrderedRecord, TurnsRecord, WaitingRecord};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
-use crate::turns::Turns;
+use crate::turns::{Onset, Turns};
 use crate::worker::Worker;
 
 /// Times that the platform's settings give.
@@ -59,7 +59,7 @@
 }
 
 /// What the owner knows when its tenure begins.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Tenure {
     /// Its token.
     pub token: FencingToken,
@@ -73,6 +73,10 @@
     pub ordered: OrderedRecord,
     /// Name of the owner's instance.
     pub instance: Arc<str>,
+    /// Turns of demand that earlier owners saw.
+    pub turns: TurnsRecord,
+    /// Time of day at its begin.
+    pub began_unix: Duration,
 }
 
 /// An order that is to be carried out now.
@@ -173,6 +177,8 @@
     /// Machines of each service that no service wants.
     surplus: HashMap<ServiceId, usize>,
     turns: Turns,
+    /// Begin of the last turn that lies in the store.
+    turns_written: Option<Onset>,
     durations: Durations,
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// The last order to each machine.
@@ -220,7 +226,8 @@
             balanced: now,
             needs: HashMap::new(),
             surplus: HashMap::new(),
-            turns: Turns::default(),
+            turns: Turns::restore(&tenure.turns, tenure.began_unix, now),
+            turns_written: None,
             durations: Durations::default(),
             waves: BTreeMap::new(),
             machines_ordered: HashMap::new(),
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -11,14 +11,14 @@
 use crate::event::JobsEvent;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
-    JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, WAITING_KEY, WAVES_KEY,
-    WORKERS_KEY, WaitingRecord, cancel_key, job_key, state_key,
+    JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, TURNS_KEY, WAITING_KEY,
+    WAVES_KEY, WORKERS_KEY, WaitingRecord, cancel_key, job_key, state_key,
 };
 use crate::spec::JobId;
 
 /// States of jobs in one write. The store takes 32 entries: beside the states there are two
-/// conditions, the sequence, four lists, waves and removals.
-const STATES_MAX: usize = 19;
+/// conditions, the sequence, five lists, waves and removals.
+const STATES_MAX: usize = 18;
 /// Statuses of waves in one write.
 const WAVES_MAX: usize = 3;
 /// Ended jobs that are removed in one write.
@@ -67,6 +67,7 @@
         self.collect_workers(&mut flush);
         self.collect_begun(&mut flush);
         self.collect_ordered(now, &mut flush);
+        self.collect_turns(now, &mut flush);
         self.collect_waiting(now, &mut flush);
         self.collect_removals(now, &mut flush);
         flush.waves = self.wave_statuses();
@@ -158,6 +159,17 @@
         flush.ordered = ordered;
     }
 
+    fn collect_turns(&mut self, now: Moment, flush: &mut Flush) {
+        if self.turns.current() == self.turns_written.as_ref() {
+            return;
+        }
+        match serde_json::to_vec(&self.turns.record(self.unix, now)) {
+            Ok(bytes) => flush.puts.push((TURNS_KEY.into(), bytes)),
+            Err(error) => return report(0, &error.into()),
+        }
+        self.turns_written = self.turns.current().cloned();
+    }
+
     fn collect_waiting(&mut self, now: Moment, flush: &mut Flush) {
         let last = self.waiting_written.as_ref();
         if last.is_some_and(|(at, _)| now.saturating_sub(*at) < WAITING_INTERVAL) {
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -6,6 +6,8 @@
 use cassiafold_config::ServiceId;
 use cassiafold_platform::Moment;
 
+use crate::record::{OnsetRecord, TurnsRecord};
+
 /// Length of a bin of arrivals.
 const BIN: Duration = Duration::from_millis(125);
 /// Bins over which the present rate is taken.
@@ -15,7 +17,7 @@
 /// Jobs that must have arrived within the rate's bins for a turn to begin.
 const ONSET_JOBS: u32 = 3;
 /// Onsets that are remembered.
-const ONSETS_MAX: usize = 64;
+const ONSETS_MAX: usize = 32;
 /// How long demand may rise in a turn.
 const RISE: Duration = Duration::from_millis(3_000);
 /// Shortest time between two onsets; what comes sooner is chance.
@@ -51,8 +53,8 @@
 struct Arrivals {
     /// Bins in which something arrived, the latest last.
     bins: VecDeque<Bin>,
-    /// Core-seconds that arrived since its last onset.
-    since_onset: f64,
+    /// Core-seconds that arrived since its last onset; `None` if that was not seen here.
+    since_onset: Option<f64>,
     /// Rate of its last whole turn, in cores.
     turn_rate: Option<f64>,
 }
@@ -107,12 +109,40 @@
 }
 
 impl Turns {
+    /// The turns that an earlier owner saw; `unix` is the time of day at `now`.
+    pub fn restore(record: &TurnsRecord, unix: Duration, now: Moment) -> Self {
+        let onset = |stored: &OnsetRecord| {
+            let age = unix.saturating_sub(Duration::from_millis(stored.at_unix_ms));
+            Onset { service: stored.service.clone(), at: now.saturating_sub(age) }
+        };
+        let arrivals = record.rates.iter().map(|(service, rate)| {
+            let arrivals = Arrivals { turn_rate: Some(*rate), ..Arrivals::default() };
+            (service.clone(), arrivals)
+        });
+        Self { arrivals: arrivals.collect(), onsets: record.onsets.iter().map(onset).collect() }
+    }
+
+    /// The turns as they shall lie in the store; `unix` is the time of day at `now`.
+    pub fn record(&self, unix: Duration, now: Moment) -> TurnsRecord {
+        let onset = |onset: &Onset| {
+            let at = unix.saturating_sub(now.saturating_sub(onset.at));
+            let at_unix_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+            OnsetRecord { service: onset.service.clone(), at_unix_ms }
+        };
+        let rates = self.arrivals.iter().filter_map(|(service, arrivals)| {
+            arrivals.turn_rate.map(|rate| (service.clone(), rate))
+        });
+        TurnsRecord { onsets: self.onsets.iter().map(onset).collect(), rates: rates.collect() }
+    }
+
     /// Notes a job with its estimated work.
     pub fn note(&mut self, service: &ServiceId, work: Work, now: Moment) {
         let number = bin_of(now);
         let core_seconds = work.core_seconds;
         let arrivals = self.arrivals.entry(service.clone()).or_default();
-        arrivals.since_onset += core_seconds;
+        if let Some(since_onset) = &mut arrivals.since_onset {
+            *since_onset += core_seconds;
+        }
         match arrivals.bins.back_mut() {
             Some(bin) if bin.number == number => {
                 bin.core_seconds += core_seconds;
@@ -147,12 +177,13 @@
     fn begin(&mut self, service: ServiceId, now: Moment) {
         if let Some(last) = self.onsets.back()
             && let Some(arrivals) = self.arrivals.get_mut(&last.service)
+            && let Some(since_onset) = arrivals.since_onset
         {
             let length_s = now.saturating_sub(last.at).as_secs_f64();
-            arrivals.turn_rate = Some(arrivals.since_onset / length_s.max(BIN.as_secs_f64()));
+            arrivals.turn_rate = Some(since_onset / length_s.max(BIN.as_secs_f64()));
         }
         if let Some(arrivals) = self.arrivals.get_mut(&service) {
-            arrivals.since_onset = arrivals.recent().0;
+            arrivals.since_onset = Some(arrivals.recent().0);
         }
         self.onsets.push_back(Onset { service, at: now });
         if self.onsets.len() > ONSETS_MAX {
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -190,6 +190,22 @@
     assert_eq!(turns.young_turn_rate("a", now), None, "another has its turn");
 }
 
+#[test]
+fn another_owner_foresees_the_turns_that_the_former_one_saw() {
+    let mut turns = Turns::default();
+    let now = play(&mut turns, &["a", "b", "c", "a"], ms(4_000));
+    let (unix, later) = (Duration::from_secs(1_000), ms(500));
+    let record = turns.record(unix, now);
+    // Its clock since boot has another origin.
+    let its_now = ms(70_000);
+    let restored = Turns::restore(&record, unix + later, its_now);
+    let forecast = restored.forecast().expect("a forecast");
+    let known = turns.forecast().expect("a forecast");
+    assert_eq!(forecast.onset.service, known.onset.service);
+    assert_eq!(forecast.rate, known.rate);
+    assert_eq!(its_now.abs_diff(forecast.onset.at), (now + later).abs_diff(known.onset.at));
+}
+
 #[test]
 fn before_a_round_is_over_nothing_is_foreseen() {
     let mut turns = Turns::default();
