Move as many machines as their control takes

Change: the number follows from the settings (DutyPerS), a tenth is left for maintenance.

Figures: small sites as before by construction (12 moves).

--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -13,8 +13,6 @@
 const BACKLOG_TIME_S: f64 = 1.5;
 /// Machines that a service keeps beyond its need.
 pub const KEPT_MACHINES: usize = 1;
-/// Most moves that are ordered at once.
-const MOVES_MAX: usize = 12;
 
 /// What a service asks of its machines, in cores.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -112,18 +110,19 @@
 /// pool.
 ///
 /// Answers the load pattern of services that ask in turn for more than they have: the one with
-/// the greatest want is served first, from the spare pool before others' idle machines.
-pub fn choose_moves(pools: &BTreeMap<ServiceId, Pool>) -> Vec<Move> {
+/// the greatest want is served first, from the spare pool before others' idle machines. At most
+/// `moves_max` are chosen.
+pub fn choose_moves(pools: &BTreeMap<ServiceId, Pool>, moves_max: usize) -> Vec<Move> {
     let mut pools = pools.clone();
     let mut moves = Vec::new();
-    while moves.len() < MOVES_MAX
+    while moves.len() < moves_max
         && let Some(service) = most_wanting(&pools)
     {
         let Some(donor) = donor(&pools, &service) else { break };
         moves.extend(shift(&mut pools, &donor, &service));
     }
     let Some(spare) = spare_of(&pools) else { return moves };
-    while moves.len() < MOVES_MAX
+    while moves.len() < moves_max
         && let Some(donor) = most_idle(&pools)
     {
         moves.extend(shift(&mut pools, &donor, &spare));
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -42,16 +42,16 @@
 use crate::worker::Worker;
 
 /// Times that the platform's settings give.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SchedulerSettings {
     /// How long a run may go on without a look: the longest lease that workers grant.
     pub hold: Duration,
     /// How long a run may take to end after an order to stop.
     pub stop_max: Duration,
-    /// How long an unavailable task may go without counting against its step's budget.
-    pub notice: Duration,
     /// How long the orders of two owners to one machine must be apart.
     pub machine_lease: Duration,
+    /// Orders that the machines' control takes in a second.
+    pub machine_orders_per_s: f64,
     /// How long a machine takes from one service to another.
     pub move_time: Duration,
     /// How long the state of an ended job is kept.
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -17,6 +17,8 @@
 
 /// Time between two decisions.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(200);
+/// Part of the orders to machines that moves may use; the rest is left for maintenance.
+const MOVES_PART: f64 = 0.9;
 /// Time from an order to move until the worker takes work, beyond the move itself.
 const ARRIVAL: Duration = Duration::from_millis(500);
 /// How long an expected turn counts before its begin is seen.
@@ -42,7 +44,7 @@
         }
         self.forget_done_moves(now);
         let pools = self.pools(now);
-        let moves = choose_moves(&pools);
+        let moves = choose_moves(&pools, self.moves_max());
         self.surplus = surplus(&pools);
         if !moves.is_empty() {
             report(&pools, moves.len());
@@ -58,6 +60,12 @@
         }
     }
 
+    /// Moves that may be ordered between two decisions.
+    fn moves_max(&self) -> usize {
+        let orders = self.settings.machine_orders_per_s * BALANCE_INTERVAL.as_secs_f64();
+        (orders * MOVES_PART).ceil().max(1.0) as usize
+    }
+
     /// Orders the moves whose machines are named in the store.
     pub(super) fn order_moves(&mut self, now: Moment, orders: &mut Vec<Order>) {
         for order in std::mem::take(&mut self.moves_due) {
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -23,7 +23,7 @@
     let pools: BTreeMap<ServiceId, Pool> =
         pools.iter().map(|(id, pool)| (ServiceId::from(*id), pool.clone())).collect();
     let mut counts = BTreeMap::new();
-    for one in choose_moves(&pools) {
+    for one in choose_moves(&pools, 12) {
         *counts.entry(one.service).or_default() += 1;
     }
     counts
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -40,7 +40,7 @@
     SchedulerSettings {
         hold: HOLD,
         stop_max: Duration::from_millis(900),
-        notice: Duration::from_millis(4_500),
+        machine_orders_per_s: 64.0,
         machine_lease: Duration::from_millis(3_000),
         move_time: Duration::from_millis(1_500),
         status_kept: Duration::from_secs(150),
