Count a job as waiting that was announced and never started

Change: a job counts as begun when its state tells of a task that ended or saved something, or when a worker lists a run or an end of it.

The test fails on the code before (0 waiting in place of 1).

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -114,7 +114,7 @@
             accepted_revision,
             seen: now,
             state: stored,
-            has_started: stored != JobState::Queued,
+            has_started: state.is_some_and(StateRecord::tells_of_a_run),
             is_announced: stored != JobState::Queued,
             is_untouched: stored == JobState::Queued,
             beyond_weight: false,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -129,7 +129,7 @@
 }
 
 /// What is known of one task that has run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRecord {
     /// The repetition.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
@@ -362,6 +362,14 @@
 }
 
 impl StateRecord {
+    /// Whether some task has surely begun. One that was only about to be started has not.
+    pub fn tells_of_a_run(&self) -> bool {
+        let has_run = |task: &TaskRecord| {
+            task.done || !task.failed_runs.is_empty() || task.checkpoint.is_some()
+        };
+        self.state.is_final() || !self.ended.is_empty() || self.tasks.iter().any(has_run)
+    }
+
     /// The record as bytes.
     pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
         Ok(serde_json::to_vec(self)?)
--- a/crates/jobs/src/scheduler/ends.rs
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -27,6 +27,7 @@
             self.release(slot, row.task, now);
         }
         let Some(job) = self.jobs.get_mut(&row.task.step.job) else { return };
+        job.has_started = true;
         if let Some(task) = job.task_mut(row.task) {
             task.last_run = task.last_run.max(row.run);
             if row.checkpoint.is_some() {
--- a/crates/jobs/tests/desk/mod.rs
+++ b/crates/jobs/tests/desk/mod.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use cassiafold_jobs::cluster::{Machine, MachineState, Service, Wave};
-use cassiafold_jobs::edges::{Look, OrderOutcome, RunningRow};
+use cassiafold_jobs::edges::{Look, LookError, OrderOutcome, RunningRow};
 use cassiafold_jobs::job::WorkerSlot;
+use cassiafold_jobs::record::{JobState, StateRecord, TaskRecord};
 use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure};
 use cassiafold_jobs::spec::{JobId, Resources, StepSpec, TaskId};
 
@@ -91,6 +92,27 @@
         }
     }
 
+    /// Lets time pass in which no worker answers.
+    pub fn pass_silently(&mut self, length: Duration) {
+        let error = LookError::NoAnswer("timeout".into());
+        let end = self.now + length;
+        while self.now < end {
+            for order in self.scheduler.plan(Duration::ZERO, self.now) {
+                match order {
+                    Order::Look { worker, .. } => {
+                        let _ = self.scheduler.look_request(worker, false, self.now);
+                        self.scheduler.note_look_failed(worker, false, &error, self.now);
+                    }
+                    order => self.carry_out(order),
+                }
+            }
+            if let Some(flush) = self.scheduler.take_flush(self.now) {
+                self.scheduler.note_flushed(&flush);
+            }
+            self.now += ms(10);
+        }
+    }
+
     pub fn carry_out(&mut self, order: Order) {
         match order {
             Order::Look { worker, is_probe } => {
@@ -134,3 +156,8 @@
 pub fn long_running(tasks: u32, per_worker_max: Option<u32>) -> StepSpec {
     StepSpec { long_running: true, unavailable_max: Some(1), per_worker_max, ..step(tasks, 2, &[]) }
 }
+
+/// The stored state of a job that an earlier owner was about to start, with what it says of tasks.
+pub fn touched(tasks: Vec<TaskRecord>) -> StateRecord {
+    StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks }
+}
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -9,11 +9,11 @@
 
 use cassiafold_jobs::cluster::Wave;
 use cassiafold_jobs::edges::{EndedRow, Look, LookError, RunEnd, RunningRow};
-use cassiafold_jobs::record::{JobState, StateRecord};
+use cassiafold_jobs::record::{JobState, TaskRecord, WAITING_KEY, WaitingRecord};
 use cassiafold_jobs::scheduler::{Order, Scheduler, Tenure};
 use cassiafold_jobs::spec::{Resources, Schedule, StepId, TaskId};
 
-use self::desk::Desk;
+use self::desk::{Desk, touched};
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{config, cores, job, ms, settings, step};
 
@@ -39,6 +39,18 @@
     assert!(desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_start));
 }
 
+#[test]
+fn a_job_that_an_earlier_owner_touched_and_did_not_start_counts_as_waiting() {
+    let mut desk = Desk::begin(0, Tenure { token: 50, ..Tenure::default() });
+    let done = vec![TaskRecord { done: true, last_run: 1, ..TaskRecord::default() }];
+    desk.scheduler.add_job(1, job(vec![step(2, 1, &[])]), 40, Some(&touched(vec![])), desk.now);
+    desk.scheduler.add_job(2, job(vec![step(2, 1, &[])]), 41, Some(&touched(done)), desk.now);
+    let flush = desk.scheduler.take_flush(desk.now).expect("a write");
+    let waiting = flush.puts.iter().find(|(key, _)| &**key == WAITING_KEY).expect("a count");
+    let waiting: WaitingRecord = serde_json::from_slice(&waiting.1).expect("a record");
+    assert_eq!(waiting.jobs.values().copied().collect::<Vec<_>>(), [1]);
+}
+
 #[test]
 fn after_a_failed_look_nothing_is_acknowledged_until_the_life_is_known_again() {
     let mut desk = Desk::new(1, Tenure::default());
@@ -86,8 +98,7 @@
     let first_unix = Duration::from_secs(500);
     record.spec.schedule =
         Some(Schedule { first_unix, interval: Duration::from_secs(1), occurrences: 2 });
-    let touched =
-        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
+    let touched = touched(Vec::new());
     desk.scheduler.add_job(1, record, 40, Some(&touched), desk.now);
     let task = |index| TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
     let end = RunEnd::Done;
@@ -209,8 +220,7 @@
     scheduler.configure(config(Resources::default()));
     let room = Resources { memory_bytes: 64 << 30, ..cores(16) };
     scheduler.set_workers(vec![EmulatedWorker::new(0, room).entry()], now);
-    let touched =
-        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
+    let touched = touched(Vec::new());
     scheduler.add_job(1, job(vec![step(1, 1, &[])]), 40, Some(&touched), now);
     scheduler.add_job(2, job(vec![step(1, 1, &[])]), 60, None, now);
     scheduler.add_job(3, job(vec![step(1, 1, &[])]), 41, None, now);
