--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -13,6 +13,7 @@
 use crate::cluster::{Machine, MachineState};
 use crate::edges::MachineOutcome;
 use crate::event::JobsEvent;
+use crate::spec::StepId;
 use crate::worker::Worker;
 
 /// Time between two decisions.
@@ -157,7 +158,10 @@
         for worker in workers.filter(|worker| !worker.is_gone) {
             self.add_running(worker, &mut load);
         }
-        for id in self.ready.get(service).into_iter().flatten() {
+        let is_certain = self.is_certain(service, now);
+        // Other work can't be placed before it is known what still runs of it.
+        let placeable = |id: &&StepId| is_certain || self.is_new(**id);
+        for id in self.ready.get(service).into_iter().flatten().filter(placeable) {
             let Some(spec) = self.spec(*id) else { continue };
             let waiting = self.waiting_tasks(*id, now).len() as f64;
             let cores = waiting * f64::from(spec.reserved().processors_milli) / 1_000.0;
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -112,7 +112,7 @@
     }
 
     /// Whether no earlier owner can have started anything of a step's job.
-    fn is_new(&self, step: StepId) -> bool {
+    pub(super) fn is_new(&self, step: StepId) -> bool {
         let job = self.jobs.get(&step.job);
         job.is_some_and(|job| job.is_untouched)
     }
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -9,11 +9,11 @@
 use cassiafold_jobs::cluster::MachineState;
 use cassiafold_jobs::edges::{Look, LookError, MachineOutcome, RunningRow};
 use cassiafold_jobs::job::WorkerSlot;
-use cassiafold_jobs::record::{JobState, ORDERED_KEY, OrderedRecord, StateRecord};
+use cassiafold_jobs::record::{ORDERED_KEY, OrderedRecord};
 use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure};
 use cassiafold_jobs::spec::{Resources, StepId, TaskId};
 
-use self::desk::{Desk, long_running};
+use self::desk::{Desk, long_running, touched};
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{SERVICE, config, cores, job, ms, settings, step};
 
@@ -201,8 +201,7 @@
 #[test]
 fn a_run_that_an_earlier_owner_may_be_stopping_does_not_count_as_at_work() {
     let mut desk = Desk::new(2, Tenure { token: 50, ..Tenure::default() });
-    let touched =
-        StateRecord { state: JobState::Running, team: None, ended: Vec::new(), tasks: Vec::new() };
+    let touched = touched(Vec::new());
     let record = job(vec![long_running(2, Some(1))]);
     desk.scheduler.add_job(1, record, 40, Some(&touched), desk.now);
     for slot in 0..2 {
@@ -281,3 +280,25 @@
     desk.scheduler.note_flushed(&flush);
     assert!(desk.scheduler.plan(Duration::ZERO, desk.now).iter().any(is_machine));
 }
+
+#[test]
+fn work_that_waits_for_silent_workers_asks_for_no_machines() {
+    let known = vec![(&EmulatedWorker::new(9, cores(1)).entry()).into()];
+    let mut desk = Desk::begin(0, Tenure { token: 50, known_workers: known, ..Tenure::default() });
+    let mut machines = Desk::machines(3, MachineState::Up);
+    for machine in &mut machines[..2] {
+        machine.service = "spare".into();
+        machine.worker = None;
+    }
+    machines[2].worker = Some("w9".into());
+    let held = job(vec![step(200, 1, &[])]);
+    desk.scheduler.add_job(1, held, 40, Some(&touched(vec![])), desk.now);
+    for _ in 0..5 {
+        desk.list(machines.clone());
+        desk.pass_silently(ms(1_000));
+    }
+    assert!(ordered(&desk).is_empty());
+    desk.list(machines.clone());
+    desk.pass_silently(ms(1_500));
+    assert_eq!(ordered(&desk).len(), 2, "the lease of what may run there is over");
+}
