Do not try again what another found no room for

Cause: on the grown sites the owner's processor time binds. In a turn some hundred jobs wait, and in each pass each of them copied all workers of its service with their labels, to find again that there is no room.

Change: a pass remembers the demands that found no room and passes over what asks for no less; workers are looked through without copies.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -26,8 +26,6 @@
     pub opportunistic: u32,
     /// Whether most of what it ran lately failed there.
     pub is_suspect: bool,
-    /// Whether the task failed there before.
-    pub is_avoided: bool,
 }
 
 /// What a task asks for.
@@ -63,7 +61,7 @@
     }
 
     /// Rank of the worker for a task; the lowest is taken.
-    fn rank(&self, demand: &Demand) -> Rank {
+    fn rank(&self, demand: &Demand, avoid: &[WorkerSlot]) -> Rank {
         let data_rack = demand.data_rack.as_ref();
         let disturbance = match (demand.serves, demand.opportunistic) {
             (true, _) => 2 * self.opportunistic + self.serving,
@@ -72,7 +70,7 @@
         };
         Rank {
             is_suspect: self.is_suspect,
-            is_avoided: self.is_avoided,
+            is_avoided: avoid.contains(&self.slot),
             far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
             disturbance,
             settles_anew: self.long_running == 0,
@@ -97,10 +95,38 @@
 /// Answers the load pattern of short tasks beside tasks that serve users: each kind goes where it
 /// is disturbed least, and among equals to the worker with the least left. Long-running tasks
 /// gather on few workers, and short ones fill these first, so that the other machines become free
-/// to move as soon as demand falls.
-pub fn choose(demand: &Demand, candidates: &[Candidate]) -> Option<WorkerSlot> {
-    let fitting = candidates.iter().filter(|candidate| candidate.admits(demand));
-    fitting.min_by_key(|candidate| candidate.rank(demand)).map(|candidate| candidate.slot)
+/// to move as soon as demand falls. Workers on which the task failed before come last.
+pub fn choose<'a>(
+    demand: &Demand,
+    candidates: impl Iterator<Item = &'a Candidate>,
+    avoid: &[WorkerSlot],
+) -> Option<WorkerSlot> {
+    let fitting = candidates.filter(|candidate| candidate.admits(demand));
+    fitting.min_by_key(|candidate| candidate.rank(demand, avoid)).map(|candidate| candidate.slot)
+}
+
+/// Demands that found no room in a pass.
+///
+/// Answers the load pattern of hundreds of jobs that wait for a few workers: what asks for no less
+/// than another that found no room is not tried again.
+#[derive(Debug, Default)]
+pub struct Unplaced {
+    smallest: Vec<Resources>,
+}
+
+impl Unplaced {
+    /// Notes a demand that found no room. Only one that any worker could meet tells of others.
+    pub fn note(&mut self, demand: &Demand) {
+        if demand.label.is_none() && demand.per_worker_max.is_none() {
+            self.smallest.retain(|other| !demand.reserved.fits(other));
+            self.smallest.push(demand.reserved);
+        }
+    }
+
+    /// Whether a demand finds no room either.
+    pub fn covers(&self, reserved: &Resources) -> bool {
+        self.smallest.iter().any(|small| small.fits(reserved))
+    }
 }
 
 /// Chooses the worker whose room is kept for a task that fits nowhere now.
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -9,9 +9,9 @@
 use super::{Order, Scheduler};
 use crate::job::{Job, WorkerSlot};
 use crate::order::{Contender, sort};
-use crate::placement::{Candidate, Demand, choose, reserve};
+use crate::placement::{Candidate, Demand, Unplaced, choose, reserve};
 use crate::record::JobState;
-use crate::spec::{StepId, StepSpec, TaskId};
+use crate::spec::{Resources, StepId, StepSpec, TaskId};
 use crate::worker::{LookPhase, Run, RunPhase};
 
 /// Time after which services are planned again without news, for delays that have passed.
@@ -96,11 +96,21 @@
         sort(&mut contenders, now);
         let mut candidates = self.candidates(service, now);
         let mut reserved = 0;
+        let mut unplaced = Unplaced::default();
         for contender in &contenders {
+            let waited = now.saturating_sub(self.ready_since(contender.step, now));
+            let may_reserve =
+                reserved < RESERVED_MAX && (contender.long_running || waited >= RESERVE_AFTER);
+            let plain = self.plain_demand(contender.step);
+            if !may_reserve && plain.is_some_and(|plain| unplaced.covers(&plain)) {
+                continue;
+            }
             let open = self.place_step(contender.step, &mut candidates, now, orders);
             let Some(demand) = open else { continue };
-            let waited = now.saturating_sub(self.ready_since(contender.step, now));
-            if reserved < RESERVED_MAX && (contender.long_running || waited >= RESERVE_AFTER) {
+            if plain.is_some() {
+                unplaced.note(&demand);
+            }
+            if may_reserve {
                 let kept = reserve(&demand, &candidates);
                 reserved += usize::from(kept.is_some());
                 candidates.retain(|candidate| Some(candidate.slot) != kept);
@@ -111,6 +121,13 @@
         }
     }
 
+    /// What a task of a step takes, if it may run on any worker with room.
+    fn plain_demand(&self, step: StepId) -> Option<Resources> {
+        let spec = self.spec(step)?;
+        let is_plain = !spec.gang && self.advice_policy(step).is_none();
+        is_plain.then(|| spec.reserved())
+    }
+
     /// Whether no earlier owner can have started anything of a step's job.
     pub(super) fn is_new(&self, step: StepId) -> bool {
         let job = self.jobs.get(&step.job);
@@ -183,7 +200,6 @@
                     serving: count(|spec| spec.tail_target.is_some()),
                     opportunistic: count(|spec| spec.opportunistic),
                     is_suspect: is_suspect(&worker.recent),
-                    is_avoided: false,
                 }
             })
             .collect()
@@ -226,8 +242,9 @@
             if !self.team_admits(id, &spec) {
                 return None;
             }
-            let allowed = self.allowed(task, candidates, tickets.as_ref());
-            let Some(slot) = choose(&demand, &allowed) else { return Some(demand) };
+            let Some(slot) = self.choose_for(task, &demand, candidates, tickets.as_ref()) else {
+                return Some(demand);
+            };
             if !self.announce(id) {
                 return None;
             }
@@ -295,8 +312,7 @@
     ) -> Option<Vec<WorkerSlot>> {
         let mut slots = Vec::with_capacity(spec.tasks as usize);
         for index in 0..spec.tasks {
-            let allowed = self.allowed(TaskId { step: id, index }, &pool, tickets);
-            let slot = choose(demand, &allowed)?;
+            let slot = self.choose_for(TaskId { step: id, index }, demand, &pool, tickets)?;
             take(&mut pool, slot, demand);
             slots.push(slot);
         }
@@ -313,25 +329,21 @@
         waiting.filter_map(|(index, _)| u32::try_from(index).ok()).collect()
     }
 
-    /// The candidates that a task may use, with what speaks against them.
-    fn allowed(
+    /// The worker for a task, among those that it may use.
+    fn choose_for(
         &self,
         task: TaskId,
+        demand: &Demand,
         candidates: &[Candidate],
         tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
-    ) -> Vec<Candidate> {
+    ) -> Option<WorkerSlot> {
         let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
         let avoid = entry.map_or(&[][..], |entry| &entry.avoid);
         let allowed = candidates.iter().filter(|candidate| {
             tickets.is_none_or(|tickets| tickets.contains_key(&candidate.slot))
                 && !self.workers[candidate.slot].runs.contains_key(&task)
         });
-        allowed
-            .map(|candidate| Candidate {
-                is_avoided: avoid.contains(&candidate.slot),
-                ..candidate.clone()
-            })
-            .collect()
+        choose(demand, allowed, avoid)
     }
 
     fn count_same_step(&self, id: StepId, spec: &StepSpec, candidates: &mut [Candidate]) {
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -7,7 +7,8 @@
 use cassiafold_jobs::balance::{Load, Pool, choose_moves, machines_for};
 use cassiafold_jobs::order::{Contender, sort};
 use cassiafold_jobs::pace::next_percent;
-use cassiafold_jobs::spec::StepId;
+use cassiafold_jobs::placement::{Demand, Unplaced};
+use cassiafold_jobs::spec::{Resources, StepId};
 use cassiafold_jobs::turns::{Turns, Work};
 
 fn ms(millis: u64) -> Duration {
@@ -120,6 +121,28 @@
     assert_eq!(next_percent(95, 0.5), 100);
 }
 
+#[test]
+fn what_asks_for_no_less_than_another_without_room_is_not_tried() {
+    let cores = |cores: u32| Resources { processors_milli: cores * 1_000, ..Resources::default() };
+    let demand = |reserved, per_worker_max| Demand {
+        reserved,
+        label: None,
+        data_rack: None,
+        per_worker_max,
+        long_running: false,
+        serves: false,
+        opportunistic: false,
+    };
+    let mut unplaced = Unplaced::default();
+    unplaced.note(&demand(cores(2), Some(1)));
+    assert!(!unplaced.covers(&cores(2)), "another worker may have had room for it");
+    unplaced.note(&demand(cores(8), None));
+    unplaced.note(&demand(cores(4), None));
+    assert!(unplaced.covers(&cores(4)));
+    assert!(unplaced.covers(&cores(9)));
+    assert!(!unplaced.covers(&cores(3)));
+}
+
 fn work(core_seconds: f64, cores_max: f64) -> Work {
     Work { core_seconds, cores_max }
 }
