--- a/crates/jobs/src/cluster.rs
+++ b/crates/jobs/src/cluster.rs
@@ -130,7 +130,7 @@
     /// Its availability zone.
     pub zone: ZoneId,
     /// Its kind and its rack, as labels.
-    pub labels: Vec<Arc<str>>,
+    pub labels: Arc<[Arc<str>]>,
     /// Its resources.
     pub room: Resources,
     /// Whether it is about to leave.
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -15,7 +15,7 @@
     /// What is free of them.
     pub free: Resources,
     /// Its labels, of which the second names its rack.
-    pub labels: Vec<Arc<str>>,
+    pub labels: Arc<[Arc<str>]>,
     /// Tasks of the same step there.
     pub same_step: u32,
     /// Tasks there that run until their jobs are cancelled.
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -186,21 +186,23 @@
         });
         of_service
             .map(|(slot, worker)| {
-                let count = |wanted: fn(&StepSpec) -> bool| {
-                    let specs = worker.runs.keys().filter_map(|task| self.spec(task.step));
-                    u32::try_from(specs.filter(|spec| wanted(spec)).count()).unwrap_or(u32::MAX)
-                };
-                Candidate {
+                let mut candidate = Candidate {
                     slot,
                     room: worker.entry.room,
                     free: worker.free(),
-                    labels: worker.entry.labels.clone(),
+                    labels: Arc::clone(&worker.entry.labels),
                     same_step: 0,
-                    long_running: count(|spec| spec.long_running),
-                    serving: count(|spec| spec.tail_target.is_some()),
-                    opportunistic: count(|spec| spec.opportunistic),
+                    long_running: 0,
+                    serving: 0,
+                    opportunistic: 0,
                     is_suspect: is_suspect(&worker.recent),
+                };
+                for spec in worker.runs.keys().filter_map(|task| self.spec(task.step)) {
+                    candidate.long_running += u32::from(spec.long_running);
+                    candidate.serving += u32::from(spec.tail_target.is_some());
+                    candidate.opportunistic += u32::from(spec.opportunistic);
                 }
+                candidate
             })
             .collect()
     }
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -1,6 +1,7 @@
 //! Workers as the platform lists them.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_event::emit;
@@ -33,7 +34,7 @@
                 service: known.service,
                 address: known.address,
                 zone: known.zone,
-                labels: Vec::new(),
+                labels: Arc::default(),
                 room: Resources::default(),
                 is_draining: false,
             };
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -61,7 +61,7 @@
             service: SERVICE.into(),
             address: "127.0.0.1:1".parse().expect("address"),
             zone: "z".into(),
-            labels: vec!["a".into(), "r1".into()],
+            labels: ["a".into(), "r1".into()].into(),
             room: self.room,
             is_draining: false,
         }
