--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -26,7 +26,11 @@
 }
 
 /// Waits until the ownership is free, and claims it.
+///
+/// One that is free from the start is left to stronger instances for as long as one that becomes
+/// free: after a power-off of all, all instances come at once.
 pub(super) async fn claim<S: Site>(site: &S, settings: &OwnerSettings) -> Ownership<S> {
+    sleep(settings.claim_delay).await;
     loop {
         match try_claim(site, settings).await {
             Ok(Some(ownership)) => return ownership,
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted};
-use cassiafold_jobs::record::{JobState, STATE_PREFIX, WAITING_KEY, job_key};
+use cassiafold_jobs::record::{JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key};
 use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Compare, Store, Write};
 use cassiafold_standin::WriteFault;
@@ -81,6 +81,17 @@
     assert_eq!(starts.iter().filter(|(task, _)| task.step.job == 1).count(), 5);
 }
 
+#[tokio::test]
+async fn a_weak_instance_leaves_an_ownership_that_was_free_from_the_start_to_a_stronger_one() {
+    let site = site(1).await;
+    let _weak = site.client("weak").weak_owner("weak", ms(400));
+    tokio::time::sleep(ms(100)).await;
+    let _strong = site.client("strong").owner("strong");
+    tokio::time::sleep(ms(600)).await;
+    let held = site.store.get(OWNER_KEY).await.expect("store").expect("an owner");
+    assert!(held.value.starts_with(b"strong "), "{:?}", held.value);
+}
+
 #[tokio::test]
 async fn a_lost_answer_to_an_accepted_job_is_settled() {
     let site = site(1).await;
--- a/crates/jobs/tests/site/mod.rs
+++ b/crates/jobs/tests/site/mod.rs
@@ -95,6 +95,11 @@
 
     /// Starts an owner, which stops with the token.
     pub fn owner(&self, instance: &str) -> CancellationToken {
+        self.weak_owner(instance, ms(0))
+    }
+
+    /// Starts an owner that claims after a delay.
+    pub fn weak_owner(&self, instance: &str, claim_delay: Duration) -> CancellationToken {
         let stop = CancellationToken::new();
         let (sender, views): (ViewSender, watch::Receiver<Arc<View>>) = ViewSender::new();
         tokio::spawn(view::follow(self.clone(), sender));
@@ -102,7 +107,7 @@
             instance: instance.into(),
             lease_ttl: ms(1_000),
             claim_delay_max: ms(20),
-            claim_delay: ms(0),
+            claim_delay,
             scheduler: settings(),
             metrics: JobsMetrics::default(),
         };
