Count suspensions in the deadline of the fleet's plans

Cause: a plan must not be written by a process that was paused after it had read what the plan rests on. The deadline was on the monotonic clock alone, which stands still while a machine is suspended.

Change: the time since the round began is taken on the lease's two clocks (Stamp, public now). Control itself was already checked on both.

Not changed, as they decide no validity: the 400 ms in which an owner that stops writes what is left (each write is conditional in the store), and when a lease is renewed next (its validity is on both clocks).

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -13,7 +13,7 @@
 use cassiafold_config::{Config, InstanceId};
 use cassiafold_event::emit;
 use cassiafold_platform::{InstanceControl, InstanceList, ListedInstance};
-use cassiafold_platform::{NotApplied, UpdateOutcome, Writer, update};
+use cassiafold_platform::{NotApplied, Stamp, UpdateOutcome, Writer, update};
 use futures_util::future::join_all;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
@@ -235,7 +235,9 @@
     ) -> RoundOutcome {
         let deadline = Instant::now() + STORE_DEADLINE;
         // A process that was paused must not plan on what it saw before.
-        let in_control = || self.environment.holds_control() && Instant::now() < deadline;
+        let begun = Stamp::now();
+        let in_time = || Stamp::now().since(&begun) < STORE_DEADLINE;
+        let in_control = || self.environment.holds_control() && in_time();
         let change = |current: Option<&FleetDocument>| match in_control() {
             true => change(current),
             false => Err(Left::NoControl),
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -37,20 +37,22 @@
     valid_ns: Arc<AtomicU64>,
 }
 
-/// A moment on both clocks.
+/// A moment on the monotonic clock, which stands still while a machine is suspended, and on the
+/// one that counts suspensions.
 #[derive(Debug, Clone, Copy)]
-struct Stamp {
+pub struct Stamp {
     monotonic: Instant,
     boot: Moment,
 }
 
 impl Stamp {
-    fn now() -> Self {
+    /// The present moment.
+    pub fn now() -> Self {
         Self { monotonic: Instant::now(), boot: since_boot() }
     }
 
     /// Time from `earlier` to this moment on the clock that advanced more.
-    fn since(&self, earlier: &Self) -> Duration {
+    pub fn since(&self, earlier: &Self) -> Duration {
         let monotonic = self.monotonic.duration_since(earlier.monotonic);
         monotonic.max(self.boot.saturating_sub(earlier.boot))
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,7 +23,7 @@
 pub use event::PlatformEvent;
 pub use http::{Answer, CallError, HttpClient};
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
-pub use lease::{LeaseKeeper, LeaseValidity};
+pub use lease::{LeaseKeeper, LeaseValidity, Stamp};
 pub use metrics::{CallOutcome, StoreCall, StoreMetrics};
 pub use redfish::HttpInstanceControl;
 pub use settle::{NotApplied, UpdateOutcome, update};
