--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod balance;
+mod budget;
 mod ends;
 mod flush;
 mod holders;
--- a/crates/jobs/tests/desk/mod.rs
+++ b/crates/jobs/tests/desk/mod.rs
@@ -69,6 +69,12 @@
         (0..count).map(make).collect()
     }
 
+    /// Machines in the spare pool, which run no workers.
+    pub fn spare_machines(count: usize) -> Vec<Machine> {
+        let spare = |machine| Machine { service: "spare".into(), worker: None, ..machine };
+        Self::machines(count, MachineState::Up).into_iter().map(spare).collect()
+    }
+
     pub fn list(&mut self, machines: Vec<Machine>) {
         self.listed = machines.clone();
         self.scheduler.set_machines(machines, self.now, self.now);
@@ -85,9 +91,7 @@
             for order in self.scheduler.plan(Duration::ZERO, self.now) {
                 self.carry_out(order);
             }
-            if let Some(flush) = self.scheduler.take_flush(self.now) {
-                self.scheduler.note_flushed(&flush);
-            }
+            self.write();
             self.now += ms(10);
         }
     }
@@ -106,13 +110,17 @@
                     order => self.carry_out(order),
                 }
             }
-            if let Some(flush) = self.scheduler.take_flush(self.now) {
-                self.scheduler.note_flushed(&flush);
-            }
+            self.write();
             self.now += ms(10);
         }
     }
 
+    fn write(&mut self) {
+        if let Some(flush) = self.scheduler.take_flush(self.now) {
+            self.scheduler.note_flushed(&flush);
+        }
+    }
+
     pub fn carry_out(&mut self, order: Order) {
         match order {
             Order::Look { worker, is_probe } => {
--- /dev/null
+++ b/crates/jobs/tests/emulator/event.rs
@@ -0,0 +1,101 @@
+//! What happens in the emulation, in order of time.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use cassiafold_jobs::edges::{Look, LookError, LookRequest, OrderOutcome, StartRequest};
+use cassiafold_jobs::scheduler::Flush;
+use cassiafold_jobs::spec::{RunNumber, TaskId};
+
+/// The life of a worker that has received an order; what it carries out late dies with it.
+#[derive(Debug, Clone, Copy)]
+pub struct Life {
+    pub worker: usize,
+    pub born: Duration,
+}
+
+/// Something that happens at a moment.
+pub enum Event {
+    Look {
+        owner: u64,
+        slot: usize,
+        is_probe: bool,
+        worker: usize,
+        request: LookRequest,
+        sent: Duration,
+    },
+    LookDone {
+        owner: u64,
+        slot: usize,
+        is_probe: bool,
+        sent: Duration,
+        result: Result<Look, LookError>,
+    },
+    Start {
+        owner: u64,
+        slot: usize,
+        to: Life,
+        request: StartRequest,
+        answers: bool,
+    },
+    StartDone {
+        owner: u64,
+        slot: usize,
+        task: TaskId,
+        run: RunNumber,
+        outcome: OrderOutcome,
+    },
+    Stop {
+        owner: u64,
+        slot: usize,
+        to: Life,
+        task: TaskId,
+        run: RunNumber,
+        answers: bool,
+    },
+    StopDone {
+        owner: u64,
+        slot: usize,
+        task: TaskId,
+        run: RunNumber,
+        outcome: OrderOutcome,
+    },
+    Flushed {
+        owner: u64,
+        flush: Flush,
+    },
+    RunEnds {
+        worker: usize,
+        task: TaskId,
+        run: RunNumber,
+    },
+    Crash {
+        worker: usize,
+    },
+    Restart {
+        worker: usize,
+    },
+    OwnerDies,
+    OwnerComes,
+    Tick,
+}
+
+/// An event with its moment and its number, the earliest first.
+pub struct Scheduled(pub Reverse<(Duration, u64)>, pub Event);
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.cmp(&other.0)
+    }
+}
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the emulator")]
 
+mod event;
 pub mod faults;
 pub mod worker;
 
@@ -14,7 +15,7 @@
 use std::time::Duration;
 
 use cassiafold_jobs::cluster::{ClusterConfig, Queue, Service, Team, WorkerEntry};
-use cassiafold_jobs::edges::{Look, LookError, LookRequest, OrderOutcome, StartRequest};
+use cassiafold_jobs::edges::{LookError, LookRequest, OrderOutcome, StartRequest};
 use cassiafold_jobs::record::{
     JobRecord, JobState, KnownWorker, STATE_PREFIX, StateRecord, WORKERS_KEY, job_of,
 };
@@ -23,6 +24,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use self::event::{Event, Life, Scheduled};
 use self::faults::Faults;
 use self::worker::EmulatedWorker;
 
@@ -99,98 +101,6 @@
     })
 }
 
-/// The life of a worker that has received an order; what it carries out late dies with it.
-#[derive(Debug, Clone, Copy)]
-struct Life {
-    worker: usize,
-    born: Duration,
-}
-
-/// Something that happens at a moment.
-enum Event {
-    Look {
-        owner: u64,
-        slot: usize,
-        is_probe: bool,
-        worker: usize,
-        request: LookRequest,
-        sent: Duration,
-    },
-    LookDone {
-        owner: u64,
-        slot: usize,
-        is_probe: bool,
-        sent: Duration,
-        result: Result<Look, LookError>,
-    },
-    Start {
-        owner: u64,
-        slot: usize,
-        to: Life,
-        request: StartRequest,
-        answers: bool,
-    },
-    StartDone {
-        owner: u64,
-        slot: usize,
-        task: TaskId,
-        run: RunNumber,
-        outcome: OrderOutcome,
-    },
-    Stop {
-        owner: u64,
-        slot: usize,
-        to: Life,
-        task: TaskId,
-        run: RunNumber,
-        answers: bool,
-    },
-    StopDone {
-        owner: u64,
-        slot: usize,
-        task: TaskId,
-        run: RunNumber,
-        outcome: OrderOutcome,
-    },
-    Flushed {
-        owner: u64,
-        flush: Flush,
-    },
-    RunEnds {
-        worker: usize,
-        task: TaskId,
-        run: RunNumber,
-    },
-    Crash {
-        worker: usize,
-    },
-    Restart {
-        worker: usize,
-    },
-    OwnerDies,
-    OwnerComes,
-    Tick,
-}
-
-struct Scheduled(Reverse<(Duration, u64)>, Event);
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.0 == other.0
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.cmp(&other.0)
-    }
-}
-
 /// The emulated deployment.
 pub struct Emulator {
     pub now: Duration,
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::cluster::MachineState;
+use cassiafold_jobs::cluster::{Machine, MachineState};
 use cassiafold_jobs::edges::{Look, LookError, MachineOutcome, RunningRow};
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::{ORDERED_KEY, OrderedRecord};
@@ -229,12 +229,7 @@
         ordered.iter().map(|(machine, holder)| ((*machine).into(), (*holder).into())).collect();
     let tenure = Tenure { token: 50, ordered, instance: "a".into(), ..Tenure::default() };
     let mut desk = Desk::begin(0, tenure);
-    let mut machines = Desk::machines(2, MachineState::Up);
-    for machine in &mut machines {
-        machine.service = "spare".into();
-        machine.worker = None;
-    }
-    desk.list(machines);
+    desk.list(Desk::spare_machines(2));
     desk.submit(1, vec![step(1, 1, &[])]);
     desk
 }
@@ -285,12 +280,13 @@
 fn work_that_waits_for_silent_workers_asks_for_no_machines() {
     let known = vec![(&EmulatedWorker::new(9, cores(1)).entry()).into()];
     let mut desk = Desk::begin(0, Tenure { token: 50, known_workers: known, ..Tenure::default() });
-    let mut machines = Desk::machines(3, MachineState::Up);
-    for machine in &mut machines[..2] {
-        machine.service = "spare".into();
-        machine.worker = None;
-    }
-    machines[2].worker = Some("w9".into());
+    let mut machines = Desk::spare_machines(2);
+    let worker = Some("w9".into());
+    machines.extend(Desk::machines(1, MachineState::Up).into_iter().map(|machine| Machine {
+        id: "m9".into(),
+        worker: worker.clone(),
+        ..machine
+    }));
     let held = job(vec![step(200, 1, &[])]);
     desk.scheduler.add_job(1, held, 40, Some(&touched(vec![])), desk.now);
     for _ in 0..5 {
