Look before a long-running task is stopped whose start got no answer

Change: such a run of a long-running task is looked for first. If it is there it goes on; if not, it is stopped under its number before the task starts again, as before. Short tasks are stopped at once, as before.

The first test fails on the code before; a random schedule with long-running tasks is new. A deliberate break (no stop before the next start) fails it and a second test.

--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -99,6 +99,7 @@
             self.note_running(slot, row, now);
         }
         self.drop_vanished(slot, &shown, sent, now);
+        self.stop_unbegun(slot, &shown, sent, now);
     }
 
     fn note_end(&mut self, slot: WorkerSlot, row: EndedRow, now: Moment) {
@@ -163,6 +164,7 @@
             number: row.run,
             phase: RunPhase::Running,
             since: now,
+            unanswered: None,
             is_adopted: true,
             confirmed: Some(now),
             reserved,
@@ -226,6 +228,27 @@
         }
     }
 
+    /// Orders runs to end whose start was not answered and that a later look does not show: they
+    /// might begin late.
+    fn stop_unbegun(
+        &mut self,
+        slot: WorkerSlot,
+        shown: &HashSet<TaskId>,
+        sent: Moment,
+        now: Moment,
+    ) {
+        let runs = self.workers[slot].runs.iter();
+        let unbegun = runs.filter(|(task, run)| {
+            run.phase == RunPhase::Ordered
+                && run.unanswered.is_some_and(|at| at < sent)
+                && !shown.contains(*task)
+        });
+        let unbegun: Vec<TaskId> = unbegun.map(|(task, _)| *task).collect();
+        for task in unbegun {
+            self.stop_run(slot, task, now);
+        }
+    }
+
     /// Takes in that a look brought nothing.
     pub fn note_look_failed(
         &mut self,
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -77,7 +77,7 @@
                 ordered.confirmed = ordered.confirmed.or(Some(now));
                 self.note_started(slot, task, now);
             }
-            OrderOutcome::Unknown => self.stop_run(slot, task, now),
+            OrderOutcome::Unknown => self.start_unanswered(slot, task, now),
             OrderOutcome::NotSent => self.start_failed(slot, task, now),
             OrderOutcome::Refused(refusal) => self.start_refused(slot, task, refusal, now),
         }
@@ -97,6 +97,20 @@
         );
     }
 
+    /// A run of which it is unknown whether it began. A long-running task may be at work already,
+    /// where this process was late to read the answer; so a look decides whether it is stopped.
+    fn start_unanswered(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        if !self.spec(task.step).is_some_and(|spec| spec.long_running) {
+            self.stop_run(slot, task, now);
+            return;
+        }
+        let worker = &mut self.workers[slot];
+        if let Some(run) = worker.runs.get_mut(&task).filter(|run| run.phase == RunPhase::Ordered) {
+            run.unanswered = Some(now);
+            worker.is_probe_due = true;
+        }
+    }
+
     fn start_refused(&mut self, slot: WorkerSlot, task: TaskId, refusal: Refusal, now: Moment) {
         if refusal == Refusal::OtherLife {
             self.lose_worker(slot, now);
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -396,6 +396,7 @@
             number: run,
             phase: RunPhase::Ordered,
             since: now,
+            unanswered: None,
             is_adopted: false,
             confirmed: None,
             reserved: spec.reserved(),
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -45,6 +45,8 @@
     pub phase: RunPhase,
     /// When it was ordered or first seen.
     pub since: Moment,
+    /// When the order to start it was given up without an answer.
+    pub unanswered: Option<Moment>,
     /// Whether an earlier owner ordered it, and may have ordered it to end.
     pub is_adopted: bool,
     /// When the worker confirmed it.
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -427,8 +427,11 @@
         if outcome == OrderOutcome::Accepted && self.workers[worker].is_new(task, run, now) {
             self.starts += 1;
             self.check_start(worker, task);
-            let length = ms(self.random.random_range(200..1_500));
-            self.at(length, Event::RunEnds { worker, task, run });
+            let spec = &self.jobs[&task.step.job].spec;
+            if !spec.steps[usize::from(task.step.step)].long_running {
+                let length = ms(self.random.random_range(200..1_500));
+                self.at(length, Event::RunEnds { worker, task, run });
+            }
         }
         if answers {
             let latency = self.latency();
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use cassiafold_jobs::cluster::Wave;
-use cassiafold_jobs::edges::{EndedRow, Look, LookError, RunEnd, RunningRow};
+use cassiafold_jobs::edges::{EndedRow, Look, LookError, OrderOutcome, RunEnd, RunningRow};
 use cassiafold_jobs::record::{JobState, TaskRecord, WAITING_KEY, WaitingRecord};
 use cassiafold_jobs::scheduler::{Order, Scheduler, Tenure};
 use cassiafold_jobs::spec::{Resources, Schedule, StepId, TaskId};
 
-use self::desk::{Desk, touched};
+use self::desk::{Desk, long_running, touched};
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{config, cores, job, ms, settings, step};
 
@@ -202,6 +202,41 @@
     assert_eq!(has_started(&desk), Some(true));
 }
 
+/// Starts a long-running task whose order gets no answer in time; then its worker is looked at.
+fn look_after_an_unanswered_start(is_there: bool) -> Vec<Order> {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.submit(1, vec![long_running(1, None)]);
+    let _ = desk.scheduler.plan(Duration::ZERO, desk.now);
+    let flush = desk.scheduler.take_flush(desk.now).expect("a write");
+    desk.scheduler.note_flushed(&flush);
+    let orders = desk.scheduler.plan(Duration::ZERO, desk.now);
+    let start = orders.into_iter().find_map(|order| match order {
+        Order::Start { worker, task, run, .. } => Some((worker, task, run)),
+        _ => None,
+    });
+    let (worker, task, run) = start.expect("a start");
+    desk.scheduler.note_start(worker, task, run, OrderOutcome::Unknown, desk.now);
+    let sent = desk.now + ms(1);
+    let row = RunningRow { task, run, checkpoint: None, percent: 100, reading: 0 };
+    let running = if is_there { vec![row] } else { Vec::new() };
+    let look = Look { clock: sent, running, ..Look::default() };
+    desk.scheduler.note_look(worker, true, sent, sent, look);
+    desk.scheduler.plan(Duration::ZERO, sent + ms(60))
+}
+
+#[test]
+fn a_long_running_task_that_began_though_its_start_was_not_answered_is_not_stopped() {
+    let orders = look_after_an_unanswered_start(true);
+    assert!(!orders.iter().any(|order| matches!(order, Order::Stop { .. })), "{orders:?}");
+}
+
+#[test]
+fn a_long_running_task_that_has_not_begun_is_stopped_before_it_starts_again() {
+    let orders = look_after_an_unanswered_start(false);
+    assert!(orders.iter().any(|order| matches!(order, Order::Stop { .. })), "{orders:?}");
+    assert!(!orders.iter().any(|order| matches!(order, Order::Start { .. })), "{orders:?}");
+}
+
 #[test]
 fn short_tasks_fill_the_fullest_worker_first() {
     let mut desk = Desk::new(4, Tenure::default());
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -3,7 +3,7 @@
 mod emulator;
 
 use cassiafold_jobs::record::JobState;
-use cassiafold_jobs::spec::{JobId, Resources};
+use cassiafold_jobs::spec::{JobId, Resources, StepSpec};
 
 use self::emulator::faults::Faults;
 use self::emulator::{Emulator, cores, job, ms, step};
@@ -45,6 +45,16 @@
 schedules! {
     all_jobs_end_on_a_calm_day: 0..3, Faults::none(), |_, _| {};
     lost_and_late_calls_break_no_promise: 0..12, Faults::many(), |_, _| {};
+    lost_and_late_calls_to_long_running_tasks_break_no_promise: 0..12, Faults::many(),
+        |emulator, seed| {
+            let long_running = StepSpec { long_running: true, ..step(5, 1, &[]) };
+            for id in JOBS + 1..=JOBS + 6 {
+                emulator.submit(id, job(vec![long_running.clone()]));
+            }
+            for worker in 0..4 {
+                emulator.crash(worker, ms(3_000 + 2_500 * worker as u64 + seed * 37), ms(900));
+            }
+        };
     a_crash_of_workers_breaks_no_promise: 0..12, Faults::many(), |emulator, seed| {
         for worker in 0..4 {
             emulator.crash(worker, ms(500 + 700 * worker as u64 + seed * 37), ms(900));
