Keep steps, looks and workers of a service up to date in place of searching them

Cause: each pass of the owner rebuilt what it needs: it looked up each step of a service to find those with waiting tasks, worked out chains of run times, looked up each run of each worker to count kinds, visited all workers for due looks and all runs of all workers at the end of each job.

Change: sets of ready and of waiting steps by service; what is left of a job is worked out when a task of it ends; workers count their runs by kind; due looks lie in a heap; ended jobs in a queue. A service whose steps found no room is planned every 5 ms, as room becomes free.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cassiafold_platform::{Moment, Revision};
 
@@ -50,6 +51,12 @@
     pub due: Moment,
     /// Its steps.
     pub steps: Vec<Step>,
+    /// Longest chain of estimated run times of all its steps.
+    pub chain: Duration,
+    /// Longest such chain of the steps that are not done.
+    pub chain_left: Duration,
+    /// Estimated work that is not done, in core-seconds.
+    pub work_left: f64,
 }
 
 /// A step of a repetition.
@@ -147,7 +154,13 @@
             ready_since: now,
         };
         let steps = self.record.spec.steps.iter().map(make).collect();
-        let mut occurrence = Occurrence { due: now, steps };
+        let mut occurrence = Occurrence {
+            due: now,
+            steps,
+            chain: Duration::ZERO,
+            chain_left: Duration::ZERO,
+            work_left: 0.0,
+        };
         let records = stored.map_or(&[][..], |state| &state.tasks);
         for row in records.iter().filter(|row| row.occurrence == number) {
             let Some(step) = occurrence.steps.get_mut(usize::from(row.step)) else { continue };
@@ -158,6 +171,7 @@
             task.checkpoint = row.checkpoint.clone();
             step.done += u32::from(row.done);
         }
+        occurrence.measure(&self.record.spec.steps);
         self.occurrences.insert(number, occurrence);
     }
 
@@ -201,11 +215,40 @@
         self.occurrences.get_mut(&id.occurrence)?.steps.get_mut(usize::from(id.step))
     }
 
+    /// Works out anew what is left of a repetition.
+    pub fn measure(&mut self, number: OccurrenceNumber) {
+        if let Some(occurrence) = self.occurrences.get_mut(&number) {
+            occurrence.measure(&self.record.spec.steps);
+        }
+    }
+
+    /// Estimated work of a repetition that is not done, in core-seconds.
+    pub fn work_left(&self, number: OccurrenceNumber) -> f64 {
+        self.occurrences.get(&number).map_or(0.0, |occurrence| occurrence.work_left)
+    }
+
     /// What was submitted for a step.
     pub fn spec(&self, step: StepNumber) -> Option<&StepSpec> {
         self.record.spec.steps.get(usize::from(step))
     }
 
+    /// Runs of its tasks that are ordered, in progress or being stopped.
+    ///
+    /// Those of a repetition that has ended are not among them: they were ordered to end then.
+    pub fn copies(&self) -> Vec<(WorkerSlot, TaskId)> {
+        let mut copies = Vec::new();
+        for (occurrence, contents) in &self.occurrences {
+            for (step, contents) in (0..).zip(&contents.steps) {
+                let step = StepId { job: self.id, occurrence: *occurrence, step };
+                for (index, task) in (0..).zip(&contents.tasks) {
+                    let task_id = TaskId { step, index };
+                    copies.extend(task.copies.iter().map(|slot| (*slot, task_id)));
+                }
+            }
+        }
+        copies
+    }
+
     /// The job's state as it shall lie in the store.
     pub fn to_state(&self) -> StateRecord {
         let mut tasks = Vec::new();
@@ -224,6 +267,30 @@
 }
 
 impl Occurrence {
+    /// Works out what is left of it, after tasks of its steps have ended as done.
+    pub fn measure(&mut self, specs: &[StepSpec]) {
+        self.chain = self.longest_chain(specs, true);
+        self.chain_left = self.longest_chain(specs, false);
+        let each = self.steps.iter().zip(specs).map(|(step, spec)| {
+            let open = spec.tasks.saturating_sub(step.done);
+            let cores = f64::from(spec.needs.processors_milli) / 1_000.0;
+            f64::from(open) * cores * spec.estimate.as_secs_f64()
+        });
+        self.work_left = each.sum();
+    }
+
+    /// The longest chain of estimated run times; of all steps, or of those that are not done.
+    fn longest_chain(&self, specs: &[StepSpec], with_done: bool) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for (step, spec) in self.steps.iter().zip(specs) {
+            let begins = spec.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
+            let begin = begins.max().copied().unwrap_or_default();
+            let own = if step.is_done() && !with_done { Duration::ZERO } else { spec.estimate };
+            ends.push(begin + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
     /// Whether every step is done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(Step::is_done)
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -20,6 +20,8 @@
     pub beyond_weight: bool,
     /// When its job was accepted.
     pub accepted: Moment,
+    /// When it could first start.
+    pub ready_since: Moment,
     /// When its job stops being worth its full value.
     pub objective: Moment,
     /// Longest chain of work that its job has left.
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Whether no demand was noted.
+    pub fn is_empty(&self) -> bool {
+        self.smallest.is_empty()
+    }
+
     /// Whether a demand finds no room either.
     pub fn covers(&self, reserved: &Resources) -> bool {
         self.smallest.iter().any(|small| small.fits(reserved))
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -15,10 +15,12 @@
 mod orders;
 mod pace;
 mod plan;
+mod steps;
 mod upkeep;
 mod workers;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +31,7 @@
 use self::advice::StepTickets;
 pub use self::flush::Flush;
 use self::holders::Holders;
+use self::steps::StepsByService;
 pub use self::upkeep::MachineOrder;
 use self::upkeep::{SentOrder, WaveProgress};
 use self::workers::Burial;
@@ -139,9 +142,19 @@
     buried: HashMap<WorkerId, Burial>,
     /// The present life of each worker.
     present: HashMap<WorkerId, WorkerSlot>,
+    /// Lives that are not over, by service.
+    of_service: HashMap<ServiceId, Vec<WorkerSlot>>,
+    /// When looks fall due. An entry counts only if it is the worker's present one.
+    looks_due: BinaryHeap<Reverse<(Moment, WorkerSlot)>>,
+    /// Workers at which a look beside the one that waits is due.
+    probes_due: Vec<WorkerSlot>,
     jobs: HashMap<JobId, Job>,
-    /// Steps whose turn has come and that are not done, by service.
-    ready: HashMap<ServiceId, Vec<StepId>>,
+    /// Steps whose turn has come and that are not done.
+    ready: StepsByService,
+    /// Those of them that may have tasks that wait.
+    waiting_steps: StepsByService,
+    /// Ended jobs whose state is kept, in the order in which they ended.
+    ended: VecDeque<JobId>,
     /// Cancels of jobs that have not been seen.
     early_cancels: HashSet<JobId>,
     /// Jobs that repeat.
@@ -152,6 +165,8 @@
     uncertain_until: Moment,
     /// Services in which something has changed since the last plan.
     changed: HashSet<ServiceId>,
+    /// When services in which steps found no room are planned again at the earliest.
+    full_until: HashMap<ServiceId, Moment>,
     /// Jobs whose state in the store is behind, with the number of ends taken in when it first
     /// fell behind.
     dirty: HashMap<JobId, u64>,
@@ -204,13 +219,19 @@
             workers: Vec::new(),
             buried: HashMap::new(),
             present: HashMap::new(),
+            of_service: HashMap::new(),
+            looks_due: BinaryHeap::new(),
+            probes_due: Vec::new(),
             jobs: HashMap::new(),
-            ready: HashMap::new(),
+            ready: StepsByService::default(),
+            waiting_steps: StepsByService::default(),
+            ended: VecDeque::new(),
             early_cancels: HashSet::new(),
             scheduled: Vec::new(),
             team_use: HashMap::new(),
             uncertain_until: now,
             changed: HashSet::new(),
+            full_until: HashMap::new(),
             dirty: HashMap::new(),
             ends_taken: 0,
             is_flush_urgent: false,
@@ -291,6 +312,6 @@
     }
 
     fn mark_all_changed(&mut self) {
-        self.changed.extend(self.ready.keys().cloned());
+        self.changed.extend(self.waiting_steps.services().cloned());
     }
 }
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -154,16 +154,15 @@
     fn load(&self, service: &ServiceId, now: Moment) -> Load {
         let ratio = self.durations.ratio();
         let mut load = Load { arriving: self.turns.rate(service) * ratio, ..Load::default() };
-        let workers = self.workers.iter().filter(|worker| worker.entry.service == *service);
-        for worker in workers.filter(|worker| !worker.is_gone) {
-            self.add_running(worker, &mut load);
+        for slot in self.slots_of(service) {
+            add_running(&self.workers[*slot], &mut load);
         }
         let is_certain = self.is_certain(service, now);
         // Other work can't be placed before it is known what still runs of it.
-        let placeable = |id: &&StepId| is_certain || self.is_new(**id);
-        for id in self.ready.get(service).into_iter().flatten().filter(placeable) {
-            let Some(spec) = self.spec(*id) else { continue };
-            let waiting = self.waiting_tasks(*id, now).len() as f64;
+        let placeable = |id: &StepId| is_certain || self.is_new(*id);
+        for id in self.waiting_steps.of(service).filter(placeable) {
+            let Some(spec) = self.spec(id) else { continue };
+            let waiting = self.waiting_tasks(id, now).len() as f64;
             let cores = waiting * f64::from(spec.reserved().processors_milli) / 1_000.0;
             match spec.long_running {
                 true => load.long_running += cores,
@@ -176,26 +175,15 @@
 
     /// Workers that the steps of a service need, since only so many of their tasks may share one.
     fn apart(&self, service: &ServiceId) -> usize {
-        let steps = self.ready.get(service).into_iter().flatten();
-        let each = steps.filter_map(|id| {
-            let spec = self.spec(*id)?;
-            let step = self.jobs.get(&id.job)?.step(*id)?;
+        let each = self.ready.of(service).filter_map(|id| {
+            let spec = self.spec(id)?;
+            let step = self.jobs.get(&id.job)?.step(id)?;
             let open = spec.tasks.saturating_sub(step.done);
             Some(open.div_ceil(spec.per_worker_max?) as usize)
         });
         each.max().unwrap_or(0)
     }
 
-    fn add_running(&self, worker: &Worker, load: &mut Load) {
-        for (task, run) in &worker.runs {
-            let cores = f64::from(run.reserved.processors_milli) / 1_000.0;
-            match self.spec(task.step).is_some_and(|spec| spec.long_running) {
-                true => load.long_running += cores,
-                false => load.running += cores,
-            }
-        }
-    }
-
     /// Rate of the turn that begins before a machine that is ordered now would have come, in
     /// estimated cores; 0 if there is none.
     fn expected_rate(&self, service: &ServiceId, now: Moment) -> f64 {
@@ -219,6 +207,14 @@
     }
 }
 
+/// Adds what runs on a worker to the load of its service.
+fn add_running(worker: &Worker, load: &mut Load) {
+    let long_running_milli = worker.counts.long_running_milli;
+    let running_milli = worker.reserved.processors_milli - long_running_milli;
+    load.long_running += f64::from(long_running_milli) / 1_000.0;
+    load.running += f64::from(running_milli) / 1_000.0;
+}
+
 /// Machines of each service that no service wants; none while one of them wants more.
 fn surplus(pools: &BTreeMap<ServiceId, Pool>) -> HashMap<ServiceId, usize> {
     let is_wanting = pools.values().any(|pool| !pool.is_spare && pool.machines < pool.needed);
--- a/crates/jobs/src/scheduler/ends.rs
+++ b/crates/jobs/src/scheduler/ends.rs
@@ -8,7 +8,7 @@
 use super::Scheduler;
 use crate::edges::{EndedRow, RunEnd};
 use crate::event::JobsEvent;
-use crate::job::WorkerSlot;
+use crate::job::{Task, WorkerSlot};
 use crate::record::JobState;
 use crate::spec::{JobId, Resources, StepId, TaskId};
 use crate::worker::{Run, RunPhase};
@@ -87,12 +87,13 @@
             copies.extend(task.copies.iter().map(|slot| (*slot, TaskId { index, ..id })));
         }
         let is_done = step.is_done();
+        job.measure(id.step.occurrence);
         self.mark_dirty(job_id);
         for (slot, task) in copies {
             self.stop_run(slot, task, now);
         }
         if is_done {
-            self.tickets.remove(&id.step);
+            self.step_is_done(id.step);
             self.advance(job_id, id.step.occurrence, now);
         }
     }
@@ -160,6 +161,10 @@
             entry.copies.retain(|copy| *copy != slot);
             entry.last_ended = Some(now);
         }
+        let is_ready = job.is_live() && job.step(task.step).is_some_and(|step| step.is_ready);
+        if is_ready && job.task(task).is_some_and(Task::is_waiting) {
+            self.waiting_steps.insert(&job.record.service, task.step);
+        }
         self.mark_service_changed(task.step.job);
     }
 
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -199,18 +199,23 @@
     }
 
     fn collect_removals(&mut self, now: Moment, flush: &mut Flush) {
-        let kept = self.settings.status_kept;
-        let over = self.jobs.values().filter(|job| {
-            job.final_since.is_some_and(|since| now.saturating_sub(since) > kept)
-                && !self.dirty.contains_key(&job.id)
-        });
-        let ids: Vec<JobId> = over.take(REMOVALS_MAX).map(|job| job.id).collect();
-        for id in ids {
+        while flush.removed.len() < REMOVALS_MAX
+            && let Some(id) = self.ended.front().copied()
+            && self.is_removable(id, now)
+        {
+            self.ended.pop_front();
             flush.removals.extend([job_key(id), cancel_key(id), state_key(id)]);
             flush.removed.push(id);
         }
     }
 
+    /// Whether the state of an ended job was kept for long enough and is in the store.
+    fn is_removable(&self, id: JobId, now: Moment) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return true };
+        let age = job.final_since.map(|since| now.saturating_sub(since));
+        age.is_some_and(|age| age > self.settings.status_kept) && !self.dirty.contains_key(&id)
+    }
+
     /// Takes in that a write has taken effect.
     pub fn note_flushed(&mut self, flush: &Flush) {
         for ends in &flush.ends {
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -6,11 +6,10 @@
 use cassiafold_platform::{Moment, Revision};
 
 use super::Scheduler;
-use super::plan::work_left;
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
-use crate::spec::{JobId, OccurrenceNumber, StepId, StepSpec, TaskId};
+use crate::spec::{JobId, OccurrenceNumber, StepId, StepSpec};
 use crate::turns::Work;
 
 /// Seconds of its weight that a team may send at once before its jobs count as beyond it.
@@ -33,6 +32,7 @@
         job.beyond_weight = self.is_beyond_weight(&job, now);
         if !job.is_live() {
             self.jobs.insert(id, job);
+            self.ended.push_back(id);
             return;
         }
         let repeats = job.record.spec.schedule.is_some();
@@ -44,7 +44,7 @@
         if accepted_revision > self.tenure.token && !job.record.spec.is_long_running() {
             let cores = job.record.spec.steps.iter().map(StepSpec::cores);
             let work =
-                Work { core_seconds: work_left(&job, 0), cores_max: cores.fold(0.0, f64::max) };
+                Work { core_seconds: job.work_left(0), cores_max: cores.fold(0.0, f64::max) };
             self.turns.note(&job.record.service, work, now);
         }
         self.jobs.insert(id, job);
@@ -153,9 +153,11 @@
             return;
         }
         if !ready.is_empty() {
-            self.ready.entry(service.clone()).or_default().extend(ready);
             self.changed.insert(service);
         }
+        for step in ready {
+            self.step_is_ready(step);
+        }
     }
 
     /// Ends a job and stops what still runs of it.
@@ -165,6 +167,7 @@
         job.final_since = Some(now);
         let service = job.record.service.clone();
         let age = now.saturating_sub(job.seen);
+        let copies = job.copies();
         self.mark_dirty(id);
         self.is_flush_urgent = true;
         emit!(
@@ -173,22 +176,13 @@
             state = format_args!("{state:?}"),
             age_ms = age.as_millis()
         );
-        let running: Vec<(usize, TaskId)> = self
-            .workers
-            .iter()
-            .enumerate()
-            .flat_map(|(slot, worker)| {
-                let of_job = worker.runs.keys().filter(|task| task.step.job == id);
-                of_job.map(move |task| (slot, *task))
-            })
-            .collect();
-        for (slot, task) in running {
+        for (slot, task) in copies {
             self.stop_run(slot, task, now);
         }
-        if let Some(steps) = self.ready.get_mut(&service) {
-            steps.retain(|step| step.job != id);
-        }
+        self.ready.remove_job(&service, id);
+        self.waiting_steps.remove_job(&service, id);
         self.tickets.retain(|step, _| step.job != id);
+        self.ended.push_back(id);
         self.changed.insert(service);
     }
 }
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -1,5 +1,6 @@
 //! What a look at a worker changes.
 
+use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::spec::TaskId;
-use crate::worker::{LookPhase, Run, RunPhase};
+use crate::worker::{LookPhase, Run, RunKind, RunPhase};
 
 /// How long a worker with work waits for an end before it answers a look.
 const WAIT_BUSY: Duration = Duration::from_millis(1_000);
@@ -81,6 +82,7 @@
         let next = if first { now } else { now + LOOK_GAP };
         if !is_probe {
             worker.look = LookPhase::DueAt(next);
+            self.looks_due.push(Reverse((next, slot)));
         }
         let is_latest = sent >= worker.look_sent;
         worker.look_sent = worker.look_sent.max(sent);
@@ -151,6 +153,7 @@
         let speculative = spec.as_ref().is_some_and(|spec| spec.speculative);
         let (counted, reserved) =
             spec.as_ref().map(|spec| (spec.needs, spec.reserved())).unwrap_or_default();
+        let kind = spec.as_ref().map(RunKind::from).unwrap_or_default();
         let mut is_wanted = false;
         if let Some(job) = job {
             job.has_started = true;
@@ -167,6 +170,7 @@
             unanswered: None,
             is_adopted: true,
             confirmed: Some(now),
+            kind,
             reserved,
             counted,
             percent: row.percent,
@@ -263,6 +267,7 @@
             return;
         }
         worker.look = LookPhase::DueAt(now + RETRY_GAP);
+        self.looks_due.push(Reverse((now + RETRY_GAP, slot)));
         if worker.is_gone {
             return;
         }
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -107,7 +107,7 @@
         let worker = &mut self.workers[slot];
         if let Some(run) = worker.runs.get_mut(&task).filter(|run| run.phase == RunPhase::Ordered) {
             run.unanswered = Some(now);
-            worker.is_probe_due = true;
+            self.probes_due.push(slot);
         }
     }
 
@@ -155,7 +155,7 @@
         if outcome == OrderOutcome::Accepted && confirmed.is_none() {
             *confirmed = Some(now);
             // A run that had never begun shows no end: the next look tells that it is not there.
-            self.workers[slot].is_probe_due = true;
+            self.probes_due.push(slot);
         }
     }
 
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -1,5 +1,6 @@
 //! Which orders follow from the present state.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +13,12 @@
 use crate::placement::{Candidate, Demand, Unplaced, choose, reserve};
 use crate::record::JobState;
 use crate::spec::{Resources, StepId, StepSpec, TaskId};
-use crate::worker::{LookPhase, Run, RunPhase};
+use crate::worker::{LookPhase, Run, RunKind, RunPhase};
 
 /// Time after which services are planned again without news, for delays that have passed.
 const REPLAN_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two plans of a service in which steps found no room: what becomes free gathers.
+const FULL_INTERVAL: Duration = Duration::from_millis(5);
 /// A step that has found no room for this long has a worker kept for it.
 const RESERVE_AFTER: Duration = Duration::from_millis(400);
 /// Most workers of a service that are kept for steps that found no room.
@@ -39,57 +42,58 @@
             }
             self.plan_upkeep(now, &mut orders);
             self.plan_moves(now);
+            self.plan_pace(now, &mut orders);
         }
         self.order_moves(now, &mut orders);
         for service in std::mem::take(&mut self.changed) {
+            if self.full_until.get(&service).is_some_and(|until| now < *until) {
+                self.changed.insert(service);
+                continue;
+            }
             self.plan_service(&service, now, &mut orders);
         }
         orders.extend(self.due_stops(now));
-        self.plan_pace(now, &mut orders);
         self.due_looks(now, &mut orders);
         orders
     }
 
     /// When the next order falls due without news.
     pub fn next_due(&self, now: Moment) -> Moment {
-        let looks = self.workers.iter().filter(|worker| !worker.is_gone);
-        let due = looks.filter_map(|worker| match worker.look {
-            LookPhase::DueAt(at) => Some(at),
-            LookPhase::InFlight => None,
-        });
-        due.min().unwrap_or(Moment::MAX).min(now + REPLAN_INTERVAL)
+        let look = self.looks_due.peek().map_or(Moment::MAX, |Reverse((at, _))| *at);
+        let full = self.changed.iter().filter_map(|service| self.full_until.get(service));
+        let pass = full.min().copied().unwrap_or(Moment::MAX);
+        look.min(pass).min(now + REPLAN_INTERVAL)
     }
 
     fn due_looks(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        for (worker, life) in self.workers.iter_mut().enumerate() {
-            if life.is_gone {
-                continue;
-            }
-            let is_due = matches!(life.look, LookPhase::DueAt(at) if at <= now);
-            if is_due {
+        let first = orders.len();
+        let mut due = Vec::new();
+        while let Some(Reverse((at, worker))) = self.looks_due.peek().copied()
+            && at <= now
+        {
+            self.looks_due.pop();
+            let life = &self.workers[worker];
+            if !life.is_gone && life.look == LookPhase::DueAt(at) {
                 orders.push(Order::Look { worker, is_probe: false });
-            } else if life.is_probe_due {
+                due.push(Reverse((at, worker)));
+            }
+        }
+        // A look stays due until it is on its way.
+        self.looks_due.extend(due);
+        let is_looked_at = |orders: &[Order], slot: WorkerSlot| {
+            orders
+                .iter()
+                .any(|order| matches!(order, Order::Look { worker, .. } if *worker == slot))
+        };
+        for worker in std::mem::take(&mut self.probes_due) {
+            if !self.workers[worker].is_gone && !is_looked_at(&orders[first..], worker) {
                 orders.push(Order::Look { worker, is_probe: true });
             }
-            life.is_probe_due = false;
         }
     }
 
     fn plan_service(&mut self, service: &str, now: Moment, orders: &mut Vec<Order>) {
-        let Some(mut steps) = self.ready.remove(service) else { return };
-        let jobs = &self.jobs;
-        steps.retain(|id| {
-            let job = jobs.get(&id.job).filter(|job| job.is_live());
-            job.and_then(|job| job.step(*id)).is_some_and(|step| !step.is_done())
-        });
-        let is_certain = self.is_certain(service, now);
-        let mut contenders: Vec<Contender> = steps
-            .iter()
-            .filter(|id| self.has_waiting(**id, now))
-            .filter_map(|id| self.contender(*id))
-            .filter(|contender| is_certain || self.is_new(contender.step))
-            .collect();
-        self.ready.insert(service.into(), steps);
+        let mut contenders = self.contenders(service, now);
         if contenders.is_empty() {
             return;
         }
@@ -98,7 +102,10 @@
         let mut reserved = 0;
         let mut unplaced = Unplaced::default();
         for contender in &contenders {
-            let waited = now.saturating_sub(self.ready_since(contender.step, now));
+            if candidates.is_empty() {
+                break;
+            }
+            let waited = now.saturating_sub(contender.ready_since);
             let may_reserve =
                 reserved < RESERVED_MAX && (contender.long_running || waited >= RESERVE_AFTER);
             let plain = self.plain_demand(contender.step);
@@ -115,10 +122,32 @@
                 reserved += usize::from(kept.is_some());
                 candidates.retain(|candidate| Some(candidate.slot) != kept);
             }
-            if candidates.is_empty() {
-                break;
+        }
+        if !unplaced.is_empty() {
+            self.full_until.insert(service.into(), now + FULL_INTERVAL);
+        }
+    }
+
+    /// Steps of a service with tasks that may start now.
+    fn contenders(&mut self, service: &str, now: Moment) -> Vec<Contender> {
+        let is_certain = self.is_certain(service, now);
+        let mut contenders = Vec::new();
+        let mut settled = Vec::new();
+        for id in self.waiting_steps.of(service) {
+            let Some(job) = self.jobs.get(&id.job) else { continue };
+            let Some(step) = job.step(id) else { continue };
+            let mut waiting = step.tasks.iter().filter(|task| task.is_waiting()).peekable();
+            if waiting.peek().is_none() {
+                settled.push(id);
+            } else if (is_certain || job.is_untouched) && waiting.any(|task| task.not_before <= now)
+            {
+                contenders.extend(self.contender(job, id));
             }
         }
+        for id in settled {
+            self.waiting_steps.remove(service, id);
+        }
+        contenders
     }
 
     /// What a task of a step takes, if it may run on any worker with room.
@@ -146,24 +175,10 @@
         is_announced
     }
 
-    fn has_waiting(&self, id: StepId, now: Moment) -> bool {
-        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        step.is_some_and(|step| {
-            step.tasks.iter().any(|task| task.is_waiting() && task.not_before <= now)
-        })
-    }
-
-    fn ready_since(&self, id: StepId, now: Moment) -> Moment {
-        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        step.map_or(now, |step| step.ready_since)
-    }
-
-    fn contender(&self, id: StepId) -> Option<Contender> {
-        let job = self.jobs.get(&id.job)?;
+    fn contender(&self, job: &Job, id: StepId) -> Option<Contender> {
         let spec = job.spec(id.step)?;
+        let occurrence = job.occurrences.get(&id.occurrence)?;
         let queue = self.config.queues.get(&job.record.queue);
-        let accepted = job.occurrences.get(&id.occurrence).map_or(job.seen, |one| one.due);
-        let chain = longest_chain(job, id.occurrence, true);
         let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
         let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
         Some(Contender {
@@ -171,38 +186,30 @@
             priority: queue.map_or(u8::MAX, |queue| queue.priority),
             long_running: spec.long_running,
             beyond_weight: job.beyond_weight,
-            accepted,
-            objective: accepted + chain.mul_f64(stretch) + slack,
-            chain_left: longest_chain(job, id.occurrence, false),
-            work_left: work_left(job, id.occurrence),
+            accepted: occurrence.due,
+            ready_since: job.step(id)?.ready_since,
+            objective: occurrence.due + occurrence.chain.mul_f64(stretch) + slack,
+            chain_left: occurrence.chain_left,
+            work_left: occurrence.work_left,
         })
     }
 
     pub(super) fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
-        let of_service = self.workers.iter().enumerate().filter(|(_, worker)| {
-            *worker.entry.service == *service
-                && worker.is_usable(now)
-                && !self.evacuated.contains(&worker.entry.zone)
+        let of_service = self.slots_of(service).iter().map(|slot| (*slot, &self.workers[*slot]));
+        let usable = of_service.filter(|(_, worker)| {
+            worker.is_usable(now) && !self.evacuated.contains(&worker.entry.zone)
         });
-        of_service
-            .map(|(slot, worker)| {
-                let mut candidate = Candidate {
-                    slot,
-                    room: worker.entry.room,
-                    free: worker.free(),
-                    labels: Arc::clone(&worker.entry.labels),
-                    same_step: 0,
-                    long_running: 0,
-                    serving: 0,
-                    opportunistic: 0,
-                    is_suspect: is_suspect(&worker.recent),
-                };
-                for spec in worker.runs.keys().filter_map(|task| self.spec(task.step)) {
-                    candidate.long_running += u32::from(spec.long_running);
-                    candidate.serving += u32::from(spec.tail_target.is_some());
-                    candidate.opportunistic += u32::from(spec.opportunistic);
-                }
-                candidate
+        usable
+            .map(|(slot, worker)| Candidate {
+                slot,
+                room: worker.entry.room,
+                free: worker.free(),
+                labels: Arc::clone(&worker.entry.labels),
+                same_step: 0,
+                long_running: worker.counts.long_running,
+                serving: worker.counts.serving,
+                opportunistic: worker.counts.opportunistic,
+                is_suspect: is_suspect(&worker.recent),
             })
             .collect()
     }
@@ -219,7 +226,8 @@
         now: Moment,
         orders: &mut Vec<Order>,
     ) -> Option<Demand> {
-        let spec = self.spec(id)?.clone();
+        let record = Arc::clone(&self.jobs.get(&id.job)?.record);
+        let spec = record.spec.steps.get(usize::from(id.step))?;
         let demand = Demand {
             reserved: spec.reserved(),
             label: spec.label.clone(),
@@ -229,19 +237,19 @@
             serves: spec.tail_target.is_some(),
             opportunistic: spec.opportunistic,
         };
-        self.count_same_step(id, &spec, candidates);
+        self.count_same_step(id, spec, candidates);
         let asks = self.advice_policy(id).is_some();
         if asks {
             self.ask(id, candidates, now, orders);
         }
         let tickets = asks.then(|| self.valid_tickets(id, now));
         if spec.gang {
-            return self.place_gang(id, &spec, &demand, candidates, tickets.as_ref(), orders, now);
+            return self.place_gang(id, spec, &demand, candidates, tickets.as_ref(), orders, now);
         }
         let waiting = self.waiting_tasks(id, now);
         for index in waiting {
             let task = TaskId { step: id, index };
-            if !self.team_admits(id, &spec) {
+            if !self.team_admits(id, spec) {
                 return None;
             }
             let Some(slot) = self.choose_for(task, &demand, candidates, tickets.as_ref()) else {
@@ -252,7 +260,7 @@
             }
             let ticket = tickets.as_ref().and_then(|tickets| tickets.get(&slot).cloned());
             let run = self.next_run(task);
-            self.order_start(task, run, slot, &spec, ticket, now, orders);
+            self.order_start(task, run, slot, spec, ticket, now, orders);
             take(candidates, slot, &demand);
         }
         None
@@ -341,9 +349,10 @@
     ) -> Option<WorkerSlot> {
         let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
         let avoid = entry.map_or(&[][..], |entry| &entry.avoid);
+        let copies = entry.map_or(&[][..], |entry| &entry.copies);
         let allowed = candidates.iter().filter(|candidate| {
             tickets.is_none_or(|tickets| tickets.contains_key(&candidate.slot))
-                && !self.workers[candidate.slot].runs.contains_key(&task)
+                && !copies.contains(&candidate.slot)
         });
         choose(demand, allowed, avoid)
     }
@@ -399,6 +408,7 @@
             unanswered: None,
             is_adopted: false,
             confirmed: None,
+            kind: RunKind::from(spec),
             reserved: spec.reserved(),
             counted: spec.needs,
             percent: 0,
@@ -432,28 +442,3 @@
     failed.dedup();
     failed.len() >= SUSPECT_JOBS && 2 * failures >= recent.len()
 }
-
-/// The longest chain of estimated run times of a repetition; of all its steps, or of those that
-/// are not done.
-fn longest_chain(job: &Job, occurrence: u32, with_done: bool) -> Duration {
-    let steps = job.occurrences.get(&occurrence).map_or(&[][..], |one| &one.steps);
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for (step, spec) in steps.iter().zip(&job.record.spec.steps) {
-        let begins = spec.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
-        let begin = begins.max().copied().unwrap_or_default();
-        let own = if step.is_done() && !with_done { Duration::ZERO } else { spec.estimate };
-        ends.push(begin + own);
-    }
-    ends.into_iter().max().unwrap_or_default()
-}
-
-/// Estimated work of a repetition that is not done, in core-seconds.
-pub(super) fn work_left(job: &Job, occurrence: u32) -> f64 {
-    let steps = job.occurrences.get(&occurrence).map_or(&[][..], |one| &one.steps);
-    let each = steps.iter().zip(&job.record.spec.steps).map(|(step, spec)| {
-        let open = spec.tasks.saturating_sub(step.done);
-        let cores = f64::from(spec.needs.processors_milli) / 1_000.0;
-        f64::from(open) * cores * spec.estimate.as_secs_f64()
-    });
-    each.sum()
-}
--- /dev/null
+++ b/crates/jobs/src/scheduler/steps.rs
@@ -0,0 +1,71 @@
+//! Steps by service, kept as they change, so that a pass touches only those that matter to it.
+
+use std::collections::{BTreeSet, HashMap};
+
+use cassiafold_config::ServiceId;
+
+use super::Scheduler;
+use crate::spec::{JobId, OccurrenceNumber, StepId, StepNumber};
+
+/// A set of steps for each service.
+#[derive(Debug, Default)]
+pub(super) struct StepsByService {
+    sets: HashMap<ServiceId, BTreeSet<StepId>>,
+}
+
+impl StepsByService {
+    /// Adds a step.
+    pub(super) fn insert(&mut self, service: &ServiceId, step: StepId) {
+        match self.sets.get_mut(service) {
+            Some(steps) => drop(steps.insert(step)),
+            None => drop(self.sets.insert(service.clone(), BTreeSet::from([step]))),
+        }
+    }
+
+    /// Removes a step.
+    pub(super) fn remove(&mut self, service: &str, step: StepId) {
+        if let Some(steps) = self.sets.get_mut(service) {
+            steps.remove(&step);
+        }
+    }
+
+    /// Removes all steps of a job.
+    pub(super) fn remove_job(&mut self, service: &str, job: JobId) {
+        let Some(steps) = self.sets.get_mut(service) else { return };
+        let first = StepId { job, occurrence: 0, step: 0 };
+        let last = StepId { job, occurrence: OccurrenceNumber::MAX, step: StepNumber::MAX };
+        let of_job: Vec<StepId> = steps.range(first..=last).copied().collect();
+        for step in of_job {
+            steps.remove(&step);
+        }
+    }
+
+    /// The steps of a service.
+    pub(super) fn of(&self, service: &str) -> impl Iterator<Item = StepId> {
+        self.sets.get(service).into_iter().flatten().copied()
+    }
+
+    /// The services that have steps.
+    pub(super) fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.sets.iter().filter(|(_, steps)| !steps.is_empty()).map(|(service, _)| service)
+    }
+}
+
+impl Scheduler {
+    /// Notes that a step's turn has come.
+    pub(super) fn step_is_ready(&mut self, step: StepId) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        if job.step(step).is_some_and(|step| !step.is_done()) {
+            self.ready.insert(&job.record.service, step);
+            self.waiting_steps.insert(&job.record.service, step);
+        }
+    }
+
+    /// Notes that all tasks of a step are done.
+    pub(super) fn step_is_done(&mut self, step: StepId) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        self.ready.remove(&job.record.service, step);
+        self.waiting_steps.remove(&job.record.service, step);
+        self.tickets.remove(&step);
+    }
+}
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -1,5 +1,6 @@
 //! Workers as the platform lists them.
 
+use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,6 +49,8 @@
     fn add_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerSlot {
         let slot = self.workers.len();
         self.present.insert(entry.id.clone(), slot);
+        self.of_service.entry(entry.service.clone()).or_default().push(slot);
+        self.looks_due.push(Reverse((now, slot)));
         self.workers.push(Worker::new(entry, self.uncertain_until, now));
         slot
     }
@@ -94,7 +97,16 @@
         let changed = !worker.is_listed || worker.entry != entry;
         let drains = entry.is_draining && !worker.entry.is_draining;
         worker.is_listed = true;
-        worker.entry = WorkerEntry { born_unix: born.or(entry.born_unix), ..entry };
+        let former = std::mem::replace(
+            &mut worker.entry,
+            WorkerEntry { born_unix: born.or(entry.born_unix), ..entry },
+        );
+        if former.service != worker.entry.service {
+            let service = worker.entry.service.clone();
+            self.leave_service(&former.service, slot);
+            self.of_service.entry(service).or_default().push(slot);
+        }
+        let worker = &self.workers[slot];
         if drains {
             emit!(JobsEvent::WorkerDraining, worker = worker.entry.id, runs = worker.runs.len());
         }
@@ -128,17 +140,30 @@
         let worker = &self.workers[slot];
         emit!(JobsEvent::WorkerLost, worker = id, runs = worker.runs.len());
         self.lose_runs(slot, now);
+        let service = self.workers[slot].entry.service.clone();
+        self.leave_service(&service, slot);
         if self.present.get(&id) == Some(&slot) {
             self.present.remove(&id);
         }
     }
 
+    fn leave_service(&mut self, service: &str, slot: WorkerSlot) {
+        if let Some(slots) = self.of_service.get_mut(service) {
+            slots.retain(|other| *other != slot);
+        }
+    }
+
+    /// Lives of a service's workers that are not over.
+    pub(super) fn slots_of(&self, service: &str) -> &[WorkerSlot] {
+        self.of_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Whether runs of an earlier owner are known for all workers of a service.
     pub(super) fn is_certain(&self, service: &str, now: Moment) -> bool {
         now >= self.uncertain_until
-            || self.workers.iter().all(|worker| {
-                let is_known = worker.was_confirmed || worker.is_gone;
-                !worker.is_inherited || is_known || *worker.entry.service != *service
+            || self.slots_of(service).iter().all(|slot| {
+                let worker = &self.workers[*slot];
+                !worker.is_inherited || worker.was_confirmed
             })
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,7 +8,7 @@
 
 use crate::cluster::WorkerEntry;
 use crate::edges::WorkerAddress;
-use crate::spec::{Resources, RunNumber, TaskId};
+use crate::spec::{Resources, RunNumber, StepSpec, TaskId};
 
 /// A worker's clock may run this many percent slow.
 const CLOCK_SLOW_PERCENT: u32 = 2;
@@ -36,6 +36,56 @@
     },
 }
 
+/// What kind of task a run is of.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RunKind {
+    /// Whether it runs until its job is cancelled.
+    pub long_running: bool,
+    /// Whether it serves users.
+    pub serves: bool,
+    /// Whether it runs on what others leave unused.
+    pub opportunistic: bool,
+}
+
+impl From<&StepSpec> for RunKind {
+    fn from(spec: &StepSpec) -> Self {
+        Self {
+            long_running: spec.long_running,
+            serves: spec.tail_target.is_some(),
+            opportunistic: spec.opportunistic,
+        }
+    }
+}
+
+/// Runs on a worker by kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RunCounts {
+    /// Runs that last until their jobs are cancelled.
+    pub long_running: u32,
+    /// Processors that these take, in thousandths of a core.
+    pub long_running_milli: u32,
+    /// Runs that serve users.
+    pub serving: u32,
+    /// Runs on what others leave unused.
+    pub opportunistic: u32,
+}
+
+impl RunCounts {
+    fn add(&mut self, run: &Run) {
+        self.long_running += u32::from(run.kind.long_running);
+        self.long_running_milli += run.long_running_milli();
+        self.serving += u32::from(run.kind.serves);
+        self.opportunistic += u32::from(run.kind.opportunistic);
+    }
+
+    fn remove(&mut self, run: &Run) {
+        self.long_running -= u32::from(run.kind.long_running);
+        self.long_running_milli -= run.long_running_milli();
+        self.serving -= u32::from(run.kind.serves);
+        self.opportunistic -= u32::from(run.kind.opportunistic);
+    }
+}
+
 /// A run on a worker.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -51,6 +101,8 @@
     pub is_adopted: bool,
     /// When the worker confirmed it.
     pub confirmed: Option<Moment>,
+    /// What kind of task it is of.
+    pub kind: RunKind,
     /// What it takes of the worker's room.
     pub reserved: Resources,
     /// What it counts against its team's limit.
@@ -70,6 +122,10 @@
     pub fn is_stopping(&self) -> bool {
         matches!(self.phase, RunPhase::Stopping { .. })
     }
+
+    fn long_running_milli(&self) -> u32 {
+        if self.kind.long_running { self.reserved.processors_milli } else { 0 }
+    }
 }
 
 /// Whether a look is on its way.
@@ -112,6 +168,8 @@
     pub runs: HashMap<TaskId, Run>,
     /// Sum of what the runs take.
     pub reserved: Resources,
+    /// The runs by kind.
+    pub counts: RunCounts,
     /// Number of the last end that was taken in.
     pub ends_seen: u64,
     /// Ends that were taken in and may not be stored: the number and the order among the ends of
@@ -123,8 +181,6 @@
     pub ends_stored: u64,
     /// Looks.
     pub look: LookPhase,
-    /// Whether a look beside the one that waits is due, since a stop was confirmed.
-    pub is_probe_due: bool,
     /// When the latest look that was answered had been sent.
     pub look_sent: Moment,
     /// Looks that failed since the last one that succeeded.
@@ -164,12 +220,12 @@
             leaving_since: None,
             runs: HashMap::new(),
             reserved: Resources::default(),
+            counts: RunCounts::default(),
             ends_seen: 0,
             ends_open: VecDeque::new(),
             life: 0,
             ends_stored: 0,
             look: LookPhase::DueAt(now),
-            is_probe_due: false,
             look_sent: Moment::ZERO,
             failed_looks: 0,
             answered: None,
@@ -242,13 +298,18 @@
     /// Adds a run.
     pub fn add(&mut self, task: TaskId, run: Run) {
         self.reserved = self.reserved.plus(&run.reserved);
-        self.runs.insert(task, run);
+        self.counts.add(&run);
+        if let Some(former) = self.runs.insert(task, run) {
+            self.reserved = self.reserved.minus(&former.reserved);
+            self.counts.remove(&former);
+        }
     }
 
     /// Removes a run.
     pub fn remove(&mut self, task: TaskId) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.reserved = self.reserved.minus(&run.reserved);
+        self.counts.remove(&run);
         Some(run)
     }
 }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -76,6 +76,7 @@
         long_running: false,
         beyond_weight: false,
         accepted,
+        ready_since: accepted,
         objective: accepted + ms(3_000),
         chain_left: ms(1_000),
         work_left,
