Write the starts on one worker together, over connections without tasks of their own

Cause: after the passes, calls to workers were most of the owner's time in the turn over sockets: each start was a call with a task, a queue, a connection task and two reads of its own, and eight starts at once on one worker opened eight connections, of which four were kept.

Change: the starts of a pass on one worker are written together on one kept connection, and whoever sends them reads their answers.

--- a/crates/jobs/src/edges.rs
+++ b/crates/jobs/src/edges.rs
@@ -172,12 +172,12 @@
         request: LookRequest,
     ) -> impl Future<Output = Result<Look, LookError>> + Send;
 
-    /// Starts a task.
+    /// Starts tasks; the outcomes come in the order of the requests, one for each.
     fn start(
         &self,
         worker: &WorkerAddress,
-        request: StartRequest,
-    ) -> impl Future<Output = OrderOutcome> + Send;
+        requests: Vec<StartRequest>,
+    ) -> impl Future<Output = Vec<OrderOutcome>> + Send;
 
     /// Stops a run.
     fn stop(
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -227,9 +227,8 @@
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
         if self.lease.is_valid() {
-            for order in self.scheduler.plan(unix_now(), now) {
-                self.carry_out(order, now);
-            }
+            let orders = self.scheduler.plan(unix_now(), now);
+            self.carry_out(orders, now);
             self.list_machines(now);
         }
         self.write(now);
--- a/crates/jobs/src/owner/carry.rs
+++ b/crates/jobs/src/owner/carry.rs
@@ -1,5 +1,6 @@
 //! Carrying out orders, each as a task of its own.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 
 use cassiafold_platform::{Moment, since_boot};
@@ -7,7 +8,8 @@
 use super::{MACHINES_INTERVAL, Message, Office};
 use crate::cluster::Machine;
 use crate::edges::{
-    Advice, Advisor, Look, LookError, MachineOutcome, Machines, OrderOutcome, Refusal, Workers,
+    Advice, Advisor, Look, LookError, MachineOutcome, Machines, OrderOutcome, Refusal,
+    StartRequest, Workers,
 };
 use crate::job::WorkerSlot;
 use crate::scheduler::{MachineOrder, Order, Question};
@@ -17,7 +19,7 @@
 /// What came of an order.
 pub(super) enum Outcome {
     Look { worker: WorkerSlot, is_probe: bool, sent: Moment, result: Result<Look, LookError> },
-    Start { worker: WorkerSlot, task: TaskId, run: RunNumber, outcome: OrderOutcome },
+    Starts { worker: WorkerSlot, starts: Vec<(TaskId, RunNumber, OrderOutcome)> },
     Stop { worker: WorkerSlot, task: TaskId, run: RunNumber, outcome: OrderOutcome },
     Pace(OrderOutcome),
     Advice { question: Question, advice: Option<Advice>, sent: Moment },
@@ -36,12 +38,31 @@
         });
     }
 
-    pub(super) fn carry_out(&mut self, order: Order, now: Moment) {
+    /// Carries out orders; the starts on one worker go together.
+    pub(super) fn carry_out(&mut self, orders: Vec<Order>, now: Moment) {
+        let mut starts: BTreeMap<WorkerSlot, Vec<StartRequest>> = BTreeMap::new();
+        for order in orders {
+            let Order::Start { worker, task, run, ticket } = order else {
+                self.carry_out_one(order, now);
+                continue;
+            };
+            match self.scheduler.start_request(worker, task, run, ticket, now) {
+                Some(request) => starts.entry(worker).or_default().push(request),
+                None => {
+                    self.scheduler.note_start(worker, task, run, OrderOutcome::NotSent, now);
+                }
+            }
+        }
+        for (worker, requests) in starts {
+            self.start(worker, requests);
+        }
+    }
+
+    fn carry_out_one(&mut self, order: Order, now: Moment) {
         match order {
             Order::Look { worker, is_probe } => self.look(worker, is_probe, now),
-            Order::Start { worker, task, run, ticket } => {
-                self.start(worker, task, run, ticket, now);
-            }
+            // Starts are carried out together.
+            Order::Start { .. } => {}
             Order::Stop { worker, task, run } => self.stop(worker, task, run),
             Order::Pace { worker, task, run, percent } => {
                 let (workers, token) = (self.site.workers().clone(), self.scheduler.token());
@@ -73,26 +94,19 @@
         });
     }
 
-    fn start(
-        &mut self,
-        worker: WorkerSlot,
-        task: TaskId,
-        run: RunNumber,
-        ticket: Option<std::sync::Arc<str>>,
-        now: Moment,
-    ) {
-        let Some(request) = self.scheduler.start_request(worker, task, run, ticket, now) else {
-            self.scheduler.note_start(worker, task, run, OrderOutcome::NotSent, now);
-            return;
-        };
+    fn start(&mut self, worker: WorkerSlot, requests: Vec<StartRequest>) {
         let address = self.scheduler.worker(worker).address.clone();
         let (workers, lease) = (self.site.workers().clone(), self.lease.clone());
         self.run(async move {
-            let outcome = match lease.is_valid() {
-                true => workers.start(&address, request).await,
-                false => OrderOutcome::NotSent,
+            let runs: Vec<(TaskId, RunNumber)> =
+                requests.iter().map(|request| (request.task, request.run)).collect();
+            let outcomes = match lease.is_valid() {
+                true => workers.start(&address, requests).await,
+                false => vec![OrderOutcome::NotSent; runs.len()],
             };
-            Outcome::Start { worker, task, run, outcome }
+            let starts = runs.into_iter().zip(outcomes);
+            let starts = starts.map(|((task, run), outcome)| (task, run, outcome)).collect();
+            Outcome::Starts { worker, starts }
         });
     }
 
@@ -146,7 +160,11 @@
                     self.metrics.note_end(row.end);
                 }
             }
-            Outcome::Start { outcome, .. } => self.metrics.note_order("start", *outcome),
+            Outcome::Starts { starts, .. } => {
+                for (_, _, outcome) in starts {
+                    self.metrics.note_order("start", *outcome);
+                }
+            }
             Outcome::Stop { outcome, .. } => self.metrics.note_order("stop", *outcome),
             Outcome::Pace(outcome) => self.metrics.note_order("pace", *outcome),
             Outcome::Machine { order: MachineOrder::Maintain { .. }, outcome } => {
@@ -169,9 +187,11 @@
                 self.is_fenced |= error == LookError::Fenced;
                 self.scheduler.note_look_failed(worker, is_probe, &error, now);
             }
-            Outcome::Start { worker, task, run, outcome } => {
-                self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
-                self.scheduler.note_start(worker, task, run, outcome, now);
+            Outcome::Starts { worker, starts } => {
+                for (task, run, outcome) in starts {
+                    self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
+                    self.scheduler.note_start(worker, task, run, outcome, now);
+                }
             }
             Outcome::Stop { worker, task, run, outcome } => {
                 self.is_fenced |= outcome == OrderOutcome::Refused(Refusal::Fenced);
--- a/crates/jobs/tests/site/mod.rs
+++ b/crates/jobs/tests/site/mod.rs
@@ -140,19 +140,12 @@
         self.with(&worker.id, |one| one.look(request, since_boot()))
     }
 
-    async fn start(&self, worker: &WorkerAddress, request: StartRequest) -> OrderOutcome {
-        let (task, run, now) = (request.task, request.run, since_boot());
-        let jobs = self.jobs.lock().expect("lock").clone();
-        let outcome = self.with(&worker.id, |one| one.start(&request, now, &jobs));
-        if outcome == OrderOutcome::Accepted {
-            self.starts.lock().expect("lock").push((task, run));
-            let (workers, id) = (self.clone(), worker.id.clone());
-            tokio::spawn(async move {
-                tokio::time::sleep(TASK_TIME).await;
-                workers.with(&id, |one| one.finish(task, run, false, since_boot()));
-            });
-        }
-        outcome
+    async fn start(
+        &self,
+        worker: &WorkerAddress,
+        requests: Vec<StartRequest>,
+    ) -> Vec<OrderOutcome> {
+        requests.iter().map(|request| self.start_one(worker, request)).collect()
     }
 
     async fn stop(
@@ -180,6 +173,21 @@
 }
 
 impl TestWorkers {
+    fn start_one(&self, worker: &WorkerAddress, request: &StartRequest) -> OrderOutcome {
+        let (task, run, now) = (request.task, request.run, since_boot());
+        let jobs = self.jobs.lock().expect("lock").clone();
+        let outcome = self.with(&worker.id, |one| one.start(request, now, &jobs));
+        if outcome == OrderOutcome::Accepted {
+            self.starts.lock().expect("lock").push((task, run));
+            let (workers, id) = (self.clone(), worker.id.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(TASK_TIME).await;
+                workers.with(&id, |one| one.finish(task, run, false, since_boot()));
+            });
+        }
+        outcome
+    }
+
     /// Tells the workers what the tasks of a job need.
     pub fn know(&self, id: JobId, record: JobRecord) {
         self.jobs.lock().expect("lock").insert(id, record);
