Let ends gather between two looks at a worker

Cause: two looks for each run. A worker that has shown ends answers the next look at once and shows them again until they are stored and acknowledged, which takes longer than the 15 ms between two looks.

Change: 60 ms after an answer with ends, 15 ms after one without.

--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -18,8 +18,11 @@
 const WAIT_BUSY: Duration = Duration::from_millis(1_000);
 /// How long a worker without work waits before it answers a look.
 const WAIT_IDLE: Duration = Duration::from_millis(2_000);
-/// Time between an answer and the next look, in which ends gather.
+/// Time between an answer without ends and the next look.
 const LOOK_GAP: Duration = Duration::from_millis(15);
+/// Time between an answer with ends and the next look. Until they are stored and acknowledged, the
+/// worker would answer at once and show them again; meanwhile others gather.
+const ENDS_GAP: Duration = Duration::from_millis(60);
 /// Time between a failed look and the next one.
 const RETRY_GAP: Duration = Duration::from_millis(200);
 /// Failed looks after which a worker that is not listed counts as lost once its lease is over.
@@ -79,7 +82,11 @@
         worker.was_confirmed = true;
         worker.failed_looks = 0;
         // A worker that was lost from sight may hold runs whose lease is about to end.
-        let next = if first { now } else { now + LOOK_GAP };
+        let next = match (first, look.ended.is_empty()) {
+            (true, _) => now,
+            (false, true) => now + LOOK_GAP,
+            (false, false) => now + ENDS_GAP,
+        };
         if !is_probe {
             worker.look = LookPhase::DueAt(next);
             self.looks_due.push(Reverse((next, slot)));
