Report each second how the owner spends its time, and what waits

Change: event 1647 with the time for taking in, planning, carrying out and writing, how late passes are, and what waits: jobs, announcements, tasks, states, against free cores.

The machines of the fleet have an index by id and by worker; the wave compared each of 572 machines with each of 1,100 in each pass.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -33,6 +33,7 @@
         StoreLost = 1644, Warn, "store does not answer";
         StoreRegained = 1645, Info, "store answers again";
         RecordNotEncoded = 1646, Error, "record could not be encoded";
+        OwnerBusy = 1647, Info, "how the owner spent the last second, and what waits";
         NodeStarted = 1650, Info, "instance started";
         NodeStopped = 1651, Info, "instance stopped";
         NodeReloaded = 1652, Info, "settings read again";
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -136,6 +136,11 @@
         !self.state.is_final()
     }
 
+    /// Whether its tasks may start as soon as the store says so.
+    pub fn waits_for_announcement(&self) -> bool {
+        self.state == JobState::Running && !self.is_announced
+    }
+
     /// Begins a repetition, with what the store holds of its tasks.
     pub fn begin(
         &mut self,
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod follow;
 mod load;
+mod usage;
 mod write;
 
 use std::sync::Arc;
@@ -17,13 +18,14 @@
 use cassiafold_event::emit;
 use cassiafold_platform::{LeaseKeeper, LeaseValidity, Moment, since_boot};
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use self::carry::Outcome;
 use self::claim::Ownership;
 use self::follow::{Followed, Inbox, Listing, Reports};
+use self::usage::{Usage, Work};
 use self::write::{Writer, Written};
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
@@ -99,6 +101,7 @@
     machines_asked: Option<Moment>,
     is_fenced: bool,
     metrics: JobsMetrics,
+    usage: Usage,
 }
 
 async fn place<S: Site>(
@@ -130,6 +133,7 @@
         machines_asked: None,
         is_fenced: false,
         metrics: settings.metrics.clone(),
+        usage: Usage::new(since_boot()),
     };
     let reports = Reports { site: site.clone() };
     let _following = [
@@ -141,7 +145,7 @@
     office.list_workers();
     let reason = loop {
         let now = since_boot();
-        let due = office.scheduler.next_due(now).saturating_sub(now);
+        let due = office.scheduler.next_due(now);
         tokio::select! {
             message = messages.recv() => match message {
                 Some(message) => office.take_in(message),
@@ -151,7 +155,7 @@
                 Ok(()) => office.take_view(&views.borrow_and_update().clone()),
                 Err(_) => break "view closed",
             },
-            () = sleep(due) => {}
+            () = sleep(due.saturating_sub(now)) => {}
             () = lease.ended() => break "lease ended",
             () = stop.cancelled() => break "stopped",
         }
@@ -161,6 +165,7 @@
         if office.is_fenced {
             break "a later owner was obeyed";
         }
+        office.usage.note_pass(due, since_boot());
         office.act();
     };
     if stop.is_cancelled() {
@@ -196,12 +201,14 @@
     }
 
     fn take_in(&mut self, message: Message) {
-        let now = since_boot();
+        let (now, begun) = (since_boot(), Instant::now());
         match message {
             Message::Outcome(outcome) => self.take_outcome(outcome, now),
             Message::Followed(followed) => self.take_followed(followed, now),
             Message::Written(written) => self.take_written(written),
         }
+        self.usage.note_message();
+        self.usage.note(Work::TakeIn, begun);
     }
 
     fn take_followed(&mut self, followed: Followed, now: Moment) {
@@ -229,16 +236,22 @@
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
         if self.lease.is_valid() {
+            let begun = Instant::now();
             let orders = self.scheduler.plan(unix_now(), now);
+            let planned = self.usage.note(Work::Plan, begun);
             self.carry_out(orders, now);
             self.list_machines(now);
+            self.usage.note(Work::CarryOut, planned);
         }
+        let begun = Instant::now();
         self.write(now);
+        self.usage.note(Work::Write, begun);
+        self.usage.report(now, || self.scheduler.backlog(now));
     }
 
     /// Writes what is left before the ownership is given back.
     async fn finish(&mut self, messages: &mut mpsc::Receiver<Message>) {
-        let deadline = tokio::time::Instant::now() + Duration::from_millis(400);
+        let deadline = Instant::now() + Duration::from_millis(400);
         loop {
             self.written = Moment::ZERO;
             self.write(since_boot());
--- /dev/null
+++ b/crates/jobs/src/owner/usage.rs
@@ -0,0 +1,93 @@
+//! How the owner's loop spends its time.
+
+use std::time::Duration;
+
+use cassiafold_event::emit;
+use cassiafold_platform::Moment;
+use tokio::time::Instant;
+
+use crate::event::JobsEvent;
+use crate::scheduler::Backlog;
+
+/// Time that one report covers.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A kind of work of the loop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Work {
+    /// Taking in answers and news.
+    TakeIn,
+    /// Deciding what follows.
+    Plan,
+    /// Handing orders over to the tasks that carry them out.
+    CarryOut,
+    /// Gathering what is to be stored.
+    Write,
+}
+
+/// Time spent since the last report.
+#[derive(Debug)]
+pub(super) struct Usage {
+    since: Moment,
+    spent: [Duration; 4],
+    passes: u32,
+    messages: u32,
+    late_max: Duration,
+}
+
+impl Usage {
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            since: now,
+            spent: Default::default(),
+            passes: 0,
+            messages: 0,
+            late_max: Duration::ZERO,
+        }
+    }
+
+    /// Counts the time since `begun`, and returns the present one, at which the next work begins.
+    pub(super) fn note(&mut self, work: Work, begun: Instant) -> Instant {
+        let now = Instant::now();
+        self.spent[work as usize] += now.duration_since(begun);
+        now
+    }
+
+    /// Counts a message.
+    pub(super) fn note_message(&mut self) {
+        self.messages += 1;
+    }
+
+    /// Counts a pass that was due at `due`.
+    pub(super) fn note_pass(&mut self, due: Moment, now: Moment) {
+        self.passes += 1;
+        self.late_max = self.late_max.max(now.saturating_sub(due));
+    }
+
+    /// Writes the report when its time has come.
+    pub(super) fn report(&mut self, now: Moment, backlog: impl FnOnce() -> Backlog) {
+        if now.saturating_sub(self.since) < REPORT_INTERVAL {
+            return;
+        }
+        let [take_in, plan, carry_out, write] = self.spent.map(|spent| spent.as_millis());
+        let backlog = backlog();
+        emit!(
+            JobsEvent::OwnerBusy,
+            passes = self.passes,
+            messages = self.messages,
+            late_ms = self.late_max.as_millis(),
+            take_in_ms = take_in,
+            plan_ms = plan,
+            carry_out_ms = carry_out,
+            write_ms = write,
+            jobs_live = backlog.jobs_live,
+            jobs_unannounced = backlog.jobs_unannounced,
+            jobs_unstarted = backlog.jobs_unstarted,
+            tasks_waiting = backlog.tasks_waiting,
+            states_unwritten = backlog.states_unwritten,
+            workers_usable = backlog.workers_usable,
+            cores_free = backlog.cores_free
+        );
+        *self = Self::new(now);
+    }
+}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! out is up to [`crate::owner`].
 
 mod advice;
+mod backlog;
 mod balance;
 mod budget;
 mod ends;
@@ -12,6 +13,7 @@
 mod holders;
 mod inbox;
 mod looks;
+mod machine_list;
 mod orders;
 mod pace;
 mod plan;
@@ -29,14 +31,16 @@
 
 pub use self::advice::Question;
 use self::advice::StepTickets;
+pub use self::backlog::Backlog;
 pub use self::flush::{Flush, Urgency};
 use self::holders::Holders;
+use self::machine_list::MachineList;
 use self::steps::StepsByService;
 pub use self::upkeep::MachineOrder;
 use self::upkeep::{SentOrder, WaveProgress};
 use self::workers::Burial;
 use crate::balance::RecentNeed;
-use crate::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerId};
+use crate::cluster::{ClusterConfig, Wave, WaveNumber, WorkerId};
 use crate::edges::FencingToken;
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
@@ -178,7 +182,7 @@
     stopping: Vec<(WorkerSlot, TaskId)>,
     tickets: HashMap<StepId, StepTickets>,
     questions_open: usize,
-    machines: Vec<Machine>,
+    machines: MachineList,
     machines_listed: Option<Moment>,
     is_list_wanted: bool,
     begun_written: BegunRecord,
@@ -238,7 +242,7 @@
             stopping: Vec::new(),
             tickets: HashMap::new(),
             questions_open: 0,
-            machines: Vec::new(),
+            machines: MachineList::default(),
             machines_listed: None,
             is_list_wanted: false,
             begun_written: tenure.begun.clone(),
--- /dev/null
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -0,0 +1,46 @@
+//! How much work waits, for the log.
+
+use cassiafold_platform::Moment;
+
+use super::Scheduler;
+
+/// What waits, and what there is to serve it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Backlog {
+    /// Jobs that have not ended.
+    pub jobs_live: usize,
+    /// Jobs whose first start waits until the store says that it may come.
+    pub jobs_unannounced: usize,
+    /// Jobs of which no task has begun.
+    pub jobs_unstarted: usize,
+    /// Tasks that may start and have not been ordered.
+    pub tasks_waiting: usize,
+    /// Jobs whose state in the store is behind.
+    pub states_unwritten: usize,
+    /// Workers that may be given work.
+    pub workers_usable: usize,
+    /// Cores of these that nothing takes.
+    pub cores_free: u32,
+}
+
+impl Scheduler {
+    /// What waits now.
+    pub fn backlog(&self, now: Moment) -> Backlog {
+        let mut backlog = Backlog { states_unwritten: self.dirty.len(), ..Backlog::default() };
+        for job in self.jobs.values().filter(|job| job.is_live()) {
+            backlog.jobs_live += 1;
+            backlog.jobs_unannounced += usize::from(job.waits_for_announcement());
+            backlog.jobs_unstarted += usize::from(!job.has_started);
+        }
+        for service in self.waiting_steps.services() {
+            let steps = self.waiting_steps.of(service);
+            backlog.tasks_waiting +=
+                steps.map(|id| self.waiting_tasks(id, now).len()).sum::<usize>();
+        }
+        for worker in self.workers.iter().filter(|worker| worker.is_usable(now)) {
+            backlog.workers_usable += 1;
+            backlog.cores_free += worker.free().processors_milli / 1_000;
+        }
+        backlog
+    }
+}
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -85,7 +85,7 @@
         let machines = &self.machines;
         let listed = self.machines_listed;
         self.moving.retain(|id, (service, ordered)| {
-            let machine = machines.iter().find(|machine| machine.id == *id);
+            let machine = machines.get(id);
             let seen_after = listed.is_some_and(|at| at > *ordered);
             let is_done = machine.is_none_or(|machine| machine.service == *service);
             !(seen_after && is_done) && now < *ordered + MOVE_TIMEOUT
@@ -98,7 +98,7 @@
             let pool = Pool { is_spare: service.is_spare, ..Pool::default() };
             pools.insert(id.clone(), pool);
         }
-        for machine in &self.machines {
+        for machine in self.machines.iter() {
             let target = self.moving.get(&machine.id).map(|(service, _)| service);
             let Some(pool) = pools.get_mut(target.unwrap_or(&machine.service)) else { continue };
             if machine.state == MachineState::Down || self.is_emptied(machine) {
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -141,8 +141,7 @@
     /// How soon the state of a job that has changed should be written.
     fn state_urgency(&self, id: JobId) -> Urgency {
         let Some(job) = self.jobs.get(&id) else { return Urgency::None };
-        let waits_for_start = job.state == JobState::Running && !job.is_announced;
-        match waits_for_start || !job.is_live() {
+        match job.waits_for_announcement() || !job.is_live() {
             true => Urgency::Now,
             false => Urgency::Ends,
         }
--- /dev/null
+++ b/crates/jobs/src/scheduler/machine_list.rs
@@ -0,0 +1,44 @@
+//! The machines of the fleet as last listed.
+
+use std::collections::HashMap;
+
+use cassiafold_config::InstanceId;
+
+use crate::cluster::{Machine, MachineState, WorkerId};
+
+/// Machines with indexes by id and by worker.
+#[derive(Debug, Default)]
+pub(super) struct MachineList {
+    machines: Vec<Machine>,
+    by_id: HashMap<InstanceId, usize>,
+    /// Machines that are up, by the worker that runs on them.
+    up_by_worker: HashMap<WorkerId, usize>,
+}
+
+impl MachineList {
+    pub(super) fn new(machines: Vec<Machine>) -> Self {
+        let numbered = || machines.iter().enumerate();
+        let by_id = numbered().map(|(number, machine)| (machine.id.clone(), number)).collect();
+        let up = numbered().filter(|(_, machine)| machine.state == MachineState::Up);
+        let up_by_worker =
+            up.filter_map(|(number, machine)| Some((machine.worker.clone()?, number))).collect();
+        Self { machines, by_id, up_by_worker }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.machines.is_empty()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Machine> {
+        self.machines.iter()
+    }
+
+    pub(super) fn get(&self, id: &str) -> Option<&Machine> {
+        self.machines.get(*self.by_id.get(id)?)
+    }
+
+    /// Whether a worker runs on a machine that is up.
+    pub(super) fn runs(&self, worker: &str) -> bool {
+        self.up_by_worker.contains_key(worker)
+    }
+}
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -139,7 +139,9 @@
             let mut waiting = step.tasks.iter().filter(|task| task.is_waiting()).peekable();
             if waiting.peek().is_none() {
                 settled.push(id);
-            } else if (is_certain || job.is_untouched) && waiting.any(|task| task.not_before <= now)
+            } else if (is_certain || job.is_untouched)
+                && !job.waits_for_announcement()
+                && waiting.any(|task| task.not_before <= now)
             {
                 contenders.extend(self.contender(job, id));
             }
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -7,6 +7,7 @@
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
+use super::machine_list::MachineList;
 use super::{Order, Scheduler, Urgency};
 use crate::cluster::{Machine, MachineState, Wave, WaveNumber};
 use crate::edges::MachineOutcome;
@@ -101,6 +102,7 @@
 
     /// Takes over the list of machines, asked for at `sent`.
     pub fn set_machines(&mut self, machines: Vec<Machine>, sent: Moment, now: Moment) {
+        let machines = MachineList::new(machines);
         let leaving: Vec<WorkerSlot> = (0..self.workers.len())
             .filter(|slot| {
                 let worker = &self.workers[*slot];
@@ -109,10 +111,7 @@
             .collect();
         for slot in leaving {
             let id = &self.workers[slot].entry.id;
-            let is_up = machines.iter().any(|machine| {
-                machine.state == MachineState::Up && machine.worker.as_ref() == Some(id)
-            });
-            if !is_up {
+            if !machines.runs(id) {
                 self.lose_worker(slot, now);
                 continue;
             }
@@ -137,11 +136,7 @@
             if worker.is_gone || !is_silent {
                 continue;
             }
-            let id = &worker.entry.id;
-            let is_up = self.machines.iter().any(|machine| {
-                machine.worker.as_ref() == Some(id) && machine.state == MachineState::Up
-            });
-            if !is_up {
+            if !self.machines.runs(&worker.entry.id) {
                 self.lose_worker(slot, now);
             }
         }
@@ -201,7 +196,7 @@
     }
 
     pub(super) fn worker_of(&self, machine: &str) -> Option<WorkerSlot> {
-        let listed = self.machines.iter().find(|listed| *listed.id == *machine)?;
+        let listed = self.machines.get(machine)?;
         self.present.get(listed.worker.as_ref()?).copied()
     }
 
@@ -234,7 +229,7 @@
         let free = progress.wave.at_once_max.saturating_sub(down);
         let paced = at_once.saturating_sub(down);
         // Machines with long-running tasks take longest to empty, so these begin first.
-        open.sort_by_key(|(machine, slot)| {
+        open.sort_by_cached_key(|(machine, slot)| {
             let runs = slot.map_or(0, |slot| 1 + self.workers[slot].runs.len());
             let is_settled = slot.is_some_and(|slot| self.hosts_long_running(slot));
             (!progress.emptied.contains_key(&machine.id), !is_settled, runs, machine.id.clone())
@@ -285,14 +280,13 @@
     }
 
     fn hosts_long_running(&self, slot: WorkerSlot) -> bool {
-        let mut tasks = self.workers[slot].runs.keys();
-        tasks.any(|task| self.spec(task.step).is_some_and(|spec| spec.long_running))
+        self.workers[slot].counts.long_running > 0
     }
 
     /// Machines of a wave that are down for it, or may be.
     fn down_count(&self, progress: &WaveProgress) -> usize {
         let is_back = |machine: &InstanceId, begun: Moment| {
-            let listed = self.machines.iter().find(|listed| listed.id == *machine);
+            let listed = self.machines.get(machine);
             let seen_after = self.machines_listed.is_some_and(|at| at > begun);
             let is_up =
                 |listed: &Machine| matches!(listed.state, MachineState::Up | MachineState::Moving);
@@ -301,7 +295,7 @@
         let begun = progress.begun.iter().filter(|(machine, at)| !is_back(machine, **at)).count();
         let unknown = progress.wave.machines.iter().filter(|machine| {
             let ordered = self.is_order_open(machine);
-            let listed = self.machines.iter().find(|listed| listed.id == **machine);
+            let listed = self.machines.get(machine);
             let down = listed.is_some_and(|listed| listed.state == MachineState::Maintenance);
             (ordered || down) && !progress.begun.contains_key(*machine)
         });
@@ -320,9 +314,9 @@
         progress: &WaveProgress,
         now: Moment,
     ) -> Vec<(Machine, Option<WorkerSlot>)> {
-        let of_wave = self.machines.iter().filter(|machine| {
-            progress.wave.machines.contains(&machine.id)
-                && !progress.begun.contains_key(&machine.id)
+        let listed = progress.wave.machines.iter().filter_map(|id| self.machines.get(id));
+        let of_wave = listed.filter(|machine| {
+            !progress.begun.contains_key(&machine.id)
                 && machine.state == MachineState::Up
                 && !self.holders.is_held(&machine.id, now)
         });
@@ -392,7 +386,7 @@
         let listed_lately = self.machines_listed.is_some_and(|at| at > progress.since);
         listed_lately
             && progress.wave.machines.iter().all(|machine| {
-                let is_listed = self.machines.iter().any(|listed| listed.id == *machine);
+                let is_listed = self.machines.get(machine).is_some();
                 progress.begun.contains_key(machine) || !is_listed
             })
     }
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -9,7 +9,7 @@
 use cassiafold_platform::Moment;
 
 use super::{Scheduler, Urgency};
-use crate::cluster::{MachineState, WorkerEntry, WorkerId};
+use crate::cluster::{WorkerEntry, WorkerId};
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::record::KnownWorker;
@@ -119,10 +119,8 @@
     fn is_buried(&self, entry: &WorkerEntry) -> bool {
         let Some(burial) = self.buried.get(&entry.id) else { return false };
         // A list of machines that was asked for since may show that the worker lives.
-        let is_seen_up = self.machines_listed.is_some_and(|at| at > burial.at)
-            && self.machines.iter().any(|machine| {
-                machine.state == MachineState::Up && machine.worker.as_ref() == Some(&entry.id)
-            });
+        let is_seen_up =
+            self.machines_listed.is_some_and(|at| at > burial.at) && self.machines.runs(&entry.id);
         !is_seen_up && entry.born_unix == burial.born_unix
     }
 
