Keep runs that a worker's new life may have begun

Traced: a worker is down for 100 ms and comes back under its id; a start that the owner orders for the former life reaches the new one and is accepted; the next list shows the new life, and the owner gave all runs there up and started them elsewhere. The platform's workers too may start again under the id that they had.

Change: on a new life only runs ordered before the former one last showed itself are over; later ones are kept for as long as a lease can last, and a look decides. A report that shows an older life than the last look ends nothing any more.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -263,11 +263,17 @@
             unix: Duration::ZERO,
             tenure,
         };
-        scheduler.uncertain_until = now + scheduler.settings.hold * 103 / 100;
+        scheduler.uncertain_until = now + scheduler.lease_max();
         scheduler.add_known_workers(now);
         scheduler
     }
 
+    /// Longest time for which a run goes on after an order that has just been carried out, on a
+    /// worker whose clock is slow.
+    fn lease_max(&self) -> Duration {
+        self.settings.hold * 103 / 100
+    }
+
     /// Takes over a new configuration.
     pub fn configure(&mut self, config: Arc<ClusterConfig>) {
         self.config = config;
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -68,10 +68,7 @@
         }
         let (known, seen) = (worker.entry.born_unix, look.born_unix);
         if known.is_some() && seen.is_some() && known != seen {
-            emit!(JobsEvent::WorkerReborn, worker = worker.entry.id);
-            // Orders on their way may reach the new life; they are answered or stopped.
-            self.lose_runs_if(slot, now, |run| run.phase != RunPhase::Ordered);
-            self.workers[slot].begin_life(seen, now);
+            self.begin_life(slot, seen, now);
         }
         let worker = &mut self.workers[slot];
         worker.entry.born_unix = worker.entry.born_unix.or(seen);
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -14,7 +14,7 @@
 use crate::job::WorkerSlot;
 use crate::record::KnownWorker;
 use crate::spec::Resources;
-use crate::worker::Worker;
+use crate::worker::{LookPhase, Worker};
 
 /// A life that is over though it is still listed.
 #[derive(Debug, Clone, Copy)]
@@ -86,14 +86,20 @@
         let worker = &mut self.workers[slot];
         let same_place = worker.entry.address == entry.address
             && (worker.entry.service == entry.service || !worker.is_listed);
-        let born = worker.entry.born_unix;
-        let same_life = born.is_none() || entry.born_unix.is_none() || born == entry.born_unix;
-        if worker.is_gone || !same_place || !same_life {
+        if worker.is_gone || !same_place {
             self.lose_worker(slot, now);
             self.add_worker(entry, now);
             self.raise_urgency(Urgency::Now);
             return;
         }
+        let born = worker.entry.born_unix;
+        // A report may be older than the last look.
+        if born.is_some() && entry.born_unix > born {
+            self.begin_life(slot, entry.born_unix, now);
+            self.await_first_look(slot, now);
+        }
+        let worker = &mut self.workers[slot];
+        let born = worker.entry.born_unix;
         let changed = !worker.is_listed || worker.entry != entry;
         let drains = entry.is_draining && !worker.entry.is_draining;
         worker.is_listed = true;
@@ -145,6 +151,32 @@
         }
     }
 
+    /// Begins a new life of a worker that has started anew under its id.
+    ///
+    /// What was ordered before the former life last showed itself ran there, and is over. Later
+    /// orders may have reached the new life: a look decides about them.
+    pub(super) fn begin_life(&mut self, slot: WorkerSlot, born: Option<Duration>, now: Moment) {
+        let worker = &self.workers[slot];
+        emit!(JobsEvent::WorkerReborn, worker = worker.entry.id);
+        let last_seen = worker.look_sent;
+        self.lose_runs_if(slot, now, |run| run.since <= last_seen);
+        let lease = self.lease_max();
+        let worker = &mut self.workers[slot];
+        worker.begin_life(born, now);
+        if !worker.runs.is_empty() {
+            worker.expires = now + lease;
+        }
+    }
+
+    /// Gives a worker no work until a look has shown its new life.
+    fn await_first_look(&mut self, slot: WorkerSlot, now: Moment) {
+        let worker = &mut self.workers[slot];
+        worker.is_confirmed = false;
+        worker.was_confirmed = false;
+        worker.look = LookPhase::DueAt(now);
+        self.looks_due.push(Reverse((now, slot)));
+    }
+
     fn leave_service(&mut self, service: &str, slot: WorkerSlot) {
         if let Some(slots) = self.of_service.get_mut(service) {
             slots.retain(|other| *other != slot);
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use cassiafold_jobs::cluster::Wave;
+use cassiafold_jobs::cluster::{Wave, WorkerEntry};
 use cassiafold_jobs::edges::{EndedRow, Look, LookError, OrderOutcome, RunEnd, RunningRow};
 use cassiafold_jobs::record::{JobState, TaskRecord, WAITING_KEY, WaitingRecord};
 use cassiafold_jobs::scheduler::{Order, Scheduler, Tenure};
@@ -286,3 +286,52 @@
     assert!(began[&3] < ms(200), "so does one that nobody has touched: {:?}", began[&3]);
     assert!(began[&1] >= ms(6_000), "an earlier one waits for the lease: {:?}", began[&1]);
 }
+
+/// A desk whose first worker has been given a task since it last showed itself, and has started
+/// anew in between.
+fn reborn() -> (Desk, Vec<WorkerEntry>) {
+    let mut desk = Desk::new(2, Tenure::default());
+    desk.submit(1, vec![step(1, 16, &[])]);
+    let _ = desk.scheduler.plan(Duration::ZERO, desk.now);
+    let flush = desk.scheduler.take_flush(desk.now).expect("a write");
+    desk.scheduler.note_flushed(&flush);
+    desk.now += ms(1);
+    for order in desk.scheduler.plan(Duration::ZERO, desk.now) {
+        if matches!(order, Order::Start { .. }) {
+            desk.carry_out(order);
+        }
+    }
+    let slot = *desk.running.keys().next().expect("a run");
+    let entry = |slot: usize| desk.scheduler.worker(slot).entry.clone();
+    let born_unix = entry(slot).born_unix.map(|born| born + ms(500));
+    let reborn = WorkerEntry { born_unix, ..entry(slot) };
+    let entries = vec![reborn, entry(1 - slot)];
+    desk.scheduler.set_workers(entries.clone(), desk.now);
+    (desk, entries)
+}
+
+#[test]
+fn a_run_that_a_new_life_may_have_begun_is_started_nowhere_else() {
+    let (mut desk, _) = reborn();
+    desk.pass(ms(1_000));
+    assert_eq!(desk.running(), 1);
+}
+
+#[test]
+fn a_run_that_a_new_life_does_not_show_is_started_again() {
+    let (mut desk, _) = reborn();
+    desk.running.clear();
+    desk.pass(ms(1_000));
+    assert_eq!(desk.running(), 1);
+}
+
+#[test]
+fn a_report_that_is_older_than_the_life_seen_ends_nothing() {
+    let (mut desk, mut entries) = reborn();
+    desk.pass(ms(1_000));
+    entries[0].born_unix = entries[0].born_unix.map(|born| born - ms(400));
+    desk.scheduler.set_workers(entries, desk.now);
+    desk.pass(ms(1_000));
+    assert_eq!(desk.running(), 1);
+    assert!(!desk.scheduler.worker(0).is_gone && !desk.scheduler.worker(1).is_gone);
+}
