Divide the store's list of workers into parts

Cause: the owner names in the store each worker that may be given tasks. With 1,100 of them the list takes 200 kB, and it was written whole with each worker that came or went: while 64 machines move each second, with nearly every write.

Change: 64 parts by a hash of the worker's id, of which a write takes up to three. Passes and writes visit lives that go on, no longer all that ever were. A test: a worker that comes to 600 has at most 40 written again; before it was all.

--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -20,7 +20,7 @@
 use crate::record::{
     BegunRecord, CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY,
     OWNER_KEY, OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, TURNS_KEY, TurnsRecord,
-    WAVES_KEY, WORKERS_KEY, job_of,
+    WAVES_KEY, WORKERS_PREFIX, job_of,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -68,14 +68,14 @@
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
-        store.get(WORKERS_KEY),
+        store.list(WORKERS_PREFIX),
         store.get(WAVES_KEY),
         store.get(ORDERED_KEY),
         store.get(TURNS_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = begin_sequence(site, token, sequence).await?;
-    let known_workers: Vec<KnownWorker> = read_json(known)?;
+    let known_workers = read_workers(&known.records)?;
     let begun: BegunRecord = read_json(begun)?;
     let ordered: OrderedRecord = read_json(ordered)?;
     let turns: TurnsRecord = read_json(turns)?;
@@ -128,6 +128,14 @@
         .map_err(|error| StoreError::Malformed(error.to_string().into()))
 }
 
+fn read_workers(records: &[Record]) -> Result<Vec<KnownWorker>, StoreError> {
+    let mut workers = Vec::new();
+    for record in records {
+        workers.extend(read_json::<Vec<KnownWorker>>(Some(record.clone()))?);
+    }
+    Ok(workers)
+}
+
 fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
     let mut states = HashMap::with_capacity(records.len());
     for record in records {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -7,7 +7,7 @@
 //! | `cassiafold/state/JOB` | the owner | how far the job is |
 //! | `cassiafold/owner` | the owner, under its lease | name of its instance |
 //! | `cassiafold/sequence` | the owner | number of its last write, so that none is applied late |
-//! | `cassiafold/workers` | the owner | workers that were given tasks |
+//! | `cassiafold/workers/SHARD` | the owner | workers that were given tasks, in parts |
 //! | `cassiafold/waves` | the owner | machines whose maintenance has begun, by wave |
 //! | `cassiafold/ordered` | the owner | machines that were ordered lately, with who ordered them |
 //! | `cassiafold/turns` | the owner | turns of high demand that were seen |
@@ -39,8 +39,8 @@
 pub const OWNER_KEY: &str = "cassiafold/owner";
 /// Key of the number of the owner's last write.
 pub const SEQUENCE_KEY: &str = "cassiafold/sequence";
-/// Key of the workers that were given tasks.
-pub const WORKERS_KEY: &str = "cassiafold/workers";
+/// Start of the keys of the workers that were given tasks.
+pub const WORKERS_PREFIX: &str = "cassiafold/workers/";
 /// Key of the machines whose maintenance has begun.
 pub const WAVES_KEY: &str = "cassiafold/waves";
 /// Key of the machines that were ordered lately.
@@ -50,6 +50,23 @@
 /// Key of the jobs that wait.
 pub const WAITING_KEY: &str = "cassiafold/waiting";
 
+/// Number of a part of the workers: few enough to be read at once, and many enough for a part to
+/// be written each time that a worker comes or goes.
+pub type WorkerShard = u8;
+
+/// Parts into which the workers are divided.
+const WORKER_SHARDS: WorkerShard = 64;
+
+/// The part to which a worker belongs.
+pub fn shard_of(worker: &str) -> WorkerShard {
+    blake3::hash(worker.as_bytes()).as_bytes()[0] % WORKER_SHARDS
+}
+
+/// Key of a part of the workers.
+pub fn workers_key(shard: WorkerShard) -> Arc<str> {
+    format!("{WORKERS_PREFIX}{shard:02}").into()
+}
+
 /// Key of an accepted job.
 pub fn job_key(id: JobId) -> Arc<str> {
     format!("{JOB_PREFIX}{id:016x}").into()
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -22,7 +22,7 @@
 mod workers;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,7 +44,9 @@
 use crate::edges::FencingToken;
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
-use crate::record::{BegunRecord, KnownWorker, OrderedRecord, TurnsRecord, WaitingRecord};
+use crate::record::{
+    BegunRecord, KnownWorker, OrderedRecord, TurnsRecord, WaitingRecord, WorkerShard,
+};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use crate::turns::{Onset, Turns};
 use crate::worker::Worker;
@@ -157,6 +159,8 @@
     ready: StepsByService,
     /// Those of them that may have tasks that wait.
     waiting_steps: StepsByService,
+    /// Parts of the workers whose record in the store is behind.
+    stale_shards: BTreeSet<WorkerShard>,
     /// Ended jobs whose state is kept, in the order in which they ended.
     ended: VecDeque<JobId>,
     /// Cancels of jobs that have not been seen.
@@ -229,6 +233,7 @@
             jobs: HashMap::new(),
             ready: StepsByService::default(),
             waiting_steps: StepsByService::default(),
+            stale_shards: BTreeSet::new(),
             ended: VecDeque::new(),
             early_cancels: HashSet::new(),
             scheduled: Vec::new(),
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -13,13 +13,15 @@
 use crate::job::WorkerSlot;
 use crate::record::{
     JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, TURNS_KEY, WAITING_KEY,
-    WAVES_KEY, WORKERS_KEY, WaitingRecord, cancel_key, job_key, state_key,
+    WAVES_KEY, WaitingRecord, WorkerShard, cancel_key, job_key, state_key, workers_key,
 };
 use crate::spec::JobId;
 
 /// States of jobs in one write. The store takes 32 entries: beside the states there are two
-/// conditions, the sequence, five lists, waves and removals.
-const STATES_MAX: usize = 18;
+/// conditions, the sequence, four lists, parts of the workers, waves and removals.
+const STATES_MAX: usize = 16;
+/// Parts of the workers in one write.
+const SHARDS_MAX: usize = 3;
 /// Statuses of waves in one write.
 const WAVES_MAX: usize = 3;
 /// Ended jobs that are removed in one write.
@@ -65,7 +67,6 @@
     pub waves: Vec<(WaveNumber, bool)>,
     ends: Vec<StoredEnds>,
     recorded: Vec<WorkerSlot>,
-    unrecorded: Vec<WorkerSlot>,
     removed: Vec<JobId>,
     announced: Vec<JobId>,
     ordered: OrderedRecord,
@@ -111,8 +112,8 @@
     /// Ends whose effects are in the store once this write has taken effect.
     fn storable_ends(&self) -> Vec<StoredEnds> {
         let open_since = self.dirty.values().min().copied().unwrap_or(u64::MAX);
-        let workers = self.workers.iter().enumerate().filter(|(_, worker)| !worker.is_gone);
-        let ends = workers.filter_map(|(worker, life)| {
+        let ends = self.living().filter_map(|worker| {
+            let life = &self.workers[worker];
             let storable = life.ends_open.iter().take_while(|(_, order)| *order < open_since);
             let number = storable.last()?.0;
             Some(StoredEnds { worker, life: life.life, number })
@@ -163,17 +164,22 @@
         }
     }
 
+    /// Answers the load pattern of machines that move by the dozen each second: a worker that
+    /// comes or goes rewrites a part of the workers, not all.
     fn collect_workers(&mut self, flush: &mut Flush) {
-        let Some(known) = self.unrecorded_workers() else { return };
-        match encode_workers(&known) {
-            Ok(bytes) => flush.puts.push((WORKERS_KEY.into(), bytes)),
-            Err(error) => return report(0, &error),
-        }
-        for (slot, worker) in self.workers.iter().enumerate() {
-            match worker.is_gone {
-                true => flush.unrecorded.push(slot),
-                false => flush.recorded.push(slot),
+        let shards: Vec<WorkerShard> = self.stale_shards.iter().copied().take(SHARDS_MAX).collect();
+        for shard in shards {
+            self.stale_shards.remove(&shard);
+            let members = self.shard_members(shard);
+            let named = members.iter().map(|slot| KnownWorker::from(&self.workers[*slot].entry));
+            match encode_workers(&named.collect::<Vec<_>>()) {
+                Ok(bytes) => flush.puts.push((workers_key(shard), bytes)),
+                Err(error) => return report(0, &error),
             }
+            flush.recorded.extend(members);
+        }
+        if !self.stale_shards.is_empty() {
+            self.raise_urgency(Urgency::Now);
         }
     }
 
@@ -269,9 +275,6 @@
             self.workers[*slot].is_recorded = true;
             self.mark_changed(*slot);
         }
-        for slot in &flush.unrecorded {
-            self.workers[*slot].is_recorded = false;
-        }
         for id in &flush.removed {
             self.jobs.remove(id);
         }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -35,10 +35,8 @@
             self.planned_all = now;
             self.begin_due(unix, now);
             self.mark_all_changed();
-            for slot in 0..self.workers.len() {
-                if !self.workers[slot].is_gone {
-                    self.expire(slot, now);
-                }
+            for slot in self.living().collect::<Vec<_>>() {
+                self.expire(slot, now);
             }
             self.plan_upkeep(now, &mut orders);
             self.plan_moves(now);
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -12,7 +12,7 @@
 use crate::cluster::{WorkerEntry, WorkerId};
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
-use crate::record::KnownWorker;
+use crate::record::WorkerShard;
 use crate::spec::Resources;
 use crate::worker::{LookPhase, Worker};
 
@@ -55,6 +55,12 @@
         slot
     }
 
+    /// Notes that the store does not name a worker yet, which therefore gets no work.
+    fn mark_unrecorded(&mut self, slot: WorkerSlot) {
+        self.stale_shards.insert(self.workers[slot].shard);
+        self.raise_urgency(Urgency::Now);
+    }
+
     /// Takes over the list of workers.
     pub fn set_workers(&mut self, entries: Vec<WorkerEntry>, now: Moment) {
         let listed: HashSet<WorkerId> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -79,7 +85,7 @@
             }
             let (id, service) = (entry.id.clone(), entry.service.clone());
             let slot = self.add_worker(entry, now);
-            self.raise_urgency(Urgency::Now);
+            self.mark_unrecorded(slot);
             emit!(JobsEvent::WorkerListed, worker = id, service = service, slot = slot);
             return;
         };
@@ -88,8 +94,8 @@
             && (worker.entry.service == entry.service || !worker.is_listed);
         if worker.is_gone || !same_place {
             self.lose_worker(slot, now);
-            self.add_worker(entry, now);
-            self.raise_urgency(Urgency::Now);
+            let slot = self.add_worker(entry, now);
+            self.mark_unrecorded(slot);
             return;
         }
         let born = worker.entry.born_unix;
@@ -138,6 +144,7 @@
         }
         worker.is_gone = true;
         worker.is_listed = false;
+        self.stale_shards.insert(worker.shard);
         let id = worker.entry.id.clone();
         let burial = Burial { at: now, born_unix: worker.entry.born_unix };
         self.buried.insert(id.clone(), burial);
@@ -197,12 +204,16 @@
             })
     }
 
-    /// Workers to be named in the store, if that list has changed.
-    pub(super) fn unrecorded_workers(&self) -> Option<Vec<KnownWorker>> {
-        let present = || self.workers.iter().filter(|worker| !worker.is_gone);
-        let missing = present().any(|worker| !worker.is_recorded && worker.is_listed);
-        let surplus = self.workers.iter().any(|worker| worker.is_gone && worker.is_recorded);
-        (missing || surplus)
-            .then(|| present().map(|worker| KnownWorker::from(&worker.entry)).collect())
+    /// Lives that are not over, in no particular order.
+    pub(super) fn living(&self) -> impl Iterator<Item = WorkerSlot> {
+        self.present.values().copied()
+    }
+
+    /// Workers of a part, as they are to be named in the store.
+    pub(super) fn shard_members(&self, shard: WorkerShard) -> Vec<WorkerSlot> {
+        let mut slots: Vec<WorkerSlot> =
+            self.living().filter(|slot| self.workers[*slot].shard == shard).collect();
+        slots.sort_unstable();
+        slots
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::cluster::WorkerEntry;
 use crate::edges::WorkerAddress;
+use crate::record::{WorkerShard, shard_of};
 use crate::spec::{Resources, RunNumber, StepSpec, TaskId};
 
 /// A worker's clock may run this many percent slow.
@@ -144,6 +145,8 @@
     pub entry: WorkerEntry,
     /// Where it is called.
     pub address: WorkerAddress,
+    /// Part of the workers in the store to which it belongs.
+    pub shard: WorkerShard,
     /// Whether the platform lists it.
     pub is_listed: bool,
     /// Whether this life is over.
@@ -206,6 +209,7 @@
     pub fn new(entry: WorkerEntry, expires: Moment, now: Moment) -> Self {
         let address = WorkerAddress { id: entry.id.clone(), address: entry.address };
         Self {
+            shard: shard_of(&entry.id),
             entry,
             address,
             is_listed: true,
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -17,7 +17,7 @@
 use cassiafold_jobs::cluster::{ClusterConfig, Queue, Service, Team, WorkerEntry};
 use cassiafold_jobs::edges::{LookError, LookRequest, OrderOutcome, StartRequest};
 use cassiafold_jobs::record::{
-    JobRecord, JobState, KnownWorker, STATE_PREFIX, StateRecord, WORKERS_KEY, job_of,
+    JobRecord, JobState, KnownWorker, STATE_PREFIX, StateRecord, WORKERS_PREFIX, job_of,
 };
 use cassiafold_jobs::scheduler::{Flush, Order, Scheduler, SchedulerSettings, Tenure};
 use cassiafold_jobs::spec::{JobId, JobSpec, Resources, RunNumber, StepSpec, TaskId};
@@ -111,7 +111,7 @@
     pub broken: Vec<String>,
     pub starts: usize,
     faults: Faults,
-    known: Vec<KnownWorker>,
+    known: BTreeMap<Arc<str>, Vec<KnownWorker>>,
     listed: Duration,
     scheduler: Option<Scheduler>,
     owner: u64,
@@ -137,7 +137,7 @@
             broken: Vec::new(),
             starts: 0,
             faults,
-            known: Vec::new(),
+            known: BTreeMap::new(),
             listed: Duration::ZERO,
             scheduler: None,
             owner: 1,
@@ -189,7 +189,7 @@
         let tenure = Tenure {
             token: self.owner,
             run_base: u32::try_from(self.owner - 1).unwrap_or(0) * 1_000,
-            known_workers: self.known.clone(),
+            known_workers: self.known.values().flatten().cloned().collect(),
             ..Tenure::default()
         };
         let mut scheduler = Scheduler::new(settings(), tenure, self.now);
@@ -242,8 +242,9 @@
             if let Some(id) = job_of(key, STATE_PREFIX) {
                 let state = StateRecord::try_from(&value[..]).expect("state");
                 self.states.insert(id, state);
-            } else if &**key == WORKERS_KEY {
-                self.known = serde_json::from_slice(value).expect("workers");
+            } else if key.starts_with(WORKERS_PREFIX) {
+                let workers = serde_json::from_slice(value).expect("workers");
+                self.known.insert(Arc::clone(key), workers);
             }
         }
     }
--- a/crates/jobs/tests/writes.rs
+++ b/crates/jobs/tests/writes.rs
@@ -4,12 +4,13 @@
 mod emulator;
 
 use cassiafold_jobs::edges::{EndedRow, Look, RunEnd};
-use cassiafold_jobs::record::state_key;
+use cassiafold_jobs::record::{KnownWorker, WORKERS_PREFIX, state_key};
 use cassiafold_jobs::scheduler::{Flush, Tenure, Urgency};
 use cassiafold_jobs::spec::JobId;
 
 use self::desk::Desk;
-use self::emulator::{ms, step};
+use self::emulator::worker::EmulatedWorker;
+use self::emulator::{cores, ms, step};
 
 /// Jobs of two tasks, each with one that has just ended.
 const JOBS: u64 = 40;
@@ -66,3 +67,19 @@
     assert!((1..=JOBS).any(|job| holds(&flush, job)));
     assert_eq!(desk.scheduler.flush_urgency(), Urgency::Now, "more starts wait");
 }
+
+#[test]
+fn a_worker_that_comes_has_few_others_written_again() {
+    let mut desk = Desk::new(600, Tenure::default());
+    let room = cores(16);
+    let entries = (0..601).map(|number| EmulatedWorker::new(number, room).entry());
+    desk.scheduler.set_workers(entries.collect(), desk.now);
+    let flush = desk.scheduler.take_flush(desk.now).expect("a write");
+    let parts = flush.puts.iter().filter(|(key, _)| key.starts_with(WORKERS_PREFIX));
+    let written = parts.map(|(_, bytes)| {
+        let workers: Vec<KnownWorker> = serde_json::from_slice(bytes).expect("workers");
+        workers.len()
+    });
+    let written: usize = written.sum();
+    assert!((1..=40).contains(&written), "{written} workers");
+}
