Move long-running tasks where no maintenance is due

Change: among the workers for a long-running task those come last whose machine is still due in a wave. A test; it was written with the change and not played before it.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -26,6 +26,8 @@
     pub opportunistic: u32,
     /// Whether most of what it ran lately failed there.
     pub is_suspect: bool,
+    /// Whether its machine is still to be maintained in a wave.
+    pub is_maintenance_due: bool,
 }
 
 /// What a task asks for.
@@ -71,6 +73,7 @@
         Rank {
             is_suspect: self.is_suspect,
             is_avoided: avoid.contains(&self.slot),
+            must_move_again: demand.long_running && self.is_maintenance_due,
             far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
             disturbance,
             settles_anew: self.long_running == 0,
@@ -84,6 +87,7 @@
 struct Rank {
     is_suspect: bool,
     is_avoided: bool,
+    must_move_again: bool,
     far_from_data: bool,
     disturbance: u32,
     settles_anew: bool,
@@ -96,6 +100,10 @@
 /// is disturbed least, and among equals to the worker with the least left. Long-running tasks
 /// gather on few workers, and short ones fill these first, so that the other machines become free
 /// to move as soon as demand falls. Workers on which the task failed before come last.
+///
+/// Answers the load pattern of a wave over machines with long-running tasks, of which only a few
+/// may be away at once: a task that has to leave goes where no maintenance is due, so that it
+/// moves once.
 pub fn choose<'a>(
     demand: &Demand,
     candidates: impl Iterator<Item = &'a Candidate>,
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -210,6 +210,7 @@
                 serving: worker.counts.serving,
                 opportunistic: worker.counts.opportunistic,
                 is_suspect: is_suspect(&worker.recent),
+                is_maintenance_due: worker.is_maintenance_due,
             })
             .collect()
     }
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -205,6 +205,9 @@
         if self.machines.is_empty() {
             return;
         }
+        for slot in self.living().collect::<Vec<_>>() {
+            self.workers[slot].is_maintenance_due = false;
+        }
         let numbers: Vec<WaveNumber> = self.waves.keys().copied().collect();
         for number in numbers {
             self.plan_wave(number, now, orders);
@@ -225,6 +228,9 @@
     fn take_down(&mut self, progress: &mut WaveProgress, now: Moment, orders: &mut Vec<Order>) {
         let down = self.down_count(progress);
         let mut open = self.open_machines(progress, now);
+        for slot in open.iter().filter_map(|(_, slot)| *slot) {
+            self.workers[slot].is_maintenance_due = true;
+        }
         let at_once = at_once(progress, open.len(), now);
         let free = progress.wave.at_once_max.saturating_sub(down);
         let paced = at_once.saturating_sub(down);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -163,6 +163,8 @@
     pub silent_since: Option<Moment>,
     /// Whether it gets no more work because its machine is about to be moved or maintained.
     pub is_cordoned: bool,
+    /// Whether its machine is still to be maintained in a wave.
+    pub is_maintenance_due: bool,
     /// Whether its machine was ordered to move or to be maintained.
     pub is_leaving: bool,
     /// When such an order was accepted.
@@ -220,6 +222,7 @@
             is_inherited: false,
             silent_since: None,
             is_cordoned: false,
+            is_maintenance_due: false,
             is_leaving: false,
             leaving_since: None,
             runs: HashMap::new(),
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -52,6 +52,21 @@
     assert_eq!(desk.running(), 3);
 }
 
+#[test]
+fn a_task_that_leaves_for_a_wave_goes_where_no_maintenance_is_due() {
+    let mut desk = Desk::new(6, Tenure::default());
+    desk.submit(1, vec![long_running(3, None)]);
+    desk.pass(ms(1_500));
+    let first = *desk.running.keys().next().expect("one worker runs all");
+    let apart = if first == 5 { 4 } else { 5 };
+    let in_wave: Vec<usize> = (0..6).filter(|number| *number != apart).collect();
+    desk.list(Desk::machines(6, MachineState::Up));
+    desk.wave_of(&in_wave, 1);
+    desk.pass(ms(3_000));
+    assert_eq!(desk.running[&first].len(), 1);
+    assert_eq!(desk.running.get(&apart).map(Vec::len), Some(2));
+}
+
 #[test]
 fn a_maintained_machine_that_moves_does_not_hold_up_its_wave() {
     let mut desk = Desk::new(2, Tenure::default());
