Take over without reading what has ended, and look before any unanswered start is stopped

Cause: a takeover decoded each job of the last 150 s, most of which have ended, without a pause in which the lease could be renewed. And a short task whose start got no answer within 350 ms was stopped though it may be at work: work of a worker that is only slow was given up.

Change: of jobs that had ended only the id is kept; the loop yields every 32 records; each unanswered start waits for a look, as those of long-running tasks did.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -40,8 +40,6 @@
     pub occurrences: BTreeMap<OccurrenceNumber, Occurrence>,
     /// Repetitions that have ended.
     pub ended: Vec<OccurrenceNumber>,
-    /// When the stored final state may be removed.
-    pub final_since: Option<Moment>,
 }
 
 /// One repetition of a job's steps.
@@ -127,7 +125,6 @@
             beyond_weight: false,
             occurrences: BTreeMap::new(),
             ended: state.map(|state| state.ended.clone()).unwrap_or_default(),
-            final_since: stored.is_final().then_some(now),
         }
     }
 
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -10,6 +10,7 @@
     TransactionalStore, since_boot,
 };
 use serde::de::DeserializeOwned;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use super::unix_now;
@@ -31,6 +32,9 @@
 /// Run numbers that one owner may use for one task.
 const RUNS_PER_TENURE: RunNumber = 1_000;
 
+/// Records that are read at once: between them the lease is renewed.
+const RECORDS_AT_ONCE: usize = 32;
+
 /// What an owner starts with.
 pub(super) struct Loaded {
     pub(super) scheduler: Scheduler,
@@ -93,9 +97,16 @@
         began_unix: unix_now(),
     };
     let mut scheduler = Scheduler::new(settings, tenure, now);
-    let states = read_states(&states.records);
-    for record in &inbox.records {
+    let states = read_states(&states.records).await;
+    for (number, record) in inbox.records.iter().enumerate() {
+        if number % RECORDS_AT_ONCE == 0 {
+            yield_now().await;
+        }
         let Some(id) = job_of(&record.key, JOB_PREFIX) else { continue };
+        if states.get(&id).is_some_and(|state| state.state.is_final()) {
+            scheduler.add_ended(id, now);
+            continue;
+        }
         match JobRecord::try_from(&record.value[..]) {
             Ok(job) => {
                 let stored = states.get(&id);
@@ -136,9 +147,12 @@
     Ok(workers)
 }
 
-fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
+async fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
     let mut states = HashMap::with_capacity(records.len());
-    for record in records {
+    for (number, record) in records.iter().enumerate() {
+        if number % RECORDS_AT_ONCE == 0 {
+            yield_now().await;
+        }
         let Some(id) = job_of(&record.key, STATE_PREFIX) else { continue };
         match StateRecord::try_from(&record.value[..]) {
             Ok(state) => drop(states.insert(id, state)),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -161,8 +161,10 @@
     waiting_steps: StepsByService,
     /// Parts of the workers whose record in the store is behind.
     stale_shards: BTreeSet<WorkerShard>,
-    /// Ended jobs whose state is kept, in the order in which they ended.
-    ended: VecDeque<JobId>,
+    /// Ended jobs whose state is kept, in the order in which they were found ended, and since when.
+    ended: VecDeque<(JobId, Moment)>,
+    /// Jobs that had ended before this tenure.
+    ended_before: HashSet<JobId>,
     /// Cancels of jobs that have not been seen.
     early_cancels: HashSet<JobId>,
     /// Jobs that repeat.
@@ -235,6 +237,7 @@
             waiting_steps: StepsByService::default(),
             stale_shards: BTreeSet::new(),
             ended: VecDeque::new(),
+            ended_before: HashSet::new(),
             early_cancels: HashSet::new(),
             scheduled: Vec::new(),
             team_use: HashMap::new(),
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -245,8 +245,9 @@
 
     fn collect_removals(&mut self, now: Moment, flush: &mut Flush) {
         while flush.removed.len() < REMOVALS_MAX
-            && let Some(id) = self.ended.front().copied()
-            && self.is_removable(id, now)
+            && let Some((id, since)) = self.ended.front().copied()
+            && now.saturating_sub(since) > self.settings.status_kept
+            && !self.dirty.contains_key(&id)
         {
             self.ended.pop_front();
             flush.removals.extend([job_key(id), cancel_key(id), state_key(id)]);
@@ -254,13 +255,6 @@
         }
     }
 
-    /// Whether the state of an ended job was kept for long enough and is in the store.
-    fn is_removable(&self, id: JobId, now: Moment) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return true };
-        let age = job.final_since.map(|since| now.saturating_sub(since));
-        age.is_some_and(|age| age > self.settings.status_kept) && !self.dirty.contains_key(&id)
-    }
-
     /// Takes in that a write has taken effect.
     pub fn note_flushed(&mut self, flush: &Flush) {
         for ends in &flush.ends {
@@ -277,6 +271,7 @@
         }
         for id in &flush.removed {
             self.jobs.remove(id);
+            self.ended_before.remove(id);
         }
         for id in &flush.announced {
             self.note_announced(*id);
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -25,14 +25,13 @@
         stored: Option<&StateRecord>,
         now: Moment,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.ended_before.contains(&id) {
             return;
         }
         let mut job = Job::new(id, record, accepted_revision, stored, now);
         job.beyond_weight = self.is_beyond_weight(&job, now);
         if !job.is_live() {
-            self.jobs.insert(id, job);
-            self.ended.push_back(id);
+            self.add_ended(id, now);
             return;
         }
         let repeats = job.record.spec.schedule.is_some();
@@ -58,6 +57,13 @@
         }
     }
 
+    /// Notes a job that had ended before this tenure. Nothing of it is kept in memory.
+    pub fn add_ended(&mut self, id: JobId, now: Moment) {
+        if self.ended_before.insert(id) {
+            self.ended.push_back((id, now));
+        }
+    }
+
     /// Raises the level of the job's team by one job and tells whether it exceeds its weight.
     fn is_beyond_weight(&mut self, job: &Job, now: Moment) -> bool {
         let Some(team) = job.record.team.clone() else { return false };
@@ -76,6 +82,9 @@
 
     /// Cancels a job.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
+        if self.ended_before.contains(&id) {
+            return;
+        }
         let Some(job) = self.jobs.get(&id) else {
             self.early_cancels.insert(id);
             return;
@@ -164,7 +173,6 @@
     pub(super) fn finish(&mut self, id: JobId, state: JobState, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = state;
-        job.final_since = Some(now);
         let service = job.record.service.clone();
         let age = now.saturating_sub(job.seen);
         let copies = job.copies();
@@ -182,7 +190,7 @@
         self.ready.remove_job(&service, id);
         self.waiting_steps.remove_job(&service, id);
         self.tickets.retain(|step, _| step.job != id);
-        self.ended.push_back(id);
+        self.ended.push_back((id, now));
         self.changed.insert(service);
     }
 }
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -97,13 +97,9 @@
         );
     }
 
-    /// A run of which it is unknown whether it began. A long-running task may be at work already,
-    /// where this process was late to read the answer; so a look decides whether it is stopped.
+    /// A run of which it is unknown whether it began. It may be at work already, where this process
+    /// was late to read the answer; so a look decides whether it is stopped.
     fn start_unanswered(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
-        if !self.spec(task.step).is_some_and(|spec| spec.long_running) {
-            self.stop_run(slot, task, now);
-            return;
-        }
         let worker = &mut self.workers[slot];
         if let Some(run) = worker.runs.get_mut(&task).filter(|run| run.phase == RunPhase::Ordered) {
             run.unanswered = Some(now);
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -10,8 +10,8 @@
 use cassiafold_jobs::cluster::{Wave, WorkerEntry};
 use cassiafold_jobs::edges::{EndedRow, Look, LookError, OrderOutcome, RunEnd, RunningRow};
 use cassiafold_jobs::record::{JobState, TaskRecord, WAITING_KEY, WaitingRecord};
-use cassiafold_jobs::scheduler::{Order, Scheduler, Tenure};
-use cassiafold_jobs::spec::{Resources, Schedule, StepId, TaskId};
+use cassiafold_jobs::scheduler::{Flush, Order, Scheduler, Tenure};
+use cassiafold_jobs::spec::{Resources, Schedule, StepId, StepSpec, TaskId};
 
 use self::desk::{Desk, long_running, touched};
 use self::emulator::worker::EmulatedWorker;
@@ -202,10 +202,10 @@
     assert_eq!(has_started(&desk), Some(true));
 }
 
-/// Starts a long-running task whose order gets no answer in time; then its worker is looked at.
-fn look_after_an_unanswered_start(is_there: bool) -> Vec<Order> {
+/// Starts a task whose order gets no answer in time; then its worker is looked at.
+fn look_after_an_unanswered_start(spec: StepSpec, is_there: bool) -> Vec<Order> {
     let mut desk = Desk::new(1, Tenure::default());
-    desk.submit(1, vec![long_running(1, None)]);
+    desk.submit(1, vec![spec]);
     let _ = desk.scheduler.plan(Duration::ZERO, desk.now);
     let flush = desk.scheduler.take_flush(desk.now).expect("a write");
     desk.scheduler.note_flushed(&flush);
@@ -216,6 +216,8 @@
     });
     let (worker, task, run) = start.expect("a start");
     desk.scheduler.note_start(worker, task, run, OrderOutcome::Unknown, desk.now);
+    let orders = desk.scheduler.plan(Duration::ZERO, desk.now);
+    assert!(orders.contains(&Order::Look { worker, is_probe: true }), "{orders:?}");
     let sent = desk.now + ms(1);
     let row = RunningRow { task, run, checkpoint: None, percent: 100, reading: 0 };
     let running = if is_there { vec![row] } else { Vec::new() };
@@ -224,17 +226,27 @@
     desk.scheduler.plan(Duration::ZERO, sent + ms(60))
 }
 
-#[test]
-fn a_long_running_task_that_began_though_its_start_was_not_answered_is_not_stopped() {
-    let orders = look_after_an_unanswered_start(true);
-    assert!(!orders.iter().any(|order| matches!(order, Order::Stop { .. })), "{orders:?}");
+macro_rules! unanswered_starts {
+    ($($began:ident, $not_begun:ident: $spec:expr;)+) => {
+        $(#[test] fn $began() {
+            let orders = look_after_an_unanswered_start($spec, true);
+            assert!(!orders.iter().any(|order| matches!(order, Order::Stop { .. })), "{orders:?}");
+        }
+
+        #[test] fn $not_begun() {
+            let orders = look_after_an_unanswered_start($spec, false);
+            assert!(orders.iter().any(|order| matches!(order, Order::Stop { .. })), "{orders:?}");
+            assert!(!orders.iter().any(|order| matches!(order, Order::Start { .. })), "{orders:?}");
+        })+
+    };
 }
 
-#[test]
-fn a_long_running_task_that_has_not_begun_is_stopped_before_it_starts_again() {
-    let orders = look_after_an_unanswered_start(false);
-    assert!(orders.iter().any(|order| matches!(order, Order::Stop { .. })), "{orders:?}");
-    assert!(!orders.iter().any(|order| matches!(order, Order::Start { .. })), "{orders:?}");
+unanswered_starts! {
+    a_long_running_task_that_began_though_its_start_was_not_answered_is_not_stopped,
+    a_long_running_task_that_has_not_begun_is_stopped_before_it_starts_again:
+        long_running(1, None);
+    a_short_task_that_began_though_its_start_was_not_answered_is_not_stopped,
+    a_short_task_that_has_not_begun_is_stopped_before_it_starts_again: step(1, 1, &[]);
 }
 
 #[test]
@@ -335,3 +347,26 @@
     assert_eq!(desk.running(), 1);
     assert!(!desk.scheduler.worker(0).is_gone && !desk.scheduler.worker(1).is_gone);
 }
+
+#[test]
+fn a_job_that_had_ended_before_is_neither_run_nor_cancelled_again() {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.scheduler.add_ended(1, desk.now);
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.scheduler.cancel(1, desk.now);
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.pass(ms(500));
+    assert_eq!(desk.running(), 0);
+    assert!(desk.scheduler.job(1).is_none());
+}
+
+#[test]
+fn the_keys_of_a_job_that_had_ended_before_are_removed_in_time() {
+    let mut desk = Desk::new(1, Tenure::default());
+    desk.scheduler.add_ended(1, desk.now);
+    let removes = |flush: Option<Flush>| flush.is_some_and(|flush| !flush.removals.is_empty());
+    desk.now += settings().status_kept;
+    assert!(!removes(desk.scheduler.take_flush(desk.now)));
+    desk.now += ms(10);
+    assert!(removes(desk.scheduler.take_flush(desk.now)));
+}
