--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -103,10 +103,6 @@
             yield_now().await;
         }
         let Some(id) = job_of(&record.key, JOB_PREFIX) else { continue };
-        if states.get(&id).is_some_and(|state| state.state.is_final()) {
-            scheduler.add_ended(id, now);
-            continue;
-        }
         match JobRecord::try_from(&record.value[..]) {
             Ok(job) => {
                 let stored = states.get(&id);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -163,8 +163,6 @@
     stale_shards: BTreeSet<WorkerShard>,
     /// Ended jobs whose state is kept, in the order in which they were found ended, and since when.
     ended: VecDeque<(JobId, Moment)>,
-    /// Jobs that had ended before this tenure.
-    ended_before: HashSet<JobId>,
     /// Cancels of jobs that have not been seen.
     early_cancels: HashSet<JobId>,
     /// Jobs that repeat.
@@ -237,7 +235,6 @@
             waiting_steps: StepsByService::default(),
             stale_shards: BTreeSet::new(),
             ended: VecDeque::new(),
-            ended_before: HashSet::new(),
             early_cancels: HashSet::new(),
             scheduled: Vec::new(),
             team_use: HashMap::new(),
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -271,7 +271,6 @@
         }
         for id in &flush.removed {
             self.jobs.remove(id);
-            self.ended_before.remove(id);
         }
         for id in &flush.announced {
             self.note_announced(*id);
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -25,13 +25,14 @@
         stored: Option<&StateRecord>,
         now: Moment,
     ) {
-        if self.jobs.contains_key(&id) || self.ended_before.contains(&id) {
+        if self.jobs.contains_key(&id) {
             return;
         }
         let mut job = Job::new(id, record, accepted_revision, stored, now);
         job.beyond_weight = self.is_beyond_weight(&job, now);
         if !job.is_live() {
-            self.add_ended(id, now);
+            self.jobs.insert(id, job);
+            self.ended.push_back((id, now));
             return;
         }
         let repeats = job.record.spec.schedule.is_some();
@@ -57,13 +58,6 @@
         }
     }
 
-    /// Notes a job that had ended before this tenure. Nothing of it is kept in memory.
-    pub fn add_ended(&mut self, id: JobId, now: Moment) {
-        if self.ended_before.insert(id) {
-            self.ended.push_back((id, now));
-        }
-    }
-
     /// Raises the level of the job's team by one job and tells whether it exceeds its weight.
     fn is_beyond_weight(&mut self, job: &Job, now: Moment) -> bool {
         let Some(team) = job.record.team.clone() else { return false };
@@ -82,9 +76,6 @@
 
     /// Cancels a job.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
-        if self.ended_before.contains(&id) {
-            return;
-        }
         let Some(job) = self.jobs.get(&id) else {
             self.early_cancels.insert(id);
             return;
