--- a/crates/cassiafold/tests/verbs.rs
+++ b/crates/cassiafold/tests/verbs.rs
@@ -1,7 +1,6 @@
 //! Operators' verbs, run as a program against the operators' interface.
 
-// The fake serves another test too, which uses all of it.
-#[allow(dead_code)]
+#[allow(dead_code, reason = "the fake serves another test too, which uses all of it")]
 #[path = "../../operators/tests/http/fake.rs"]
 mod fake;
 
--- a/crates/dispatch/src/core/tests.rs
+++ b/crates/dispatch/src/core/tests.rs
@@ -1,5 +1,6 @@
+mod limits;
+
 use std::collections::BTreeMap;
-use std::sync::Mutex;
 
 use cassiafold_config::raw::RawConfig;
 use cassiafold_config::{InstanceState, KeyHash};
@@ -12,56 +13,9 @@
 use crate::limit::never;
 use crate::start::End;
 
+use self::limits::{Limits, Permit};
 use super::*;
 
-/// Upper limits that count their permits.
-#[derive(Debug, Clone, Default)]
-struct Limits {
-    state: Arc<Mutex<BTreeMap<TeamId, (u32, u32)>>>,
-}
-
-#[derive(Debug)]
-struct Permit {
-    team: TeamId,
-    state: Arc<Mutex<BTreeMap<TeamId, (u32, u32)>>>,
-}
-
-impl Limits {
-    fn set(&self, team: &str, limit: u32) {
-        self.state.lock().unwrap().entry(team.into()).or_default().1 = limit;
-    }
-
-    fn limit(&self, team: &str) -> u32 {
-        self.state.lock().unwrap().get(team).map_or(0, |(_, limit)| *limit)
-    }
-}
-
-impl LimitSource for Limits {
-    type Permit = Permit;
-
-    fn try_acquire(&self, team: &TeamId) -> Option<Permit> {
-        let mut state = self.state.lock().unwrap();
-        let (running, limit) = state.get_mut(team)?;
-        if *running >= *limit {
-            return None;
-        }
-        *running += 1;
-        Some(Permit { team: team.clone(), state: self.state.clone() })
-    }
-
-    fn changes(&self) -> watch::Receiver<()> {
-        never()
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if let Ok(mut state) = self.state.lock() {
-            state.entry(self.team.clone()).or_default().0 -= 1;
-        }
-    }
-}
-
 const TEAMS: [&str; 3] = ["t0", "t1", "t2"];
 const INSTANCES: usize = 6;
 const SLOTS: u32 = 2;
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -18,7 +18,7 @@
 use cassiafold_event::emit;
 use cassiafold_platform::{LeaseKeeper, LeaseValidity, Moment, since_boot};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -40,6 +40,8 @@
 const ENDS_WRITE_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two writes while starts or callers wait for them.
 const URGENT_WRITE_INTERVAL: Duration = Duration::from_millis(12);
+/// Longest time for the writes before the ownership is given back.
+const LAST_WRITES_MAX: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while a wave is open.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
 /// Messages that wait for the owner's loop.
@@ -151,22 +153,23 @@
     let reason = loop {
         let now = since_boot();
         let due = office.scheduler.next_due(now);
-        tokio::select! {
+        let first = tokio::select! {
             message = messages.recv() => match message {
-                Some(message) => office.take_in(message),
+                Some(message) => Some(message),
                 None => break "queue closed",
             },
             changed = views.changed() => match changed {
-                Ok(()) => office.take_view(&views.borrow_and_update().clone()),
+                Ok(()) => {
+                    office.take_view(&views.borrow_and_update().clone());
+                    None
+                }
                 Err(_) => break "view closed",
             },
-            () = sleep(due.saturating_sub(now)) => {}
+            () = sleep(due.saturating_sub(now)) => None,
             () = lease.ended() => break "lease ended",
             () = stop.cancelled() => break "stopped",
-        }
-        while let Ok(message) = messages.try_recv() {
-            office.take_in(message);
-        }
+        };
+        office.take_in_all(first, &mut messages);
         if office.is_fenced {
             break "a later owner was obeyed";
         }
@@ -205,16 +208,26 @@
         self.scheduler.set_waves(&view.waves, now);
     }
 
+    /// Takes in a message and all others that have come.
+    fn take_in_all(&mut self, first: Option<Message>, messages: &mut mpsc::Receiver<Message>) {
+        let begun = since_boot();
+        let mut next = first;
+        while let Some(message) = next.or_else(|| messages.try_recv().ok()) {
+            self.take_in(message);
+            self.usage.note_message();
+            self.rate.note_message();
+            next = None;
+        }
+        self.usage.note(Work::TakeIn, begun);
+    }
+
     fn take_in(&mut self, message: Message) {
-        let (now, begun) = (since_boot(), Instant::now());
+        let now = since_boot();
         match message {
             Message::Outcome(outcome) => self.take_outcome(outcome, now),
             Message::Followed(followed) => self.take_followed(followed, now),
             Message::Written(written) => self.take_written(written),
         }
-        self.usage.note_message();
-        self.rate.note_message();
-        self.usage.note(Work::TakeIn, begun);
     }
 
     fn take_followed(&mut self, followed: Followed, now: Moment) {
@@ -243,14 +256,13 @@
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
         if self.lease.is_valid() {
-            let begun = Instant::now();
             let orders = self.scheduler.plan(unix_now(), now);
-            let planned = self.usage.note(Work::Plan, begun);
+            let planned = self.usage.note(Work::Plan, now);
             self.carry_out(orders, now);
             self.list_machines(now);
             self.usage.note(Work::CarryOut, planned);
         }
-        let begun = Instant::now();
+        let begun = since_boot();
         self.write(now);
         self.usage.note(Work::Write, begun);
         self.usage.report(now, || self.scheduler.backlog(now));
@@ -258,14 +270,15 @@
 
     /// Writes what is left before the ownership is given back.
     async fn finish(&mut self, messages: &mut mpsc::Receiver<Message>) {
-        let deadline = Instant::now() + Duration::from_millis(400);
+        let deadline = since_boot() + LAST_WRITES_MAX;
         loop {
             self.written = Moment::ZERO;
             self.write(since_boot());
             if !self.writer.is_busy() {
                 return;
             }
-            match tokio::time::timeout_at(deadline, messages.recv()).await {
+            let left = deadline.saturating_sub(since_boot());
+            match timeout(left, messages.recv()).await {
                 Ok(Some(Message::Written(written))) => self.take_written(written),
                 Ok(Some(_)) => {}
                 Ok(None) | Err(_) => return,
--- a/crates/jobs/src/owner/usage.rs
+++ b/crates/jobs/src/owner/usage.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use cassiafold_event::emit;
-use cassiafold_platform::Moment;
-use tokio::time::Instant;
+use cassiafold_platform::{Moment, since_boot};
 
 use crate::event::JobsEvent;
 use crate::scheduler::Backlog;
@@ -47,9 +46,9 @@
     }
 
     /// Counts the time since `begun`, and returns the present one, at which the next work begins.
-    pub(super) fn note(&mut self, work: Work, begun: Instant) -> Instant {
-        let now = Instant::now();
-        self.spent[work as usize] += now.duration_since(begun);
+    pub(super) fn note(&mut self, work: Work, begun: Moment) -> Moment {
+        let now = since_boot();
+        self.spent[work as usize] += now.saturating_sub(begun);
         now
     }
 
--- a/crates/jobs/tests/emulator/event.rs
+++ b/crates/jobs/tests/emulator/event.rs
@@ -14,16 +14,19 @@
     pub born: Duration,
 }
 
+/// A look on its way to a worker.
+pub struct SentLook {
+    pub owner: u64,
+    pub slot: usize,
+    pub is_probe: bool,
+    pub worker: usize,
+    pub request: LookRequest,
+    pub sent: Duration,
+}
+
 /// Something that happens at a moment.
 pub enum Event {
-    Look {
-        owner: u64,
-        slot: usize,
-        is_probe: bool,
-        worker: usize,
-        request: LookRequest,
-        sent: Duration,
-    },
+    Look(SentLook),
     LookDone {
         owner: u64,
         slot: usize,
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the emulator")]
 
+mod checks;
 mod event;
 pub mod faults;
 pub mod worker;
@@ -15,7 +16,7 @@
 use std::time::Duration;
 
 use cassiafold_jobs::cluster::{ClusterConfig, Queue, Service, Team, WorkerEntry};
-use cassiafold_jobs::edges::{LookError, LookRequest, OrderOutcome, StartRequest};
+use cassiafold_jobs::edges::{LookError, OrderOutcome, StartRequest};
 use cassiafold_jobs::record::{
     JobRecord, JobState, KnownWorker, STATE_PREFIX, StateRecord, WORKERS_PREFIX, job_of,
 };
@@ -24,7 +25,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use self::event::{Event, Life, Scheduled};
+use self::event::{Event, Life, Scheduled, SentLook};
 use self::faults::Faults;
 use self::worker::EmulatedWorker;
 
@@ -274,7 +275,8 @@
                 let request = scheduler.look_request(slot, is_probe, self.now);
                 let worker = self.worker_number(&scheduler.worker(slot).entry.id);
                 let sent = self.now;
-                self.at(latency, Event::Look { owner, slot, is_probe, worker, request, sent });
+                let look = SentLook { owner, slot, is_probe, worker, request, sent };
+                self.at(latency, Event::Look(look));
             }
             Order::Start { worker: slot, task, run, ticket } => {
                 let Some(request) = scheduler.start_request(slot, task, run, ticket, self.now)
@@ -319,9 +321,7 @@
                 }
                 self.at(ms(20), Event::Tick);
             }
-            Event::Look { owner, slot, is_probe, worker, request, sent } => {
-                self.look(owner, slot, is_probe, worker, request, sent);
-            }
+            Event::Look(look) => self.look(look),
             Event::LookDone { owner: from, slot, is_probe, sent, result } if from == owner => {
                 let Some(scheduler) = &mut self.scheduler else { return };
                 match result {
@@ -374,15 +374,8 @@
         }
     }
 
-    fn look(
-        &mut self,
-        owner: u64,
-        slot: usize,
-        is_probe: bool,
-        worker: usize,
-        request: LookRequest,
-        sent: Duration,
-    ) {
+    fn look(&mut self, look: SentLook) {
+        let SentLook { owner, slot, is_probe, worker, request, sent } = look;
         let (delay, answers) = self.faults.look(&mut self.random);
         let now = self.now;
         let result = match answers {
@@ -402,22 +395,6 @@
         self.at(delay, Event::LookDone { owner, slot, is_probe, sent, result });
     }
 
-    /// An end that was acknowledged must be in the store.
-    fn note_acknowledged(&mut self, task: TaskId) {
-        let state = self.states.get(&task.step.job);
-        let stored = state.is_some_and(|state| {
-            state.state.is_final()
-                || state
-                    .tasks
-                    .iter()
-                    .any(|row| row.done && row.step == task.step.step && row.index == task.index)
-        });
-        if !stored {
-            self.broken.push(format!("{task}: its end was acknowledged but not stored"));
-        }
-        self.done.insert(task);
-    }
-
     fn start(&mut self, owner: u64, slot: usize, to: Life, request: StartRequest, answers: bool) {
         let (task, run, now) = (request.task, request.run, self.now);
         let worker = to.worker;
@@ -440,52 +417,6 @@
         }
     }
 
-    fn check_start(&mut self, worker: usize, task: TaskId) {
-        let others = self.workers.iter().enumerate().filter(|(number, other)| {
-            *number != worker && other.is_up && other.runs.contains_key(&task)
-        });
-        if others.count() > 0 {
-            self.broken.push(format!("{task}: two runs at once"));
-        }
-        if self.done.contains(&task) {
-            self.broken.push(format!("{task}: started though its end was acknowledged"));
-        }
-        let spec = &self.jobs[&task.step.job].spec;
-        for earlier in &spec.steps[usize::from(task.step.step)].after {
-            let step = cassiafold_jobs::spec::StepId { step: *earlier, ..task.step };
-            let tasks = 0..spec.steps[usize::from(*earlier)].tasks;
-            let all_done = tasks.map(|index| TaskId { step, index }).all(|one| self.has_ended(one));
-            if !all_done {
-                self.broken.push(format!("{task}: started before step {earlier} was done"));
-            }
-        }
-        if self.failed.get(&task).copied().unwrap_or(0) >= 3 {
-            self.broken.push(format!("{task}: started after three failures"));
-        }
-        if !self.workers[worker].reserved().fits(&self.workers[worker].room) {
-            self.broken.push(format!("{task}: worker over its room"));
-        }
-        let used = self
-            .workers
-            .iter()
-            .filter(|one| one.is_up)
-            .fold(Resources::default(), |sum, one| sum.plus(&one.reserved()));
-        if self.limit.processors_milli > 0 && used.processors_milli > self.limit.processors_milli {
-            self.broken.push(format!("{task}: team over its limit"));
-        }
-    }
-
-    fn has_ended(&self, task: TaskId) -> bool {
-        self.done.contains(&task)
-            || self.workers.iter().any(|worker| worker.has_done(task))
-            || self.states.get(&task.step.job).is_some_and(|state| {
-                state
-                    .tasks
-                    .iter()
-                    .any(|row| row.done && row.step == task.step.step && row.index == task.index)
-            })
-    }
-
     fn end_run(&mut self, worker: usize, task: TaskId, run: RunNumber) {
         let fails = self.random.random_bool(self.faults.failing);
         if self.workers[worker].finish(task, run, fails, self.now) && fails {
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -35,13 +35,19 @@
     assert_eq!(ordered.count(), 1);
 }
 
-#[test]
-fn a_machine_with_several_tasks_of_a_step_is_thinned_out_first() {
-    let mut desk = Desk::new(2, Tenure::default());
+/// A desk at which one worker runs three long-running tasks of a step.
+fn crowded(workers: usize) -> (Desk, WorkerSlot) {
+    let mut desk = Desk::new(workers, Tenure::default());
     desk.submit(1, vec![long_running(3, None)]);
     desk.pass(ms(1_500));
     let slot = *desk.running.keys().next().expect("one worker runs all");
     assert_eq!(desk.running[&slot].len(), 3);
+    (desk, slot)
+}
+
+#[test]
+fn a_machine_with_several_tasks_of_a_step_is_thinned_out_first() {
+    let (mut desk, slot) = crowded(2);
     desk.list(Desk::machines(2, MachineState::Up));
     desk.wave_of(&[slot], 1);
     while desk.machine_orders.is_empty() {
@@ -54,10 +60,7 @@
 
 #[test]
 fn a_task_that_leaves_for_a_wave_goes_where_no_maintenance_is_due() {
-    let mut desk = Desk::new(6, Tenure::default());
-    desk.submit(1, vec![long_running(3, None)]);
-    desk.pass(ms(1_500));
-    let first = *desk.running.keys().next().expect("one worker runs all");
+    let (mut desk, first) = crowded(6);
     let apart = if first == 5 { 4 } else { 5 };
     let in_wave: Vec<usize> = (0..6).filter(|number| *number != apart).collect();
     desk.list(Desk::machines(6, MachineState::Up));
--- a/crates/membership/examples/fleet/mod.rs
+++ b/crates/membership/examples/fleet/mod.rs
@@ -1,7 +1,6 @@
 //! Entry instances in one process, over TCP on loopback, with a stand-in store that counts bytes.
 
-// Each example uses a part of this module.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each example uses a part of this module")]
 
 pub mod counting;
 
