Close the connections to workers that are gone, and all when a tenure ends

Cause: found in reading the change again. Nobody called what forgets a worker's connections. Since whoever sends requests also reads their answers, no task notices that a worker has closed an idle connection: up to three descriptors for each life of a worker stayed until the process ended, of 4,100 to 8,192, and a former owner kept all of its.

Orders are carried out by one match in place of two.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -27,6 +27,7 @@
 use self::follow::{Followed, Inbox, Listing, Reports};
 use self::usage::{Usage, Work};
 use self::write::{Writer, Written};
+use crate::edges::Workers;
 use crate::event::JobsEvent;
 use crate::gathering::{Gathering, MessageRate};
 use crate::metrics::JobsMetrics;
@@ -180,6 +181,7 @@
         office.finish(&mut messages).await;
         give_back(lease).await;
     }
+    office.close();
     reason
 }
 
@@ -265,9 +267,19 @@
         let begun = since_boot();
         self.write(now);
         self.usage.note(Work::Write, begun);
+        for address in self.scheduler.take_lost() {
+            self.site.workers().forget(&address);
+        }
         self.usage.report(now, || self.scheduler.backlog(now));
     }
 
+    /// Closes the connections to all workers: the next owner has its own.
+    fn close(self) {
+        for address in self.scheduler.addresses() {
+            self.site.workers().forget(address);
+        }
+    }
+
     /// Writes what is left before the ownership is given back.
     async fn finish(&mut self, messages: &mut mpsc::Receiver<Message>) {
         let deadline = since_boot() + LAST_WRITES_MAX;
--- a/crates/jobs/src/owner/carry.rs
+++ b/crates/jobs/src/owner/carry.rs
@@ -42,15 +42,23 @@
     pub(super) fn carry_out(&mut self, orders: Vec<Order>, now: Moment) {
         let mut starts: BTreeMap<WorkerSlot, Vec<StartRequest>> = BTreeMap::new();
         for order in orders {
-            let Order::Start { worker, task, run, ticket } = order else {
-                self.carry_out_one(order, now);
-                continue;
-            };
-            match self.scheduler.start_request(worker, task, run, ticket, now) {
-                Some(request) => starts.entry(worker).or_default().push(request),
-                None => {
-                    self.scheduler.note_start(worker, task, run, OrderOutcome::NotSent, now);
+            match order {
+                Order::Look { worker, is_probe } => self.look(worker, is_probe, now),
+                Order::Start { worker, task, run, ticket } => {
+                    match self.scheduler.start_request(worker, task, run, ticket, now) {
+                        Some(request) => starts.entry(worker).or_default().push(request),
+                        None => {
+                            let outcome = OrderOutcome::NotSent;
+                            self.scheduler.note_start(worker, task, run, outcome, now);
+                        }
+                    }
+                }
+                Order::Stop { worker, task, run } => self.stop(worker, task, run),
+                Order::Pace { worker, task, run, percent } => {
+                    self.pace(worker, task, run, percent);
                 }
+                Order::Ask(question) => self.ask(question),
+                Order::Machine(order) => self.order_machine(order),
             }
         }
         for (worker, requests) in starts {
@@ -58,29 +66,21 @@
         }
     }
 
-    fn carry_out_one(&mut self, order: Order, now: Moment) {
-        match order {
-            Order::Look { worker, is_probe } => self.look(worker, is_probe, now),
-            // Starts are carried out together.
-            Order::Start { .. } => {}
-            Order::Stop { worker, task, run } => self.stop(worker, task, run),
-            Order::Pace { worker, task, run, percent } => {
-                let (workers, token) = (self.site.workers().clone(), self.scheduler.token());
-                let address = self.scheduler.worker(worker).address.clone();
-                self.run(async move {
-                    Outcome::Pace(workers.pace(&address, task, run, percent, token).await)
-                });
-            }
-            Order::Ask(question) => {
-                let advisor = self.site.advisor().clone();
-                self.run(async move {
-                    let sent = since_boot();
-                    let advice = advisor.advise(question.step, question.workers.clone()).await;
-                    Outcome::Advice { question, advice, sent }
-                });
-            }
-            Order::Machine(order) => self.order_machine(order),
-        }
+    fn pace(&mut self, worker: WorkerSlot, task: TaskId, run: RunNumber, percent: u8) {
+        let (workers, token) = (self.site.workers().clone(), self.scheduler.token());
+        let address = self.scheduler.worker(worker).address.clone();
+        self.run(
+            async move { Outcome::Pace(workers.pace(&address, task, run, percent, token).await) },
+        );
+    }
+
+    fn ask(&mut self, question: Question) {
+        let advisor = self.site.advisor().clone();
+        self.run(async move {
+            let sent = since_boot();
+            let advice = advisor.advise(question.step, question.workers.clone()).await;
+            Outcome::Advice { question, advice, sent }
+        });
     }
 
     fn look(&mut self, worker: WorkerSlot, is_probe: bool, now: Moment) {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -41,7 +41,7 @@
 use self::workers::Burial;
 use crate::balance::RecentNeed;
 use crate::cluster::{ClusterConfig, Wave, WaveNumber, WorkerId};
-use crate::edges::FencingToken;
+use crate::edges::{FencingToken, WorkerAddress};
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
@@ -152,6 +152,8 @@
     of_service: HashMap<ServiceId, Vec<WorkerSlot>>,
     /// When looks fall due. An entry counts only if it is the worker's present one.
     looks_due: BinaryHeap<Reverse<(Moment, WorkerSlot)>>,
+    /// Lives that were found over and whose connections are still kept.
+    lost: Vec<WorkerAddress>,
     /// Workers at which a look beside the one that waits is due.
     probes_due: Vec<WorkerSlot>,
     jobs: HashMap<JobId, Job>,
@@ -229,6 +231,7 @@
             present: HashMap::new(),
             of_service: HashMap::new(),
             looks_due: BinaryHeap::new(),
+            lost: Vec::new(),
             probes_due: Vec::new(),
             jobs: HashMap::new(),
             ready: StepsByService::default(),
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -10,6 +10,7 @@
 
 use super::{Scheduler, Urgency};
 use crate::cluster::{WorkerEntry, WorkerId};
+use crate::edges::WorkerAddress;
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::record::WorkerShard;
@@ -146,6 +147,7 @@
         worker.is_listed = false;
         self.stale_shards.insert(worker.shard);
         let id = worker.entry.id.clone();
+        self.lost.push(worker.address.clone());
         let burial = Burial { at: now, born_unix: worker.entry.born_unix };
         self.buried.insert(id.clone(), burial);
         let worker = &self.workers[slot];
@@ -204,6 +206,16 @@
             })
     }
 
+    /// Addresses of the lives that were found over since the last call.
+    pub fn take_lost(&mut self) -> Vec<WorkerAddress> {
+        std::mem::take(&mut self.lost)
+    }
+
+    /// Addresses of the lives that are not over.
+    pub fn addresses(&self) -> impl Iterator<Item = &WorkerAddress> {
+        self.living().map(|slot| &self.workers[slot].address)
+    }
+
     /// Lives that are not over, in no particular order.
     pub(super) fn living(&self) -> impl Iterator<Item = WorkerSlot> {
         self.present.values().copied()
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -208,3 +208,19 @@
     let answer = desk.submit(&call(&path(1), KEY), spec).await;
     assert_eq!(answer, Submitted::Denied(Denial::NoConfig));
 }
+
+#[tokio::test]
+async fn an_owner_keeps_no_connections_to_workers_that_are_gone_nor_after_its_tenure() {
+    let site = site(3).await;
+    let owner = site.owner("one");
+    let desk = site.desk();
+    ready(&desk).await;
+    assert_eq!(submit(&site, &desk, 1).await, Submitted::Accepted);
+    completed(&desk, 1).await;
+    let forgotten = || site.workers.forgotten.lock().expect("lock").len();
+    assert_eq!(forgotten(), 0);
+    site.lose_worker("w0").await;
+    until("the lost worker", async || (forgotten() == 1).then_some(())).await;
+    owner.cancel();
+    until("all workers", async || (forgotten() == 3).then_some(())).await;
+}
--- a/crates/jobs/tests/site/mod.rs
+++ b/crates/jobs/tests/site/mod.rs
@@ -1,6 +1,6 @@
 //! A site of stand-ins: the in-memory store, and workers in this process.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use cassiafold_jobs::site::{Formats, ItemError, OperatorItem, Site};
 use cassiafold_jobs::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use cassiafold_jobs::view::{self, View, ViewSender};
-use cassiafold_platform::{Record, Store, Write, since_boot};
+use cassiafold_platform::{Record, Store, Transaction, TransactionalStore, Write, since_boot};
 use cassiafold_standin::MemoryStore;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -40,6 +40,8 @@
     pub list: Arc<Mutex<Vec<EmulatedWorker>>>,
     jobs: Arc<Mutex<BTreeMap<JobId, JobRecord>>>,
     pub starts: Arc<Mutex<Vec<(TaskId, RunNumber)>>>,
+    /// Workers whose connections were given up.
+    pub forgotten: Arc<Mutex<BTreeSet<WorkerId>>>,
 }
 
 #[derive(Debug, Clone)]
@@ -56,6 +58,7 @@
             list: Arc::new(Mutex::new(list)),
             jobs: Arc::default(),
             starts: Arc::default(),
+            forgotten: Arc::default(),
         };
         Self { store: MemoryStore::default(), workers }
     }
@@ -88,6 +91,13 @@
         }
     }
 
+    /// Lets a worker go for good: it answers no more, and its report is removed.
+    pub async fn lose_worker(&self, id: &str) {
+        self.workers.with(id, EmulatedWorker::crash);
+        let key = format!("{}{id}", TestFormats::WORKERS_PREFIX);
+        self.store.commit(Transaction::default().delete(key)).await.expect("store");
+    }
+
     pub fn desk(&self) -> Desk<Self> {
         let (sender, views) = ViewSender::new();
         tokio::spawn(view::follow(self.clone(), sender.clone()));
@@ -171,7 +181,9 @@
         OrderOutcome::Accepted
     }
 
-    fn forget(&self, _worker: &WorkerAddress) {}
+    fn forget(&self, worker: &WorkerAddress) {
+        self.forgotten.lock().expect("lock").insert(worker.id.clone());
+    }
 }
 
 impl TestWorkers {
