Leave an ownership to stronger instances however it was found free

The store came back after an outage in which the owner's lease had lapsed; all instances found the ownership free after a failed watch, where the delay of weaker ones did not apply. One with 0.12 of a core and a link of 10 Mbit/s claimed it and read the store for nine seconds in vain. Ruled out: the workers (1,500 cores were free), the former owner (alive, and without the ownership from then on).

Change: the delay comes before each claim, also of an ownership that was found free. The new test failed before.

--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -27,10 +27,9 @@
 
 /// Waits until the ownership is free, and claims it.
 ///
-/// One that is free from the start is left to stronger instances for as long as one that becomes
-/// free: after a power-off of all, all instances come at once.
+/// It is left to stronger instances for a while however it was found free: after a power-off of
+/// all, or an outage of the store, all instances come at once.
 pub(super) async fn claim<S: Site>(site: &S, settings: &OwnerSettings) -> Ownership<S> {
-    sleep(settings.claim_delay).await;
     loop {
         match try_claim(site, settings).await {
             Ok(Some(ownership)) => return ownership,
@@ -45,17 +44,16 @@
     settings: &OwnerSettings,
 ) -> Result<Option<Ownership<S>>, StoreError> {
     let snapshot = site.store().list(OWNER_KEY).await?;
-    let held = snapshot.records.first();
     // The key of a former process of this instance: that process is over.
-    let is_own = held.is_some_and(|record| instance_of(record) == Some(&*settings.instance));
-    if held.is_some() && !is_own {
+    let own =
+        snapshot.records.first().filter(|record| instance_of(record) == Some(&*settings.instance));
+    if own.is_none() && !snapshot.records.is_empty() {
         wait_until_free(site, snapshot.revision).await?;
-        let random = settings.claim_delay_max.mul_f64(rand::random());
-        sleep(settings.claim_delay + random).await;
-        return Ok(None);
     }
+    let random = settings.claim_delay_max.mul_f64(rand::random());
+    sleep(settings.claim_delay + random).await;
+    let compare = own.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
     let lease = LeaseKeeper::start(site.store().clone(), settings.lease_ttl).await?;
-    let compare = held.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
     let claim: Arc<str> = format!("{} {:016x}", settings.instance, rand::random::<u64>()).into();
     let token = write_claim(site, compare, &claim, lease.id()).await?;
     Ok(token.map(|token| Ownership { lease, token }))
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -8,8 +8,8 @@
 use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted};
 use cassiafold_jobs::record::{JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key};
 use cassiafold_jobs::spec::JobId;
-use cassiafold_platform::{Compare, Store, Write};
-use cassiafold_standin::WriteFault;
+use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
+use cassiafold_standin::{Partition, WriteFault};
 
 use self::emulator::{job, ms, step};
 use self::site::{TestSite, call};
@@ -92,6 +92,25 @@
     assert!(held.value.starts_with(b"strong "), "{:?}", held.value);
 }
 
+#[tokio::test]
+async fn a_weak_instance_leaves_an_ownership_that_became_free_in_an_outage_to_a_stronger_one() {
+    let site = site(1).await;
+    let held = Transaction::default().put(OWNER_KEY, "former 1", None);
+    site.store.commit(held).await.expect("held");
+    let weak = site.client("weak");
+    let _weak = weak.weak_owner("weak", ms(400));
+    tokio::time::sleep(ms(500)).await;
+    weak.store.faults().cut_off("weak", Partition::Requests);
+    site.store.commit(Transaction::default().delete(OWNER_KEY)).await.expect("free");
+    site.store.faults().compact();
+    weak.store.faults().reconnect("weak");
+    tokio::time::sleep(ms(200)).await;
+    let _strong = site.client("strong").owner("strong");
+    tokio::time::sleep(ms(600)).await;
+    let held = site.store.get(OWNER_KEY).await.expect("store").expect("an owner");
+    assert!(held.value.starts_with(b"strong "), "{:?}", held.value);
+}
+
 #[tokio::test]
 async fn a_lost_answer_to_an_accepted_job_is_settled() {
     let site = site(1).await;
