Tell at a job's end what its ready tasks waited for

Change: the owner notes every 50 ms what the ready tasks of each job wait for (store, former owner, retry, limit of the team, room), and event 1604 gives the sums, the queue, and how late the job is by its objective.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -6,6 +6,7 @@
 
 use cassiafold_platform::{Moment, Revision};
 
+use crate::delay::Delays;
 use crate::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use crate::spec::{
     JobId, OccurrenceNumber, RunNumber, StepId, StepNumber, StepSpec, TaskId, TaskNumber,
@@ -36,6 +37,8 @@
     pub is_untouched: bool,
     /// Whether its team had sent more than its weight allows when the job came.
     pub beyond_weight: bool,
+    /// What its ready tasks have waited for.
+    pub delays: Delays,
     /// Repetitions that were due and have not ended.
     pub occurrences: BTreeMap<OccurrenceNumber, Occurrence>,
     /// Repetitions that have ended.
@@ -123,6 +126,7 @@
             is_announced: stored != JobState::Queued,
             is_untouched: stored == JobState::Queued,
             beyond_weight: false,
+            delays: Delays::default(),
             occurrences: BTreeMap::new(),
             ended: state.map(|state| state.ended.clone()).unwrap_or_default(),
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod balance;
 pub mod cluster;
+pub mod delay;
 pub mod desk;
 pub mod edges;
 pub mod estimate;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod backlog;
 mod balance;
 mod budget;
+mod delays;
 mod ends;
 mod flush;
 mod holders;
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -143,13 +143,15 @@
         let service = job.record.service.clone();
         let ready = job.ready_steps(number, now);
         if job.occurrences.get(&number).is_some_and(|occurrence| occurrence.is_done()) {
-            job.occurrences.remove(&number);
             job.ended.push(number);
             let all_ended = job.ended.len() >= job.record.spec.occurrences() as usize;
             self.mark_dirty(id);
             if all_ended {
                 self.finish(id, JobState::Completed, now);
             }
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.occurrences.remove(&number);
+            }
             return;
         }
         if !ready.is_empty() {
@@ -162,18 +164,24 @@
 
     /// Ends a job and stops what still runs of it.
     pub(super) fn finish(&mut self, id: JobId, state: JobState, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let late = self.lateness(job, now).unwrap_or_default();
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = state;
         let service = job.record.service.clone();
         let age = now.saturating_sub(job.seen);
         let copies = job.copies();
+        let (queue, delays) = (job.record.queue.clone(), job.delays);
         self.mark_dirty(id);
         self.raise_urgency(Urgency::Now);
         emit!(
             JobsEvent::JobEnded,
             job = format_args!("{id:016x}"),
             state = format_args!("{state:?}"),
-            age_ms = age.as_millis()
+            queue = queue,
+            age_ms = age.as_millis(),
+            late_ms = late.as_millis(),
+            delays_ms = delays
         );
         for (slot, task) in copies {
             self.stop_run(slot, task, now);
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -8,7 +8,7 @@
 use cassiafold_platform::Moment;
 
 use super::{Order, Scheduler, Urgency};
-use crate::job::{Job, WorkerSlot};
+use crate::job::{Job, Occurrence, WorkerSlot};
 use crate::order::{Contender, sort};
 use crate::placement::{Candidate, Demand, Unplaced, choose, reserve};
 use crate::record::JobState;
@@ -32,6 +32,7 @@
         let mut orders = Vec::new();
         self.unix = unix;
         if now.saturating_sub(self.planned_all) >= REPLAN_INTERVAL {
+            self.note_delays(now.saturating_sub(self.planned_all), now);
             self.planned_all = now;
             self.begin_due(unix, now);
             self.mark_all_changed();
@@ -179,8 +180,6 @@
         let spec = job.spec(id.step)?;
         let occurrence = job.occurrences.get(&id.occurrence)?;
         let queue = self.config.queues.get(&job.record.queue);
-        let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
-        let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
         Some(Contender {
             step: id,
             priority: queue.map_or(u8::MAX, |queue| queue.priority),
@@ -188,12 +187,20 @@
             beyond_weight: job.beyond_weight,
             accepted: occurrence.due,
             ready_since: job.step(id)?.ready_since,
-            objective: occurrence.due + occurrence.chain.mul_f64(stretch) + slack,
+            objective: self.objective(job, occurrence),
             chain_left: occurrence.chain_left,
             work_left: occurrence.work_left,
         })
     }
 
+    /// When a repetition of a job stops being worth its full value.
+    pub(super) fn objective(&self, job: &Job, occurrence: &Occurrence) -> Moment {
+        let queue = self.config.queues.get(&job.record.queue);
+        let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
+        let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
+        occurrence.due + occurrence.chain.mul_f64(stretch) + slack
+    }
+
     pub(super) fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
         let of_service = self.slots_of(service).iter().map(|slot| (*slot, &self.workers[*slot]));
         let usable = of_service.filter(|(_, worker)| {
@@ -369,7 +376,7 @@
         }
     }
 
-    fn team_admits(&self, id: StepId, spec: &StepSpec) -> bool {
+    pub(super) fn team_admits(&self, id: StepId, spec: &StepSpec) -> bool {
         self.team_admits_amount(id, &spec.needs)
     }
 
