Order machines by how demand rises, and give them away as it falls

Change: the rate to come when machines arrive is the present one times the growth between two windows of 0.75 s, as far as it exceeds chance in the numbers of jobs. While the numbers fall by more than chance brings, the service that has its turn may shrink too, and only needs of the last 0.5 s count.

--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -51,6 +51,9 @@
 /// How long a need counts after it was last seen, before machines go to the spare pool.
 const NEED_MEMORY: Duration = Duration::from_millis(2_500);
 
+/// The same while demand falls.
+const FALLING_MEMORY: Duration = Duration::from_millis(500);
+
 /// The greatest need of a service within the last seconds.
 ///
 /// Answers the load pattern of demand that dips for a moment within a turn: machines that would
@@ -61,13 +64,16 @@
 }
 
 impl RecentNeed {
-    /// Notes a need and returns the greatest one that still counts.
-    pub fn note(&mut self, needed: usize, now: Moment) -> usize {
+    /// Notes a need and returns the greatest one that still counts; while demand falls, fewer of
+    /// the earlier ones do.
+    pub fn note(&mut self, needed: usize, is_falling: bool, now: Moment) -> usize {
         self.seen.push_back((now, needed));
         while self.seen.front().is_some_and(|(at, _)| now >= *at + NEED_MEMORY) {
             self.seen.pop_front();
         }
-        self.seen.iter().map(|(_, needed)| *needed).max().unwrap_or(needed)
+        let memory = if is_falling { FALLING_MEMORY } else { NEED_MEMORY };
+        let counting = self.seen.iter().filter(|(at, _)| now < *at + memory);
+        counting.map(|(_, needed)| *needed).max().unwrap_or(needed)
     }
 }
 
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -114,8 +114,11 @@
             let load = self.load(id, now);
             pool.needed = machines_for(load.cores(), cores_each).max(self.apart(id));
             pool.load = load;
-            let lately = self.needs.entry(id.clone()).or_default().note(pool.needed, now);
-            pool.may_shrink = self.may_shrink(id, now) && pool.machines > lately + KEPT_MACHINES;
+            let is_falling = self.turns.is_falling(id, now);
+            let needs = self.needs.entry(id.clone()).or_default();
+            let lately = needs.note(pool.needed, is_falling, now);
+            let may_shrink = self.may_shrink(id, is_falling, now);
+            pool.may_shrink = may_shrink && pool.machines > lately + KEPT_MACHINES;
         }
         pools
     }
@@ -153,7 +156,7 @@
 
     fn load(&self, service: &ServiceId, now: Moment) -> Load {
         let ratio = self.durations.ratio();
-        let mut load = Load { arriving: self.turns.rate(service) * ratio, ..Load::default() };
+        let mut load = Load { arriving: self.turns.rate(service, now) * ratio, ..Load::default() };
         for slot in self.slots_of(service) {
             add_running(&self.workers[*slot], &mut load);
         }
@@ -169,7 +172,9 @@
                 false => load.waiting_core_s += cores * spec.estimate.as_secs_f64() * ratio,
             }
         }
-        load.expected = self.expected_rate(service, now) * ratio;
+        let lead = self.settings.move_time + ARRIVAL;
+        let ahead = self.turns.rate_ahead(service, lead, now);
+        load.expected = self.expected_rate(service, now).max(ahead) * ratio;
         load
     }
 
@@ -201,9 +206,11 @@
     }
 
     /// Whether a service may give machines away: it has had a turn, and its next is not near.
-    fn may_shrink(&self, service: &ServiceId, now: Moment) -> bool {
+    fn may_shrink(&self, service: &ServiceId, is_falling: bool, now: Moment) -> bool {
         let is_current = self.turns.current().is_some_and(|onset| onset.service == *service);
-        !is_current && self.turns.has_had_turn(service) && self.expected_rate(service, now) == 0.0
+        (!is_current || is_falling)
+            && self.turns.has_had_turn(service)
+            && self.expected_rate(service, now) == 0.0
     }
 }
 
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -81,6 +81,11 @@
     now.as_millis() / BIN.as_millis()
 }
 
+/// The first of the `count` bins that end at `now`.
+fn first_bin(now: Moment, count: usize) -> u128 {
+    bin_of(now).saturating_sub(count as u128 - 1)
+}
+
 impl Arrivals {
     fn forget_before(&mut self, bin: u128) {
         while self.bins.front().is_some_and(|one| one.number < bin) {
@@ -88,9 +93,14 @@
         }
     }
 
-    fn recent(&self) -> (f64, u32) {
-        self.bins
-            .iter()
+    /// The bins of the present rate: those that end at `now`.
+    fn present(&self, now: Moment) -> impl Iterator<Item = &Bin> {
+        let first = first_bin(now, RATE_BINS);
+        self.bins.iter().filter(move |bin| bin.number >= first)
+    }
+
+    fn recent(&self, now: Moment) -> (f64, u32) {
+        self.present(now)
             .fold((0.0, 0), |(work, jobs), bin| (work + bin.core_seconds, jobs + bin.jobs))
     }
 
@@ -98,14 +108,37 @@
     ///
     /// Answers the load pattern of a single large job: it counts with the cores that it can use
     /// and not with all its work, which its steps do one after the other.
-    fn rate(&self) -> f64 {
+    fn rate(&self, now: Moment) -> f64 {
         let window_s = BIN.as_secs_f64() * RATE_BINS as f64;
-        let largest = self.bins.iter().map(|bin| bin.largest);
+        let largest = self.present(now).map(|bin| bin.largest);
         let largest = largest.max_by(|a, b| a.core_seconds.total_cmp(&b.core_seconds));
         let largest = largest.unwrap_or_default();
-        let others = self.recent().0 - largest.core_seconds;
+        let others = self.recent(now).0 - largest.core_seconds;
         others / window_s + (largest.core_seconds / window_s).min(largest.cores_max)
     }
+
+    fn is_falling(&self, now: Moment) -> bool {
+        let jobs = f64::from(self.recent(now).1);
+        let all = self.bins.iter().map(|bin| f64::from(bin.jobs)).sum::<f64>();
+        all - 2.0 * jobs > all.sqrt()
+    }
+
+    /// Factor by which the rate will have grown after `lead`, if it goes on rising as it does.
+    ///
+    /// Answers the load pattern of demand that rises for some seconds: machines that are ordered
+    /// by the present rate come too late for it. A rise counts as far as it exceeds what chance
+    /// brings in numbers of jobs.
+    fn growth(&self, lead: Duration, now: Moment) -> f64 {
+        let jobs = f64::from(self.recent(now).1);
+        let all = self.bins.iter().map(|bin| f64::from(bin.jobs)).sum::<f64>();
+        let before = all - jobs;
+        let rise = jobs - before - all.sqrt();
+        if rise <= 0.0 {
+            return 1.0;
+        }
+        let windows = lead.as_secs_f64() / (BIN.as_secs_f64() * RATE_BINS as f64);
+        1.0 + rise / jobs * windows
+    }
 }
 
 impl Turns {
@@ -157,13 +190,13 @@
 
     /// Takes in that time has passed: a turn may have begun.
     pub fn update(&mut self, now: Moment) {
-        let first = bin_of(now).saturating_sub(RATE_BINS as u128 - 1);
+        let first = first_bin(now, 2 * RATE_BINS);
         for arrivals in self.arrivals.values_mut() {
             arrivals.forget_before(first);
         }
-        let total: f64 = self.arrivals.values().map(|arrivals| arrivals.recent().0).sum();
+        let total: f64 = self.arrivals.values().map(|arrivals| arrivals.recent(now).0).sum();
         let dominant = self.arrivals.iter().find(|(_, arrivals)| {
-            let (work, jobs) = arrivals.recent();
+            let (work, jobs) = arrivals.recent(now);
             jobs >= ONSET_JOBS && work >= DOMINANT_SHARE * total
         });
         let Some(service) = dominant.map(|(service, _)| service.clone()) else { return };
@@ -183,7 +216,7 @@
             arrivals.turn_rate = Some(since_onset / length_s.max(BIN.as_secs_f64()));
         }
         if let Some(arrivals) = self.arrivals.get_mut(&service) {
-            arrivals.since_onset = Some(arrivals.recent().0);
+            arrivals.since_onset = Some(arrivals.recent(now).0);
         }
         self.onsets.push_back(Onset { service, at: now });
         if self.onsets.len() > ONSETS_MAX {
@@ -192,8 +225,19 @@
     }
 
     /// Rate at which work arrives for a service, in cores.
-    pub fn rate(&self, service: &str) -> f64 {
-        self.arrivals.get(service).map_or(0.0, Arrivals::rate)
+    pub fn rate(&self, service: &str, now: Moment) -> f64 {
+        self.arrivals.get(service).map_or(0.0, |arrivals| arrivals.rate(now))
+    }
+
+    /// Rate at which work will arrive for a service after `lead` if it goes on rising, in cores.
+    pub fn rate_ahead(&self, service: &str, lead: Duration, now: Moment) -> f64 {
+        let arrivals = self.arrivals.get(service);
+        arrivals.map_or(0.0, |arrivals| arrivals.rate(now) * arrivals.growth(lead, now))
+    }
+
+    /// Whether fewer jobs arrive for a service than a moment ago, by more than chance brings.
+    pub fn is_falling(&self, service: &str, now: Moment) -> bool {
+        self.arrivals.get(service).is_none_or(|arrivals| arrivals.is_falling(now))
     }
 
     /// Service that has its turn.
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -160,11 +160,11 @@
     let mut turns = Turns::default();
     let now = ms(1_000);
     turns.note(&"a".into(), work(900.0, 55.0), now);
-    assert_eq!(turns.rate("a"), 55.0);
+    assert_eq!(turns.rate("a", now), 55.0);
     for _ in 0..3 {
         turns.note(&"a".into(), work(75.0, 55.0), now);
     }
-    assert_eq!(turns.rate("a"), 300.0 + 55.0);
+    assert_eq!(turns.rate("a", now), 300.0 + 55.0);
 }
 
 /// Plays turns of `length` each, in which one service after the other asks.
