Replay demand that rises and falls against how machines are ordered

Change: a replay of a turn through the turns' record, with the former decision as the twin. The bound is a quarter less; what the first two seconds miss cannot be helped.

--- /dev/null
+++ b/crates/jobs/tests/demand.rs
@@ -0,0 +1,117 @@
+//! Replays demand that rises and falls, and compares how machines are ordered for it.
+
+use std::time::Duration;
+
+use cassiafold_config::ServiceId;
+use cassiafold_jobs::balance::RecentNeed;
+use cassiafold_jobs::turns::{Turns, Work};
+use cassiafold_platform::Moment;
+
+/// Time from an order until a machine takes work.
+const LEAD: Duration = Duration::from_millis(2_000);
+const STEP: Duration = Duration::from_millis(50);
+const SERVICE: &str = "a";
+const TURN_S: f64 = 10.0;
+/// Cores that one job uses for a second.
+const JOB_CORES: f64 = 10.0;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Jobs a second within a turn that rises from nothing to `peak` and falls again.
+fn bump(peak: f64) -> impl Fn(f64) -> f64 {
+    move |at_s| {
+        if at_s < TURN_S { peak * (at_s / TURN_S * std::f64::consts::PI).sin() } else { 0.0 }
+    }
+}
+
+/// What demand was, and what was wanted at each step.
+struct Replay {
+    demand: Vec<f64>,
+    wanted: Vec<f64>,
+}
+
+/// Lets jobs arrive evenly at a rate of jobs a second, and notes what `want` asks for.
+fn replay(jobs_per_s: impl Fn(f64) -> f64, mut want: impl FnMut(&Turns, Moment) -> f64) -> Replay {
+    let mut turns = Turns::default();
+    let mut replay = Replay { demand: Vec::new(), wanted: Vec::new() };
+    let mut open = 0.0;
+    let begin = ms(10_000);
+    let mut now = begin;
+    while now < begin + ms(16_000) {
+        let jobs = jobs_per_s((now - begin).as_secs_f64());
+        open += jobs * STEP.as_secs_f64();
+        while open >= 1.0 {
+            open -= 1.0;
+            let work = Work { core_seconds: JOB_CORES, cores_max: JOB_CORES };
+            turns.note(&ServiceId::from(SERVICE), work, now);
+        }
+        turns.update(now);
+        replay.demand.push(jobs * JOB_CORES);
+        replay.wanted.push(want(&turns, now));
+        now += STEP;
+    }
+    replay
+}
+
+impl Replay {
+    /// Core-seconds that were asked for before the machines for them had come.
+    fn missing(&self) -> f64 {
+        let lag = (LEAD.as_millis() / STEP.as_millis()) as usize;
+        let late = self.demand.iter().skip(lag).zip(&self.wanted);
+        late.map(|(demand, wanted)| (demand - wanted).max(0.0) * STEP.as_secs_f64()).sum()
+    }
+
+    /// Core-seconds that were kept beyond the demand.
+    fn idle(&self) -> f64 {
+        let each = self.demand.iter().zip(&self.wanted);
+        each.map(|(demand, kept)| (kept - demand).max(0.0) * STEP.as_secs_f64()).sum()
+    }
+}
+
+#[test]
+fn machines_ordered_ahead_miss_less_of_a_rise() {
+    let by_rate = replay(bump(150.0), |turns, now| turns.rate(SERVICE, now));
+    let ahead = replay(bump(150.0), |turns, now| turns.rate_ahead(SERVICE, LEAD, now));
+    let (missed, rest) = (by_rate.missing(), ahead.missing());
+    assert!(rest < 0.75 * missed, "{rest:.0} of {missed:.0} core-seconds");
+}
+
+#[test]
+fn steady_demand_is_not_taken_for_a_rise() {
+    let steady = |_: f64| 40.0;
+    let by_rate = replay(steady, |turns, now| turns.rate(SERVICE, now));
+    let ahead = replay(steady, |turns, now| turns.rate_ahead(SERVICE, LEAD, now));
+    // The begin of the demand is a rise.
+    let settled = 40;
+    assert_eq!(by_rate.wanted[settled..], ahead.wanted[settled..]);
+}
+
+/// Cores kept for the needs that still count.
+fn kept(sees_falls: bool) -> Replay {
+    let mut needs = RecentNeed::default();
+    replay(bump(150.0), move |turns, now| {
+        let is_falling = sees_falls && turns.is_falling(SERVICE, now);
+        needs.note(turns.rate(SERVICE, now) as usize, is_falling, now) as f64
+    })
+}
+
+#[test]
+fn less_is_kept_while_demand_falls() {
+    let (before, after) = (kept(false), kept(true));
+    let (idle, rest) = (before.idle(), after.idle());
+    assert!(rest < 0.7 * idle, "{rest:.0} of {idle:.0} core-seconds");
+}
+
+#[test]
+fn a_dip_that_chance_brings_is_no_fall() {
+    let mut falls = 0;
+    // One job fewer in each other stretch of 750 ms.
+    let dips = |at_s: f64| if (at_s / 0.75) as u64 % 2 == 0 { 20.0 } else { 18.0 };
+    replay(dips, |turns, now| {
+        falls += usize::from(turns.is_falling(SERVICE, now));
+        0.0
+    });
+    assert_eq!(falls, 0);
+}
