Keep a wave's term across owners

Change: when an owner first saw a wave lies in the store with the machines that are done. The new test fails without it.

--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -19,9 +19,9 @@
 use crate::event::JobsEvent;
 use crate::outage::Outage;
 use crate::record::{
-    BegunRecord, CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY,
-    OWNER_KEY, OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, TURNS_KEY, TurnsRecord,
-    WAVES_KEY, WORKERS_PREFIX, job_of,
+    CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY, OWNER_KEY,
+    OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, TURNS_KEY, TurnsRecord, WAVES_KEY,
+    WORKERS_PREFIX, WavesRecord, job_of,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -68,7 +68,7 @@
     instance: &Arc<str>,
 ) -> Result<Loaded, StoreError> {
     let store = site.store();
-    let (inbox, states, sequence, known, begun, ordered, turns, listed) = tokio::try_join!(
+    let (inbox, states, sequence, known, waves, ordered, turns, listed) = tokio::try_join!(
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
@@ -80,7 +80,7 @@
     )?;
     let sequence = begin_sequence(site, token, sequence).await?;
     let known_workers = read_workers(&known.records)?;
-    let begun: BegunRecord = read_json(begun)?;
+    let waves: WavesRecord = read_json(waves)?;
     let ordered: OrderedRecord = read_json(ordered)?;
     let turns: TurnsRecord = read_json(turns)?;
     let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
@@ -90,7 +90,7 @@
         token,
         run_base,
         known_workers,
-        begun,
+        waves,
         ordered,
         instance,
         turns,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -185,8 +185,17 @@
     pub counted_unix_ms: u64,
 }
 
-/// Machines whose maintenance has begun, by wave.
-pub type BegunRecord = BTreeMap<WaveNumber, Vec<InstanceId>>;
+/// How far each wave of maintenance is.
+pub type WavesRecord = BTreeMap<WaveNumber, WaveRecord>;
+
+/// How far a wave of maintenance is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRecord {
+    /// Unix time at which an owner first saw the wave, in milliseconds.
+    pub since_unix_ms: u64,
+    /// Machines whose maintenance has begun.
+    pub begun: Vec<InstanceId>,
+}
 
 /// Machines that were ordered lately, with the instance that ordered them.
 pub type OrderedRecord = BTreeMap<InstanceId, Arc<str>>;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -46,7 +46,7 @@
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
-    BegunRecord, KnownWorker, OrderedRecord, TurnsRecord, WaitingRecord, WorkerShard,
+    KnownWorker, OrderedRecord, TurnsRecord, WaitingRecord, WavesRecord, WorkerShard,
 };
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use crate::turns::{Onset, Turns};
@@ -78,8 +78,8 @@
     pub run_base: RunNumber,
     /// Workers that earlier owners gave tasks to.
     pub known_workers: Vec<KnownWorker>,
-    /// Machines that earlier owners maintained.
-    pub begun: BegunRecord,
+    /// How far earlier owners came with the waves of maintenance.
+    pub waves: WavesRecord,
     /// Machines that earlier owners may have ordered lately.
     pub ordered: OrderedRecord,
     /// Name of the owner's instance.
@@ -142,6 +142,8 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     tenure: Tenure,
+    /// When the tenure began.
+    began: Moment,
     config: Arc<ClusterConfig>,
     evacuated: HashSet<ZoneId>,
     workers: Vec<Worker>,
@@ -192,7 +194,7 @@
     machines: MachineList,
     machines_listed: Option<Moment>,
     is_list_wanted: bool,
-    begun_written: BegunRecord,
+    waves_written: WavesRecord,
     /// Machines that were ordered to move, or are about to be: where to, and since when.
     moving: HashMap<InstanceId, (ServiceId, Moment)>,
     /// Moves whose machines are not named in the store yet.
@@ -225,6 +227,7 @@
         let holders = Holders::new(instance, settings.machine_lease, tenure.ordered.clone(), now);
         let mut scheduler = Self {
             settings,
+            began: now,
             config: Arc::default(),
             evacuated: HashSet::new(),
             workers: Vec::new(),
@@ -254,7 +257,7 @@
             machines: MachineList::default(),
             machines_listed: None,
             is_list_wanted: false,
-            begun_written: tenure.begun.clone(),
+            waves_written: tenure.waves.clone(),
             moving: HashMap::new(),
             moves_due: Vec::new(),
             holders,
@@ -297,11 +300,12 @@
 
     /// Takes over the waves of maintenance that the operator asks for.
     pub fn set_waves(&mut self, waves: &[Wave], now: Moment) {
+        let unix = self.tenure.began_unix + now.saturating_sub(self.began);
         for wave in waves {
-            let begun = self.tenure.begun.get(&wave.number).map_or(&[][..], Vec::as_slice);
+            let stored = self.tenure.waves.get(&wave.number);
             self.waves
                 .entry(wave.number)
-                .or_insert_with(|| WaveProgress::new(wave.clone(), begun, now));
+                .or_insert_with(|| WaveProgress::new(wave.clone(), stored, unix, now));
         }
     }
 
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -91,7 +91,7 @@
         self.flush_urgency = Urgency::None;
         self.collect_states(&mut flush);
         self.collect_workers(&mut flush);
-        self.collect_begun(&mut flush);
+        self.collect_waves(&mut flush);
         self.collect_ordered(now, &mut flush);
         self.collect_turns(now, &mut flush);
         self.collect_waiting(now, &mut flush);
@@ -183,16 +183,16 @@
         }
     }
 
-    fn collect_begun(&mut self, flush: &mut Flush) {
-        let begun = self.begun_record();
-        if begun == self.begun_written || begun.values().all(Vec::is_empty) {
+    fn collect_waves(&mut self, flush: &mut Flush) {
+        let waves = self.waves_record();
+        if waves == self.waves_written {
             return;
         }
-        match serde_json::to_vec(&begun) {
+        match serde_json::to_vec(&waves) {
             Ok(bytes) => flush.puts.push((WAVES_KEY.into(), bytes)),
             Err(error) => return report(0, &error.into()),
         }
-        self.begun_written = begun;
+        self.waves_written = waves;
     }
 
     fn collect_ordered(&mut self, now: Moment, flush: &mut Flush) {
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -13,7 +13,7 @@
 use crate::edges::MachineOutcome;
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
-use crate::record::BegunRecord;
+use crate::record::{WaveRecord, WavesRecord};
 
 /// Time that one machine of a wave takes, from the order until its new worker takes work, with
 /// the order's turn-around.
@@ -71,7 +71,9 @@
 #[derive(Debug)]
 pub(super) struct WaveProgress {
     wave: Wave,
+    /// When an owner first saw the wave.
     since: Moment,
+    since_unix_ms: u64,
     /// Machines whose maintenance has begun, and when.
     begun: HashMap<InstanceId, Moment>,
     /// Machines that get no new work until they are taken down, and since when.
@@ -81,10 +83,26 @@
 }
 
 impl WaveProgress {
-    /// A wave of which `begun` was maintained under earlier owners.
-    pub(super) fn new(wave: Wave, begun: &[InstanceId], now: Moment) -> Self {
-        let begun = begun.iter().map(|machine| (machine.clone(), now)).collect();
-        Self { wave, since: now, begun, emptied: HashMap::new(), stored: None }
+    /// A wave with what an earlier owner stored of it, if there is any; `unix` is the time of day
+    /// at `now`.
+    pub(super) fn new(
+        wave: Wave,
+        stored: Option<&WaveRecord>,
+        unix: Duration,
+        now: Moment,
+    ) -> Self {
+        let unix_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+        let since_unix_ms = stored.map_or(unix_ms, |stored| stored.since_unix_ms);
+        let age = Duration::from_millis(unix_ms.saturating_sub(since_unix_ms));
+        let begun = stored.map_or(&[][..], |stored| &stored.begun);
+        Self {
+            wave,
+            since: now.saturating_sub(age),
+            since_unix_ms,
+            begun: begun.iter().map(|machine| (machine.clone(), now)).collect(),
+            emptied: HashMap::new(),
+            stored: None,
+        }
     }
 }
 
@@ -142,14 +160,15 @@
         }
     }
 
-    /// Machines whose maintenance has begun, by wave, as they shall lie in the store.
-    pub(super) fn begun_record(&self) -> BegunRecord {
-        let begun = self.waves.values().map(|progress| {
-            let mut machines: Vec<InstanceId> = progress.begun.keys().cloned().collect();
-            machines.sort();
-            (progress.wave.number, machines)
+    /// How far the waves are, as it shall lie in the store.
+    pub(super) fn waves_record(&self) -> WavesRecord {
+        let records = self.waves.values().map(|progress| {
+            let mut begun: Vec<InstanceId> = progress.begun.keys().cloned().collect();
+            begun.sort();
+            let record = WaveRecord { since_unix_ms: progress.since_unix_ms, begun };
+            (progress.wave.number, record)
         });
-        begun.collect()
+        records.collect()
     }
 
     /// Takes in the outcome of an order to a machine.
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -9,7 +9,7 @@
 use cassiafold_jobs::cluster::{Machine, MachineState};
 use cassiafold_jobs::edges::{Look, LookError, MachineOutcome, RunningRow};
 use cassiafold_jobs::job::WorkerSlot;
-use cassiafold_jobs::record::{ORDERED_KEY, OrderedRecord};
+use cassiafold_jobs::record::{ORDERED_KEY, OrderedRecord, WaveRecord, WavesRecord};
 use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure, Urgency};
 use cassiafold_jobs::spec::{Resources, StepId, TaskId};
 
@@ -70,6 +70,27 @@
     assert_eq!(desk.running.get(&apart).map(Vec::len), Some(2));
 }
 
+/// Orders within 300 ms to a machine with a short task, in a wave whose term is 20 s.
+fn orders_under_a_new_owner(since_unix_ms: u64) -> usize {
+    let wave = WaveRecord { since_unix_ms, ..WaveRecord::default() };
+    let waves = WavesRecord::from([(1, wave)]);
+    let began_unix = Duration::from_secs(1_000);
+    let mut desk = Desk::new(1, Tenure { waves, began_unix, ..Tenure::default() });
+    desk.submit(1, vec![step(1, 1, &[])]);
+    desk.pass(ms(100));
+    assert_eq!(desk.running(), 1);
+    desk.list(Desk::machines(1, MachineState::Up));
+    desk.wave_of(&[0], 1);
+    desk.pass(ms(300));
+    desk.machine_orders.len()
+}
+
+#[test]
+fn a_new_owner_keeps_the_term_of_a_wave_that_an_earlier_one_saw_first() {
+    assert_eq!(orders_under_a_new_owner(1_000_000), 0, "there is time to wait for the task");
+    assert_eq!(orders_under_a_new_owner(983_000), 1, "most of the term is over");
+}
+
 #[test]
 fn a_maintained_machine_that_moves_does_not_hold_up_its_wave() {
     let mut desk = Desk::new(2, Tenure::default());
