Keep work off few machines that wait for their maintenance

A wave kept work off as many machines as may be down at once, beside those that were down already.

Change: one machine more than may be down is kept free, not twice as many. The new test failed before (5 of 6 machines closed to work, 3 now).

--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -283,7 +283,7 @@
                     self.workers[slot].is_leaving = true;
                 }
                 taken.push(machine.id);
-            } else if emptied.len() < at_once + EMPTIED_AHEAD {
+            } else if emptied.len() < paced + EMPTIED_AHEAD {
                 emptied.insert(machine.id);
             }
         }
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -70,6 +70,18 @@
     assert_eq!(desk.running.get(&apart).map(Vec::len), Some(2));
 }
 
+/// As where a service whose demand rises gets new machines in the middle of a wave.
+#[test]
+fn a_wave_keeps_work_off_one_machine_more_than_may_be_down() {
+    let mut desk = Desk::new(6, Tenure::default());
+    desk.list(Desk::machines(6, MachineState::Up));
+    desk.wave_of(&[0, 1, 2, 3, 4, 5], 2);
+    desk.pass(ms(300));
+    assert_eq!(desk.machine_orders.len(), 2);
+    let closed = (0..6).filter(|slot| desk.scheduler.worker(*slot).is_cordoned).count();
+    assert_eq!(closed, 3);
+}
+
 /// Orders within 300 ms to a machine with a short task, in a wave whose term is 20 s.
 fn orders_under_a_new_owner(since_unix_ms: u64) -> usize {
     let wave = WaveRecord { since_unix_ms, ..WaveRecord::default() };
