Drop turns of demand: no order, length or begin of them is assumed

Change: the module of turns, its record in the store and its tests are removed; the counting of arrivals stays as a module of its own. An owner gives nothing away in its first 2.5 s, since it has seen too little; formerly the stored turns prevented that.

--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -49,7 +49,7 @@
 }
 
 /// How long a need counts after it was last seen, before machines go to the spare pool.
-const NEED_MEMORY: Duration = Duration::from_millis(2_500);
+pub const NEED_MEMORY: Duration = Duration::from_millis(2_500);
 
 /// The same while demand falls.
 const FALLING_MEMORY: Duration = Duration::from_millis(500);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -1,6 +1,7 @@
 //! Jobs of many tasks: accepted once by any entry instance, placed on workers by one owner, and
 //! kept in the platform's store.
 
+pub mod arrivals;
 pub mod balance;
 pub mod cluster;
 pub mod delay;
@@ -20,6 +21,5 @@
 pub mod scheduler;
 pub mod site;
 pub mod spec;
-pub mod turns;
 pub mod view;
 pub mod worker;
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -20,8 +20,8 @@
 use crate::outage::Outage;
 use crate::record::{
     CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY, OWNER_KEY,
-    OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, TURNS_KEY, TurnsRecord, WAVES_KEY,
-    WORKERS_PREFIX, WavesRecord, job_of,
+    OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_PREFIX, WavesRecord,
+    job_of,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -68,34 +68,24 @@
     instance: &Arc<str>,
 ) -> Result<Loaded, StoreError> {
     let store = site.store();
-    let (inbox, states, sequence, known, waves, ordered, turns, listed) = tokio::try_join!(
+    let (inbox, states, sequence, known, waves, ordered, listed) = tokio::try_join!(
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
         store.list(WORKERS_PREFIX),
         store.get(WAVES_KEY),
         store.get(ORDERED_KEY),
-        store.get(TURNS_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = begin_sequence(site, token, sequence).await?;
     let known_workers = read_workers(&known.records)?;
     let waves: WavesRecord = read_json(waves)?;
     let ordered: OrderedRecord = read_json(ordered)?;
-    let turns: TurnsRecord = read_json(turns)?;
     let run_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUNS_PER_TENURE;
     let now = since_boot();
     let instance = Arc::clone(instance);
-    let tenure = Tenure {
-        token,
-        run_base,
-        known_workers,
-        waves,
-        ordered,
-        instance,
-        turns,
-        began_unix: unix_now(),
-    };
+    let tenure =
+        Tenure { token, run_base, known_workers, waves, ordered, instance, began_unix: unix_now() };
     let mut scheduler = Scheduler::new(settings, tenure, now);
     let states = read_states(&states.records).await;
     for (number, record) in inbox.records.iter().enumerate() {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -10,7 +10,6 @@
 //! | `cassiafold/workers/SHARD` | the owner | workers that were given tasks, in parts |
 //! | `cassiafold/waves` | the owner | machines whose maintenance has begun, by wave |
 //! | `cassiafold/ordered` | the owner | machines that were ordered lately, with who ordered them |
-//! | `cassiafold/turns` | the owner | turns of high demand that were seen |
 //! | `cassiafold/waiting` | the owner | jobs that wait, by queue |
 
 use std::collections::BTreeMap;
@@ -45,8 +44,6 @@
 pub const WAVES_KEY: &str = "cassiafold/waves";
 /// Key of the machines that were ordered lately.
 pub const ORDERED_KEY: &str = "cassiafold/ordered";
-/// Key of the turns of demand.
-pub const TURNS_KEY: &str = "cassiafold/turns";
 /// Key of the jobs that wait.
 pub const WAITING_KEY: &str = "cassiafold/waiting";
 
@@ -200,24 +197,6 @@
 /// Machines that were ordered lately, with the instance that ordered them.
 pub type OrderedRecord = BTreeMap<InstanceId, Arc<str>>;
 
-/// Turns of high demand that were seen.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct TurnsRecord {
-    /// Begins of turns, the latest last.
-    pub onsets: Vec<OnsetRecord>,
-    /// Rate of each service's last whole turn, in cores.
-    pub rates: BTreeMap<ServiceId, f64>,
-}
-
-/// Begin of a turn.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OnsetRecord {
-    /// The service.
-    pub service: ServiceId,
-    /// Unix time of the begin in milliseconds.
-    pub at_unix_ms: u64,
-}
-
 /// A worker that was given tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownWorker {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -40,16 +40,14 @@
 pub use self::upkeep::MachineOrder;
 use self::upkeep::{SentOrder, WaveProgress};
 use self::workers::Burial;
+use crate::arrivals::Arrivals;
 use crate::balance::RecentNeed;
 use crate::cluster::{ClusterConfig, Wave, WaveNumber, WorkerId};
 use crate::edges::{FencingToken, WorkerAddress};
 use crate::estimate::Durations;
 use crate::job::{Job, WorkerSlot};
-use crate::record::{
-    KnownWorker, OrderedRecord, TurnsRecord, WaitingRecord, WavesRecord, WorkerShard,
-};
+use crate::record::{KnownWorker, OrderedRecord, WaitingRecord, WavesRecord, WorkerShard};
 use crate::spec::{JobId, Resources, RunNumber, StepId, TaskId};
-use crate::turns::{Onset, Turns};
 use crate::worker::Worker;
 
 /// Times that the platform's settings give.
@@ -84,8 +82,6 @@
     pub ordered: OrderedRecord,
     /// Name of the owner's instance.
     pub instance: Arc<str>,
-    /// Turns of demand that earlier owners saw.
-    pub turns: TurnsRecord,
     /// Time of day at its begin.
     pub began_unix: Duration,
 }
@@ -205,9 +201,8 @@
     needs: HashMap<ServiceId, RecentNeed>,
     /// Machines of each service that no service wants.
     surplus: HashMap<ServiceId, usize>,
-    turns: Turns,
-    /// Begin of the last turn that lies in the store.
-    turns_written: Option<Onset>,
+    /// Work that arrived lately.
+    arrivals: Arrivals,
     durations: Durations,
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// The last order to each machine.
@@ -264,8 +259,7 @@
             balanced: now,
             needs: HashMap::new(),
             surplus: HashMap::new(),
-            turns: Turns::restore(&tenure.turns, tenure.began_unix, now),
-            turns_written: None,
+            arrivals: Arrivals::default(),
             durations: Durations::default(),
             waves: BTreeMap::new(),
             machines_ordered: HashMap::new(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -9,7 +9,7 @@
 
 use super::upkeep::MachineOrder;
 use super::{Order, Scheduler};
-use crate::balance::{KEPT_MACHINES, Load, Pool, choose_moves, machines_for};
+use crate::balance::{KEPT_MACHINES, Load, NEED_MEMORY, Pool, choose_moves, machines_for};
 use crate::cluster::{Machine, MachineState};
 use crate::edges::MachineOutcome;
 use crate::event::JobsEvent;
@@ -22,8 +22,6 @@
 const MOVES_PART: f64 = 0.9;
 /// Time from an order to move until the worker takes work, beyond the move itself.
 const ARRIVAL: Duration = Duration::from_millis(500);
-/// How long an expected turn counts before its begin is seen.
-const LATENESS_MAX: Duration = Duration::from_millis(1_500);
 /// A list of machines that is older than this is not used.
 const LIST_AGE_MAX: Duration = Duration::from_millis(2_000);
 /// An order to move that has not shown in the list after this time is given up.
@@ -38,7 +36,6 @@
             return;
         }
         self.balanced = now;
-        self.turns.update(now);
         let is_listed = self.machines_listed.is_some_and(|at| now < at + LIST_AGE_MAX);
         if !is_listed {
             return;
@@ -110,15 +107,16 @@
             }
         }
         let cores_each = self.cores_each();
+        // What an owner has seen in its first moments says little of what is needed.
+        let knows_needs = now >= self.began + NEED_MEMORY;
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
             let load = self.load(id, now);
             pool.needed = machines_for(load.cores(), cores_each).max(self.apart(id));
             pool.load = load;
-            let is_falling = self.turns.is_falling(id, now);
+            let is_falling = self.arrivals.is_falling(id, now);
             let needs = self.needs.entry(id.clone()).or_default();
             let lately = needs.note(pool.needed, is_falling, now);
-            let may_shrink = self.may_shrink(id, is_falling, now);
-            pool.may_shrink = may_shrink && pool.machines > lately + KEPT_MACHINES;
+            pool.may_shrink = knows_needs && pool.machines > lately + KEPT_MACHINES;
         }
         pools
     }
@@ -156,7 +154,8 @@
 
     fn load(&self, service: &ServiceId, now: Moment) -> Load {
         let ratio = self.durations.ratio();
-        let mut load = Load { arriving: self.turns.rate(service, now) * ratio, ..Load::default() };
+        let mut load =
+            Load { arriving: self.arrivals.rate(service, now) * ratio, ..Load::default() };
         for slot in self.slots_of(service) {
             add_running(&self.workers[*slot], &mut load);
         }
@@ -173,8 +172,8 @@
             }
         }
         let lead = self.settings.move_time + ARRIVAL;
-        let ahead = self.turns.rate_ahead(service, lead, now);
-        load.expected = self.expected_rate(service, now).max(ahead) * ratio;
+        let ahead = self.arrivals.rate_ahead(service, lead, now);
+        load.expected = ahead * ratio;
         load
     }
 
@@ -188,30 +187,6 @@
         });
         each.max().unwrap_or(0)
     }
-
-    /// Rate of the turn that begins before a machine that is ordered now would have come, in
-    /// estimated cores; 0 if there is none.
-    fn expected_rate(&self, service: &ServiceId, now: Moment) -> f64 {
-        if let Some(rate) = self.turns.young_turn_rate(service, now) {
-            return rate;
-        }
-        let Some(forecast) = self.turns.forecast() else { return 0.0 };
-        let lead = self.settings.move_time + ARRIVAL;
-        let begins = forecast.onset.at;
-        let is_near = now + lead >= begins && now < begins + LATENESS_MAX;
-        match is_near && forecast.onset.service == *service {
-            true => forecast.rate.unwrap_or(0.0),
-            false => 0.0,
-        }
-    }
-
-    /// Whether a service may give machines away: it has had a turn, and its next is not near.
-    fn may_shrink(&self, service: &ServiceId, is_falling: bool, now: Moment) -> bool {
-        let is_current = self.turns.current().is_some_and(|onset| onset.service == *service);
-        (!is_current || is_falling)
-            && self.turns.has_had_turn(service)
-            && self.expected_rate(service, now) == 0.0
-    }
 }
 
 /// Adds what runs on a worker to the load of its service.
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -12,8 +12,8 @@
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::record::{
-    JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, TURNS_KEY, WAITING_KEY,
-    WAVES_KEY, WaitingRecord, WorkerShard, cancel_key, job_key, state_key, workers_key,
+    JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, WAITING_KEY, WAVES_KEY,
+    WaitingRecord, WorkerShard, cancel_key, job_key, state_key, workers_key,
 };
 use crate::spec::JobId;
 
@@ -93,7 +93,6 @@
         self.collect_workers(&mut flush);
         self.collect_waves(&mut flush);
         self.collect_ordered(now, &mut flush);
-        self.collect_turns(now, &mut flush);
         self.collect_waiting(now, &mut flush);
         self.collect_removals(now, &mut flush);
         flush.waves = self.wave_statuses();
@@ -204,17 +203,6 @@
         flush.ordered = ordered;
     }
 
-    fn collect_turns(&mut self, now: Moment, flush: &mut Flush) {
-        if self.turns.current() == self.turns_written.as_ref() {
-            return;
-        }
-        match serde_json::to_vec(&self.turns.record(self.unix, now)) {
-            Ok(bytes) => flush.puts.push((TURNS_KEY.into(), bytes)),
-            Err(error) => return report(0, &error.into()),
-        }
-        self.turns_written = self.turns.current().cloned();
-    }
-
     fn collect_waiting(&mut self, now: Moment, flush: &mut Flush) {
         let last = self.waiting_written.as_ref();
         if last.is_some_and(|(at, _)| now.saturating_sub(*at) < WAITING_INTERVAL) {
--- a/crates/jobs/src/scheduler/inbox.rs
+++ b/crates/jobs/src/scheduler/inbox.rs
@@ -6,11 +6,11 @@
 use cassiafold_platform::{Moment, Revision};
 
 use super::{Scheduler, Urgency};
+use crate::arrivals::Work;
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
 use crate::spec::{JobId, OccurrenceNumber, StepId, StepSpec};
-use crate::turns::Work;
 
 /// Seconds of its weight that a team may send at once before its jobs count as beyond it.
 const WEIGHT_BURST_S: f64 = 2.0;
@@ -45,7 +45,7 @@
             let cores = job.record.spec.steps.iter().map(StepSpec::cores);
             let work =
                 Work { core_seconds: job.work_left(0), cores_max: cores.fold(0.0, f64::max) };
-            self.turns.note(&job.record.service, work, now);
+            self.arrivals.note(&job.record.service, work, now);
         }
         self.jobs.insert(id, job);
         match repeats {
