Keep a service's first machines until its demand has fallen, and count the time of many orders

Machines that were given away before the first rise had to be ordered again, several hundred at the rate that the machines' control takes.

Change: a service gives machines away only once its demand has been seen to fall, so also a new owner waits; the rate to come is that after the move and the time that the orders need. Gangs are placed in a module of their own; nothing changes there.

--- a/crates/jobs/src/arrivals.rs
+++ b/crates/jobs/src/arrivals.rs
@@ -155,6 +155,6 @@
 
     /// Whether fewer jobs arrive for a service than a moment ago, by more than chance brings.
     pub fn is_falling(&self, service: &str, now: Moment) -> bool {
-        self.services.get(service).is_none_or(|recent| recent.counts(now).is_falling())
+        self.services.get(service).is_some_and(|recent| recent.counts(now).is_falling())
     }
 }
--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -49,7 +49,7 @@
 }
 
 /// How long a need counts after it was last seen, before machines go to the spare pool.
-pub const NEED_MEMORY: Duration = Duration::from_millis(2_500);
+const NEED_MEMORY: Duration = Duration::from_millis(2_500);
 
 /// The same while demand falls.
 const FALLING_MEMORY: Duration = Duration::from_millis(500);
@@ -61,6 +61,8 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RecentNeed {
     seen: VecDeque<(Moment, usize)>,
+    /// Whether demand has been seen to fall.
+    has_fallen: bool,
 }
 
 impl RecentNeed {
@@ -71,10 +73,19 @@
         while self.seen.front().is_some_and(|(at, _)| now >= *at + NEED_MEMORY) {
             self.seen.pop_front();
         }
+        self.has_fallen |= is_falling;
         let memory = if is_falling { FALLING_MEMORY } else { NEED_MEMORY };
         let counting = self.seen.iter().filter(|(at, _)| now < *at + memory);
         counting.map(|(_, needed)| *needed).max().unwrap_or(needed)
     }
+
+    /// Whether demand has been seen to fall since the first need was noted.
+    ///
+    /// Answers the load pattern of demand that has not come yet: the machines that a service was
+    /// given at first are all that it has when it comes.
+    pub fn has_fallen(&self) -> bool {
+        self.has_fallen
+    }
 }
 
 /// A service and its machines.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod delays;
 mod ends;
 mod flush;
+mod gang;
 mod holders;
 mod inbox;
 mod looks;
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -9,7 +9,7 @@
 
 use super::upkeep::MachineOrder;
 use super::{Order, Scheduler};
-use crate::balance::{KEPT_MACHINES, Load, NEED_MEMORY, Pool, choose_moves, machines_for};
+use crate::balance::{KEPT_MACHINES, Load, Pool, choose_moves, machines_for};
 use crate::cluster::{Machine, MachineState};
 use crate::edges::MachineOutcome;
 use crate::event::JobsEvent;
@@ -22,6 +22,8 @@
 const MOVES_PART: f64 = 0.9;
 /// Time from an order to move until the worker takes work, beyond the move itself.
 const ARRIVAL: Duration = Duration::from_millis(500);
+/// Longest time that orders are taken to need for one service, in seconds.
+const ORDERING_MAX_S: f64 = 1.5;
 /// A list of machines that is older than this is not used.
 const LIST_AGE_MAX: Duration = Duration::from_millis(2_000);
 /// An order to move that has not shown in the list after this time is given up.
@@ -107,8 +109,6 @@
             }
         }
         let cores_each = self.cores_each();
-        // What an owner has seen in its first moments says little of what is needed.
-        let knows_needs = now >= self.began + NEED_MEMORY;
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
             let load = self.load(id, now);
             pool.needed = machines_for(load.cores(), cores_each).max(self.apart(id));
@@ -116,7 +116,7 @@
             let is_falling = self.arrivals.is_falling(id, now);
             let needs = self.needs.entry(id.clone()).or_default();
             let lately = needs.note(pool.needed, is_falling, now);
-            pool.may_shrink = knows_needs && pool.machines > lately + KEPT_MACHINES;
+            pool.may_shrink = needs.has_fallen() && pool.machines > lately + KEPT_MACHINES;
         }
         pools
     }
@@ -171,12 +171,22 @@
                 false => load.waiting_core_s += cores * spec.estimate.as_secs_f64() * ratio,
             }
         }
-        let lead = self.settings.move_time + ARRIVAL;
-        let ahead = self.arrivals.rate_ahead(service, lead, now);
-        load.expected = ahead * ratio;
+        load.expected = self.expected_rate(service, now) * ratio;
         load
     }
 
+    /// Rate that will have been reached when machines that are ordered now have come, in estimated
+    /// cores. Orders for many machines take a while by themselves.
+    fn expected_rate(&self, service: &ServiceId, now: Moment) -> f64 {
+        let arrival = self.settings.move_time + ARRIVAL;
+        let rate = self.arrivals.rate_ahead(service, arrival, now);
+        let machines = machines_for(rate * self.durations.ratio(), self.cores_each());
+        let orders_per_s = (self.settings.machine_orders_per_s * MOVES_PART).max(1.0);
+        let ordering_s = (machines as f64 / orders_per_s).min(ORDERING_MAX_S);
+        let lead = arrival + Duration::from_secs_f64(ordering_s);
+        self.arrivals.rate_ahead(service, lead, now)
+    }
+
     /// Workers that the steps of a service need, since only so many of their tasks may share one.
     fn apart(&self, service: &ServiceId) -> usize {
         let each = self.ready.of(service).filter_map(|id| {
--- /dev/null
+++ b/crates/jobs/src/scheduler/gang.rs
@@ -0,0 +1,77 @@
+//! Placement of tasks that work only together.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cassiafold_platform::Moment;
+
+use super::plan::take;
+use super::{Order, Scheduler};
+use crate::job::WorkerSlot;
+use crate::placement::{Candidate, Demand};
+use crate::spec::{StepId, StepSpec, TaskId};
+
+impl Scheduler {
+    /// Starts all members of a gang or none; returns what it asks for if it did not fit.
+    #[expect(clippy::too_many_arguments, reason = "one call from one place")]
+    pub(super) fn place_gang(
+        &mut self,
+        id: StepId,
+        spec: &StepSpec,
+        demand: &Demand,
+        candidates: &mut [Candidate],
+        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
+        orders: &mut Vec<Order>,
+        now: Moment,
+    ) -> Option<Demand> {
+        if !self.is_step_idle(id) || self.waiting_tasks(id, now).len() < spec.tasks as usize {
+            return None;
+        }
+        let whole = (0..spec.tasks).fold(Default::default(), |sum, _| spec.needs.plus(&sum));
+        if !self.team_admits_amount(id, &whole) {
+            return None;
+        }
+        let mut racks: Vec<Option<Arc<str>>> = vec![None];
+        if spec.same_rack {
+            racks = candidates.iter().map(|candidate| candidate.labels.get(1).cloned()).collect();
+            racks.sort();
+            racks.dedup();
+        }
+        for rack in racks {
+            let mut pool = candidates.to_vec();
+            pool.retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
+            let Some(slots) = self.gang_slots(id, spec, demand, pool, tickets) else { continue };
+            if !self.announce(id) {
+                return None;
+            }
+            let first = TaskId { step: id, index: 0 };
+            let members = (0..spec.tasks).map(|index| TaskId { index, ..first });
+            let run = members.map(|task| self.next_run(task)).max().unwrap_or(1);
+            for (index, slot) in (0..).zip(slots) {
+                let ticket = tickets.and_then(|tickets| tickets.get(&slot).cloned());
+                let task = TaskId { index, ..first };
+                self.order_start(task, run, slot, spec, ticket, now, orders);
+                take(candidates, slot, demand);
+            }
+            return None;
+        }
+        Some(demand.clone())
+    }
+
+    fn gang_slots(
+        &self,
+        id: StepId,
+        spec: &StepSpec,
+        demand: &Demand,
+        mut pool: Vec<Candidate>,
+        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
+    ) -> Option<Vec<WorkerSlot>> {
+        let mut slots = Vec::with_capacity(spec.tasks as usize);
+        for index in 0..spec.tasks {
+            let slot = self.choose_for(TaskId { step: id, index }, demand, &pool, tickets)?;
+            take(&mut pool, slot, demand);
+            slots.push(slot);
+        }
+        Some(slots)
+    }
+}
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -165,7 +165,7 @@
     }
 
     /// Whether tasks of a job may start: the store says so, or is about to be told.
-    fn announce(&mut self, step: StepId) -> bool {
+    pub(super) fn announce(&mut self, step: StepId) -> bool {
         let Some(job) = self.jobs.get_mut(&step.job) else { return false };
         let is_announced = job.is_announced;
         if !is_announced && job.state == JobState::Queued {
@@ -274,69 +274,6 @@
         None
     }
 
-    /// Starts all members of a gang or none; returns what it asks for if it did not fit.
-    #[expect(clippy::too_many_arguments, reason = "one call from one place")]
-    fn place_gang(
-        &mut self,
-        id: StepId,
-        spec: &StepSpec,
-        demand: &Demand,
-        candidates: &mut [Candidate],
-        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
-        orders: &mut Vec<Order>,
-        now: Moment,
-    ) -> Option<Demand> {
-        if !self.is_step_idle(id) || self.waiting_tasks(id, now).len() < spec.tasks as usize {
-            return None;
-        }
-        let whole = (0..spec.tasks).fold(Default::default(), |sum, _| spec.needs.plus(&sum));
-        if !self.team_admits_amount(id, &whole) {
-            return None;
-        }
-        let mut racks: Vec<Option<Arc<str>>> = vec![None];
-        if spec.same_rack {
-            racks = candidates.iter().map(|candidate| candidate.labels.get(1).cloned()).collect();
-            racks.sort();
-            racks.dedup();
-        }
-        for rack in racks {
-            let mut pool = candidates.to_vec();
-            pool.retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
-            let Some(slots) = self.gang_slots(id, spec, demand, pool, tickets) else { continue };
-            if !self.announce(id) {
-                return None;
-            }
-            let first = TaskId { step: id, index: 0 };
-            let members = (0..spec.tasks).map(|index| TaskId { index, ..first });
-            let run = members.map(|task| self.next_run(task)).max().unwrap_or(1);
-            for (index, slot) in (0..).zip(slots) {
-                let ticket = tickets.and_then(|tickets| tickets.get(&slot).cloned());
-                let task = TaskId { index, ..first };
-                self.order_start(task, run, slot, spec, ticket, now, orders);
-                take(candidates, slot, demand);
-            }
-            return None;
-        }
-        Some(demand.clone())
-    }
-
-    fn gang_slots(
-        &self,
-        id: StepId,
-        spec: &StepSpec,
-        demand: &Demand,
-        mut pool: Vec<Candidate>,
-        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
-    ) -> Option<Vec<WorkerSlot>> {
-        let mut slots = Vec::with_capacity(spec.tasks as usize);
-        for index in 0..spec.tasks {
-            let slot = self.choose_for(TaskId { step: id, index }, demand, &pool, tickets)?;
-            take(&mut pool, slot, demand);
-            slots.push(slot);
-        }
-        Some(slots)
-    }
-
     pub(super) fn waiting_tasks(&self, id: StepId, now: Moment) -> Vec<u32> {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         let tasks = step.map_or(&[][..], |step| &step.tasks);
@@ -348,7 +285,7 @@
     }
 
     /// The worker for a task, among those that it may use.
-    fn choose_for(
+    pub(super) fn choose_for(
         &self,
         task: TaskId,
         demand: &Demand,
@@ -380,7 +317,7 @@
         self.team_admits_amount(id, &spec.needs)
     }
 
-    fn team_admits_amount(&self, id: StepId, needs: &crate::spec::Resources) -> bool {
+    pub(super) fn team_admits_amount(&self, id: StepId, needs: &crate::spec::Resources) -> bool {
         let team = self.jobs.get(&id.job).and_then(|job| job.record.team.as_ref());
         let Some(team) = team else { return true };
         let Some(limits) = self.config.teams.get(team) else { return true };
@@ -388,13 +325,13 @@
         limits.admits(&used, needs)
     }
 
-    fn next_run(&self, task: TaskId) -> u32 {
+    pub(super) fn next_run(&self, task: TaskId) -> u32 {
         let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
         entry.map_or(0, |entry| entry.last_run) + 1
     }
 
     #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
-    fn order_start(
+    pub(super) fn order_start(
         &mut self,
         task: TaskId,
         run: u32,
@@ -430,7 +367,7 @@
 }
 
 /// Takes the room of a placed task from a candidate.
-fn take(candidates: &mut [Candidate], slot: WorkerSlot, demand: &Demand) {
+pub(super) fn take(candidates: &mut [Candidate], slot: WorkerSlot, demand: &Demand) {
     let Some(chosen) = candidates.iter_mut().find(|candidate| candidate.slot == slot) else {
         return;
     };
