Report the owner's writes, and looks that show nothing new

Now it counts writes, states written, the time that writes were on their way, looks, looks that showed only known ends, and unwritten states of jobs that an earlier owner may have begun.

--- a/crates/jobs/src/owner/carry.rs
+++ b/crates/jobs/src/owner/carry.rs
@@ -181,6 +181,7 @@
         self.count(&outcome);
         match outcome {
             Outcome::Look { worker, is_probe, sent, result: Ok(look) } => {
+                self.usage.note_look(self.scheduler.is_repeated(worker, &look));
                 self.scheduler.note_look(worker, is_probe, sent, now, look);
             }
             Outcome::Look { worker, is_probe, result: Err(error), .. } => {
--- a/crates/jobs/src/owner/usage.rs
+++ b/crates/jobs/src/owner/usage.rs
@@ -32,6 +32,11 @@
     passes: u32,
     messages: u32,
     late_max: Duration,
+    writes: u32,
+    states_written: usize,
+    write_flight: Duration,
+    looks: u32,
+    looks_repeated: u32,
 }
 
 impl Usage {
@@ -42,6 +47,11 @@
             passes: 0,
             messages: 0,
             late_max: Duration::ZERO,
+            writes: 0,
+            states_written: 0,
+            write_flight: Duration::ZERO,
+            looks: 0,
+            looks_repeated: 0,
         }
     }
 
@@ -63,6 +73,19 @@
         self.late_max = self.late_max.max(now.saturating_sub(due));
     }
 
+    /// Counts a write of some states that was on its way for `flight`.
+    pub(super) fn note_write(&mut self, states: usize, flight: Duration) {
+        self.writes += 1;
+        self.states_written += states;
+        self.write_flight += flight;
+    }
+
+    /// Counts an answered look; `is_repeated` if it showed ends, but none that is new.
+    pub(super) fn note_look(&mut self, is_repeated: bool) {
+        self.looks += 1;
+        self.looks_repeated += u32::from(is_repeated);
+    }
+
     /// Writes the report when its time has come.
     pub(super) fn report(&mut self, now: Moment, backlog: impl FnOnce() -> Backlog) {
         if now.saturating_sub(self.since) < REPORT_INTERVAL {
@@ -79,11 +102,17 @@
             plan_ms = plan,
             carry_out_ms = carry_out,
             write_ms = write,
+            writes = self.writes,
+            states_written = self.states_written,
+            write_flight_ms = self.write_flight.as_millis(),
+            looks = self.looks,
+            looks_repeated = self.looks_repeated,
             jobs_live = backlog.jobs_live,
             jobs_unannounced = backlog.jobs_unannounced,
             jobs_unstarted = backlog.jobs_unstarted,
             tasks_waiting = backlog.tasks_waiting,
             states_unwritten = backlog.states_unwritten,
+            states_inherited = backlog.states_inherited,
             workers_usable = backlog.workers_usable,
             cores_free = backlog.cores_free
         );
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -9,7 +9,7 @@
 
 use cassiafold_platform::{
     Compare, Moment, Record, Revision, StoreError, Transaction, TransactionOutcome,
-    TransactionalStore,
+    TransactionalStore, since_boot,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -70,11 +70,12 @@
     token: FencingToken,
     sequence: Sequence,
     is_busy: bool,
+    started: Moment,
 }
 
 impl<S: Site> Writer<S> {
     pub(super) fn new(site: S, token: FencingToken, sequence: Sequence) -> Self {
-        Self { site, token, sequence, is_busy: false }
+        Self { site, token, sequence, is_busy: false, started: Moment::ZERO }
     }
 
     pub(super) fn is_busy(&self) -> bool {
@@ -83,6 +84,7 @@
 
     fn start(&mut self, flush: Box<Flush>, sender: mpsc::Sender<Message>) {
         self.is_busy = true;
+        self.started = since_boot();
         let (site, token, sequence) = (self.site.clone(), self.token, self.sequence);
         tokio::spawn(async move {
             let written = write(&site, token, sequence, flush).await;
@@ -183,6 +185,8 @@
             Written::Done { flush, sequence } => {
                 self.writer.sequence = sequence;
                 self.writer.is_busy = false;
+                let flight = since_boot().saturating_sub(self.writer.started);
+                self.usage.note_write(flush.states(), flight);
                 self.scheduler.note_flushed(&flush);
             }
             Written::Deposed => self.is_fenced = true,
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -17,6 +17,8 @@
     pub tasks_waiting: usize,
     /// Jobs whose state in the store is behind.
     pub states_unwritten: usize,
+    /// Those of them whose jobs an earlier owner may have begun.
+    pub states_inherited: usize,
     /// Workers that may be given work.
     pub workers_usable: usize,
     /// Cores of these that nothing takes.
@@ -32,6 +34,9 @@
             backlog.jobs_unannounced += usize::from(job.waits_for_announcement());
             backlog.jobs_unstarted += usize::from(!job.has_started);
         }
+        let inherited =
+            self.dirty.keys().filter(|id| self.jobs.get(id).is_some_and(|job| !job.is_untouched));
+        backlog.states_inherited = inherited.count();
         for service in self.waiting_steps.services() {
             let steps = self.waiting_steps.of(service);
             backlog.tasks_waiting +=
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -72,6 +72,13 @@
     ordered: OrderedRecord,
 }
 
+impl Flush {
+    /// Number of states of jobs in it.
+    pub fn states(&self) -> usize {
+        self.announced.len()
+    }
+}
+
 impl Scheduler {
     /// How soon the next write should be.
     pub fn flush_urgency(&self) -> Urgency {
--- a/crates/jobs/src/scheduler/looks.rs
+++ b/crates/jobs/src/scheduler/looks.rs
@@ -108,6 +108,12 @@
         self.stop_unbegun(slot, &shown, sent, now);
     }
 
+    /// Whether a look shows ends, but none that has not been taken in.
+    pub fn is_repeated(&self, slot: WorkerSlot, look: &Look) -> bool {
+        let seen = self.workers[slot].ends_seen;
+        !look.ended.is_empty() && look.ended.iter().all(|row| row.number <= seen)
+    }
+
     fn note_end(&mut self, slot: WorkerSlot, row: EndedRow, now: Moment) {
         let worker = &mut self.workers[slot];
         if row.number <= worker.ends_seen {
