Replay a backlog of ten times its usual size, failing

Unwritten states of an earlier owner's jobs were 96 of 672 and falling, so the claim's own writes are not the cause.

--- /dev/null
+++ b/crates/jobs/tests/overload.rs
@@ -0,0 +1,56 @@
+//! What the owner does while much more waits for the store than usual.
+
+mod emulator;
+
+use cassiafold_jobs::spec::{JobId, Resources};
+
+use self::emulator::faults::Faults;
+use self::emulator::{Emulator, job, ms, step};
+
+/// Jobs that come at once: ten times what a busy owner has on hand.
+const BACKLOG: JobId = 2_000;
+const TASKS_EACH: u32 = 2;
+const WORKERS: usize = 300;
+/// How long a write takes for a busy owner beside a store that answers within a few milliseconds.
+const BUSY_WRITE_MS: u64 = 40;
+
+fn deployment() -> Emulator {
+    let mut emulator = Emulator::new(1, WORKERS, Resources::default(), Faults::none());
+    emulator.run(ms(3_000));
+    emulator
+}
+
+fn submit_backlog(emulator: &mut Emulator) {
+    for id in 1..=BACKLOG {
+        emulator.submit(id, job(vec![step(TASKS_EACH, 1, &[])]));
+    }
+}
+
+/// Guards against SHORT: accepted jobs waited for their first write beside idle workers.
+#[test]
+fn a_backlog_of_accepted_jobs_has_started_two_seconds_later() {
+    let mut emulator = deployment();
+    emulator.write_time = ms(BUSY_WRITE_MS);
+    submit_backlog(&mut emulator);
+    emulator.run(ms(2_000));
+    let waiting = BACKLOG as usize * TASKS_EACH as usize - emulator.starts;
+    assert_eq!(waiting, 0, "tasks that have not begun");
+    assert_eq!(emulator.broken, Vec::<String>::new());
+}
+
+/// Guards against SHORT: looks that showed the same ends again kept the owner busy.
+#[test]
+fn ends_that_cannot_be_stored_are_not_asked_for_again_and_again() {
+    /// Looks a second at workers of which nothing can be acknowledged.
+    const REPEATED_LOOKS_PER_S: usize = 2_000;
+    let mut emulator = deployment();
+    submit_backlog(&mut emulator);
+    emulator.run(ms(1_000));
+    emulator.write_time = ms(1_000_000);
+    // All that runs has ended by then, and been shown once.
+    emulator.run(ms(3_000));
+    let shown = emulator.looks;
+    emulator.run(ms(4_000));
+    let looks_per_s = (emulator.looks - shown) / 4;
+    assert!(looks_per_s <= REPEATED_LOOKS_PER_S, "{looks_per_s} looks a second");
+}
