Write states side by side when many wait

Cause: one write of 16 states was on its way at a time, so the states written in a second were 16 by its latency, whatever waited: 62 writes a second at 14 ms, 24 at 36 ms in a busy owner, while 900 were asked for. Class: throughput bound by latency, with a queue behind it that feeds the latency. Change: six chains of writes, each with a sequence key of its own. Another write begins while more than 32 states wait for each one under way; a job's state is in one write at a time, and an end is acknowledged when no older one is in any.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -35,11 +35,11 @@
 use crate::site::Site;
 use crate::view::View;
 
-/// Time between two writes of states that nobody waits for.
+/// Time between the begins of two writes of states that nobody waits for.
 const WRITE_INTERVAL: Duration = Duration::from_millis(120);
-/// Time between two writes while workers keep ends that are not stored.
+/// Time between them while workers keep ends that are not stored.
 const ENDS_WRITE_INTERVAL: Duration = Duration::from_millis(40);
-/// Time between two writes while starts or callers wait for them.
+/// Time between them while starts or callers wait for them.
 const URGENT_WRITE_INTERVAL: Duration = Duration::from_millis(12);
 /// Longest time for the writes before the ownership is given back.
 const LAST_WRITES_MAX: Duration = Duration::from_millis(400);
@@ -134,7 +134,7 @@
         scheduler: loaded.scheduler,
         lease: lease.validity(),
         workers: Listing::new(loaded.workers),
-        writer: Writer::new(site.clone(), token, loaded.sequence),
+        writer: Writer::new(site.clone(), token, loaded.sequences),
         sender: sender.clone(),
         written: since_boot(),
         machines_asked: None,
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -19,9 +19,9 @@
 use crate::event::JobsEvent;
 use crate::outage::Outage;
 use crate::record::{
-    CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY, OWNER_KEY,
-    OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_PREFIX, WavesRecord,
-    job_of,
+    CANCEL_PREFIX, CHAINS, INBOX_PREFIX, JOB_PREFIX, JobRecord, KnownWorker, ORDERED_KEY,
+    OWNER_KEY, OrderedRecord, SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_PREFIX,
+    WavesRecord, job_of, sequence_key,
 };
 use crate::scheduler::{Scheduler, SchedulerSettings, Tenure};
 use crate::site::{Formats, Site};
@@ -38,7 +38,8 @@
 /// What an owner starts with.
 pub(super) struct Loaded {
     pub(super) scheduler: Scheduler,
-    pub(super) sequence: Sequence,
+    /// The begin of each chain of writes.
+    pub(super) sequences: Vec<Sequence>,
     pub(super) inbox_revision: Revision,
     pub(super) workers: Vec<Record>,
     pub(super) workers_revision: Revision,
@@ -77,7 +78,7 @@
         store.get(ORDERED_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
-    let sequence = begin_sequence(site, token, sequence).await?;
+    let sequence = begin_chains(site, token, sequence).await?;
     let known_workers = read_workers(&known.records)?;
     let waves: WavesRecord = read_json(waves)?;
     let ordered: OrderedRecord = read_json(ordered)?;
@@ -111,7 +112,7 @@
     }
     Ok(Loaded {
         scheduler,
-        sequence,
+        sequences: vec![sequence; CHAINS],
         inbox_revision: inbox.revision,
         workers: listed.records,
         workers_revision: listed.revision,
@@ -148,8 +149,9 @@
     states
 }
 
-/// Begins this owner's chain of writes, so that none of an earlier one is applied any more.
-async fn begin_sequence<S: Site>(
+/// Begins this owner's chains of writes, so that none of an earlier owner is applied any more.
+/// All begin with one transaction, and so at one revision.
+async fn begin_chains<S: Site>(
     site: &S,
     token: FencingToken,
     stored: Option<Record>,
@@ -161,10 +163,12 @@
         None => Sequence { token, tenure: 0, number: 0, revision: 0 },
     };
     let compare = stored.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
-    let transaction = Transaction::default()
+    let mut transaction = Transaction::default()
         .expect(OWNER_KEY, Compare::Revision(token))
-        .expect(SEQUENCE_KEY, compare)
-        .put(SEQUENCE_KEY, next.encode()?, None);
+        .expect(SEQUENCE_KEY, compare);
+    for chain in 0..CHAINS {
+        transaction = transaction.put(sequence_key(chain), next.encode()?, None);
+    }
     match site.store().commit(transaction).await? {
         TransactionOutcome::Written(revision) => Ok(Sequence { revision, ..next }),
         TransactionOutcome::Conflict(_) => {
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -1,8 +1,8 @@
-//! The owner's writes, one after the other.
+//! The owner's writes, in chains that go side by side.
 //!
-//! Each write names the one before it, by the revision of the sequence key. A write whose answer
-//! was lost is sent again; if it had taken effect, the sequence key shows its number. One that is
-//! carried out late finds the key changed and has no effect.
+//! Each write names the one before it in its chain, by the revision of the chain's sequence key. A
+//! write whose answer was lost is sent again; if it had taken effect, the sequence key shows its
+//! number. One that is carried out late finds the key changed and has no effect.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use super::{ENDS_WRITE_INTERVAL, Message, Office, URGENT_WRITE_INTERVAL, WRITE_INTERVAL};
 use crate::edges::FencingToken;
 use crate::outage::Outage;
-use crate::record::{OWNER_KEY, SEQUENCE_KEY};
+use crate::record::{ChainNumber, OWNER_KEY, sequence_key};
 use crate::scheduler::{Flush, Urgency};
 use crate::site::{Formats, Site};
 
@@ -30,7 +30,7 @@
 /// Longest such time.
 const ATTEMPT_MAX: Duration = Duration::from_millis(1_200);
 
-/// Where the chain of writes stands.
+/// Where a chain of writes stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Sequence {
     /// Token of the owner.
@@ -64,34 +64,49 @@
     Deposed,
 }
 
+/// A chain of writes.
+struct Chain {
+    sequence: Sequence,
+    /// When its write that is under way began.
+    begun: Option<Moment>,
+}
+
 /// Writes of one owner.
 pub(super) struct Writer<S: Site> {
     site: S,
     token: FencingToken,
-    sequence: Sequence,
-    is_busy: bool,
-    started: Moment,
+    chains: Vec<Chain>,
 }
 
 impl<S: Site> Writer<S> {
-    pub(super) fn new(site: S, token: FencingToken, sequence: Sequence) -> Self {
-        Self { site, token, sequence, is_busy: false, started: Moment::ZERO }
+    /// Writes after those that began each chain.
+    pub(super) fn new(site: S, token: FencingToken, begins: Vec<Sequence>) -> Self {
+        let chain = |sequence| Chain { sequence, begun: None };
+        Self { site, token, chains: begins.into_iter().map(chain).collect() }
     }
 
+    /// Whether any write is under way.
     pub(super) fn is_busy(&self) -> bool {
-        self.is_busy
+        self.chains.iter().any(|chain| chain.begun.is_some())
     }
 
     fn start(&mut self, flush: Box<Flush>, sender: mpsc::Sender<Message>) {
-        self.is_busy = true;
-        self.started = since_boot();
-        let (site, token, sequence) = (self.site.clone(), self.token, self.sequence);
+        let chain = &mut self.chains[flush.chain];
+        chain.begun = Some(since_boot());
+        let (site, token, sequence) = (self.site.clone(), self.token, chain.sequence);
         tokio::spawn(async move {
             let written = write(&site, token, sequence, flush).await;
             // The loop that asked for the write may be over.
             let _ = sender.send(Message::Written(written)).await;
         });
     }
+
+    /// Takes in that a write has taken effect, and returns how long it was on its way.
+    fn note_done(&mut self, chain: ChainNumber, sequence: Sequence) -> Duration {
+        let chain = &mut self.chains[chain];
+        chain.sequence = sequence;
+        since_boot().saturating_sub(chain.begun.take().unwrap_or_else(since_boot))
+    }
 }
 
 async fn write<S: Site>(
@@ -114,7 +129,7 @@
                 return Written::Done { flush, sequence: Sequence { revision, ..next } };
             }
             Ok(TransactionOutcome::Conflict(records)) => {
-                return match settle(token, next, &records) {
+                return match settle(token, flush.chain, next, &records) {
                     Some(sequence) => Written::Done { flush, sequence },
                     None => Written::Deposed,
                 };
@@ -126,10 +141,15 @@
 }
 
 /// Whether a write had taken effect whose conditions are no longer met.
-fn settle(token: FencingToken, next: Sequence, records: &[Record]) -> Option<Sequence> {
+fn settle(
+    token: FencingToken,
+    chain: ChainNumber,
+    next: Sequence,
+    records: &[Record],
+) -> Option<Sequence> {
     let find = |key: &str| records.iter().find(|record| *record.key == *key);
     let owner = find(OWNER_KEY)?;
-    let stored = Sequence::read(find(SEQUENCE_KEY)?).ok()?;
+    let stored = Sequence::read(find(&sequence_key(chain))?).ok()?;
     let is_own = owner.revision == token && stored.token == token && stored.number == next.number;
     is_own.then_some(stored)
 }
@@ -146,10 +166,11 @@
         // Three numbers can always be written as JSON.
         Err(error) => unreachable!("sequence: {error}"),
     };
+    let sequence_key = sequence_key(flush.chain);
     let mut transaction = Transaction::default()
         .expect(OWNER_KEY, Compare::Revision(token))
-        .expect(SEQUENCE_KEY, Compare::Revision(former.revision))
-        .put(SEQUENCE_KEY, sequence, None);
+        .expect(Arc::clone(&sequence_key), Compare::Revision(former.revision))
+        .put(sequence_key, sequence, None);
     for (key, value) in &flush.puts {
         transaction = transaction.put(Arc::clone(key), value.clone(), None);
     }
@@ -164,18 +185,21 @@
 }
 
 impl<S: Site> Office<S> {
-    /// Starts the next write, if one is due.
+    /// Starts the writes that are due.
     pub(super) fn write(&mut self, now: Moment) {
+        if !self.scheduler.may_write() {
+            return;
+        }
         let interval = match self.scheduler.flush_urgency() {
             Urgency::Now => URGENT_WRITE_INTERVAL,
             Urgency::Ends => ENDS_WRITE_INTERVAL,
             Urgency::None => WRITE_INTERVAL,
         };
-        if self.writer.is_busy || now.saturating_sub(self.written) < interval {
+        if now.saturating_sub(self.written) < interval {
             return;
         }
         self.written = now;
-        if let Some(flush) = self.scheduler.take_flush(now) {
+        while let Some(flush) = self.scheduler.take_flush(now) {
             self.writer.start(Box::new(flush), self.sender.clone());
         }
     }
@@ -183,9 +207,7 @@
     pub(super) fn take_written(&mut self, written: Written) {
         match written {
             Written::Done { flush, sequence } => {
-                self.writer.sequence = sequence;
-                self.writer.is_busy = false;
-                let flight = since_boot().saturating_sub(self.writer.started);
+                let flight = self.writer.note_done(flush.chain, sequence);
                 self.usage.note_write(flush.states(), flight);
                 self.scheduler.note_flushed(&flush);
             }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -7,6 +7,7 @@
 //! | `cassiafold/state/JOB` | the owner | how far the job is |
 //! | `cassiafold/owner` | the owner, under its lease | name of its instance |
 //! | `cassiafold/sequence` | the owner | number of its last write, so that none is applied late |
+//! | `cassiafold/sequence/CHAIN` | the owner | the same for each further chain of writes |
 //! | `cassiafold/workers/SHARD` | the owner | workers that were given tasks, in parts |
 //! | `cassiafold/waves` | the owner | machines whose maintenance has begun, by wave |
 //! | `cassiafold/ordered` | the owner | machines that were ordered lately, with who ordered them |
@@ -26,6 +27,14 @@
     TaskNumber,
 };
 
+/// Number of a chain of the owner's writes. Those of one chain follow one another.
+pub type ChainNumber = usize;
+
+/// Chains of writes.
+pub const CHAINS: usize = 6;
+/// The chain that also carries what is not a state of a job.
+pub const FIRST_CHAIN: ChainNumber = 0;
+
 /// Start of the keys of accepted jobs and of their cancels.
 pub const INBOX_PREFIX: &str = "cassiafold/in/";
 /// Start of the keys of accepted jobs.
@@ -36,7 +45,7 @@
 pub const STATE_PREFIX: &str = "cassiafold/state/";
 /// Key of the owner.
 pub const OWNER_KEY: &str = "cassiafold/owner";
-/// Key of the number of the owner's last write.
+/// Key of the number of the last write in the owner's first chain of writes.
 pub const SEQUENCE_KEY: &str = "cassiafold/sequence";
 /// Start of the keys of the workers that were given tasks.
 pub const WORKERS_PREFIX: &str = "cassiafold/workers/";
@@ -74,6 +83,14 @@
     format!("{CANCEL_PREFIX}{id:016x}").into()
 }
 
+/// Key of the number of a chain's last write.
+pub fn sequence_key(chain: ChainNumber) -> Arc<str> {
+    match chain {
+        FIRST_CHAIN => SEQUENCE_KEY.into(),
+        _ => format!("{SEQUENCE_KEY}/{chain}").into(),
+    }
+}
+
 /// Key of a job's state.
 pub fn state_key(id: JobId) -> Arc<str> {
     format!("{STATE_PREFIX}{id:016x}").into()
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod backlog;
 mod balance;
 mod budget;
+mod chains;
 mod delays;
 mod ends;
 mod flush;
@@ -34,6 +35,7 @@
 pub use self::advice::Question;
 use self::advice::StepTickets;
 pub use self::backlog::Backlog;
+use self::chains::UnderWay;
 pub use self::flush::{Flush, Urgency};
 use self::holders::Holders;
 use self::machine_list::MachineList;
@@ -180,6 +182,7 @@
     /// Jobs whose state in the store is behind, with the number of ends taken in when it first
     /// fell behind.
     dirty: HashMap<JobId, u64>,
+    under_way: UnderWay,
     /// Number of ends taken in, from all workers.
     ends_taken: u64,
     /// How soon what has changed since the last write should be written.
@@ -245,6 +248,7 @@
             changed: HashSet::new(),
             full_until: HashMap::new(),
             dirty: HashMap::new(),
+            under_way: UnderWay::default(),
             ends_taken: 0,
             flush_urgency: Urgency::None,
             stopping: Vec::new(),
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -12,14 +12,17 @@
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::record::{
-    JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError, WAITING_KEY, WAVES_KEY,
-    WaitingRecord, WorkerShard, cancel_key, job_key, state_key, workers_key,
+    ChainNumber, FIRST_CHAIN, JobState, KnownWorker, ORDERED_KEY, OrderedRecord, RecordError,
+    WAITING_KEY, WAVES_KEY, WaitingRecord, WorkerShard, cancel_key, job_key, state_key,
+    workers_key,
 };
 use crate::spec::JobId;
 
-/// States of jobs in one write. The store takes 32 entries: beside the states there are two
-/// conditions, the sequence, four lists, parts of the workers, waves and removals.
+/// States of jobs in a write of the first chain. The store takes 32 entries: beside the states
+/// there are two conditions, the sequence, four lists, parts of the workers, waves and removals.
 const STATES_MAX: usize = 16;
+/// States of jobs in a write of another chain, beside two conditions and the sequence.
+const STATES_ALONE_MAX: usize = 29;
 /// Parts of the workers in one write.
 const SHARDS_MAX: usize = 3;
 /// Statuses of waves in one write.
@@ -48,98 +51,119 @@
     Now,
 }
 
-/// Ends of a worker's life up to a number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct StoredEnds {
-    worker: WorkerSlot,
-    life: u32,
-    number: u64,
-}
-
 /// One write of the owner, and what follows from it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Flush {
+    /// The chain of writes to which it belongs.
+    pub chain: ChainNumber,
     /// Values to store.
     pub puts: Vec<(Arc<str>, Vec<u8>)>,
     /// Keys to remove.
     pub removals: Vec<Arc<str>>,
     /// Waves whose status is to be stored, with whether they are complete.
     pub waves: Vec<(WaveNumber, bool)>,
-    ends: Vec<StoredEnds>,
     recorded: Vec<WorkerSlot>,
     removed: Vec<JobId>,
-    announced: Vec<JobId>,
+    states: Vec<JobId>,
     ordered: OrderedRecord,
 }
 
 impl Flush {
     /// Number of states of jobs in it.
     pub fn states(&self) -> usize {
-        self.announced.len()
+        self.states.len()
     }
 }
 
 impl Scheduler {
     /// How soon the next write should be.
     pub fn flush_urgency(&self) -> Urgency {
-        match self.holders.is_write_wanted() || self.dirty.len() >= STATES_MAX {
+        match self.holders.is_write_wanted() || self.states_waiting() >= STATES_MAX {
             true => Urgency::Now,
             false => self.flush_urgency,
         }
     }
 
+    /// States that are behind in the store and in no write that is under way.
+    fn states_waiting(&self) -> usize {
+        self.dirty.keys().filter(|id| !self.under_way.holds(**id)).count()
+    }
+
     pub(super) fn raise_urgency(&mut self, urgency: Urgency) {
         self.flush_urgency = self.flush_urgency.max(urgency);
     }
 
-    /// The next write; `None` when the store is up to date.
+    /// Whether a write may begin, if there is anything to write.
+    pub fn may_write(&self) -> bool {
+        self.next_chain().is_some()
+    }
+
+    fn next_chain(&self) -> Option<ChainNumber> {
+        self.under_way.next_chain(|| self.states_waiting())
+    }
+
+    /// The next write; `None` when the store is up to date, or enough writes are under way.
+    ///
+    /// Each write that is taken must be given back by [`Self::note_flushed`].
     pub fn take_flush(&mut self, now: Moment) -> Option<Flush> {
-        let mut flush = Flush::default();
-        self.flush_urgency = Urgency::None;
-        self.collect_states(&mut flush);
-        self.collect_workers(&mut flush);
-        self.collect_waves(&mut flush);
-        self.collect_ordered(now, &mut flush);
-        self.collect_waiting(now, &mut flush);
-        self.collect_removals(now, &mut flush);
-        flush.waves = self.wave_statuses();
-        flush.waves.truncate(WAVES_MAX);
-        flush.ends = self.storable_ends();
+        let chain = self.next_chain()?;
+        let mut flush = Flush { chain, ..Flush::default() };
+        match chain {
+            FIRST_CHAIN => self.collect_all(now, &mut flush),
+            _ => self.collect_states(STATES_ALONE_MAX, &mut flush),
+        }
         let writes =
             !flush.puts.is_empty() || !flush.removals.is_empty() || !flush.waves.is_empty();
         if !writes {
             // Ends that changed no job may be acknowledged at once.
-            self.note_flushed(&flush);
+            self.settle_ends();
             return None;
         }
+        self.under_way.begin(chain);
         Some(flush)
     }
 
-    /// Ends whose effects are in the store once this write has taken effect.
-    fn storable_ends(&self) -> Vec<StoredEnds> {
-        let open_since = self.dirty.values().min().copied().unwrap_or(u64::MAX);
-        let ends = self.living().filter_map(|worker| {
-            let life = &self.workers[worker];
-            let storable = life.ends_open.iter().take_while(|(_, order)| *order < open_since);
-            let number = storable.last()?.0;
-            Some(StoredEnds { worker, life: life.life, number })
-        });
-        ends.collect()
+    fn collect_all(&mut self, now: Moment, flush: &mut Flush) {
+        self.flush_urgency = Urgency::None;
+        self.collect_states(STATES_MAX, flush);
+        self.collect_workers(flush);
+        self.collect_waves(flush);
+        self.collect_ordered(now, flush);
+        self.collect_waiting(now, flush);
+        self.collect_removals(now, flush);
+        flush.waves = self.wave_statuses();
+        flush.waves.truncate(WAVES_MAX);
+    }
+
+    /// Lets ends be acknowledged whose effects are in the store.
+    fn settle_ends(&mut self) {
+        let dirty = self.dirty.values().min().copied();
+        let open_since = dirty.into_iter().chain(self.under_way.first_end()).min();
+        let open_since = open_since.unwrap_or(u64::MAX);
+        for slot in self.living().collect::<Vec<_>>() {
+            let worker = &mut self.workers[slot];
+            while let Some((number, order)) = worker.ends_open.front().copied()
+                && order < open_since
+            {
+                worker.ends_stored = worker.ends_stored.max(number);
+                worker.ends_open.pop_front();
+            }
+        }
     }
 
     /// Jobs whose states are written next, and how soon the others should be.
     ///
     /// Answers the load pattern of hundreds of jobs whose tasks end all the time: states for which
     /// starts or callers wait do not queue behind the progress of others.
-    fn next_dirty(&self) -> (Vec<JobId>, Urgency) {
-        let mut ids: Vec<(u64, JobId)> =
-            self.dirty.iter().map(|(id, behind)| (*behind, *id)).collect();
+    fn next_dirty(&self, count_max: usize) -> (Vec<JobId>, Urgency) {
+        let waiting = self.dirty.iter().filter(|(id, _)| !self.under_way.holds(**id));
+        let mut ids: Vec<(u64, JobId)> = waiting.map(|(id, behind)| (*behind, *id)).collect();
         ids.sort_unstable();
         let rest = ids.split_off(ids.len().min(OLDEST_STATES));
         let mut rest: Vec<(Urgency, JobId)> =
             rest.into_iter().map(|(_, id)| (self.state_urgency(id), id)).collect();
         rest.sort_by_key(|(urgency, _)| Reverse(*urgency));
-        let left = rest.split_off(rest.len().min(STATES_MAX - ids.len()));
+        let left = rest.split_off(rest.len().min(count_max - ids.len()));
         let left = left.first().map_or(Urgency::None, |(urgency, _)| *urgency);
         let chosen = ids.into_iter().map(|(_, id)| id).chain(rest.into_iter().map(|(_, id)| id));
         (chosen.collect(), left)
@@ -154,16 +178,17 @@
         }
     }
 
-    fn collect_states(&mut self, flush: &mut Flush) {
-        let (ids, left) = self.next_dirty();
+    fn collect_states(&mut self, count_max: usize, flush: &mut Flush) {
+        let (ids, left) = self.next_dirty(count_max);
         self.raise_urgency(left);
         for id in ids {
-            self.dirty.remove(&id);
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let first_end = self.dirty.remove(&id).unwrap_or_default();
+            let Some(job) = self.jobs.get(&id) else { continue };
             match job.to_state().encode() {
                 Ok(bytes) => {
                     flush.puts.push((state_key(id), bytes));
-                    flush.announced.push(id);
+                    flush.states.push(id);
+                    self.under_way.add(id, first_end);
                 }
                 Err(error) => report(id, &error),
             }
@@ -243,6 +268,7 @@
             && let Some((id, since)) = self.ended.front().copied()
             && now.saturating_sub(since) > self.settings.status_kept
             && !self.dirty.contains_key(&id)
+            && !self.under_way.holds(id)
         {
             self.ended.pop_front();
             flush.removals.extend([job_key(id), cancel_key(id), state_key(id)]);
@@ -252,14 +278,7 @@
 
     /// Takes in that a write has taken effect.
     pub fn note_flushed(&mut self, flush: &Flush) {
-        for ends in &flush.ends {
-            let worker = &mut self.workers[ends.worker];
-            // A new life counts its ends from the start.
-            if worker.life == ends.life {
-                worker.ends_stored = worker.ends_stored.max(ends.number);
-                worker.ends_open.retain(|(number, _)| *number > ends.number);
-            }
-        }
+        self.under_way.end(flush.chain);
         for slot in &flush.recorded {
             self.workers[*slot].is_recorded = true;
             self.mark_changed(*slot);
@@ -267,11 +286,13 @@
         for id in &flush.removed {
             self.jobs.remove(id);
         }
-        for id in &flush.announced {
+        for id in &flush.states {
+            self.under_way.remove(*id);
             self.note_announced(*id);
         }
         self.holders.note_stored(&flush.ordered);
         self.note_wave_statuses(&flush.waves);
+        self.settle_ends();
     }
 
     fn note_announced(&mut self, id: JobId) {
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -120,7 +120,6 @@
     listed: Duration,
     scheduler: Option<Scheduler>,
     owner: u64,
-    is_writing: bool,
     events: BinaryHeap<Scheduled>,
     sequence: u64,
     random: StdRng,
@@ -148,7 +147,6 @@
             listed: Duration::ZERO,
             scheduler: None,
             owner: 1,
-            is_writing: false,
             events: BinaryHeap::new(),
             sequence: 0,
             random: StdRng::seed_from_u64(seed),
@@ -207,7 +205,6 @@
         }
         scheduler.set_workers(self.entries(), self.now);
         self.scheduler = Some(scheduler);
-        self.is_writing = false;
     }
 
     /// Plays until `end`, or until all jobs have ended and are stored.
@@ -233,10 +230,7 @@
         for order in orders {
             self.carry_out(&mut scheduler, order);
         }
-        if !self.is_writing
-            && let Some(flush) = scheduler.take_flush(self.now)
-        {
-            self.is_writing = true;
+        while let Some(flush) = scheduler.take_flush(self.now) {
             self.store(&flush);
             let owner = self.owner;
             self.at(self.write_time, Event::Flushed { owner, flush });
@@ -359,7 +353,6 @@
                 }
             }
             Event::Flushed { owner: from, flush } if from == owner => {
-                self.is_writing = false;
                 if let Some(scheduler) = &mut self.scheduler {
                     scheduler.note_flushed(&flush);
                 }
--- a/crates/jobs/tests/writes.rs
+++ b/crates/jobs/tests/writes.rs
@@ -17,8 +17,12 @@
 
 /// A desk at which tasks of many jobs have ended since the last write.
 fn busy() -> Desk {
+    busy_with(JOBS)
+}
+
+fn busy_with(jobs: u64) -> Desk {
     let mut desk = Desk::new(8, Tenure::default());
-    for job in 1..=JOBS {
+    for job in 1..=jobs {
         desk.submit(job, vec![step(2, 1, &[])]);
     }
     desk.pass(ms(300));
@@ -83,3 +87,44 @@
     let written: usize = written.sum();
     assert!((1..=40).contains(&written), "{written} workers");
 }
+
+/// Jobs of which more than one write at a time is made.
+const MANY_JOBS: u64 = 60;
+
+/// The highest end that is acknowledged to any worker.
+fn acknowledged(desk: &mut Desk) -> u64 {
+    let now = desk.now;
+    let looks = (0..8).map(|slot| desk.scheduler.look_request(slot, true, now));
+    looks.map(|look| look.acknowledged).max().expect("workers")
+}
+
+#[test]
+fn an_end_is_acknowledged_only_when_no_older_one_is_in_a_write_under_way() {
+    let mut desk = busy_with(MANY_JOBS);
+    let first = desk.scheduler.take_flush(desk.now).expect("a write");
+    let second = desk.scheduler.take_flush(desk.now).expect("another write beside it");
+    desk.scheduler.note_flushed(&second);
+    assert_eq!(acknowledged(&mut desk), 0);
+    desk.scheduler.note_flushed(&first);
+    assert!(acknowledged(&mut desk) > 0);
+}
+
+#[test]
+fn a_state_does_not_overtake_an_older_one_of_its_job_that_is_under_way() {
+    let mut desk = busy_with(MANY_JOBS);
+    let first = desk.scheduler.take_flush(desk.now).expect("a write");
+    let job = (1..=MANY_JOBS).find(|job| holds(&first, *job)).expect("a state");
+    desk.scheduler.cancel(job, desk.now);
+    let second = desk.scheduler.take_flush(desk.now).expect("another write beside it");
+    assert!(!holds(&second, job));
+    desk.scheduler.note_flushed(&first);
+    let third = desk.scheduler.take_flush(desk.now).expect("a write");
+    assert!(holds(&third, job));
+}
+
+#[test]
+fn a_few_states_wait_for_the_write_that_is_under_way() {
+    let mut desk = busy();
+    let _first = desk.scheduler.take_flush(desk.now).expect("a write");
+    assert_eq!(desk.scheduler.take_flush(desk.now), None);
+}
