--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -187,7 +187,7 @@
 impl<S: Site> Office<S> {
     /// Starts the writes that are due.
     pub(super) fn write(&mut self, now: Moment) {
-        if !self.scheduler.may_write() {
+        if !self.scheduler.may_write(now) {
             return;
         }
         let interval = match self.scheduler.flush_urgency() {
--- a/crates/jobs/src/scheduler/chains.rs
+++ b/crates/jobs/src/scheduler/chains.rs
@@ -5,7 +5,8 @@
 use crate::record::{CHAINS, ChainNumber, FIRST_CHAIN};
 use crate::spec::JobId;
 
-/// States that wait for each write under way before another one begins: most writes are full.
+/// States and removals that wait for each write under way before another one begins: most writes
+/// are full.
 const WAITING_PER_WRITE: usize = 32;
 
 /// Writes that have begun and are not known to have taken effect.
@@ -17,7 +18,7 @@
 }
 
 impl UnderWay {
-    /// The chain on which a write may begin while `waiting` states wait for one.
+    /// The chain on which a write may begin while so much waits for one.
     ///
     /// Answers the load pattern of a backlog beside a slow store or a busy owner: how many states
     /// are written in a second must not fall as each write takes longer.
--- a/crates/jobs/src/scheduler/flush.rs
+++ b/crates/jobs/src/scheduler/flush.rs
@@ -28,8 +28,10 @@
 const LISTS_MAX: usize = 3;
 /// Statuses of waves in one write.
 const WAVES_MAX: usize = 3;
-/// Ended jobs that are removed in one write.
+/// Ended jobs that are removed in one write of the first chain.
 const REMOVALS_MAX: usize = 1;
+/// Ended jobs whose removal counts as waiting.
+const REMOVALS_COUNTED_MAX: usize = 200;
 /// Entries that remove an ended job: it, its cancel and its state.
 const REMOVAL_ENTRIES: usize = 3;
 /// Time between two writes of the number of waiting jobs.
@@ -97,23 +99,37 @@
     }
 
     /// Whether a write may begin, if there is anything to write.
-    pub fn may_write(&self) -> bool {
-        self.next_chain().is_some()
+    pub fn may_write(&self, now: Moment) -> bool {
+        self.next_chain(now).is_some()
     }
 
-    fn next_chain(&self) -> Option<ChainNumber> {
-        self.under_way.next_chain(|| self.states_waiting())
+    fn next_chain(&self, now: Moment) -> Option<ChainNumber> {
+        self.under_way.next_chain(|| self.states_waiting() + self.removals_due(now))
+    }
+
+    /// Ended jobs that have been kept for their time, as far as they are counted.
+    fn removals_due(&self, now: Moment) -> usize {
+        let due = self.ended.iter().take_while(|(_, since)| self.is_removal_due(*since, now));
+        due.take(REMOVALS_COUNTED_MAX).count()
+    }
+
+    fn is_removal_due(&self, ended: Moment, now: Moment) -> bool {
+        now.saturating_sub(ended) > self.settings.status_kept
     }
 
     /// The next write; `None` when the store is up to date, or enough writes are under way.
     ///
     /// Each write that is taken must be given back by [`Self::note_flushed`].
     pub fn take_flush(&mut self, now: Moment) -> Option<Flush> {
-        let chain = self.next_chain()?;
+        let chain = self.next_chain(now)?;
         let mut flush = Flush { chain, ..Flush::default() };
         match chain {
             FIRST_CHAIN => self.collect_all(now, &mut flush),
-            _ => self.collect_states(ENTRIES_MAX, &mut flush),
+            _ => {
+                self.collect_states(ENTRIES_MAX, &mut flush);
+                let left = ENTRIES_MAX - flush.puts.len();
+                self.collect_removals(left / REMOVAL_ENTRIES, now, &mut flush);
+            }
         }
         let writes =
             !flush.puts.is_empty() || !flush.removals.is_empty() || !flush.waves.is_empty();
@@ -134,7 +150,7 @@
         self.collect_waves(flush);
         self.collect_ordered(now, flush);
         self.collect_waiting(now, flush);
-        self.collect_removals(now, flush);
+        self.collect_removals(REMOVALS_MAX, now, flush);
         flush.waves = self.wave_statuses();
         flush.waves.truncate(WAVES_MAX);
     }
@@ -273,10 +289,10 @@
         waiting
     }
 
-    fn collect_removals(&mut self, now: Moment, flush: &mut Flush) {
-        while flush.removed.len() < REMOVALS_MAX
+    fn collect_removals(&mut self, count_max: usize, now: Moment, flush: &mut Flush) {
+        while flush.removed.len() < count_max
             && let Some((id, since)) = self.ended.front().copied()
-            && now.saturating_sub(since) > self.settings.status_kept
+            && self.is_removal_due(since, now)
             && !self.dirty.contains_key(&id)
             && !self.under_way.holds(id)
         {
