Read the configuration before a call is answered by an old one

Class: acting on what was true some time ago. Cause that fits: a watch is given up after 1.7 s and its prefix is read anew, which can fail once more; meanwhile calls were denied by the old configuration. Only accepting a job checked its revision. Change: a configuration that the store has not confirmed for 2.2 s is read before a call is answered by it. Where the store does not answer, nothing is called unknown (503 with Retry-After); what is allowed is still served.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -4,31 +4,34 @@
 //! configuration that admitted it is in force. A refusal that says a job never runs is given only
 //! where nothing of the job can be in the store, now or later.
 
+mod admission;
 mod answer;
+mod count;
 
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use cassiafold_config::TeamId;
 use cassiafold_event::emit;
 use cassiafold_platform::{
-    Compare, Moment, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    Compare, Moment, Record, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, since_boot,
 };
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use self::admission::Admitted;
 pub use self::answer::{Call, Cancelled, Counted, Denial, Looked, Submitted, Target};
-use crate::cluster::{ClusterConfig, Queue, QueueId};
+use crate::cluster::ClusterConfig;
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::record::{
     JobRecord, JobState, StateRecord, WAITING_KEY, WaitingRecord, cancel_key, job_key, state_key,
 };
-use crate::site::{Formats, OperatorItem, Site};
+use crate::site::{Formats, Site};
 use crate::spec::{JobId, JobSpec};
 use crate::view::{View, ViewSender};
 use std::sync::Arc;
@@ -46,10 +49,6 @@
 const CHECK_GAP: Duration = Duration::from_millis(60);
 /// Time between two attempts of the same call to the store.
 const ATTEMPT_GAP: Duration = Duration::from_millis(40);
-/// How long a count of waiting jobs is used again.
-const WAITING_AGE_MAX: Duration = Duration::from_millis(400);
-/// Counts older than this are not shown. An owner counts each second; clocks of instances differ.
-const COUNT_AGE_MAX: Duration = Duration::from_millis(4_000);
 /// Final states that are remembered.
 const FINAL_STATES_MAX: usize = 4_096;
 /// Time kept of a caller's timeout to bring the answer back.
@@ -66,14 +65,8 @@
     is_silent: Arc<AtomicBool>,
     waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
     finals: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
-}
-
-/// A call that is allowed.
-struct Admitted {
-    queue: Queue,
-    team: Option<TeamId>,
-    target: Target,
-    config_revision: Revision,
+    /// When the configuration was last read for a caller.
+    config_read: Mutex<Moment>,
 }
 
 impl<S: Site> Desk<S> {
@@ -92,6 +85,7 @@
             is_silent: Arc::default(),
             waiting: Mutex::default(),
             finals: Mutex::default(),
+            config_read: Mutex::new(Moment::ZERO),
         }
     }
 
@@ -130,19 +124,6 @@
         self.metrics.note_call(kind, queue, team, outcome, taken);
     }
 
-    fn admit(&self, call: &Call) -> Result<Admitted, Denial> {
-        let view = self.views.borrow().clone();
-        let config = view.config.as_ref().ok_or(Denial::NoConfig)?;
-        let (queue, rest) = config.route(&call.host, &call.path).ok_or(Denial::NoQueue)?;
-        let team = call.key.as_ref().and_then(|key| config.keys.get(key)).cloned();
-        if team.is_none() && !queue.is_public {
-            return Err(Denial::UnknownKey);
-        }
-        let target = target(rest).ok_or(Denial::NoJob)?;
-        let config_revision = view.config_revision;
-        Ok(Admitted { queue: queue.clone(), team, target, config_revision })
-    }
-
     /// Accepts a job, if the caller may submit it and the store takes it.
     pub async fn submit(&self, call: &Call, spec: JobSpec) -> Submitted {
         let began = Instant::now();
@@ -155,7 +136,7 @@
         let deadline = call.deadline - ANSWER_MARGIN;
         let mut unanswered = 0;
         loop {
-            let admitted = match self.admit(call) {
+            let admitted = match self.admit_current(call).await {
                 Ok(admitted) => admitted,
                 Err(denial) => return denied(denial, unanswered > 0),
             };
@@ -228,21 +209,6 @@
         }
     }
 
-    /// Takes over the configuration that a conflict has shown.
-    fn adopt(&self, records: &[Record]) {
-        for record in records.iter().filter(|record| *record.key == *S::Formats::CONFIG_KEY) {
-            match self.site.formats().operator_item(record) {
-                Ok(OperatorItem::Config(config)) => {
-                    self.sender.adopt_config(*config, record.revision);
-                }
-                Ok(_) => {}
-                Err(error) => {
-                    emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
-                }
-            }
-        }
-    }
-
     /// Stores the cancel of a job.
     pub async fn cancel(&self, call: &Call) -> Cancelled {
         let began = Instant::now();
@@ -252,7 +218,7 @@
     }
 
     async fn cancel_once(&self, call: &Call) -> Cancelled {
-        let admitted = match self.admit(call) {
+        let admitted = match self.admit_current(call).await {
             Ok(admitted) => admitted,
             Err(denial) => return Cancelled::Denied(denial),
         };
@@ -298,7 +264,7 @@
     }
 
     async fn look_once(&self, call: &Call) -> Looked {
-        let admitted = match self.admit(call) {
+        let admitted = match self.admit_current(call).await {
             Ok(admitted) => admitted,
             Err(denial) => return Looked::Denied(denial),
         };
@@ -353,51 +319,6 @@
         finals.insert(id, (record.state, record.team.clone()));
     }
 
-    /// Number of a queue's jobs that wait.
-    pub async fn count(&self, call: &Call) -> Counted {
-        let began = Instant::now();
-        let answer = self.count_once(call).await;
-        self.note_call("count", call, answer.name(), began.elapsed());
-        answer
-    }
-
-    async fn count_once(&self, call: &Call) -> Counted {
-        let admitted = match self.admit(call) {
-            Ok(admitted) => admitted,
-            Err(denial) => return Counted::Denied(denial),
-        };
-        match self.waiting().await {
-            Ok(waiting) if is_outdated(&waiting, unix_now()) => {
-                emit!(JobsEvent::CountOutdated, queue = admitted.queue.id);
-                Counted::Unknown
-            }
-            Ok(waiting) => Counted::Waiting(count_of(&waiting, &admitted.queue.id)),
-            Err(error) => {
-                emit!(JobsEvent::StateUnknown, queue = admitted.queue.id, error = error);
-                Counted::Unknown
-            }
-        }
-    }
-
-    async fn waiting(&self) -> Result<Arc<WaitingRecord>, StoreError> {
-        let now = since_boot();
-        let kept = self.waiting.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        if let Some((at, record)) = kept
-            && now.saturating_sub(at) < WAITING_AGE_MAX
-        {
-            return Ok(record);
-        }
-        let record = match self.site.store().get(WAITING_KEY).await? {
-            None => WaitingRecord::default(),
-            Some(record) => serde_json::from_slice(&record.value)
-                .map_err(|error| StoreError::Malformed(error.to_string().into()))?,
-        };
-        let record = Arc::new(record);
-        let mut kept = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        *kept = Some((now, record.clone()));
-        Ok(record)
-    }
-
     /// What a call's path names, if the call is allowed.
     pub fn target(&self, call: &Call) -> Result<Target, Denial> {
         self.admit(call).map(|admitted| admitted.target)
@@ -439,29 +360,6 @@
     }
 }
 
-/// Whether nobody has counted for so long that the numbers say nothing.
-fn is_outdated(waiting: &WaitingRecord, unix: Duration) -> bool {
-    unix > Duration::from_millis(waiting.counted_unix_ms) + COUNT_AGE_MAX
-}
-
-/// The time of day, as Unix time.
-fn unix_now() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
-fn count_of(waiting: &WaitingRecord, queue: &QueueId) -> u32 {
-    waiting.jobs.get(queue).copied().unwrap_or_default()
-}
-
-/// What the rest of a path names: nothing, or a job of 16 hexadecimal digits.
-fn target(rest: &str) -> Option<Target> {
-    if rest.is_empty() {
-        return Some(Target::Queue);
-    }
-    let is_job = rest.len() == 16 && rest.bytes().all(|digit| digit.is_ascii_hexdigit());
-    is_job.then(|| JobId::from_str_radix(rest, 16).ok().map(Target::Job)).flatten()
-}
-
 /// Whether a team may see what belongs to another; what belongs to none is seen by all.
 fn may_see(owner: Option<&TeamId>, team: Option<&TeamId>) -> bool {
     owner.is_none() || team.is_none() || owner == team
--- a/crates/jobs/src/desk/answer.rs
+++ b/crates/jobs/src/desk/answer.rs
@@ -26,6 +26,8 @@
 pub enum Denial {
     /// No configuration is known yet.
     NoConfig,
+    /// The configuration may be out of date, and the store does not answer.
+    Outdated,
     /// No such queue exists.
     NoQueue,
     /// The key is missing or unknown.
--- /dev/null
+++ b/crates/jobs/src/desk/count.rs
@@ -0,0 +1,80 @@
+//! How many of a queue's jobs wait, as the owner has counted them.
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cassiafold_event::emit;
+use cassiafold_platform::{Store, StoreError, since_boot};
+use tokio::time::Instant;
+
+use super::{Call, Counted, Desk};
+use crate::cluster::QueueId;
+use crate::event::JobsEvent;
+use crate::record::{WAITING_KEY, WaitingRecord};
+use crate::site::Site;
+
+/// How long a count of waiting jobs is used again.
+const WAITING_AGE_MAX: Duration = Duration::from_millis(400);
+/// Counts older than this are not shown. An owner counts each second; clocks of instances differ.
+const COUNT_AGE_MAX: Duration = Duration::from_millis(4_000);
+
+impl<S: Site> Desk<S> {
+    /// Number of a queue's jobs that wait.
+    pub async fn count(&self, call: &Call) -> Counted {
+        let began = Instant::now();
+        let answer = self.count_once(call).await;
+        self.note_call("count", call, answer.name(), began.elapsed());
+        answer
+    }
+
+    async fn count_once(&self, call: &Call) -> Counted {
+        let admitted = match self.admit_current(call).await {
+            Ok(admitted) => admitted,
+            Err(denial) => return Counted::Denied(denial),
+        };
+        match self.waiting().await {
+            Ok(waiting) if is_outdated(&waiting, unix_now()) => {
+                emit!(JobsEvent::CountOutdated, queue = admitted.queue.id);
+                Counted::Unknown
+            }
+            Ok(waiting) => Counted::Waiting(count_of(&waiting, &admitted.queue.id)),
+            Err(error) => {
+                emit!(JobsEvent::StateUnknown, queue = admitted.queue.id, error = error);
+                Counted::Unknown
+            }
+        }
+    }
+
+    async fn waiting(&self) -> Result<Arc<WaitingRecord>, StoreError> {
+        let now = since_boot();
+        let kept = self.waiting.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some((at, record)) = kept
+            && now.saturating_sub(at) < WAITING_AGE_MAX
+        {
+            return Ok(record);
+        }
+        let record = match self.site.store().get(WAITING_KEY).await? {
+            None => WaitingRecord::default(),
+            Some(record) => serde_json::from_slice(&record.value)
+                .map_err(|error| StoreError::Malformed(error.to_string().into()))?,
+        };
+        let record = Arc::new(record);
+        let mut kept = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        *kept = Some((now, record.clone()));
+        Ok(record)
+    }
+}
+
+/// Whether nobody has counted for so long that the numbers say nothing.
+fn is_outdated(waiting: &WaitingRecord, unix: Duration) -> bool {
+    unix > Duration::from_millis(waiting.counted_unix_ms) + COUNT_AGE_MAX
+}
+
+/// The time of day, as Unix time.
+fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+fn count_of(waiting: &WaitingRecord, queue: &QueueId) -> u32 {
+    waiting.jobs.get(queue).copied().unwrap_or_default()
+}
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -170,6 +170,35 @@
     assert_eq!(site.store.get(&job_key(1)).await.expect("store"), None);
 }
 
+/// A desk whose watch of the operator's keys has fallen silent some seconds ago.
+async fn unwatched(site: &TestSite) -> Desk<TestSite> {
+    let (sender, views) = cassiafold_jobs::view::ViewSender::new();
+    let metrics = cassiafold_jobs::metrics::JobsMetrics::default();
+    let desk = Desk::new(site.clone(), views, sender.clone(), metrics);
+    let follower = tokio::spawn(cassiafold_jobs::view::follow(site.clone(), sender));
+    ready(&desk).await;
+    follower.abort();
+    site.configure(2, &["k2"]).await;
+    tokio::time::sleep(ms(2_400)).await;
+    desk
+}
+
+#[tokio::test]
+async fn a_new_key_is_known_though_the_watch_is_silent() {
+    let site = site(1).await;
+    let desk = unwatched(&site).await;
+    assert_eq!(desk.look(&call(&path(1), Some("k2"))).await, Looked::NoSuchJob);
+    assert_eq!(desk.look(&call(&path(1), KEY)).await, Looked::Denied(Denial::UnknownKey));
+}
+
+#[tokio::test]
+async fn nothing_is_called_unknown_by_a_configuration_that_may_be_out_of_date() {
+    let site = site(1).await.client("front");
+    let desk = unwatched(&site).await;
+    site.store.faults().cut_off("front", Partition::Requests);
+    assert_eq!(desk.look(&call(&path(1), Some("k2"))).await, Looked::Denied(Denial::Outdated));
+}
+
 #[tokio::test]
 async fn a_cancelled_job_ends_and_an_unknown_one_is_gone() {
     let site = site(0).await;
