Prove chains of writes over the store with lost and late answers

240 jobs that gather while the owner is cut off, then eight writes in a row whose answers are lost or that are carried out late: all are shown as completed, each of 1,200 tasks is started once, and the second chain was used.

--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted};
-use cassiafold_jobs::record::{JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key};
+use cassiafold_jobs::record::{
+    JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key, sequence_key,
+};
 use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 use cassiafold_standin::{Partition, WriteFault};
@@ -156,6 +158,40 @@
     }
 }
 
+/// Jobs of which many writes go side by side.
+const MANY_JOBS: JobId = 240;
+
+#[tokio::test]
+async fn writes_side_by_side_keep_their_promises_though_answers_are_lost_and_late() {
+    let site = site(40).await;
+    let desk = site.desk();
+    ready(&desk).await;
+    let owned = site.client("one");
+    let _owner = owned.owner("one");
+    tokio::time::sleep(ms(300)).await;
+    owned.store.faults().cut_off("one", Partition::Requests);
+    for id in 1..=MANY_JOBS {
+        assert_eq!(submit(&site, &desk, id).await, Submitted::Accepted);
+    }
+    let faults = [WriteFault::LostAnswer, WriteFault::Late(ms(300))];
+    owned.store.faults().plan_writes(faults.into_iter().cycle().take(8).map(Some));
+    owned.store.faults().reconnect("one");
+    for id in 1..=MANY_JOBS {
+        completed(&desk, id).await;
+    }
+    tokio::time::sleep(ms(600)).await;
+    for record in site.store.list(STATE_PREFIX).await.expect("store").records {
+        let text = String::from_utf8_lossy(&record.value).into_owned();
+        assert!(text.contains("completed"), "{text}");
+    }
+    let second = site.store.get(&sequence_key(1)).await.expect("store").expect("a chain");
+    let second = String::from_utf8_lossy(&second.value).into_owned();
+    assert!(!second.contains("\"number\":0"), "no write went beside another: {second}");
+    let starts = site.workers.starts.lock().expect("lock").clone();
+    let tasks: std::collections::HashSet<_> = starts.iter().map(|(task, _)| *task).collect();
+    assert_eq!((starts.len(), tasks.len()), (5 * MANY_JOBS as usize, 5 * MANY_JOBS as usize));
+}
+
 #[tokio::test]
 async fn a_withdrawn_key_is_refused_though_the_instance_has_not_heard_of_it() {
     let site = site(1).await;
