Move long-running tasks off a wave's machines one by one

Cause, by debugging output of what held the last machines: a machine that hosts tasks of several steps waited until the budgets of all of them were free at the same moment, while machines with fewer tasks went first and used the budgets up; and tasks of one step on one machine were thinned out only once the machine's turn had come. Class: starvation of what needs several resources at once. Change: from the begin of a wave each long-running task whose step can spare it leaves a worker that is due for one that is not, the last one with its machine. Test: each_step_moves_a_task_off_the_machines_of_a_wave_as_soon_as_its_budget_allows: none moved before.

--- a/crates/jobs/src/scheduler/budget.rs
+++ b/crates/jobs/src/scheduler/budget.rs
@@ -1,12 +1,15 @@
 //! Availability budgets of steps: what may be ended by the fleet's own action.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use cassiafold_config::ServiceId;
 use cassiafold_platform::Moment;
 
 use super::Scheduler;
 use crate::job::WorkerSlot;
-use crate::spec::TaskId;
+use crate::placement::Candidate;
+use crate::spec::{StepSpec, TaskId};
 use crate::worker::RunPhase;
 
 /// Added to the longest time that a run takes to end, for orders on their way.
@@ -30,39 +33,52 @@
             })
     }
 
-    /// Lets a long-running task end early on a machine that is emptied, where too many of its
-    /// step run there for the machine to go down at once.
-    pub(super) fn thin_out(&mut self, slot: WorkerSlot, now: Moment) {
-        let tasks: Vec<TaskId> = self.workers[slot].runs.keys().copied().collect();
-        let crowded = tasks.iter().copied().find(|task| {
-            let others = tasks.iter().filter(|other| other.step == task.step).count();
-            let is_budgeted =
-                self.spec(task.step).is_some_and(|spec| spec.unavailable_max.is_some());
-            is_budgeted
-                && others > 1
-                && self.may_stop(*task, now)
-                && self.has_place(*task, slot, now)
-        });
-        if let Some(task) = crowded {
-            self.stop_run(slot, task, now);
+    /// Moves long-running tasks off workers whose machines are to be maintained, to workers that
+    /// are not, as fast as the budgets of their steps allow.
+    ///
+    /// Answers the load pattern of a wave over machines that host tasks of several steps: a machine
+    /// that waits until all of them can spare a task at the same moment waits longest, and goes last.
+    pub(super) fn move_long_running(&mut self, hosts: &[WorkerSlot], now: Moment) {
+        let mut places: HashMap<ServiceId, Vec<Candidate>> = HashMap::new();
+        for slot in hosts.iter().copied() {
+            // The last one may go down with its machine.
+            if self.workers[slot].counts.long_running < 2 {
+                continue;
+            }
+            let service = self.workers[slot].entry.service.clone();
+            let places = places.entry(service).or_insert_with_key(|service| {
+                let mut places = self.candidates(service, now);
+                places.retain(|place| !place.is_maintenance_due);
+                places
+            });
+            if let Some(task) = self.movable(slot, places, now) {
+                self.stop_run(slot, task, now);
+            }
         }
     }
 
-    /// Whether another worker of the service has room for a task.
-    fn has_place(&self, task: TaskId, slot: WorkerSlot, now: Moment) -> bool {
-        let Some(spec) = self.spec(task.step) else { return false };
-        let service = &self.workers[slot].entry.service;
-        self.candidates(service, now).iter().any(|candidate| {
-            let others = self.workers[candidate.slot].runs.keys();
-            let same_step = others.filter(|other| other.step == task.step).count();
-            let most = spec.per_worker_max.map_or(usize::MAX, |most| most as usize);
-            candidate.slot != slot
-                && spec.reserved().fits(&candidate.free)
-                && same_step < most
-                && spec.label.as_ref().is_none_or(|label| candidate.labels.contains(label))
+    /// A long-running task of a worker that may be stopped now and has a place elsewhere, whose
+    /// room is taken from `places`.
+    fn movable(&self, slot: WorkerSlot, places: &mut [Candidate], now: Moment) -> Option<TaskId> {
+        self.workers[slot].runs.keys().copied().find(|task| {
+            let Some(spec) = self.spec(task.step) else { return false };
+            if spec.unavailable_max.is_none() || !self.may_stop(*task, now) {
+                return false;
+            }
+            let place = places.iter_mut().find(|place| self.is_place(place, *task, spec));
+            place.map(|place| place.free = place.free.minus(&spec.reserved())).is_some()
         })
     }
 
+    /// Whether a worker has room for a task.
+    fn is_place(&self, place: &Candidate, task: TaskId, spec: &StepSpec) -> bool {
+        let runs = self.workers[place.slot].runs.keys();
+        let same_step = runs.filter(|other| other.step == task.step).count();
+        spec.reserved().fits(&place.free)
+            && spec.per_worker_max.is_none_or(|most| same_step < most as usize)
+            && spec.label.as_ref().is_none_or(|label| place.labels.contains(label))
+    }
+
     /// Whether one long-running task may be stopped by the fleet's own action.
     fn may_stop(&self, task: TaskId, now: Moment) -> bool {
         self.within_budget(task, None, now)
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -259,6 +259,7 @@
             let is_settled = slot.is_some_and(|slot| self.hosts_long_running(slot));
             (!progress.emptied.contains_key(&machine.id), !is_settled, runs, machine.id.clone())
         });
+        let hosts: Vec<WorkerSlot> = open.iter().filter_map(|(_, slot)| *slot).collect();
         let patience = progress.wave.term.mul_f64(PATIENT_PART);
         let is_late = now.saturating_sub(progress.since) > patience;
         let mut taken: Vec<InstanceId> = Vec::new();
@@ -287,11 +288,7 @@
                 emptied.insert(machine.id);
             }
         }
-        for machine in &emptied {
-            if let Some(slot) = self.worker_of(machine) {
-                self.thin_out(slot, now);
-            }
-        }
+        self.move_long_running(&hosts, now);
         self.empty_machines(progress, emptied, now);
         for machine in taken {
             self.order_maintenance(progress.wave.number, machine, now, orders);
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -11,7 +11,7 @@
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::{ORDERED_KEY, OrderedRecord, WaveRecord, WavesRecord};
 use cassiafold_jobs::scheduler::{MachineOrder, Order, Scheduler, Tenure, Urgency};
-use cassiafold_jobs::spec::{Resources, StepId, TaskId};
+use cassiafold_jobs::spec::{JobId, Resources, StepId, TaskId};
 
 use self::desk::{Desk, long_running, touched};
 use self::emulator::worker::EmulatedWorker;
@@ -70,6 +70,29 @@
     assert_eq!(desk.running.get(&apart).map(Vec::len), Some(2));
 }
 
+/// Guards against late waves: machines with tasks of several steps waited for all of them at once.
+#[test]
+fn each_step_moves_a_task_off_the_machines_of_a_wave_as_soon_as_its_budget_allows() {
+    const STEPS: u64 = 4;
+    let mut desk = Desk::new(8, Tenure::default());
+    for id in 1..=STEPS {
+        desk.submit(id, vec![long_running(4, Some(1))]);
+    }
+    desk.pass(ms(1_500));
+    let hosts: Vec<usize> = (0..8).filter(|slot| desk.running.contains_key(slot)).collect();
+    assert_eq!(hosts.len(), 4, "each hosts a task of each step");
+    desk.list(Desk::machines(8, MachineState::Up));
+    desk.wave_of(&hosts, 1);
+    let stops = desk.scheduler.plan(Duration::ZERO, desk.now + ms(100));
+    let stops = stops.iter().filter_map(|order| match order {
+        Order::Stop { task, .. } => Some(task.step.job),
+        _ => None,
+    });
+    let mut jobs: Vec<JobId> = stops.collect();
+    jobs.sort_unstable();
+    assert_eq!(jobs, (1..=STEPS).collect::<Vec<_>>());
+}
+
 /// As where a service whose demand rises gets new machines in the middle of a wave.
 #[test]
 fn a_wave_keeps_work_off_one_machine_more_than_may_be_down() {
