Check an old configuration also where a call's path is resolved

The read of an old configuration did not reach callers: the edge asks first what the path names, and was answered by the configuration that was known. Change: that question goes the same way.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -320,8 +320,8 @@
     }
 
     /// What a call's path names, if the call is allowed.
-    pub fn target(&self, call: &Call) -> Result<Target, Denial> {
-        self.admit(call).map(|admitted| admitted.target)
+    pub async fn target(&self, call: &Call) -> Result<Target, Denial> {
+        self.admit_current(call).await.map(|admitted| admitted.target)
     }
 
     /// The configuration in force.
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted};
+use cassiafold_jobs::desk::{Cancelled, Counted, Denial, Desk, Looked, Submitted, Target};
 use cassiafold_jobs::record::{
     JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key, sequence_key,
 };
@@ -223,6 +223,7 @@
 async fn a_new_key_is_known_though_the_watch_is_silent() {
     let site = site(1).await;
     let desk = unwatched(&site).await;
+    assert_eq!(desk.target(&call(&path(1), Some("k2"))).await, Ok(Target::Job(1)));
     assert_eq!(desk.look(&call(&path(1), Some("k2"))).await, Looked::NoSuchJob);
     assert_eq!(desk.look(&call(&path(1), KEY)).await, Looked::Denied(Denial::UnknownKey));
 }
@@ -232,7 +233,9 @@
     let site = site(1).await.client("front");
     let desk = unwatched(&site).await;
     site.store.faults().cut_off("front", Partition::Requests);
-    assert_eq!(desk.look(&call(&path(1), Some("k2"))).await, Looked::Denied(Denial::Outdated));
+    let outdated = Denial::Outdated;
+    assert_eq!(desk.target(&call(&path(1), Some("k2"))).await, Err(outdated));
+    assert_eq!(desk.look(&call(&path(1), Some("k2"))).await, Looked::Denied(outdated));
 }
 
 #[tokio::test]
