Keep thinning out where all machines of a service are due

Tasks of which several share a worker that is emptied next may go to any worker again, as before; tasks that are already ordered to end count no more and are not chosen again.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -182,6 +182,7 @@
     /// Jobs whose state in the store is behind, with the number of ends taken in when it first
     /// fell behind.
     dirty: HashMap<JobId, u64>,
+    /// Writes to the store that have begun.
     under_way: UnderWay,
     /// Workers with ends that are not stored; those that are gone count until a write ends.
     workers_unstored: usize,
--- a/crates/jobs/src/scheduler/budget.rs
+++ b/crates/jobs/src/scheduler/budget.rs
@@ -1,6 +1,6 @@
 //! Availability budgets of steps: what may be ended by the fleet's own action.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use cassiafold_config::ServiceId;
@@ -34,38 +34,59 @@
     }
 
     /// Moves long-running tasks off workers whose machines are to be maintained, to workers that
-    /// are not, as fast as the budgets of their steps allow.
+    /// are not, as fast as the budgets of their steps allow. Of those in `emptied`, tasks may go to
+    /// any worker if several of their step run together.
     ///
     /// Answers the load pattern of a wave over machines that host tasks of several steps: a machine
     /// that waits until all of them can spare a task at the same moment waits longest, and goes last.
-    pub(super) fn move_long_running(&mut self, hosts: &[WorkerSlot], now: Moment) {
+    pub(super) fn move_long_running(
+        &mut self,
+        hosts: &[WorkerSlot],
+        emptied: &HashSet<WorkerSlot>,
+        now: Moment,
+    ) {
         let mut places: HashMap<ServiceId, Vec<Candidate>> = HashMap::new();
         for slot in hosts.iter().copied() {
             // The last one may go down with its machine.
-            if self.workers[slot].counts.long_running < 2 {
+            if self.long_running_left(slot).nth(1).is_none() {
                 continue;
             }
             let service = self.workers[slot].entry.service.clone();
-            let places = places.entry(service).or_insert_with_key(|service| {
-                let mut places = self.candidates(service, now);
-                places.retain(|place| !place.is_maintenance_due);
-                places
-            });
-            if let Some(task) = self.movable(slot, places, now) {
+            let places =
+                places.entry(service).or_insert_with_key(|service| self.candidates(service, now));
+            if let Some(task) = self.movable(slot, emptied.contains(&slot), places, now) {
                 self.stop_run(slot, task, now);
             }
         }
     }
 
+    /// Long-running tasks on a worker that have not been ordered to end.
+    fn long_running_left(&self, slot: WorkerSlot) -> impl Iterator<Item = TaskId> {
+        let runs = self.workers[slot].runs.iter();
+        runs.filter(|(_, run)| run.kind.long_running && !run.is_stopping()).map(|(task, _)| *task)
+    }
+
     /// A long-running task of a worker that may be stopped now and has a place elsewhere, whose
     /// room is taken from `places`.
-    fn movable(&self, slot: WorkerSlot, places: &mut [Candidate], now: Moment) -> Option<TaskId> {
-        self.workers[slot].runs.keys().copied().find(|task| {
+    fn movable(
+        &self,
+        slot: WorkerSlot,
+        is_emptied: bool,
+        places: &mut [Candidate],
+        now: Moment,
+    ) -> Option<TaskId> {
+        self.long_running_left(slot).find(|task| {
             let Some(spec) = self.spec(task.step) else { return false };
             if spec.unavailable_max.is_none() || !self.may_stop(*task, now) {
                 return false;
             }
-            let place = places.iter_mut().find(|place| self.is_place(place, *task, spec));
+            let same_step = self.long_running_left(slot).filter(|other| other.step == task.step);
+            let may_be_due = is_emptied && same_step.count() > 1;
+            let place = places.iter_mut().find(|place| {
+                place.slot != slot
+                    && (may_be_due || !place.is_maintenance_due)
+                    && self.is_place(place, *task, spec)
+            });
             place.map(|place| place.free = place.free.minus(&spec.reserved())).is_some()
         })
     }
--- a/crates/jobs/src/scheduler/upkeep.rs
+++ b/crates/jobs/src/scheduler/upkeep.rs
@@ -288,7 +288,8 @@
                 emptied.insert(machine.id);
             }
         }
-        self.move_long_running(&hosts, now);
+        let going = emptied.iter().filter_map(|machine| self.worker_of(machine)).collect();
+        self.move_long_running(&hosts, &going, now);
         self.empty_machines(progress, emptied, now);
         for machine in taken {
             self.order_maintenance(progress.wave.number, machine, now, orders);
