Replace machines whose workers are silent for longer than a lease

Cause: the number of machines of a pool counted every machine that the platform lists as up. A cut-off zone's machines are up, so the pool of 30 machines of which 10 did not respond counted as full, and nothing was moved in for tasks that need a worker each.

Change: a machine in use whose worker has not responded for as long as runs may go on there gives its pool no capacity. Machines are taken from zones in which some machine responds first.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -19,6 +19,7 @@
 mod polls;
 mod run_commands;
 mod run_ends;
+mod silent_machines;
 mod steps;
 mod throttle;
 mod workers;
@@ -40,6 +41,7 @@
 use self::maintenance::{SentCommand, WaveProgress};
 pub use self::policy_queries::PolicyQuery;
 use self::policy_queries::StepTickets;
+use self::silent_machines::SilentMachines;
 use self::steps::StepsByService;
 use self::workers::EndedIncarnation;
 pub use self::write_batch::{WriteBatch, WriteUrgency};
@@ -208,6 +210,7 @@
     /// Moves that wait until the leases on their machines are stored.
     pending_moves: Vec<MachineCommand>,
     machine_leases: MachineLeases,
+    silent_machines: SilentMachines,
     last_balanced: Moment,
     /// Machines that each service has needed recently.
     peak_needs: HashMap<ServiceId, PeakNeed>,
@@ -278,6 +281,7 @@
             moving_machines: HashMap::new(),
             pending_moves: Vec::new(),
             machine_leases,
+            silent_machines: SilentMachines::default(),
             last_balanced: now,
             peak_needs: HashMap::new(),
             surplus_machines: HashMap::new(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -1,9 +1,9 @@
 //! Moves machines between services.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use cassiafold_config::ServiceId;
+use cassiafold_config::{InstanceId, ServiceId, ZoneId};
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
@@ -44,6 +44,7 @@
             return;
         }
         self.remove_finished_moves(now);
+        self.silent_machines.update(self.list_silent_machines(), now);
         let pools = self.pools(now);
         let moves = choose_moves(&pools, self.moves_max());
         self.surplus_machines = count_surplus(&pools);
@@ -93,6 +94,9 @@
     }
 
     fn pools(&mut self, now: Moment) -> BTreeMap<ServiceId, Pool> {
+        let silence_max = self.lease_max_with_skew();
+        let unreachable_zones = self.unreachable_zones();
+        let mut idle: BTreeMap<ServiceId, Vec<(bool, &Machine)>> = BTreeMap::new();
         let mut pools: BTreeMap<ServiceId, Pool> = BTreeMap::new();
         for (id, service) in &self.config.services {
             let pool = Pool { is_spare: service.is_spare, ..Pool::default() };
@@ -101,14 +105,24 @@
         for machine in self.machines.iter() {
             let target = self.moving_machines.get(&machine.id).map(|(service, _)| service);
             let Some(pool) = pools.get_mut(target.unwrap_or(&machine.service)) else { continue };
-            if machine.state == MachineState::Down || self.is_draining(machine) {
+            if machine.state == MachineState::Down
+                || self.is_draining(machine)
+                || self.silent_machines.is_silent_for(&machine.id, silence_max, now)
+            {
                 continue;
             }
             pool.machines += 1;
             if target.is_none() && self.is_idle(machine, now) {
-                pool.idle.push(machine.id.clone());
+                let is_reachable = !unreachable_zones.contains(&machine.zone);
+                idle.entry(machine.service.clone()).or_default().push((is_reachable, machine));
             }
         }
+        for (service, mut machines) in idle {
+            let Some(pool) = pools.get_mut(&service) else { continue };
+            // Machines are taken from the end.
+            machines.sort_by_key(|(is_reachable, _)| *is_reachable);
+            pool.idle = machines.into_iter().map(|(_, machine)| machine.id.clone()).collect();
+        }
         let cores_per_machine = self.cores_per_machine();
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
             let load = self.load(id, now);
@@ -123,6 +137,37 @@
         pools
     }
 
+    /// Returns the machines that are up and in use by a service.
+    fn machines_in_use(&self) -> impl Iterator<Item = &Machine> {
+        self.machines.iter().filter(|machine| {
+            let service = self.config.services.get(&machine.service);
+            machine.state == MachineState::Up && service.is_some_and(|service| !service.is_spare)
+        })
+    }
+
+    fn has_responding_worker(&self, machine: &Machine) -> bool {
+        let slot = machine.worker.as_ref().and_then(|id| self.current_slots.get(id));
+        slot.is_some_and(|slot| self.workers[*slot].is_confirmed)
+    }
+
+    /// Returns the machines in use whose workers do not respond.
+    fn list_silent_machines(&self) -> Vec<InstanceId> {
+        let silent = self.machines_in_use().filter(|machine| !self.has_responding_worker(machine));
+        silent.map(|machine| machine.id.clone()).collect()
+    }
+
+    /// Returns the availability zones with machines in use of which none responds.
+    fn unreachable_zones(&self) -> HashSet<ZoneId> {
+        let (responding, silent): (Vec<&Machine>, Vec<&Machine>) =
+            self.machines_in_use().partition(|machine| self.has_responding_worker(machine));
+        let mut zones: HashSet<ZoneId> =
+            silent.into_iter().map(|machine| machine.zone.clone()).collect();
+        for machine in responding {
+            zones.remove(&machine.zone);
+        }
+        zones
+    }
+
     /// Returns whether a machine is cordoned for maintenance.
     fn is_draining(&self, machine: &Machine) -> bool {
         let slot = machine.worker.as_ref().and_then(|id| self.current_slots.get(id));
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -119,7 +119,7 @@
     }
 
     /// Commits the next write, if there is one.
-    fn commit_writes(&mut self) {
+    pub fn commit_writes(&mut self) {
         if let Some(batch) = self.scheduler.next_write_batch(self.now) {
             self.scheduler.handle_write_committed(&batch, self.now);
         }
