Read pages and changes that arrive slowly, as long as they arrive

Cause: the ownership passed to one of the instances with a link of 10 Mbit/s while the six others were cut off. A new owner lists all accepted jobs, and the first page of a list had 0.7 s to arrive completely. With the jobs of 38 s the page took longer on that link, at every attempt. The lease is small and was renewed all the while, so no other instance took over.

Class: a timeout of the whole transfer where the size of the transfer is not bounded by it, repeated from the start without end.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::response::Parts;
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -17,7 +17,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::backoff::Backoff;
@@ -66,6 +66,17 @@
     pub body: Bytes,
 }
 
+/// Limits of a response that may take long to arrive.
+#[derive(Debug, Clone, Copy)]
+pub struct DownloadLimits {
+    /// Timeout of the head of the response.
+    pub head_timeout: Duration,
+    /// Longest pause between two parts of the body.
+    pub pause_max: Duration,
+    /// Size of the largest body, in bytes.
+    pub max_bytes: usize,
+}
+
 /// Client of one service. Clones share connections.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -143,7 +154,7 @@
         deadline: Instant,
         max_bytes: usize,
     ) -> Result<Answer, CallError> {
-        let (mut connection, parts, body) = self.open(request, deadline).await?;
+        let (connection, parts, body) = self.open(request, deadline).await?;
         let reading = Limited::new(body, max_bytes).collect();
         let body = match timeout_at(deadline, reading).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -153,10 +164,43 @@
             Ok(Err(error)) => return Err(self.no_response(connection.endpoint, error, false)),
             Err(_) => return Err(self.no_response(connection.endpoint, "timeout", false)),
         };
+        Ok(self.complete(connection, parts, body))
+    }
+
+    /// Sends a request and reads the complete response, however long it takes, as long as it keeps
+    /// arriving.
+    pub async fn download(
+        &self,
+        request: Request<Bytes>,
+        limits: DownloadLimits,
+    ) -> Result<Answer, CallError> {
+        let DownloadLimits { head_timeout, pause_max, max_bytes } = limits;
+        let (connection, parts, mut body) =
+            self.open(request, Instant::now() + head_timeout).await?;
+        let failure = |reason: Arc<str>| self.no_response(connection.endpoint, reason, false);
+        let mut received = BytesMut::new();
+        loop {
+            let frame = match timeout(pause_max, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Err(failure(to_text(error))),
+                Ok(None) => break,
+                Err(_) => return Err(failure("timeout".into())),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if received.len() + data.len() > max_bytes {
+                return Err(CallError::TooLarge { max_bytes });
+            }
+            received.extend_from_slice(&data);
+        }
+        Ok(self.complete(connection, parts, received.freeze()))
+    }
+
+    /// Keeps the connection of a complete response for the next request.
+    fn complete(&self, mut connection: Connection, parts: Parts, body: Bytes) -> Answer {
         connection.last_response_at = Some(Instant::now());
         self.keep_idle(connection);
         let etag = parts.headers.get(header::ETAG).cloned();
-        Ok(Answer { status: parts.status, etag, body })
+        Answer { status: parts.status, etag, body }
     }
 
     /// Sends a request and returns the response with an unread body.
