Leave the ownership when the state cannot be read

Cause: a new owner repeated its reading without end and renewed its lease meanwhile; nothing ends a term that never begins its work.

Change: after two seconds without success the next failed attempt ends the term; the lease is given up, and the instance waits for one second, which is longer than the other instances' delays, before it claims again. The reasons for which a term ends are a type. The stand-in of the store can lose or delay the lists of one prefix.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cassiafold_event::emit;
-use cassiafold_platform::{LeaseKeeper, LeaseValidity, Moment, since_boot};
+use cassiafold_platform::{LeaseKeeper, LeaseValidity, Moment, StoreError, since_boot};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -44,6 +44,9 @@
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
+/// Delay before an instance that could not read the state claims the ownership again. It is longer
+/// than the delays of the other instances' claims.
+const FAILED_LOAD_DELAY: Duration = Duration::from_secs(1);
 /// Capacity of the message channel of the owner's loop.
 const CHANNEL_CAPACITY: usize = 4_096;
 
@@ -81,12 +84,39 @@
         let token = claimed.token;
         emit!(JobsEvent::OwnerBegan, token = token);
         settings.metrics.set_is_owner(true);
-        let reason = run_term(&platform, &settings, desired_states.clone(), claimed, &stop).await;
+        let end = run_term(&platform, &settings, desired_states.clone(), claimed, &stop).await;
         settings.metrics.set_is_owner(false);
-        emit!(JobsEvent::OwnerEnded, token = token, reason = reason);
+        emit!(JobsEvent::OwnerEnded, token = token, reason = end);
+        if matches!(end, TermEnd::NotLoaded(_)) {
+            tokio::select! {
+                () = sleep(FAILED_LOAD_DELAY) => {}
+                () = stop.cancelled() => return,
+            }
+        }
     }
 }
 
+/// Why a term ended.
+#[derive(Debug, thiserror::Error)]
+enum TermEnd {
+    #[error("lease ended while loading")]
+    LeaseEndedWhileLoading,
+    #[error("stopped while loading")]
+    StoppedWhileLoading,
+    #[error("the state could not be read: {0}")]
+    NotLoaded(StoreError),
+    #[error("message channel closed")]
+    MessagesClosed,
+    #[error("desired state channel closed")]
+    DesiredStateClosed,
+    #[error("lease ended")]
+    LeaseEnded,
+    #[error("stopped")]
+    Stopped,
+    #[error("fenced by a later owner")]
+    Fenced,
+}
+
 /// Input of the owner's loop.
 enum Message {
     Outcome(Outcome),
@@ -116,15 +146,22 @@
     mut desired_states: watch::Receiver<Arc<DesiredState>>,
     ownership: Ownership<S>,
     stop: &CancellationToken,
-) -> &'static str {
+) -> TermEnd {
     let Ownership { lease, token } = ownership;
     let loading = load::load(platform, settings.scheduler, token, &settings.instance);
     let loaded = tokio::select! {
         loaded = loading => loaded,
-        () = lease.ended() => return "lease ended while loading",
+        () = lease.ended() => return TermEnd::LeaseEndedWhileLoading,
         () = stop.cancelled() => {
             release_ownership(lease).await;
-            return "stopped while loading";
+            return TermEnd::StoppedWhileLoading;
+        }
+    };
+    let loaded = match loaded {
+        Ok(loaded) => loaded,
+        Err(error) => {
+            release_ownership(lease).await;
+            return TermEnd::NotLoaded(error);
         }
     };
     let (sender, mut messages) = mpsc::channel(CHANNEL_CAPACITY);
@@ -160,28 +197,28 @@
     owner_loop.apply_desired_state(&desired_states.borrow_and_update().clone());
     owner_loop.workers.decode_initial(platform);
     owner_loop.update_workers();
-    let reason = loop {
+    let end = loop {
         let now = since_boot();
         let due = owner_loop.scheduler.next_due(now);
         let first = tokio::select! {
             message = messages.recv() => match message {
                 Some(message) => Some(message),
-                None => break "message channel closed",
+                None => break TermEnd::MessagesClosed,
             },
             changed = desired_states.changed() => match changed {
                 Ok(()) => {
                     owner_loop.apply_desired_state(&desired_states.borrow_and_update().clone());
                     None
                 }
-                Err(_) => break "desired state channel closed",
+                Err(_) => break TermEnd::DesiredStateClosed,
             },
             () = sleep(due.saturating_sub(now)) => None,
-            () = lease.ended() => break "lease ended",
-            () = stop.cancelled() => break "stopped",
+            () = lease.ended() => break TermEnd::LeaseEnded,
+            () = stop.cancelled() => break TermEnd::Stopped,
         };
         owner_loop.handle_messages(first, &mut messages);
         if owner_loop.is_fenced {
-            break "fenced by a later owner";
+            break TermEnd::Fenced;
         }
         owner_loop.loop_stats.record_pass(due, since_boot());
         owner_loop.run_pass();
@@ -191,7 +228,7 @@
         release_ownership(lease).await;
     }
     owner_loop.close();
-    reason
+    end
 }
 
 async fn release_ownership<S: cassiafold_platform::Store>(lease: LeaseKeeper<S>) {
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -29,6 +29,9 @@
 
 /// Delay between two attempts to read the store.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time after which the owner gives up if no attempt has succeeded. An attempt in progress may take
+/// longer.
+const ATTEMPTS_TIME_MAX: Duration = Duration::from_secs(2);
 /// Number of run numbers per task that one owner may use.
 const RUN_NUMBERS_PER_TERM: RunNumber = 1_000;
 
@@ -45,17 +48,19 @@
     pub(super) workers_revision: Revision,
 }
 
-/// Reads the state, and retries until it succeeds.
+/// Reads the state; the last error if no attempt succeeds. Another instance may be able to read it.
 pub(super) async fn load<S: PlatformClients>(
     platform: &S,
     settings: SchedulerSettings,
     token: FencingToken,
     instance: &Arc<str>,
-) -> Loaded {
+) -> Result<Loaded, StoreError> {
+    let give_up_at = since_boot() + ATTEMPTS_TIME_MAX;
     let mut outage = OutageLog::new("load");
     loop {
         match try_load(platform, settings, token, instance).await {
-            Ok(loaded) => return loaded,
+            Ok(loaded) => return Ok(loaded),
+            Err(error) if since_boot() >= give_up_at => return Err(error),
             Err(error) => outage.record_failure(&error),
         }
         sleep(RETRY_DELAY).await;
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -9,7 +9,7 @@
     CancelResponse, CountResponse, Denial, JobApi, JobStateResponse, SubmitResponse, Target,
 };
 use cassiafold_jobs::record::{
-    JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key, sequence_key,
+    INBOX_PREFIX, JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key, sequence_key,
 };
 use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
@@ -90,6 +90,44 @@
     assert_eq!(starts.iter().filter(|(task, _)| task.step.job == 1).count(), 5);
 }
 
+/// Waits until an instance is the owner.
+async fn wait_until_owner(platform: &TestClients, instance: &str) {
+    let prefix = format!("{instance} ");
+    wait_until("owner", async || {
+        let owner_record = platform.store.get(OWNER_KEY).await.expect("store")?;
+        owner_record.value.starts_with(prefix.as_bytes()).then_some(())
+    })
+    .await;
+}
+
+/// Guards against a day without an owner: one that could not read the jobs kept its lease for ever.
+#[tokio::test]
+async fn an_owner_that_cannot_read_the_jobs_leaves_the_ownership_to_another() {
+    let platform = platform_with_workers(2).await;
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    platform.store.faults().fail_lists("blind", INBOX_PREFIX);
+    let _blind = platform.client("blind").start_owner("blind");
+    wait_until_owner(&platform, "blind").await;
+    let _other = platform.client("other").start_owner("other");
+    assert_eq!(submit(&platform, &api, 1).await, SubmitResponse::Accepted);
+    wait_until_completed(&api, 1).await;
+}
+
+#[tokio::test]
+async fn an_owner_that_reads_the_jobs_slowly_keeps_the_ownership() {
+    let platform = platform_with_workers(2).await;
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    platform.store.faults().delay_lists("slow", INBOX_PREFIX, ms(4_000));
+    let _slow = platform.client("slow").start_owner("slow");
+    wait_until_owner(&platform, "slow").await;
+    let _other = platform.client("other").start_owner("other");
+    assert_eq!(submit(&platform, &api, 1).await, SubmitResponse::Accepted);
+    wait_until_completed(&api, 1).await;
+    wait_until_owner(&platform, "slow").await;
+}
+
 #[tokio::test]
 async fn an_instance_with_a_claim_delay_leaves_an_initially_free_ownership_to_another() {
     let platform = platform_with_workers(1).await;
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -32,6 +32,15 @@
     Answers,
 }
 
+/// Fault of the lists of one prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ListFault {
+    /// The response is lost.
+    NoResponse,
+    /// The response takes this time to arrive.
+    Slow(Duration),
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Faults {
     pub(crate) outage: bool,
@@ -39,6 +48,8 @@
     pub(crate) stale_revision: Option<Revision>,
     pub(crate) silent_watches: bool,
     partitions: BTreeMap<ClientId, Partition>,
+    /// Faults of lists, by client and prefix.
+    list_faults: BTreeMap<(ClientId, Arc<str>), ListFault>,
     planned_faults: VecDeque<Option<WriteFault>>,
     periodic_fault: Option<(u64, WriteFault)>,
     writes: u64,
@@ -55,6 +66,10 @@
         self.writes.is_multiple_of(interval).then_some(fault)
     }
 
+    pub(crate) fn list_fault(&self, client: &ClientId, prefix: &str) -> Option<ListFault> {
+        self.list_faults.get(&(client.clone(), prefix.into())).copied()
+    }
+
     pub(crate) fn partition(&self, client: &str) -> Option<Partition> {
         self.partitions.get(client).copied()
     }
@@ -153,6 +168,26 @@
         });
     }
 
+    /// Makes the lists of a prefix fail for one client.
+    pub fn fail_lists(&self, client: impl Into<ClientId>, prefix: impl Into<Arc<str>>) {
+        self.set(|faults| {
+            faults.list_faults.insert((client.into(), prefix.into()), ListFault::NoResponse);
+        });
+    }
+
+    /// Delays the lists of a prefix for one client, whatever its timeout: the response arrives, but
+    /// slowly.
+    pub fn delay_lists(
+        &self,
+        client: impl Into<ClientId>,
+        prefix: impl Into<Arc<str>>,
+        delay: Duration,
+    ) {
+        self.set(|faults| {
+            faults.list_faults.insert((client.into(), prefix.into()), ListFault::Slow(delay));
+        });
+    }
+
     /// Ends the partition of one client.
     pub fn reconnect(&self, client: &str) {
         self.set(|faults| {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::calls::CallKind;
-use crate::faults::{ClientId, Partition, StoreFaults, WriteFault};
+use crate::faults::{ClientId, ListFault, Partition, StoreFaults, WriteFault};
 use crate::state::{State, WatchNumber};
 
 /// Client id of a store handle that was given none.
@@ -167,6 +167,15 @@
         prefix: &str,
         at: Option<Revision>,
     ) -> Result<Snapshot, StoreError> {
+        let fault = self.shared.lock().faults.list_fault(&self.client, prefix);
+        match fault {
+            Some(ListFault::Slow(delay)) => sleep(delay).await,
+            Some(ListFault::NoResponse) => {
+                sleep(self.timeout).await;
+                return Err(StoreError::Unavailable("no response before the timeout".into()));
+            }
+            None => {}
+        }
         let list = |state: &State| state.keys.list(prefix, at.or(state.faults.stale_revision));
         let snapshot = self.read(CallKind::List, list).await?;
         match at.is_some_and(|at| at != snapshot.revision) {
