Mend a sentence that a rename left behind in the job API

What readers saw: the head of api.rs said "the configuration that auth it". Cause: a rename of identifiers reached into the sentence. Change: the sentence. Comments of crates/jobs/src were read for others. Conclusion: none was found.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -2,8 +2,8 @@
 //! waiting jobs.
 //!
 //! A job is accepted by one transaction that creates its record, on the condition that the
-//! configuration that auth it is still in force. A job is refused as never running only if
-//! nothing of it can be in the store, now or later.
+//! configuration that authorizes the call is still in force. A job is refused as never running
+//! only if nothing of it can be in the store, now or later.
 
 mod admission;
 mod count;
