Tell why a query, cancel or count has no result

Cause: the responses carried no reason.

Change, no change of what callers get: Unknown carries an UnknownReason (store unavailable since when and by which call, reads failed, record unreadable with key, revision and error, count outdated); each call without what it asked for writes event 1605 with the job's id, the reason, the configuration's revision and age, the time that the caller had and the time taken; also denials, 410, results after the deadline and calls whose connection was closed. 40 lines a second for each reason; the others are counted, with up to 200 ids, by event 1608. Outcomes of cassiafold_calls_total are the reasons' names. api.rs is split by responsibility. cassiafold_call_seconds counts from the request's arrival.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -6,13 +6,17 @@
 //! only if nothing of it can be in the store, now or later.
 
 mod admission;
+mod availability;
+mod call_log;
+mod cancellation;
 mod count;
+mod reason;
 mod response;
+mod state_query;
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use cassiafold_config::TeamId;
@@ -25,17 +29,18 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use self::admission::AuthorizedCall;
+use self::availability::StoreAvailability;
+use self::call_log::{LineLimit, OpenCall};
+pub use self::reason::{StoreLoss, StoreOperation, UnknownReason, UnreadableRecord};
 pub use self::response::{
-    Call, CancelResponse, CountResponse, Denial, JobStateResponse, SubmitResponse, Target,
+    Call, CallKind, CancelResponse, CountResponse, Denial, JobStateResponse, SubmitResponse, Target,
 };
 use crate::cluster::ClusterConfig;
 use crate::desired_state::{DesiredState, DesiredStateSender};
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::{Formats, PlatformClients};
-use crate::record::{
-    JobRecord, JobState, StateRecord, WAITING_KEY, WaitingRecord, cancel_key, job_key, state_key,
-};
+use crate::record::{JobRecord, JobState, WaitingRecord, job_key};
 use crate::spec::{JobId, JobSpec};
 use std::sync::Arc;
 
@@ -46,10 +51,6 @@
 /// Timeout of the first attempt of a store call; the next attempt uses another connection. The
 /// timeout doubles with each attempt, so that a slow store has time to respond.
 const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Timeout of a read that checks whether the store is available.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time between two such reads.
-const CHECK_INTERVAL: Duration = Duration::from_millis(60);
 /// Delay between two attempts of a store call.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Number of final states that are cached.
@@ -66,8 +67,8 @@
     desired_states: watch::Receiver<Arc<DesiredState>>,
     sender: DesiredStateSender,
     metrics: JobsMetrics,
-    /// Whether the store is unavailable, in which case it is being checked.
-    is_store_unavailable: Arc<AtomicBool>,
+    availability: StoreAvailability<S::Store>,
+    line_limit: LineLimit,
     cached_waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
     final_states: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
     /// When the configuration was last read for a caller.
@@ -82,12 +83,14 @@
         sender: DesiredStateSender,
         metrics: JobsMetrics,
     ) -> Self {
+        let store = platform.store().clone();
         Self {
             platform,
             desired_states,
             sender,
+            availability: StoreAvailability::new(store, metrics.clone()),
             metrics,
-            is_store_unavailable: Arc::default(),
+            line_limit: LineLimit::default(),
             cached_waiting: Mutex::default(),
             final_states: Mutex::default(),
             config_read: Mutex::new(Moment::ZERO),
@@ -99,25 +102,7 @@
     pub fn is_ready(&self, age_max: Duration) -> bool {
         let desired_state = self.desired_states.borrow().clone();
         let age = since_boot().saturating_sub(desired_state.confirmed);
-        desired_state.config.is_some() && age < age_max && !self.is_store_unavailable()
-    }
-
-    /// Whether a store call got no response and no check has succeeded since.
-    fn is_store_unavailable(&self) -> bool {
-        self.is_store_unavailable.load(Ordering::Relaxed)
-    }
-
-    /// Records whether a store call got a response. If not, checks the store until it is available.
-    fn track_availability<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
-        let is_lost =
-            matches!(result, Err(StoreError::OutcomeUnknown(_) | StoreError::Unavailable(_)));
-        if is_lost && !self.is_store_unavailable.swap(true, Ordering::Relaxed) {
-            tokio::spawn(wait_for_store(
-                self.platform.store().clone(),
-                self.is_store_unavailable.clone(),
-            ));
-        }
-        result
+        desired_state.config.is_some() && age < age_max && self.availability.loss().is_none()
     }
 
     /// Limit of the size of a request body, in bytes.
@@ -125,18 +110,11 @@
         self.desired_states.borrow().config.as_ref().and_then(|config| config.body_bytes_max)
     }
 
-    fn record_call(&self, kind: &'static str, call: &Call, outcome: &'static str, taken: Duration) {
-        let auth = self.authorize(call).ok();
-        let queue = auth.as_ref().map(|auth| &auth.queue.id);
-        let team = auth.as_ref().and_then(|auth| auth.team.as_ref());
-        self.metrics.record_call(kind, queue, team, outcome, taken);
-    }
-
     /// Accepts a job, if the caller may submit it and the store accepts the write.
     pub async fn submit(&self, call: &Call, spec: JobSpec) -> SubmitResponse {
-        let started = Instant::now();
+        let open_call = OpenCall::new(self, CallKind::Submit, call);
         let response = self.submit_once(call, spec).await;
-        self.record_call("submit", call, response.name(), started.elapsed());
+        open_call.close(response.name(), response.no_result());
         response
     }
 
@@ -151,14 +129,15 @@
             let Target::Job(id) = auth.target else {
                 return SubmitResponse::Denied(Denial::NoJob);
             };
-            if failed_attempts == 0 && self.is_store_unavailable() {
+            if failed_attempts == 0 && self.availability.loss().is_some() {
                 return refuse(id, "the store is unavailable");
             }
             let attempt_timeout = FIRST_ATTEMPT_TIMEOUT * (1 << failed_attempts);
             let attempt = timeout(attempt_timeout, self.store_job(&auth, id, &spec)).await;
             let no_response =
                 || Err(StoreError::OutcomeUnknown("no response before the timeout".into()));
-            match self.track_availability(attempt.unwrap_or_else(|_| no_response())) {
+            let result = attempt.unwrap_or_else(|_| no_response());
+            match self.availability.track(StoreOperation::WriteJob, result) {
                 Ok(StoreOutcome::Created) => {
                     emit!(
                         target: LOG_TARGET,
@@ -224,128 +203,14 @@
         }
     }
 
-    /// Stores the cancellation of a job.
-    pub async fn cancel(&self, call: &Call) -> CancelResponse {
-        let started = Instant::now();
-        let response = self.cancel_once(call).await;
-        self.record_call("cancel", call, response.name(), started.elapsed());
-        response
-    }
-
-    async fn cancel_once(&self, call: &Call) -> CancelResponse {
-        let auth = match self.authorize_fresh(call).await {
-            Ok(auth) => auth,
-            Err(denial) => return CancelResponse::Denied(denial),
-        };
-        let Target::Job(id) = auth.target else { return CancelResponse::Denied(Denial::NoJob) };
-        let deadline = call.deadline - RESPONSE_MARGIN;
-        loop {
-            if self.is_store_unavailable() {
-                return CancelResponse::Unknown;
-            }
-            match self.track_availability(self.store_cancel(id, auth.team.as_ref()).await) {
-                Ok(true) => {
-                    emit!(
-                        target: LOG_TARGET,
-                        JobsEvent::JobCancelled,
-                        job = format_args!("{id:016x}")
-                    );
-                    return CancelResponse::Accepted;
-                }
-                Ok(false) => return CancelResponse::NoSuchJob,
-                Err(error) if Instant::now() + RETRY_DELAY >= deadline => {
-                    emit!(
-                        target: LOG_TARGET,
-                        JobsEvent::StateUnknown,
-                        job = format_args!("{id:016x}"),
-                        error = error
-                    );
-                    return CancelResponse::Unknown;
-                }
-                Err(_) => sleep(RETRY_DELAY).await,
-            }
-        }
-    }
-
-    async fn store_cancel(&self, id: JobId, team: Option<&TeamId>) -> Result<bool, StoreError> {
-        let Some(record) = self.platform.store().get(&job_key(id)).await? else { return Ok(false) };
-        if !may_access_record(&record, team) {
-            return Ok(false);
-        }
-        let transaction = Transaction::default()
-            .expect(record.key.clone(), Compare::Revision(record.revision))
-            .put(cancel_key(id), Vec::new(), None);
-        let outcome = self.platform.store().commit(transaction).await?;
-        Ok(matches!(outcome, TransactionOutcome::Written(_)))
-    }
-
-    /// Returns the state of a job.
-    pub async fn job_state(&self, call: &Call) -> JobStateResponse {
-        let started = Instant::now();
-        let response = self.job_state_once(call).await;
-        self.record_call("look", call, response.name(), started.elapsed());
-        response
-    }
-
-    async fn job_state_once(&self, call: &Call) -> JobStateResponse {
-        let auth = match self.authorize_fresh(call).await {
-            Ok(auth) => auth,
-            Err(denial) => return JobStateResponse::Denied(denial),
-        };
-        let Target::Job(id) = auth.target else { return JobStateResponse::Denied(Denial::NoJob) };
-        let deadline = call.deadline - RESPONSE_MARGIN;
-        loop {
-            if self.final_state(id).is_none() && self.is_store_unavailable() {
-                return JobStateResponse::Unknown;
-            }
-            match self.track_availability(self.read_state(id, auth.team.as_ref()).await) {
-                Ok(Some(state)) => return JobStateResponse::State(state),
-                Ok(None) => return JobStateResponse::NoSuchJob,
-                Err(error) if Instant::now() + RETRY_DELAY >= deadline => {
-                    emit!(
-                        target: LOG_TARGET,
-                        JobsEvent::StateUnknown,
-                        job = format_args!("{id:016x}"),
-                        error = error
-                    );
-                    return JobStateResponse::Unknown;
-                }
-                Err(_) => sleep(RETRY_DELAY).await,
-            }
-        }
-    }
-
-    async fn read_state(
+    /// Reads a key for a caller.
+    async fn read_key(
         &self,
-        id: JobId,
-        team: Option<&TeamId>,
-    ) -> Result<Option<JobState>, StoreError> {
-        if let Some((state, of_team)) = self.final_state(id) {
-            return Ok(may_access(of_team.as_ref(), team).then_some(state));
-        }
-        if let Some(record) = self.platform.store().get(&state_key(id)).await? {
-            let state = StateRecord::try_from(&record.value[..])
-                .map_err(|error| StoreError::Malformed(error.to_string().into()))?;
-            self.cache_final_state(id, &state);
-            return Ok(may_access(state.team.as_ref(), team).then_some(state.state));
-        }
-        let record = self.platform.store().get(&job_key(id)).await?;
-        Ok(record.filter(|record| may_access_record(record, team)).map(|_| JobState::Queued))
-    }
-
-    fn final_state(&self, id: JobId) -> Option<(JobState, Option<TeamId>)> {
-        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned()
-    }
-
-    fn cache_final_state(&self, id: JobId, record: &StateRecord) {
-        if !record.state.is_final() {
-            return;
-        }
-        let mut final_states = self.final_states.lock().unwrap_or_else(PoisonError::into_inner);
-        if final_states.len() >= FINAL_STATES_MAX {
-            final_states.clear();
-        }
-        final_states.insert(id, (record.state, record.team.clone()));
+        operation: StoreOperation,
+        key: &str,
+    ) -> Result<Option<Record>, UnknownReason> {
+        let result = self.platform.store().get(key).await;
+        self.availability.track(operation, result).map_err(UnknownReason::StoreFailed)
     }
 
     /// Returns what the path of a call names, if the call is allowed.
@@ -359,17 +224,6 @@
     }
 }
 
-/// Reads from the store until it responds.
-async fn wait_for_store<S: Store>(store: S, is_store_unavailable: Arc<AtomicBool>) {
-    loop {
-        if let Ok(Ok(_)) = timeout(CHECK_TIMEOUT, store.get(WAITING_KEY)).await {
-            is_store_unavailable.store(false, Ordering::Relaxed);
-            return;
-        }
-        sleep(CHECK_INTERVAL).await;
-    }
-}
-
 /// Refuses a job of which nothing was sent to the store.
 fn refuse(id: JobId, reason: &str) -> SubmitResponse {
     emit!(
@@ -404,3 +258,11 @@
     let owner = JobRecord::try_from(&record.value[..]).ok().and_then(|record| record.team);
     may_access(owner.as_ref(), team)
 }
+
+fn unreadable(record: &Record, error: &impl fmt::Display) -> UnknownReason {
+    UnknownReason::RecordUnreadable(UnreadableRecord {
+        key: record.key.clone(),
+        revision: record.revision,
+        error: error.to_string().into(),
+    })
+}
--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -5,14 +5,15 @@
 
 use cassiafold_config::TeamId;
 use cassiafold_event::emit;
-use cassiafold_platform::{Record, Revision, Store, StoreError, since_boot};
+use cassiafold_platform::{Moment, Record, Revision, Store, StoreError, since_boot};
 use tokio::time::timeout;
 
+use super::reason::StoreOperation;
+use super::response::parse_job;
 use super::{Call, Denial, JobApi, Target};
 use crate::cluster::Queue;
 use crate::event::JobsEvent;
 use crate::platform_clients::{Formats, OperatorItem, PlatformClients};
-use crate::spec::JobId;
 
 /// Age from which an unconfirmed configuration may be out of date. The store holds a watch request
 /// for one second before it reports that nothing has changed.
@@ -48,20 +49,30 @@
     }
 
     fn is_config_current(&self) -> bool {
+        since_boot().saturating_sub(self.config_confirmed()) < CONFIG_AGE_MAX
+    }
+
+    /// When the store last confirmed the configuration.
+    pub(super) fn config_confirmed(&self) -> Moment {
         let read = *self.config_read.lock().unwrap_or_else(PoisonError::into_inner);
-        let confirmed = self.desired_states.borrow().confirmed.max(read);
-        since_boot().saturating_sub(confirmed) < CONFIG_AGE_MAX
+        self.desired_states.borrow().confirmed.max(read)
+    }
+
+    /// Revision of the configuration; 0 if none is known.
+    pub(super) fn config_revision(&self) -> Revision {
+        self.desired_states.borrow().config_revision
     }
 
     async fn read_config(&self) -> Result<(), StoreError> {
-        if self.is_store_unavailable() {
-            return Err(StoreError::Unavailable("the store is unavailable".into()));
+        if let Some(loss) = self.availability.loss() {
+            return Err(loss.error);
         }
         let requested_at = since_boot();
         let reading = timeout(CONFIG_TIMEOUT, self.platform.store().get(S::Formats::CONFIG_KEY));
         let no_response =
             || Err(StoreError::OutcomeUnknown("no response before the timeout".into()));
-        let record = self.track_availability(reading.await.unwrap_or_else(|_| no_response()))?;
+        let result = reading.await.unwrap_or_else(|_| no_response());
+        let record = self.availability.track(StoreOperation::ReadConfig, result)?;
         self.apply_config_record(record.as_slice());
         *self.config_read.lock().unwrap_or_else(PoisonError::into_inner) = requested_at;
         Ok(())
@@ -107,6 +118,5 @@
     if rest.is_empty() {
         return Some(Target::Queue);
     }
-    let is_job = rest.len() == 16 && rest.bytes().all(|digit| digit.is_ascii_hexdigit());
-    is_job.then(|| JobId::from_str_radix(rest, 16).ok().map(Target::Job)).flatten()
+    parse_job(rest).map(Target::Job)
 }
--- /dev/null
+++ b/crates/jobs/src/api/cancellation.rs
@@ -0,0 +1,74 @@
+//! Cancellation of a job.
+
+use cassiafold_config::TeamId;
+use cassiafold_event::emit;
+use cassiafold_platform::{Compare, Transaction, TransactionOutcome, TransactionalStore};
+use tokio::time::{Instant, sleep};
+
+use super::call_log::OpenCall;
+use super::reason::{StoreOperation, UnknownReason};
+use super::{
+    Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RESPONSE_MARGIN, RETRY_DELAY,
+    Target, may_access_record,
+};
+use crate::event::JobsEvent;
+use crate::platform_clients::PlatformClients;
+use crate::record::{cancel_key, job_key};
+use crate::spec::JobId;
+
+impl<S: PlatformClients> JobApi<S> {
+    /// Stores the cancellation of a job.
+    pub async fn cancel(&self, call: &Call) -> CancelResponse {
+        let open_call = OpenCall::new(self, CallKind::Cancel, call);
+        let response = self.cancel_once(call).await;
+        open_call.close("accepted", response.no_result());
+        response
+    }
+
+    async fn cancel_once(&self, call: &Call) -> CancelResponse {
+        let auth = match self.authorize_fresh(call).await {
+            Ok(auth) => auth,
+            Err(denial) => return CancelResponse::Denied(denial),
+        };
+        let Target::Job(id) = auth.target else { return CancelResponse::Denied(Denial::NoJob) };
+        let deadline = call.deadline - RESPONSE_MARGIN;
+        loop {
+            if let Some(loss) = self.availability.loss() {
+                return CancelResponse::Unknown(UnknownReason::StoreUnavailable(loss));
+            }
+            match self.store_cancel(id, auth.team.as_ref()).await {
+                Ok(true) => {
+                    emit!(
+                        target: LOG_TARGET,
+                        JobsEvent::JobCancelled,
+                        job = format_args!("{id:016x}")
+                    );
+                    return CancelResponse::Accepted;
+                }
+                Ok(false) => return CancelResponse::NoSuchJob,
+                Err(reason) if Instant::now() + RETRY_DELAY >= deadline => {
+                    return CancelResponse::Unknown(reason);
+                }
+                Err(_) => sleep(RETRY_DELAY).await,
+            }
+        }
+    }
+
+    async fn store_cancel(&self, id: JobId, team: Option<&TeamId>) -> Result<bool, UnknownReason> {
+        let Some(record) = self.read_key(StoreOperation::ReadJob, &job_key(id)).await? else {
+            return Ok(false);
+        };
+        if !may_access_record(&record, team) {
+            return Ok(false);
+        }
+        let transaction = Transaction::default()
+            .expect(record.key.clone(), Compare::Revision(record.revision))
+            .put(cancel_key(id), Vec::new(), None);
+        let outcome = self.platform.store().commit(transaction).await;
+        let outcome = self
+            .availability
+            .track(StoreOperation::WriteCancel, outcome)
+            .map_err(UnknownReason::StoreFailed)?;
+        Ok(matches!(outcome, TransactionOutcome::Written(_)))
+    }
+}
--- a/crates/jobs/src/api/count.rs
+++ b/crates/jobs/src/api/count.rs
@@ -3,13 +3,12 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cassiafold_event::emit;
-use cassiafold_platform::{Store, StoreError, since_boot};
-use tokio::time::Instant;
+use cassiafold_platform::{Store, since_boot};
 
-use super::{Call, CountResponse, JobApi};
+use super::call_log::OpenCall;
+use super::reason::UnknownReason;
+use super::{Call, CallKind, CountResponse, JobApi, unreadable};
 use crate::cluster::QueueId;
-use crate::event::JobsEvent;
 use crate::platform_clients::PlatformClients;
 use crate::record::{WAITING_KEY, WaitingRecord};
 
@@ -18,15 +17,13 @@
 /// Age from which a count is not reported. The owner counts every second; the clocks of instances
 /// differ.
 const COUNT_AGE_MAX: Duration = Duration::from_millis(4_000);
-/// Log target of this module, which operators' filters name.
-const LOG_TARGET: &str = "cassiafold_jobs::desk::count";
 
 impl<S: PlatformClients> JobApi<S> {
     /// Returns the number of a queue's waiting jobs.
     pub async fn waiting_jobs(&self, call: &Call) -> CountResponse {
-        let started = Instant::now();
+        let open_call = OpenCall::new(self, CallKind::Count, call);
         let response = self.waiting_jobs_once(call).await;
-        self.record_call("count", call, response.name(), started.elapsed());
+        open_call.close("count", response.no_result());
         response
     }
 
@@ -37,23 +34,14 @@
         };
         match self.read_waiting_record().await {
             Ok(waiting) if is_outdated(&waiting, unix_now()) => {
-                emit!(target: LOG_TARGET, JobsEvent::CountOutdated, queue = auth.queue.id);
-                CountResponse::Unknown
+                CountResponse::Unknown(UnknownReason::CountOutdated)
             }
             Ok(waiting) => CountResponse::Waiting(count_of(&waiting, &auth.queue.id)),
-            Err(error) => {
-                emit!(
-                    target: LOG_TARGET,
-                    JobsEvent::StateUnknown,
-                    queue = auth.queue.id,
-                    error = error
-                );
-                CountResponse::Unknown
-            }
+            Err(reason) => CountResponse::Unknown(reason),
         }
     }
 
-    async fn read_waiting_record(&self) -> Result<Arc<WaitingRecord>, StoreError> {
+    async fn read_waiting_record(&self) -> Result<Arc<WaitingRecord>, UnknownReason> {
         let now = since_boot();
         let cached = self.cached_waiting.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if let Some((at, record)) = cached
@@ -61,10 +49,11 @@
         {
             return Ok(record);
         }
-        let record = match self.platform.store().get(WAITING_KEY).await? {
+        let result = self.platform.store().get(WAITING_KEY).await;
+        let record = match result.map_err(UnknownReason::StoreFailed)? {
             None => WaitingRecord::default(),
             Some(record) => serde_json::from_slice(&record.value)
-                .map_err(|error| StoreError::Malformed(error.to_string().into()))?,
+                .map_err(|error| unreadable(&record, &error))?,
         };
         let record = Arc::new(record);
         let mut cached = self.cached_waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/jobs/src/api/response.rs
+++ b/crates/jobs/src/api/response.rs
@@ -5,9 +5,13 @@
 
 use tokio::time::Instant;
 
+use super::reason::{NoResult, UnknownReason};
 use crate::record::JobState;
 use crate::spec::JobId;
 
+/// Hexadecimal digits of a job's id in a path.
+const JOB_DIGITS: usize = 16;
+
 /// A caller's request, with its credentials and deadline.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -17,10 +21,60 @@
     pub path: Arc<str>,
     /// The caller's API key.
     pub key: Option<Arc<str>>,
+    /// When the request arrived.
+    pub arrived: Instant,
     /// When the caller's timeout ends.
     pub deadline: Instant,
 }
 
+impl Call {
+    /// The job that the path ends with, whether or not the call is allowed.
+    pub fn job(&self) -> Option<JobId> {
+        let digits = self.path.get(self.path.len().checked_sub(JOB_DIGITS)?..)?;
+        parse_job(digits)
+    }
+
+    /// Time that is left until the caller's timeout ends.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Parses a job's id: 16 hexadecimal digits.
+pub(super) fn parse_job(digits: &str) -> Option<JobId> {
+    let is_job =
+        digits.len() == JOB_DIGITS && digits.bytes().all(|digit| digit.is_ascii_hexdigit());
+    is_job.then(|| JobId::from_str_radix(digits, 16).ok()).flatten()
+}
+
+/// Kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    /// Submits a job.
+    Submit,
+    /// Cancels a job.
+    Cancel,
+    /// Queries the state of a job.
+    StateQuery,
+    /// Counts the waiting jobs of a queue.
+    Count,
+    /// None of these.
+    Other,
+}
+
+impl CallKind {
+    /// Name of the kind, for logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Submit => "submit",
+            Self::Cancel => "cancel",
+            Self::StateQuery => "look",
+            Self::Count => "count",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// Why a call is denied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Denial {
@@ -36,6 +90,19 @@
     NoJob,
 }
 
+impl Denial {
+    /// Name of the denial, for logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_config",
+            Self::Outdated => "config_outdated",
+            Self::NoQueue => "unknown_queue",
+            Self::UnknownKey => "unknown_key",
+            Self::NoJob => "no_job",
+        }
+    }
+}
+
 /// Response to a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmitResponse {
@@ -56,79 +123,87 @@
             Self::Accepted => "accepted",
             Self::Refused(_) => "refused",
             Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
+            Self::Denied(denial) => denial.name(),
+        }
+    }
+
+    /// Why a submission was denied. Other submissions that were not accepted have their own lines.
+    pub(super) fn no_result(self) -> Option<NoResult<'static>> {
+        match self {
+            Self::Denied(denial) => Some(NoResult::Denied(denial)),
+            Self::Accepted | Self::Refused(_) | Self::Unknown => None,
         }
     }
 }
 
 /// Response to a cancellation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CancelResponse {
     /// The cancellation is stored.
     Accepted,
     /// No such job exists.
     NoSuchJob,
     /// It is not known whether the cancellation is stored.
-    Unknown,
+    Unknown(UnknownReason),
     /// The call is not allowed.
     Denied(Denial),
 }
 
 impl CancelResponse {
-    /// Name of the outcome, for metrics.
-    pub(super) fn name(self) -> &'static str {
+    /// Why the call has no result; `None` if it has one.
+    pub(super) fn no_result(&self) -> Option<NoResult<'_>> {
         match self {
-            Self::Accepted => "accepted",
-            Self::NoSuchJob => "no_such_job",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
+            Self::Accepted => None,
+            Self::NoSuchJob => Some(NoResult::NoSuchJob),
+            Self::Unknown(reason) => Some(NoResult::Unknown(reason)),
+            Self::Denied(denial) => Some(NoResult::Denied(*denial)),
         }
     }
 }
 
 /// Response to a query of a job's state.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobStateResponse {
     /// State of the job.
     State(JobState),
     /// No such job exists.
     NoSuchJob,
-    /// The store is unavailable.
-    Unknown,
+    /// The state is not known.
+    Unknown(UnknownReason),
     /// The call is not allowed.
     Denied(Denial),
 }
 
 impl JobStateResponse {
-    /// Name of the outcome, for metrics.
-    pub(super) fn name(self) -> &'static str {
+    /// Why the call has no result; `None` if it has one.
+    pub(super) fn no_result(&self) -> Option<NoResult<'_>> {
         match self {
-            Self::State(_) => "state",
-            Self::NoSuchJob => "no_such_job",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
+            Self::State(_) => None,
+            Self::NoSuchJob => Some(NoResult::NoSuchJob),
+            Self::Unknown(reason) => Some(NoResult::Unknown(reason)),
+            Self::Denied(denial) => Some(NoResult::Denied(*denial)),
         }
     }
 }
 
 /// Response to a query of a queue's length.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CountResponse {
     /// Number of waiting jobs.
     Waiting(u32),
-    /// The store is unavailable, or the count is outdated.
-    Unknown,
+    /// The number is not known.
+    Unknown(UnknownReason),
     /// The call is not allowed.
     Denied(Denial),
 }
 
 impl CountResponse {
-    /// Name of the outcome, for metrics.
-    pub(super) fn name(self) -> &'static str {
+    /// Why the call has no result; `None` if it has one.
+    pub(super) fn no_result(&self) -> Option<NoResult<'_>> {
         match self {
-            Self::Waiting(_) => "count",
-            Self::Unknown => "unknown",
-            Self::Denied(_) => "denied",
+            Self::Waiting(_) => None,
+            Self::Unknown(reason) => Some(NoResult::Unknown(reason)),
+            Self::Denied(denial) => Some(NoResult::Denied(*denial)),
         }
     }
 }
--- /dev/null
+++ b/crates/jobs/src/api/state_query.rs
@@ -0,0 +1,84 @@
+//! Query of a job's state.
+
+use std::sync::PoisonError;
+
+use cassiafold_config::TeamId;
+use tokio::time::{Instant, sleep};
+
+use super::call_log::OpenCall;
+use super::reason::{StoreOperation, UnknownReason};
+use super::{
+    Call, CallKind, FINAL_STATES_MAX, JobApi, JobStateResponse, RESPONSE_MARGIN, RETRY_DELAY,
+    Target, may_access, may_access_record, unreadable,
+};
+use crate::api::Denial;
+use crate::platform_clients::PlatformClients;
+use crate::record::{JobState, StateRecord, job_key, state_key};
+use crate::spec::JobId;
+
+impl<S: PlatformClients> JobApi<S> {
+    /// Returns the state of a job.
+    pub async fn job_state(&self, call: &Call) -> JobStateResponse {
+        let open_call = OpenCall::new(self, CallKind::StateQuery, call);
+        let response = self.job_state_once(call).await;
+        open_call.close("state", response.no_result());
+        response
+    }
+
+    async fn job_state_once(&self, call: &Call) -> JobStateResponse {
+        let auth = match self.authorize_fresh(call).await {
+            Ok(auth) => auth,
+            Err(denial) => return JobStateResponse::Denied(denial),
+        };
+        let Target::Job(id) = auth.target else { return JobStateResponse::Denied(Denial::NoJob) };
+        let deadline = call.deadline - RESPONSE_MARGIN;
+        loop {
+            if self.final_state(id).is_none()
+                && let Some(loss) = self.availability.loss()
+            {
+                return JobStateResponse::Unknown(UnknownReason::StoreUnavailable(loss));
+            }
+            match self.read_state(id, auth.team.as_ref()).await {
+                Ok(Some(state)) => return JobStateResponse::State(state),
+                Ok(None) => return JobStateResponse::NoSuchJob,
+                Err(reason) if Instant::now() + RETRY_DELAY >= deadline => {
+                    return JobStateResponse::Unknown(reason);
+                }
+                Err(_) => sleep(RETRY_DELAY).await,
+            }
+        }
+    }
+
+    async fn read_state(
+        &self,
+        id: JobId,
+        team: Option<&TeamId>,
+    ) -> Result<Option<JobState>, UnknownReason> {
+        if let Some((state, of_team)) = self.final_state(id) {
+            return Ok(may_access(of_team.as_ref(), team).then_some(state));
+        }
+        if let Some(record) = self.read_key(StoreOperation::ReadState, &state_key(id)).await? {
+            let state = StateRecord::try_from(&record.value[..])
+                .map_err(|error| unreadable(&record, &error))?;
+            self.cache_final_state(id, &state);
+            return Ok(may_access(state.team.as_ref(), team).then_some(state.state));
+        }
+        let record = self.read_key(StoreOperation::ReadJob, &job_key(id)).await?;
+        Ok(record.filter(|record| may_access_record(record, team)).map(|_| JobState::Queued))
+    }
+
+    fn final_state(&self, id: JobId) -> Option<(JobState, Option<TeamId>)> {
+        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned()
+    }
+
+    fn cache_final_state(&self, id: JobId, record: &StateRecord) {
+        if !record.state.is_final() {
+            return;
+        }
+        let mut final_states = self.final_states.lock().unwrap_or_else(PoisonError::into_inner);
+        if final_states.len() >= FINAL_STATES_MAX {
+            final_states.clear();
+        }
+        final_states.insert(id, (record.state, record.team.clone()));
+    }
+}
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -8,9 +8,10 @@
         JobUnsettled = 1602, Warn, "outcome of a job submission is unknown";
         JobCancelled = 1603, Info, "job cancellation stored";
         JobEnded = 1604, Info, "job ended";
-        StateUnknown = 1605, Warn, "state of a job could not be read";
+        CallWithoutResult = 1605, Warn, "state query, cancellation or count has no result";
         JobStarted = 1606, Info, "first task of a job started";
         CountOutdated = 1607, Warn, "number of waiting jobs is outdated and not reported";
+        CallLinesOmitted = 1608, Warn, "calls without a result that have no line of their own";
         RunFailed = 1610, Info, "run failed";
         RunEnded = 1611, Info, "run ended without result";
         RunAdopted = 1612, Info, "run of a previous owner adopted";
--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -65,6 +65,7 @@
     terms: Counter,
     is_owner: Gauge,
     config_version: Gauge,
+    store_unavailable: Gauge,
 }
 
 impl Default for JobsMetrics {
@@ -77,6 +78,7 @@
             terms: Counter::default(),
             is_owner: Gauge::default(),
             config_version: Gauge::default(),
+            store_unavailable: Gauge::default(),
         }
     }
 }
@@ -100,6 +102,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "store_unavailable_for_callers",
+            "Whether calls are refused because the store counts as unavailable",
+            self.store_unavailable.clone(),
+        );
     }
 
     /// Records a caller's request.
@@ -168,6 +175,11 @@
         }
     }
 
+    /// Records whether calls are refused because the store counts as unavailable.
+    pub fn set_store_unavailable(&self, is_unavailable: bool) {
+        self.store_unavailable.set(i64::from(is_unavailable));
+    }
+
     /// Records the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -1,5 +1,7 @@
 //! Platform clients for tests: the in-memory store, and emulated workers in this process.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -140,11 +142,13 @@
 
 /// A caller's request for a path.
 pub fn call(path: &str, key: Option<&str>) -> Call {
+    let arrived = tokio::time::Instant::now();
     Call {
         host: "h".into(),
         path: path.into(),
         key: key.map(Arc::from),
-        deadline: tokio::time::Instant::now() + ms(2_000),
+        arrived,
+        deadline: arrived + ms(2_000),
     }
 }
 
--- /dev/null
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -0,0 +1,194 @@
+//! The in-memory store with planned faults of single reads and transactions, and platform clients
+//! that use it.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cassiafold_jobs::api::{Call, JobApi};
+use cassiafold_jobs::desired_state::{self, DesiredStateSender};
+use cassiafold_jobs::metrics::JobsMetrics;
+use cassiafold_jobs::platform_clients::PlatformClients;
+use cassiafold_platform::{
+    LeaseId, Record, Revision, Snapshot, Store, StoreError, Transaction, TransactionOutcome,
+    TransactionalStore, Write, WriteOutcome,
+};
+use cassiafold_standin::{MemoryStore, MemoryWatch};
+
+use crate::clients::{NullClient, TestClients, TestFormats, TestWorkers, call};
+use crate::emulator::ms;
+
+/// Time after which the platform's client gives up a read that gets no response.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_400);
+
+/// What happens to one call.
+#[derive(Debug, Clone, Copy)]
+pub enum CallFault {
+    None,
+    /// No response arrives.
+    Silent,
+    /// The store refuses the call at once.
+    Refused,
+    /// The response takes this time.
+    Slow(Duration),
+}
+
+#[derive(Debug)]
+struct Plan {
+    next: VecDeque<CallFault>,
+    others: CallFault,
+    calls: u32,
+}
+
+/// The store of one instance. Clones share the plan.
+#[derive(Debug, Clone)]
+pub struct ScriptedStore {
+    store: MemoryStore,
+    plan: Arc<Mutex<Plan>>,
+}
+
+impl ScriptedStore {
+    /// Plans the faults of the next reads and transactions, and of all others after them.
+    pub fn plan(&self, next: &[CallFault], others: CallFault) {
+        let mut plan = self.plan.lock().expect("lock");
+        (plan.next, plan.others) = (next.iter().copied().collect(), others);
+    }
+
+    /// Number of reads and transactions so far.
+    pub fn calls(&self) -> u32 {
+        self.plan.lock().expect("lock").calls
+    }
+
+    async fn fault(&self) -> Result<(), StoreError> {
+        let fault = {
+            let mut plan = self.plan.lock().expect("lock");
+            plan.calls += 1;
+            plan.next.pop_front().unwrap_or(plan.others)
+        };
+        match fault {
+            CallFault::None => Ok(()),
+            CallFault::Silent => {
+                tokio::time::sleep(CLIENT_TIMEOUT).await;
+                Err(StoreError::OutcomeUnknown("no answer: timeout".into()))
+            }
+            CallFault::Refused => Err(StoreError::Unavailable("429 Too Many Requests".into())),
+            CallFault::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                Ok(())
+            }
+        }
+    }
+}
+
+impl Store for ScriptedStore {
+    type Watch = MemoryWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
+        self.fault().await?;
+        self.store.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        self.store.list(prefix).await
+    }
+
+    async fn write(&self, write: Write) -> Result<WriteOutcome, StoreError> {
+        self.store.write(write).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.store.grant_lease(ttl).await
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        self.store.keep_alive(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.store.revoke_lease(lease).await
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision) -> Result<MemoryWatch, StoreError> {
+        self.store.watch(prefix, after).await
+    }
+}
+
+impl TransactionalStore for ScriptedStore {
+    async fn commit(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
+        self.fault().await?;
+        self.store.commit(transaction).await
+    }
+}
+
+/// Platform clients of one instance whose store has planned faults.
+#[derive(Debug, Clone)]
+pub struct ScriptedClients {
+    pub clients: TestClients,
+    pub store: ScriptedStore,
+    pub metrics: JobsMetrics,
+}
+
+impl ScriptedClients {
+    /// Clients of a store with a configuration with the key `k1`.
+    pub async fn new() -> Self {
+        let clients = TestClients::new(0);
+        clients.configure(1, &["k1"]).await;
+        let plan = Plan { next: VecDeque::new(), others: CallFault::None, calls: 0 };
+        let store =
+            ScriptedStore { store: clients.store.clone(), plan: Arc::new(Mutex::new(plan)) };
+        Self { clients, store, metrics: JobsMetrics::default() }
+    }
+
+    /// A job API that knows the configuration.
+    pub async fn api(&self) -> JobApi<Self> {
+        let (sender, desired_states) = DesiredStateSender::new();
+        tokio::spawn(desired_state::follow(self.clone(), sender.clone()));
+        let api = JobApi::new(self.clone(), desired_states, sender, self.metrics.clone());
+        while !api.is_ready(Duration::from_secs(60)) {
+            tokio::time::sleep(ms(1)).await;
+        }
+        api
+    }
+
+    /// Writes a record without faults.
+    pub async fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
+        let transaction = Transaction::default().put(key, value.into(), None);
+        self.clients.store.commit(transaction).await.expect("store");
+    }
+}
+
+/// A call with a known key that names a job and has this much time left.
+pub fn call_for(job: u64, left: Duration) -> Call {
+    let call = call(&format!("/q/{job:016x}"), Some("k1"));
+    Call { deadline: call.arrived + left, ..call }
+}
+
+impl PlatformClients for ScriptedClients {
+    type Store = ScriptedStore;
+    type WorkerClient = TestWorkers;
+    type MachineClient = NullClient;
+    type PolicyClient = NullClient;
+    type Formats = TestFormats;
+
+    fn store(&self) -> &ScriptedStore {
+        &self.store
+    }
+
+    fn workers(&self) -> &TestWorkers {
+        &self.clients.workers
+    }
+
+    fn machines(&self) -> &NullClient {
+        &NullClient
+    }
+
+    fn policy(&self) -> &NullClient {
+        &NullClient
+    }
+
+    fn formats(&self) -> &TestFormats {
+        &TestFormats
+    }
+}
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -7,6 +7,7 @@
 
 use cassiafold_jobs::api::{
     CancelResponse, CountResponse, Denial, JobApi, JobStateResponse, SubmitResponse, Target,
+    UnknownReason,
 };
 use cassiafold_jobs::record::{
     JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key, sequence_key,
@@ -280,7 +281,8 @@
     let old = r#"{"jobs":{"q":3},"counted_unix_ms":1000}"#;
     let write = Write::put(WAITING_KEY, Compare::Absent, old);
     platform.store.write(write).await.expect("store");
-    assert_eq!(api.waiting_jobs(&call("/q/", KEY)).await, CountResponse::Unknown);
+    let outdated = CountResponse::Unknown(UnknownReason::CountOutdated);
+    assert_eq!(api.waiting_jobs(&call("/q/", KEY)).await, outdated);
 }
 
 macro_rules! denials {
