Bound the store calls of queries, cancels and counts by the caller's deadline

What callers would see: with a silent store a caller with 1 s or 200 ms left gets no answer in time instead of a 503 with Retry-After, and one lost response costs it the whole answer.

Cause: each read had the time of the store's client, 700 ms and once more, for two keys, after up to 300 ms for the configuration.

Change: all store calls for a caller end at its deadline less a margin of 60 ms, or half of a shorter timeout. After a quarter of the time, at most 200 ms, a second attempt goes out on another connection beside the first, and the first response counts; a slow store is not cut off. The read of the configuration gets at most a quarter of the caller's time. A caller without time is answered at once (deadline_too_short). A read that the caller's deadline cuts off before 200 ms says nothing about the store. Counts are refused at once while the store counts as unavailable, as queries are. The test of a late state uses a cached one now, since a read can no longer be late.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -13,6 +13,7 @@
 mod reason;
 mod response;
 mod state_query;
+mod store_call;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -22,8 +23,8 @@
 use cassiafold_config::TeamId;
 use cassiafold_event::emit;
 use cassiafold_platform::{
-    Compare, Moment, Record, Store, StoreError, Transaction, TransactionOutcome,
-    TransactionalStore, since_boot,
+    Compare, Moment, Record, StoreError, Transaction, TransactionOutcome, TransactionalStore,
+    since_boot,
 };
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
@@ -55,8 +56,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Number of final states that are cached.
 const FINAL_STATES_MAX: usize = 4_096;
-/// Part of a caller's timeout that is reserved for sending the response.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(60);
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::desk";
 
@@ -119,7 +118,7 @@
     }
 
     async fn submit_once(&self, call: &Call, spec: JobSpec) -> SubmitResponse {
-        let deadline = call.deadline - RESPONSE_MARGIN;
+        let deadline = call.respond_by();
         let mut failed_attempts = 0;
         loop {
             let auth = match self.authorize_fresh(call).await {
@@ -203,16 +202,6 @@
         }
     }
 
-    /// Reads a key for a caller.
-    async fn read_key(
-        &self,
-        operation: StoreOperation,
-        key: &str,
-    ) -> Result<Option<Record>, UnknownReason> {
-        let result = self.platform.store().get(key).await;
-        self.availability.track(operation, result).map_err(UnknownReason::StoreFailed)
-    }
-
     /// Returns what the path of a call names, if the call is allowed.
     pub async fn target(&self, call: &Call) -> Result<Target, Denial> {
         self.authorize_fresh(call).await.map(|auth| auth.target)
--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -5,10 +5,10 @@
 
 use cassiafold_config::TeamId;
 use cassiafold_event::emit;
-use cassiafold_platform::{Moment, Record, Revision, Store, StoreError, since_boot};
-use tokio::time::timeout;
+use cassiafold_platform::{Moment, Record, Revision, since_boot};
+use tokio::time::Instant;
 
-use super::reason::StoreOperation;
+use super::reason::{StoreOperation, UnknownReason};
 use super::response::parse_job;
 use super::{Call, Denial, JobApi, Target};
 use crate::cluster::Queue;
@@ -18,8 +18,11 @@
 /// Age from which an unconfirmed configuration may be out of date. The store holds a watch request
 /// for one second before it reports that nothing has changed.
 const CONFIG_AGE_MAX: Duration = Duration::from_millis(2_200);
-/// Timeout of the read that confirms the configuration.
-const CONFIG_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest timeout of the read that confirms the configuration.
+const CONFIG_TIMEOUT_MAX: Duration = Duration::from_millis(300);
+/// Divisor of the time that a caller has left that gives the timeout of that read, so that most of
+/// the time remains for the call itself.
+const CONFIG_TIMEOUT_DIVISOR: u32 = 4;
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::desk::admission";
 
@@ -40,7 +43,7 @@
         if self.is_config_current() {
             return self.authorize(call);
         }
-        match self.read_config().await {
+        match self.read_config(call).await {
             Ok(()) => self.authorize(call),
             // An instance that is cut off from the store serves the calls that it can authorize,
             // but reports no key, queue or job as unknown.
@@ -63,16 +66,16 @@
         self.desired_states.borrow().config_revision
     }
 
-    async fn read_config(&self) -> Result<(), StoreError> {
+    async fn read_config(&self, call: &Call) -> Result<(), UnknownReason> {
         if let Some(loss) = self.availability.loss() {
-            return Err(loss.error);
+            return Err(UnknownReason::StoreUnavailable(loss));
         }
         let requested_at = since_boot();
-        let reading = timeout(CONFIG_TIMEOUT, self.platform.store().get(S::Formats::CONFIG_KEY));
-        let no_response =
-            || Err(StoreError::OutcomeUnknown("no response before the timeout".into()));
-        let result = reading.await.unwrap_or_else(|_| no_response());
-        let record = self.availability.track(StoreOperation::ReadConfig, result)?;
+        let now = Instant::now();
+        let left = call.respond_by().saturating_duration_since(now);
+        let deadline = now + CONFIG_TIMEOUT_MAX.min(left / CONFIG_TIMEOUT_DIVISOR);
+        let key = S::Formats::CONFIG_KEY;
+        let record = self.read_key(StoreOperation::ReadConfig, key, deadline).await?;
         self.apply_config_record(record.as_slice());
         *self.config_read.lock().unwrap_or_else(PoisonError::into_inner) = requested_at;
         Ok(())
--- a/crates/jobs/src/api/cancellation.rs
+++ b/crates/jobs/src/api/cancellation.rs
@@ -8,8 +8,8 @@
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason};
 use super::{
-    Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RESPONSE_MARGIN, RETRY_DELAY,
-    Target, may_access_record,
+    Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RETRY_DELAY, Target,
+    may_access_record,
 };
 use crate::event::JobsEvent;
 use crate::platform_clients::PlatformClients;
@@ -31,12 +31,12 @@
             Err(denial) => return CancelResponse::Denied(denial),
         };
         let Target::Job(id) = auth.target else { return CancelResponse::Denied(Denial::NoJob) };
-        let deadline = call.deadline - RESPONSE_MARGIN;
+        let deadline = call.respond_by();
         loop {
             if let Some(loss) = self.availability.loss() {
                 return CancelResponse::Unknown(UnknownReason::StoreUnavailable(loss));
             }
-            match self.store_cancel(id, auth.team.as_ref()).await {
+            match self.store_cancel(id, auth.team.as_ref(), deadline).await {
                 Ok(true) => {
                     emit!(
                         target: LOG_TARGET,
@@ -54,21 +54,22 @@
         }
     }
 
-    async fn store_cancel(&self, id: JobId, team: Option<&TeamId>) -> Result<bool, UnknownReason> {
-        let Some(record) = self.read_key(StoreOperation::ReadJob, &job_key(id)).await? else {
-            return Ok(false);
-        };
+    async fn store_cancel(
+        &self,
+        id: JobId,
+        team: Option<&TeamId>,
+        deadline: Instant,
+    ) -> Result<bool, UnknownReason> {
+        let record = self.read_key(StoreOperation::ReadJob, &job_key(id), deadline).await?;
+        let Some(record) = record else { return Ok(false) };
         if !may_access_record(&record, team) {
             return Ok(false);
         }
         let transaction = Transaction::default()
             .expect(record.key.clone(), Compare::Revision(record.revision))
             .put(cancel_key(id), Vec::new(), None);
-        let outcome = self.platform.store().commit(transaction).await;
-        let outcome = self
-            .availability
-            .track(StoreOperation::WriteCancel, outcome)
-            .map_err(UnknownReason::StoreFailed)?;
+        let commit = || self.platform.store().commit(transaction.clone());
+        let outcome = self.call_store(StoreOperation::WriteCancel, deadline, commit).await?;
         Ok(matches!(outcome, TransactionOutcome::Written(_)))
     }
 }
--- a/crates/jobs/src/api/count.rs
+++ b/crates/jobs/src/api/count.rs
@@ -3,10 +3,11 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cassiafold_platform::{Store, since_boot};
+use cassiafold_platform::since_boot;
+use tokio::time::Instant;
 
 use super::call_log::OpenCall;
-use super::reason::UnknownReason;
+use super::reason::{StoreOperation, UnknownReason};
 use super::{Call, CallKind, CountResponse, JobApi, unreadable};
 use crate::cluster::QueueId;
 use crate::platform_clients::PlatformClients;
@@ -32,7 +33,7 @@
             Ok(auth) => auth,
             Err(denial) => return CountResponse::Denied(denial),
         };
-        match self.read_waiting_record().await {
+        match self.read_waiting_record(call.respond_by()).await {
             Ok(waiting) if is_outdated(&waiting, unix_now()) => {
                 CountResponse::Unknown(UnknownReason::CountOutdated)
             }
@@ -41,7 +42,10 @@
         }
     }
 
-    async fn read_waiting_record(&self) -> Result<Arc<WaitingRecord>, UnknownReason> {
+    async fn read_waiting_record(
+        &self,
+        deadline: Instant,
+    ) -> Result<Arc<WaitingRecord>, UnknownReason> {
         let now = since_boot();
         let cached = self.cached_waiting.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if let Some((at, record)) = cached
@@ -49,8 +53,10 @@
         {
             return Ok(record);
         }
-        let result = self.platform.store().get(WAITING_KEY).await;
-        let record = match result.map_err(UnknownReason::StoreFailed)? {
+        if let Some(loss) = self.availability.loss() {
+            return Err(UnknownReason::StoreUnavailable(loss));
+        }
+        let record = match self.read_key(StoreOperation::ReadCount, WAITING_KEY, deadline).await? {
             None => WaitingRecord::default(),
             Some(record) => serde_json::from_slice(&record.value)
                 .map_err(|error| unreadable(&record, &error))?,
--- a/crates/jobs/src/api/reason.rs
+++ b/crates/jobs/src/api/reason.rs
@@ -69,6 +69,8 @@
     StoreFailed(StoreError),
     /// The record that decides cannot be decoded.
     RecordUnreadable(UnreadableRecord),
+    /// The caller's deadline leaves no time for a read.
+    DeadlineTooShort,
     /// The number of waiting jobs was counted too long ago.
     CountOutdated,
 }
@@ -80,6 +82,7 @@
             Self::StoreUnavailable(_) => "store_unavailable",
             Self::StoreFailed(_) => "store_failed",
             Self::RecordUnreadable(_) => "record_unreadable",
+            Self::DeadlineTooShort => "deadline_too_short",
             Self::CountOutdated => "count_outdated",
         }
     }
--- a/crates/jobs/src/api/response.rs
+++ b/crates/jobs/src/api/response.rs
@@ -9,6 +9,10 @@
 use crate::record::JobState;
 use crate::spec::JobId;
 
+/// Part of a caller's timeout that is reserved for sending the response.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(60);
+/// Divisor of a short timeout that gives the part reserved for sending the response.
+const RESPONSE_MARGIN_DIVISOR: u32 = 2;
 /// Hexadecimal digits of a job's id in a path.
 const JOB_DIGITS: usize = 16;
 
@@ -34,6 +38,12 @@
         parse_job(digits)
     }
 
+    /// When the response has to be sent, so that it arrives within the caller's timeout.
+    pub(super) fn respond_by(&self) -> Instant {
+        let timeout = self.deadline.saturating_duration_since(self.arrived);
+        self.deadline - RESPONSE_MARGIN.min(timeout / RESPONSE_MARGIN_DIVISOR)
+    }
+
     /// Time that is left until the caller's timeout ends.
     pub(super) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -8,8 +8,8 @@
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason};
 use super::{
-    Call, CallKind, FINAL_STATES_MAX, JobApi, JobStateResponse, RESPONSE_MARGIN, RETRY_DELAY,
-    Target, may_access, may_access_record, unreadable,
+    Call, CallKind, FINAL_STATES_MAX, JobApi, JobStateResponse, RETRY_DELAY, Target, may_access,
+    may_access_record, unreadable,
 };
 use crate::api::Denial;
 use crate::platform_clients::PlatformClients;
@@ -31,14 +31,14 @@
             Err(denial) => return JobStateResponse::Denied(denial),
         };
         let Target::Job(id) = auth.target else { return JobStateResponse::Denied(Denial::NoJob) };
-        let deadline = call.deadline - RESPONSE_MARGIN;
+        let deadline = call.respond_by();
         loop {
             if self.final_state(id).is_none()
                 && let Some(loss) = self.availability.loss()
             {
                 return JobStateResponse::Unknown(UnknownReason::StoreUnavailable(loss));
             }
-            match self.read_state(id, auth.team.as_ref()).await {
+            match self.read_state(id, auth.team.as_ref(), deadline).await {
                 Ok(Some(state)) => return JobStateResponse::State(state),
                 Ok(None) => return JobStateResponse::NoSuchJob,
                 Err(reason) if Instant::now() + RETRY_DELAY >= deadline => {
@@ -53,17 +53,19 @@
         &self,
         id: JobId,
         team: Option<&TeamId>,
+        deadline: Instant,
     ) -> Result<Option<JobState>, UnknownReason> {
         if let Some((state, of_team)) = self.final_state(id) {
             return Ok(may_access(of_team.as_ref(), team).then_some(state));
         }
-        if let Some(record) = self.read_key(StoreOperation::ReadState, &state_key(id)).await? {
+        let record = self.read_key(StoreOperation::ReadState, &state_key(id), deadline).await?;
+        if let Some(record) = record {
             let state = StateRecord::try_from(&record.value[..])
                 .map_err(|error| unreadable(&record, &error))?;
             self.cache_final_state(id, &state);
             return Ok(may_access(state.team.as_ref(), team).then_some(state.state));
         }
-        let record = self.read_key(StoreOperation::ReadJob, &job_key(id)).await?;
+        let record = self.read_key(StoreOperation::ReadJob, &job_key(id), deadline).await?;
         Ok(record.filter(|record| may_access_record(record, team)).map(|_| JobState::Queued))
     }
 
--- /dev/null
+++ b/crates/jobs/src/api/store_call.rs
@@ -0,0 +1,85 @@
+//! Calls to the store that a caller waits for, bounded by the caller's deadline.
+
+use cassiafold_platform::{Record, Store, StoreError};
+use tokio::pin;
+use tokio::time::{Instant, timeout_at};
+
+use super::reason::{StoreOperation, UnknownReason};
+use super::{FIRST_ATTEMPT_TIMEOUT, JobApi};
+use crate::platform_clients::PlatformClients;
+
+/// Divisor of the time to the deadline that gives the time for the first attempt alone.
+const FIRST_ATTEMPT_DIVISOR: u32 = 4;
+
+impl<S: PlatformClients> JobApi<S> {
+    /// Reads a key for a caller who waits until `deadline`.
+    pub(super) async fn read_key(
+        &self,
+        operation: StoreOperation,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<Option<Record>, UnknownReason> {
+        self.call_store(operation, deadline, || self.platform.store().get(key)).await
+    }
+
+    /// Makes a call for a caller who waits until `deadline`. The call must be one that may be
+    /// repeated.
+    pub(super) async fn call_store<T, F>(
+        &self,
+        operation: StoreOperation,
+        deadline: Instant,
+        call: impl FnMut() -> F,
+    ) -> Result<T, UnknownReason>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let started = Instant::now();
+        if started >= deadline {
+            return Err(UnknownReason::DeadlineTooShort);
+        }
+        let result = match timeout_at(deadline, call_twice(call, deadline)).await {
+            Ok(result) => self.availability.track(operation, result),
+            Err(_) => {
+                let no_response =
+                    Err(StoreError::OutcomeUnknown("no response before the deadline".into()));
+                // That a response takes longer than a caller with little time waits says nothing
+                // about the store.
+                match started.elapsed() >= FIRST_ATTEMPT_TIMEOUT {
+                    true => self.availability.track(operation, no_response),
+                    false => no_response,
+                }
+            }
+        };
+        result.map_err(UnknownReason::StoreFailed)
+    }
+}
+
+/// Makes a call, and once more on another connection if there is no response in time. Returns the
+/// first response.
+///
+/// The first attempt goes on beside the second one, so that a slow store has time to respond.
+async fn call_twice<T, F>(mut call: impl FnMut() -> F, deadline: Instant) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    let now = Instant::now();
+    let left = deadline.saturating_duration_since(now);
+    let second_at = now + FIRST_ATTEMPT_TIMEOUT.min(left / FIRST_ATTEMPT_DIVISOR);
+    let first = call();
+    pin!(first);
+    if let Ok(result) = timeout_at(second_at, &mut first).await {
+        return result;
+    }
+    let second = call();
+    pin!(second);
+    tokio::select! {
+        result = &mut first => match result {
+            Ok(response) => Ok(response),
+            Err(_) => second.await,
+        },
+        result = &mut second => match result {
+            Ok(response) => Ok(response),
+            Err(_) => first.await,
+        },
+    }
+}
--- a/crates/jobs/tests/call_log.rs
+++ b/crates/jobs/tests/call_log.rs
@@ -9,7 +9,7 @@
 
 use cassiafold_jobs::api::{Call, CallKind, Denial, JobStateResponse};
 use cassiafold_jobs::event::JobsEvent;
-use cassiafold_jobs::record::state_key;
+use cassiafold_jobs::record::{JobState, state_key};
 
 use self::clients::call;
 use self::emulator::ms;
@@ -117,10 +117,12 @@
     capture();
     let platform = ScriptedClients::new().await;
     let api = platform.api().await;
-    platform.put(&state_key(1), r#"{"s":"running"}"#).await;
+    platform.put(&state_key(1), r#"{"s":"completed"}"#).await;
+    let completed = JobStateResponse::State(JobState::Completed);
+    assert_eq!(api.job_state(&call_for(1, CALLER)).await, completed);
     let call = call_for(1, ms(50));
     tokio::time::sleep(ms(60)).await;
-    api.job_state(&call).await;
+    assert_eq!(api.job_state(&call).await, completed);
     assert_fields(&only_line(JobsEvent::CallWithoutResult), &[("reason", "late")]);
 }
 
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -11,6 +11,7 @@
 use cassiafold_jobs::desired_state::{self, DesiredStateSender};
 use cassiafold_jobs::metrics::JobsMetrics;
 use cassiafold_jobs::platform_clients::PlatformClients;
+use cassiafold_jobs::spec::Resources;
 use cassiafold_platform::{
     LeaseId, Record, Revision, Snapshot, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, Write, WriteOutcome,
@@ -18,7 +19,7 @@
 use cassiafold_standin::{MemoryStore, MemoryWatch};
 
 use crate::clients::{NullClient, TestClients, TestFormats, TestWorkers, call};
-use crate::emulator::ms;
+use crate::emulator::{config, ms};
 
 /// Time after which the platform's client gives up a read that gets no response.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_400);
@@ -152,6 +153,13 @@
         api
     }
 
+    /// A job API whose configuration the store never confirmed.
+    pub fn api_with_unconfirmed_config(&self) -> JobApi<Self> {
+        let (sender, desired_states) = DesiredStateSender::new();
+        sender.apply_config((*config(Resources::default())).clone(), 1);
+        JobApi::new(self.clone(), desired_states, sender, self.metrics.clone())
+    }
+
     /// Writes a record without faults.
     pub async fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
         let transaction = Transaction::default().put(key, value.into(), None);
