Refuse queries only once no check of the store is answered

What callers would see: after one call that was lost or refused with 429, an instance answered every query with 503 until a check had succeeded, although the store served all others; beside a slow store it did so for as long as the store was slow.

Cause: one failed call set the flag, and queries did not wait for the check. A check had 300 ms, one connection, and none after a lost response for 60 ms more.

Change: a failed call makes the store doubted and starts checks. Queries, cancels and counts wait for their decision, a quarter of their time at most, and then read. Only when no check is answered in 750 ms, a quarter of the three seconds of a caller that names no deadline, the store counts as unavailable: events 1644, readiness withdrawn, calls refused at once, and calls that wait answered at once. A check is made on two connections. So a 429 is not a loss unless all checks are refused for 750 ms. Submissions are refused from the failed call on as before, since a job must not be told unknown without need. While a store is doubted no instance withdraws its readiness.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Whether this instance can serve callers: it has a configuration, and the store has confirmed
-    /// it within `age_max`.
+    /// Whether this instance can serve callers: it has a configuration, the store has confirmed it
+    /// within `age_max`, and the store does not count as unavailable.
     pub fn is_ready(&self, age_max: Duration) -> bool {
         let desired_state = self.desired_states.borrow().clone();
         let age = since_boot().saturating_sub(desired_state.confirmed);
@@ -128,7 +128,7 @@
             let Target::Job(id) = auth.target else {
                 return SubmitResponse::Denied(Denial::NoJob);
             };
-            if failed_attempts == 0 && self.availability.loss().is_some() {
+            if failed_attempts == 0 && self.availability.is_doubted() {
                 return refuse(id, "the store is unavailable");
             }
             let attempt_timeout = FIRST_ATTEMPT_TIMEOUT * (1 << failed_attempts);
--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -67,9 +67,6 @@
     }
 
     async fn read_config(&self, call: &Call) -> Result<(), UnknownReason> {
-        if let Some(loss) = self.availability.loss() {
-            return Err(UnknownReason::StoreUnavailable(loss));
-        }
         let requested_at = since_boot();
         let now = Instant::now();
         let left = call.respond_by().saturating_duration_since(now);
--- a/crates/jobs/src/api/cancellation.rs
+++ b/crates/jobs/src/api/cancellation.rs
@@ -7,6 +7,7 @@
 
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason};
+use super::store_call::may_retry;
 use super::{
     Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RETRY_DELAY, Target,
     may_access_record,
@@ -33,9 +34,6 @@
         let Target::Job(id) = auth.target else { return CancelResponse::Denied(Denial::NoJob) };
         let deadline = call.respond_by();
         loop {
-            if let Some(loss) = self.availability.loss() {
-                return CancelResponse::Unknown(UnknownReason::StoreUnavailable(loss));
-            }
             match self.store_cancel(id, auth.team.as_ref(), deadline).await {
                 Ok(true) => {
                     emit!(
@@ -46,10 +44,8 @@
                     return CancelResponse::Accepted;
                 }
                 Ok(false) => return CancelResponse::NoSuchJob,
-                Err(reason) if Instant::now() + RETRY_DELAY >= deadline => {
-                    return CancelResponse::Unknown(reason);
-                }
-                Err(_) => sleep(RETRY_DELAY).await,
+                Err(reason) if may_retry(&reason, deadline) => sleep(RETRY_DELAY).await,
+                Err(reason) => return CancelResponse::Unknown(reason),
             }
         }
     }
--- a/crates/jobs/src/api/count.rs
+++ b/crates/jobs/src/api/count.rs
@@ -53,9 +53,6 @@
         {
             return Ok(record);
         }
-        if let Some(loss) = self.availability.loss() {
-            return Err(UnknownReason::StoreUnavailable(loss));
-        }
         let record = match self.read_key(StoreOperation::ReadCount, WAITING_KEY, deadline).await? {
             None => WaitingRecord::default(),
             Some(record) => serde_json::from_slice(&record.value)
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -7,6 +7,7 @@
 
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason};
+use super::store_call::may_retry;
 use super::{
     Call, CallKind, FINAL_STATES_MAX, JobApi, JobStateResponse, RETRY_DELAY, Target, may_access,
     may_access_record, unreadable,
@@ -33,18 +34,11 @@
         let Target::Job(id) = auth.target else { return JobStateResponse::Denied(Denial::NoJob) };
         let deadline = call.respond_by();
         loop {
-            if self.final_state(id).is_none()
-                && let Some(loss) = self.availability.loss()
-            {
-                return JobStateResponse::Unknown(UnknownReason::StoreUnavailable(loss));
-            }
             match self.read_state(id, auth.team.as_ref(), deadline).await {
                 Ok(Some(state)) => return JobStateResponse::State(state),
                 Ok(None) => return JobStateResponse::NoSuchJob,
-                Err(reason) if Instant::now() + RETRY_DELAY >= deadline => {
-                    return JobStateResponse::Unknown(reason);
-                }
-                Err(_) => sleep(RETRY_DELAY).await,
+                Err(reason) if may_retry(&reason, deadline) => sleep(RETRY_DELAY).await,
+                Err(reason) => return JobStateResponse::Unknown(reason),
             }
         }
     }
--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::reason::{StoreOperation, UnknownReason};
-use super::{FIRST_ATTEMPT_TIMEOUT, JobApi};
+use super::{FIRST_ATTEMPT_TIMEOUT, JobApi, RETRY_DELAY};
 use crate::platform_clients::PlatformClients;
 
 /// Divisor of the time to the deadline that gives the time for the first attempt alone.
@@ -33,11 +33,20 @@
     where
         F: Future<Output = Result<T, StoreError>>,
     {
+        if let Err(loss) = self.availability.wait_for_checks(deadline).await {
+            return Err(UnknownReason::StoreUnavailable(loss));
+        }
         let started = Instant::now();
         if started >= deadline {
             return Err(UnknownReason::DeadlineTooShort);
         }
-        let result = match timeout_at(deadline, call_twice(call, deadline)).await {
+        let response = tokio::select! {
+            response = timeout_at(deadline, call_twice(call, deadline)) => response,
+            loss = self.availability.wait_for_loss() => {
+                return Err(UnknownReason::StoreUnavailable(loss));
+            }
+        };
+        let result = match response {
             Ok(result) => self.availability.track(operation, result),
             Err(_) => {
                 let no_response =
@@ -54,11 +63,21 @@
     }
 }
 
+/// Whether a call that failed for this reason may succeed before the deadline.
+pub(super) fn may_retry(reason: &UnknownReason, deadline: Instant) -> bool {
+    let is_transient =
+        !matches!(reason, UnknownReason::StoreUnavailable(_) | UnknownReason::DeadlineTooShort);
+    is_transient && Instant::now() + RETRY_DELAY < deadline
+}
+
 /// Makes a call, and once more on another connection if there is no response in time. Returns the
 /// first response.
 ///
 /// The first attempt goes on beside the second one, so that a slow store has time to respond.
-async fn call_twice<T, F>(mut call: impl FnMut() -> F, deadline: Instant) -> Result<T, StoreError>
+pub(super) async fn call_twice<T, F>(
+    mut call: impl FnMut() -> F,
+    deadline: Instant,
+) -> Result<T, StoreError>
 where
     F: Future<Output = Result<T, StoreError>>,
 {
