Show a job as running whose stored state cannot be decoded

What callers would see: 503 from every instance, after reads until the deadline, for as long as the record stays as it is, although the job's own record says that the job exists.

Cause: an unreadable record was retried like a failed read.

Decided: the query reads the job's record and answers running. The owner writes a state only from the start of the first task on, so the job is not queued; that it has ended is not certain, so no end is shown, also not if the record names one and only its tasks cannot be decoded. The answer may lag behind an end; the owner's next write repairs it. Without the job's record the answer stays 503 (never 410): a pair that is being removed is read again.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -16,7 +16,6 @@
 mod store_call;
 
 use std::collections::HashMap;
-use std::fmt;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -247,11 +246,3 @@
     let owner = JobRecord::try_from(&record.value[..]).ok().and_then(|record| record.team);
     may_access(owner.as_ref(), team)
 }
-
-fn unreadable(record: &Record, error: &impl fmt::Display) -> UnknownReason {
-    UnknownReason::RecordUnreadable(UnreadableRecord {
-        key: record.key.clone(),
-        revision: record.revision,
-        error: error.to_string().into(),
-    })
-}
--- a/crates/jobs/src/api/call_log.rs
+++ b/crates/jobs/src/api/call_log.rs
@@ -25,6 +25,8 @@
 const LINES_INTERVAL: Duration = Duration::from_secs(1);
 /// Ids of jobs that the line about omitted lines contains.
 const OMITTED_JOBS_MAX: usize = 200;
+/// Name of the lines about records that do not decide a call, for their limit.
+const ITEM_UNREADABLE: &str = "item_unreadable";
 /// Text of a field that does not apply.
 const NONE: &str = "-";
 /// Log target of this module, which operators' filters name.
@@ -67,6 +69,20 @@
         self.record_call(kind, call, denial.name(), Some(NoResult::Denied(denial)));
     }
 
+    /// Logs a record that cannot be decoded and does not decide a call.
+    pub(super) fn log_unreadable(&self, job: JobId, record: &UnreadableRecord) {
+        if self.line_limit.admit(ITEM_UNREADABLE, Some(job)) {
+            emit!(
+                target: LOG_TARGET,
+                JobsEvent::ItemUnreadable,
+                job = JobText(job),
+                key = record.key,
+                revision = record.revision,
+                error = record.error
+            );
+        }
+    }
+
     fn record_call(
         &self,
         kind: CallKind,
--- a/crates/jobs/src/api/count.rs
+++ b/crates/jobs/src/api/count.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use super::call_log::OpenCall;
-use super::reason::{StoreOperation, UnknownReason};
-use super::{Call, CallKind, CountResponse, JobApi, unreadable};
+use super::reason::{StoreOperation, UnknownReason, unreadable};
+use super::{Call, CallKind, CountResponse, JobApi};
 use crate::cluster::QueueId;
 use crate::platform_clients::PlatformClients;
 use crate::record::{WAITING_KEY, WaitingRecord};
@@ -56,7 +56,7 @@
         let record = match self.read_key(StoreOperation::ReadCount, WAITING_KEY, deadline).await? {
             None => WaitingRecord::default(),
             Some(record) => serde_json::from_slice(&record.value)
-                .map_err(|error| unreadable(&record, &error))?,
+                .map_err(|error| UnknownReason::RecordUnreadable(unreadable(&record, &error)))?,
         };
         let record = Arc::new(record);
         let mut cached = self.cached_waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/jobs/src/api/reason.rs
+++ b/crates/jobs/src/api/reason.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use cassiafold_platform::{Revision, StoreError};
+use cassiafold_platform::{Record, Revision, StoreError};
 use tokio::time::Instant;
 
 use super::Denial;
@@ -60,6 +60,15 @@
     pub error: Arc<str>,
 }
 
+/// Describes a record that cannot be decoded.
+pub(super) fn unreadable(record: &Record, error: &impl fmt::Display) -> UnreadableRecord {
+    UnreadableRecord {
+        key: record.key.clone(),
+        revision: record.revision,
+        error: error.to_string().into(),
+    }
+}
+
 /// Why a query, cancellation or count has no result although the call is allowed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum UnknownReason {
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -3,14 +3,15 @@
 use std::sync::PoisonError;
 
 use cassiafold_config::TeamId;
+use cassiafold_platform::Record;
 use tokio::time::{Instant, sleep};
 
 use super::call_log::OpenCall;
-use super::reason::{StoreOperation, UnknownReason};
+use super::reason::{StoreOperation, UnknownReason, UnreadableRecord, unreadable};
 use super::store_call::may_retry;
 use super::{
     Call, CallKind, FINAL_STATES_MAX, JobApi, JobStateResponse, RETRY_DELAY, Target, may_access,
-    may_access_record, unreadable,
+    may_access_record,
 };
 use crate::api::Denial;
 use crate::platform_clients::PlatformClients;
@@ -52,15 +53,25 @@
         if let Some((state, of_team)) = self.final_state(id) {
             return Ok(may_access(of_team.as_ref(), team).then_some(state));
         }
-        let record = self.read_key(StoreOperation::ReadState, &state_key(id), deadline).await?;
-        if let Some(record) = record {
-            let state = StateRecord::try_from(&record.value[..])
-                .map_err(|error| unreadable(&record, &error))?;
-            self.cache_final_state(id, &state);
+        let stored = self.read_key(StoreOperation::ReadState, &state_key(id), deadline).await?;
+        let decoded = stored.as_ref().map(decode_state).transpose();
+        if let Ok(Some(state)) = &decoded {
+            self.cache_final_state(id, state);
             return Ok(may_access(state.team.as_ref(), team).then_some(state.state));
         }
-        let record = self.read_key(StoreOperation::ReadJob, &job_key(id), deadline).await?;
-        Ok(record.filter(|record| may_access_record(record, team)).map(|_| JobState::Queued))
+        let job = self.read_key(StoreOperation::ReadJob, &job_key(id), deadline).await?;
+        let state = match decoded {
+            Ok(_) => JobState::Queued,
+            // The owner stores a state from the start of the first task on, so the job is no longer
+            // queued. That it has ended is not certain, and the owner's next write repairs the
+            // record.
+            Err(record) if job.is_some() => {
+                self.log_unreadable(id, &record);
+                JobState::Running
+            }
+            Err(record) => return Err(UnknownReason::RecordUnreadable(record)),
+        };
+        Ok(job.filter(|job| may_access_record(job, team)).map(|_| state))
     }
 
     fn final_state(&self, id: JobId) -> Option<(JobState, Option<TeamId>)> {
@@ -78,3 +89,7 @@
         final_states.insert(id, (record.state, record.team.clone()));
     }
 }
+
+fn decode_state(record: &Record) -> Result<StateRecord, UnreadableRecord> {
+    StateRecord::try_from(&record.value[..]).map_err(|error| unreadable(record, &error))
+}
