Forget the oldest final state instead of all

What callers would see: an instance that is cut off from the store answers 503 for ended jobs whose states it had answered before.

Cause: the cache of 4,096 final states was cleared when it was full.

Change: the oldest one is dropped, in a module of its own.

Conclusion: the latest 4,096 are known.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -10,13 +10,13 @@
 mod call_log;
 mod cancellation;
 mod count;
+mod final_states;
 mod reason;
 mod response;
 mod state_query;
 mod store_call;
 
-use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cassiafold_config::TeamId;
@@ -31,6 +31,7 @@
 use self::admission::AuthorizedCall;
 use self::availability::StoreAvailability;
 use self::call_log::{LineLimit, OpenCall};
+use self::final_states::FinalStates;
 pub use self::reason::{StoreLoss, StoreOperation, UnknownReason, UnreadableRecord};
 pub use self::response::{
     Call, CallKind, CancelResponse, CountResponse, Denial, JobStateResponse, SubmitResponse, Target,
@@ -40,9 +41,8 @@
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::{Formats, PlatformClients};
-use crate::record::{JobRecord, JobState, WaitingRecord, job_key};
+use crate::record::{JobRecord, WaitingRecord, job_key};
 use crate::spec::{JobId, JobSpec};
-use std::sync::Arc;
 
 /// Time after which a caller may retry when the store is unavailable.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -53,8 +53,6 @@
 const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay between two attempts of a store call.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Number of final states that are cached.
-const FINAL_STATES_MAX: usize = 4_096;
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::desk";
 
@@ -68,7 +66,7 @@
     availability: StoreAvailability<S::Store>,
     line_limit: LineLimit,
     cached_waiting: Mutex<Option<(Moment, Arc<WaitingRecord>)>>,
-    final_states: Mutex<HashMap<JobId, (JobState, Option<TeamId>)>>,
+    final_states: Mutex<FinalStates>,
     /// When the configuration was last read for a caller.
     config_read: Mutex<Moment>,
 }
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -10,8 +10,7 @@
 use super::reason::{StoreOperation, UnknownReason, UnreadableRecord, unreadable};
 use super::store_call::may_retry;
 use super::{
-    Call, CallKind, FINAL_STATES_MAX, JobApi, JobStateResponse, RETRY_DELAY, Target, may_access,
-    may_access_record,
+    Call, CallKind, JobApi, JobStateResponse, RETRY_DELAY, Target, may_access, may_access_record,
 };
 use crate::api::Denial;
 use crate::platform_clients::PlatformClients;
@@ -75,18 +74,11 @@
     }
 
     fn final_state(&self, id: JobId) -> Option<(JobState, Option<TeamId>)> {
-        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned()
+        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).get(id)
     }
 
     fn cache_final_state(&self, id: JobId, record: &StateRecord) {
-        if !record.state.is_final() {
-            return;
-        }
-        let mut final_states = self.final_states.lock().unwrap_or_else(PoisonError::into_inner);
-        if final_states.len() >= FINAL_STATES_MAX {
-            final_states.clear();
-        }
-        final_states.insert(id, (record.state, record.team.clone()));
+        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).insert(id, record);
     }
 }
 
