Check the store while a call still waits for its response

What callers would see: with a silent store and no submissions, the first query of a caller with 3 s was answered 503 after 2.35 s, which leaves little time to ask another instance.

Cause: a call counted as failed only when its store client or its deadline had given it up, and only then the checks began.

Evidence: tests/store_loss.rs, the new test failed: 'answered after 2.35s'.

Change: a call that waits as long as a check may take (750 ms) starts the checks, and goes on for its caller. The line of a call without result says '-' for the configuration's age when none was ever confirmed.

--- a/crates/jobs/src/api/availability.rs
+++ b/crates/jobs/src/api/availability.rs
@@ -10,7 +10,7 @@
 use cassiafold_event::emit;
 use cassiafold_platform::{Store, StoreError};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::reason::{StoreLoss, StoreOperation};
 use super::store_call::call_twice;
@@ -77,8 +77,18 @@
         self.loss().map_or(Ok(()), Err)
     }
 
+    /// Watches a call that waits for its response, until the store counts as unavailable. A call
+    /// that waits as long as a check may take has failed for others, and goes on for its caller.
+    pub(super) async fn watch_call(&self, operation: StoreOperation) -> StoreLoss {
+        if let Ok(loss) = timeout(CHECK_TIMEOUT, self.wait_for_loss()).await {
+            return loss;
+        }
+        self.record_failure(operation, &no_response());
+        self.wait_for_loss().await
+    }
+
     /// Waits until the store counts as unavailable.
-    pub(super) async fn wait_for_loss(&self) -> StoreLoss {
+    async fn wait_for_loss(&self) -> StoreLoss {
         let mut phases = self.phase.subscribe();
         loop {
             if let Some(loss) = phases.borrow_and_update().loss() {
@@ -141,7 +151,7 @@
         let check = call_twice(|| self.store.get(WAITING_KEY), deadline);
         match timeout_at(deadline, check).await {
             Ok(result) => result.map(drop),
-            Err(_) => Err(StoreError::OutcomeUnknown("no response before the timeout".into())),
+            Err(_) => Err(no_response()),
         }
     }
 
@@ -159,6 +169,10 @@
     }
 }
 
+fn no_response() -> StoreError {
+    StoreError::OutcomeUnknown("no response before the timeout".into())
+}
+
 impl Phase {
     /// Why the store counts as unavailable, if it does.
     fn loss(&self) -> Option<StoreLoss> {
--- a/crates/jobs/src/api/call_log.rs
+++ b/crates/jobs/src/api/call_log.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use cassiafold_event::emit;
-use cassiafold_platform::{StoreError, since_boot};
+use cassiafold_platform::{Moment, StoreError, since_boot};
 use tokio::runtime::Handle;
 use tokio::time::sleep;
 
@@ -106,7 +106,8 @@
         let details = Details::from(&no_result);
         let current_loss = self.availability.loss();
         let loss = details.loss.or(current_loss.as_ref());
-        let config_age = since_boot().saturating_sub(self.config_confirmed());
+        let confirmed = Some(self.config_confirmed()).filter(|confirmed| *confirmed > Moment::ZERO);
+        let config_age = confirmed.map(|confirmed| since_boot().saturating_sub(confirmed));
         emit!(
             target: LOG_TARGET,
             event,
@@ -122,7 +123,7 @@
             store_lost_ms = OrNone(loss.map(|loss| loss.since.elapsed().as_millis())),
             store_lost_by = OrNone(loss.map(|loss| loss.operation)),
             config_revision = self.config_revision(),
-            config_age_ms = config_age.as_millis(),
+            config_age_ms = OrNone(config_age.map(|age| age.as_millis())),
             deadline_ms = (call.deadline - call.arrived).as_millis(),
             taken_ms = call.arrived.elapsed().as_millis()
         );
--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -42,7 +42,7 @@
         }
         let response = tokio::select! {
             response = timeout_at(deadline, call_twice(call, deadline)) => response,
-            loss = self.availability.wait_for_loss() => {
+            loss = self.availability.watch_call(operation) => {
                 return Err(UnknownReason::StoreUnavailable(loss));
             }
         };
--- a/crates/jobs/tests/store_loss.rs
+++ b/crates/jobs/tests/store_loss.rs
@@ -155,6 +155,16 @@
     submission.await.expect("no panic");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_query_at_a_silent_store_is_answered_while_its_caller_has_time_to_ask_another_instance() {
+    let (platform, api) = platform_with_running_job().await;
+    platform.store.plan(&[], CallFault::Silent);
+    let started = Instant::now();
+    let response = api.job_state(&call_for(QUERIED, CALLER)).await;
+    assert!(matches!(response, JobStateResponse::Unknown(_)), "{response:?}");
+    assert!(started.elapsed() <= CALLER / 2, "answered after {:?}", started.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn calls_are_served_again_when_the_store_is_back() {
     let (platform, api) = platform_with_running_job().await;
