--- a/crates/jobs/tests/call_log.rs
+++ b/crates/jobs/tests/call_log.rs
@@ -99,6 +99,20 @@
     assert_fields(&line, &[("call", "count"), ("job", "-"), ("reason", "no_config")]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_and_a_count_at_a_silent_store_are_logged() {
+    capture();
+    let platform = ScriptedClients::new().await;
+    let api = platform.api().await;
+    platform.store.plan(&[], CallFault::Silent);
+    api.cancel(&call_for(1, ms(1_000))).await;
+    api.waiting_jobs(&Call { path: "/q/".into(), ..call_for(1, ms(200)) }).await;
+    let lines = lines(JobsEvent::CallWithoutResult.row().number);
+    let cancel = [("call", "cancel"), ("job", "0000000000000001"), ("reason", "store_failed")];
+    assert_fields(&lines[0], &cancel);
+    assert_fields(&lines[1], &[("call", "count"), ("job", "-"), ("queue", "q")]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_query_whose_caller_closes_the_connection_is_logged() {
     capture();
