--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -40,5 +40,6 @@
         NodeNotReloaded = 1653, Warn, "changed settings were rejected";
         ConnectionNotAccepted = 1654, Warn, "connection could not be accepted";
         MetricsNotServed = 1655, Warn, "metrics could not be served";
+        TimeoutMalformed = 1660, Info, "caller's timeout is malformed; the default applies";
     }
 }
