Saturate the times that jobs and the configuration lead to

What callers would see: a job of steps with estimates of 2^64-1 ms, or a queue whose Stretch or SloMs is out of all measure, ends the task of each owner in turn, since the job lies in the store. Nothing is placed any more, for no queue.

Cause: Duration's `+` and `mul_f64` panic on overflow: in the critical path of a job, its objective, and the time until which a ticket is valid.

Evidence: five of the new tests failed on the old code: a_chain_of_the_longest_estimates_does_not_end_the_owner ("overflow when adding durations"), a_huge_stretch_does_not_end_the_owner and an_infinite_stretch_does_not_end_the_owner (time.rs:962, mul_f64), the_longest_objective_does_not_end_the_owner and the_longest_validity_of_a_ticket_does_not_end_the_owner ("overflow when adding durations").

Change: these sums and products saturate at the longest duration; the job then has no deadline that can be missed.

Conclusion: an ordinary job beside each of them completes.

--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -459,7 +459,7 @@
 /// over the time limit instead of all at its start.
 fn planned_down(progress: &WaveProgress, remaining: usize, now: Moment) -> usize {
     let planned = progress.wave.time_limit.mul_f64(1.0 - RESERVE_SHARE);
-    let left = (progress.since + planned).saturating_sub(now);
+    let left = progress.since.saturating_add(planned).saturating_sub(now);
     let rounds = (left.as_secs_f64() / MAINTENANCE_TIME.as_secs_f64()).floor().max(1.0);
     let needed = (remaining as f64 / rounds).ceil() as usize;
     needed.clamp(1, progress.wave.concurrent_max.max(1))
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -204,7 +204,8 @@
         let queue = self.config.queues.get(&job.record.queue);
         let critical_path_factor = queue.map_or(1.0, |queue| queue.critical_path_factor.max(1.0));
         let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
-        occurrence.due + occurrence.critical_path.mul_f64(critical_path_factor) + slack
+        let path = scale(occurrence.critical_path, critical_path_factor);
+        occurrence.due.saturating_add(path).saturating_add(slack)
     }
 
     pub(super) fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
@@ -388,6 +389,14 @@
     }
 }
 
+/// Returns a duration times a factor of at least one; [`Duration::MAX`] if it is longer than that.
+fn scale(duration: Duration, factor: f64) -> Duration {
+    if duration.is_zero() {
+        return duration;
+    }
+    Duration::try_from_secs_f64(duration.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+}
+
 /// Deducts a placed task from the free resources of a candidate.
 pub(super) fn deduct_task(
     candidates: &mut [Candidate],
--- /dev/null
+++ b/crates/jobs/tests/extremes.rs
@@ -0,0 +1,199 @@
+//! Extreme numbers of jobs, the configuration and the store do not end the owner: other jobs go on.
+
+mod emulator;
+mod harness;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_jobs::clients::{EndedRun, PolicyResponse, PollResponse, RunEnd, Ticket};
+use cassiafold_jobs::cluster::{ClusterConfig, MachineState, PlacementPolicy, Wave};
+use cassiafold_jobs::record::{JobRecord, JobState, StateRecord};
+use cassiafold_jobs::scheduler::{Command, OwnerTerm};
+use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepSpec};
+
+use self::emulator::{config, job, ms, step};
+use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
+
+/// Id of the job with extreme numbers.
+const EXTREME: JobId = 1;
+/// Id of an ordinary job, accepted after it.
+const ORDINARY: JobId = 2;
+const LONGEST: Duration = Duration::from_millis(u64::MAX);
+const WORKERS: usize = 3;
+
+/// Ends all runs as done, with the result of a poll of each worker.
+fn finish_runs(harness: &mut SchedulerHarness, first_number: u64) {
+    for (worker, runs) in std::mem::take(&mut harness.running) {
+        let row = |(number, (task, run))| EndedRun {
+            number,
+            task,
+            run,
+            end: RunEnd::Done,
+            checkpoint: None,
+        };
+        let ended = (first_number..).zip(runs).map(row).collect();
+        let poll = PollResponse { clock: harness.now, ended, ..PollResponse::default() };
+        harness.scheduler.handle_poll_response(worker, true, harness.now, harness.now, poll);
+    }
+}
+
+/// Runs an ordinary job beside what the scheduler was given before, and checks that it completes.
+fn check_ordinary_job_completes(harness: &mut SchedulerHarness) {
+    harness.submit(ORDINARY, vec![step(2, 1, &[]), step(1, 1, &[0])]);
+    for round in 0..4 {
+        harness.run_for(ms(700));
+        finish_runs(harness, 100_000 * (round + 1));
+    }
+    harness.run_for(ms(300));
+    let state = harness.scheduler.job(ORDINARY).map(|job| job.state);
+    assert_eq!(state, Some(JobState::Completed));
+}
+
+/// Gives the scheduler a job, with its stored state if there is one, and machines to balance.
+fn check_beside(record: JobRecord, stored: Option<&StateRecord>) {
+    let term = OwnerTerm { token: 50, ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::new(WORKERS, term);
+    harness.unix = LONGEST;
+    harness.set_machines(SchedulerHarness::machines(WORKERS, MachineState::Up));
+    let revision = if stored.is_some() { 40 } else { REVISION_AFTER_TAKEOVER };
+    harness.scheduler.add_job(EXTREME, record, revision, stored, harness.now);
+    if let Some(stored) = stored {
+        harness.scheduler.restore_occurrences(EXTREME, stored, harness.now);
+    }
+    check_ordinary_job_completes(&mut harness);
+}
+
+fn scheduled(schedule: Schedule, steps: Vec<StepSpec>) -> JobRecord {
+    let mut record = job(steps);
+    record.spec.schedule = Some(schedule);
+    record
+}
+
+/// Steps, each of which depends on the one before.
+fn chain(length: u16, estimate: Duration) -> Vec<StepSpec> {
+    let after = |number: u16| number.checked_sub(1).into_iter().collect::<Vec<u16>>();
+    (0..length).map(|number| StepSpec { estimate, ..step(1, 1, &after(number)) }).collect()
+}
+
+macro_rules! jobs {
+    ($($name:ident: $record:expr, $stored:expr;)+) => {
+        $(#[test] fn $name() {
+            check_beside($record, $stored);
+        })+
+    };
+}
+
+jobs! {
+    a_chain_of_the_longest_estimates_does_not_end_the_owner: job(chain(1_100, LONGEST)), None;
+    the_longest_interval_does_not_end_the_owner:
+        scheduled(
+            Schedule { first_unix: ms(0), interval: LONGEST, occurrences: 100_000 },
+            vec![step(1, 1, &[])],
+        ), None;
+    the_latest_start_does_not_end_the_owner:
+        scheduled(
+            Schedule { first_unix: LONGEST, interval: LONGEST, occurrences: u32::MAX },
+            vec![step(1, 1, &[])],
+        ), None;
+    the_largest_resources_do_not_end_the_owner:
+        job(vec![StepSpec {
+            task_resources: Resources {
+                processors_milli: u32::MAX,
+                memory_bytes: u64::MAX,
+                accelerators: u32::MAX,
+            },
+            long_running: true,
+            ..step(3, 1, &[])
+        }]), None;
+    a_stored_step_after_itself_does_not_end_the_owner:
+        job(vec![step(1, 1, &[0, 7, u16::MAX])]), None;
+    a_stored_job_without_steps_does_not_end_the_owner: job(vec![]), None;
+    a_stored_step_without_tasks_does_not_end_the_owner: job(vec![step(0, 1, &[])]), None;
+}
+
+/// Gives the scheduler a configuration that was changed by `change`, with jobs in progress.
+fn check_config(change: impl Fn(&mut ClusterConfig)) {
+    let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+    harness.set_machines(SchedulerHarness::machines(WORKERS, MachineState::Up));
+    let mut config = (*config(Resources::default())).clone();
+    change(&mut config);
+    harness.scheduler.set_config(Arc::new(config));
+    harness.submit(EXTREME, chain(3, ms(2_000)));
+    check_ordinary_job_completes(&mut harness);
+}
+
+fn set_queue(config: &mut ClusterConfig, factor: f64, objective: Duration) {
+    for queue in config.queues.values_mut() {
+        queue.critical_path_factor = factor;
+        queue.latency_objective = objective;
+    }
+}
+
+macro_rules! configs {
+    ($($name:ident: $change:expr;)+) => {
+        $(#[test] fn $name() {
+            check_config($change);
+        })+
+    };
+}
+
+configs! {
+    a_huge_stretch_does_not_end_the_owner: |config| set_queue(config, 1e300, ms(600));
+    an_infinite_stretch_does_not_end_the_owner: |config| set_queue(config, f64::INFINITY, ms(600));
+    a_stretch_that_is_no_number_does_not_end_the_owner: |config| set_queue(config, f64::NAN, ms(6));
+    a_negative_stretch_does_not_end_the_owner: |config| set_queue(config, -1e300, ms(600));
+    the_longest_objective_does_not_end_the_owner: |config| set_queue(config, 1.5, Duration::MAX);
+    extreme_weights_do_not_end_the_owner: |config| {
+        for team in config.teams.values_mut() {
+            team.weight = f64::MAX;
+        }
+    };
+}
+
+#[test]
+fn the_longest_validity_of_a_ticket_does_not_end_the_owner() {
+    let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+    let mut config = (*config(Resources::default())).clone();
+    let policy = PlacementPolicy {
+        base: Duration::MAX,
+        per_worker: Duration::MAX,
+        valid_for: Duration::MAX,
+    };
+    for queue in config.queues.values_mut() {
+        queue.placement_policy = Some(policy);
+    }
+    harness.scheduler.set_config(Arc::new(config));
+    harness.submit(EXTREME, vec![step(1, 1, &[])]);
+    let commands = harness.scheduler.plan(Duration::ZERO, harness.now);
+    let is_query = |command: Command| match command {
+        Command::QueryPolicy(query) => Some(query),
+        _ => None,
+    };
+    let query = commands.into_iter().find_map(is_query).expect("a query");
+    let ticket = |worker: &Arc<str>| Ticket { worker: worker.clone(), proof: "t".into() };
+    let tickets = query.workers.iter().map(ticket).collect();
+    let response = PolicyResponse { tickets, valid_for: Duration::MAX };
+    harness.scheduler.handle_policy_response(&query, Some(response), harness.now, harness.now);
+    harness.run_for(ms(300));
+    assert_eq!(harness.running(), 1, "the ticket is not used");
+}
+
+macro_rules! waves {
+    ($($name:ident: $time_limit:expr, $concurrent_max:expr;)+) => {
+        $(#[test] fn $name() {
+            let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+            harness.set_machines(SchedulerHarness::machines(WORKERS, MachineState::Up));
+            let machines = vec!["m0".into(), "m1".into(), "m9".into()];
+            let (time_limit, concurrent_max) = ($time_limit, $concurrent_max);
+            let wave = Wave { number: u64::MAX, machines, time_limit, concurrent_max };
+            harness.scheduler.set_waves(&[wave], harness.now);
+            check_ordinary_job_completes(&mut harness);
+        })+
+    };
+}
+
+waves! {
+    a_wave_with_the_longest_term_does_not_end_the_owner: Duration::MAX, usize::MAX;
+    a_wave_without_term_does_not_end_the_owner: Duration::ZERO, 0;
+}
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -23,6 +23,8 @@
 pub struct SchedulerHarness {
     pub scheduler: Scheduler,
     pub now: Duration,
+    /// Unix time that every planning pass is told.
+    pub unix: Duration,
     pub running: HashMap<WorkerSlot, Vec<(TaskId, u32)>>,
     pub machine_commands: Vec<MachineCommand>,
     pub listed_machines: Vec<Machine>,
@@ -53,7 +55,14 @@
     /// Creates a harness for an existing scheduler.
     pub fn from_scheduler(scheduler: Scheduler, now: Duration) -> Self {
         let running = HashMap::new();
-        Self { scheduler, now, running, machine_commands: Vec::new(), listed_machines: Vec::new() }
+        Self {
+            scheduler,
+            now,
+            unix: Duration::ZERO,
+            running,
+            machine_commands: Vec::new(),
+            listed_machines: Vec::new(),
+        }
     }
 
     /// Machines of the service, each with the worker of the same number.
@@ -91,7 +100,7 @@
     pub fn run_for(&mut self, length: Duration) {
         let end = self.now + length;
         while self.now < end {
-            for command in self.scheduler.plan(Duration::ZERO, self.now) {
+            for command in self.scheduler.plan(self.unix, self.now) {
                 self.execute(command);
             }
             self.commit_writes();
@@ -104,7 +113,7 @@
         let error = PollError::NoAnswer("timeout".into());
         let end = self.now + length;
         while self.now < end {
-            for command in self.scheduler.plan(Duration::ZERO, self.now) {
+            for command in self.scheduler.plan(self.unix, self.now) {
                 match command {
                     Command::Poll { worker, .. } => {
                         let _ = self.scheduler.poll_request(worker, false, self.now);
