Count the machines that an endless need takes without overflow

What callers would see: a job of 10,000 large tasks with estimates of 2^64-1 ms ends the task of each owner in a build with overflow checks; in a release build the need wraps to zero, and the service that needs most gives its idle machines away. A stored step with a limit of no task per worker ends each owner in any build.

Cause: the need of a service is the largest usize, to which the surplus is added; the number of workers that a limit per worker requires is a division by that limit. Callers cannot submit a limit of zero, a stored record can hold it.

Evidence: the_longest_estimate_of_many_large_tasks_does_not_end_the_owner ("attempt to add with overflow", balance.rs:121), a_need_beyond_all_machines_gives_no_machine_away (the same, balance.rs) and a_stored_job_with_no_task_per_worker_does_not_end_the_owner ("attempt to divide by zero", balance.rs:202) failed on the old code.

Change: the sum saturates; a limit of zero requires no workers, and its tasks are not placed.

--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -162,7 +162,8 @@
 }
 
 fn has_surplus(pool: &Pool) -> bool {
-    !pool.is_spare && !pool.idle.is_empty() && pool.machines > pool.needed + SURPLUS_MACHINES
+    let kept = pool.needed.saturating_add(SURPLUS_MACHINES);
+    !pool.is_spare && !pool.idle.is_empty() && pool.machines > kept
 }
 
 fn largest_surplus(pools: &BTreeMap<ServiceId, Pool>) -> Option<ServiceId> {
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -118,7 +118,8 @@
             let is_falling = self.arrivals.is_falling(id, now);
             let needs = self.peak_needs.entry(id.clone()).or_default();
             let peak_need = needs.record(pool.needed, is_falling, now);
-            pool.may_shrink = needs.has_fallen() && pool.machines > peak_need + SURPLUS_MACHINES;
+            let kept = peak_need.saturating_add(SURPLUS_MACHINES);
+            pool.may_shrink = needs.has_fallen() && pool.machines > kept;
         }
         pools
     }
@@ -199,7 +200,9 @@
             let spec = self.spec(id)?;
             let step = self.jobs.get(&id.job)?.step(id)?;
             let open = spec.tasks.saturating_sub(step.done);
-            Some(open.div_ceil(spec.per_worker_max?) as usize)
+            // A limit of zero is met by no number of workers.
+            let per_worker_max = spec.per_worker_max.filter(|most| *most > 0)?;
+            Some(open.div_ceil(per_worker_max) as usize)
         });
         workers_per_step.max().unwrap_or(0)
     }
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -61,6 +61,13 @@
         [("busy", pool(2, 0, 9, false)), ("calm", pool(5, 5, 3, true))] => [("busy", 1)];
 }
 
+#[test]
+fn a_need_beyond_all_machines_gives_no_machine_away() {
+    let off = Pool { is_spare: true, ..pool(0, 0, 0, false) };
+    let pools = [("endless", pool(9, 9, usize::MAX, true)), ("off", off)];
+    assert_eq!(moves_by_service(&pools), BTreeMap::new());
+}
+
 #[test]
 fn a_backlog_needs_more_cores_than_the_arrival_rate() {
     let steady = Load { arriving: 90.0, ..Load::default() };
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -86,6 +86,8 @@
 
 jobs! {
     a_chain_of_the_longest_estimates_does_not_end_the_owner: job(chain(1_100, LONGEST)), None;
+    the_longest_estimate_of_many_large_tasks_does_not_end_the_owner:
+        job(vec![StepSpec { estimate: LONGEST, ..step(10_000, 4_000, &[]) }]), None;
     the_longest_interval_does_not_end_the_owner:
         scheduled(
             Schedule { first_unix: ms(0), interval: LONGEST, occurrences: 100_000 },
@@ -106,6 +108,8 @@
             long_running: true,
             ..step(3, 1, &[])
         }]), None;
+    a_stored_job_with_no_task_per_worker_does_not_end_the_owner:
+        job(vec![StepSpec { per_worker_max: Some(0), ..step(3, 1, &[]) }]), None;
     a_stored_step_after_itself_does_not_end_the_owner:
         job(vec![step(1, 1, &[0, 7, u16::MAX])]), None;
     a_stored_job_without_steps_does_not_end_the_owner: job(vec![]), None;
