Let run numbers and the runs of a worker be counted without overflow

What callers would see: a stored state, or a worker's answer, with the run number 2^32-1 ends the task of each owner in a build with overflow checks, and starts run 0 in a release build, which every worker refuses as old. Two adopted long-running runs that take 2^32-1 thousandths of a core each end it alike; in a release build the count wraps.

Cause: plain additions on u32.

Change: these sums saturate, and the differences that follow them.

Conclusion: an ordinary job beside each of them completes. A task whose run numbers are used up is refused by its worker and holds up only its own job.

--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -47,7 +47,8 @@
         }
         for worker in self.workers.iter().filter(|worker| worker.is_usable(now)) {
             backlog.workers_usable += 1;
-            backlog.cores_free += worker.free_resources().processors_milli / 1_000;
+            let cores_free = worker.free_resources().processors_milli / 1_000;
+            backlog.cores_free = backlog.cores_free.saturating_add(cores_free);
         }
         backlog
     }
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -211,7 +211,7 @@
 /// Adds the runs of a worker to the load of its service.
 fn add_running(worker: &Worker, load: &mut Load) {
     let long_running_milli = worker.counts.long_running_milli;
-    let running_milli = worker.reserved.processors_milli - long_running_milli;
+    let running_milli = worker.reserved.processors_milli.saturating_sub(long_running_milli);
     load.long_running += f64::from(long_running_milli) / 1_000.0;
     load.running += f64::from(running_milli) / 1_000.0;
 }
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -129,7 +129,7 @@
         if refusal == Refusal::Outdated {
             let job = self.jobs.get_mut(&task.step.job);
             if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
-                entry.last_run += RUN_NUMBER_INCREMENT;
+                entry.last_run = entry.last_run.saturating_add(RUN_NUMBER_INCREMENT);
             }
         }
         if matches!(refusal, Refusal::NoRoom | Refusal::Unhealthy | Refusal::Malformed) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -74,14 +74,14 @@
 impl RunCounts {
     fn add(&mut self, run: &Run) {
         self.long_running += u32::from(run.kind.long_running);
-        self.long_running_milli += run.long_running_milli();
+        self.long_running_milli = self.long_running_milli.saturating_add(run.long_running_milli());
         self.serving += u32::from(run.kind.serves);
         self.opportunistic += u32::from(run.kind.opportunistic);
     }
 
     fn remove(&mut self, run: &Run) {
         self.long_running -= u32::from(run.kind.long_running);
-        self.long_running_milli -= run.long_running_milli();
+        self.long_running_milli = self.long_running_milli.saturating_sub(run.long_running_milli());
         self.serving -= u32::from(run.kind.serves);
         self.opportunistic -= u32::from(run.kind.opportunistic);
     }
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -6,14 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{EndedRun, PolicyResponse, PollResponse, RunEnd, Ticket};
+use cassiafold_jobs::clients::{
+    EndedRun, PolicyResponse, PollResponse, RunEnd, RunningRun, Ticket,
+};
 use cassiafold_jobs::cluster::{ClusterConfig, MachineState, PlacementPolicy, Wave};
-use cassiafold_jobs::record::{JobRecord, JobState, StateRecord};
+use cassiafold_jobs::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use cassiafold_jobs::scheduler::{Command, OwnerTerm};
-use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepSpec};
+use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TaskId};
 
-use self::emulator::{config, job, ms, step};
-use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
+use self::emulator::{config, cores, job, ms, step};
+use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness, state_from_previous_owner};
 
 /// Id of the job with extreme numbers.
 const EXTREME: JobId = 1;
@@ -76,6 +78,10 @@
     (0..length).map(|number| StepSpec { estimate, ..step(1, 1, &after(number)) }).collect()
 }
 
+fn run_numbered(last_run: u32) -> StateRecord {
+    state_from_previous_owner(vec![TaskRecord { last_run, ..TaskRecord::default() }])
+}
+
 macro_rules! jobs {
     ($($name:ident: $record:expr, $stored:expr;)+) => {
         $(#[test] fn $name() {
@@ -114,6 +120,10 @@
         job(vec![step(1, 1, &[0, 7, u16::MAX])]), None;
     a_stored_job_without_steps_does_not_end_the_owner: job(vec![]), None;
     a_stored_step_without_tasks_does_not_end_the_owner: job(vec![step(0, 1, &[])]), None;
+    a_stored_job_with_the_last_run_number_does_not_end_the_owner:
+        job(vec![step(1, 1, &[])]), Some(&run_numbered(u32::MAX));
+    a_stored_gang_with_the_last_run_number_does_not_end_the_owner:
+        job(vec![StepSpec { gang: true, ..step(2, 1, &[]) }]), Some(&run_numbered(u32::MAX));
 }
 
 /// Gives the scheduler a configuration that was changed by `change`, with jobs in progress.
@@ -183,6 +193,35 @@
     assert_eq!(harness.running(), 1, "the ticket is not used");
 }
 
+/// Lets a worker report runs of the extreme job that this owner did not start.
+fn adopt(harness: &mut SchedulerHarness, worker: usize, tasks: u32) {
+    let step = StepId { job: EXTREME, occurrence: 0, step: 0 };
+    let row = |index| RunningRun {
+        task: TaskId { step, index },
+        run: u32::MAX,
+        checkpoint: None,
+        percent: u8::MAX,
+        load_metric: u32::MAX,
+    };
+    let running = (0..tasks).map(row).collect();
+    let poll = PollResponse { clock: harness.now, running, ..PollResponse::default() };
+    harness.scheduler.handle_poll_response(worker, true, harness.now, harness.now, poll);
+}
+
+#[test]
+fn adopted_runs_that_take_more_than_can_be_counted_do_not_end_the_owner() {
+    let term = OwnerTerm { token: 50, ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::new(WORKERS, term);
+    harness.set_machines(SchedulerHarness::machines(WORKERS, MachineState::Up));
+    let largest = Resources { processors_milli: u32::MAX, ..cores(1) };
+    let steps = vec![StepSpec { long_running: true, task_resources: largest, ..step(4, 1, &[]) }];
+    let stored = state_from_previous_owner(Vec::new());
+    harness.scheduler.add_job(EXTREME, job(steps), 40, Some(&stored), harness.now);
+    adopt(&mut harness, 0, 3);
+    harness.run_for(ms(300));
+    check_ordinary_job_completes(&mut harness);
+}
+
 macro_rules! waves {
     ($($name:ident: $time_limit:expr, $concurrent_max:expr;)+) => {
         $(#[test] fn $name() {
