Bound the tasks that the owner holds in memory for one job

What callers would see: one job of a few kilobytes (a thousand steps of 10,000 tasks, or 100,000 occurrences that are all due) makes the owner run out of memory; so does the next owner, since the job lies in the store. Nothing is placed any more.

Cause: the door bounds the tasks of a step and the occurrences, but not their product, and the owner creates the state of all due occurrences at once. In addition it looked through all occurrences of a scheduled job, and for each through those that had ended, 20 times a second.

Change: a job beyond 1,000 steps, 100,000 tasks of one occurrence or 100,000 occurrences has failed as soon as an owner reads it (event 1661); occurrences start while at most 1,000 of them with 100,000 tasks are open; the next occurrence to start is remembered, and those that ended are a set.

Conclusion: an ordinary job beside each of them completes.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -41,5 +41,6 @@
         ConnectionNotAccepted = 1654, Warn, "connection could not be accepted";
         MetricsNotServed = 1655, Warn, "metrics could not be served";
         TimeoutMalformed = 1660, Info, "caller's timeout is malformed; the default applies";
+        JobOversized = 1661, Warn, "job is too large for the owner and has failed";
     }
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,6 @@
 //! The owner's state of a job: its occurrences, steps and tasks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,8 @@
 use crate::delay::Delays;
 use crate::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use crate::spec::{
-    JobId, OccurrenceNumber, RunNumber, StepId, StepNumber, StepSpec, TaskId, TaskNumber,
+    JobId, OPEN_OCCURRENCES_MAX, OccurrenceNumber, RunNumber, StepId, StepNumber, StepSpec,
+    TASKS_MAX, TaskId, TaskNumber,
 };
 
 /// Index of a worker incarnation in the owner's list.
@@ -42,7 +43,9 @@
     /// Occurrences that were due and have not ended.
     pub occurrences: BTreeMap<OccurrenceNumber, Occurrence>,
     /// Occurrences that have ended.
-    pub ended: Vec<OccurrenceNumber>,
+    pub ended: BTreeSet<OccurrenceNumber>,
+    /// Number up to which each occurrence has started.
+    next_occurrence: OccurrenceNumber,
 }
 
 /// One occurrence of a job: a repetition of its steps.
@@ -128,7 +131,8 @@
             exceeds_share: false,
             delays: Delays::default(),
             occurrences: BTreeMap::new(),
-            ended: state.map(|state| state.ended.clone()).unwrap_or_default(),
+            ended: state.map(|state| state.ended.iter().copied().collect()).unwrap_or_default(),
+            next_occurrence: 0,
         }
     }
 
@@ -142,6 +146,29 @@
         self.state == JobState::Running && !self.is_start_stored
     }
 
+    /// Next occurrence that is due at the Unix time `now_unix` and has not started; `None` if there
+    /// is none, or if too many others have not ended.
+    pub fn next_due_occurrence(&mut self, now_unix: Duration) -> Option<OccurrenceNumber> {
+        let schedule = self.record.spec.schedule?;
+        while self.next_occurrence < schedule.occurrences && self.is_started(self.next_occurrence) {
+            self.next_occurrence += 1;
+        }
+        let number = self.next_occurrence;
+        let is_due = number < schedule.occurrences && schedule.due_unix(number) <= now_unix;
+        (is_due && self.may_start_occurrence()).then_some(number)
+    }
+
+    fn is_started(&self, number: OccurrenceNumber) -> bool {
+        self.ended.contains(&number) || self.occurrences.contains_key(&number)
+    }
+
+    /// Whether the owner can hold the state of another occurrence. One can always start.
+    pub fn may_start_occurrence(&self) -> bool {
+        let open = self.occurrences.len();
+        let tasks = self.record.spec.tasks().saturating_mul(open as u64 + 1);
+        open == 0 || (open < OPEN_OCCURRENCES_MAX && tasks <= TASKS_MAX)
+    }
+
     /// Starts an occurrence, with the stored state of its tasks.
     pub fn start_occurrence(
         &mut self,
@@ -150,7 +177,7 @@
         run_number_base: RunNumber,
         now: Moment,
     ) {
-        if self.ended.contains(&number) || self.occurrences.contains_key(&number) {
+        if self.is_started(number) {
             return;
         }
         let new_step = |step: &StepSpec| Step {
@@ -266,7 +293,7 @@
         StateRecord {
             state: self.state,
             team: self.record.team.clone(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().copied().collect(),
             tasks,
         }
     }
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -10,7 +10,7 @@
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
-use crate::spec::{JobId, OccurrenceNumber, StepId, StepSpec};
+use crate::spec::{JobId, JobSizeError, OccurrenceNumber, StepId, StepSpec};
 
 /// Burst that a team may submit before its jobs count as exceeding its weight, in seconds of the
 /// weight.
@@ -38,6 +38,10 @@
             self.ended_jobs.push_back((id, now));
             return;
         }
+        if let Err(error) = job.record.spec.check_size() {
+            self.fail_oversized(job, &error, now);
+            return;
+        }
         let is_recurring = job.record.spec.schedule.is_some();
         // A job that no previous owner has started uses run numbers from the first one.
         let run_number_base = if job.has_no_prior_runs { 0 } else { self.term.run_number_base };
@@ -61,6 +65,21 @@
         }
     }
 
+    /// Adds a job whose state the owner cannot hold, as failed.
+    fn fail_oversized(&mut self, job: Job, error: &JobSizeError, now: Moment) {
+        let id = job.id;
+        emit!(
+            target: LOG_TARGET,
+            JobsEvent::JobOversized,
+            job = format_args!("{id:016x}"),
+            queue = job.record.queue,
+            reason = error
+        );
+        self.jobs.insert(id, job);
+        self.early_cancels.remove(&id);
+        self.finish_job(id, JobState::Failed, now);
+    }
+
     /// Adds one job to the team's bucket and returns whether the team exceeds its weight.
     fn count_submission(&mut self, job: &Job, now: Moment) -> bool {
         let Some(team) = job.record.team.clone() else { return false };
@@ -93,16 +112,9 @@
         let mut started: Vec<(JobId, OccurrenceNumber)> = Vec::new();
         for id in &self.recurring_jobs {
             let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_live()) else { continue };
-            let Some(schedule) = job.record.spec.schedule else { continue };
-            for number in 0..schedule.occurrences {
-                if schedule.due_unix(number) > now_unix {
-                    break;
-                }
-                let is_known = job.occurrences.contains_key(&number) || job.ended.contains(&number);
-                if !is_known {
-                    job.start_occurrence(number, None, self.term.run_number_base, now);
-                    started.push((*id, number));
-                }
+            while let Some(number) = job.next_due_occurrence(now_unix) {
+                job.start_occurrence(number, None, self.term.run_number_base, now);
+                started.push((*id, number));
             }
         }
         for (id, number) in started {
@@ -117,7 +129,8 @@
         let Some(job) = self.jobs.get_mut(&step.job).filter(|job| job.is_live()) else { return };
         let is_recurring = job.record.spec.schedule.is_some();
         let is_known = job.occurrences.contains_key(&step.occurrence);
-        if !is_recurring || is_known || step.occurrence >= job.record.spec.occurrences() {
+        let is_of_schedule = step.occurrence < job.record.spec.occurrences();
+        if !is_recurring || is_known || !is_of_schedule || !job.may_start_occurrence() {
             return;
         }
         job.start_occurrence(step.occurrence, None, self.term.run_number_base, now);
@@ -147,7 +160,7 @@
         let service = job.record.service.clone();
         let ready = job.ready_steps(number, now);
         if job.occurrences.get(&number).is_some_and(|occurrence| occurrence.is_done()) {
-            job.ended.push(number);
+            job.ended.insert(number);
             let all_ended = job.ended.len() >= job.record.spec.occurrences() as usize;
             self.mark_unwritten(id);
             if all_ended {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -17,6 +17,30 @@
 /// Number of a run, which is one attempt to execute a task; from 1, ascending per task.
 pub type RunNumber = u32;
 
+/// Largest number of steps of a job.
+pub const STEPS_MAX: usize = 1_000;
+/// Largest number of tasks of a job's steps together. The owner holds the state of each task that is
+/// not done, of all occurrences that have started, in memory.
+pub const TASKS_MAX: u64 = 100_000;
+/// Largest number of occurrences of a job.
+pub const OCCURRENCES_MAX: u32 = 100_000;
+/// Largest number of occurrences of a job that have started and not ended.
+pub const OPEN_OCCURRENCES_MAX: usize = 1_000;
+
+/// Why a job is too large for the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum JobSizeError {
+    /// It has too many steps.
+    #[error("{0} steps, of at most {STEPS_MAX}")]
+    Steps(usize),
+    /// Its steps have too many tasks.
+    #[error("{0} tasks, of at most {TASKS_MAX}")]
+    Tasks(u64),
+    /// It has too many occurrences.
+    #[error("{0} occurrences, of at most {OCCURRENCES_MAX}")]
+    Occurrences(u32),
+}
+
 /// Identifies a step of one occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StepId {
@@ -66,6 +90,25 @@
         self.schedule.map_or(1, |schedule| schedule.occurrences)
     }
 
+    /// Number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
+    /// Checks that an owner can hold the job's state.
+    pub fn check_size(&self) -> Result<(), JobSizeError> {
+        if self.steps.len() > STEPS_MAX {
+            return Err(JobSizeError::Steps(self.steps.len()));
+        }
+        if self.tasks() > TASKS_MAX {
+            return Err(JobSizeError::Tasks(self.tasks()));
+        }
+        if self.occurrences() > OCCURRENCES_MAX {
+            return Err(JobSizeError::Occurrences(self.occurrences()));
+        }
+        Ok(())
+    }
+
     /// Whether the job runs until it is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -13,6 +13,8 @@
 use cassiafold_jobs::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use cassiafold_jobs::scheduler::{Command, OwnerTerm};
 use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TaskId};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 use self::emulator::{config, cores, job, ms, step};
 use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness, state_from_previous_owner};
@@ -48,8 +50,13 @@
         finish_runs(harness, 100_000 * (round + 1));
     }
     harness.run_for(ms(300));
-    let state = harness.scheduler.job(ORDINARY).map(|job| job.state);
-    assert_eq!(state, Some(JobState::Completed));
+    assert_eq!(state(harness, ORDINARY), Some(JobState::Completed));
+    harness.scheduler.cancel(EXTREME, harness.now);
+    harness.run_for(ms(100));
+}
+
+fn state(harness: &SchedulerHarness, id: JobId) -> Option<JobState> {
+    harness.scheduler.job(id).map(|job| job.state)
 }
 
 /// Gives the scheduler a job, with its stored state if there is one, and machines to balance.
@@ -122,10 +129,54 @@
     a_stored_step_without_tasks_does_not_end_the_owner: job(vec![step(0, 1, &[])]), None;
     a_stored_job_with_the_last_run_number_does_not_end_the_owner:
         job(vec![step(1, 1, &[])]), Some(&run_numbered(u32::MAX));
+    more_steps_than_their_numbers_tell_apart_do_not_end_the_owner:
+        job(vec![step(1, 1, &[]); 66_000]), None;
     a_stored_gang_with_the_last_run_number_does_not_end_the_owner:
         job(vec![StepSpec { gang: true, ..step(2, 1, &[]) }]), Some(&run_numbered(u32::MAX));
 }
 
+macro_rules! oversized {
+    ($($name:ident: $record:expr;)+) => {
+        $(#[test] fn $name() {
+            let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+            harness.scheduler.add_job(EXTREME, $record, 40, None, harness.now);
+            assert_eq!(state(&harness, EXTREME), Some(JobState::Failed));
+            check_ordinary_job_completes(&mut harness);
+        })+
+    };
+}
+
+oversized! {
+    a_stored_job_of_too_many_tasks_fails_alone: job(vec![step(10_000, 1, &[]); 11]);
+    a_stored_job_of_too_many_steps_fails_alone: job(vec![step(1, 1, &[]); 1_001]);
+    a_stored_step_of_more_tasks_than_memory_holds_fails_alone: job(vec![step(u32::MAX, 1, &[])]);
+    a_stored_schedule_without_end_fails_alone: scheduled(
+        Schedule { first_unix: ms(0), interval: ms(0), occurrences: u32::MAX },
+        vec![step(1, 1, &[])],
+    );
+}
+
+/// Guards against an owner that runs out of memory: all occurrences are due at the same moment.
+#[test]
+fn occurrences_that_are_due_together_start_as_others_end() {
+    const OCCURRENCES: u32 = 3_000;
+    let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+    let schedule = Schedule { first_unix: ms(0), interval: ms(0), occurrences: OCCURRENCES };
+    let record = scheduled(schedule, vec![step(1, 0, &[])]);
+    harness.scheduler.add_job(EXTREME, record, 40, None, harness.now);
+    let mut ended = 0;
+    for round in 1..=20 {
+        harness.run_for(ms(200));
+        let job = harness.scheduler.job(EXTREME).expect("the job");
+        let open = job.occurrences.len();
+        assert!(open <= 1_000, "{open} occurrences at once");
+        assert!(job.ended.len() >= ended);
+        ended = job.ended.len();
+        finish_runs(&mut harness, 10_000 * round);
+    }
+    assert_eq!(state(&harness, EXTREME), Some(JobState::Completed));
+}
+
 /// Gives the scheduler a configuration that was changed by `change`, with jobs in progress.
 fn check_config(change: impl Fn(&mut ClusterConfig)) {
     let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
@@ -240,3 +291,106 @@
     a_wave_with_the_longest_term_does_not_end_the_owner: Duration::MAX, usize::MAX;
     a_wave_without_term_does_not_end_the_owner: Duration::ZERO, 0;
 }
+
+/// A duration of any size, with the extremes often.
+fn any_duration() -> impl Strategy<Value = Duration> {
+    prop_oneof![
+        Just(Duration::ZERO),
+        Just(LONGEST),
+        (0..60_000_u64).prop_map(ms),
+        any::<u64>().prop_map(ms),
+    ]
+}
+
+fn any_resources() -> impl Strategy<Value = Resources> {
+    let processors = prop_oneof![Just(0), Just(u32::MAX), 0..5_000_u32, any::<u32>()];
+    let memory = prop_oneof![Just(0), Just(u64::MAX), 0..1_u64 << 30];
+    (processors, memory, prop_oneof![Just(0), Just(u32::MAX)]).prop_map(
+        |(processors_milli, memory_bytes, accelerators)| Resources {
+            processors_milli,
+            memory_bytes,
+            accelerators,
+        },
+    )
+}
+
+prop_compose! {
+    fn any_step()(
+        tasks in 0..20_u32,
+        task_resources in any_resources(),
+        estimate in any_duration(),
+        after in prop::collection::vec(prop_oneof![0..4_u16, any::<u16>()], 0..3),
+        flags in any::<[bool; 6]>(),
+        tail_target in prop::option::of(any_duration()),
+        per_worker_max in prop::option::of(prop_oneof![Just(0), 0..4_u32, Just(u32::MAX)]),
+        unavailable_max in prop::option::of(prop_oneof![Just(0), Just(u32::MAX)]),
+    ) -> StepSpec {
+        let [checkpoints, gang, same_rack, speculative, long_running, opportunistic] = flags;
+        StepSpec {
+            tasks, task_resources, estimate, after, checkpoints, gang, same_rack, speculative,
+            long_running, opportunistic, tail_target, per_worker_max, unavailable_max,
+            ..StepSpec::default()
+        }
+    }
+}
+
+prop_compose! {
+    fn any_schedule()(
+        first_unix in any_duration(),
+        interval in any_duration(),
+        occurrences in prop_oneof![0..20_u32, Just(u32::MAX)],
+    ) -> Schedule {
+        Schedule { first_unix, interval, occurrences }
+    }
+}
+
+fn any_factor() -> impl Strategy<Value = f64> {
+    prop_oneof![any::<f64>(), Just(f64::NAN), Just(f64::MAX), Just(f64::INFINITY), Just(1.5)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(1_660),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn jobs_and_configurations_of_extreme_numbers_do_not_end_the_owner(
+        steps in prop::collection::vec(any_step(), 0..5),
+        schedule in prop::option::of(any_schedule()),
+        unix in any_duration(),
+        (factor, weight, objective) in (any_factor(), any_factor(), any_duration()),
+        stored_run in prop::option::of(prop_oneof![0..5_u32, Just(u32::MAX)]),
+        (time_limit, concurrent_max) in (any_duration(), prop_oneof![0..3_usize, Just(usize::MAX)]),
+    ) {
+        let term = OwnerTerm { token: 50, ..OwnerTerm::default() };
+        let mut harness = SchedulerHarness::new(WORKERS, term);
+        harness.unix = unix;
+        harness.set_machines(SchedulerHarness::machines(WORKERS, MachineState::Up));
+        let mut config = (*config(Resources::default())).clone();
+        set_queue(&mut config, factor, objective);
+        for team in config.teams.values_mut() {
+            team.weight = weight;
+        }
+        harness.scheduler.set_config(Arc::new(config));
+        let wave = Wave { number: 1, machines: vec!["m0".into()], time_limit, concurrent_max };
+        harness.scheduler.set_waves(&[wave], harness.now);
+        let stored = stored_run.map(run_numbered);
+        let mut record = job(steps);
+        record.spec.schedule = schedule;
+        harness.scheduler.add_job(EXTREME, record, 40, stored.as_ref(), harness.now);
+        if let Some(stored) = &stored {
+            harness.scheduler.restore_occurrences(EXTREME, stored, harness.now);
+        }
+        harness.run_for(ms(400));
+        finish_runs(&mut harness, 1);
+        harness.run_for(ms(200));
+        adopt(&mut harness, 1, 2);
+        harness.run_for(ms(200));
+        harness.scheduler.cancel(EXTREME, harness.now);
+        harness.run_for(ms(200));
+        let _ = harness.scheduler.backlog(harness.now);
+    }
+}
