--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -42,5 +42,6 @@
         MetricsNotServed = 1655, Warn, "metrics could not be served";
         TimeoutMalformed = 1660, Info, "caller's timeout is malformed; the default applies";
         JobOversized = 1661, Warn, "job is too large for the owner and has failed";
+        JobRejected = 1662, Info, "submitted job is malformed or out of range";
     }
 }
