End the owner's term when one of its tasks panics, and claim again

What callers would see: after a panic in the owner's loop the instance never claims the ownership again, until it is restarted; with a record that panics each owner no instance is left. After a panic in a watch the owner goes on without seeing new jobs or workers; after one in a poll that worker is never polled again and its jobs hang; after one in a write its chain stays occupied.

Cause: nobody looked at the end of the spawned tasks. The lease itself was not renewed on: it was dropped with the loop.

The task that renews the lease was sound: its panic ends the term, since the channel on which the end of the lease is told closes.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -43,5 +43,6 @@
         TimeoutMalformed = 1660, Info, "caller's timeout is malformed; the default applies";
         JobOversized = 1661, Warn, "job is too large for the owner and has failed";
         JobRejected = 1662, Info, "submitted job is malformed or out of range";
+        TaskPanicked = 1663, Error, "task ended by a panic";
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod scheduler;
 pub mod spec;
 pub mod step_order;
+pub mod task_panic;
 pub mod throttle;
 pub mod worker;
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -33,6 +33,7 @@
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::PlatformClients;
 use crate::scheduler::{Scheduler, SchedulerSettings};
+use crate::task_panic::{RESTART_DELAY, catch_panic};
 
 /// Time between the starts of two state writes that nothing waits for.
 const WRITE_INTERVAL: Duration = Duration::from_millis(120);
@@ -73,17 +74,54 @@
     desired_states: watch::Receiver<Arc<DesiredState>>,
     stop: CancellationToken,
 ) {
-    loop {
-        let claimed = tokio::select! {
-            claimed = claim::claim(&platform, &settings) => claimed,
-            () = stop.cancelled() => return,
-        };
-        let token = claimed.token;
-        emit!(JobsEvent::OwnerBegan, token = token);
-        settings.metrics.set_is_owner(true);
-        let reason = run_term(&platform, &settings, desired_states.clone(), claimed, &stop).await;
-        settings.metrics.set_is_owner(false);
-        emit!(JobsEvent::OwnerEnded, token = token, reason = reason);
+    while !stop.is_cancelled() {
+        let term = claim_and_run(&platform, &settings, &desired_states, &stop);
+        if let Ok(TermEnd::Panicked) | Err(_) = catch_panic("owner's term", term).await {
+            settings.metrics.set_is_owner(false);
+            // The lease is no longer renewed, so another instance can claim before this one does.
+            tokio::select! {
+                () = sleep(RESTART_DELAY) => {}
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+}
+
+/// Claims the ownership when it is free, and runs one term.
+async fn claim_and_run<S: PlatformClients>(
+    platform: &S,
+    settings: &OwnerSettings,
+    desired_states: &watch::Receiver<Arc<DesiredState>>,
+    stop: &CancellationToken,
+) -> TermEnd {
+    let claimed = tokio::select! {
+        claimed = claim::claim(platform, settings) => claimed,
+        () = stop.cancelled() => return TermEnd::Regular("stopped"),
+    };
+    let token = claimed.token;
+    emit!(JobsEvent::OwnerBegan, token = token);
+    settings.metrics.set_is_owner(true);
+    let end = run_term(platform, settings, desired_states.clone(), claimed, stop).await;
+    settings.metrics.set_is_owner(false);
+    emit!(JobsEvent::OwnerEnded, token = token, reason = end.reason());
+    end
+}
+
+/// How a term ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TermEnd {
+    /// For this reason.
+    Regular(&'static str),
+    /// A task of the term ended by a panic, and the loop may wait for its result in vain.
+    Panicked,
+}
+
+impl TermEnd {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Regular(reason) => reason,
+            Self::Panicked => "a task of the term panicked",
+        }
     }
 }
 
@@ -92,6 +130,7 @@
     Outcome(Outcome),
     StoreUpdate(StoreUpdate),
     WriteOutcome(WriteOutcome),
+    TaskPanicked,
 }
 
 /// State of the owner's loop during one term.
@@ -105,6 +144,8 @@
     last_write: Moment,
     machines_requested: Option<Moment>,
     is_fenced: bool,
+    /// Whether a task of the term ended by a panic.
+    has_panicked: bool,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -116,15 +157,15 @@
     mut desired_states: watch::Receiver<Arc<DesiredState>>,
     ownership: Ownership<S>,
     stop: &CancellationToken,
-) -> &'static str {
+) -> TermEnd {
     let Ownership { lease, token } = ownership;
     let loading = load::load(platform, settings.scheduler, token, &settings.instance);
     let loaded = tokio::select! {
         loaded = loading => loaded,
-        () = lease.ended() => return "lease ended while loading",
+        () = lease.ended() => return TermEnd::Regular("lease ended while loading"),
         () = stop.cancelled() => {
             release_ownership(lease).await;
-            return "stopped while loading";
+            return TermEnd::Regular("stopped while loading");
         }
     };
     let (sender, mut messages) = mpsc::channel(CHANNEL_CAPACITY);
@@ -138,50 +179,62 @@
         last_write: since_boot(),
         machines_requested: None,
         is_fenced: false,
+        has_panicked: false,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
     };
     let workers_prefix = WorkersPrefix { platform: platform.clone() };
     let _watch_tasks = [
-        spawn(watch_store::watch_store(
-            platform.clone(),
-            InboxPrefix,
-            loaded.inbox_revision,
+        spawn_watch(
+            "watch of the accepted jobs",
+            watch_store::watch_store(
+                platform.clone(),
+                InboxPrefix,
+                loaded.inbox_revision,
+                sender.clone(),
+            ),
             sender.clone(),
-        )),
-        spawn(watch_store::watch_store(
-            platform.clone(),
-            workers_prefix,
-            loaded.workers_revision,
+        ),
+        spawn_watch(
+            "watch of the workers",
+            watch_store::watch_store(
+                platform.clone(),
+                workers_prefix,
+                loaded.workers_revision,
+                sender.clone(),
+            ),
             sender,
-        )),
+        ),
     ];
     owner_loop.apply_desired_state(&desired_states.borrow_and_update().clone());
     owner_loop.workers.decode_initial(platform);
     owner_loop.update_workers();
-    let reason = loop {
+    let end = loop {
         let now = since_boot();
         let due = owner_loop.scheduler.next_due(now);
         let first = tokio::select! {
             message = messages.recv() => match message {
                 Some(message) => Some(message),
-                None => break "message channel closed",
+                None => break TermEnd::Regular("message channel closed"),
             },
             changed = desired_states.changed() => match changed {
                 Ok(()) => {
                     owner_loop.apply_desired_state(&desired_states.borrow_and_update().clone());
                     None
                 }
-                Err(_) => break "desired state channel closed",
+                Err(_) => break TermEnd::Regular("desired state channel closed"),
             },
             () = sleep(due.saturating_sub(now)) => None,
-            () = lease.ended() => break "lease ended",
-            () = stop.cancelled() => break "stopped",
+            () = lease.ended() => break TermEnd::Regular("lease ended"),
+            () = stop.cancelled() => break TermEnd::Regular("stopped"),
         };
         owner_loop.handle_messages(first, &mut messages);
         if owner_loop.is_fenced {
-            break "fenced by a later owner";
+            break TermEnd::Regular("fenced by a later owner");
+        }
+        if owner_loop.has_panicked {
+            break TermEnd::Panicked;
         }
         owner_loop.loop_stats.record_pass(due, since_boot());
         owner_loop.run_pass();
@@ -191,7 +244,7 @@
         release_ownership(lease).await;
     }
     owner_loop.close();
-    reason
+    end
 }
 
 async fn release_ownership<S: cassiafold_platform::Store>(lease: LeaseKeeper<S>) {
@@ -200,8 +253,18 @@
     }
 }
 
-fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
-    AbortOnDropHandle::new(tokio::spawn(task))
+/// Spawns a watch of the term, and tells the loop if it panics.
+fn spawn_watch(
+    name: &'static str,
+    watch: impl Future<Output = ()> + Send + 'static,
+    sender: mpsc::Sender<Message>,
+) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(async move {
+        if catch_panic(name, watch).await.is_err() {
+            // The loop may have ended.
+            let _ = sender.send(Message::TaskPanicked).await;
+        }
+    }))
 }
 
 /// The current Unix time.
@@ -238,6 +301,7 @@
             Message::Outcome(outcome) => self.handle_outcome(outcome, now),
             Message::StoreUpdate(update) => self.apply_store_update(update, now),
             Message::WriteOutcome(outcome) => self.handle_write_outcome(outcome),
+            Message::TaskPanicked => self.has_panicked = true,
         }
     }
 
--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -15,6 +15,7 @@
 use crate::platform_clients::PlatformClients;
 use crate::scheduler::{Command, MachineCommand, PolicyQuery};
 use crate::spec::{RunNumber, TaskId};
+use crate::task_panic::catch_panic;
 
 /// Outcome of a command.
 pub(super) enum Outcome {
@@ -55,9 +56,10 @@
     fn run(&self, call: impl Future<Output = Outcome> + Send + 'static) {
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let outcome = call.await;
+            let outcome = catch_panic("call of the owner", call).await;
+            let message = outcome.map_or(Message::TaskPanicked, Message::Outcome);
             // The loop may have ended.
-            let _ = sender.send(Message::Outcome(outcome)).await;
+            let _ = sender.send(message).await;
         });
     }
 
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -21,6 +21,7 @@
 use crate::platform_clients::{Formats, PlatformClients};
 use crate::record::{ChainNumber, OWNER_KEY, sequence_key};
 use crate::scheduler::{WriteBatch, WriteUrgency};
+use crate::task_panic::catch_panic;
 
 /// Delay between two attempts of a write.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -95,9 +96,11 @@
         chain.started = Some(since_boot());
         let (platform, token, sequence) = (self.platform.clone(), self.token, chain.sequence);
         tokio::spawn(async move {
-            let outcome = write(&platform, token, sequence, batch).await;
+            let writing = write(&platform, token, sequence, batch);
+            let outcome = catch_panic("write of the owner", writing).await;
+            let message = outcome.map_or(Message::TaskPanicked, Message::WriteOutcome);
             // The loop may have ended.
-            let _ = sender.send(Message::WriteOutcome(outcome)).await;
+            let _ = sender.send(message).await;
         });
     }
 
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -1,6 +1,9 @@
 //! Platform clients for tests: the in-memory store, and emulated workers in this process.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -46,6 +49,8 @@
     pub starts: Arc<Mutex<Vec<(TaskId, RunNumber)>>>,
     /// Workers whose connections were closed.
     pub disconnected: Arc<Mutex<BTreeSet<WorkerId>>>,
+    /// Whether the next poll panics.
+    pub panics_at_poll: Arc<AtomicBool>,
 }
 
 /// Formats with plain text records.
@@ -66,6 +71,7 @@
             jobs: Arc::default(),
             starts: Arc::default(),
             disconnected: Arc::default(),
+            panics_at_poll: Arc::default(),
         };
         Self { store: MemoryStore::default(), workers }
     }
@@ -163,6 +169,8 @@
         request: PollRequest,
     ) -> Result<PollResponse, PollError> {
         tokio::time::sleep(ms(5)).await;
+        let panics = self.panics_at_poll.swap(false, Ordering::Relaxed);
+        assert!(!panics, "a poll that panics");
         self.with(&worker.id, |worker| worker.poll(request, since_boot()))
     }
 
--- /dev/null
+++ b/crates/jobs/tests/panics.rs
@@ -0,0 +1,105 @@
+//! Panics in the tasks of an owner: its term ends and is claimed again, and its jobs go on.
+
+mod clients;
+mod emulator;
+
+use std::sync::atomic::Ordering;
+
+use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::record::{JobState, OWNER_KEY};
+use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
+
+use self::clients::{TestClients, call};
+use self::emulator::{job, ms, step};
+
+const KEY: Option<&str> = Some("k1");
+const PATH: &str = "/q/0000000000000001";
+/// Entry of a worker at which the tests' formats panic.
+const ODD_WORKER: &str = "workers/odd";
+
+/// Polls a condition every 20 ms for up to 10 s.
+async fn wait_until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
+    for _ in 0..500 {
+        if let Some(found) = check().await {
+            return found;
+        }
+        tokio::time::sleep(ms(20)).await;
+    }
+    panic!("timed out after 10 s waiting for: {what}");
+}
+
+async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
+    wait_until("owner's key", async || {
+        let record = platform.store.get(OWNER_KEY).await.expect("store");
+        (record.is_some() == is_present).then_some(())
+    })
+    .await;
+}
+
+async fn add_odd_worker(platform: &TestClients) {
+    let write = Write::put(ODD_WORKER, Compare::Absent, "up");
+    platform.store.write(write).await.expect("store");
+}
+
+async fn remove_odd_worker(platform: &TestClients) {
+    platform.store.commit(Transaction::default().delete(ODD_WORKER)).await.expect("store");
+}
+
+async fn ready_api(platform: &TestClients) -> JobApi<TestClients> {
+    let api = platform.api();
+    wait_until("ready", async || api.is_ready(ms(60_000)).then_some(())).await;
+    api
+}
+
+async fn check_job_completes(platform: &TestClients, api: &JobApi<TestClients>) {
+    let record = job(vec![step(3, 1, &[]), step(2, 1, &[0])]);
+    platform.workers.add_job(1, record.clone());
+    assert_eq!(api.submit(&call(PATH, KEY), record.spec).await, SubmitResponse::Accepted);
+    let done = JobStateResponse::State(JobState::Completed);
+    wait_until("completed", async || (api.job_state(&call(PATH, KEY)).await == done).then_some(()))
+        .await;
+}
+
+#[tokio::test]
+async fn an_instance_whose_term_panicked_gives_up_its_lease_and_claims_again() {
+    let platform = TestClients::new(2);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let api = ready_api(&platform).await;
+    add_odd_worker(&platform).await;
+    let _owner = platform.start_owner("one");
+    wait_for_owner_key(&platform, true).await;
+    wait_for_owner_key(&platform, false).await;
+    remove_odd_worker(&platform).await;
+    check_job_completes(&platform, &api).await;
+}
+
+#[tokio::test]
+async fn a_term_whose_watch_of_the_workers_panicked_does_not_go_on_blind() {
+    let platform = TestClients::new(2);
+    platform.configure(1, &["k1"]).await;
+    let api = ready_api(&platform).await;
+    let _owner = platform.start_owner("one");
+    wait_for_owner_key(&platform, true).await;
+    tokio::time::sleep(ms(200)).await;
+    add_odd_worker(&platform).await;
+    tokio::time::sleep(ms(400)).await;
+    remove_odd_worker(&platform).await;
+    platform.register_workers().await;
+    check_job_completes(&platform, &api).await;
+}
+
+#[tokio::test]
+async fn a_worker_whose_poll_panicked_is_polled_again() {
+    let platform = TestClients::new(1);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let api = ready_api(&platform).await;
+    platform.workers.panics_at_poll.store(true, Ordering::Relaxed);
+    let _owner = platform.start_owner("one");
+    wait_until("a panic", async || {
+        (!platform.workers.panics_at_poll.load(Ordering::Relaxed)).then_some(())
+    })
+    .await;
+    check_job_completes(&platform, &api).await;
+}
