Start the watch of the operator's keys again after a panic

What callers would see: an instance whose watch panicked answers by its last configuration for ever, reads it again for each call once it is 2.2 s old, and reports itself as not ready; as the owner it goes on with old quotas, waves and evacuations.

Cause: nobody looked at the end of the spawned watch.

Evidence: a_configuration_is_taken_over_although_the_watch_of_it_panicked failed on the old code ("timed out after 10 s waiting for: version 2").

Conclusion: the next configuration is taken over.

--- a/crates/jobs/src/desired_state.rs
+++ b/crates/jobs/src/desired_state.rs
@@ -15,6 +15,7 @@
 use crate::event::JobsEvent;
 use crate::outage::OutageLog;
 use crate::platform_clients::{Formats, OperatorItem, PlatformClients};
+use crate::task_panic::restart_on_panic;
 
 /// Delay before the keys are listed and watched again after an error.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -80,10 +81,15 @@
 
 /// Watches the operator's keys and publishes their state, until the future is dropped.
 pub async fn follow<S: PlatformClients>(platform: S, sender: DesiredStateSender) {
+    let name = "watch of the desired state";
+    restart_on_panic(name, || watch(&platform, &sender)).await
+}
+
+async fn watch<S: PlatformClients>(platform: &S, sender: &DesiredStateSender) {
     let mut items: BTreeMap<Arc<str>, OperatorItem> = BTreeMap::new();
     let mut outage = OutageLog::new("operator's view");
     loop {
-        if let Err(error) = watch_once(&platform, &sender, &mut items, &mut outage).await {
+        if let Err(error) = watch_once(platform, sender, &mut items, &mut outage).await {
             outage.record_failure(&error);
         }
         sleep(RETRY_DELAY).await;
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -32,6 +32,9 @@
 /// Run time of each task.
 const TASK_TIME: Duration = Duration::from_millis(40);
 
+/// Key of the operator's at which [`TestFormats`] panics.
+pub const ODD_ITEM: &str = "op/odd";
+
 /// Platform clients of one instance.
 #[derive(Debug, Clone)]
 pub struct TestClients {
@@ -236,6 +239,7 @@
     const WORKERS_PREFIX: &'static str = "workers/";
 
     fn operator_item(&self, record: &Record) -> Result<OperatorItem, ItemError> {
+        assert!(&*record.key != ODD_ITEM, "an item that panics");
         let text = std::str::from_utf8(&record.value).map_err(|_| ItemError("bytes".into()))?;
         let mut words = text.split(' ');
         let version = words.next().and_then(|word| word.parse().ok());
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -9,7 +9,7 @@
 use cassiafold_jobs::record::{JobState, OWNER_KEY};
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
-use self::clients::{TestClients, call};
+use self::clients::{ODD_ITEM, TestClients, call};
 use self::emulator::{job, ms, step};
 
 const KEY: Option<&str> = Some("k1");
@@ -36,13 +36,13 @@
     .await;
 }
 
-async fn add_odd_worker(platform: &TestClients) {
-    let write = Write::put(ODD_WORKER, Compare::Absent, "up");
+async fn add(platform: &TestClients, key: &str) {
+    let write = Write::put(key, Compare::Absent, "up");
     platform.store.write(write).await.expect("store");
 }
 
-async fn remove_odd_worker(platform: &TestClients) {
-    platform.store.commit(Transaction::default().delete(ODD_WORKER)).await.expect("store");
+async fn remove(platform: &TestClients, key: &str) {
+    platform.store.commit(Transaction::default().delete(key)).await.expect("store");
 }
 
 async fn ready_api(platform: &TestClients) -> JobApi<TestClients> {
@@ -66,11 +66,11 @@
     platform.configure(1, &["k1"]).await;
     platform.register_workers().await;
     let api = ready_api(&platform).await;
-    add_odd_worker(&platform).await;
+    add(&platform, ODD_WORKER).await;
     let _owner = platform.start_owner("one");
     wait_for_owner_key(&platform, true).await;
     wait_for_owner_key(&platform, false).await;
-    remove_odd_worker(&platform).await;
+    remove(&platform, ODD_WORKER).await;
     check_job_completes(&platform, &api).await;
 }
 
@@ -82,9 +82,9 @@
     let _owner = platform.start_owner("one");
     wait_for_owner_key(&platform, true).await;
     tokio::time::sleep(ms(200)).await;
-    add_odd_worker(&platform).await;
+    add(&platform, ODD_WORKER).await;
     tokio::time::sleep(ms(400)).await;
-    remove_odd_worker(&platform).await;
+    remove(&platform, ODD_WORKER).await;
     platform.register_workers().await;
     check_job_completes(&platform, &api).await;
 }
@@ -103,3 +103,15 @@
     .await;
     check_job_completes(&platform, &api).await;
 }
+
+#[tokio::test]
+async fn a_configuration_is_taken_over_although_the_watch_of_it_panicked() {
+    let platform = TestClients::new(0);
+    platform.configure(1, &["k1"]).await;
+    let api = ready_api(&platform).await;
+    add(&platform, ODD_ITEM).await;
+    tokio::time::sleep(ms(300)).await;
+    remove(&platform, ODD_ITEM).await;
+    platform.configure(2, &["k2"]).await;
+    wait_until("version 2", async || api.config().filter(|config| config.version == 2)).await;
+}
