End the process when one of its listeners panics

What callers would see: an instance whose listener panicked stays up without it: callers are not accepted, or readiness checks get no answer, until somebody restarts it.

Cause: nobody looked at the end of the spawned listeners before SIGTERM. Their sockets are gone with them, so they cannot start again.

--- a/crates/cassiafold/src/error.rs
+++ b/crates/cassiafold/src/error.rs
@@ -30,6 +30,9 @@
     /// The platform's settings are invalid.
     #[error("{0}")]
     PlatformSettings(#[from] cassiafold_adapter::SettingsError),
+    /// A task without which the process cannot serve panicked.
+    #[error("{0}")]
+    TaskPanicked(#[from] cassiafold_jobs::task_panic::TaskPanicked),
     /// The network or the runtime failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -108,6 +111,7 @@
             Self::Request(_) | Self::Unreachable(_) => 6,
             Self::Refused(problem) => refusal_code(problem),
             Self::OutcomeUnknown { .. } => 9,
+            Self::TaskPanicked(_) => 101,
         })
     }
 }
--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -16,6 +16,7 @@
 use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::metrics::JobsMetrics;
 use cassiafold_jobs::owner::{self, OwnerSettings};
+use cassiafold_jobs::task_panic::{TaskPanicked, catch_panic};
 use cassiafold_platform::StoreMetrics;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -27,11 +28,12 @@
 use prometheus_client::registry::Registry;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::error::Result;
+use crate::error::{Error, Result};
 
 /// Minimum time to live of the owner lease; the settings may require a longer one.
 const OWNER_LEASE_TTL: Duration = Duration::from_millis(1_200);
@@ -73,7 +75,7 @@
 
 async fn serve(settings: PlatformSettings, coalescing: WakeupCoalescing) -> Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let reload = signal(SignalKind::hangup())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let callers = TcpListener::bind(settings.caller_api_address).await?;
     let readiness = TcpListener::bind(settings.ready_address).await?;
     let mut registry = Registry::with_prefix("cassiafold");
@@ -93,14 +95,16 @@
     emit!(JobsEvent::NodeStarted, instance = settings.instance, zone = settings.zone);
 
     tokio::spawn(desired_state::follow(clients.clone(), sender));
-    tokio::spawn(validate_on_reload(reload));
-    tokio::spawn(serve_metrics(
-        settings.metrics_address,
-        registry,
-        desired_states.clone(),
-        metrics.clone(),
-    ));
-    tokio::spawn(serve_readiness(readiness, api.clone(), stop.clone()));
+    let (failures, mut failed) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let name = "reload of the settings";
+        while catch_panic(name, validate_on_reload(&mut reload)).await.is_err() {}
+    });
+    let serving_metrics =
+        serve_metrics(settings.metrics_address, registry, desired_states.clone(), metrics.clone());
+    spawn_listener("metrics listener", serving_metrics, &failures);
+    let serving_readiness = serve_readiness(readiness, api.clone(), stop.clone());
+    spawn_listener("readiness listener", serving_readiness, &failures);
     let owner_settings = OwnerSettings {
         instance: settings.instance.clone(),
         lease_ttl: OWNER_LEASE_TTL.max(settings.lease_ttl_min),
@@ -113,9 +117,15 @@
     let owner =
         tokio::spawn(owner::campaign(clients, owner_settings, desired_states, stop.clone()));
     let stop_accepting = CancellationToken::new();
-    let serving = tokio::spawn(serve_callers(callers, api, stop_accepting.clone()));
-    terminate.recv().await;
+    let serving_callers = serve_callers(callers, api, stop_accepting.clone());
+    let serving = spawn_listener("callers' listener", serving_callers, &failures);
+    let failure = wait_for_end(terminate.recv(), &mut failed).await;
     stop.cancel();
+    if let Some(panicked) = failure {
+        // Another process takes the place of this one, so callers are not served on.
+        let _ = timeout(DRAIN_TIMEOUT, owner).await;
+        return Err(Error::TaskPanicked(panicked));
+    }
     // Ownership is released while callers are still served.
     let shutdown_at = tokio::time::Instant::now() + SHUTDOWN_DELAY;
     let _ = owner.await;
@@ -126,6 +136,33 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Spawns a listener, and tells `failures` if it panics: it cannot start again, since its socket is
+/// gone with it.
+fn spawn_listener(
+    name: &'static str,
+    serving: impl Future<Output = ()> + Send + 'static,
+    failures: &mpsc::Sender<TaskPanicked>,
+) -> JoinHandle<()> {
+    let failures = failures.clone();
+    tokio::spawn(async move {
+        if let Err(panicked) = catch_panic(name, serving).await {
+            // The process may be ending for another reason.
+            let _ = failures.try_send(panicked);
+        }
+    })
+}
+
+/// Waits until the process is told to stop; returns the listener's panic if that comes first.
+async fn wait_for_end<T>(
+    terminated: impl Future<Output = T>,
+    failed: &mut mpsc::Receiver<TaskPanicked>,
+) -> Option<TaskPanicked> {
+    tokio::select! {
+        _ = terminated => None,
+        panicked = failed.recv() => panicked,
+    }
+}
+
 /// Returns the fixed delay before free ownership is claimed.
 ///
 /// The owner reads all jobs and sends the commands for all tasks, so machines with a larger CPU
@@ -137,7 +174,7 @@
 }
 
 /// Reads the settings again on SIGHUP and logs the result. Addresses are not changed.
-async fn validate_on_reload(mut reload: Signal) {
+async fn validate_on_reload(reload: &mut Signal) {
     while reload.recv().await.is_some() {
         match read_settings(settings_path()) {
             Ok(settings) => emit!(JobsEvent::NodeReloaded, instance = settings.instance),
@@ -181,7 +218,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     // Errors of a connection that the caller closes are ignored.
-    tokio::spawn(async move { drop(connection.await) });
+    tokio::spawn(async move { drop(catch_panic("caller's connection", connection).await) });
 }
 
 /// Serves the metrics as text. If the address cannot be bound, the instance runs without them.
@@ -262,3 +299,6 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests;
