Let an owner without a valid lease wait instead of spinning

Cause: nothing is planned while the lease is not valid, so the polls that are due stay due, and the loop sleeps until a moment in the past.

Change: while the lease is not valid the loop waits for a message or 20 ms. What happens in a pass, when the lease becomes valid again or has ended, is as before.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -45,6 +45,8 @@
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two looks at a lease that is not valid; commands that are due wait for it.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
 const CHANNEL_CAPACITY: usize = 4_096;
 
@@ -212,7 +214,7 @@
     owner_loop.update_workers();
     let end = loop {
         let now = since_boot();
-        let due = owner_loop.scheduler.next_due(now);
+        let due = owner_loop.next_due(now);
         let first = tokio::select! {
             message = messages.recv() => match message {
                 Some(message) => Some(message),
@@ -282,6 +284,16 @@
         self.scheduler.set_waves(&desired_state.waves, now);
     }
 
+    /// Returns when the next pass is due if there is no message.
+    ///
+    /// Nothing is planned while the lease is not valid, so what is due stays due.
+    fn next_due(&self, now: Moment) -> Moment {
+        match self.lease.is_valid() {
+            true => self.scheduler.next_due(now),
+            false => now + LEASE_CHECK_INTERVAL,
+        }
+    }
+
     /// Handles a message and all others that are in the channel.
     fn handle_messages(&mut self, first: Option<Message>, messages: &mut mpsc::Receiver<Message>) {
         let started = since_boot();
