Fail a job whose state the store cannot take

What callers would see: once the state of one job (many tasks, or long checkpoints of a worker) exceeds the largest value of the store, the write that contains it is refused and repeated for ever, with the states of up to 19 other jobs, and in the first chain with the list of workers and the waves. The next owner meets the same state.

Cause: the size of a state was not checked before it was written.

Evidence: a_job_whose_state_is_larger_than_a_value_of_the_store_fails_alone failed on the old code ("a value of 1000084 bytes").

Change: a state of more than VALUE_BYTES_MAX (1,000,000 bytes) is not written; its job has failed (event 1661), and the state of an ended job holds no tasks.

Conclusion: an ordinary job beside it completes. VALUE_BYTES_MAX is the product's own constant; what the platform's store takes (ValueBytes) is not known to the program.

--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -68,16 +68,21 @@
     /// Adds a job whose state the owner cannot hold, as failed.
     fn fail_oversized(&mut self, job: Job, error: &JobSizeError, now: Moment) {
         let id = job.id;
+        self.jobs.insert(id, job);
+        self.log_oversized(id, error);
+        self.early_cancels.remove(&id);
+        self.finish_job(id, JobState::Failed, now);
+    }
+
+    pub(super) fn log_oversized(&self, id: JobId, error: &JobSizeError) {
+        let queue = self.jobs.get(&id).map_or("-", |job| &job.record.queue);
         emit!(
             target: LOG_TARGET,
             JobsEvent::JobOversized,
             job = format_args!("{id:016x}"),
-            queue = job.record.queue,
+            queue = queue,
             reason = error
         );
-        self.jobs.insert(id, job);
-        self.early_cancels.remove(&id);
-        self.finish_job(id, JobState::Failed, now);
     }
 
     /// Adds one job to the team's bucket and returns whether the team exceeds its weight.
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 
 use cassiafold_event::emit;
-use cassiafold_platform::Moment;
+use cassiafold_platform::{Moment, VALUE_BYTES_MAX};
 
 use super::Scheduler;
 use crate::cluster::WaveNumber;
 use crate::event::JobsEvent;
-use crate::job::WorkerSlot;
+use crate::job::{Job, WorkerSlot};
 use crate::record::{
     COMMANDED_MACHINES_KEY, ChainNumber, CommandedMachinesRecord, FIRST_WRITE_CHAIN, JobState,
     RecordError, WAITING_KEY, WAVES_KEY, WaitingRecord, WorkerRecord, WorkerShard, cancel_key,
     job_key, state_key, workers_key,
 };
-use crate::spec::JobId;
+use crate::spec::{JobId, JobSizeError};
 
 /// Entries of a write beside its two conditions and the sequence key: the store accepts 32.
 const ENTRIES_MAX: usize = 29;
@@ -128,7 +128,7 @@
         match chain {
             FIRST_WRITE_CHAIN => self.collect_all(now, &mut batch),
             _ => {
-                self.collect_states(ENTRIES_MAX, &mut batch);
+                self.collect_states(ENTRIES_MAX, now, &mut batch);
                 let remaining = ENTRIES_MAX - batch.puts.len();
                 self.collect_deletions(remaining / DELETION_ENTRIES, now, &mut batch);
             }
@@ -148,7 +148,7 @@
         self.write_urgency = WriteUrgency::Low;
         self.collect_workers(batch);
         let other_entries = LISTS_MAX + WAVES_MAX + DELETED_JOBS_MAX * DELETION_ENTRIES;
-        self.collect_states(ENTRIES_MAX - other_entries - batch.puts.len(), batch);
+        self.collect_states(ENTRIES_MAX - other_entries - batch.puts.len(), now, batch);
         self.collect_waves(batch);
         self.collect_commanded_machines(now, batch);
         self.collect_waiting(now, batch);
@@ -210,13 +210,15 @@
         }
     }
 
-    fn collect_states(&mut self, count_max: usize, batch: &mut WriteBatch) {
+    fn collect_states(&mut self, count_max: usize, now: Moment, batch: &mut WriteBatch) {
         let (ids, remaining_urgency) = self.next_unwritten(count_max);
+        let mut oversized: Vec<(JobId, usize)> = Vec::new();
         self.raise_write_urgency(remaining_urgency);
         for id in ids {
             let first_end = self.unwritten_states.remove(&id).unwrap_or_default();
             let Some(job) = self.jobs.get(&id) else { continue };
             match job.to_state_record().encode() {
+                Ok(bytes) if bytes.len() > VALUE_BYTES_MAX => oversized.push((id, bytes.len())),
                 Ok(bytes) => {
                     batch.puts.push((state_key(id), bytes));
                     batch.states.push(id);
@@ -225,6 +227,17 @@
                 Err(error) => log_encode_error(id, &error),
             }
         }
+        for (id, bytes) in oversized {
+            self.fail_unstorable(id, &JobSizeError::State(bytes), now);
+        }
+    }
+
+    /// Ends a job whose state the store cannot take, as failed: the state of an ended job is small.
+    fn fail_unstorable(&mut self, id: JobId, error: &JobSizeError, now: Moment) {
+        self.log_oversized(id, error);
+        if self.jobs.get(&id).is_some_and(Job::is_live) {
+            self.finish_job(id, JobState::Failed, now);
+        }
     }
 
     /// Adds the outdated worker shards. Dozens of machines may move each second, so a worker that
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cassiafold_platform::VALUE_BYTES_MAX;
 pub use cassiafold_tasks::record::Resources;
 
 /// Identifies a job; chosen by its caller as 16 hexadecimal digits.
@@ -39,6 +40,9 @@
     /// It has too many occurrences.
     #[error("{0} occurrences, of at most {OCCURRENCES_MAX}")]
     Occurrences(u32),
+    /// Its state does not fit into a value of the store.
+    #[error("a state of {0} bytes, of at most {VALUE_BYTES_MAX}")]
+    State(usize),
 }
 
 /// Identifies a step of one occurrence of a job.
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -13,6 +13,7 @@
 use cassiafold_jobs::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use cassiafold_jobs::scheduler::{Command, OwnerTerm};
 use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TaskId};
+use cassiafold_platform::VALUE_BYTES_MAX;
 use proptest::prelude::*;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
@@ -394,3 +395,29 @@
         let _ = harness.scheduler.backlog(harness.now);
     }
 }
+
+/// Guards against a write chain that repeats a write for ever which the store cannot take.
+#[test]
+fn a_job_whose_state_is_larger_than_a_value_of_the_store_fails_alone() {
+    let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+    harness.submit(EXTREME, vec![StepSpec { checkpoints: true, ..step(2, 1, &[]) }]);
+    harness.run_for(ms(200));
+    let (worker, runs) = harness.running.iter().next().expect("a run");
+    let (worker, (task, run)) = (*worker, runs[0]);
+    let checkpoint = Some("c".repeat(VALUE_BYTES_MAX).into());
+    let ended = vec![EndedRun { number: 1, task, run, end: RunEnd::Failed, checkpoint }];
+    let poll = PollResponse { clock: harness.now, ended, ..PollResponse::default() };
+    harness.scheduler.handle_poll_response(worker, true, harness.now, harness.now, poll);
+    let mut largest = 0;
+    while let Some(batch) = harness.scheduler.next_write_batch(harness.now) {
+        largest = batch.puts.iter().map(|(_, value)| value.len()).max().unwrap_or(0).max(largest);
+        harness.scheduler.handle_write_committed(&batch, harness.now);
+        harness.now += ms(10);
+        if harness.now > ms(110_000) {
+            break;
+        }
+    }
+    assert!(largest <= VALUE_BYTES_MAX, "a value of {largest} bytes");
+    assert_eq!(state(&harness, EXTREME), Some(JobState::Failed));
+    check_ordinary_job_completes(&mut harness);
+}
