--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -41,5 +41,9 @@
         NodeNotReloaded = 1653, Warn, "changed settings were rejected";
         ConnectionNotAccepted = 1654, Warn, "connection could not be accepted";
         MetricsNotServed = 1655, Warn, "metrics could not be served";
+        TimeoutMalformed = 1660, Info, "caller's timeout is malformed; the default applies";
+        JobOversized = 1661, Warn, "job is too large for the owner and has failed";
+        JobRejected = 1662, Info, "submitted job is malformed or out of range";
+        TaskPanicked = 1663, Error, "task ended by a panic";
     }
 }
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -33,6 +33,7 @@
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::PlatformClients;
 use crate::scheduler::{Scheduler, SchedulerSettings};
+use crate::task_panic::{RESTART_DELAY, catch_panic};
 
 /// Time between the starts of two state writes that nothing waits for.
 const WRITE_INTERVAL: Duration = Duration::from_millis(120);
@@ -47,6 +48,8 @@
 /// Delay before an instance that could not read the state claims the ownership again. It is longer
 /// than the delays of the other instances' claims.
 const FAILED_LOAD_DELAY: Duration = Duration::from_secs(1);
+/// Time between two looks at a lease that is not valid; commands that are due wait for it.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
 const CHANNEL_CAPACITY: usize = 4_096;
 
@@ -76,26 +79,42 @@
     desired_states: watch::Receiver<Arc<DesiredState>>,
     stop: CancellationToken,
 ) {
-    loop {
-        let claimed = tokio::select! {
-            claimed = claim::claim(&platform, &settings) => claimed,
-            () = stop.cancelled() => return,
-        };
-        let token = claimed.token;
-        emit!(JobsEvent::OwnerBegan, token = token);
-        settings.metrics.set_is_owner(true);
-        let end = run_term(&platform, &settings, desired_states.clone(), claimed, &stop).await;
+    while !stop.is_cancelled() {
+        let term = claim_and_run(&platform, &settings, &desired_states, &stop);
+        let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
-        emit!(JobsEvent::OwnerEnded, token = token, reason = end);
-        if matches!(end, TermEnd::NotLoaded(_)) {
-            tokio::select! {
-                () = sleep(FAILED_LOAD_DELAY) => {}
-                () = stop.cancelled() => return,
-            }
+        // The lease is no longer renewed, so another instance can claim before this one does.
+        let delay = match end {
+            TermEnd::Panicked => RESTART_DELAY,
+            TermEnd::NotLoaded(_) => FAILED_LOAD_DELAY,
+            _ => continue,
+        };
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = stop.cancelled() => return,
         }
     }
 }
 
+/// Claims the ownership when it is free, and runs one term.
+async fn claim_and_run<S: PlatformClients>(
+    platform: &S,
+    settings: &OwnerSettings,
+    desired_states: &watch::Receiver<Arc<DesiredState>>,
+    stop: &CancellationToken,
+) -> TermEnd {
+    let claimed = tokio::select! {
+        claimed = claim::claim(platform, settings) => claimed,
+        () = stop.cancelled() => return TermEnd::Stopped,
+    };
+    let token = claimed.token;
+    emit!(JobsEvent::OwnerBegan, token = token);
+    settings.metrics.set_is_owner(true);
+    let end = run_term(platform, settings, desired_states.clone(), claimed, stop).await;
+    emit!(JobsEvent::OwnerEnded, token = token, reason = end);
+    end
+}
+
 /// Why a term ended.
 #[derive(Debug, thiserror::Error)]
 enum TermEnd {
@@ -115,6 +134,9 @@
     Stopped,
     #[error("fenced by a later owner")]
     Fenced,
+    /// The loop may wait for the result of that task in vain.
+    #[error("a task of the term panicked")]
+    Panicked,
 }
 
 /// Input of the owner's loop.
@@ -122,6 +144,7 @@
     Outcome(Outcome),
     StoreUpdate(StoreUpdate),
     WriteOutcome(WriteOutcome),
+    TaskPanicked,
 }
 
 /// State of the owner's loop during one term.
@@ -135,6 +158,8 @@
     last_write: Moment,
     machines_requested: Option<Moment>,
     is_fenced: bool,
+    /// Whether a task of the term ended by a panic.
+    has_panicked: bool,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -175,31 +200,40 @@
         last_write: since_boot(),
         machines_requested: None,
         is_fenced: false,
+        has_panicked: false,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
     };
     let workers_prefix = WorkersPrefix { platform: platform.clone() };
     let _watch_tasks = [
-        spawn(watch_store::watch_store(
-            platform.clone(),
-            InboxPrefix,
-            loaded.inbox_revision,
+        spawn_watch(
+            "watch of the accepted jobs",
+            watch_store::watch_store(
+                platform.clone(),
+                InboxPrefix,
+                loaded.inbox_revision,
+                sender.clone(),
+            ),
             sender.clone(),
-        )),
-        spawn(watch_store::watch_store(
-            platform.clone(),
-            workers_prefix,
-            loaded.workers_revision,
+        ),
+        spawn_watch(
+            "watch of the workers",
+            watch_store::watch_store(
+                platform.clone(),
+                workers_prefix,
+                loaded.workers_revision,
+                sender.clone(),
+            ),
             sender,
-        )),
+        ),
     ];
     owner_loop.apply_desired_state(&desired_states.borrow_and_update().clone());
     owner_loop.workers.decode_initial(platform);
     owner_loop.update_workers();
     let end = loop {
         let now = since_boot();
-        let due = owner_loop.scheduler.next_due(now);
+        let due = owner_loop.next_due(now);
         let first = tokio::select! {
             message = messages.recv() => match message {
                 Some(message) => Some(message),
@@ -220,6 +254,9 @@
         if owner_loop.is_fenced {
             break TermEnd::Fenced;
         }
+        if owner_loop.has_panicked {
+            break TermEnd::Panicked;
+        }
         owner_loop.loop_stats.record_pass(due, since_boot());
         owner_loop.run_pass();
     };
@@ -237,8 +274,18 @@
     }
 }
 
-fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
-    AbortOnDropHandle::new(tokio::spawn(task))
+/// Spawns a watch of the term, and tells the loop if it panics.
+fn spawn_watch(
+    name: &'static str,
+    watch: impl Future<Output = ()> + Send + 'static,
+    sender: mpsc::Sender<Message>,
+) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(async move {
+        if catch_panic(name, watch).await.is_err() {
+            // The loop may have ended.
+            let _ = sender.send(Message::TaskPanicked).await;
+        }
+    }))
 }
 
 /// The current Unix time.
@@ -256,6 +303,16 @@
         self.scheduler.set_waves(&desired_state.waves, now);
     }
 
+    /// Returns when the next pass is due if there is no message.
+    ///
+    /// Nothing is planned while the lease is not valid, so what is due stays due.
+    fn next_due(&self, now: Moment) -> Moment {
+        match self.lease.is_valid() {
+            true => self.scheduler.next_due(now),
+            false => now + LEASE_CHECK_INTERVAL,
+        }
+    }
+
     /// Handles a message and all others that are in the channel.
     fn handle_messages(&mut self, first: Option<Message>, messages: &mut mpsc::Receiver<Message>) {
         let started = since_boot();
@@ -275,6 +332,7 @@
             Message::Outcome(outcome) => self.handle_outcome(outcome, now),
             Message::StoreUpdate(update) => self.apply_store_update(update, now),
             Message::WriteOutcome(outcome) => self.handle_write_outcome(outcome),
+            Message::TaskPanicked => self.has_panicked = true,
         }
     }
 
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -31,6 +32,9 @@
 /// Run time of each task.
 const TASK_TIME: Duration = Duration::from_millis(40);
 
+/// Key of the operator's at which [`TestFormats`] panics.
+pub const ODD_ITEM: &str = "op/odd";
+
 /// Platform clients of one instance.
 #[derive(Debug, Clone)]
 pub struct TestClients {
@@ -48,6 +52,8 @@
     pub starts: Arc<Mutex<Vec<(TaskId, RunNumber)>>>,
     /// Workers whose connections were closed.
     pub disconnected: Arc<Mutex<BTreeSet<WorkerId>>>,
+    /// Whether the next poll panics.
+    pub panics_at_poll: Arc<AtomicBool>,
 }
 
 /// Formats with plain text records.
@@ -68,6 +74,7 @@
             jobs: Arc::default(),
             starts: Arc::default(),
             disconnected: Arc::default(),
+            panics_at_poll: Arc::default(),
         };
         Self { store: MemoryStore::default(), workers }
     }
@@ -167,6 +174,8 @@
         request: PollRequest,
     ) -> Result<PollResponse, PollError> {
         tokio::time::sleep(ms(5)).await;
+        let panics = self.panics_at_poll.swap(false, Ordering::Relaxed);
+        assert!(!panics, "a poll that panics");
         self.with(&worker.id, |worker| worker.poll(request, since_boot()))
     }
 
@@ -232,6 +241,7 @@
     const WORKERS_PREFIX: &'static str = "workers/";
 
     fn operator_item(&self, record: &Record) -> Result<OperatorItem, ItemError> {
+        assert!(&*record.key != ODD_ITEM, "an item that panics");
         let text = std::str::from_utf8(&record.value).map_err(|_| ItemError("bytes".into()))?;
         let mut words = text.split(' ');
         let version = words.next().and_then(|word| word.parse().ok());
