--- a/crates/platform/src/event.rs
+++ b/crates/platform/src/event.rs
@@ -7,5 +7,6 @@
         LeaseExpired = 1101, Warn, "lease expired in the key-value service";
         WatchSilent = 1102, Warn, "no message on a watch of the key-value service; resuming the watch";
         EndpointsSkipped = 1103, Warn, "skipped unusable endpoints of the instance list";
+        ItemUnreadable = 1104, Warn, "item of the key-value service could not be read";
     }
 }
