Drop a worker whose listed entry can't be read, as one that a watch reports

What callers would see: a worker whose entry another writer had made unreadable was given tasks for up to 2.3 s more if the owner learned of it by a list (after an outage, or with its history gone), and none at once if it learned of it by its watch.

Cause: entries that can't be read were left out of the decoded list, so their keys counted as missing, and missing entries are kept for 2.3 s.

Evidence: a_worker_whose_entry_is_listed_as_unreadable_gets_no_runs failed: "an unreadable entry names no worker"; its twin by watch passed.

Change: a list names the keys of all entries, with no worker for those that can't be read; only keys that are not in the list are missing.

Conclusion: list and watch mean the same, and both are tested.

--- a/crates/jobs/src/owner/watch_store.rs
+++ b/crates/jobs/src/owner/watch_store.rs
@@ -1,6 +1,6 @@
 //! Watches the accepted jobs, the cancellations and the workers' entries in the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,12 +38,15 @@
     WorkerEntries(EntriesChange),
 }
 
+/// Key of an entry and what it names: no worker if it was removed or can't be read.
+type KeyedEntry = (Arc<str>, Option<WorkerEntry>);
+
 /// A change of the workers' entries.
 pub(super) enum EntriesChange {
     /// All entries, listed after a store outage.
-    Listed(Vec<(Arc<str>, WorkerEntry)>),
+    Listed(Vec<KeyedEntry>),
     /// Entries that were written or removed.
-    Changed(Vec<(Arc<str>, Option<WorkerEntry>)>),
+    Changed(Vec<KeyedEntry>),
 }
 
 /// A prefix that is watched.
@@ -162,24 +165,20 @@
     }
 }
 
-fn decode_entries<S: PlatformClients>(
-    platform: &S,
-    records: &[Record],
-) -> Vec<(Arc<str>, WorkerEntry)> {
-    let read = records
-        .iter()
-        .filter_map(|record| Some((record.key.clone(), decode_entry(platform, record)?)));
-    read.collect()
+fn decode_entries<S: PlatformClients>(platform: &S, records: &[Record]) -> Vec<KeyedEntry> {
+    records.iter().map(|record| (record.key.clone(), decode_entry(platform, record))).collect()
 }
 
-fn decode_entry_change<S: PlatformClients>(
-    platform: &S,
-    change: &Change,
-) -> (Arc<str>, Option<WorkerEntry>) {
+fn decode_entry_change<S: PlatformClients>(platform: &S, change: &Change) -> KeyedEntry {
     let entry = change.record.as_ref().and_then(|record| decode_entry(platform, record));
     (change.key.clone(), entry)
 }
 
+/// The entries that name a worker, by key.
+fn named_workers(entries: Vec<KeyedEntry>) -> HashMap<Arc<str>, WorkerEntry> {
+    entries.into_iter().filter_map(|(key, entry)| Some((key, entry?))).collect()
+}
+
 fn decode_entry<S: PlatformClients>(platform: &S, record: &Record) -> Option<WorkerEntry> {
     match platform.formats().worker_entry(record) {
         Ok(entry) => Some(entry),
@@ -193,7 +192,8 @@
 /// The workers' entries, including those that the store lost during an outage.
 pub(super) struct WorkerList {
     entries: HashMap<Arc<str>, WorkerEntry>,
-    /// Entries that are missing after an outage, and until when they are kept.
+    /// Entries that are missing after an outage, and until when they are kept. One that is there
+    /// and can't be read isn't missing.
     missing: HashMap<Arc<str>, WorkerEntry>,
     missing_until: Option<Moment>,
     initial: Vec<Record>,
@@ -207,7 +207,7 @@
     /// Decodes the entries with which the term started.
     pub(super) fn decode_initial<S: PlatformClients>(&mut self, platform: &S) {
         let records = std::mem::take(&mut self.initial);
-        self.entries = decode_entries(platform, &records).into_iter().collect();
+        self.entries = named_workers(decode_entries(platform, &records));
     }
 
     pub(super) fn apply(&mut self, change: EntriesChange, now: Moment) {
@@ -222,9 +222,10 @@
                 }
             }
             EntriesChange::Listed(listed) => {
-                let previous = std::mem::replace(&mut self.entries, listed.into_iter().collect());
+                let keys: HashSet<Arc<str>> = listed.iter().map(|(key, _)| key.clone()).collect();
+                let previous = std::mem::replace(&mut self.entries, named_workers(listed));
                 self.missing.extend(previous);
-                self.missing.retain(|key, _| !self.entries.contains_key(key));
+                self.missing.retain(|key, _| !keys.contains(key));
                 self.missing_until = Some(now + MISSING_ENTRY_RETENTION);
             }
         }
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -1,5 +1,7 @@
 //! Platform clients for tests: the in-memory store, and emulated workers in this process.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -99,6 +101,12 @@
         }
     }
 
+    /// Replaces the entry of a worker in the store; only "up" can be read.
+    pub async fn write_entry(&self, id: &str, value: &'static str) {
+        let key = format!("{}{id}", TestFormats::WORKERS_PREFIX);
+        self.store.commit(Transaction::default().put(key, value, None)).await.expect("store");
+    }
+
     /// Crashes a worker for good and deletes its entry from the store.
     pub async fn remove_worker(&self, id: &str) {
         self.workers.with(id, EmulatedWorker::crash);
@@ -241,6 +249,9 @@
 
     fn worker_entry(&self, record: &Record) -> Result<WorkerEntry, ItemError> {
         let id = record.key.strip_prefix(Self::WORKERS_PREFIX).expect("prefix");
+        if record.value != "up" {
+            return Err(ItemError("odd".into()));
+        }
         let number = id.trim_start_matches('w').parse().expect("number");
         let capacity = Resources { memory_bytes: 64 << 30, ..cores(16) };
         Ok(WorkerEntry { service: SERVICE.into(), ..EmulatedWorker::new(number, capacity).entry() })
--- /dev/null
+++ b/crates/jobs/tests/odd_entries.rs
@@ -0,0 +1,88 @@
+//! Entries of workers that can't be read, among sound ones, with stand-ins and in real time.
+
+mod clients;
+mod emulator;
+
+use std::time::Duration;
+
+use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::record::JobState;
+use cassiafold_jobs::spec::JobId;
+use tokio::time::sleep;
+
+use self::clients::{TestClients, call};
+use self::emulator::{job, ms, step};
+
+/// How the owner learns of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Path {
+    /// Its watch of the entries reports the change.
+    Watch,
+    /// It lists the entries, since the history of the change is gone.
+    List,
+}
+
+async fn wait_until_ready(api: &JobApi<TestClients>) {
+    while !api.is_ready(Duration::from_secs(60)) {
+        sleep(ms(20)).await;
+    }
+}
+
+/// Submits a job and returns whether it completes within `limit`.
+async fn completes(
+    platform: &TestClients,
+    api: &JobApi<TestClients>,
+    id: JobId,
+    limit: Duration,
+) -> bool {
+    let request = call(&format!("/q/{id:016x}"), Some("k1"));
+    let record = job(vec![step(3, 1, &[])]);
+    platform.workers.add_job(id, record.clone());
+    assert_eq!(api.submit(&request, record.spec).await, SubmitResponse::Accepted);
+    let done = JobStateResponse::State(JobState::Completed);
+    let wait = async {
+        while api.job_state(&request).await != done {
+            sleep(ms(20)).await;
+        }
+    };
+    tokio::time::timeout(limit, wait).await.is_ok()
+}
+
+/// Writes an entry of the worker and lets the owner learn of it.
+async fn write_entry(platform: &TestClients, path: Path, value: &'static str) {
+    let faults = platform.store.faults();
+    faults.set_silent_watches(path == Path::List);
+    platform.write_entry("w0", value).await;
+    if path == Path::List {
+        faults.compact();
+    }
+    faults.set_silent_watches(false);
+    sleep(ms(600)).await;
+}
+
+async fn check_unreadable_entry(path: Path) {
+    let platform = TestClients::new(1);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    let _owner = platform.client("one").start_owner("one");
+    assert!(completes(&platform, &api, 1, ms(5_000)).await, "the entry names a worker");
+    write_entry(&platform, path, "odd").await;
+    assert!(!completes(&platform, &api, 2, ms(900)).await, "an unreadable entry names no worker");
+    write_entry(&platform, path, "up").await;
+    assert!(completes(&platform, &api, 3, ms(5_000)).await, "the entry names a worker again");
+}
+
+macro_rules! unreadable_entries {
+    ($($name:ident: $path:expr;)+) => {
+        $(#[tokio::test] async fn $name() {
+            check_unreadable_entry($path).await;
+        })+
+    };
+}
+
+unreadable_entries! {
+    a_worker_whose_entry_changes_to_an_unreadable_one_gets_no_runs: Path::Watch;
+    a_worker_whose_entry_is_listed_as_unreadable_gets_no_runs: Path::List;
+}
