--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -247,7 +247,13 @@
     }
 
     /// Stores the worker's clock as of a response received at `received`.
+    ///
+    /// A steady clock doesn't go back: after a lower reading, leases that were computed from the
+    /// earlier one say nothing about this clock.
     pub fn set_clock(&mut self, clock: Duration, received: Moment) {
+        if self.clock.is_some_and(|(previous, _)| clock < previous) {
+            self.lease_until = Duration::ZERO;
+        }
         self.clock = Some((clock, received));
         self.last_answered = Some(received);
     }
@@ -256,7 +262,8 @@
     /// clock; `None` while that clock is unknown.
     pub fn extend_lease(&mut self, lease_max: Duration, now: Moment) -> Option<Duration> {
         let (clock, received) = self.clock?;
-        let until = clock + now.saturating_sub(received) + lease_max;
+        // The reading may be any time at all.
+        let until = clock.saturating_add(now.saturating_sub(received) + lease_max);
         self.lease_until = self.lease_until.max(until);
         let remaining = self.lease_until.saturating_sub(clock);
         let remaining_if_slow = remaining * 100 / (100 - CLOCK_SLOW_PERCENT);
--- /dev/null
+++ b/crates/jobs/tests/extremes.rs
@@ -0,0 +1,41 @@
+//! The largest numbers that workers and callers can report, in decisions of the scheduler.
+
+mod emulator;
+mod harness;
+
+use std::time::Duration;
+
+use cassiafold_jobs::clients::PollResponse;
+use cassiafold_jobs::scheduler::OwnerTerm;
+
+use self::emulator::{ms, step};
+use self::harness::SchedulerHarness;
+
+/// Passes the response to an additional poll of worker 0 to the scheduler.
+fn report(harness: &mut SchedulerHarness, response: PollResponse) {
+    let now = harness.now;
+    let _ = harness.scheduler.poll_request(0, true, now);
+    harness.scheduler.handle_poll_response(0, true, now, now, response);
+}
+
+#[test]
+fn a_worker_with_the_largest_clock_reading_ends_no_owner() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    report(&mut harness, PollResponse { clock: Duration::MAX, ..PollResponse::default() });
+    let request = harness.scheduler.poll_request(0, true, harness.now);
+    assert_eq!(request.lease_until, Some(Duration::MAX));
+    harness.submit(1, vec![step(40, 1, &[])]);
+    harness.run_for(ms(200));
+    assert!(harness.running() > 16, "{} runs on two workers", harness.running());
+}
+
+#[test]
+fn a_worker_whose_clock_went_back_is_given_leases_by_its_new_reading() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    report(&mut harness, PollResponse { clock: Duration::MAX / 2, ..PollResponse::default() });
+    let _ = harness.scheduler.poll_request(0, true, harness.now);
+    report(&mut harness, PollResponse { clock: ms(5_000), ..PollResponse::default() });
+    let request = harness.scheduler.poll_request(0, true, harness.now);
+    let lease = request.lease_until.expect("a lease").saturating_sub(ms(5_000));
+    assert!(lease < ms(10_000), "{lease:?}");
+}
