--- a/crates/jobs/src/cluster.rs
+++ b/crates/jobs/src/cluster.rs
@@ -157,6 +157,8 @@
     Maintenance,
     /// It is off or broken.
     Down,
+    /// What the platform lists about it can't be read.
+    Unknown,
 }
 
 /// A machine, which runs at most one worker at a time.
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -101,7 +101,8 @@
         for machine in self.machines.iter() {
             let target = self.moving_machines.get(&machine.id).map(|(service, _)| service);
             let Some(pool) = pools.get_mut(target.unwrap_or(&machine.service)) else { continue };
-            if machine.state == MachineState::Down || self.is_draining(machine) {
+            let is_usable = !matches!(machine.state, MachineState::Down | MachineState::Unknown);
+            if !is_usable || self.is_draining(machine) {
                 continue;
             }
             pool.machines += 1;
@@ -150,7 +151,8 @@
 
     /// Returns the mean number of cores of a machine.
     fn cores_per_machine(&self) -> f64 {
-        let core_counts = self.machines.iter().map(|machine| machine.capacity.processors_milli);
+        let known = self.machines.iter().filter(|machine| machine.state != MachineState::Unknown);
+        let core_counts = known.map(|machine| machine.capacity.processors_milli);
         let (sum, count) = core_counts.fold((0.0, 0.0), |(sum, count), milli| {
             (sum + f64::from(milli) / 1_000.0, count + 1.0)
         });
--- a/crates/jobs/src/scheduler/machine_list.rs
+++ b/crates/jobs/src/scheduler/machine_list.rs
@@ -37,6 +37,12 @@
         self.machines.get(*self.by_id.get(id)?)
     }
 
+    /// Returns whether a machine that is up, or one whose state is unknown, may run a worker.
+    pub(super) fn may_run_worker(&self, worker: &str) -> bool {
+        self.has_running_worker(worker)
+            || self.machines.iter().any(|machine| machine.state == MachineState::Unknown)
+    }
+
     /// Returns whether a worker runs on a machine that is up.
     pub(super) fn has_running_worker(&self, worker: &str) -> bool {
         self.up_by_worker.contains_key(worker)
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -134,7 +134,9 @@
         for slot in leaving {
             let id = &self.workers[slot].entry.id;
             if !machines.has_running_worker(id) {
-                self.retire_worker(slot, now);
+                if !machines.may_run_worker(id) {
+                    self.retire_worker(slot, now);
+                }
                 continue;
             }
             // The command had been executed before: this is the worker that started after it.
@@ -158,7 +160,7 @@
             if worker.is_gone || !is_unresponsive {
                 continue;
             }
-            if !self.machines.has_running_worker(&worker.entry.id) {
+            if !self.machines.may_run_worker(&worker.entry.id) {
                 self.retire_worker(slot, now);
             }
         }
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -271,6 +271,22 @@
     assert_eq!(harness.running.get(&other).map(Vec::len), Some(1));
 }
 
+#[test]
+fn an_unresponsive_worker_is_not_retired_while_a_machine_is_listed_unreadably() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![step(1, 1, &[])]);
+    harness.run_for(ms(100));
+    let slot = *harness.running.keys().next().expect("one worker runs it");
+    let error = PollError::NoAnswer("timeout".into());
+    harness.scheduler.handle_poll_failure(slot, false, &error, harness.now);
+    harness.now += ms(10);
+    let mut machines = SchedulerHarness::machines(2, MachineState::Up);
+    machines[slot] =
+        Machine { state: MachineState::Unknown, worker: None, ..machines[slot].clone() };
+    harness.set_machines(machines);
+    assert!(!harness.scheduler.worker(slot).is_gone);
+}
+
 #[test]
 fn an_unresponsive_worker_whose_machine_is_up_keeps_its_tasks_until_the_lease_expires() {
     let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
--- a/crates/platform/src/event.rs
+++ b/crates/platform/src/event.rs
@@ -8,5 +8,7 @@
         WatchSilent = 1102, Warn, "no message on a watch of the key-value service; resuming the watch";
         EndpointsSkipped = 1103, Warn, "skipped unusable endpoints of the instance list";
         ItemUnreadable = 1104, Warn, "item of the key-value service could not be read";
+        MachineUnreadable = 1105, Warn, "machine in the list of machines could not be read";
+        MachineListUnreadable = 1106, Warn, "list of machines could not be read";
     }
 }
