Add up the times of a job without overflow

What callers would see: a job of some 1,100 steps in a row, each estimated at the largest number of milliseconds, is accepted; then the task that places jobs panics in each instance that becomes the owner, for as long as the job is stored. No odd entry of a worker is needed, but it is the same fault: one record of others ends one machine after the other.

Cause: estimates of a chain of steps were added, and multiplied by the queue's stretch, with operators that panic on overflow; so were the due times of occurrences and the validity of tickets.

Evidence: a_job_whose_estimates_exceed_the_longest_time_ends_no_owner and an_occurrence_beyond_the_latest_time_is_due_then of crates/jobs/tests/extremes.rs failed, "overflow when adding durations" and "overflow when multiplying duration by scalar". (The ticket's sum was changed alike without a test of its own.)

Change: these sums and products saturate.

Conclusion: such a job waits and is done like others; its estimate is still believed, so it weighs on the run time ratio (not changed here).

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -294,7 +294,7 @@
             let start = dependency_ends.max().copied().unwrap_or_default();
             let duration =
                 if step.is_done() && !with_done { Duration::ZERO } else { spec.estimate };
-            ends.push(start + duration);
+            ends.push(start.saturating_add(duration));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -204,7 +204,9 @@
         let queue = self.config.queues.get(&job.record.queue);
         let critical_path_factor = queue.map_or(1.0, |queue| queue.critical_path_factor.max(1.0));
         let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
-        occurrence.due + occurrence.critical_path.mul_f64(critical_path_factor) + slack
+        let scaled_s = occurrence.critical_path.as_secs_f64() * critical_path_factor;
+        let scaled = Duration::try_from_secs_f64(scaled_s).unwrap_or(Duration::MAX);
+        occurrence.due.saturating_add(scaled).saturating_add(slack)
     }
 
     pub(super) fn candidates(&self, service: &str, now: Moment) -> Vec<Candidate> {
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -108,7 +108,7 @@
             step_tickets.next_query = now + QUERY_RETRY_DELAY;
             return;
         };
-        let until = sent + response.valid_for.saturating_sub(TICKET_MARGIN);
+        let until = sent.saturating_add(response.valid_for.saturating_sub(TICKET_MARGIN));
         for id in &query.workers {
             let Some(slot) = current_slots.get(id).copied() else { continue };
             match response.tickets.iter().find(|ticket| ticket.worker == *id) {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -84,9 +84,9 @@
 }
 
 impl Schedule {
-    /// Unix time at which an occurrence is due.
+    /// Unix time at which an occurrence is due; the latest time if it lies beyond.
     pub fn due_unix(&self, occurrence: OccurrenceNumber) -> Duration {
-        self.first_unix + self.interval * occurrence
+        self.first_unix.saturating_add(self.interval.saturating_mul(occurrence))
     }
 }
 
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -7,6 +7,7 @@
 
 use cassiafold_jobs::clients::PollResponse;
 use cassiafold_jobs::scheduler::OwnerTerm;
+use cassiafold_jobs::spec::{Schedule, StepSpec};
 
 use self::emulator::{ms, step};
 use self::harness::SchedulerHarness;
@@ -39,3 +40,19 @@
     let lease = request.lease_until.expect("a lease").saturating_sub(ms(5_000));
     assert!(lease < ms(10_000), "{lease:?}");
 }
+
+#[test]
+fn a_job_whose_estimates_exceed_the_longest_time_ends_no_owner() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    let longest = |after: &[u16]| StepSpec { estimate: Duration::MAX, ..step(1, 1, after) };
+    harness.submit(1, vec![longest(&[]), longest(&[0])]);
+    harness.submit(2, vec![step(3, 1, &[])]);
+    harness.run_for(ms(300));
+    assert_eq!(harness.running(), 4);
+}
+
+#[test]
+fn an_occurrence_beyond_the_latest_time_is_due_then() {
+    let schedule = Schedule { first_unix: ms(1), interval: Duration::MAX, occurrences: 100_000 };
+    assert_eq!(schedule.due_unix(99_999), Duration::MAX);
+}
