Take no run number from a worker after which none can be given

Cause: the next run number was the highest reported one plus one.

Conclusion: numbers that owners give stay far below the end of the range.

--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -351,7 +351,7 @@
 
     pub(super) fn next_run_number(&self, task: TaskId) -> u32 {
         let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
-        entry.map_or(0, |entry| entry.last_run) + 1
+        entry.map_or(0, |entry| entry.last_run).saturating_add(1)
     }
 
     #[expect(clippy::too_many_arguments, reason = "the parts of one command")]
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -17,6 +17,10 @@
 /// Number of a run, which is one attempt to execute a task; from 1, ascending per task.
 pub type RunNumber = u32;
 
+/// Highest run number that is taken from a worker. Owners give numbers far below it, so that the
+/// number after any that is taken can be given.
+pub const RUN_NUMBER_MAX: RunNumber = RunNumber::MAX / 2;
+
 /// Identifies a step of one occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StepId {
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::clients::PollResponse;
+use cassiafold_jobs::clients::{EndedRun, PollResponse, RunEnd, RunningRun};
 use cassiafold_jobs::scheduler::OwnerTerm;
-use cassiafold_jobs::spec::{Schedule, StepSpec};
+use cassiafold_jobs::spec::{Schedule, StepId, StepSpec, TaskId};
 
 use self::emulator::{ms, step};
 use self::harness::SchedulerHarness;
@@ -56,3 +56,22 @@
     let schedule = Schedule { first_unix: ms(1), interval: Duration::MAX, occurrences: 100_000 };
     assert_eq!(schedule.due_unix(99_999), Duration::MAX);
 }
+
+#[test]
+fn a_run_with_the_largest_number_ends_no_owner() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![step(1, 1, &[])]);
+    harness.run_for(ms(100));
+    let (slot, task) = (*harness.running.keys().next().expect("a run"), 1);
+    let task = TaskId { step: StepId { job: task, occurrence: 0, step: 0 }, index: 0 };
+    let run = RunningRun { task, run: u32::MAX, checkpoint: None, percent: 0, load_metric: 0 };
+    let now = harness.now;
+    let response = PollResponse { clock: now, running: vec![run], ..PollResponse::default() };
+    harness.scheduler.handle_poll_response(1 - slot, true, now, now, response);
+    let end = EndedRun { number: 1, task, run: 1, end: RunEnd::Expired, checkpoint: None };
+    let response = PollResponse { clock: now, ended: vec![end], ..PollResponse::default() };
+    harness.running.clear();
+    harness.scheduler.handle_poll_response(slot, true, now, now, response);
+    harness.run_for(ms(3_000));
+    assert_eq!(harness.running(), 1);
+}
