Let a new owner start although a record of previous owners can't be read

What callers would see: with one unreadable record under `cassiafold/workers/`, at `cassiafold/waves` or at `cassiafold/ordered` the load of an owner fails for ever, at each instance, after one log line which says that the store is unavailable; no job is placed.

Cause: the load ended at the first record that it could not decode, and tried again.

Evidence: a_job_completes_although_records_of_previous_owners_are_unreadable failed: "the owner never began". Only we write these records, so it takes a fault of the product or of an operator's hand; but the harm has no bound.

Unknown workers may run tasks, so steps that a previous owner may have started wait until all leases are over (6.2 s); any machine may have been sent a command, so none is sent for a lease; a wave begins anew. `cassiafold/sequence` is still required: without its count of owners, run numbers would repeat.

Conclusion: the owner begins, and keeps what it promises.

--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -79,9 +79,12 @@
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = start_chains(platform, token, sequence).await?;
-    let known_workers = read_workers(&known.records)?;
-    let waves: WavesRecord = read_json(waves)?;
-    let commanded_machines: CommandedMachinesRecord = read_json(commanded_machines)?;
+    let (known_workers, has_unread_workers) = read_workers(&known.records);
+    // A wave whose progress is unknown starts anew: a machine whose maintenance is done is not
+    // taken down again for the same wave.
+    let waves: WavesRecord = waves.as_ref().and_then(read_json).unwrap_or_default();
+    let commanded_machines: Option<CommandedMachinesRecord> =
+        commanded_machines.as_ref().map_or(Some(CommandedMachinesRecord::default()), read_json);
     let run_number_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUN_NUMBERS_PER_TERM;
     let now = since_boot();
     let instance = Arc::clone(instance);
@@ -90,7 +93,9 @@
         run_number_base,
         known_workers,
         waves,
-        commanded_machines,
+        has_unread_commands: commanded_machines.is_none(),
+        commanded_machines: commanded_machines.unwrap_or_default(),
+        has_unread_workers,
         instance,
         started_unix: unix_now(),
     };
@@ -126,19 +131,23 @@
     })
 }
 
-/// Decodes a JSON record; the default value if there is none.
-fn read_json<T: DeserializeOwned + Default>(record: Option<Record>) -> Result<T, StoreError> {
-    let Some(record) = record else { return Ok(T::default()) };
-    serde_json::from_slice(&record.value)
-        .map_err(|error| StoreError::Malformed(error.to_string().into()))
+/// Decodes a JSON record; `None` if it can't be read. Such a record must not keep each instance
+/// that becomes the owner from starting; what it may have said is replaced by the worst case.
+fn read_json<T: DeserializeOwned>(record: &Record) -> Option<T> {
+    match serde_json::from_slice(&record.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
+            None
+        }
+    }
 }
 
-fn read_workers(records: &[Record]) -> Result<Vec<WorkerRecord>, StoreError> {
-    let mut workers = Vec::new();
-    for record in records {
-        workers.extend(read_json::<Vec<WorkerRecord>>(Some(record.clone()))?);
-    }
-    Ok(workers)
+/// Decodes the records of workers; also returns whether one can't be read.
+fn read_workers(records: &[Record]) -> (Vec<WorkerRecord>, bool) {
+    let shards: Vec<Option<Vec<WorkerRecord>>> = records.iter().map(read_json).collect();
+    let has_unread = shards.iter().any(Option::is_none);
+    (shards.into_iter().flatten().flatten().collect(), has_unread)
 }
 
 async fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -85,6 +85,10 @@
     pub waves: WavesRecord,
     /// Machines to which previous owners may have sent commands recently.
     pub commanded_machines: CommandedMachinesRecord,
+    /// Whether records of workers could not be read, so that there may be unknown ones with runs.
+    pub has_unread_workers: bool,
+    /// Whether the record of commanded machines could not be read.
+    pub has_unread_commands: bool,
     /// Name of the instance that is the owner.
     pub instance: Arc<str>,
     /// Unix time at the start of the term.
@@ -234,12 +238,15 @@
     /// Creates a scheduler at the start of an owner's term.
     pub fn new(settings: SchedulerSettings, term: OwnerTerm, now: Moment) -> Self {
         let instance = Arc::clone(&term.instance);
-        let machine_leases = MachineLeases::new(
+        let mut machine_leases = MachineLeases::new(
             instance,
             settings.machine_lease,
             term.commanded_machines.clone(),
             now,
         );
+        if term.has_unread_commands {
+            machine_leases.lease_all_to_others(now);
+        }
         let mut scheduler = Self {
             settings,
             term_started: now,
--- a/crates/jobs/src/scheduler/machine_leases.rs
+++ b/crates/jobs/src/scheduler/machine_leases.rs
@@ -30,6 +30,8 @@
     instance: Arc<str>,
     lease_duration: Duration,
     leases: HashMap<InstanceId, MachineLease>,
+    /// Until when other instances may hold leases on any machine.
+    others_until: Option<Moment>,
     /// Record that is stored or in flight.
     last_record: CommandedMachinesRecord,
 }
@@ -51,13 +53,19 @@
             (machine.clone(), lease)
         };
         let leases = stored.iter().map(inherit).collect();
-        Self { instance, lease_duration, leases, last_record: stored }
+        Self { instance, lease_duration, leases, others_until: None, last_record: stored }
+    }
+
+    /// Treats all machines as leased to other instances at `now`, since it is not known which are.
+    pub(super) fn lease_all_to_others(&mut self, now: Moment) {
+        self.others_until = Some(now + self.lease_duration);
     }
 
     /// Returns whether another instance may have sent a command to a machine within the last lease.
     pub(super) fn is_leased_to_other(&self, machine: &str, now: Moment) -> bool {
         let lease = self.leases.get(machine);
-        lease.is_some_and(|lease| lease.instance != self.instance && now <= lease.until)
+        let is_other = |lease: &MachineLease| lease.instance != self.instance && now <= lease.until;
+        lease.is_some_and(is_other) || self.others_until.is_some_and(|until| now <= until)
     }
 
     /// Acquires or renews the lease on a machine, unless another instance holds it. Returns whether
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -204,11 +204,12 @@
 
     /// Returns whether the runs of previous owners are known for all workers of a service.
     pub(super) fn are_inherited_runs_known(&self, service: &str, now: Moment) -> bool {
+        let are_known = |slot: &WorkerSlot| {
+            let worker = &self.workers[*slot];
+            !worker.may_have_earlier_runs || worker.was_confirmed
+        };
         now >= self.inherited_runs_expire
-            || self.service_slots(service).iter().all(|slot| {
-                let worker = &self.workers[*slot];
-                !worker.may_have_earlier_runs || worker.was_confirmed
-            })
+            || (!self.term.has_unread_workers && self.service_slots(service).iter().all(are_known))
     }
 
     /// Returns the addresses of the incarnations that have ended since the last call.
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -360,6 +360,10 @@
         .collect();
     let term =
         OwnerTerm { token: 50, commanded_machines, instance: "a".into(), ..OwnerTerm::default() };
+    harness_in_need_of_a_machine_at(term)
+}
+
+fn harness_in_need_of_a_machine_at(term: OwnerTerm) -> SchedulerHarness {
     let mut harness = SchedulerHarness::at_term_start(0, term);
     harness.set_machines(SchedulerHarness::spare_machines(2));
     harness.submit(1, vec![step(1, 1, &[])]);
@@ -395,6 +399,17 @@
     assert_eq!(commanded(&harness), ["m1"]);
 }
 
+#[test]
+fn a_new_owner_waits_for_all_machines_if_recent_commands_are_unreadable() {
+    let term = OwnerTerm { token: 50, has_unread_commands: true, ..OwnerTerm::default() };
+    let mut harness = harness_in_need_of_a_machine_at(term);
+    harness.run_for(settings().machine_lease);
+    assert!(commanded(&harness).is_empty());
+    harness.set_machines(harness.listed_machines.clone());
+    harness.run_for(ms(500));
+    assert_eq!(commanded(&harness).len(), 1);
+}
+
 #[test]
 fn a_machine_is_recorded_in_the_store_before_a_command_is_sent_to_it() {
     let mut harness = harness_in_need_of_a_machine(&[]);
--- a/crates/jobs/tests/odd_entries.rs
+++ b/crates/jobs/tests/odd_entries.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
-use cassiafold_jobs::record::JobState;
+use cassiafold_jobs::record::{COMMANDED_MACHINES_KEY, JobState, WAVES_KEY, workers_key};
 use cassiafold_jobs::spec::JobId;
+use cassiafold_platform::{Transaction, TransactionalStore};
 use tokio::time::sleep;
 
 use self::clients::{TestClients, call};
@@ -86,3 +87,18 @@
     a_worker_whose_entry_changes_to_an_unreadable_one_gets_no_runs: Path::Watch;
     a_worker_whose_entry_is_listed_as_unreadable_gets_no_runs: Path::List;
 }
+
+#[tokio::test]
+async fn a_job_completes_although_records_of_previous_owners_are_unreadable() {
+    let platform = TestClients::new(1);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    for key in [&*workers_key(7), WAVES_KEY, COMMANDED_MACHINES_KEY] {
+        let odd = Transaction::default().put(key, "odd", None);
+        platform.store.commit(odd).await.expect("store");
+    }
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    let _owner = platform.client("one").start_owner("one");
+    assert!(completes(&platform, &api, 1, ms(5_000)).await, "the owner never began");
+}
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -352,6 +352,19 @@
     );
 }
 
+#[test]
+fn tasks_of_a_previous_owner_wait_while_its_workers_are_unreadable() {
+    let term = OwnerTerm { token: 50, has_unread_workers: true, ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::at_term_start(1, term);
+    let stored = state_from_previous_owner(Vec::new());
+    harness.scheduler.add_job(1, job(vec![step(1, 1, &[])]), 40, Some(&stored), harness.now);
+    harness.submit(2, vec![step(1, 1, &[])]);
+    harness.run_for(ms(5_900));
+    assert_eq!(harness.running(), 1, "a worker that is not known may run the stored one");
+    harness.run_for(ms(600));
+    assert_eq!(harness.running(), 2);
+}
+
 /// A harness in which a worker got a start command after its last poll response and then
 /// restarted, with the list of workers that shows the new incarnation.
 fn restarted_worker() -> (SchedulerHarness, Vec<WorkerEntry>) {
