Run no task of a job whose stored state can't be read

What callers would see: a job that was completed runs again under the next owner if its state in the store can't be read.

Cause: an unreadable state was logged and then taken for no state, which means that no task was ever started.

Evidence: a_job_whose_state_is_unreadable_is_not_run_again of crates/jobs/tests/odd_entries.rs failed: 6 starts, not 3.

Change: such a job is excluded for the owner's term, also when its key is listed again.

Conclusion: an unreadable record of ours is never taken for a missing one.

--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -100,7 +100,7 @@
         started_unix: unix_now(),
     };
     let mut scheduler = Scheduler::new(settings, term, now);
-    let states = read_states(&states.records).await;
+    let states = read_states(&states.records, &mut scheduler).await;
     for (number, record) in inbox.records.iter().enumerate() {
         if number % RECORDS_PER_YIELD == 0 {
             yield_now().await;
@@ -150,7 +150,8 @@
     (shards.into_iter().flatten().flatten().collect(), has_unread)
 }
 
-async fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
+/// Decodes the states of jobs, and excludes the jobs whose state can't be read.
+async fn read_states(records: &[Record], scheduler: &mut Scheduler) -> HashMap<JobId, StateRecord> {
     let mut states = HashMap::with_capacity(records.len());
     for (number, record) in records.iter().enumerate() {
         if number % RECORDS_PER_YIELD == 0 {
@@ -159,7 +160,10 @@
         let Some(id) = parse_job_key(&record.key, STATE_PREFIX) else { continue };
         match StateRecord::try_from(&record.value[..]) {
             Ok(state) => drop(states.insert(id, state)),
-            Err(error) => emit!(JobsEvent::ItemUnreadable, key = record.key, error = error),
+            Err(error) => {
+                emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
+                scheduler.exclude_job(id);
+            }
         }
     }
     states
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -175,6 +175,8 @@
     ended_jobs: VecDeque<(JobId, Moment)>,
     /// Cancelled jobs that have not been read from the store yet.
     early_cancels: HashSet<JobId>,
+    /// Jobs whose stored state can't be read.
+    excluded_jobs: HashSet<JobId>,
     /// Jobs with a schedule.
     recurring_jobs: Vec<JobId>,
     /// Resources that the running tasks of each team take.
@@ -265,6 +267,7 @@
             stale_shards: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
             early_cancels: HashSet::new(),
+            excluded_jobs: HashSet::new(),
             recurring_jobs: Vec::new(),
             team_usage: HashMap::new(),
             inherited_runs_expire: now,
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -19,6 +19,12 @@
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::inbox";
 
 impl Scheduler {
+    /// Excludes a job whose stored state can't be read: its tasks may be done, and none may run
+    /// again.
+    pub fn exclude_job(&mut self, id: JobId) {
+        self.excluded_jobs.insert(id);
+    }
+
     /// Adds an accepted job, with its stored state if there is one.
     pub fn add_job(
         &mut self,
@@ -28,7 +34,7 @@
         stored: Option<&StateRecord>,
         now: Moment,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.excluded_jobs.contains(&id) {
             return;
         }
         let mut job = Job::new(id, record, accepted_revision, stored, now);
--- a/crates/jobs/tests/odd_entries.rs
+++ b/crates/jobs/tests/odd_entries.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
-use cassiafold_jobs::record::{COMMANDED_MACHINES_KEY, JobState, WAVES_KEY, workers_key};
+use cassiafold_jobs::record::{
+    COMMANDED_MACHINES_KEY, JobState, WAVES_KEY, state_key, workers_key,
+};
 use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Transaction, TransactionalStore};
 use tokio::time::sleep;
@@ -102,3 +104,24 @@
     let _owner = platform.client("one").start_owner("one");
     assert!(completes(&platform, &api, 1, ms(5_000)).await, "the owner never began");
 }
+
+#[tokio::test]
+async fn a_job_whose_state_is_unreadable_is_not_run_again() {
+    let platform = TestClients::new(2);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    let first = platform.client("one").start_owner("one");
+    assert!(completes(&platform, &api, 1, ms(5_000)).await);
+    first.cancel();
+    sleep(ms(600)).await;
+    // The other worker has not seen the runs that ended.
+    platform.remove_worker("w0").await;
+    let odd = Transaction::default().put(state_key(1), "odd", None);
+    platform.store.commit(odd).await.expect("store");
+    let _second = platform.client("two").start_owner("two");
+    assert!(completes(&platform, &api, 2, ms(5_000)).await);
+    let starts = platform.workers.starts.lock().expect("lock").clone();
+    assert_eq!(starts.iter().filter(|(task, _)| task.step.job == 1).count(), 3);
+}
