Take an unreadable item of the operator out of force by watch as by list

What callers would see: a wave whose item becomes unreadable stayed in force at a process that learned of it by its watch, and was not in force at one that listed the items. The owner's orders would depend on which it was.

Cause: a watched item that could not be read left the former one in place; a list starts from nothing.

Evidence: an_unreadable_item_is_not_in_force_if_a_watch_reports_it failed: "not in time: the sound items"; its twin by list passed.

Change: the former item goes with its key. The last readable configuration stays in force both ways, and an evacuation needs no readable value.

Conclusion: all processes mean the same by one state of the store.

--- a/crates/jobs/src/desired_state.rs
+++ b/crates/jobs/src/desired_state.rs
@@ -128,7 +128,9 @@
         Ok(OperatorItem::Config(config)) => sender.apply_config(*config, record.revision),
         Ok(item) => drop(items.insert(record.key.clone(), item)),
         Err(error) => {
-            emit!(target: LOG_TARGET, JobsEvent::ItemUnreadable, key = record.key, error = error)
+            emit!(target: LOG_TARGET, JobsEvent::ItemUnreadable, key = record.key, error = error);
+            // As after a list, nothing is in force under this key but the last configuration.
+            items.remove(&record.key);
         }
     }
 }
