End an owner's term by the store, not by the word of one worker

What callers would see: one worker that has seen a fencing token that is too large (from another writer) refuses each owner, each owner takes that for a later one and ends its term, and the next does the same: the ownership goes round and no job is done.

Cause: any refusal of the token ended the term at once.

Evidence: a_worker_that_has_seen_a_token_of_no_owner_does_not_end_the_ownership of crates/jobs/tests/odd_entries.rs failed: the job of two workers, one of them odd, was not completed within 5 s. Its counterpart an_owner_whose_token_is_refused_for_a_later_owner_starts_nothing_more passes.

Change: on a refusal no command is sent until the owner key has been read. If another holds it, the term ends as before. If not, the worker is told by event 1627 and sent nothing more in this term, so no call is repeated under a refused token; its runs count until their lease is over, and a new incarnation of it is polled again.

Conclusion: the fence still ends an owner that was replaced; one worker's mistake costs that worker alone.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -24,6 +24,7 @@
         WorkerReborn = 1624, Info, "worker restarted";
         LookFailed = 1625, Info, "poll of a worker failed";
         LeaseOver = 1626, Info, "lease of the runs on an unresponsive worker expired";
+        TokenRefused = 1627, Warn, "worker refused the owner's token and is sent nothing more";
         MachineOrdered = 1630, Info, "outcome of a command to move or maintain a machine";
         PoolsBalanced = 1631, Info, "machines move between services";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -6,6 +6,7 @@
 
 mod claim;
 mod execute;
+mod fencing;
 mod load;
 mod usage;
 mod watch_store;
@@ -92,6 +93,10 @@
     Outcome(Outcome),
     StoreUpdate(StoreUpdate),
     WriteOutcome(WriteOutcome),
+    /// Whether this owner still holds the owner key.
+    OwnershipChecked {
+        is_held: bool,
+    },
 }
 
 /// State of the owner's loop during one term.
@@ -105,6 +110,8 @@
     last_write: Moment,
     machines_requested: Option<Moment>,
     is_fenced: bool,
+    /// Whether a worker refused the token and the owner key is being read.
+    is_ownership_in_doubt: bool,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -138,6 +145,7 @@
         last_write: since_boot(),
         machines_requested: None,
         is_fenced: false,
+        is_ownership_in_doubt: false,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
@@ -238,6 +246,7 @@
             Message::Outcome(outcome) => self.handle_outcome(outcome, now),
             Message::StoreUpdate(update) => self.apply_store_update(update, now),
             Message::WriteOutcome(outcome) => self.handle_write_outcome(outcome),
+            Message::OwnershipChecked { is_held } => self.handle_ownership_checked(is_held),
         }
     }
 
@@ -266,7 +275,7 @@
         if self.workers.is_due(now) {
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
-        if self.lease.is_valid() {
+        if self.lease.is_valid() && !self.is_ownership_in_doubt {
             let commands = self.scheduler.plan(unix_now(), now);
             let planned = self.loop_stats.record(LoopPhase::Plan, now);
             self.execute(commands, now);
--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -34,7 +34,10 @@
         run: RunNumber,
         outcome: CommandOutcome,
     },
-    Throttle(CommandOutcome),
+    Throttle {
+        worker: WorkerSlot,
+        outcome: CommandOutcome,
+    },
     Policy {
         query: PolicyQuery,
         response: Option<PolicyResponse>,
@@ -93,7 +96,8 @@
         let (workers, token) = (self.platform.workers().clone(), self.scheduler.token());
         let address = self.scheduler.worker(worker).address.clone();
         self.run(async move {
-            Outcome::Throttle(workers.throttle(&address, task, run, percent, token).await)
+            let outcome = workers.throttle(&address, task, run, percent, token).await;
+            Outcome::Throttle { worker, outcome }
         });
     }
 
@@ -189,7 +193,7 @@
                 }
             }
             Outcome::Stop { outcome, .. } => self.metrics.count_command("stop", *outcome),
-            Outcome::Throttle(outcome) => self.metrics.count_command("pace", *outcome),
+            Outcome::Throttle { outcome, .. } => self.metrics.count_command("pace", *outcome),
             Outcome::Machine { command: MachineCommand::Maintain { .. }, outcome } => {
                 self.metrics.count_machine_command("maintain", *outcome);
             }
@@ -200,6 +204,12 @@
         }
     }
 
+    fn note_refusal(&mut self, worker: WorkerSlot, outcome: CommandOutcome, now: Moment) {
+        if outcome == CommandOutcome::Refused(Refusal::Fenced) {
+            self.handle_token_refusal(worker, now);
+        }
+    }
+
     pub(super) fn handle_outcome(&mut self, outcome: Outcome, now: Moment) {
         self.count(&outcome);
         match outcome {
@@ -208,22 +218,22 @@
                 self.scheduler.handle_poll_response(worker, is_out_of_band, sent, now, poll);
             }
             Outcome::Poll { worker, is_out_of_band, result: Err(error), .. } => {
-                self.is_fenced |= error == PollError::Fenced;
                 self.scheduler.handle_poll_failure(worker, is_out_of_band, &error, now);
+                if error == PollError::Fenced {
+                    self.handle_token_refusal(worker, now);
+                }
             }
             Outcome::Starts { worker, starts } => {
                 for (task, run, outcome) in starts {
-                    self.is_fenced |= outcome == CommandOutcome::Refused(Refusal::Fenced);
                     self.scheduler.handle_start_outcome(worker, task, run, outcome, now);
+                    self.note_refusal(worker, outcome, now);
                 }
             }
             Outcome::Stop { worker, task, run, outcome } => {
-                self.is_fenced |= outcome == CommandOutcome::Refused(Refusal::Fenced);
                 self.scheduler.handle_stop_outcome(worker, task, run, outcome, now);
+                self.note_refusal(worker, outcome, now);
             }
-            Outcome::Throttle(outcome) => {
-                self.is_fenced |= outcome == CommandOutcome::Refused(Refusal::Fenced);
-            }
+            Outcome::Throttle { worker, outcome } => self.note_refusal(worker, outcome, now),
             Outcome::Policy { query, response, sent } => {
                 self.scheduler.handle_policy_response(&query, response, sent, now);
             }
--- /dev/null
+++ b/crates/jobs/src/owner/fencing.rs
@@ -0,0 +1,65 @@
+//! What the owner does when a worker refuses its fencing token.
+//!
+//! Usually a later owner has used a higher token, and this owner's term ends. The store decides: a
+//! worker may also have taken a higher token from elsewhere, and must not end the term of each
+//! owner in turn.
+
+use std::time::Duration;
+
+use cassiafold_platform::{Moment, Store};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::{Message, OwnerLoop};
+use crate::clients::FencingToken;
+use crate::job::WorkerSlot;
+use crate::outage::OutageLog;
+use crate::platform_clients::PlatformClients;
+use crate::record::OWNER_KEY;
+
+/// Delay between two attempts to read the owner key.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+impl<S: PlatformClients> OwnerLoop<S> {
+    /// Handles a refusal of the token: no command is sent until the owner key has been read.
+    pub(super) fn handle_token_refusal(&mut self, worker: WorkerSlot, now: Moment) {
+        if self.scheduler.worker(worker).has_refused_token {
+            return;
+        }
+        self.scheduler.handle_token_refusal(worker, now);
+        if self.is_ownership_in_doubt {
+            return;
+        }
+        self.is_ownership_in_doubt = true;
+        let (platform, token) = (self.platform.clone(), self.scheduler.token());
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let is_held = holds_owner_key(&platform, token, &sender).await;
+            // The loop may have ended.
+            let _ = sender.send(Message::OwnershipChecked { is_held }).await;
+        });
+    }
+
+    pub(super) fn handle_ownership_checked(&mut self, is_held: bool) {
+        self.is_ownership_in_doubt = false;
+        self.is_fenced |= !is_held;
+    }
+}
+
+/// Reads whether the owner key was last written by the owner with this token; tries again until the
+/// store responds or the owner's loop has ended.
+async fn holds_owner_key<S: PlatformClients>(
+    platform: &S,
+    token: FencingToken,
+    sender: &mpsc::Sender<Message>,
+) -> bool {
+    let mut outage = OutageLog::new("owner's token");
+    while !sender.is_closed() {
+        match platform.store().get(OWNER_KEY).await {
+            Ok(record) => return record.is_some_and(|record| record.revision == token),
+            Err(error) => outage.record_failure(&error),
+        }
+        sleep(RETRY_DELAY).await;
+    }
+    false
+}
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -89,7 +89,8 @@
                 .any(|command| matches!(command, Command::Poll { worker, .. } if *worker == slot))
         };
         for worker in std::mem::take(&mut self.out_of_band_polls_due) {
-            if !self.workers[worker].is_gone && !is_polled(&commands[first..], worker) {
+            let is_silent = self.workers[worker].is_gone || self.workers[worker].has_refused_token;
+            if !is_silent && !is_polled(&commands[first..], worker) {
                 commands.push(Command::Poll { worker, is_out_of_band: true });
             }
         }
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -337,6 +337,19 @@
         self.expire_lease(slot, now);
     }
 
+    /// Sends nothing more to a worker that refused this owner's token. Its runs count until their
+    /// lease has expired.
+    pub fn handle_token_refusal(&mut self, slot: WorkerSlot, now: Moment) {
+        let worker = &mut self.workers[slot];
+        worker.has_refused_token = true;
+        worker.is_confirmed = false;
+        worker.poll = PollPhase::DueAt(Moment::MAX);
+        worker.failed_polls = worker.failed_polls.max(FAILED_POLLS_MAX);
+        worker.unresponsive_since = worker.unresponsive_since.or(Some(now));
+        emit!(JobsEvent::TokenRefused, worker = worker.entry.id, token = self.term.token);
+        self.mark_worker_service_changed(slot);
+    }
+
     /// Removes the runs of a worker that does not respond once their lease has expired.
     pub(super) fn expire_lease(&mut self, slot: WorkerSlot, now: Moment) {
         let worker = &self.workers[slot];
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -172,9 +172,10 @@
         let mut commands = Vec::new();
         let workers = &mut self.workers;
         self.stopping.retain(|(slot, task)| {
+            let has_refused_token = workers[*slot].has_refused_token;
             let Some(run) = workers[*slot].runs.get_mut(task) else { return false };
             let RunPhase::Stopping { next_try, confirmed } = &mut run.phase else { return false };
-            if *next_try > now {
+            if *next_try > now || has_refused_token {
                 return true;
             }
             // A confirmed stop is sent again only if its run continues for 20 retry intervals.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -159,6 +159,9 @@
     pub was_confirmed: bool,
     /// Whether previous owners may have started runs on it.
     pub may_have_earlier_runs: bool,
+    /// Whether it refused this owner's token, although no later owner holds the owner key. It is
+    /// sent nothing more during the owner's term.
+    pub has_refused_token: bool,
     /// When it stopped responding.
     pub unresponsive_since: Option<Moment>,
     /// Whether it gets no new work because its machine is about to be moved or maintained.
@@ -220,6 +223,7 @@
             is_confirmed: false,
             was_confirmed: false,
             may_have_earlier_runs: false,
+            has_refused_token: false,
             unresponsive_since: None,
             is_cordoned: false,
             is_maintenance_due: false,
@@ -274,6 +278,7 @@
     /// Resets what was known of the previous incarnation at this address.
     pub fn start_incarnation(&mut self, started_unix: Option<Duration>, now: Moment) {
         self.entry.started_unix = started_unix;
+        self.has_refused_token = false;
         self.last_end_seen = 0;
         self.last_end_stored = 0;
         self.ends_unstored.clear();
@@ -310,6 +315,7 @@
             && self.was_confirmed
             && (self.is_confirmed || self.failed_polls <= FAILED_POLLS_MAX)
             && !self.is_cordoned
+            && !self.has_refused_token
             && !self.entry.is_draining
             && has_recent_response
             && self.blocked_until <= now
--- a/crates/jobs/tests/odd_entries.rs
+++ b/crates/jobs/tests/odd_entries.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::clients::{FencingToken, PollRequest};
 use cassiafold_jobs::record::{
-    COMMANDED_MACHINES_KEY, JobState, WAVES_KEY, state_key, workers_key,
+    COMMANDED_MACHINES_KEY, JobState, OWNER_KEY, WAVES_KEY, state_key, workers_key,
 };
 use cassiafold_jobs::spec::JobId;
-use cassiafold_platform::{Transaction, TransactionalStore};
+use cassiafold_platform::{Store, Transaction, TransactionOutcome, TransactionalStore, since_boot};
 use tokio::time::sleep;
 
 use self::clients::{TestClients, call};
@@ -125,3 +126,49 @@
     let starts = platform.workers.starts.lock().expect("lock").clone();
     assert_eq!(starts.iter().filter(|(task, _)| task.step.job == 1).count(), 3);
 }
+
+/// Lets a worker see this token.
+fn poll_as_owner(platform: &TestClients, worker: usize, token: FencingToken) {
+    let (acknowledged, lease_until, wait) = (0, None, Duration::ZERO);
+    let request = PollRequest { token, acknowledged, lease_until, wait };
+    let poll = platform.workers.list.lock().expect("lock")[worker].poll(request, since_boot());
+    assert!(poll.is_ok(), "{poll:?}");
+}
+
+#[tokio::test]
+async fn an_owner_whose_token_is_refused_for_a_later_owner_starts_nothing_more() {
+    let platform = TestClients::new(2);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    let _owner = platform.client("one").start_owner("one");
+    assert!(completes(&platform, &api, 1, ms(5_000)).await);
+    let claim = Transaction::default().put(OWNER_KEY, "other 1", None);
+    let claim = platform.store.commit(claim).await.expect("store");
+    let TransactionOutcome::Written(token) = claim else { panic!("{claim:?}") };
+    poll_as_owner(&platform, 0, token);
+    sleep(ms(300)).await;
+    assert!(!completes(&platform, &api, 2, ms(900)).await);
+    let starts = platform.workers.starts.lock().expect("lock").clone();
+    assert!(starts.iter().all(|(task, _)| task.step.job == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn a_worker_that_has_seen_a_token_of_no_owner_does_not_end_the_ownership() {
+    let platform = TestClients::new(2);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let request =
+        PollRequest { token: u64::MAX, acknowledged: 0, lease_until: None, wait: Duration::ZERO };
+    let odd = platform.workers.list.lock().expect("lock")[0].poll(request, since_boot());
+    assert!(odd.is_ok(), "{odd:?}");
+    let api = platform.api();
+    wait_until_ready(&api).await;
+    let _owner = platform.client("one").start_owner("one");
+    sleep(ms(600)).await;
+    let owner = platform.store.get(OWNER_KEY).await.expect("store").expect("an owner");
+    assert!(completes(&platform, &api, 1, ms(5_000)).await);
+    let same = platform.store.get(OWNER_KEY).await.expect("store").expect("an owner");
+    assert_eq!(owner.revision, same.revision, "the ownership changed");
+}
