--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -6,6 +6,7 @@
 
 mod claim;
 mod execute;
+mod fencing;
 mod load;
 mod usage;
 mod watch_store;
@@ -145,6 +146,10 @@
     StoreUpdate(StoreUpdate),
     WriteOutcome(WriteOutcome),
     TaskPanicked,
+    /// Whether this owner still holds the owner key.
+    OwnershipChecked {
+        is_held: bool,
+    },
 }
 
 /// State of the owner's loop during one term.
@@ -160,6 +165,8 @@
     is_fenced: bool,
     /// Whether a task of the term ended by a panic.
     has_panicked: bool,
+    /// Whether a worker refused the token and the owner key is being read.
+    is_ownership_in_doubt: bool,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -201,6 +208,7 @@
         machines_requested: None,
         is_fenced: false,
         has_panicked: false,
+        is_ownership_in_doubt: false,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
@@ -333,6 +341,7 @@
             Message::StoreUpdate(update) => self.apply_store_update(update, now),
             Message::WriteOutcome(outcome) => self.handle_write_outcome(outcome),
             Message::TaskPanicked => self.has_panicked = true,
+            Message::OwnershipChecked { is_held } => self.handle_ownership_checked(is_held),
         }
     }
 
@@ -361,7 +370,7 @@
         if self.workers.is_due(now) {
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
-        if self.lease.is_valid() {
+        if self.lease.is_valid() && !self.is_ownership_in_doubt {
             let commands = self.scheduler.plan(unix_now(), now);
             let planned = self.loop_stats.record(LoopPhase::Plan, now);
             self.execute(commands, now);
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -18,6 +18,9 @@
 /// Number of a run, which is one attempt to execute a task; from 1, ascending per task.
 pub type RunNumber = u32;
 
+/// Highest run number that is taken from a worker. Owners give numbers far below it, so that the
+/// number after any that is taken can be given.
+pub const RUN_NUMBER_MAX: RunNumber = RunNumber::MAX / 2;
 /// Largest number of steps of a job.
 pub const STEPS_MAX: usize = 1_000;
 /// Largest number of tasks of a job's steps together. The owner holds the state of each task that is
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -271,6 +271,22 @@
     assert_eq!(harness.running.get(&other).map(Vec::len), Some(1));
 }
 
+#[test]
+fn an_unresponsive_worker_is_not_retired_while_a_machine_is_listed_unreadably() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![step(1, 1, &[])]);
+    harness.run_for(ms(100));
+    let slot = *harness.running.keys().next().expect("one worker runs it");
+    let error = PollError::NoAnswer("timeout".into());
+    harness.scheduler.handle_poll_failure(slot, false, &error, harness.now);
+    harness.now += ms(10);
+    let mut machines = SchedulerHarness::machines(2, MachineState::Up);
+    machines[slot] =
+        Machine { state: MachineState::Unknown, worker: None, ..machines[slot].clone() };
+    harness.set_machines(machines);
+    assert!(!harness.scheduler.worker(slot).is_gone);
+}
+
 #[test]
 fn an_unresponsive_worker_whose_machine_is_up_keeps_its_tasks_until_the_lease_expires() {
     let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
@@ -344,6 +360,10 @@
         .collect();
     let term =
         OwnerTerm { token: 50, commanded_machines, instance: "a".into(), ..OwnerTerm::default() };
+    harness_in_need_of_a_machine_at(term)
+}
+
+fn harness_in_need_of_a_machine_at(term: OwnerTerm) -> SchedulerHarness {
     let mut harness = SchedulerHarness::at_term_start(0, term);
     harness.set_machines(SchedulerHarness::spare_machines(2));
     harness.submit(1, vec![step(1, 1, &[])]);
@@ -379,6 +399,17 @@
     assert_eq!(commanded(&harness), ["m1"]);
 }
 
+#[test]
+fn a_new_owner_waits_for_all_machines_if_recent_commands_are_unreadable() {
+    let term = OwnerTerm { token: 50, has_unread_commands: true, ..OwnerTerm::default() };
+    let mut harness = harness_in_need_of_a_machine_at(term);
+    harness.run_for(settings().machine_lease);
+    assert!(commanded(&harness).is_empty());
+    harness.set_machines(harness.listed_machines.clone());
+    harness.run_for(ms(500));
+    assert_eq!(commanded(&harness).len(), 1);
+}
+
 #[test]
 fn a_machine_is_recorded_in_the_store_before_a_command_is_sent_to_it() {
     let mut harness = harness_in_need_of_a_machine(&[]);
