Delete the records of ended jobs long before their states

Cause: a new owner, and an owner whose watch was cut, list all accepted jobs.

Class: the cost of a recovery grows with everything that was accepted, not with what there is to do.

Change: ten seconds after a job has ended, in writes that have room left, its record and its cancel are deleted; its state stays for as long as it must be known. A submission is stored only if neither the record nor the state exists, so a repeated one stays one job. A cancellation without a record asks for the state. A new owner takes the deletion of states over. Records stay while a run of the job may use capacity.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -41,7 +41,7 @@
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::{Formats, PlatformClients};
-use crate::record::{JobRecord, WaitingRecord, job_key};
+use crate::record::{JobRecord, WaitingRecord, job_key, state_key};
 use crate::spec::{JobId, JobSpec};
 
 /// Time after which a caller may retry when the store is unavailable.
@@ -182,15 +182,17 @@
         };
         let bytes =
             record.encode().map_err(|error| StoreError::Unavailable(error.to_string().into()))?;
-        let key = job_key(id);
+        let (key, state_key) = (job_key(id), state_key(id));
+        // Of a job that has ended, only the state may still be stored.
         let transaction = Transaction::default()
             .expect(key.clone(), Compare::Absent)
+            .expect(state_key.clone(), Compare::Absent)
             .expect(S::Formats::CONFIG_KEY, Compare::Revision(auth.config_revision))
             .put(key.clone(), bytes, None);
         match self.platform.store().commit(transaction).await? {
             TransactionOutcome::Written(_) => Ok(StoreOutcome::Created),
             TransactionOutcome::Conflict(records) => {
-                if records.iter().any(|record| record.key == key) {
+                if records.iter().any(|record| record.key == key || record.key == state_key) {
                     return Ok(StoreOutcome::Present);
                 }
                 self.apply_config_record(&records);
--- a/crates/jobs/src/api/cancellation.rs
+++ b/crates/jobs/src/api/cancellation.rs
@@ -9,12 +9,12 @@
 use super::reason::{StoreOperation, UnknownReason};
 use super::store_call::may_retry;
 use super::{
-    Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RETRY_DELAY, Target,
+    Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RETRY_DELAY, Target, may_access,
     may_access_record,
 };
 use crate::event::JobsEvent;
 use crate::platform_clients::PlatformClients;
-use crate::record::{cancel_key, job_key};
+use crate::record::{StateRecord, cancel_key, job_key, state_key};
 use crate::spec::JobId;
 
 impl<S: PlatformClients> JobApi<S> {
@@ -57,7 +57,7 @@
         deadline: Instant,
     ) -> Result<bool, UnknownReason> {
         let record = self.read_key(StoreOperation::ReadJob, &job_key(id), deadline).await?;
-        let Some(record) = record else { return Ok(false) };
+        let Some(record) = record else { return self.has_ended(id, team, deadline).await };
         if !may_access_record(&record, team) {
             return Ok(false);
         }
@@ -68,4 +68,17 @@
         let outcome = self.call_store(StoreOperation::WriteCancel, deadline, commit).await?;
         Ok(matches!(outcome, TransactionOutcome::Written(_)))
     }
+
+    /// Returns whether a job without a record is one that has ended, of which only the state is
+    /// still stored.
+    async fn has_ended(
+        &self,
+        id: JobId,
+        team: Option<&TeamId>,
+        deadline: Instant,
+    ) -> Result<bool, UnknownReason> {
+        let record = self.read_key(StoreOperation::ReadState, &state_key(id), deadline).await?;
+        let state = record.and_then(|record| StateRecord::try_from(&record.value[..]).ok());
+        Ok(state.is_some_and(|state| may_access(state.team.as_ref(), team)))
+    }
 }
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -1,12 +1,12 @@
 //! Reads the state that previous owners left in the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_event::emit;
 use cassiafold_platform::{
-    Compare, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    Compare, Moment, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, since_boot,
 };
 use serde::de::DeserializeOwned;
@@ -127,6 +127,7 @@
             scheduler.cancel(id, now);
         }
     }
+    add_ended_jobs(&mut scheduler, &inbox.records, &states, now);
     Ok(Loaded {
         scheduler,
         sequences: vec![sequence; WRITE_CHAINS],
@@ -136,6 +137,22 @@
     })
 }
 
+/// Adds the ended jobs whose records are deleted already.
+fn add_ended_jobs(
+    scheduler: &mut Scheduler,
+    inbox: &[Record],
+    states: &HashMap<JobId, StateRecord>,
+    now: Moment,
+) {
+    let recorded: HashSet<JobId> =
+        inbox.iter().filter_map(|record| parse_job_key(&record.key, JOB_PREFIX)).collect();
+    for (id, state) in states {
+        if state.state.is_final() && !recorded.contains(id) {
+            scheduler.add_ended_job(*id, now);
+        }
+    }
+}
+
 /// Decodes a JSON record; `None` if it can't be read. Such a record must not keep each instance
 /// that becomes the owner from starting; what it may have said is replaced by the worst case.
 fn read_json<T: DeserializeOwned>(record: &Record) -> Option<T> {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -2,7 +2,7 @@
 //!
 //! | key | written by | holds |
 //! |---|---|---|
-//! | `cassiafold/in/j/JOB` | the entry instance that accepted the job | the job; never changed |
+//! | `cassiafold/in/j/JOB` | the entry instance that accepted the job | the job; never changed, and deleted some seconds after the job has ended |
 //! | `cassiafold/in/c/JOB` | the entry instance that accepted the cancellation | nothing |
 //! | `cassiafold/state/JOB` | the owner | state of the job |
 //! | `cassiafold/owner` | the owner, under its lease | name of its instance |
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -175,6 +175,8 @@
     stale_shards: BTreeSet<WorkerShard>,
     /// Ended jobs whose state is retained, with the time at which they ended, oldest first.
     ended_jobs: VecDeque<(JobId, Moment)>,
+    /// Ended jobs whose records are stored, and since when they count as ended.
+    ended_records: VecDeque<(JobId, Moment)>,
     /// Cancelled jobs that have not been read from the store yet.
     early_cancels: HashSet<JobId>,
     /// Jobs whose stored state can't be read.
@@ -269,6 +271,7 @@
             waiting_steps: StepsByService::default(),
             stale_shards: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
+            ended_records: VecDeque::new(),
             early_cancels: HashSet::new(),
             excluded_jobs: HashSet::new(),
             recurring_jobs: Vec::new(),
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -41,7 +41,7 @@
         job.exceeds_share = self.count_submission(&job, now);
         if !job.is_live() {
             self.jobs.insert(id, job);
-            self.ended_jobs.push_back((id, now));
+            self.record_end(id, now);
             return;
         }
         if let Err(error) = job.record.spec.check_size() {
@@ -91,6 +91,16 @@
         );
     }
 
+    /// Adds an ended job of which only the state is stored, so that the state is deleted in time.
+    pub fn add_ended_job(&mut self, id: JobId, now: Moment) {
+        self.ended_jobs.push_back((id, now));
+    }
+
+    fn record_end(&mut self, id: JobId, now: Moment) {
+        self.ended_jobs.push_back((id, now));
+        self.ended_records.push_back((id, now));
+    }
+
     /// Adds one job to the team's bucket and returns whether the team exceeds its weight.
     fn count_submission(&mut self, job: &Job, now: Moment) -> bool {
         let Some(team) = job.record.team.clone() else { return false };
@@ -218,7 +228,7 @@
         self.ready_steps.remove_job(&service, id);
         self.waiting_steps.remove_job(&service, id);
         self.step_tickets.retain(|step, _| step.job != id);
-        self.ended_jobs.push_back((id, now));
+        self.record_end(id, now);
         self.changed_services.insert(service);
     }
 }
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -34,6 +34,11 @@
 const DELETIONS_COUNTED_MAX: usize = 200;
 /// Entries that delete an ended job: the job, its cancel and its state.
 const DELETION_ENTRIES: usize = 3;
+/// Time after the end of a job after which its record is deleted; its state is kept for longer. A
+/// caller may repeat its submission for some seconds.
+const RECORD_RETENTION: Duration = Duration::from_secs(10);
+/// Entries that delete the record of an ended job: the job and its cancel.
+const RECORD_ENTRIES: usize = 2;
 /// Minimum time between two writes of the number of waiting jobs.
 const WAITING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which the number of waiting jobs is written again even if unchanged, so that readers
@@ -133,6 +138,7 @@
                 self.collect_deletions(remaining / DELETION_ENTRIES, now, &mut batch);
             }
         }
+        self.collect_record_deletions(now, &mut batch);
         let has_entries =
             !batch.puts.is_empty() || !batch.deletions.is_empty() || !batch.waves.is_empty();
         if !has_entries {
@@ -321,6 +327,31 @@
         }
     }
 
+    /// Fills a write with deletions of the records of ended jobs. A new owner reads all records, and
+    /// those of the jobs that have ended would be most of them.
+    fn collect_record_deletions(&mut self, now: Moment, batch: &mut WriteBatch) {
+        let used = batch.puts.len() + batch.deletions.len() + batch.waves.len();
+        let count_max = ENTRIES_MAX.saturating_sub(used) / RECORD_ENTRIES;
+        for _ in 0..count_max {
+            let due =
+                self.ended_records.pop_front_if(|(_, since)| now >= *since + RECORD_RETENTION);
+            let Some((id, _)) = due else { return };
+            match self.may_delete_record(id, now) {
+                true => batch.deletions.extend([job_key(id), cancel_key(id)]),
+                false => self.ended_records.push_back((id, now)),
+            }
+        }
+    }
+
+    /// Returns whether the record of an ended job is needed no more: its final state is stored, and
+    /// no run of it uses capacity.
+    fn may_delete_record(&self, id: JobId, now: Moment) -> bool {
+        now >= self.inherited_runs_expire
+            && !self.unwritten_states.contains_key(&id)
+            && !self.in_flight_writes.contains(id)
+            && !self.stopping.iter().any(|(_, task)| task.step.job == id)
+    }
+
     /// Applies the effects of a committed write.
     pub fn handle_write_committed(&mut self, batch: &WriteBatch, now: Moment) {
         self.in_flight_writes.finish(batch.chain);
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -18,7 +18,8 @@
 use cassiafold_jobs::clients::{CommandOutcome, PollError, PollResponse, StartRequest};
 use cassiafold_jobs::cluster::{ClusterConfig, Queue, Service, Team, WorkerEntry};
 use cassiafold_jobs::record::{
-    JobRecord, JobState, STATE_PREFIX, StateRecord, WORKERS_PREFIX, WorkerRecord, parse_job_key,
+    JOB_PREFIX, JobRecord, JobState, STATE_PREFIX, StateRecord, WORKERS_PREFIX, WorkerRecord,
+    parse_job_key,
 };
 use cassiafold_jobs::scheduler::{Command, OwnerTerm, Scheduler, SchedulerSettings, WriteBatch};
 use cassiafold_jobs::spec::{JobId, JobSpec, Resources, RunNumber, StepSpec, TaskId};
@@ -110,6 +111,8 @@
     pub workers: Vec<EmulatedWorker>,
     pub jobs: BTreeMap<JobId, JobRecord>,
     pub states: HashMap<JobId, StateRecord>,
+    /// Jobs whose records the owner has deleted.
+    deleted_records: HashSet<JobId>,
     /// Violated invariants, in the order of detection.
     pub violations: Vec<String>,
     /// Number of runs that workers have started.
@@ -147,6 +150,7 @@
             workers: (0..workers).map(new_worker).collect(),
             jobs: BTreeMap::new(),
             states: HashMap::new(),
+            deleted_records: HashSet::new(),
             violations: Vec::new(),
             start_count: 0,
             redundant_polls: 0,
@@ -212,7 +216,11 @@
         scheduler.set_config(self.config.clone());
         for (id, record) in &self.jobs {
             let stored = self.states.get(id);
-            scheduler.add_job(*id, record.clone(), 0, stored, self.now);
+            match self.deleted_records.contains(id) {
+                false => scheduler.add_job(*id, record.clone(), 0, stored, self.now),
+                true if stored.is_some() => scheduler.add_ended_job(*id, self.now),
+                true => {}
+            }
         }
         scheduler.set_workers(self.entries(), self.now);
         self.scheduler = Some(scheduler);
@@ -273,6 +281,18 @@
                 self.worker_records.insert(Arc::clone(key), workers);
             }
         }
+        for key in &batch.deletions {
+            if let Some(id) = parse_job_key(key, STATE_PREFIX) {
+                self.states.remove(&id);
+            } else if let Some(id) = parse_job_key(key, JOB_PREFIX) {
+                self.deleted_records.insert(id);
+            }
+        }
+    }
+
+    /// Number of accepted jobs whose records are stored.
+    pub fn stored_records(&self) -> usize {
+        self.jobs.len() - self.deleted_records.len()
     }
 
     fn worker_index(&self, id: &str) -> usize {
--- a/crates/jobs/tests/overload.rs
+++ b/crates/jobs/tests/overload.rs
@@ -2,6 +2,7 @@
 
 mod emulator;
 
+use cassiafold_jobs::record::JobState;
 use cassiafold_jobs::spec::{JobId, Resources};
 
 use self::emulator::faults::Faults;
@@ -57,6 +58,30 @@
     assert_eq!(emulator.ended_jobs(), 0, "ended jobs kept beyond the retention time");
 }
 
+/// Guards against a new owner that reads for seconds: the records of the jobs that had ended were
+/// most of what it read.
+#[test]
+fn records_of_ended_jobs_are_deleted_long_before_their_states() {
+    let mut emulator = Emulator::new(1, 20, Resources::default(), Faults::none());
+    emulator.run(ms(3_000));
+    let ended = BACKLOG / 2;
+    for id in 1..=ended {
+        emulator.submit(id, job(vec![step(1, 1, &[])]));
+    }
+    emulator.run(ms(9_000));
+    assert_eq!(emulator.stored_records(), ended as usize, "a submission may be repeated");
+    emulator.run(ms(20_000));
+    assert_eq!(emulator.stored_records(), 0);
+    let started = emulator.start_count;
+    emulator.replace_owner(ms(100), ms(1_000));
+    emulator.run(ms(20_000));
+    assert!((1..=ended).all(|id| emulator.state(id) == JobState::Completed));
+    assert_eq!(emulator.start_count, started, "nothing runs again");
+    emulator.run(settings().status_retention);
+    assert_eq!(emulator.states.len(), 0, "the new owner deletes the states");
+    assert_eq!(emulator.violations, Vec::<String>::new());
+}
+
 /// Guards against unserved load after a change of owner: for a second, the new owner could use only
 /// a few of many workers.
 #[test]
