Accept only jobs whose state fits into a value of the store

Cause: the bound on the tasks of a job was set by memory only.

Evidence: the_state_of_the_largest_accepted_job_fits_into_a_value_of_the_store failed with 100,000 tasks ("a value of 4388911 bytes").

Conclusion: the test passes; a job of 20,000 tasks is accepted. Checkpoints come on top: a job whose checkpoints are long can still fail, alone.

--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -21,8 +21,8 @@
 /// Largest number of steps of a job.
 pub const STEPS_MAX: usize = 1_000;
 /// Largest number of tasks of a job's steps together. The owner holds the state of each task that is
-/// not done, of all occurrences that have started, in memory.
-pub const TASKS_MAX: u64 = 100_000;
+/// not done, of all occurrences that have started, in memory, and in one value of the store.
+pub const TASKS_MAX: u64 = 20_000;
 /// Largest number of occurrences of a job.
 pub const OCCURRENCES_MAX: u32 = 100_000;
 /// Largest number of occurrences of a job that have started and not ended.
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -12,7 +12,7 @@
 use cassiafold_jobs::cluster::{ClusterConfig, MachineState, PlacementPolicy, Wave};
 use cassiafold_jobs::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use cassiafold_jobs::scheduler::{Command, OwnerTerm};
-use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TaskId};
+use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TASKS_MAX, TaskId};
 use cassiafold_platform::VALUE_BYTES_MAX;
 use proptest::prelude::*;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
@@ -421,3 +421,20 @@
     assert_eq!(state(&harness, EXTREME), Some(JobState::Failed));
     check_ordinary_job_completes(&mut harness);
 }
+
+/// Guards against a job that is accepted and fails once many of its tasks have run.
+#[test]
+fn the_state_of_the_largest_accepted_job_fits_into_a_value_of_the_store() {
+    let row = |index| TaskRecord {
+        occurrence: 0,
+        step: 999,
+        index,
+        done: true,
+        last_run: 1_000_000_000,
+        ..TaskRecord::default()
+    };
+    let tasks = u32::try_from(TASKS_MAX).expect("a number of tasks");
+    let stored = state_from_previous_owner((0..tasks).map(row).collect());
+    let bytes = stored.encode().expect("bytes").len();
+    assert!(bytes <= VALUE_BYTES_MAX, "a value of {bytes} bytes");
+}
