Test panics in a write of the owner and in the renewal of a lease

Evidence: a_job_is_written_although_a_write_of_the_owner_panicked fails when only the catch around the write is taken out ("timed out after 10 s waiting for: completed"), and passes with it. a_lease_whose_renewal_panicked_counts_as_ended passes, with no change of the lease: it was sound.

Conclusion: both are guarded now.

--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -13,7 +13,7 @@
     CommandOutcome, FencingToken, MachineClient, MachineOutcome, PolicyClient, PolicyResponse,
     PollError, PollRequest, PollResponse, StartRequest, WorkerAddress, WorkerClient,
 };
-use cassiafold_jobs::cluster::{ClusterConfig, Machine, WaveNumber, WorkerEntry, WorkerId};
+use cassiafold_jobs::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerEntry, WorkerId};
 use cassiafold_jobs::coalescing::WakeupCoalescing;
 use cassiafold_jobs::desired_state::{self, DesiredState, DesiredStateSender};
 use cassiafold_jobs::metrics::JobsMetrics;
@@ -35,6 +35,10 @@
 /// Key of the operator's at which [`TestFormats`] panics.
 pub const ODD_ITEM: &str = "op/odd";
 
+/// Key of a wave at whose status [`TestFormats`] panics.
+pub const ODD_WAVE: &str = "op/odd-wave";
+const ODD_WAVE_NUMBER: WaveNumber = 13;
+
 /// Platform clients of one instance.
 #[derive(Debug, Clone)]
 pub struct TestClients {
@@ -240,6 +244,11 @@
 
     fn operator_item(&self, record: &Record) -> Result<OperatorItem, ItemError> {
         assert!(&*record.key != ODD_ITEM, "an item that panics");
+        if &*record.key == ODD_WAVE {
+            let (machines, time_limit) = (Vec::new(), ms(1_000));
+            let wave = Wave { number: ODD_WAVE_NUMBER, machines, time_limit, concurrent_max: 1 };
+            return Ok(OperatorItem::Wave(wave));
+        }
         let text = std::str::from_utf8(&record.value).map_err(|_| ItemError("bytes".into()))?;
         let mut words = text.split(' ');
         let version = words.next().and_then(|word| word.parse().ok());
@@ -259,6 +268,7 @@
     }
 
     fn wave_status(&self, number: WaveNumber, is_complete: bool) -> (Arc<str>, Vec<u8>) {
+        assert_ne!(number, ODD_WAVE_NUMBER, "a wave that panics");
         (format!("status/{number}").into(), is_complete.to_string().into_bytes())
     }
 }
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -9,7 +9,7 @@
 use cassiafold_jobs::record::{JobState, OWNER_KEY};
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
-use self::clients::{ODD_ITEM, TestClients, call};
+use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call};
 use self::emulator::{job, ms, step};
 
 const KEY: Option<&str> = Some("k1");
@@ -89,6 +89,21 @@
     check_job_completes(&platform, &api).await;
 }
 
+#[tokio::test]
+async fn a_job_is_written_although_a_write_of_the_owner_panicked() {
+    let platform = TestClients::new(2);
+    platform.configure(1, &["k1"]).await;
+    platform.register_workers().await;
+    let api = ready_api(&platform).await;
+    let _owner = platform.start_owner("one");
+    wait_for_owner_key(&platform, true).await;
+    tokio::time::sleep(ms(200)).await;
+    add(&platform, ODD_WAVE).await;
+    tokio::time::sleep(ms(400)).await;
+    remove(&platform, ODD_WAVE).await;
+    check_job_completes(&platform, &api).await;
+}
+
 #[tokio::test]
 async fn a_worker_whose_poll_panicked_is_polled_again() {
     let platform = TestClients::new(1);
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -5,8 +5,11 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use cassiafold_platform::{Compare, LeaseKeeper, Operation, Store, StoreError, Write};
-use cassiafold_standin::{MemoryStore, Partition};
+use cassiafold_platform::{
+    Compare, LeaseId, LeaseKeeper, Operation, Record, Revision, Snapshot, Store, StoreError, Write,
+    WriteOutcome,
+};
+use cassiafold_standin::{MemoryStore, MemoryWatch, Partition};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use tokio::time::{advance, sleep, timeout};
@@ -196,3 +199,48 @@
     let valid_checks = counted.get();
     assert!(valid_checks > 10_000, "only {valid_checks} checks of a valid lease");
 }
+
+/// A store whose renewals panic.
+#[derive(Debug, Clone)]
+struct PanickingStore(MemoryStore);
+
+impl Store for PanickingStore {
+    type Watch = MemoryWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
+        self.0.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        self.0.list(prefix).await
+    }
+
+    async fn write(&self, write: Write) -> Result<WriteOutcome, StoreError> {
+        self.0.write(write).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.0.grant_lease(ttl).await
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        panic!("a renewal of lease {lease} that panics");
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.0.revoke_lease(lease).await
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision) -> Result<MemoryWatch, StoreError> {
+        self.0.watch(prefix, after).await
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_whose_renewal_panicked_counts_as_ended() {
+    let store = PanickingStore(MemoryStore::default());
+    let keeper = LeaseKeeper::start(store, TTL).await.unwrap();
+    timeout(TTL, keeper.ended()).await.expect("the end is told");
+    sleep(TTL).await;
+    assert!(!keeper.is_valid());
+}
