Count before a gang's workers are chosen one by one

What callers would see: one gang of thousands of tasks for which there is not enough room keeps the owner's loop busy all the time, beyond the time in which its lease must be renewed, for as long as the job waits.

Cause: the workers of all members are chosen one after the other, among all candidates, in each pass, until one member finds none.

Change: the tasks that fit on each candidate are counted first; the members are chosen only if there are enough. The count is compared with the choice itself by proptest (500 cases, seed 1,661).

Conclusion: what is placed is the same; a gang that does not fit costs one look at each candidate.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -62,6 +62,23 @@
         has_label && is_below_max
     }
 
+    /// Number of tasks with the same requirements that can start on it together.
+    pub fn tasks_that_fit(&self, requirements: &TaskRequirements) -> u64 {
+        if !self.qualifies(requirements) {
+            return 0;
+        }
+        let (free, reserved) = (&self.free, &requirements.reserved);
+        let by_limit = requirements
+            .per_worker_max
+            .map_or(u64::MAX, |most| u64::from(most.saturating_sub(self.same_step)));
+        let counts = [
+            fits(free.processors_milli.into(), reserved.processors_milli.into()),
+            fits(free.memory_bytes, reserved.memory_bytes),
+            fits(free.accelerators.into(), reserved.accelerators.into()),
+        ];
+        counts.into_iter().fold(by_limit, u64::min)
+    }
+
     /// Rank of the worker for a task; the lowest rank is chosen.
     fn rank(&self, requirements: &TaskRequirements, avoided_workers: &[WorkerSlot]) -> Rank {
         let data_rack = requirements.data_rack.as_ref();
@@ -160,3 +177,8 @@
     });
     suitable.max_by_key(|candidate| candidate.free.processors_milli).map(|candidate| candidate.slot)
 }
+
+/// How often an amount is contained in what is free; an amount of zero always is.
+fn fits(free: u64, amount: u64) -> u64 {
+    free.checked_div(amount).unwrap_or(u64::MAX)
+}
--- a/crates/jobs/src/scheduler/gang.rs
+++ b/crates/jobs/src/scheduler/gang.rs
@@ -42,6 +42,11 @@
             let mut rack_candidates = candidates.to_vec();
             rack_candidates
                 .retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
+            // Looking for the workers one by one takes long for a large gang.
+            let counts = rack_candidates.iter().map(|one| one.tasks_that_fit(requirements));
+            if counts.fold(0, u64::saturating_add) < u64::from(spec.tasks) {
+                continue;
+            }
             let Some(slots) =
                 self.choose_gang_workers(id, spec, requirements, rack_candidates, tickets)
             else {
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -6,10 +6,14 @@
 use cassiafold_config::ServiceId;
 use cassiafold_jobs::balance::{Load, Pool, choose_moves, machines_for};
 use cassiafold_jobs::coalescing::coalescing_delay;
-use cassiafold_jobs::placement::{TaskRequirements, UnplaceableRequirements};
+use cassiafold_jobs::placement::{
+    Candidate, TaskRequirements, UnplaceableRequirements, choose_worker,
+};
 use cassiafold_jobs::spec::{Resources, StepId};
 use cassiafold_jobs::step_order::{WaitingStep, sort};
 use cassiafold_jobs::throttle::next_speed_percent;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -160,3 +164,64 @@
     assert!(unplaced.covers(&cores(9)));
     assert!(!unplaced.covers(&cores(3)));
 }
+
+/// Number of tasks that start when their workers are chosen one after the other.
+fn count_by_choice(requirements: &TaskRequirements, mut candidates: Vec<Candidate>) -> u64 {
+    let mut count = 0;
+    while let Some(slot) = choose_worker(requirements, candidates.iter(), &[]) {
+        let chosen = candidates.iter_mut().find(|one| one.slot == slot).expect("a candidate");
+        chosen.free = chosen.free.minus(&requirements.reserved);
+        chosen.same_step += 1;
+        count += 1;
+    }
+    count
+}
+
+prop_compose! {
+    fn any_candidate()(
+        processors_milli in 0..20_u32,
+        memory_bytes in 0..20_u64,
+        accelerators in 0..5_u32,
+        same_step in 0..4_u32,
+        has_label in any::<bool>(),
+    ) -> Candidate {
+        let free = Resources { processors_milli, memory_bytes, accelerators };
+        let labels: Vec<std::sync::Arc<str>> = if has_label { vec!["l".into()] } else { Vec::new() };
+        Candidate {
+            slot: 0, capacity: free, free, labels: labels.into(), same_step, long_running: 0,
+            serving: 0, opportunistic: 0, is_suspect: false, is_maintenance_due: false,
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(1_661),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_tasks_that_fit_are_as_many_as_can_be_placed(
+        mut candidates in prop::collection::vec(any_candidate(), 0..5),
+        (processors_milli, memory_bytes, accelerators) in (1..6_u32, 0..6_u64, 0..2_u32),
+        needs_label in any::<bool>(),
+        per_worker_max in prop::option::of(0..5_u32),
+    ) {
+        for (slot, candidate) in candidates.iter_mut().enumerate() {
+            candidate.slot = slot;
+        }
+        let requirements = TaskRequirements {
+            reserved: Resources { processors_milli, memory_bytes, accelerators },
+            label: needs_label.then(|| "l".into()),
+            data_rack: None,
+            per_worker_max,
+            long_running: false,
+            serves: false,
+            opportunistic: false,
+        };
+        let fitting: u64 = candidates.iter().map(|one| one.tasks_that_fit(&requirements)).sum();
+        prop_assert_eq!(fitting, count_by_choice(&requirements, candidates));
+    }
+}
