--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -1,5 +1,7 @@
 //! Platform clients for tests: the in-memory store, and emulated workers in this process.
 
+#![allow(dead_code, reason = "each test file uses a part of the clients")]
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -20,14 +22,19 @@
 use cassiafold_jobs::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use cassiafold_platform::{Record, Store, Transaction, TransactionalStore, Write, since_boot};
 use cassiafold_standin::MemoryStore;
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::emulator::worker::EmulatedWorker;
 use crate::emulator::{SERVICE, TEAM, config, cores, ms, settings};
 
-/// Run time of each task.
+/// Run time of each task of a job without another one.
 const TASK_TIME: Duration = Duration::from_millis(40);
+/// Time between two checks of a worker for an ended run while a poll waits.
+const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after which a call to an unreachable worker fails.
+const UNREACHABLE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Platform clients of one instance.
 #[derive(Debug, Clone)]
@@ -46,6 +53,16 @@
     pub starts: Arc<Mutex<Vec<(TaskId, RunNumber)>>>,
     /// Workers whose connections were closed.
     pub disconnected: Arc<Mutex<BTreeSet<WorkerId>>>,
+    /// Workers that no call reaches.
+    pub unreachable: Arc<Mutex<BTreeSet<WorkerId>>>,
+    /// Tasks that have ended as done on a worker, and when.
+    pub done: Arc<Mutex<BTreeMap<TaskId, Duration>>>,
+    /// Run times of the tasks of a job; `None` means that they run until they are stopped.
+    run_times: Arc<Mutex<BTreeMap<JobId, Option<Duration>>>>,
+    /// Runtime of the workers, which outlives that of a caller.
+    runtime: Handle,
+    /// Whether polls wait for an end as long as their requests say.
+    pub polls_wait: bool,
 }
 
 /// Formats with plain text records.
@@ -66,6 +83,11 @@
             jobs: Arc::default(),
             starts: Arc::default(),
             disconnected: Arc::default(),
+            unreachable: Arc::default(),
+            done: Arc::default(),
+            run_times: Arc::default(),
+            runtime: Handle::current(),
+            polls_wait: false,
         };
         Self { store: MemoryStore::default(), workers }
     }
@@ -149,7 +171,8 @@
 }
 
 impl TestWorkers {
-    fn with<T>(&self, id: &str, action: impl FnOnce(&mut EmulatedWorker) -> T) -> T {
+    /// Changes or reads one worker.
+    pub fn with<T>(&self, id: &str, action: impl FnOnce(&mut EmulatedWorker) -> T) -> T {
         let mut list = self.list.lock().expect("lock");
         let worker = list.iter_mut().find(|worker| *worker.id == *id).expect("known worker");
         action(worker)
@@ -163,6 +186,23 @@
         request: PollRequest,
     ) -> Result<PollResponse, PollError> {
         tokio::time::sleep(ms(5)).await;
+        if self.is_unreachable(worker).await {
+            return Err(PollError::NoAnswer("unreachable".into()));
+        }
+        let first = self.with(&worker.id, |worker| worker.poll(request, since_boot()))?;
+        let deadline = since_boot() + request.wait;
+        if !self.polls_wait || !first.ended.is_empty() {
+            return Ok(first);
+        }
+        while since_boot() < deadline {
+            tokio::time::sleep(POLL_CHECK_INTERVAL).await;
+            if self.with(&worker.id, |worker| worker.has_ended_runs()) {
+                break;
+            }
+        }
+        if self.is_unreachable(worker).await {
+            return Err(PollError::NoAnswer("unreachable".into()));
+        }
         self.with(&worker.id, |worker| worker.poll(request, since_boot()))
     }
 
@@ -171,6 +211,9 @@
         worker: &WorkerAddress,
         requests: Vec<StartRequest>,
     ) -> Vec<CommandOutcome> {
+        if self.is_unreachable(worker).await {
+            return vec![CommandOutcome::Unknown; requests.len()];
+        }
         requests.iter().map(|request| self.start_one(worker, request)).collect()
     }
 
@@ -181,6 +224,9 @@
         run: RunNumber,
         token: FencingToken,
     ) -> CommandOutcome {
+        if self.is_unreachable(worker).await {
+            return CommandOutcome::Unknown;
+        }
         self.with(&worker.id, |worker| worker.stop(task, run, token, since_boot()))
     }
 
@@ -201,21 +247,49 @@
 }
 
 impl TestWorkers {
+    /// Whether no call reaches a worker, found out only after a timeout.
+    async fn is_unreachable(&self, worker: &WorkerAddress) -> bool {
+        let unreachable = self.unreachable.lock().expect("lock").contains(&worker.id);
+        if unreachable {
+            tokio::time::sleep(UNREACHABLE_TIMEOUT).await;
+        }
+        unreachable
+    }
+
     fn start_one(&self, worker: &WorkerAddress, request: &StartRequest) -> CommandOutcome {
         let (task, run, now) = (request.task, request.run, since_boot());
-        let jobs = self.jobs.lock().expect("lock").clone();
-        let outcome = self.with(&worker.id, |worker| worker.start(request, now, &jobs));
+        let outcome = {
+            let jobs = self.jobs.lock().expect("lock");
+            self.with(&worker.id, |worker| worker.start(request, now, &jobs))
+        };
         if outcome == CommandOutcome::Accepted {
             self.starts.lock().expect("lock").push((task, run));
-            let (workers, id) = (self.clone(), worker.id.clone());
-            tokio::spawn(async move {
-                tokio::time::sleep(TASK_TIME).await;
-                workers.with(&id, |worker| worker.finish(task, run, false, since_boot()));
-            });
+            self.finish_in_time(worker, task, run);
         }
         outcome
     }
 
+    /// Ends a run as done after the run time of its job.
+    fn finish_in_time(&self, worker: &WorkerAddress, task: TaskId, run: RunNumber) {
+        let job = task.step.job;
+        let run_time = self.run_times.lock().expect("lock").get(&job).copied();
+        let Some(run_time) = run_time.unwrap_or(Some(TASK_TIME)) else { return };
+        let (workers, id) = (self.clone(), worker.id.clone());
+        self.runtime.spawn(async move {
+            tokio::time::sleep(run_time).await;
+            workers.with(&id, |worker| {
+                if worker.finish(task, run, false, since_boot()) {
+                    workers.done.lock().expect("lock").entry(task).or_insert_with(since_boot);
+                }
+            });
+        });
+    }
+
+    /// Sets how long the tasks of a job run; `None` means until they are stopped.
+    pub fn set_run_time(&self, id: JobId, run_time: Option<Duration>) {
+        self.run_times.lock().expect("lock").insert(id, run_time);
+    }
+
     /// Registers with the workers which resources the tasks of a job need.
     pub fn add_job(&self, id: JobId, record: JobRecord) {
         self.jobs.lock().expect("lock").insert(id, record);
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -234,6 +234,11 @@
         }
     }
 
+    /// Whether the worker keeps ends of runs that are not acknowledged.
+    pub fn has_ended_runs(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
     /// Whether a successful end of the task is not acknowledged yet.
     pub fn has_completed(&self, task: TaskId) -> bool {
         self.ended.iter().any(|row| row.task == task && row.end == RunEnd::Done)
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -324,10 +324,7 @@
     }
 
     /// Waits for changes until `deadline`, and returns an empty list if there are none.
-    pub(crate) async fn next_until(
-        &mut self,
-        deadline: Instant,
-    ) -> Result<Vec<Change>, StoreError> {
+    pub async fn next_until(&mut self, deadline: Instant) -> Result<Vec<Change>, StoreError> {
         loop {
             self.changed.mark_unchanged();
             let (changes, wake_at) = self.changes()?;
@@ -340,7 +337,7 @@
 
     /// Returns the revision up to which all changes were delivered, or `None` while a fault
     /// prevents deliveries.
-    pub(crate) fn progress(&self) -> Option<Revision> {
+    pub fn progress(&self) -> Option<Revision> {
         let state = self.store.shared.lock();
         let cut_off = state.faults.partition(&self.store.client).is_some();
         (!cut_off && !state.is_silent(self.number)).then_some(self.after)
