Show that a store which answers in over 300 ms keeps all instances from answering

What callers see: 503 to state queries at every instance for as long as the store takes 300 ms or more for a call, although a query has 3 s and its reads would be answered in 350 ms each. Between about 300 and 330 ms a few jobs are given up and the others answered, as in the incident.

Cause: two reads decide whether an instance has a store, and both are cut after 300 ms: the read that confirms the configuration (CONFIG_TIMEOUT, api/admission.rs) and the check that ends the state without store (CHECK_TIMEOUT, api.rs). The first one is needed from about 100 ms a call on: a view is confirmed by the time of the request of a poll that takes 1 s and the delay, so it is up to 2 s and twice the delay old, and 2.2 s are allowed. When it is cut, the store counts as away, and as each check is cut too, every query is refused at once until a check happens to take less than 300 ms. A submission, whose first attempt has 200 ms, has the same effect.

--- a/crates/jobs/tests/day/site.rs
+++ b/crates/jobs/tests/day/site.rs
@@ -15,16 +15,17 @@
 use cassiafold_jobs::record::JobRecord;
 use cassiafold_jobs::scheduler::SchedulerSettings;
 use cassiafold_jobs::spec::{JobId, Resources};
-use cassiafold_platform::Record;
+use cassiafold_platform::{Record, Transaction, TransactionalStore};
+use cassiafold_standin::MemoryStore;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::runtime::{Builder, Runtime};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::LATE;
 use super::store::PollingStore;
-use crate::clients::{NullClient, TestWorkers};
+use crate::clients::{NullClient, TestClients, TestWorkers};
 use crate::emulator::worker::EmulatedWorker;
 use crate::emulator::{TEAM, config, cores, ms, settings};
 
@@ -287,6 +288,36 @@
     }
 }
 
+/// Queue and key of a site whose configuration does not change.
+pub const QUEUE: &str = "q0";
+pub const KEY: &str = "k0";
+
+/// A store with a configuration and workers, without instances.
+pub async fn quiet_site(workers: usize) -> (MemoryStore, TestWorkers) {
+    super::log::start();
+    let clients = TestClients::new(workers);
+    let mut transaction =
+        Transaction::default().put(DayFormats::CONFIG_KEY, format!("1 {KEY} {QUEUE}"), None);
+    for number in 0..workers {
+        let key = format!("{}w{number}", DayFormats::WORKERS_PREFIX);
+        transaction = transaction.put(key, "1000", None);
+    }
+    clients.store.commit(transaction).await.expect("store");
+    (clients.store, clients.workers)
+}
+
+/// A job API over a client of the store, in this process.
+pub async fn ready_api(store: PollingStore, workers: &TestWorkers) -> JobApi<DayClients> {
+    let clients = DayClients { store, workers: workers.clone() };
+    let (sender, desired_states) = DesiredStateSender::new();
+    tokio::spawn(desired_state::follow(clients.clone(), sender.clone()));
+    let api = JobApi::new(clients, desired_states, sender, JobsMetrics::default());
+    while !api.is_ready(Duration::from_secs(60)) {
+        sleep(ms(20)).await;
+    }
+    api
+}
+
 /// A random generator for one part of a day.
 pub fn random(seed: u64, part: u64) -> StdRng {
     StdRng::seed_from_u64(seed * 1_000 + part)
--- a/crates/jobs/tests/long_day.rs
+++ b/crates/jobs/tests/long_day.rs
@@ -48,6 +48,22 @@
     assert_eq!(violations(size, seeds), Vec::<String>::new());
 }
 
+/// Guards against instances that answer no query because the store answers slowly, although in a
+/// ninth of a caller's time.
+#[test]
+fn every_accepted_job_is_answered_for_while_the_store_stays_slow_after_the_day() {
+    let size = Size {
+        length: Duration::from_secs(6),
+        pause: Duration::from_secs(8),
+        instances: 6,
+        workers: 10,
+        known_for: Duration::from_secs(150),
+        pages_time: Duration::from_millis(300),
+        closing_delay: Duration::from_millis(340),
+    };
+    assert_eq!(violations(size, 401..404), Vec::<String>::new());
+}
+
 async fn play(seed: u64, size: Size) -> Vec<String> {
     let day = Day::new(seed, size).await;
     day.clone().play().await;
--- /dev/null
+++ b/crates/jobs/tests/slow_store.rs
@@ -0,0 +1,63 @@
+//! State queries while the store is slow or leaves calls without a response.
+
+mod clients;
+mod day;
+mod emulator;
+
+use std::time::Duration;
+
+use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::record::JobState;
+use cassiafold_jobs::spec::JobId;
+use tokio::time::{Instant, sleep};
+
+use self::day::site::{DayClients, KEY, QUEUE, call, quiet_site, ready_api};
+use self::day::store::PollingStore;
+use self::emulator::{job, ms, step};
+
+/// Deadline of callers.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// Id of the job that is asked for.
+const ID: JobId = 1;
+
+async fn submit(api: &JobApi<DayClients>, id: JobId) -> SubmitResponse {
+    let spec = job(vec![step(1, 1, &[])]).spec;
+    api.submit(&call(QUEUE, id, KEY, DEADLINE), spec).await
+}
+
+/// Asks for a job every 200 ms for 6 s while each call to the store takes `delay`.
+async fn answers_of_a_slow_store(delay: Duration, submits: bool) -> Vec<JobStateResponse> {
+    let (store, workers) = quiet_site(0).await;
+    let api = ready_api(PollingStore::new(&store, "front", Duration::ZERO), &workers).await;
+    assert_eq!(submit(&api, ID).await, SubmitResponse::Accepted);
+    store.faults().set_delay(delay);
+    if submits {
+        let _ = submit(&api, ID + 1).await;
+    }
+    let end = Instant::now() + ms(6_000);
+    let mut answers = Vec::new();
+    while Instant::now() < end {
+        answers.push(api.job_state(&call(QUEUE, ID, KEY, DEADLINE)).await);
+        sleep(ms(200)).await;
+    }
+    answers
+}
+
+macro_rules! state_queries_are_answered_although_each_store_call_takes {
+    ($($case:ident: $delay_ms:literal, $submits:literal;)+) => {
+        $(#[tokio::test]
+        async fn $case() {
+            let answers = answers_of_a_slow_store(ms($delay_ms), $submits).await;
+            let expected = JobStateResponse::State(JobState::Queued);
+            let refused = answers.iter().filter(|answer| **answer != expected).count();
+            assert_eq!(refused, 0, "refused of {} queries: {answers:?}", answers.len());
+        })+
+    };
+}
+
+// The caller's deadline is 3 s.
+state_queries_are_answered_although_each_store_call_takes! {
+    state_queries_are_answered_although_each_store_call_takes_250_ms: 250, false;
+    state_queries_are_answered_although_each_store_call_takes_350_ms: 350, false;
+    state_queries_are_answered_after_a_submission_to_a_store_that_takes_350_ms: 350, true;
+}
