Show that a state query can outlast its deadline

What callers see: silence instead of 503 when the store leaves reads without a response: a query with a deadline of 3 s is answered after 4.29 s.

Cause: `job_state_once` (crates/jobs/src/api.rs) looks at the deadline only after a failed attempt, and an attempt is not cut at it. An attempt at a key takes 1.4 s without a response (two calls of 700 ms in the platform's client), one that reads the state and the job up to 2.8 s. `cancel_once` and `waiting_jobs_once` do the same.

Evidence: with a store that answers all but the reads of states, the answer came after 4.286 s.

Conclusion: any caller's deadline below 1.4 s is missed by the first lost read already (by the code; only 3 s was run).

--- a/crates/jobs/tests/slow_store.rs
+++ b/crates/jobs/tests/slow_store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
-use cassiafold_jobs::record::JobState;
+use cassiafold_jobs::record::{JobState, STATE_PREFIX};
 use cassiafold_jobs::spec::JobId;
 use tokio::time::{Instant, sleep};
 
@@ -61,3 +61,15 @@
     state_queries_are_answered_although_each_store_call_takes_350_ms: 350, false;
     state_queries_are_answered_after_a_submission_to_a_store_that_takes_350_ms: 350, true;
 }
+
+#[tokio::test]
+async fn a_state_query_does_not_outlast_its_deadline_while_reads_get_no_response() {
+    let (store, workers) = quiet_site(0).await;
+    let client = PollingStore::new(&store, "front", Duration::ZERO);
+    let api = ready_api(client.without_responses(STATE_PREFIX), &workers).await;
+    assert_eq!(submit(&api, ID).await, SubmitResponse::Accepted);
+    let asked = Instant::now();
+    let _ = api.job_state(&call(QUEUE, ID, KEY, DEADLINE)).await;
+    let taken = asked.elapsed();
+    assert!(taken <= DEADLINE, "answered after {taken:?}, when the caller had gone");
+}
