--- a/crates/jobs/tests/day/faults.rs
+++ b/crates/jobs/tests/day/faults.rs
@@ -41,10 +41,10 @@
         while Instant::now() < end {
             sleep(ms(random.random_range(50..900))).await;
             let length = ms(random.random_range(150..2_500));
-            let kind = random.random_range(0..18);
+            let kind = random.random_range(0..19);
             log::info!(target: "day", "fault {kind} of {length:?} in s{}", self.seed);
             match kind {
-                0..=6 => self.play_store_fault(kind, length, &mut random).await,
+                0..=6 | 18 => self.play_store_fault(kind, length, &mut random).await,
                 7..=11 => self.play_process_fault(kind, length, &mut random).await,
                 12..=14 => self.play_worker_fault(kind, length, &mut random).await,
                 _ => self.play_operator(&mut random).await,
@@ -60,8 +60,9 @@
             WriteFault::Late(ms(random.random_range(100..3_000))),
         ];
         match kind {
-            0 | 1 => {
-                let direction = [Partition::Requests, Partition::Answers][kind as usize];
+            0 | 1 | 18 => {
+                let partitions = [Partition::Requests, Partition::Answers, Partition::Refused];
+                let direction = partitions[kind.min(2) as usize];
                 let count = random.random_range(1..=self.instance_count());
                 let first = random.random_range(0..self.instance_count());
                 let names = self.names(first, count);
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -23,13 +23,15 @@
     Late(Duration),
 }
 
-/// Direction in which a partition drops messages of one client.
+/// How a partition keeps one client from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Partition {
     /// Requests do not reach the store.
     Requests,
     /// Requests take effect and their responses are lost.
     Answers,
+    /// Requests are refused at once, while other clients are served.
+    Refused,
 }
 
 #[derive(Debug, Default)]
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -72,6 +72,7 @@
 /// Why a call fails before its effect.
 enum CallFailure {
     Outage,
+    Refused,
     RequestLost,
 }
 
@@ -113,6 +114,7 @@
                 sleep(self.timeout - delay).await;
                 Err(CallFailure::RequestLost)
             }
+            Some(Partition::Refused) => Err(CallFailure::Refused),
             _ if outage => Err(CallFailure::Outage),
             Some(Partition::Answers) => Ok(ResponseDelivery::Lost),
             None => Ok(ResponseDelivery::Expected),
@@ -189,6 +191,7 @@
     fn into_read_error(self) -> StoreError {
         match self {
             Self::Outage => StoreError::Unavailable("outage".into()),
+            Self::Refused => StoreError::Unavailable("refused".into()),
             Self::RequestLost => StoreError::Unavailable("no response before the timeout".into()),
         }
     }
@@ -196,6 +199,7 @@
     fn into_write_error(self) -> StoreError {
         match self {
             Self::Outage => StoreError::Unavailable("outage".into()),
+            Self::Refused => StoreError::Unavailable("refused".into()),
             Self::RequestLost => {
                 StoreError::OutcomeUnknown("no response before the timeout".into())
             }
