Resume the watch of accepted jobs, and add no job that was deleted

Cause: after any failure of its watch the owner listed all accepted jobs anew. A list of several pages takes a while; a job that was deleted meanwhile looked like a new one without a state.

Change: after a failure the watch goes on from the last change that was sent, and the jobs are listed only if the history is gone. Of a list, the records are left out that are not newer than the changes sent before: they are known, or were deleted.

--- a/crates/jobs/src/owner/watch_store.rs
+++ b/crates/jobs/src/owner/watch_store.rs
@@ -55,9 +55,11 @@
     const PREFIX: &'static str;
     /// Delay after changes, so that the next ones are received together.
     const CHANGE_DELAY: Duration;
+    /// Whether all records are listed after any failure, and not only when changes were missed.
+    const LISTS_AFTER_FAILURE: bool;
 
-    /// Updates from a list of all records, after a store outage.
-    fn updates_from_list(&self, records: &[Record]) -> Vec<StoreUpdate>;
+    /// Updates from a list of all records, after changes were sent up to a revision.
+    fn updates_from_list(&self, records: &[Record], sent_until: Revision) -> Vec<StoreUpdate>;
 
     /// Updates from changes.
     fn updates_from_changes(&self, changes: &[Change]) -> Vec<StoreUpdate>;
@@ -78,36 +80,45 @@
     from: Revision,
     sender: mpsc::Sender<Message>,
 ) {
-    let mut after = Some(from);
+    let mut position = Position { sent_until: from, must_list: false };
     let mut outage = OutageLog::new(F::PREFIX);
     while !sender.is_closed() {
-        if let Err(error) = watch_once(&platform, &prefix, &mut after, &sender, &mut outage).await {
+        let watching = watch_once(&platform, &prefix, &mut position, &sender, &mut outage).await;
+        if let Err(error) = watching {
+            position.must_list |= F::LISTS_AFTER_FAILURE || error == StoreError::Compacted;
             outage.record_failure(&error);
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
+/// Position in the changes of a prefix.
+struct Position {
+    /// Revision up to which all changes have been sent.
+    sent_until: Revision,
+    /// Whether the prefix must be listed before it is watched again.
+    must_list: bool,
+}
+
 async fn watch_once<S: PlatformClients, F: WatchedPrefix>(
     platform: &S,
     prefix: &F,
-    after: &mut Option<Revision>,
+    position: &mut Position,
     sender: &mpsc::Sender<Message>,
     outage: &mut OutageLog,
 ) -> Result<(), StoreError> {
-    let from = match after.take() {
-        Some(revision) => revision,
-        None => {
-            let snapshot = platform.store().list(F::PREFIX).await?;
-            send(prefix.updates_from_list(&snapshot.records), sender).await;
-            snapshot.revision
-        }
-    };
-    let mut changes = platform.store().watch(F::PREFIX, from).await?;
+    if position.must_list {
+        let snapshot = platform.store().list(F::PREFIX).await?;
+        send(prefix.updates_from_list(&snapshot.records, position.sent_until), sender).await;
+        *position = Position { sent_until: snapshot.revision, must_list: false };
+    }
+    let mut changes = platform.store().watch(F::PREFIX, position.sent_until).await?;
     while !sender.is_closed() {
         let updates = changes.next().await?;
         outage.record_success();
         send(prefix.updates_from_changes(&updates), sender).await;
+        let latest = updates.iter().map(|change| change.revision).max();
+        position.sent_until = position.sent_until.max(latest.unwrap_or_default());
         sleep(F::CHANGE_DELAY).await;
     }
     Ok(())
@@ -123,9 +134,13 @@
 impl WatchedPrefix for InboxPrefix {
     const PREFIX: &'static str = INBOX_PREFIX;
     const CHANGE_DELAY: Duration = INBOX_DELAY;
+    const LISTS_AFTER_FAILURE: bool = false;
 
-    fn updates_from_list(&self, records: &[Record]) -> Vec<StoreUpdate> {
-        records.iter().filter_map(decode_inbox_record).collect()
+    /// Records that were sent before are left out: the jobs that are no longer known have ended, and
+    /// were deleted while the list was read.
+    fn updates_from_list(&self, records: &[Record], sent_until: Revision) -> Vec<StoreUpdate> {
+        let new = records.iter().filter(|record| record.revision > sent_until);
+        new.filter_map(decode_inbox_record).collect()
     }
 
     fn updates_from_changes(&self, changes: &[Change]) -> Vec<StoreUpdate> {
@@ -136,8 +151,10 @@
 impl<S: PlatformClients> WatchedPrefix for WorkersPrefix<S> {
     const PREFIX: &'static str = S::Formats::WORKERS_PREFIX;
     const CHANGE_DELAY: Duration = WORKERS_DELAY;
+    /// The store may have lost entries of live workers while it was away.
+    const LISTS_AFTER_FAILURE: bool = true;
 
-    fn updates_from_list(&self, records: &[Record]) -> Vec<StoreUpdate> {
+    fn updates_from_list(&self, records: &[Record], _sent_until: Revision) -> Vec<StoreUpdate> {
         vec![StoreUpdate::WorkerEntries(EntriesChange::Listed(decode_entries(
             &self.platform,
             records,
--- a/crates/jobs/tests/day/mod.rs
+++ b/crates/jobs/tests/day/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the day")]
 
+mod checks;
 pub mod faults;
 pub mod jobs;
 pub mod log;
@@ -14,8 +15,8 @@
 use std::time::Duration;
 
 use cassiafold_jobs::api::{CancelResponse, JobStateResponse, SubmitResponse};
-use cassiafold_jobs::record::{INBOX_PREFIX, JobState, STATE_PREFIX, job_key, state_key};
-use cassiafold_jobs::spec::{JobId, TaskId};
+use cassiafold_jobs::record::{INBOX_PREFIX, STATE_PREFIX};
+use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Store, since_boot};
 use cassiafold_standin::MemoryStore;
 use rand::RngExt;
@@ -336,7 +337,8 @@
             sleep(STALL_CHECK_INTERVAL * 2).await;
         }
         self.check_answer(id, instance, &answer, asked);
-        let row = Row { at: asked - self.started, instance, job: id, answer: answer.clone(), taken };
+        let row =
+            Row { at: asked - self.started, instance, job: id, answer: answer.clone(), taken };
         if !matches!(answer, Answer::Response(JobStateResponse::State(_))) {
             ::log::info!(target: "day", "s{} {row:?}", self.seed);
         }
@@ -407,61 +409,6 @@
         self.violate(format!("job {id:016x}: no answer at the end of the day: {answers}"));
     }
 
-    /// Checks that every job has run, or runs, that can.
-    async fn check_runs(&self) {
-        let jobs: Vec<DayJob> = self.jobs.lock().expect("lock").values().cloned().collect();
-        let end = Instant::now() + LAST_QUERY_TIME;
-        for job in jobs {
-            while let Some(what) = self.missing(&job).await {
-                if Instant::now() >= end {
-                    self.violate(format!("job {:016x} {:?}: {what}", job.id, job.shape));
-                    break;
-                }
-                sleep(RETRY_AFTER / 5).await;
-            }
-        }
-    }
-
-    /// Checks that no state is kept of a job that isn't.
-    fn check_states(&self) {
-        let jobs = self.jobs.lock().expect("lock").clone();
-        for id in jobs.keys() {
-            let faults = self.store.faults();
-            if faults.peek(&job_key(*id)).is_none() && faults.peek(&state_key(*id)).is_some() {
-                self.violate(format!("job {id:016x}: its state is kept without it"));
-            }
-        }
-    }
-
-    async fn missing(&self, job: &DayJob) -> Option<String> {
-        if !job.is_accepted {
-            let is_stored = self.store.faults().peek(&job_key(job.id)).is_some();
-            return (is_stored && !job.may_be_stored).then(|| "refused and stored".into());
-        }
-        let state = match self.ask(job.id, 0).await {
-            Answer::Response(JobStateResponse::State(state)) => state,
-            Answer::Response(JobStateResponse::NoSuchJob) if self.may_be_unknown(job.id) => {
-                return None;
-            }
-            other => return Some(format!("{other:?}")),
-        };
-        let has_ended = state.is_final();
-        if job.cancel_accepted {
-            return (!has_ended).then(|| format!("{state:?} although it was cancelled"));
-        }
-        if job.shape != Shape::LongRunning {
-            return (!has_ended).then(|| format!("{state:?} although all could run"));
-        }
-        if has_ended || state == JobState::Queued {
-            return (job.cancel_sent.is_none())
-                .then(|| format!("{state:?} although it runs until stopped"));
-        }
-        let list = self.workers.list.lock().expect("lock");
-        let is_idle = |task: &TaskId| !list.iter().any(|worker| worker.runs.contains_key(task));
-        let idle = job.tasks().find(is_idle);
-        idle.map(|task| format!("{task} doesn't run"))
-    }
-
     /// One line on the answers, and on what an owner reads that takes over.
     pub async fn summary(&self) -> String {
         let rows = self.rows.lock().expect("lock").clone();
