--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -25,6 +25,7 @@
         WorkerReborn = 1624, Info, "worker restarted";
         LookFailed = 1625, Info, "poll of a worker failed";
         LeaseOver = 1626, Info, "lease of the runs on an unresponsive worker expired";
+        TokenRefused = 1627, Warn, "worker refused the owner's token and is sent nothing more";
         MachineOrdered = 1630, Info, "outcome of a command to move or maintain a machine";
         PoolsBalanced = 1631, Info, "machines move between services";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
@@ -41,5 +42,9 @@
         NodeNotReloaded = 1653, Warn, "changed settings were rejected";
         ConnectionNotAccepted = 1654, Warn, "connection could not be accepted";
         MetricsNotServed = 1655, Warn, "metrics could not be served";
+        TimeoutMalformed = 1660, Info, "caller's timeout is malformed; the default applies";
+        JobOversized = 1661, Warn, "job is too large for the owner and has failed";
+        JobRejected = 1662, Info, "submitted job is malformed or out of range";
+        TaskPanicked = 1663, Error, "task ended by a panic";
     }
 }
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -1,12 +1,12 @@
 //! Reads the state that previous owners left in the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_event::emit;
 use cassiafold_platform::{
-    Compare, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    Compare, Moment, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, since_boot,
 };
 use serde::de::DeserializeOwned;
@@ -84,9 +84,12 @@
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = start_chains(platform, token, sequence).await?;
-    let known_workers = read_workers(&known.records)?;
-    let waves: WavesRecord = read_json(waves)?;
-    let commanded_machines: CommandedMachinesRecord = read_json(commanded_machines)?;
+    let (known_workers, has_unread_workers) = read_workers(&known.records);
+    // A wave whose progress is unknown starts anew: a machine whose maintenance is done is not
+    // taken down again for the same wave.
+    let waves: WavesRecord = waves.as_ref().and_then(read_json).unwrap_or_default();
+    let commanded_machines: Option<CommandedMachinesRecord> =
+        commanded_machines.as_ref().map_or(Some(CommandedMachinesRecord::default()), read_json);
     let run_number_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUN_NUMBERS_PER_TERM;
     let now = since_boot();
     let instance = Arc::clone(instance);
@@ -95,12 +98,14 @@
         run_number_base,
         known_workers,
         waves,
-        commanded_machines,
+        has_unread_commands: commanded_machines.is_none(),
+        commanded_machines: commanded_machines.unwrap_or_default(),
+        has_unread_workers,
         instance,
         started_unix: unix_now(),
     };
     let mut scheduler = Scheduler::new(settings, term, now);
-    let states = read_states(&states.records).await;
+    let states = read_states(&states.records, &mut scheduler).await;
     for (number, record) in inbox.records.iter().enumerate() {
         if number % RECORDS_PER_YIELD == 0 {
             yield_now().await;
@@ -122,6 +127,7 @@
             scheduler.cancel(id, now);
         }
     }
+    add_ended_jobs(&mut scheduler, &inbox.records, &states, now);
     Ok(Loaded {
         scheduler,
         sequences: vec![sequence; WRITE_CHAINS],
@@ -131,22 +137,43 @@
     })
 }
 
-/// Decodes a JSON record; the default value if there is none.
-fn read_json<T: DeserializeOwned + Default>(record: Option<Record>) -> Result<T, StoreError> {
-    let Some(record) = record else { return Ok(T::default()) };
-    serde_json::from_slice(&record.value)
-        .map_err(|error| StoreError::Malformed(error.to_string().into()))
+/// Adds the ended jobs whose records are deleted already.
+fn add_ended_jobs(
+    scheduler: &mut Scheduler,
+    inbox: &[Record],
+    states: &HashMap<JobId, StateRecord>,
+    now: Moment,
+) {
+    let recorded: HashSet<JobId> =
+        inbox.iter().filter_map(|record| parse_job_key(&record.key, JOB_PREFIX)).collect();
+    for (id, state) in states {
+        if state.state.is_final() && !recorded.contains(id) {
+            scheduler.add_ended_job(*id, now);
+        }
+    }
 }
 
-fn read_workers(records: &[Record]) -> Result<Vec<WorkerRecord>, StoreError> {
-    let mut workers = Vec::new();
-    for record in records {
-        workers.extend(read_json::<Vec<WorkerRecord>>(Some(record.clone()))?);
+/// Decodes a JSON record; `None` if it can't be read. Such a record must not keep each instance
+/// that becomes the owner from starting; what it may have said is replaced by the worst case.
+fn read_json<T: DeserializeOwned>(record: &Record) -> Option<T> {
+    match serde_json::from_slice(&record.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
+            None
+        }
     }
-    Ok(workers)
 }
 
-async fn read_states(records: &[Record]) -> HashMap<JobId, StateRecord> {
+/// Decodes the records of workers; also returns whether one can't be read.
+fn read_workers(records: &[Record]) -> (Vec<WorkerRecord>, bool) {
+    let shards: Vec<Option<Vec<WorkerRecord>>> = records.iter().map(read_json).collect();
+    let has_unread = shards.iter().any(Option::is_none);
+    (shards.into_iter().flatten().flatten().collect(), has_unread)
+}
+
+/// Decodes the states of jobs, and excludes the jobs whose state can't be read.
+async fn read_states(records: &[Record], scheduler: &mut Scheduler) -> HashMap<JobId, StateRecord> {
     let mut states = HashMap::with_capacity(records.len());
     for (number, record) in records.iter().enumerate() {
         if number % RECORDS_PER_YIELD == 0 {
@@ -155,7 +182,10 @@
         let Some(id) = parse_job_key(&record.key, STATE_PREFIX) else { continue };
         match StateRecord::try_from(&record.value[..]) {
             Ok(state) => drop(states.insert(id, state)),
-            Err(error) => emit!(JobsEvent::ItemUnreadable, key = record.key, error = error),
+            Err(error) => {
+                emit!(JobsEvent::ItemUnreadable, key = record.key, error = error);
+                scheduler.exclude_job(id);
+            }
         }
     }
     states
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -87,6 +87,10 @@
     pub waves: WavesRecord,
     /// Machines to which previous owners may have sent commands recently.
     pub commanded_machines: CommandedMachinesRecord,
+    /// Whether records of workers could not be read, so that there may be unknown ones with runs.
+    pub has_unread_workers: bool,
+    /// Whether the record of commanded machines could not be read.
+    pub has_unread_commands: bool,
     /// Name of the instance that is the owner.
     pub instance: Arc<str>,
     /// Unix time at the start of the term.
@@ -171,8 +175,12 @@
     stale_shards: BTreeSet<WorkerShard>,
     /// Ended jobs whose state is retained, with the time at which they ended, oldest first.
     ended_jobs: VecDeque<(JobId, Moment)>,
+    /// Ended jobs whose records are stored, and since when they count as ended.
+    ended_records: VecDeque<(JobId, Moment)>,
     /// Cancelled jobs that have not been read from the store yet.
     early_cancels: HashSet<JobId>,
+    /// Jobs whose stored state can't be read.
+    excluded_jobs: HashSet<JobId>,
     /// Jobs with a schedule.
     recurring_jobs: Vec<JobId>,
     /// Resources that the running tasks of each team take.
@@ -237,12 +245,15 @@
     /// Creates a scheduler at the start of an owner's term.
     pub fn new(settings: SchedulerSettings, term: OwnerTerm, now: Moment) -> Self {
         let instance = Arc::clone(&term.instance);
-        let machine_leases = MachineLeases::new(
+        let mut machine_leases = MachineLeases::new(
             instance,
             settings.machine_lease,
             term.commanded_machines.clone(),
             now,
         );
+        if term.has_unread_commands {
+            machine_leases.lease_all_to_others(now);
+        }
         let mut scheduler = Self {
             settings,
             term_started: now,
@@ -260,7 +271,9 @@
             waiting_steps: StepsByService::default(),
             stale_shards: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
+            ended_records: VecDeque::new(),
             early_cancels: HashSet::new(),
+            excluded_jobs: HashSet::new(),
             recurring_jobs: Vec::new(),
             team_usage: HashMap::new(),
             inherited_runs_expire: now,
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -105,7 +105,8 @@
         for machine in self.machines.iter() {
             let target = self.moving_machines.get(&machine.id).map(|(service, _)| service);
             let Some(pool) = pools.get_mut(target.unwrap_or(&machine.service)) else { continue };
-            if machine.state == MachineState::Down
+            let is_usable = !matches!(machine.state, MachineState::Down | MachineState::Unknown);
+            if !is_usable
                 || self.is_draining(machine)
                 || self.silent_machines.is_silent_for(&machine.id, silence_max, now)
             {
@@ -132,7 +133,8 @@
             let is_falling = self.arrivals.is_falling(id, now);
             let needs = self.peak_needs.entry(id.clone()).or_default();
             let peak_need = needs.record(pool.needed, is_falling, now);
-            pool.may_shrink = needs.has_fallen() && pool.machines > peak_need + SURPLUS_MACHINES;
+            let kept = peak_need.saturating_add(SURPLUS_MACHINES);
+            pool.may_shrink = needs.has_fallen() && pool.machines > kept;
         }
         pools
     }
@@ -195,7 +197,8 @@
 
     /// Returns the mean number of cores of a machine.
     fn cores_per_machine(&self) -> f64 {
-        let core_counts = self.machines.iter().map(|machine| machine.capacity.processors_milli);
+        let known = self.machines.iter().filter(|machine| machine.state != MachineState::Unknown);
+        let core_counts = known.map(|machine| machine.capacity.processors_milli);
         let (sum, count) = core_counts.fold((0.0, 0.0), |(sum, count), milli| {
             (sum + f64::from(milli) / 1_000.0, count + 1.0)
         });
@@ -244,7 +247,9 @@
             let spec = self.spec(id)?;
             let step = self.jobs.get(&id.job)?.step(id)?;
             let open = spec.tasks.saturating_sub(step.done);
-            Some(open.div_ceil(spec.per_worker_max?) as usize)
+            // A limit of zero is met by no number of workers.
+            let per_worker_max = spec.per_worker_max.filter(|most| *most > 0)?;
+            Some(open.div_ceil(per_worker_max) as usize)
         });
         workers_per_step.max().unwrap_or(0)
     }
@@ -253,7 +258,7 @@
 /// Adds the runs of a worker to the load of its service.
 fn add_running(worker: &Worker, load: &mut Load) {
     let long_running_milli = worker.counts.long_running_milli;
-    let running_milli = worker.reserved.processors_milli - long_running_milli;
+    let running_milli = worker.reserved.processors_milli.saturating_sub(long_running_milli);
     load.long_running += f64::from(long_running_milli) / 1_000.0;
     load.running += f64::from(running_milli) / 1_000.0;
 }
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -10,7 +10,7 @@
 use crate::event::JobsEvent;
 use crate::job::Job;
 use crate::record::{JobRecord, JobState, StateRecord};
-use crate::spec::{JobId, OccurrenceNumber, StepId, StepSpec};
+use crate::spec::{JobId, JobSizeError, OccurrenceNumber, StepId, StepSpec};
 
 /// Burst that a team may submit before its jobs count as exceeding its weight, in seconds of the
 /// weight.
@@ -19,6 +19,12 @@
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::inbox";
 
 impl Scheduler {
+    /// Excludes a job whose stored state can't be read: its tasks may be done, and none may run
+    /// again.
+    pub fn exclude_job(&mut self, id: JobId) {
+        self.excluded_jobs.insert(id);
+    }
+
     /// Adds an accepted job, with its stored state if there is one.
     pub fn add_job(
         &mut self,
@@ -28,14 +34,18 @@
         stored: Option<&StateRecord>,
         now: Moment,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.excluded_jobs.contains(&id) {
             return;
         }
         let mut job = Job::new(id, record, accepted_revision, stored, now);
         job.exceeds_share = self.count_submission(&job, now);
         if !job.is_live() {
             self.jobs.insert(id, job);
-            self.ended_jobs.push_back((id, now));
+            self.record_end(id, now);
+            return;
+        }
+        if let Err(error) = job.record.spec.check_size() {
+            self.fail_oversized(job, &error, now);
             return;
         }
         let is_recurring = job.record.spec.schedule.is_some();
@@ -61,6 +71,36 @@
         }
     }
 
+    /// Adds a job whose state the owner cannot hold, as failed.
+    fn fail_oversized(&mut self, job: Job, error: &JobSizeError, now: Moment) {
+        let id = job.id;
+        self.jobs.insert(id, job);
+        self.log_oversized(id, error);
+        self.early_cancels.remove(&id);
+        self.finish_job(id, JobState::Failed, now);
+    }
+
+    pub(super) fn log_oversized(&self, id: JobId, error: &JobSizeError) {
+        let queue = self.jobs.get(&id).map_or("-", |job| &job.record.queue);
+        emit!(
+            target: LOG_TARGET,
+            JobsEvent::JobOversized,
+            job = format_args!("{id:016x}"),
+            queue = queue,
+            reason = error
+        );
+    }
+
+    /// Adds an ended job of which only the state is stored, so that the state is deleted in time.
+    pub fn add_ended_job(&mut self, id: JobId, now: Moment) {
+        self.ended_jobs.push_back((id, now));
+    }
+
+    fn record_end(&mut self, id: JobId, now: Moment) {
+        self.ended_jobs.push_back((id, now));
+        self.ended_records.push_back((id, now));
+    }
+
     /// Adds one job to the team's bucket and returns whether the team exceeds its weight.
     fn count_submission(&mut self, job: &Job, now: Moment) -> bool {
         let Some(team) = job.record.team.clone() else { return false };
@@ -93,16 +133,9 @@
         let mut started: Vec<(JobId, OccurrenceNumber)> = Vec::new();
         for id in &self.recurring_jobs {
             let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_live()) else { continue };
-            let Some(schedule) = job.record.spec.schedule else { continue };
-            for number in 0..schedule.occurrences {
-                if schedule.due_unix(number) > now_unix {
-                    break;
-                }
-                let is_known = job.occurrences.contains_key(&number) || job.ended.contains(&number);
-                if !is_known {
-                    job.start_occurrence(number, None, self.term.run_number_base, now);
-                    started.push((*id, number));
-                }
+            while let Some(number) = job.next_due_occurrence(now_unix) {
+                job.start_occurrence(number, None, self.term.run_number_base, now);
+                started.push((*id, number));
             }
         }
         for (id, number) in started {
@@ -117,7 +150,8 @@
         let Some(job) = self.jobs.get_mut(&step.job).filter(|job| job.is_live()) else { return };
         let is_recurring = job.record.spec.schedule.is_some();
         let is_known = job.occurrences.contains_key(&step.occurrence);
-        if !is_recurring || is_known || step.occurrence >= job.record.spec.occurrences() {
+        let is_of_schedule = step.occurrence < job.record.spec.occurrences();
+        if !is_recurring || is_known || !is_of_schedule || !job.may_start_occurrence() {
             return;
         }
         job.start_occurrence(step.occurrence, None, self.term.run_number_base, now);
@@ -147,7 +181,7 @@
         let service = job.record.service.clone();
         let ready = job.ready_steps(number, now);
         if job.occurrences.get(&number).is_some_and(|occurrence| occurrence.is_done()) {
-            job.ended.push(number);
+            job.ended.insert(number);
             let all_ended = job.ended.len() >= job.record.spec.occurrences() as usize;
             self.mark_unwritten(id);
             if all_ended {
@@ -194,7 +228,7 @@
         self.ready_steps.remove_job(&service, id);
         self.waiting_steps.remove_job(&service, id);
         self.step_tickets.retain(|step, _| step.job != id);
-        self.ended_jobs.push_back((id, now));
+        self.record_end(id, now);
         self.changed_services.insert(service);
     }
 }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -134,7 +134,9 @@
         for slot in leaving {
             let id = &self.workers[slot].entry.id;
             if !machines.has_running_worker(id) {
-                self.retire_worker(slot, now);
+                if !machines.may_run_worker(id) {
+                    self.retire_worker(slot, now);
+                }
                 continue;
             }
             // The command had been executed before: this is the worker that started after it.
@@ -158,7 +160,7 @@
             if worker.is_gone || !is_unresponsive {
                 continue;
             }
-            if !self.machines.has_running_worker(&worker.entry.id) {
+            if !self.machines.may_run_worker(&worker.entry.id) {
                 self.retire_worker(slot, now);
             }
         }
@@ -459,7 +461,7 @@
 /// over the time limit instead of all at its start.
 fn planned_down(progress: &WaveProgress, remaining: usize, now: Moment) -> usize {
     let planned = progress.wave.time_limit.mul_f64(1.0 - RESERVE_SHARE);
-    let left = (progress.since + planned).saturating_sub(now);
+    let left = progress.since.saturating_add(planned).saturating_sub(now);
     let rounds = (left.as_secs_f64() / MAINTENANCE_TIME.as_secs_f64()).floor().max(1.0);
     let needed = (remaining as f64 / rounds).ceil() as usize;
     needed.clamp(1, progress.wave.concurrent_max.max(1))
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 
 use cassiafold_event::emit;
-use cassiafold_platform::Moment;
+use cassiafold_platform::{Moment, VALUE_BYTES_MAX};
 
 use super::Scheduler;
 use crate::cluster::WaveNumber;
 use crate::event::JobsEvent;
-use crate::job::WorkerSlot;
+use crate::job::{Job, WorkerSlot};
 use crate::record::{
     COMMANDED_MACHINES_KEY, ChainNumber, CommandedMachinesRecord, FIRST_WRITE_CHAIN, JobState,
     RecordError, WAITING_KEY, WAVES_KEY, WaitingRecord, WorkerRecord, WorkerShard, cancel_key,
     job_key, state_key, workers_key,
 };
-use crate::spec::JobId;
+use crate::spec::{JobId, JobSizeError};
 
 /// Entries of a write beside its two conditions and the sequence key: the store accepts 32.
 const ENTRIES_MAX: usize = 29;
@@ -34,6 +34,11 @@
 const DELETIONS_COUNTED_MAX: usize = 200;
 /// Entries that delete an ended job: the job, its cancel and its state.
 const DELETION_ENTRIES: usize = 3;
+/// Time after the end of a job after which its record is deleted; its state is kept for longer. A
+/// caller may repeat its submission for some seconds.
+const RECORD_RETENTION: Duration = Duration::from_secs(10);
+/// Entries that delete the record of an ended job: the job and its cancel.
+const RECORD_ENTRIES: usize = 2;
 /// Minimum time between two writes of the number of waiting jobs.
 const WAITING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which the number of waiting jobs is written again even if unchanged, so that readers
@@ -128,11 +133,12 @@
         match chain {
             FIRST_WRITE_CHAIN => self.collect_all(now, &mut batch),
             _ => {
-                self.collect_states(ENTRIES_MAX, &mut batch);
+                self.collect_states(ENTRIES_MAX, now, &mut batch);
                 let remaining = ENTRIES_MAX - batch.puts.len();
                 self.collect_deletions(remaining / DELETION_ENTRIES, now, &mut batch);
             }
         }
+        self.collect_record_deletions(now, &mut batch);
         let has_entries =
             !batch.puts.is_empty() || !batch.deletions.is_empty() || !batch.waves.is_empty();
         if !has_entries {
@@ -148,7 +154,7 @@
         self.write_urgency = WriteUrgency::Low;
         self.collect_workers(batch);
         let other_entries = LISTS_MAX + WAVES_MAX + DELETED_JOBS_MAX * DELETION_ENTRIES;
-        self.collect_states(ENTRIES_MAX - other_entries - batch.puts.len(), batch);
+        self.collect_states(ENTRIES_MAX - other_entries - batch.puts.len(), now, batch);
         self.collect_waves(batch);
         self.collect_commanded_machines(now, batch);
         self.collect_waiting(now, batch);
@@ -210,13 +216,15 @@
         }
     }
 
-    fn collect_states(&mut self, count_max: usize, batch: &mut WriteBatch) {
+    fn collect_states(&mut self, count_max: usize, now: Moment, batch: &mut WriteBatch) {
         let (ids, remaining_urgency) = self.next_unwritten(count_max);
+        let mut oversized: Vec<(JobId, usize)> = Vec::new();
         self.raise_write_urgency(remaining_urgency);
         for id in ids {
             let first_end = self.unwritten_states.remove(&id).unwrap_or_default();
             let Some(job) = self.jobs.get(&id) else { continue };
             match job.to_state_record().encode() {
+                Ok(bytes) if bytes.len() > VALUE_BYTES_MAX => oversized.push((id, bytes.len())),
                 Ok(bytes) => {
                     batch.puts.push((state_key(id), bytes));
                     batch.states.push(id);
@@ -225,6 +233,17 @@
                 Err(error) => log_encode_error(id, &error),
             }
         }
+        for (id, bytes) in oversized {
+            self.fail_unstorable(id, &JobSizeError::State(bytes), now);
+        }
+    }
+
+    /// Ends a job whose state the store cannot take, as failed: the state of an ended job is small.
+    fn fail_unstorable(&mut self, id: JobId, error: &JobSizeError, now: Moment) {
+        self.log_oversized(id, error);
+        if self.jobs.get(&id).is_some_and(Job::is_live) {
+            self.finish_job(id, JobState::Failed, now);
+        }
     }
 
     /// Adds the outdated worker shards. Dozens of machines may move each second, so a worker that
@@ -308,6 +327,31 @@
         }
     }
 
+    /// Fills a write with deletions of the records of ended jobs. A new owner reads all records, and
+    /// those of the jobs that have ended would be most of them.
+    fn collect_record_deletions(&mut self, now: Moment, batch: &mut WriteBatch) {
+        let used = batch.puts.len() + batch.deletions.len() + batch.waves.len();
+        let count_max = ENTRIES_MAX.saturating_sub(used) / RECORD_ENTRIES;
+        for _ in 0..count_max {
+            let due =
+                self.ended_records.pop_front_if(|(_, since)| now >= *since + RECORD_RETENTION);
+            let Some((id, _)) = due else { return };
+            match self.may_delete_record(id, now) {
+                true => batch.deletions.extend([job_key(id), cancel_key(id)]),
+                false => self.ended_records.push_back((id, now)),
+            }
+        }
+    }
+
+    /// Returns whether the record of an ended job is needed no more: its final state is stored, and
+    /// no run of it uses capacity.
+    fn may_delete_record(&self, id: JobId, now: Moment) -> bool {
+        now >= self.inherited_runs_expire
+            && !self.unwritten_states.contains_key(&id)
+            && !self.in_flight_writes.contains(id)
+            && !self.stopping.iter().any(|(_, task)| task.step.job == id)
+    }
+
     /// Applies the effects of a committed write.
     pub fn handle_write_committed(&mut self, batch: &WriteBatch, now: Moment) {
         self.in_flight_writes.finish(batch.chain);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -72,6 +72,7 @@
 /// Why a call fails before its effect.
 enum CallFailure {
     Outage,
+    Refused,
     RequestLost,
 }
 
@@ -113,6 +114,7 @@
                 sleep(self.timeout - delay).await;
                 Err(CallFailure::RequestLost)
             }
+            Some(Partition::Refused) => Err(CallFailure::Refused),
             _ if outage => Err(CallFailure::Outage),
             Some(Partition::Answers) => Ok(ResponseDelivery::Lost),
             None => Ok(ResponseDelivery::Expected),
@@ -198,6 +200,7 @@
     fn into_read_error(self) -> StoreError {
         match self {
             Self::Outage => StoreError::Unavailable("outage".into()),
+            Self::Refused => StoreError::Unavailable("refused".into()),
             Self::RequestLost => StoreError::Unavailable("no response before the timeout".into()),
         }
     }
@@ -205,6 +208,7 @@
     fn into_write_error(self) -> StoreError {
         match self {
             Self::Outage => StoreError::Unavailable("outage".into()),
+            Self::Refused => StoreError::Unavailable("refused".into()),
             Self::RequestLost => {
                 StoreError::OutcomeUnknown("no response before the timeout".into())
             }
@@ -333,10 +337,7 @@
     }
 
     /// Waits for changes until `deadline`, and returns an empty list if there are none.
-    pub(crate) async fn next_until(
-        &mut self,
-        deadline: Instant,
-    ) -> Result<Vec<Change>, StoreError> {
+    pub async fn next_until(&mut self, deadline: Instant) -> Result<Vec<Change>, StoreError> {
         loop {
             self.changed.mark_unchanged();
             let (changes, wake_at) = self.changes()?;
@@ -349,7 +350,7 @@
 
     /// Returns the revision up to which all changes were delivered, or `None` while a fault
     /// prevents deliveries.
-    pub(crate) fn progress(&self) -> Option<Revision> {
+    pub fn progress(&self) -> Option<Revision> {
         let state = self.store.shared.lock();
         let cut_off = state.faults.partition(&self.store.client).is_some();
         (!cut_off && !state.is_silent(self.number)).then_some(self.after)
