End the term of an owner whose read of the owner key panicked

What callers would see: accepted jobs stay queued for good, at every instance, while the owner renews its lease.

Cause: the task that reads the owner key after a worker refused the token was the only task of the term whose panic was not caught. Nothing is planned until that task reports.

Evidence: an_owner_whose_read_of_the_owner_key_panicked_does_not_stop_planning_for_good failed before: "timed out after 10 s waiting for: completed".

Change: the panic is caught and told to the owner's loop, which ends the term. The tests' scripted store plans faults of the read of one key, and panics; an owner can run with it.

Conclusion: no task of a term ends by a panic that the loop does not learn.

--- a/crates/jobs/src/owner/fencing.rs
+++ b/crates/jobs/src/owner/fencing.rs
@@ -16,6 +16,7 @@
 use crate::outage::OutageLog;
 use crate::platform_clients::PlatformClients;
 use crate::record::OWNER_KEY;
+use crate::task_panic::catch_panic;
 
 /// Delay between two attempts to read the owner key.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -34,9 +35,12 @@
         let (platform, token) = (self.platform.clone(), self.scheduler.token());
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let is_held = holds_owner_key(&platform, token, &sender).await;
+            let read = holds_owner_key(&platform, token, &sender);
+            let is_held = catch_panic("read of the owner key", read).await;
+            let message = is_held
+                .map_or(Message::TaskPanicked, |is_held| Message::OwnershipChecked { is_held });
             // The loop may have ended.
-            let _ = sender.send(Message::OwnershipChecked { is_held }).await;
+            let _ = sender.send(message).await;
         });
     }
 
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -159,24 +159,33 @@
 
     /// Starts an owner that claims ownership only after a delay.
     pub fn start_delayed_owner(&self, instance: &str, claim_delay: Duration) -> CancellationToken {
-        let stop = CancellationToken::new();
-        let (sender, desired_states): (DesiredStateSender, watch::Receiver<Arc<DesiredState>>) =
-            DesiredStateSender::new();
-        tokio::spawn(desired_state::follow(self.clone(), sender));
-        let settings = OwnerSettings {
-            instance: instance.into(),
-            lease_ttl: ms(1_000),
-            claim_delay_max: ms(20),
-            claim_delay,
-            scheduler: settings(),
-            metrics: JobsMetrics::default(),
-            coalescing: WakeupCoalescing::default(),
-        };
-        tokio::spawn(owner::campaign(self.clone(), settings, desired_states, stop.clone()));
-        stop
+        start_owner(self.clone(), instance, claim_delay)
     }
 }
 
+/// Starts an owner with these clients. Cancelling the returned token stops it.
+pub fn start_owner<S: PlatformClients>(
+    platform: S,
+    instance: &str,
+    claim_delay: Duration,
+) -> CancellationToken {
+    let stop = CancellationToken::new();
+    let (sender, desired_states): (DesiredStateSender, watch::Receiver<Arc<DesiredState>>) =
+        DesiredStateSender::new();
+    tokio::spawn(desired_state::follow(platform.clone(), sender));
+    let settings = OwnerSettings {
+        instance: instance.into(),
+        lease_ttl: ms(1_000),
+        claim_delay_max: ms(20),
+        claim_delay,
+        scheduler: settings(),
+        metrics: JobsMetrics::default(),
+        coalescing: WakeupCoalescing::default(),
+    };
+    tokio::spawn(owner::campaign(platform, settings, desired_states, stop.clone()));
+    stop
+}
+
 /// A caller's request for a path.
 pub fn call(path: &str, key: Option<&str>) -> Call {
     let arrived = tokio::time::Instant::now();
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -96,6 +96,11 @@
         self.started_at = now;
     }
 
+    /// Refuses every owner's token, as after a call with a higher one.
+    pub fn refuse_owners(&mut self) {
+        self.token = u64::MAX;
+    }
+
     /// Handles a poll: extends the lease, drops acknowledged ends and reports the runs.
     pub fn poll(&mut self, request: PollRequest, now: Duration) -> Result<PollResponse, PollError> {
         if !self.is_up {
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod emulator;
+mod scripted_store;
 
 use std::sync::atomic::Ordering;
 
@@ -10,7 +11,9 @@
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
 use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call};
+use self::emulator::worker::EmulatedWorker;
 use self::emulator::{job, ms, step};
+use self::scripted_store::{CallFault, ScriptedClients};
 
 const KEY: Option<&str> = Some("k1");
 const PATH: &str = "/q/0000000000000001";
@@ -130,3 +133,15 @@
     platform.configure(2, &["k2"]).await;
     wait_until("version 2", async || api.config().filter(|config| config.version == 2)).await;
 }
+
+#[tokio::test]
+async fn an_owner_whose_read_of_the_owner_key_panicked_does_not_stop_planning_for_good() {
+    let platform = ScriptedClients::with_workers(2).await;
+    platform.clients.register_workers().await;
+    let api = ready_api(&platform.clients).await;
+    platform.clients.workers.with("w0", EmulatedWorker::refuse_owners);
+    platform.store.plan_read(OWNER_KEY, CallFault::Panic);
+    let _owner = platform.start_owner("one");
+    wait_until("a read", async || (!platform.store.is_planned(OWNER_KEY)).then_some(())).await;
+    check_job_completes(&platform.clients, &api).await;
+}
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -17,8 +17,9 @@
     TransactionalStore, Write, WriteOutcome,
 };
 use cassiafold_standin::{MemoryStore, MemoryWatch};
+use tokio_util::sync::CancellationToken;
 
-use crate::clients::{NullClient, TestClients, TestFormats, TestWorkers, call};
+use crate::clients::{NullClient, TestClients, TestFormats, TestWorkers, call, start_owner};
 use crate::emulator::{config, ms};
 
 /// Time after which the platform's client gives up a read that gets no response.
@@ -34,10 +35,13 @@
     Refused,
     /// The response takes this time.
     Slow(Duration),
+    /// The store's client panics.
+    Panic,
 }
 
 #[derive(Debug)]
 struct Plan {
+    reads: HashMap<Arc<str>, CallFault>,
     next: VecDeque<CallFault>,
     others: CallFault,
     calls: u32,
@@ -57,16 +61,27 @@
         (plan.next, plan.others) = (next.iter().copied().collect(), others);
     }
 
+    /// Plans the fault of the next read of a key.
+    pub fn plan_read(&self, key: &str, fault: CallFault) {
+        self.plan.lock().expect("lock").reads.insert(key.into(), fault);
+    }
+
+    /// Whether the planned fault of the next read of a key has not happened yet.
+    pub fn is_planned(&self, key: &str) -> bool {
+        self.plan.lock().expect("lock").reads.contains_key(key)
+    }
+
     /// Number of reads and transactions so far.
     pub fn calls(&self) -> u32 {
         self.plan.lock().expect("lock").calls
     }
 
-    async fn fault(&self) -> Result<(), StoreError> {
+    async fn fault(&self, read_key: Option<&str>) -> Result<(), StoreError> {
         let fault = {
             let mut plan = self.plan.lock().expect("lock");
             plan.calls += 1;
-            plan.next.pop_front().unwrap_or(plan.others)
+            let of_read = read_key.and_then(|key| plan.reads.remove(key));
+            of_read.or_else(|| plan.next.pop_front()).unwrap_or(plan.others)
         };
         match fault {
             CallFault::None => Ok(()),
@@ -79,6 +94,7 @@
                 tokio::time::sleep(delay).await;
                 Ok(())
             }
+            CallFault::Panic => panic!("a call to the store that panics"),
         }
     }
 }
@@ -87,7 +103,7 @@
     type Watch = MemoryWatch;
 
     async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
-        self.fault().await?;
+        self.fault(Some(key)).await?;
         self.store.get(key).await
     }
 
@@ -118,7 +134,7 @@
 
 impl TransactionalStore for ScriptedStore {
     async fn commit(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
-        self.fault().await?;
+        self.fault(None).await?;
         self.store.commit(transaction).await
     }
 }
@@ -134,9 +150,19 @@
 impl ScriptedClients {
     /// Clients of a store with a configuration with the key `k1`.
     pub async fn new() -> Self {
-        let clients = TestClients::new(0);
+        Self::with_workers(0).await
+    }
+
+    /// Clients of a store with a configuration with the key `k1`, and of these workers.
+    pub async fn with_workers(workers: usize) -> Self {
+        let clients = TestClients::new(workers);
         clients.configure(1, &["k1"]).await;
-        let plan = Plan { next: VecDeque::new(), others: CallFault::None, calls: 0 };
+        let plan = Plan {
+            reads: HashMap::new(),
+            next: VecDeque::new(),
+            others: CallFault::None,
+            calls: 0,
+        };
         let store =
             ScriptedStore { store: clients.store.clone(), plan: Arc::new(Mutex::new(plan)) };
         Self { clients, store, metrics: JobsMetrics::default() }
@@ -153,6 +179,11 @@
         api
     }
 
+    /// Starts an owner. Cancelling the returned token stops it.
+    pub fn start_owner(&self, instance: &str) -> CancellationToken {
+        start_owner(self.clone(), instance, ms(0))
+    }
+
     /// A job API whose configuration the store never confirmed.
     pub fn api_with_unconfirmed_config(&self) -> JobApi<Self> {
         let (sender, desired_states) = DesiredStateSender::new();
