Check the store for callers again after a panic of the check

What callers would see: an instance refuses every submission, and queries wait or are refused, until its process restarts.

Cause: the task that checks the store after a failed call ran without supervision. If it panics, nothing ends the doubt or the outage that it was started for.

Evidence: calls_are_served_again_although_a_check_of_the_store_panicked failed before (left: Refused(1s), right: Accepted), and calls_are_served_again_although_a_check_of_an_unavailable_store_panicked ("assertion failed: api.is_ready").

Change: the task starts again after its panic, which is logged.

Conclusion: an instance comes back when the store answers.

--- a/crates/jobs/src/api/availability.rs
+++ b/crates/jobs/src/api/availability.rs
@@ -17,6 +17,7 @@
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::record::WAITING_KEY;
+use crate::task_panic::restart_on_panic;
 
 /// Time in which a check has to be answered before the store counts as unavailable: a quarter of
 /// the three seconds that callers wait who name no deadline, so that queries outlast it.
@@ -122,7 +123,9 @@
         });
         if is_new {
             let loss = StoreLoss { since: Instant::now(), operation, error: error.clone() };
-            tokio::spawn(self.clone().check(loss));
+            let availability = self.clone();
+            let check = move || availability.clone().check(loss.clone());
+            tokio::spawn(restart_on_panic("check of the store", check));
         }
     }
 
--- a/crates/jobs/tests/store_loss.rs
+++ b/crates/jobs/tests/store_loss.rs
@@ -177,3 +177,25 @@
     assert_eq!(submit(Arc::clone(&api)).await, SubmitResponse::Accepted);
     assert!(api.is_ready(Duration::from_secs(60)));
 }
+
+#[tokio::test(start_paused = true)]
+async fn calls_are_served_again_although_a_check_of_the_store_panicked() {
+    let (platform, api) = platform_with_running_job().await;
+    platform.store.plan(&[CallFault::Refused, CallFault::Panic], CallFault::None);
+    assert!(matches!(submit(Arc::clone(&api)).await, SubmitResponse::Refused(_)));
+    tokio::time::sleep(ms(5_000)).await;
+    assert_eq!(submit(Arc::clone(&api)).await, SubmitResponse::Accepted);
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_are_served_again_although_a_check_of_an_unavailable_store_panicked() {
+    let (platform, api) = platform_with_running_job().await;
+    platform.store.plan(&[], CallFault::Refused);
+    assert!(matches!(submit(Arc::clone(&api)).await, SubmitResponse::Refused(_)));
+    tokio::time::sleep(ms(2_000)).await;
+    assert!(!api.is_ready(Duration::from_secs(60)));
+    platform.store.plan(&[CallFault::Panic], CallFault::None);
+    tokio::time::sleep(ms(5_000)).await;
+    assert!(api.is_ready(Duration::from_secs(60)));
+    assert_eq!(submit(Arc::clone(&api)).await, SubmitResponse::Accepted);
+}
