Answer a cancellation of a job whose state cannot be read with 503

What callers would see: a cancellation is told that there is no such job, while a query of the same job gets 503 record_unreadable.

Cause: a stored state that cannot be decoded was taken as none.

Evidence: a_cancellation_of_a_job_with_an_unreadable_state_is_not_told_that_ there_is_no_such_job failed before: "NoSuchJob".

Change: such a record is the reason record_unreadable, decoded as for a query. The function is named after what it returns.

Conclusion: a query and a cancellation say the same of one record.

--- a/crates/jobs/src/api/cancellation.rs
+++ b/crates/jobs/src/api/cancellation.rs
@@ -7,6 +7,7 @@
 
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason};
+use super::state_query::decode_state;
 use super::store_call::may_retry;
 use super::{
     Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RETRY_DELAY, Target, may_access,
@@ -14,7 +15,7 @@
 };
 use crate::event::JobsEvent;
 use crate::platform_clients::PlatformClients;
-use crate::record::{StateRecord, cancel_key, job_key, state_key};
+use crate::record::{cancel_key, job_key, state_key};
 use crate::spec::JobId;
 
 impl<S: PlatformClients> JobApi<S> {
@@ -57,7 +58,9 @@
         deadline: Instant,
     ) -> Result<bool, UnknownReason> {
         let record = self.read_key(StoreOperation::ReadJob, &job_key(id), deadline).await?;
-        let Some(record) = record else { return self.has_ended(id, team, deadline).await };
+        let Some(record) = record else {
+            return self.is_accessible_ended_job(id, team, deadline).await;
+        };
         if !may_access_record(&record, team) {
             return Ok(false);
         }
@@ -70,15 +73,16 @@
     }
 
     /// Returns whether a job without a record is one that has ended, of which only the state is
-    /// still stored.
-    async fn has_ended(
+    /// still stored, and that the team may access.
+    async fn is_accessible_ended_job(
         &self,
         id: JobId,
         team: Option<&TeamId>,
         deadline: Instant,
     ) -> Result<bool, UnknownReason> {
         let record = self.read_key(StoreOperation::ReadState, &state_key(id), deadline).await?;
-        let state = record.and_then(|record| StateRecord::try_from(&record.value[..]).ok());
+        let state = record.as_ref().map(decode_state).transpose();
+        let state = state.map_err(UnknownReason::RecordUnreadable)?;
         Ok(state.is_some_and(|state| may_access(state.team.as_ref(), team)))
     }
 }
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -82,6 +82,7 @@
     }
 }
 
-fn decode_state(record: &Record) -> Result<StateRecord, UnreadableRecord> {
+/// Decodes a stored state; the error names the record.
+pub(super) fn decode_state(record: &Record) -> Result<StateRecord, UnreadableRecord> {
     StateRecord::try_from(&record.value[..]).map_err(|error| unreadable(record, &error))
 }
--- a/crates/jobs/tests/unreadable_states.rs
+++ b/crates/jobs/tests/unreadable_states.rs
@@ -1,4 +1,4 @@
-//! Queries of jobs whose stored state cannot be decoded, in virtual time.
+//! Queries and cancellations of jobs whose stored state cannot be decoded, in virtual time.
 
 mod clients;
 mod emulator;
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::api::{JobStateResponse, UnknownReason};
+use cassiafold_jobs::api::{CancelResponse, JobStateResponse, UnknownReason};
 use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::record::{JobState, job_key, state_key};
 use tokio::time::Instant;
@@ -69,6 +69,18 @@
     assert_eq!(record.key, state_key(1));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_of_a_job_with_an_unreadable_state_is_not_told_that_there_is_no_such_job() {
+    let platform = ScriptedClients::new().await;
+    platform.put(&state_key(1), "{").await;
+    let api = platform.api().await;
+    let response = api.cancel(&call_for(1, CALLER)).await;
+    let CancelResponse::Unknown(UnknownReason::RecordUnreadable(record)) = response else {
+        panic!("{response:?}");
+    };
+    assert_eq!(record.key, state_key(1));
+}
+
 #[tokio::test(start_paused = true)]
 async fn many_queries_of_an_unreadable_state_write_few_lines() {
     capture();
