Say in the log that an owner's outage of the store is over

What operators would see: event 1644 of the users "load" and "owner's token" without an event 1645, so that the store seems to be away for good.

Cause: both readers recorded their failures and not their success.

Evidence: an_outage_while_an_owner_loads_ends_in_the_log and an_outage_while_an_owner_reads_the_owner_key_ends_in_the_log failed before: "lines of start and end, left: (1, 0), right: (1, 1)".

Change: both record a success before they return what was read.

Conclusion: each outage that has begun in the log ends there, unless its term ends first.

--- a/crates/jobs/src/owner/fencing.rs
+++ b/crates/jobs/src/owner/fencing.rs
@@ -60,7 +60,10 @@
     let mut outage = OutageLog::new("owner's token");
     while !sender.is_closed() {
         match platform.store().get(OWNER_KEY).await {
-            Ok(record) => return record.is_some_and(|record| record.revision == token),
+            Ok(record) => {
+                outage.record_success();
+                return record.is_some_and(|record| record.revision == token);
+            }
             Err(error) => outage.record_failure(&error),
         }
         sleep(RETRY_DELAY).await;
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -59,7 +59,10 @@
     let mut outage = OutageLog::new("load");
     loop {
         match try_load(platform, settings, token, instance).await {
-            Ok(loaded) => return Ok(loaded),
+            Ok(loaded) => {
+                outage.record_success();
+                return Ok(loaded);
+            }
             Err(error) if since_boot() >= give_up_at => return Err(error),
             Err(error) => outage.record_failure(&error),
         }
