Wait for the owner's lease, however long, before a panicked term is repeated

What callers would see: with settings that require a lease of more than two seconds, an instance whose term panics each time claims the ownership again and again, and no other instance gets it.

Cause: the delay was the one of all tasks, of two seconds, whatever the lease; an instance replaces its own key.

Change: the delay is the lease's time to live and one second.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -34,7 +34,7 @@
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::PlatformClients;
 use crate::scheduler::{Scheduler, SchedulerSettings};
-use crate::task_panic::{RESTART_DELAY, catch_panic};
+use crate::task_panic::catch_panic;
 
 /// Time between the starts of two state writes that nothing waits for.
 const WRITE_INTERVAL: Duration = Duration::from_millis(120);
@@ -49,6 +49,9 @@
 /// Delay before an instance that could not read the state claims the ownership again. It is longer
 /// than the delays of the other instances' claims.
 const FAILED_LOAD_DELAY: Duration = Duration::from_secs(1);
+/// Time from the end of the lease of a term that panicked until its instance claims the ownership
+/// again. It is longer than the delays of the other instances' claims.
+const PANICKED_TERM_MARGIN: Duration = Duration::from_secs(1);
 /// Time between two looks at a lease that is not valid; commands that are due wait for it.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
@@ -86,7 +89,7 @@
         settings.metrics.set_is_owner(false);
         // The lease is no longer renewed, so another instance can claim before this one does.
         let delay = match end {
-            TermEnd::Panicked => RESTART_DELAY,
+            TermEnd::Panicked => settings.lease_ttl + PANICKED_TERM_MARGIN,
             TermEnd::NotLoaded(_) => FAILED_LOAD_DELAY,
             _ => continue,
         };
--- a/crates/jobs/src/task_panic.rs
+++ b/crates/jobs/src/task_panic.rs
@@ -11,9 +11,9 @@
 
 use crate::event::JobsEvent;
 
-/// Delay before a task that panicked starts again. It exceeds the time to live of the owner's lease,
-/// so that another instance can claim an ownership whose term panicked.
-pub const RESTART_DELAY: Duration = Duration::from_secs(2);
+/// Delay before a task that panicked starts again, so that one that panics each time takes little
+/// processor time and writes few lines.
+const RESTART_DELAY: Duration = Duration::from_secs(2);
 
 /// A task that ended by a panic.
 #[derive(Debug, Clone, thiserror::Error)]
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -159,29 +159,29 @@
 
     /// Starts an owner that claims ownership only after a delay.
     pub fn start_delayed_owner(&self, instance: &str, claim_delay: Duration) -> CancellationToken {
-        start_owner(self.clone(), instance, claim_delay)
+        start_owner(self.clone(), OwnerSettings { claim_delay, ..owner_settings(instance) })
     }
 }
 
-/// Starts an owner with these clients. Cancelling the returned token stops it.
-pub fn start_owner<S: PlatformClients>(
-    platform: S,
-    instance: &str,
-    claim_delay: Duration,
-) -> CancellationToken {
-    let stop = CancellationToken::new();
-    let (sender, desired_states): (DesiredStateSender, watch::Receiver<Arc<DesiredState>>) =
-        DesiredStateSender::new();
-    tokio::spawn(desired_state::follow(platform.clone(), sender));
-    let settings = OwnerSettings {
+/// Settings of an owner with a lease of one second.
+pub fn owner_settings(instance: &str) -> OwnerSettings {
+    OwnerSettings {
         instance: instance.into(),
         lease_ttl: ms(1_000),
         claim_delay_max: ms(20),
-        claim_delay,
+        claim_delay: ms(0),
         scheduler: settings(),
         metrics: JobsMetrics::default(),
         coalescing: WakeupCoalescing::default(),
-    };
+    }
+}
+
+/// Starts an owner with these clients. Cancelling the returned token stops it.
+pub fn start_owner<S: PlatformClients>(platform: S, settings: OwnerSettings) -> CancellationToken {
+    let stop = CancellationToken::new();
+    let (sender, desired_states): (DesiredStateSender, watch::Receiver<Arc<DesiredState>>) =
+        DesiredStateSender::new();
+    tokio::spawn(desired_state::follow(platform.clone(), sender));
     tokio::spawn(owner::campaign(platform, settings, desired_states, stop.clone()));
     stop
 }
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -7,10 +7,11 @@
 use std::sync::atomic::Ordering;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::owner::OwnerSettings;
 use cassiafold_jobs::record::{JobState, OWNER_KEY};
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
-use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call};
+use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call, owner_settings, start_owner};
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{job, ms, step};
 use self::scripted_store::{CallFault, ScriptedClients};
@@ -145,3 +146,22 @@
     wait_until("a read", async || (!platform.store.is_planned(OWNER_KEY)).then_some(())).await;
     check_job_completes(&platform.clients, &api).await;
 }
+
+#[tokio::test]
+async fn an_instance_with_a_long_lease_whose_term_panicked_leaves_the_ownership_to_another() {
+    let platform = ScriptedClients::with_workers(1).await;
+    platform.clients.register_workers().await;
+    platform.clients.workers.with("w0", EmulatedWorker::refuse_owners);
+    platform.store.plan_read(OWNER_KEY, CallFault::Panic);
+    let settings = OwnerSettings { lease_ttl: ms(4_000), ..owner_settings("one") };
+    let _panicking = start_owner(platform.clone(), settings);
+    wait_until("a panic", async || (!platform.store.is_planned(OWNER_KEY)).then_some(())).await;
+    let _other = platform.clients.start_owner("two");
+    let key = platform.clients.store.get(OWNER_KEY).await.expect("store");
+    let next = wait_until("another claim", async || {
+        let next = platform.clients.store.get(OWNER_KEY).await.expect("store");
+        next.filter(|next| Some(next) != key.as_ref())
+    })
+    .await;
+    assert!(next.value.starts_with(b"two "), "{:?}", String::from_utf8_lossy(&next.value));
+}
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -19,7 +19,9 @@
 use cassiafold_standin::{MemoryStore, MemoryWatch};
 use tokio_util::sync::CancellationToken;
 
-use crate::clients::{NullClient, TestClients, TestFormats, TestWorkers, call, start_owner};
+use crate::clients::{
+    NullClient, TestClients, TestFormats, TestWorkers, call, owner_settings, start_owner,
+};
 use crate::emulator::{config, ms};
 
 /// Time after which the platform's client gives up a read that gets no response.
@@ -181,7 +183,7 @@
 
     /// Starts an owner. Cancelling the returned token stops it.
     pub fn start_owner(&self, instance: &str) -> CancellationToken {
-        start_owner(self.clone(), instance, ms(0))
+        start_owner(self.clone(), owner_settings(instance))
     }
 
     /// A job API whose configuration the store never confirmed.
