Log an ended job whose state cannot be stored as what it is

What operators would see: event 1661, "has failed", of a job that was cancelled or is done, while its state is never written.

Cause: the line was written before the job's state was looked at.

Evidence: a_cancelled_job_whose_state_cannot_be_stored_is_not_logged_as_failed failed before: "left: (1, 0), right: (0, 1)" for events 1661 and 1664.

Change: event 1661 only if the job ends as failed, else the new event 1664.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -46,5 +46,6 @@
         JobOversized = 1661, Warn, "job is too large for the owner and has failed";
         JobRejected = 1662, Info, "submitted job is malformed or out of range";
         TaskPanicked = 1663, Error, "task ended by a panic";
+        StateUnstorable = 1664, Error, "state of an ended job is too large and is not stored";
     }
 }
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -238,11 +238,14 @@
         }
     }
 
-    /// Ends a job whose state the store cannot take, as failed: the state of an ended job is small.
+    /// Ends a live job whose state the store cannot take, as failed: the state of an ended job is
+    /// small. If such a state cannot be stored either, it is not written.
     fn fail_unstorable(&mut self, id: JobId, error: &JobSizeError, now: Moment) {
-        self.log_oversized(id, error);
         if self.jobs.get(&id).is_some_and(Job::is_live) {
+            self.log_oversized(id, error);
             self.finish_job(id, JobState::Failed, now);
+        } else {
+            log_unstorable(id, error);
         }
     }
 
@@ -389,6 +392,15 @@
     Ok(serde_json::to_vec(workers)?)
 }
 
+fn log_unstorable(id: JobId, error: &JobSizeError) {
+    emit!(
+        target: LOG_TARGET,
+        JobsEvent::StateUnstorable,
+        job = format_args!("{id:016x}"),
+        reason = error
+    );
+}
+
 fn log_encode_error(id: JobId, error: &RecordError) {
     emit!(
         target: LOG_TARGET,
--- a/crates/jobs/tests/writes.rs
+++ b/crates/jobs/tests/writes.rs
@@ -2,15 +2,19 @@
 
 mod emulator;
 mod harness;
+mod log_lines;
 
 use cassiafold_jobs::clients::{EndedRun, PollResponse, RunEnd};
-use cassiafold_jobs::record::{WORKERS_PREFIX, WorkerRecord, state_key};
+use cassiafold_jobs::event::JobsEvent;
+use cassiafold_jobs::record::{JobRecord, WORKERS_PREFIX, WorkerRecord, state_key};
 use cassiafold_jobs::scheduler::{OwnerTerm, WriteBatch, WriteUrgency};
 use cassiafold_jobs::spec::JobId;
+use cassiafold_platform::VALUE_BYTES_MAX;
 
 use self::emulator::worker::EmulatedWorker;
-use self::emulator::{cores, ms, step};
-use self::harness::SchedulerHarness;
+use self::emulator::{cores, job, ms, step};
+use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
+use self::log_lines::{capture, lines};
 
 /// Number of jobs with two tasks, of which one has just ended.
 const JOBS: u64 = 40;
@@ -132,3 +136,16 @@
     let _first = harness.scheduler.next_write_batch(harness.now).expect("a write");
     assert_eq!(harness.scheduler.next_write_batch(harness.now), None);
 }
+
+#[test]
+fn a_cancelled_job_whose_state_cannot_be_stored_is_not_logged_as_failed() {
+    capture();
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    let team = Some("t".repeat(VALUE_BYTES_MAX).into());
+    let record = JobRecord { team, ..job(vec![step(1, 1, &[])]) };
+    harness.scheduler.add_job(1, record, REVISION_AFTER_TAKEOVER, None, harness.now);
+    harness.scheduler.cancel(1, harness.now);
+    harness.commit_writes();
+    let count = |event: JobsEvent| lines(event.row().number).len();
+    assert_eq!((count(JobsEvent::JobOversized), count(JobsEvent::StateUnstorable)), (0, 1));
+}
