Reach the arithmetic that three rows of extreme jobs name

Seen: three rows of extremes.rs failed by the size of their job (1,100 steps, u32::MAX occurrences, 66,000 steps) before anything was reckoned. Change: two steps of Duration::MAX, 100,000 occurrences; the row of 66,000 steps is a row of oversized!, where the job must fail and others go on. Evidence: with the old rows the new check fails: "the arithmetic is not reached, left: Err(Steps(1100))", Err(Occurrences) and Err(Steps(66000)).

--- a/crates/jobs/tests/extreme_reports.rs
+++ b/crates/jobs/tests/extreme_reports.rs
@@ -1,4 +1,6 @@
-//! The largest numbers that workers and callers can report, in decisions of the scheduler.
+//! Extreme numbers in responses of workers (clocks and run numbers), and what is reckoned with them:
+//! leases, runs and due times are right. That other jobs go on beside extreme jobs, configurations
+//! and stored states, see `extremes.rs`.
 
 mod emulator;
 mod harness;
@@ -20,7 +22,7 @@
 }
 
 #[test]
-fn a_worker_with_the_largest_clock_reading_ends_no_owner() {
+fn a_worker_with_the_largest_clock_reading_does_not_end_the_owner() {
     let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
     report(&mut harness, PollResponse { clock: Duration::MAX, ..PollResponse::default() });
     let request = harness.scheduler.poll_request(0, true, harness.now);
@@ -42,7 +44,7 @@
 }
 
 #[test]
-fn a_job_whose_estimates_exceed_the_longest_time_ends_no_owner() {
+fn a_job_whose_estimates_exceed_the_longest_time_does_not_end_the_owner() {
     let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
     let longest = |after: &[u16]| StepSpec { estimate: Duration::MAX, ..step(1, 1, after) };
     harness.submit(1, vec![longest(&[]), longest(&[0])]);
@@ -58,7 +60,7 @@
 }
 
 #[test]
-fn a_run_with_the_largest_number_ends_no_owner() {
+fn a_run_with_the_largest_number_does_not_end_the_owner() {
     let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
     harness.submit(1, vec![step(1, 1, &[])]);
     harness.run_for(ms(100));
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -1,4 +1,5 @@
 //! Extreme numbers of jobs, the configuration and the store do not end the owner: other jobs go on.
+//! Those in responses of workers stand in `extreme_reports.rs`.
 
 mod emulator;
 mod harness;
@@ -60,8 +61,10 @@
     harness.scheduler.job(id).map(|job| job.state)
 }
 
-/// Gives the scheduler a job, with its stored state if there is one, and machines to balance.
+/// Gives the scheduler a job that is not too large, with its stored state if there is one, and
+/// machines to balance.
 fn check_beside(record: JobRecord, stored: Option<&StateRecord>) {
+    assert_eq!(record.spec.check_size(), Ok(()), "the arithmetic is not reached");
     let term = OwnerTerm { token: 50, ..OwnerTerm::default() };
     let mut harness = SchedulerHarness::new(WORKERS, term);
     harness.unix = LONGEST;
@@ -99,7 +102,7 @@
 }
 
 jobs! {
-    a_chain_of_the_longest_estimates_does_not_end_the_owner: job(chain(1_100, LONGEST)), None;
+    a_chain_of_the_longest_estimates_does_not_end_the_owner: job(chain(2, Duration::MAX)), None;
     the_longest_estimate_of_many_large_tasks_does_not_end_the_owner:
         job(vec![StepSpec { estimate: LONGEST, ..step(10_000, 4_000, &[]) }]), None;
     the_longest_interval_does_not_end_the_owner:
@@ -109,7 +112,7 @@
         ), None;
     the_latest_start_does_not_end_the_owner:
         scheduled(
-            Schedule { first_unix: LONGEST, interval: LONGEST, occurrences: u32::MAX },
+            Schedule { first_unix: LONGEST, interval: LONGEST, occurrences: 100_000 },
             vec![step(1, 1, &[])],
         ), None;
     the_largest_resources_do_not_end_the_owner:
@@ -130,8 +133,6 @@
     a_stored_step_without_tasks_does_not_end_the_owner: job(vec![step(0, 1, &[])]), None;
     a_stored_job_with_the_last_run_number_does_not_end_the_owner:
         job(vec![step(1, 1, &[])]), Some(&run_numbered(u32::MAX));
-    more_steps_than_their_numbers_tell_apart_do_not_end_the_owner:
-        job(vec![step(1, 1, &[]); 66_000]), None;
     a_stored_gang_with_the_last_run_number_does_not_end_the_owner:
         job(vec![StepSpec { gang: true, ..step(2, 1, &[]) }]), Some(&run_numbered(u32::MAX));
 }
@@ -150,6 +151,8 @@
 oversized! {
     a_stored_job_of_too_many_tasks_fails_alone: job(vec![step(10_000, 1, &[]); 11]);
     a_stored_job_of_too_many_steps_fails_alone: job(vec![step(1, 1, &[]); 1_001]);
+    a_stored_job_of_more_steps_than_their_numbers_tell_apart_fails_alone:
+        job(vec![step(1, 1, &[]); 66_000]);
     a_stored_step_of_more_tasks_than_memory_holds_fails_alone: job(vec![step(u32::MAX, 1, &[])]);
     a_stored_schedule_without_end_fails_alone: scheduled(
         Schedule { first_unix: ms(0), interval: ms(0), occurrences: u32::MAX },
