Wait for what happens, not for a time, in tests of panics and odd entries

Seen: tests of panics.rs and odd_entries.rs slept for 200 to 600 ms. On a busy machine a panic after 400 ms lets a test pass in which nothing panicked. Change: panics.rs waits for event 1663 of the task that the test names, and the test of the watch of the workers also for the owner key to go, as its new name says (..._ends_and_is_claimed_again). That test has one worker and one done job first, so that the watch reports the odd entry and not the list at the start of the term, and another worker after it, so that a blind term completes nothing, as before. odd_entries.rs waits for event 1643 of the entry, for the owner key, and for event 1627 of the worker; the ownership is compared from its beginning and not from 600 ms on, and over a second job. wait_until and wait_until_ready of both files stand in clients/mod.rs.

--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -189,6 +189,22 @@
     }
 }
 
+/// Polls a condition every 20 ms for up to 10 s.
+pub async fn wait_until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
+    for _ in 0..500 {
+        if let Some(found) = check().await {
+            return found;
+        }
+        tokio::time::sleep(ms(20)).await;
+    }
+    panic!("timed out after 10 s waiting for: {what}");
+}
+
+/// Waits until an API has a desired state that is recent.
+pub async fn wait_until_ready(api: &JobApi<TestClients>) {
+    wait_until("ready", async || api.is_ready(ms(60_000)).then_some(())).await;
+}
+
 impl TestWorkers {
     /// Changes or reads one worker.
     pub fn with<T>(&self, id: &str, action: impl FnOnce(&mut EmulatedWorker) -> T) -> T {
--- a/crates/jobs/tests/odd_entries.rs
+++ b/crates/jobs/tests/odd_entries.rs
@@ -2,11 +2,13 @@
 
 mod clients;
 mod emulator;
+mod log_lines;
 
 use std::time::Duration;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
 use cassiafold_jobs::clients::{FencingToken, PollRequest};
+use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::record::{
     COMMANDED_MACHINES_KEY, JobState, OWNER_KEY, WAVES_KEY, state_key, workers_key,
 };
@@ -14,8 +16,9 @@
 use cassiafold_platform::{Store, Transaction, TransactionOutcome, TransactionalStore, since_boot};
 use tokio::time::sleep;
 
-use self::clients::{TestClients, call};
+use self::clients::{TestClients, call, wait_until, wait_until_ready};
 use self::emulator::{job, ms, step};
+use self::log_lines::{Line, capture, lines};
 
 /// How the owner learns of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,10 +29,27 @@
     List,
 }
 
-async fn wait_until_ready(api: &JobApi<TestClients>) {
-    while !api.is_ready(Duration::from_secs(60)) {
-        sleep(ms(20)).await;
-    }
+/// Number of lines on an unreadable entry of this worker.
+fn unreadable_lines(key: &str) -> usize {
+    let unreadable = JobsEvent::ItemUnreadable.row().number;
+    lines(unreadable).iter().filter(|line| line["key"] == key).count()
+}
+
+/// Waits until there is an owner, or none.
+async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
+    wait_until("owner's key", async || {
+        let record = platform.store.get(OWNER_KEY).await.expect("store");
+        (record.is_some() == is_present).then_some(())
+    })
+    .await;
+}
+
+/// Waits until the worker has refused the token of an owner.
+async fn wait_for_refused_token(worker: &str) {
+    let refused = JobsEvent::TokenRefused.row().number;
+    let is_worker = |line: &Line| line["worker"] == worker;
+    wait_until("a refused token", async || lines(refused).iter().any(is_worker).then_some(()))
+        .await;
 }
 
 /// Submits a job and returns whether it completes within `limit`.
@@ -61,10 +81,10 @@
         faults.compact();
     }
     faults.set_silent_watches(false);
-    sleep(ms(600)).await;
 }
 
 async fn check_unreadable_entry(path: Path) {
+    capture();
     let platform = TestClients::new(1);
     platform.configure(1, &["k1"]).await;
     platform.register_workers().await;
@@ -73,6 +93,8 @@
     let _owner = platform.client("one").start_owner("one");
     assert!(completes(&platform, &api, 1, ms(5_000)).await, "the entry names a worker");
     write_entry(&platform, path, "odd").await;
+    wait_until("the odd entry read", async || (unreadable_lines("workers/w0") > 0).then_some(()))
+        .await;
     assert!(!completes(&platform, &api, 2, ms(900)).await, "an unreadable entry names no worker");
     write_entry(&platform, path, "up").await;
     assert!(completes(&platform, &api, 3, ms(5_000)).await, "the entry names a worker again");
@@ -116,7 +138,7 @@
     let first = platform.client("one").start_owner("one");
     assert!(completes(&platform, &api, 1, ms(5_000)).await);
     first.cancel();
-    sleep(ms(600)).await;
+    wait_for_owner_key(&platform, false).await;
     // The other worker has not seen the runs that ended.
     platform.remove_worker("w0").await;
     let odd = Transaction::default().put(state_key(1), "odd", None);
@@ -137,6 +159,7 @@
 
 #[tokio::test]
 async fn an_owner_whose_token_is_refused_for_a_later_owner_starts_nothing_more() {
+    capture();
     let platform = TestClients::new(2);
     platform.configure(1, &["k1"]).await;
     platform.register_workers().await;
@@ -148,7 +171,7 @@
     let claim = platform.store.commit(claim).await.expect("store");
     let TransactionOutcome::Written(token) = claim else { panic!("{claim:?}") };
     poll_as_owner(&platform, 0, token);
-    sleep(ms(300)).await;
+    wait_for_refused_token("w0").await;
     assert!(!completes(&platform, &api, 2, ms(900)).await);
     let starts = platform.workers.starts.lock().expect("lock").clone();
     assert!(starts.iter().all(|(task, _)| task.step.job == 1), "{starts:?}");
@@ -156,6 +179,7 @@
 
 #[tokio::test]
 async fn a_worker_that_has_seen_a_token_of_no_owner_does_not_end_the_ownership() {
+    capture();
     let platform = TestClients::new(2);
     platform.configure(1, &["k1"]).await;
     platform.register_workers().await;
@@ -166,9 +190,11 @@
     let api = platform.api();
     wait_until_ready(&api).await;
     let _owner = platform.client("one").start_owner("one");
-    sleep(ms(600)).await;
+    wait_for_owner_key(&platform, true).await;
     let owner = platform.store.get(OWNER_KEY).await.expect("store").expect("an owner");
     assert!(completes(&platform, &api, 1, ms(5_000)).await);
+    wait_for_refused_token("w0").await;
+    assert!(completes(&platform, &api, 2, ms(5_000)).await);
     let same = platform.store.get(OWNER_KEY).await.expect("store").expect("an owner");
     assert_eq!(owner.revision, same.revision, "the ownership changed");
 }
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -2,30 +2,29 @@
 
 mod clients;
 mod emulator;
+mod log_lines;
 
 use std::sync::atomic::Ordering;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::record::{JobState, OWNER_KEY};
+use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
-use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call};
-use self::emulator::{job, ms, step};
+use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call, wait_until, wait_until_ready};
+use self::emulator::{job, step};
+use self::log_lines::{Line, capture, lines};
 
 const KEY: Option<&str> = Some("k1");
-const PATH: &str = "/q/0000000000000001";
 /// Entry of a worker at which the tests' formats panic.
 const ODD_WORKER: &str = "workers/odd";
 
-/// Polls a condition every 20 ms for up to 10 s.
-async fn wait_until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
-    for _ in 0..500 {
-        if let Some(found) = check().await {
-            return found;
-        }
-        tokio::time::sleep(ms(20)).await;
-    }
-    panic!("timed out after 10 s waiting for: {what}");
+/// Waits until a task of this name has ended by a panic.
+async fn wait_for_panic(task: &str) {
+    let panicked = JobsEvent::TaskPanicked.row().number;
+    let is_task = |line: &Line| line["task"] == task;
+    wait_until(task, async || lines(panicked).iter().any(is_task).then_some(())).await;
 }
 
 async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
@@ -46,18 +45,30 @@
 }
 
 async fn ready_api(platform: &TestClients) -> JobApi<TestClients> {
+    capture();
     let api = platform.api();
-    wait_until("ready", async || api.is_ready(ms(60_000)).then_some(())).await;
+    wait_until_ready(&api).await;
     api
 }
 
 async fn check_job_completes(platform: &TestClients, api: &JobApi<TestClients>) {
+    check_numbered_job_completes(platform, api, 1).await;
+}
+
+async fn check_numbered_job_completes(
+    platform: &TestClients,
+    api: &JobApi<TestClients>,
+    id: JobId,
+) {
     let record = job(vec![step(3, 1, &[]), step(2, 1, &[0])]);
-    platform.workers.add_job(1, record.clone());
-    assert_eq!(api.submit(&call(PATH, KEY), record.spec).await, SubmitResponse::Accepted);
+    platform.workers.add_job(id, record.clone());
+    let path = format!("/q/{id:016x}");
+    assert_eq!(api.submit(&call(&path, KEY), record.spec).await, SubmitResponse::Accepted);
     let done = JobStateResponse::State(JobState::Completed);
-    wait_until("completed", async || (api.job_state(&call(PATH, KEY)).await == done).then_some(()))
-        .await;
+    wait_until("completed", async || {
+        (api.job_state(&call(&path, KEY)).await == done).then_some(())
+    })
+    .await;
 }
 
 #[tokio::test]
@@ -75,18 +86,21 @@
 }
 
 #[tokio::test]
-async fn a_term_whose_watch_of_the_workers_panicked_does_not_go_on_blind() {
+async fn a_term_whose_watch_of_the_workers_panicked_ends_and_is_claimed_again() {
     let platform = TestClients::new(2);
     platform.configure(1, &["k1"]).await;
     let api = ready_api(&platform).await;
     let _owner = platform.start_owner("one");
-    wait_for_owner_key(&platform, true).await;
-    tokio::time::sleep(ms(200)).await;
+    platform.write_entry("w0", "up").await;
+    // From then on the watch reports changes of the entries.
+    check_numbered_job_completes(&platform, &api, 1).await;
     add(&platform, ODD_WORKER).await;
-    tokio::time::sleep(ms(400)).await;
+    wait_for_panic("watch of the workers").await;
+    wait_for_owner_key(&platform, false).await;
     remove(&platform, ODD_WORKER).await;
-    platform.register_workers().await;
-    check_job_completes(&platform, &api).await;
+    platform.remove_worker("w0").await;
+    platform.write_entry("w1", "up").await;
+    check_numbered_job_completes(&platform, &api, 2).await;
 }
 
 #[tokio::test]
@@ -97,9 +111,8 @@
     let api = ready_api(&platform).await;
     let _owner = platform.start_owner("one");
     wait_for_owner_key(&platform, true).await;
-    tokio::time::sleep(ms(200)).await;
     add(&platform, ODD_WAVE).await;
-    tokio::time::sleep(ms(400)).await;
+    wait_for_panic("write of the owner").await;
     remove(&platform, ODD_WAVE).await;
     check_job_completes(&platform, &api).await;
 }
@@ -125,7 +138,7 @@
     platform.configure(1, &["k1"]).await;
     let api = ready_api(&platform).await;
     add(&platform, ODD_ITEM).await;
-    tokio::time::sleep(ms(300)).await;
+    wait_for_panic("watch of the desired state").await;
     remove(&platform, ODD_ITEM).await;
     platform.configure(2, &["k2"]).await;
     wait_until("version 2", async || api.config().filter(|config| config.version == 2)).await;
