--- a/crates/jobs/tests/day/faults.rs
+++ b/crates/jobs/tests/day/faults.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::Day;
-use super::site::{DayFormats, Instance, pick, random};
+use super::site::{DayFormats, Instance, part, pick, random};
 use crate::emulator::ms;
 use crate::emulator::worker::EmulatedWorker;
 use cassiafold_jobs::platform_clients::Formats;
@@ -29,15 +29,15 @@
 impl Day {
     /// Plays series of faults until the day ends, and waits until each has ended.
     pub async fn play_faults(self: Arc<Self>, end: Instant) {
-        let play = |part| tokio::spawn(self.clone().play_series(part, end));
+        let play = |number| tokio::spawn(self.clone().play_series(number, end));
         let series: Vec<_> = (0..SERIES).map(play).collect();
         for one in series {
             one.await.expect("series");
         }
     }
 
-    async fn play_series(self: Arc<Self>, part: u64, end: Instant) {
-        let mut random = random(self.seed, 10 + part);
+    async fn play_series(self: Arc<Self>, number: u64, end: Instant) {
+        let mut random = random(self.seed, part::FAULT_SERIES + number);
         while Instant::now() < end {
             sleep(ms(random.random_range(50..900))).await;
             let length = ms(random.random_range(150..2_500));
--- a/crates/jobs/tests/day/mod.rs
+++ b/crates/jobs/tests/day/mod.rs
@@ -25,7 +25,7 @@
 
 use self::faults::{KEYS, QUEUES};
 use self::jobs::{DayJob, Shape};
-use self::site::{Answer, Caller, Instance, call, pick, random};
+use self::site::{Answer, Caller, Instance, call, part, pick, random};
 use self::store::PollingStore;
 use crate::clients::{TestClients, TestWorkers};
 use crate::emulator::ms;
@@ -218,7 +218,7 @@
 
     /// Delays each call to the store by a time near the closing delay, which changes.
     async fn delay_store(self: Arc<Self>) {
-        let mut random = random(self.seed, 3);
+        let mut random = random(self.seed, part::CLOSING_DELAY);
         while !self.size.closing_delay.is_zero() {
             let delay = self.size.closing_delay.mul_f64(random.random_range(0.85..1.15));
             self.store.faults().set_delay(delay);
@@ -227,7 +227,7 @@
     }
 
     async fn send_traffic(self: Arc<Self>, end: Instant) {
-        let mut random = random(self.seed, 1);
+        let mut random = random(self.seed, part::TRAFFIC);
         let mut id = 0;
         while Instant::now() < end {
             sleep(ms(random.random_range(5..50))).await;
@@ -265,7 +265,7 @@
     }
 
     async fn submit(self: Arc<Self>, id: JobId) {
-        let mut random = random(self.seed, 1_000 + id);
+        let mut random = random(self.seed, part::SUBMISSIONS + id);
         let (queue, record) = self.with_job(id, |job| (job.queue, job.record.clone()));
         for _ in 0..SUBMIT_ATTEMPTS {
             let instance = random.random_range(0..self.size.instances);
@@ -288,7 +288,7 @@
     }
 
     async fn cancel(self: Arc<Self>, id: JobId) {
-        let mut random = random(self.seed, 500_000 + id);
+        let mut random = random(self.seed, part::CANCELLATIONS + id);
         let queue = self.with_job(id, |job| {
             let _ = job.cancel_sent.get_or_insert_with(since_boot);
             job.queue
@@ -307,7 +307,7 @@
     }
 
     async fn send_queries(self: Arc<Self>, end: Instant) {
-        let mut random = random(self.seed, 2);
+        let mut random = random(self.seed, part::QUERIES);
         while Instant::now() < end {
             sleep(ms(random.random_range(5..40))).await;
             let ids: Vec<JobId> = {
@@ -392,7 +392,7 @@
     }
 
     async fn ask_until_told(self: Arc<Self>, id: JobId) {
-        let mut random = random(self.seed, 900_000 + id);
+        let mut random = random(self.seed, part::LAST_QUERIES + id);
         let end = Instant::now() + LAST_QUERY_TIME;
         while Instant::now() < end {
             let instance = random.random_range(0..self.size.instances);
--- a/crates/jobs/tests/day/site.rs
+++ b/crates/jobs/tests/day/site.rs
@@ -320,9 +320,23 @@
     api
 }
 
-/// A random generator for one part of a day.
+/// First of the parts of a day that one kind of work has; parts of jobs and series are added to it.
+/// A part takes the lower 32 bits of a generator's seed.
+pub mod part {
+    pub const TRAFFIC: u64 = 1;
+    pub const QUERIES: u64 = 2;
+    pub const CLOSING_DELAY: u64 = 3;
+    pub const FAULT_SERIES: u64 = 10;
+    /// Each job has one of a million parts.
+    pub const SUBMISSIONS: u64 = 1_000_000;
+    pub const CANCELLATIONS: u64 = 2_000_000;
+    pub const LAST_QUERIES: u64 = 3_000_000;
+}
+
+/// A random generator for one part of a day. Different days and parts have different generators.
 pub fn random(seed: u64, part: u64) -> StdRng {
-    StdRng::seed_from_u64(seed * 1_000 + part)
+    assert!(seed <= u64::from(u32::MAX) && part <= u64::from(u32::MAX), "seed or part too large");
+    StdRng::seed_from_u64((seed << 32) | part)
 }
 
 /// Picks one element.
