--- a/crates/jobs/tests/day/faults.rs
+++ b/crates/jobs/tests/day/faults.rs
@@ -26,6 +26,84 @@
 /// API keys; the first one is always valid.
 pub const KEYS: [&str; 4] = ["k0", "k1", "k2", "k3"];
 
+/// A fault of a day, or a change by the operator.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Store(StoreFault),
+    Process(ProcessFault),
+    Worker(WorkerFault),
+    /// Some configurations in quick succession.
+    Configurations,
+}
+
+/// A fault between the instances and the store.
+#[derive(Debug, Clone, Copy)]
+enum StoreFault {
+    /// Some instances are cut off from it.
+    CutOff(Partition),
+    /// It answers nobody.
+    Outage,
+    /// Each call takes longer.
+    Delay,
+    /// The next writes fail.
+    NextWrites,
+    /// Every few writes one fails.
+    EveryFewWrites,
+    /// Watches report nothing, and the history of that time is gone then.
+    SilentWatches,
+}
+
+/// A fault of the processes of instances.
+#[derive(Debug, Clone, Copy)]
+enum ProcessFault {
+    /// All owners are stopped, and their processes start again.
+    AllOwnersStopped,
+    /// An owner is stopped, and its process is killed at once.
+    StoppedAndKilled,
+    /// An owner is stopped, and its process is killed some time later.
+    StoppedAndKilledLater,
+    /// A process does nothing for a time.
+    Suspended,
+    /// All processes are killed.
+    AllKilled,
+}
+
+/// A fault of a worker.
+#[derive(Debug, Clone, Copy)]
+enum WorkerFault {
+    /// It crashes, and its entry may go.
+    Crash,
+    /// Its entry goes while it runs.
+    EntryRemoved,
+    /// No call reaches it.
+    Unreachable,
+}
+
+impl Fault {
+    /// A random fault; the operator's changes come three times as often as another kind.
+    fn random(random: &mut StdRng) -> Self {
+        match random.random_range(0..19) {
+            0 => Self::Store(StoreFault::CutOff(Partition::Requests)),
+            1 => Self::Store(StoreFault::CutOff(Partition::Answers)),
+            2 => Self::Store(StoreFault::Outage),
+            3 => Self::Store(StoreFault::Delay),
+            4 => Self::Store(StoreFault::NextWrites),
+            5 => Self::Store(StoreFault::EveryFewWrites),
+            6 => Self::Store(StoreFault::SilentWatches),
+            7 => Self::Process(ProcessFault::AllOwnersStopped),
+            8 => Self::Process(ProcessFault::StoppedAndKilled),
+            9 => Self::Process(ProcessFault::StoppedAndKilledLater),
+            10 => Self::Process(ProcessFault::Suspended),
+            11 => Self::Process(ProcessFault::AllKilled),
+            12 => Self::Worker(WorkerFault::Crash),
+            13 => Self::Worker(WorkerFault::EntryRemoved),
+            14 => Self::Worker(WorkerFault::Unreachable),
+            18 => Self::Store(StoreFault::CutOff(Partition::Refused)),
+            _ => Self::Configurations,
+        }
+    }
+}
+
 impl Day {
     /// Plays series of faults until the day ends, and waits until each has ended.
     pub async fn play_faults(self: Arc<Self>, end: Instant) {
@@ -41,28 +119,26 @@
         while Instant::now() < end {
             sleep(ms(random.random_range(50..900))).await;
             let length = ms(random.random_range(150..2_500));
-            let kind = random.random_range(0..19);
-            log::info!(target: "day", "fault {kind} of {length:?} in s{}", self.seed);
-            match kind {
-                0..=6 | 18 => self.play_store_fault(kind, length, &mut random).await,
-                7..=11 => self.play_process_fault(kind, length, &mut random).await,
-                12..=14 => self.play_worker_fault(kind, length, &mut random).await,
-                _ => self.play_operator(&mut random).await,
+            let fault = Fault::random(&mut random);
+            log::info!(target: "day", "fault {fault:?} of {length:?} in s{}", self.seed);
+            match fault {
+                Fault::Store(fault) => self.play_store_fault(fault, length, &mut random).await,
+                Fault::Process(fault) => self.play_process_fault(fault, length, &mut random).await,
+                Fault::Worker(fault) => self.play_worker_fault(fault, length, &mut random).await,
+                Fault::Configurations => self.play_operator(&mut random).await,
             }
         }
     }
 
-    async fn play_store_fault(&self, kind: u32, length: Duration, random: &mut StdRng) {
+    async fn play_store_fault(&self, fault: StoreFault, length: Duration, random: &mut StdRng) {
         let faults = self.store.faults();
         let write_faults = [
             WriteFault::LostAnswer,
             WriteFault::LostRequest,
             WriteFault::Late(ms(random.random_range(100..3_000))),
         ];
-        match kind {
-            0 | 1 | 18 => {
-                let partitions = [Partition::Requests, Partition::Answers, Partition::Refused];
-                let direction = partitions[kind.min(2) as usize];
+        match fault {
+            StoreFault::CutOff(direction) => {
                 let count = random.random_range(1..=self.instance_count());
                 let first = random.random_range(0..self.instance_count());
                 let names = self.names(first, count);
@@ -74,23 +150,25 @@
                     faults.reconnect(name);
                 }
             }
-            2 => {
+            StoreFault::Outage => {
                 faults.set_outage(true);
                 sleep(length).await;
                 faults.set_outage(false);
             }
-            3 => {
+            StoreFault::Delay => {
                 faults.set_delay(ms(random.random_range(50..=400)));
                 sleep(length).await;
                 faults.set_delay(Duration::ZERO);
             }
-            4 => faults.fail_writes(random.random_range(1..8), *pick(random, &write_faults)),
-            5 => {
+            StoreFault::NextWrites => {
+                faults.fail_writes(random.random_range(1..8), *pick(random, &write_faults));
+            }
+            StoreFault::EveryFewWrites => {
                 faults.fail_every(random.random_range(3..9), *pick(random, &write_faults));
                 sleep(length).await;
                 faults.fail_every(0, WriteFault::LostAnswer);
             }
-            _ => {
+            StoreFault::SilentWatches => {
                 faults.set_silent_watches(true);
                 sleep(length).await;
                 faults.compact();
@@ -99,10 +177,10 @@
         }
     }
 
-    async fn play_process_fault(&self, kind: u32, length: Duration, random: &mut StdRng) {
+    async fn play_process_fault(&self, fault: ProcessFault, length: Duration, random: &mut StdRng) {
         let chosen = random.random_range(0..self.instance_count());
-        match kind {
-            7 => {
+        match fault {
+            ProcessFault::AllOwnersStopped => {
                 self.with_instances(|list| list.iter().for_each(Instance::stop_owner));
                 sleep(length / 2).await;
                 // A stopped campaign starts again only with its process.
@@ -111,20 +189,20 @@
                     self.with_instances(|list| list[number].start());
                 }
             }
-            8 | 9 => {
+            ProcessFault::StoppedAndKilled | ProcessFault::StoppedAndKilledLater => {
                 self.with_instances(|list| list[chosen].stop_owner());
-                if kind == 9 {
+                if matches!(fault, ProcessFault::StoppedAndKilledLater) {
                     sleep(ms(random.random_range(0..500))).await;
                 }
                 self.with_instances(|list| list[chosen].kill());
                 sleep(length).await;
                 self.with_instances(|list| list[chosen].start());
             }
-            10 => {
+            ProcessFault::Suspended => {
                 self.with_instances(|list| list[chosen].suspend(length));
                 sleep(length).await;
             }
-            _ => {
+            ProcessFault::AllKilled => {
                 self.with_instances(|list| list.iter_mut().for_each(Instance::kill));
                 sleep(length / 3).await;
                 self.with_instances(|list| list.iter_mut().for_each(Instance::start));
@@ -132,11 +210,11 @@
         }
     }
 
-    async fn play_worker_fault(&self, kind: u32, length: Duration, random: &mut StdRng) {
+    async fn play_worker_fault(&self, fault: WorkerFault, length: Duration, random: &mut StdRng) {
         let chosen = random.random_range(0..self.worker_count());
         let id: Arc<str> = format!("w{chosen}").into();
-        match kind {
-            12 => {
+        match fault {
+            WorkerFault::Crash => {
                 self.workers.with(&id, EmulatedWorker::crash);
                 if random.random_range(0..2) == 0 {
                     self.write_worker(&id, None).await;
@@ -144,13 +222,13 @@
                 sleep(length).await;
                 self.restart_worker(&id).await;
             }
-            13 => {
+            WorkerFault::EntryRemoved => {
                 let started = self.workers.with(&id, |worker| worker.started_at);
                 self.write_worker(&id, None).await;
                 sleep(length).await;
                 self.write_worker(&id, Some(started)).await;
             }
-            _ => {
+            WorkerFault::Unreachable => {
                 self.workers.unreachable.lock().expect("lock").insert(id.clone());
                 sleep(length).await;
                 self.workers.unreachable.lock().expect("lock").remove(&id);
