--- a/crates/jobs/tests/day/checks.rs
+++ b/crates/jobs/tests/day/checks.rs
@@ -17,7 +17,7 @@
         for job in jobs {
             while let Some(what) = self.missing(&job).await {
                 if Instant::now() >= end {
-                    self.violate(format!("job {:016x} {:?}: {what}", job.id, job.shape));
+                    self.record_violation(format!("job {:016x} {:?}: {what}", job.id, job.shape));
                     break;
                 }
                 sleep(RETRY_AFTER / 5).await;
@@ -36,7 +36,9 @@
             let Some(record) = faults.peek(&state_key(*id)) else { continue };
             let state = StateRecord::try_from(&record.value[..]).map(|record| record.state);
             if !state.as_ref().is_ok_and(|state| state.is_final()) {
-                self.violate(format!("job {id:016x}: its state {state:?} is kept without it"));
+                self.record_violation(format!(
+                    "job {id:016x}: its state {state:?} is kept without it"
+                ));
             }
         }
     }
--- a/crates/jobs/tests/day/jobs.rs
+++ b/crates/jobs/tests/day/jobs.rs
@@ -38,9 +38,9 @@
     pub cancel_sent: Option<Duration>,
     pub cancel_accepted: bool,
     /// Final state that a caller was told, and when.
-    pub told_final: Option<(JobState, Duration)>,
+    pub reported_final: Option<(JobState, Duration)>,
     /// When a caller was told that no such job exists.
-    pub told_unknown: Option<Duration>,
+    pub reported_unknown: Option<Duration>,
 }
 
 impl DayJob {
@@ -85,8 +85,8 @@
             may_be_stored: false,
             cancel_sent: None,
             cancel_accepted: false,
-            told_final: None,
-            told_unknown: None,
+            reported_final: None,
+            reported_unknown: None,
         }
     }
 
@@ -103,18 +103,22 @@
     }
 
     /// Whether the job may be unknown by now: it had ended for as long as its state must be known.
-    pub fn may_be_unknown(&self, done: &BTreeMap<TaskId, Duration>, known_for: Duration) -> bool {
+    pub fn may_be_unknown(
+        &self,
+        done: &BTreeMap<TaskId, Duration>,
+        status_retention: Duration,
+    ) -> bool {
         let done_at = self.tasks().map(|task| done.get(&task).copied()).max_by(later).flatten();
         let ended_at = match (done_at, self.cancel_sent) {
             (Some(done_at), Some(cancelled_at)) => Some(done_at.min(cancelled_at)),
             (done_at, cancelled_at) => done_at.or(cancelled_at),
         };
-        ended_at.is_some_and(|at| since_boot() >= at + known_for)
+        ended_at.is_some_and(|at| since_boot() >= at + status_retention)
     }
 
     /// Why the answer to a query that was sent at `asked` is untrue, if it is. `done` are the tasks
     /// that had ended when the answer arrived.
-    pub fn untrue(
+    pub fn contradiction(
         &mut self,
         state: JobState,
         asked: Duration,
@@ -122,17 +126,17 @@
     ) -> Option<String> {
         // An answer on its way may be overtaken, and an instance may know a final state longer than
         // the store.
-        if self.told_unknown.is_some_and(|told_at| asked > told_at) && !state.is_final() {
+        if self.reported_unknown.is_some_and(|told_at| asked > told_at) && !state.is_final() {
             return Some(format!("{state:?} after it was unknown"));
         }
-        if let Some((told, told_at)) = self.told_final
+        if let Some((told, told_at)) = self.reported_final
             && told != state
             && asked > told_at
         {
             return Some(format!("{state:?} after {told:?}"));
         }
-        if state.is_final() && self.told_final.is_none() {
-            self.told_final = Some((state, since_boot()));
+        if state.is_final() && self.reported_final.is_none() {
+            self.reported_final = Some((state, since_boot()));
         }
         match state {
             JobState::Failed => Some("failed without cause".into()),
--- a/crates/jobs/tests/day/mod.rs
+++ b/crates/jobs/tests/day/mod.rs
@@ -33,7 +33,7 @@
 /// Deadline of a query.
 const QUERY_DEADLINE: Duration = Duration::from_secs(3);
 /// How much later than its deadline an answer counts as late on a busy machine.
-pub const LATE: Duration = Duration::from_millis(200);
+pub const LATE_MARGIN: Duration = Duration::from_millis(200);
 /// Interval at which stalls of this process are looked for, and the shortest stall that counts.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 const STALL_MIN: Duration = Duration::from_millis(150);
@@ -56,7 +56,7 @@
     pub instances: usize,
     pub workers: usize,
     /// How long the state of an ended job is kept.
-    pub known_for: Duration,
+    pub status_retention: Duration,
     /// Time that the further pages of a list take.
     pub pages_time: Duration,
     /// Middle of the delays of each call to the store from the end of the faults on.
@@ -65,7 +65,7 @@
 
 /// A query's answer.
 #[derive(Debug, Clone)]
-pub struct Row {
+pub struct QueryRecord {
     pub at: Duration,
     pub instance: usize,
     pub job: JobId,
@@ -73,7 +73,7 @@
     pub taken: Duration,
 }
 
-impl Row {
+impl QueryRecord {
     fn text(&self) -> String {
         let (at, taken) = (self.at.as_secs_f64(), self.taken.as_secs_f64());
         format!("{at:.3} e{} {:?} after {taken:.3}", self.instance, self.answer)
@@ -89,7 +89,7 @@
     workers: TestWorkers,
     instances: Mutex<Vec<Instance>>,
     jobs: Mutex<BTreeMap<JobId, DayJob>>,
-    pub rows: Mutex<Vec<Row>>,
+    pub queries: Mutex<Vec<QueryRecord>>,
     pub violations: Mutex<Vec<String>>,
     version: tokio::sync::Mutex<u64>,
     started: Instant,
@@ -110,7 +110,7 @@
             workers,
             instances: Mutex::default(),
             jobs: Mutex::default(),
-            rows: Mutex::default(),
+            queries: Mutex::default(),
             violations: Mutex::default(),
             version: tokio::sync::Mutex::new(0),
             started: Instant::now(),
@@ -123,7 +123,7 @@
         let new = |number| {
             let name = format!("s{seed}e{number}");
             let store = PollingStore::new(&day.store, &name, size.pages_time);
-            Instance::new(&name, store, &day.workers, size.known_for)
+            Instance::new(&name, store, &day.workers, size.status_retention)
         };
         *day.instances.lock().expect("lock") = (0..size.instances).map(new).collect();
         tokio::spawn(day.clone().expire_leases());
@@ -168,7 +168,7 @@
         })
     }
 
-    fn violate(&self, text: String) {
+    fn record_violation(&self, text: String) {
         let text = format!("{:.3} {text}", since_boot().as_secs_f64());
         ::log::error!(target: "day", "{text}");
         self.violations.lock().expect("lock").push(text);
@@ -275,7 +275,9 @@
             let is_accepted = answer == Answer::Response(SubmitResponse::Accepted);
             let has_no_outcome = matches!(
                 answer,
-                Answer::Response(SubmitResponse::Unknown) | Answer::Broken | Answer::Silence
+                Answer::Response(SubmitResponse::Unknown)
+                    | Answer::ConnectionLost
+                    | Answer::TimedOut
             );
             self.with_job(id, |job| {
                 job.is_accepted |= is_accepted;
@@ -300,7 +302,9 @@
                 self.with_job(id, |job| job.cancel_accepted = true);
             }
             Answer::Response(CancelResponse::NoSuchJob) if !self.may_be_unknown(id) => {
-                self.violate(format!("cancellation of accepted job {id:016x}: no such job"));
+                self.record_violation(format!(
+                    "cancellation of accepted job {id:016x}: no such job"
+                ));
             }
             _ => {}
         }
@@ -322,7 +326,7 @@
             let day = self.clone();
             tokio::spawn(async move { day.ask(id, instance).await });
         }
-        sleep(QUERY_DEADLINE + LATE).await;
+        sleep(QUERY_DEADLINE + LATE_MARGIN).await;
     }
 
     /// Asks one instance for a job's state, and checks the answer.
@@ -333,16 +337,21 @@
         let answer = self.caller(instance).job_state(call).await;
         let taken = asked.elapsed();
         // A stall that kept the answer back is seen a moment later.
-        if answer == Answer::Silence {
+        if answer == Answer::TimedOut {
             sleep(STALL_CHECK_INTERVAL * 2).await;
         }
         self.check_answer(id, instance, &answer, asked);
-        let row =
-            Row { at: asked - self.started, instance, job: id, answer: answer.clone(), taken };
+        let query = QueryRecord {
+            at: asked - self.started,
+            instance,
+            job: id,
+            answer: answer.clone(),
+            taken,
+        };
         if !matches!(answer, Answer::Response(JobStateResponse::State(_))) {
-            ::log::info!(target: "day", "s{} {row:?}", self.seed);
+            ::log::info!(target: "day", "s{} {query:?}", self.seed);
         }
-        self.rows.lock().expect("lock").push(row);
+        self.queries.lock().expect("lock").push(query);
         answer
     }
 
@@ -357,13 +366,13 @@
         let what = match answer {
             Answer::Response(JobStateResponse::State(state)) => {
                 let done = self.workers.done.lock().expect("lock");
-                self.with_job(id, |job| job.untrue(*state, asked_at, &done))
+                self.with_job(id, |job| job.contradiction(*state, asked_at, &done))
             }
             Answer::Response(JobStateResponse::NoSuchJob) => {
-                self.with_job(id, |job| job.told_unknown = Some(since_boot()));
+                self.with_job(id, |job| job.reported_unknown = Some(since_boot()));
                 (!self.may_be_unknown(id)).then(|| "no such job".into())
             }
-            Answer::Silence => {
+            Answer::TimedOut => {
                 let until = self.with_instances(|list| list[instance].suspended_until);
                 let until = until.max(*self.last_stall.lock().expect("lock"));
                 (until < asked).then(|| "no answer before the deadline".into())
@@ -371,13 +380,13 @@
             _ => None,
         };
         if let Some(what) = what {
-            self.violate(format!("job {id:016x} at instance {instance}: {what}"));
+            self.record_violation(format!("job {id:016x} at instance {instance}: {what}"));
         }
     }
 
     fn may_be_unknown(&self, id: JobId) -> bool {
         let done = self.workers.done.lock().expect("lock");
-        self.with_job(id, |job| job.may_be_unknown(&done, self.size.known_for))
+        self.with_job(id, |job| job.may_be_unknown(&done, self.size.status_retention))
     }
 
     async fn ask_for_all_jobs(self: &Arc<Self>) {
@@ -399,28 +408,28 @@
             match self.ask(id, instance).await {
                 Answer::Response(JobStateResponse::State(_)) => return,
                 Answer::Response(JobStateResponse::NoSuchJob) if self.may_be_unknown(id) => return,
-                Answer::Silence => {}
+                Answer::TimedOut => {}
                 _ => sleep(RETRY_AFTER).await,
             }
         }
-        let rows = self.rows.lock().expect("lock").clone();
-        let answers = rows.iter().filter(|row| row.job == id).map(Row::text);
+        let queries = self.queries.lock().expect("lock").clone();
+        let answers = queries.iter().filter(|query| query.job == id).map(QueryRecord::text);
         let answers = answers.collect::<Vec<_>>().join("; ");
-        self.violate(format!("job {id:016x}: no answer at the end of the day: {answers}"));
+        self.record_violation(format!("job {id:016x}: no answer at the end of the day: {answers}"));
     }
 
     /// One line on the answers, and on what an owner reads that takes over.
     pub async fn summary(&self) -> String {
-        let rows = self.rows.lock().expect("lock").clone();
+        let queries = self.queries.lock().expect("lock").clone();
         let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-        for row in &rows {
-            let name = match &row.answer {
+        for query in &queries {
+            let name = match &query.answer {
                 Answer::Response(JobStateResponse::State(_)) => "state".into(),
                 other => name(other),
             };
             *counts.entry(name).or_default() += 1;
         }
-        let slowest = rows.iter().map(|row| row.taken).max().unwrap_or_default();
+        let slowest = queries.iter().map(|query| query.taken).max().unwrap_or_default();
         let inbox = self.store.list(INBOX_PREFIX).await.expect("store").records;
         let states = self.store.list(STATE_PREFIX).await.expect("store").records;
         let bytes = |list: &[cassiafold_platform::Record]| -> usize {
--- a/crates/jobs/tests/day/site.rs
+++ b/crates/jobs/tests/day/site.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::LATE;
+use super::LATE_MARGIN;
 use super::store::PollingStore;
 use crate::clients::{NullClient, TestClients, TestWorkers};
 use crate::emulator::worker::EmulatedWorker;
@@ -120,7 +120,7 @@
     /// Until when the process does nothing.
     pub suspended_until: Instant,
     /// How long the state of an ended job is kept.
-    known_for: Duration,
+    status_retention: Duration,
 }
 
 #[derive(Debug)]
@@ -135,9 +135,9 @@
 pub enum Answer<T> {
     Response(T),
     /// The process ended, or there was none.
-    Broken,
+    ConnectionLost,
     /// Nothing came before the caller's deadline.
-    Silence,
+    TimedOut,
 }
 
 impl Instance {
@@ -146,7 +146,7 @@
         name: &str,
         store: PollingStore,
         workers: &TestWorkers,
-        known_for: Duration,
+        status_retention: Duration,
     ) -> Self {
         let clients = DayClients { store, workers: workers.clone() };
         let mut instance = Self {
@@ -154,7 +154,7 @@
             clients,
             process: None,
             suspended_until: Instant::now(),
-            known_for,
+            status_retention,
         };
         instance.start();
         instance
@@ -181,7 +181,7 @@
             lease_ttl: LEASE_TTL,
             claim_delay_max: ms(60),
             claim_delay: ms(0),
-            scheduler: SchedulerSettings { status_retention: self.known_for, ..settings() },
+            scheduler: SchedulerSettings { status_retention: self.status_retention, ..settings() },
             metrics: metrics.clone(),
             coalescing: WakeupCoalescing::default(),
         };
@@ -240,7 +240,7 @@
         ask: impl FnOnce(Arc<JobApi<DayClients>>, Call) -> F,
         denied: impl FnOnce(Denial) -> T + Send + 'static,
     ) -> Answer<T> {
-        let Some((handle, api)) = &self.process else { return Answer::Broken };
+        let Some((handle, api)) = &self.process else { return Answer::ConnectionLost };
         let deadline = call.deadline;
         let request = ask(api.clone(), call.clone());
         let api = api.clone();
@@ -251,10 +251,10 @@
                 Err(denial) => denied(denial),
             }
         });
-        match timeout(deadline + LATE - Instant::now(), answer).await {
+        match timeout(deadline + LATE_MARGIN - Instant::now(), answer).await {
             Ok(Ok(response)) => Answer::Response(response),
-            Ok(Err(_)) => Answer::Broken,
-            Err(_) => Answer::Silence,
+            Ok(Err(_)) => Answer::ConnectionLost,
+            Err(_) => Answer::TimedOut,
         }
     }
 
--- a/crates/jobs/tests/day/store.rs
+++ b/crates/jobs/tests/day/store.rs
@@ -41,9 +41,7 @@
     pub fn new(store: &MemoryStore, client: &str, pages_time: Duration) -> Self {
         Self { calls: store.client(client).with_timeout(TIMEOUT), pages_time, unanswered: None }
     }
-}
 
-impl PollingStore {
     /// The same client, whose reads of the keys with a prefix get no response.
     pub fn without_responses(self, prefix: &'static str) -> Self {
         Self { unanswered: Some(prefix), ..self }
--- a/crates/jobs/tests/long_day.rs
+++ b/crates/jobs/tests/long_day.rs
@@ -41,7 +41,7 @@
         pause: Duration::from_secs(setting("LONG_DAY_PAUSE_S", 8)),
         instances: 6,
         workers: 10,
-        known_for: Duration::from_secs(setting("LONG_DAY_KNOWN_S", 150)),
+        status_retention: Duration::from_secs(setting("LONG_DAY_KNOWN_S", 150)),
         pages_time: Duration::from_millis(setting("LONG_DAY_PAGES_MS", 300)),
         closing_delay: Duration::from_millis(setting("LONG_DAY_CLOSING_DELAY_MS", 0)),
     };
@@ -57,7 +57,7 @@
         pause: Duration::from_secs(8),
         instances: 6,
         workers: 10,
-        known_for: Duration::from_secs(150),
+        status_retention: Duration::from_secs(150),
         pages_time: Duration::from_millis(300),
         closing_delay: Duration::from_millis(340),
     };
