--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -202,6 +202,7 @@
         ..ProptestConfig::default()
     })]
 
+    /// Guards against gangs that are skipped although they fit.
     #[test]
     fn the_tasks_that_fit_are_as_many_as_can_be_placed(
         mut candidates in prop::collection::vec(any_candidate(), 0..5),
