Poll no worker that has refused the token, when its pending poll ends

Callers notice nothing; the platform would count each call under a refused token that is repeated after a lease.

Cause: a start or stop may be refused while the worker's long poll is in flight. The end of that poll made the next one due, and the next refusal returned early.

Change: what the pending poll reports is used, and no further poll is due.

Conclusion: the owner sends such a worker nothing more in its term.

--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -85,11 +85,15 @@
         let worker = &mut self.workers[slot];
         worker.entry.started_unix = worker.entry.started_unix.or(reported_start);
         worker.set_clock(response.clock, now);
-        let is_first = !worker.is_confirmed;
-        worker.is_confirmed = true;
-        worker.unresponsive_since = None;
-        worker.was_confirmed = true;
-        worker.failed_polls = 0;
+        // Of a worker that has refused the token, only what it reports is used.
+        let is_excluded = worker.has_refused_token;
+        let is_first = !worker.is_confirmed && !is_excluded;
+        if !is_excluded {
+            worker.is_confirmed = true;
+            worker.unresponsive_since = None;
+            worker.was_confirmed = true;
+            worker.failed_polls = 0;
+        }
         // A worker that did not respond may have runs whose lease is about to expire, so it is
         // polled again immediately.
         let next = match (is_first, response.ended.is_empty()) {
@@ -97,7 +101,9 @@
             (false, true) => now + POLL_INTERVAL,
             (false, false) => now + ends_poll_interval,
         };
-        if !is_out_of_band {
+        if is_excluded {
+            worker.poll = PollPhase::DueAt(Moment::MAX);
+        } else if !is_out_of_band {
             worker.poll = PollPhase::DueAt(next);
             self.poll_queue.push(Reverse((next, slot)));
         }
@@ -314,8 +320,12 @@
             // The pending long poll decides whether the worker is lost.
             return;
         }
-        worker.poll = PollPhase::DueAt(now + POLL_RETRY_DELAY);
-        self.poll_queue.push(Reverse((now + POLL_RETRY_DELAY, slot)));
+        if worker.has_refused_token {
+            worker.poll = PollPhase::DueAt(Moment::MAX);
+        } else {
+            worker.poll = PollPhase::DueAt(now + POLL_RETRY_DELAY);
+            self.poll_queue.push(Reverse((now + POLL_RETRY_DELAY, slot)));
+        }
         if worker.is_gone {
             return;
         }
