Keep the record of a job whose id an earlier job had

Callers would see an accepted job forgotten by the next owner, if states are kept for less than ten seconds and an id is used again.

Cause: the deletion of a record did not ask whether the id still was that of the ended job. Found by a reviewer.

Change: a record is deleted only while its job is known and has ended.

Evidence: the_record_of_a_job_whose_id_was_used_before_is_kept_while_it_runs failed before (left: 1, right: 0 deletions of the live job's record).

Conclusion: holds for any retention; the platform's is 120 s.

--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -339,6 +339,10 @@
             let due =
                 self.ended_records.pop_front_if(|(_, since)| now >= *since + RECORD_RETENTION);
             let Some((id, _)) = due else { return };
+            // The id may have been forgotten since, and used again.
+            if !self.jobs.get(&id).is_some_and(|job| !job.is_live()) {
+                continue;
+            }
             match self.may_delete_record(id, now) {
                 true => batch.deletions.extend([job_key(id), cancel_key(id)]),
                 false => self.ended_records.push_back((id, now)),
