Let an instance that cannot read the state wait for its lease to end

Callers would see no job started for as long as one instance can claim the ownership, but neither read the jobs nor revoke its lease.

Cause: it claimed again after one second, which is shorter than its lease, and an instance may replace its own key without waiting.

Change: it waits for the time of its lease and a margin, as after a panic.

Evidence: an_owner_that_can_neither_read_the_jobs_nor_revoke_its_lease_does_not_claim_again_at_once failed before (timed out after 8 s waiting for: owner).

Conclusion: another instance can always claim in between.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -46,12 +46,9 @@
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
-/// Delay before an instance that could not read the state claims the ownership again. It is longer
-/// than the delays of the other instances' claims.
-const FAILED_LOAD_DELAY: Duration = Duration::from_secs(1);
-/// Time from the end of the lease of a term that panicked until its instance claims the ownership
-/// again. It is longer than the delays of the other instances' claims.
-const PANICKED_TERM_MARGIN: Duration = Duration::from_secs(1);
+/// Time from the end of the lease of a term that panicked or could not read the state until its
+/// instance claims the ownership again. It is longer than the delays of the other instances' claims.
+const FAILED_TERM_MARGIN: Duration = Duration::from_secs(1);
 /// Time between two looks at a lease that is not valid; commands that are due wait for it.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
@@ -88,13 +85,11 @@
         let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
         // The lease is no longer renewed, so another instance can claim before this one does.
-        let delay = match end {
-            TermEnd::Panicked => settings.lease_ttl + PANICKED_TERM_MARGIN,
-            TermEnd::NotLoaded(_) => FAILED_LOAD_DELAY,
-            _ => continue,
-        };
+        if !matches!(end, TermEnd::Panicked | TermEnd::NotLoaded(_)) {
+            continue;
+        }
         tokio::select! {
-            () = sleep(delay) => {}
+            () = sleep(settings.lease_ttl + FAILED_TERM_MARGIN) => {}
             () = stop.cancelled() => return,
         }
     }
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -9,6 +9,7 @@
     CancelResponse, CountResponse, Denial, JobApi, JobStateResponse, SubmitResponse, Target,
     UnknownReason,
 };
+use cassiafold_jobs::owner::OwnerSettings;
 use cassiafold_jobs::record::{
     INBOX_PREFIX, JobState, OWNER_KEY, STATE_PREFIX, WAITING_KEY, job_key, sequence_key,
 };
@@ -16,7 +17,7 @@
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 use cassiafold_standin::{Partition, WriteFault};
 
-use self::clients::{TestClients, call};
+use self::clients::{TestClients, call, owner_settings, start_owner};
 use self::emulator::{job, ms, step};
 
 const KEY: Option<&str> = Some("k1");
@@ -115,6 +116,19 @@
     wait_until_completed(&api, 1).await;
 }
 
+#[tokio::test]
+async fn an_owner_that_can_neither_read_the_jobs_nor_revoke_its_lease_does_not_claim_again_at_once()
+{
+    let platform = platform_with_workers(2).await;
+    platform.store.faults().fail_lists("blind", INBOX_PREFIX);
+    platform.store.faults().lose_revocations("blind");
+    let settings = OwnerSettings { lease_ttl: ms(1_500), ..owner_settings("blind") };
+    let _blind = start_owner(platform.client("blind"), settings);
+    wait_until_owner(&platform, "blind").await;
+    let _other = platform.client("other").start_owner("other");
+    wait_until_owner(&platform, "other").await;
+}
+
 #[tokio::test]
 async fn an_owner_that_reads_the_jobs_slowly_keeps_the_ownership() {
     let platform = platform_with_workers(2).await;
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,6 +1,6 @@
 //! Fault injection for the stand-in store.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +50,8 @@
     pub(crate) stale_revision: Option<Revision>,
     pub(crate) silent_watches: bool,
     partitions: BTreeMap<ClientId, Partition>,
+    /// Clients whose revocations of leases are lost.
+    lost_revocations: BTreeSet<ClientId>,
     /// Faults of lists, by client and prefix.
     list_faults: BTreeMap<(ClientId, Arc<str>), ListFault>,
     planned_faults: VecDeque<Option<WriteFault>>,
@@ -68,6 +70,10 @@
         self.writes.is_multiple_of(interval).then_some(fault)
     }
 
+    pub(crate) fn loses_revocations(&self, client: &str) -> bool {
+        self.lost_revocations.contains(client)
+    }
+
     pub(crate) fn list_fault(&self, client: &ClientId, prefix: &str) -> Option<ListFault> {
         self.list_faults.get(&(client.clone(), prefix.into())).copied()
     }
@@ -170,6 +176,13 @@
         });
     }
 
+    /// Loses the revocations of leases of one client, which then end by themselves.
+    pub fn lose_revocations(&self, client: impl Into<ClientId>) {
+        self.set(|faults| {
+            faults.lost_revocations.insert(client.into());
+        });
+    }
+
     /// Makes the lists of a prefix fail for one client.
     pub fn fail_lists(&self, client: impl Into<ClientId>, prefix: impl Into<Arc<str>>) {
         self.set(|faults| {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -261,6 +261,9 @@
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        if self.shared.lock().faults.loses_revocations(&self.client) {
+            return Err(StoreError::OutcomeUnknown("request lost".into()));
+        }
         self.update(CallKind::RevokeLease, |state| state.revoke(lease)).await
     }
 
