--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -19,7 +19,7 @@
 use cassiafold_jobs::metrics::JobsMetrics;
 use cassiafold_jobs::owner::{self, OwnerSettings};
 use cassiafold_jobs::platform_clients::{Formats, ItemError, OperatorItem, PlatformClients};
-use cassiafold_jobs::record::JobRecord;
+use cassiafold_jobs::record::{JobRecord, OWNER_KEY};
 use cassiafold_jobs::spec::{JobId, Resources, RunNumber, StepId, TaskId};
 use cassiafold_platform::{Record, Store, Transaction, TransactionalStore, Write, since_boot};
 use cassiafold_standin::MemoryStore;
@@ -189,19 +189,28 @@
     }
 }
 
-/// Polls a condition every 20 ms for up to 10 s.
+/// Polls a condition every 20 ms for up to 8 s.
 pub async fn wait_until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
-    for _ in 0..500 {
+    for _ in 0..400 {
         if let Some(found) = check().await {
             return found;
         }
         tokio::time::sleep(ms(20)).await;
     }
-    panic!("timed out after 10 s waiting for: {what}");
+    panic!("timed out after 8 s waiting for: {what}");
+}
+
+/// Waits until there is an owner, or none.
+pub async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
+    wait_until("owner's key", async || {
+        let record = platform.store.get(OWNER_KEY).await.expect("store");
+        (record.is_some() == is_present).then_some(())
+    })
+    .await;
 }
 
 /// Waits until an API has a desired state that is recent.
-pub async fn wait_until_ready(api: &JobApi<TestClients>) {
+pub async fn wait_until_ready<S: PlatformClients>(api: &JobApi<S>) {
     wait_until("ready", async || api.is_ready(ms(60_000)).then_some(())).await;
 }
 
--- a/crates/jobs/tests/day/site.rs
+++ b/crates/jobs/tests/day/site.rs
@@ -20,12 +20,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::runtime::{Builder, Runtime};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::LATE_MARGIN;
 use super::store::PollingStore;
-use crate::clients::{NullClient, TestClients, TestWorkers};
+use crate::clients::{NullClient, TestClients, TestWorkers, wait_until_ready};
 use crate::emulator::worker::EmulatedWorker;
 use crate::emulator::{TEAM, config, cores, ms, settings};
 
@@ -314,9 +314,7 @@
     let (sender, desired_states) = DesiredStateSender::new();
     tokio::spawn(desired_state::follow(clients.clone(), sender.clone()));
     let api = JobApi::new(clients, desired_states, sender, JobsMetrics::default());
-    while !api.is_ready(Duration::from_secs(60)) {
-        sleep(ms(20)).await;
-    }
+    wait_until_ready(&api).await;
     api
 }
 
--- a/crates/jobs/tests/odd_entries.rs
+++ b/crates/jobs/tests/odd_entries.rs
@@ -16,7 +16,7 @@
 use cassiafold_platform::{Store, Transaction, TransactionOutcome, TransactionalStore, since_boot};
 use tokio::time::sleep;
 
-use self::clients::{TestClients, call, wait_until, wait_until_ready};
+use self::clients::{TestClients, call, wait_for_owner_key, wait_until, wait_until_ready};
 use self::emulator::{job, ms, step};
 use self::log_lines::{Line, capture, lines};
 
@@ -35,15 +35,6 @@
     lines(unreadable).iter().filter(|line| line["key"] == key).count()
 }
 
-/// Waits until there is an owner, or none.
-async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
-    wait_until("owner's key", async || {
-        let record = platform.store.get(OWNER_KEY).await.expect("store");
-        (record.is_some() == is_present).then_some(())
-    })
-    .await;
-}
-
 /// Waits until the worker has refused the token of an owner.
 async fn wait_for_refused_token(worker: &str) {
     let refused = JobsEvent::TokenRefused.row().number;
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -8,11 +8,13 @@
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
 use cassiafold_jobs::event::JobsEvent;
-use cassiafold_jobs::record::{JobState, OWNER_KEY};
+use cassiafold_jobs::record::JobState;
 use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
-use self::clients::{ODD_ITEM, ODD_WAVE, TestClients, call, wait_until, wait_until_ready};
+use self::clients::{
+    ODD_ITEM, ODD_WAVE, TestClients, call, wait_for_owner_key, wait_until, wait_until_ready,
+};
 use self::emulator::{job, step};
 use self::log_lines::{Line, capture, lines};
 
@@ -27,14 +29,6 @@
     wait_until(task, async || lines(panicked).iter().any(is_task).then_some(())).await;
 }
 
-async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
-    wait_until("owner's key", async || {
-        let record = platform.store.get(OWNER_KEY).await.expect("store");
-        (record.is_some() == is_present).then_some(())
-    })
-    .await;
-}
-
 async fn add(platform: &TestClients, key: &str) {
     let write = Write::put(key, Compare::Absent, "up");
     platform.store.write(write).await.expect("store");
--- a/crates/jobs/tests/service.rs
+++ b/crates/jobs/tests/service.rs
@@ -3,8 +3,6 @@
 mod clients;
 mod emulator;
 
-use std::time::Duration;
-
 use cassiafold_jobs::api::{
     CancelResponse, CountResponse, Denial, JobApi, JobStateResponse, SubmitResponse, Target,
     UnknownReason,
@@ -16,22 +14,11 @@
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 use cassiafold_standin::{Partition, WriteFault};
 
-use self::clients::{TestClients, call};
+use self::clients::{TestClients, call, wait_until, wait_until_ready};
 use self::emulator::{job, ms, step};
 
 const KEY: Option<&str> = Some("k1");
 
-/// Polls a condition every 20 ms for up to 8 s.
-async fn wait_until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
-    for _ in 0..400 {
-        if let Some(found) = check().await {
-            return found;
-        }
-        tokio::time::sleep(ms(20)).await;
-    }
-    panic!("timed out after 8 s waiting for: {what}");
-}
-
 /// A platform with a configuration and these workers in the store.
 async fn platform_with_workers(workers: usize) -> TestClients {
     let platform = TestClients::new(workers);
@@ -40,10 +27,6 @@
     platform
 }
 
-async fn wait_until_ready(api: &JobApi<TestClients>) {
-    wait_until("ready", async || api.is_ready(Duration::from_secs(60)).then_some(())).await;
-}
-
 fn path(id: JobId) -> String {
     format!("/q/{id:016x}")
 }
