--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -339,8 +339,8 @@
             let due =
                 self.ended_records.pop_front_if(|(_, since)| now >= *since + RECORD_RETENTION);
             let Some((id, _)) = due else { return };
-            // The id may have been forgotten since, and used again.
-            if !self.jobs.get(&id).is_some_and(|job| !job.is_live()) {
+            // The job may have been forgotten since, and its id used again.
+            if self.jobs.get(&id).is_none_or(Job::is_live) {
                 continue;
             }
             match self.may_delete_record(id, now) {
--- a/crates/jobs/tests/panics.rs
+++ b/crates/jobs/tests/panics.rs
@@ -15,8 +15,8 @@
 use cassiafold_platform::{Compare, Store, Transaction, TransactionalStore, Write};
 
 use self::clients::{
-    ODD_ITEM, ODD_WAVE, TestClients, call, owner_settings, start_owner, wait_until,
-    wait_until_ready,
+    ODD_ITEM, ODD_WAVE, TestClients, call, owner_settings, start_owner, wait_for_owner_key,
+    wait_until, wait_until_ready,
 };
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{job, ms, step};
@@ -34,14 +34,6 @@
     wait_until(task, async || lines(panicked).iter().any(is_task).then_some(())).await;
 }
 
-async fn wait_for_owner_key(platform: &TestClients, is_present: bool) {
-    wait_until("owner's key", async || {
-        let record = platform.store.get(OWNER_KEY).await.expect("store");
-        (record.is_some() == is_present).then_some(())
-    })
-    .await;
-}
-
 async fn add(platform: &TestClients, key: &str) {
     let write = Write::put(key, Compare::Absent, "up");
     platform.store.write(write).await.expect("store");
