Let submissions wait for the check of the store as queries do

Callers were refused although the store answered each call: with 250 ms a call 38 of 60 submissions with three seconds left, with 350 ms 44 of 60.

Cause: the first attempt of a submission is cut after 200 ms, which makes the store suspect, and every other submission was refused until a check was answered.

Change: a submission that comes while the checks have not decided waits for them, for a quarter of its time at most. Nothing of it has been sent, so the refusal that follows if no check is answered is true. It is refused at once as soon as the store counts as unavailable.

Evidence: submissions_are_accepted_although_each_store_call_takes_250_ms and the case of 350 ms failed before.

Conclusion: fixed; on a silent store a submission of the first 0.75 s is refused that much later.

--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -125,7 +125,8 @@
             let Target::Job(id) = auth.target else {
                 return SubmitResponse::Denied(Denial::NoJob);
             };
-            if failed_attempts == 0 && self.availability.is_doubted() {
+            let is_first = failed_attempts == 0;
+            if is_first && self.availability.wait_for_checks(deadline).await.is_err() {
                 return refuse(id, "the store is unavailable");
             }
             let attempt_timeout = FIRST_ATTEMPT_TIMEOUT * (1 << failed_attempts);
--- a/crates/jobs/tests/slow_store.rs
+++ b/crates/jobs/tests/slow_store.rs
@@ -1,9 +1,10 @@
-//! State queries while the store is slow or leaves calls without a response.
+//! Calls while the store is slow or leaves calls without a response.
 
 mod clients;
 mod day;
 mod emulator;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_jobs::api::{JobApi, JobStateResponse, SubmitResponse};
@@ -73,3 +74,39 @@
     let taken = asked.elapsed();
     assert!(taken <= DEADLINE, "answered after {taken:?}, when the caller had gone");
 }
+
+/// Submits a job every 100 ms for 6 s while each call to the store takes `delay`, and returns the
+/// submissions that were not accepted.
+async fn submissions_not_accepted(delay: Duration) -> Vec<SubmitResponse> {
+    let (store, workers) = quiet_site(0).await;
+    let client = PollingStore::new(&store, "front", Duration::ZERO);
+    let api = Arc::new(ready_api(client, &workers).await);
+    store.faults().set_delay(delay);
+    let mut submissions = Vec::new();
+    for id in 1..=60 {
+        let api = Arc::clone(&api);
+        submissions.push(tokio::spawn(async move { submit(&api, id).await }));
+        sleep(ms(100)).await;
+    }
+    let mut others = Vec::new();
+    for submission in submissions {
+        let response = submission.await.expect("submission");
+        others.extend((response != SubmitResponse::Accepted).then_some(response));
+    }
+    others
+}
+
+macro_rules! submissions_are_accepted_although_each_store_call_takes {
+    ($($case:ident: $delay_ms:literal;)+) => {
+        $(#[tokio::test]
+        async fn $case() {
+            assert_eq!(submissions_not_accepted(ms($delay_ms)).await, []);
+        })+
+    };
+}
+
+submissions_are_accepted_although_each_store_call_takes! {
+    submissions_are_accepted_although_each_store_call_takes_150_ms: 150;
+    submissions_are_accepted_although_each_store_call_takes_250_ms: 250;
+    submissions_are_accepted_although_each_store_call_takes_350_ms: 350;
+}
