Check that a refused owner's term ends

Change: the test of an owner whose token is refused for a later owner waits for event 1627 of the worker, as before, and then for event 1641, and only then submits the job that must not start: the submission does not depend on how soon the owner key is read. No check is taken away. With the check of the ownership taken out of fencing.rs (scratch change) this test passes still, since no command is sent while the ownership is in doubt and the write of a superseded owner ends the term; a_worker_that_has_seen_a_token_of_no_owner_does_not_end_the_ownership fails then.

--- a/crates/jobs/tests/odd_entries.rs
+++ b/crates/jobs/tests/odd_entries.rs
@@ -163,6 +163,8 @@
     let TransactionOutcome::Written(token) = claim else { panic!("{claim:?}") };
     poll_as_owner(&platform, 0, token);
     wait_for_refused_token("w0").await;
+    let ended = JobsEvent::OwnerEnded.row().number;
+    wait_until("the end of the term", async || (!lines(ended).is_empty()).then_some(())).await;
     assert!(!completes(&platform, &api, 2, ms(900)).await);
     let starts = platform.workers.starts.lock().expect("lock").clone();
     assert!(starts.iter().all(|(task, _)| task.step.job == 1), "{starts:?}");
