Wording: names, comments and messages that a new reader stumbled on

What a reader of the code or the log sees; nothing else changes.

No test was changed but for names.

--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -95,16 +95,16 @@
     emit!(JobsEvent::NodeStarted, instance = settings.instance, zone = settings.zone);
 
     tokio::spawn(desired_state::follow(clients.clone(), sender));
-    let (failures, mut failed) = mpsc::channel(1);
+    let (panic_sender, mut panics) = mpsc::channel(1);
     tokio::spawn(async move {
         let name = "reload of the settings";
         while catch_panic(name, validate_on_reload(&mut reload)).await.is_err() {}
     });
     let serving_metrics =
         serve_metrics(settings.metrics_address, registry, desired_states.clone(), metrics.clone());
-    spawn_listener("metrics listener", serving_metrics, &failures);
+    spawn_listener("metrics listener", serving_metrics, &panic_sender);
     let serving_readiness = serve_readiness(readiness, api.clone(), stop.clone());
-    spawn_listener("readiness listener", serving_readiness, &failures);
+    spawn_listener("readiness listener", serving_readiness, &panic_sender);
     let owner_settings = OwnerSettings {
         instance: settings.instance.clone(),
         lease_ttl: OWNER_LEASE_TTL.max(settings.lease_ttl_min),
@@ -118,8 +118,8 @@
         tokio::spawn(owner::campaign(clients, owner_settings, desired_states, stop.clone()));
     let stop_accepting = CancellationToken::new();
     let serving_callers = serve_callers(callers, api, stop_accepting.clone());
-    let serving = spawn_listener("callers' listener", serving_callers, &failures);
-    let failure = wait_for_end(terminate.recv(), &mut failed).await;
+    let serving = spawn_listener("callers' listener", serving_callers, &panic_sender);
+    let failure = wait_for_shutdown(terminate.recv(), &mut panics).await;
     stop.cancel();
     if let Some(panicked) = failure {
         // Another process takes the place of this one, so callers are not served on.
@@ -136,30 +136,30 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Spawns a listener, and tells `failures` if it panics: it cannot start again, since its socket is
-/// gone with it.
+/// Spawns a listener, and sends its panic if there is one: it cannot start again, since its socket
+/// is gone with it.
 fn spawn_listener(
     name: &'static str,
     serving: impl Future<Output = ()> + Send + 'static,
-    failures: &mpsc::Sender<TaskPanicked>,
+    panic_sender: &mpsc::Sender<TaskPanicked>,
 ) -> JoinHandle<()> {
-    let failures = failures.clone();
+    let panic_sender = panic_sender.clone();
     tokio::spawn(async move {
         if let Err(panicked) = catch_panic(name, serving).await {
             // The process may be ending for another reason.
-            let _ = failures.try_send(panicked);
+            let _ = panic_sender.try_send(panicked);
         }
     })
 }
 
 /// Waits until the process is told to stop; returns the listener's panic if that comes first.
-async fn wait_for_end<T>(
+async fn wait_for_shutdown<T>(
     terminated: impl Future<Output = T>,
-    failed: &mut mpsc::Receiver<TaskPanicked>,
+    panics: &mut mpsc::Receiver<TaskPanicked>,
 ) -> Option<TaskPanicked> {
     tokio::select! {
         _ = terminated => None,
-        panicked = failed.recv() => panicked,
+        panicked = panics.recv() => panicked,
     }
 }
 
--- a/crates/cassiafold/src/serve/tests.rs
+++ b/crates/cassiafold/src/serve/tests.rs
@@ -3,7 +3,7 @@
 
 use tokio::sync::mpsc;
 
-use super::{spawn_listener, wait_for_end};
+use super::{spawn_listener, wait_for_shutdown};
 use crate::error::Error;
 
 async fn panicking_listener() {
@@ -13,10 +13,10 @@
 
 #[tokio::test]
 async fn a_listener_that_panics_ends_the_process_with_code_101() {
-    let (failures, mut failed) = mpsc::channel(1);
-    spawn_listener("callers' listener", pending(), &failures);
-    spawn_listener("readiness listener", panicking_listener(), &failures);
-    let panicked = wait_for_end(pending::<()>(), &mut failed).await.expect("a panic");
+    let (panic_sender, mut panics) = mpsc::channel(1);
+    spawn_listener("callers' listener", pending(), &panic_sender);
+    spawn_listener("readiness listener", panicking_listener(), &panic_sender);
+    let panicked = wait_for_shutdown(pending::<()>(), &mut panics).await.expect("a panic");
     assert_eq!(panicked.to_string(), "readiness listener panicked: at a connection");
     let code = Error::TaskPanicked(panicked).exit_code();
     assert_eq!(format!("{code:?}"), format!("{:?}", ExitCode::from(101)));
@@ -24,8 +24,8 @@
 
 #[tokio::test]
 async fn a_listener_that_returns_does_not_end_the_process() {
-    let (failures, mut failed) = mpsc::channel(1);
-    let listener = spawn_listener("metrics listener", async {}, &failures);
+    let (panic_sender, mut panics) = mpsc::channel(1);
+    let listener = spawn_listener("metrics listener", async {}, &panic_sender);
     listener.await.expect("the listener");
-    assert!(wait_for_end(tokio::task::yield_now(), &mut failed).await.is_none());
+    assert!(wait_for_shutdown(tokio::task::yield_now(), &mut panics).await.is_none());
 }
--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -48,9 +48,9 @@
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Attempts of a store call without a response, after which the caller gets an unknown outcome.
 const ATTEMPTS_MAX: u32 = 3;
-/// Timeout of the first attempt of a store call; the next attempt uses another connection. The
-/// timeout doubles with each attempt, so that a slow store has time to respond.
-const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of the first attempt to store a submitted job; the next attempt uses another connection.
+/// The timeout doubles with each attempt, so that a slow store has time to respond.
+const SUBMIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay between two attempts of a store call.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Log target of this module, which operators' filters name.
@@ -125,15 +125,13 @@
             let Target::Job(id) = auth.target else {
                 return SubmitResponse::Denied(Denial::NoJob);
             };
-            if failed_attempts == 0 && self.availability.is_doubted() {
+            if failed_attempts == 0 && self.availability.is_suspected() {
                 return refuse(id, "the store is unavailable");
             }
-            let attempt_timeout = FIRST_ATTEMPT_TIMEOUT * (1 << failed_attempts);
+            let attempt_timeout = SUBMIT_TIMEOUT * (1 << failed_attempts);
             let attempt = timeout(attempt_timeout, self.store_job(&auth, id, &spec)).await;
-            let no_response =
-                || Err(StoreError::OutcomeUnknown("no response before the timeout".into()));
-            let result = attempt.unwrap_or_else(|_| no_response());
-            match self.availability.track(StoreOperation::WriteJob, result) {
+            let result = attempt.unwrap_or_else(|_| Err(StoreError::no_response()));
+            match self.availability.record_result(StoreOperation::WriteJob, result) {
                 Ok(StoreOutcome::Created) => {
                     emit!(
                         target: LOG_TARGET,
--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::reason::{StoreOperation, UnknownReason};
-use super::response::parse_job;
+use super::response::parse_job_id;
 use super::{Call, Denial, JobApi, Target};
 use crate::cluster::Queue;
 use crate::event::JobsEvent;
@@ -118,5 +118,5 @@
     if rest.is_empty() {
         return Some(Target::Queue);
     }
-    parse_job(rest).map(Target::Job)
+    parse_job_id(rest).map(Target::Job)
 }
--- a/crates/jobs/src/api/availability.rs
+++ b/crates/jobs/src/api/availability.rs
@@ -1,8 +1,7 @@
-//! Availability of the store for callers: whether calls to it are worth sending.
+//! Whether the store is available to callers.
 //!
-//! One call that was lost or refused is weak evidence while the store may serve all others. It
-//! starts checks, and queries wait for these; only when no check is answered in time does the
-//! store count as unavailable, and calls are refused at once until a check is answered.
+//! A failed call starts checks. Queries wait for them, submissions are refused. If no check is
+//! answered within [`CHECK_TIMEOUT`], all calls are refused until one is.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +12,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::reason::{StoreLoss, StoreOperation};
-use super::store_call::call_twice;
+use super::store_call::call_hedged;
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::record::WAITING_KEY;
@@ -36,7 +35,7 @@
     #[default]
     Available,
     /// A call failed, and the checks have not decided yet.
-    Doubted,
+    Suspected,
     /// A call failed, and no check was answered in time.
     Unavailable(StoreLoss),
 }
@@ -60,20 +59,20 @@
     }
 
     /// Whether a call failed and no check has been answered since.
-    pub(super) fn is_doubted(&self) -> bool {
+    pub(super) fn is_suspected(&self) -> bool {
         !matches!(*self.phase.borrow(), Phase::Available)
     }
 
     /// Waits while the checks have not decided, for a part of the time to a caller's deadline. Fails
     /// if the store counts as unavailable.
     pub(super) async fn wait_for_checks(&self, deadline: Instant) -> Result<(), StoreLoss> {
-        if !self.is_doubted() {
+        if !self.is_suspected() {
             return Ok(());
         }
         let now = Instant::now();
         let left = deadline.saturating_duration_since(now);
         let mut phases = self.phase.subscribe();
-        let decision = phases.wait_for(|phase| !matches!(phase, Phase::Doubted));
+        let decision = phases.wait_for(|phase| !matches!(phase, Phase::Suspected));
         let _ = timeout_at(now + left / WAIT_DIVISOR, decision).await;
         self.loss().map_or(Ok(()), Err)
     }
@@ -84,7 +83,7 @@
         if let Ok(loss) = timeout(CHECK_TIMEOUT, self.wait_for_loss()).await {
             return loss;
         }
-        self.record_failure(operation, &no_response());
+        self.record_failure(operation, &StoreError::no_response());
         self.wait_for_loss().await
     }
 
@@ -102,7 +101,7 @@
     }
 
     /// Records whether a call got a response. If not, checks the store until it is available.
-    pub(super) fn track<T>(
+    pub(super) fn record_result<T>(
         &self,
         operation: StoreOperation,
         result: Result<T, StoreError>,
@@ -117,7 +116,7 @@
         let is_new = self.phase.send_if_modified(|phase| {
             let is_new = matches!(phase, Phase::Available);
             if is_new {
-                *phase = Phase::Doubted;
+                *phase = Phase::Suspected;
             }
             is_new
         });
@@ -151,10 +150,10 @@
     }
 
     async fn check_once(&self, deadline: Instant) -> Result<(), StoreError> {
-        let check = call_twice(|| self.store.get(WAITING_KEY), deadline);
+        let check = call_hedged(|| self.store.get(WAITING_KEY), deadline);
         match timeout_at(deadline, check).await {
             Ok(result) => result.map(drop),
-            Err(_) => Err(no_response()),
+            Err(_) => Err(StoreError::no_response()),
         }
     }
 
@@ -172,16 +171,12 @@
     }
 }
 
-fn no_response() -> StoreError {
-    StoreError::OutcomeUnknown("no response before the timeout".into())
-}
-
 impl Phase {
     /// Why the store counts as unavailable, if it does.
     fn loss(&self) -> Option<StoreLoss> {
         match self {
             Self::Unavailable(loss) => Some(loss.clone()),
-            Self::Available | Self::Doubted => None,
+            Self::Available | Self::Suspected => None,
         }
     }
 }
--- a/crates/jobs/src/api/reason.rs
+++ b/crates/jobs/src/api/reason.rs
@@ -72,7 +72,8 @@
 /// Why a query, cancellation or count has no result although the call is allowed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum UnknownReason {
-    /// The store counted as unavailable, so that no call was sent.
+    /// The store counted as unavailable when the call arrived, or from then on before it was
+    /// answered.
     StoreUnavailable(StoreLoss),
     /// Calls to the store failed until the caller's deadline; the error of the last one.
     StoreFailed(StoreError),
--- a/crates/jobs/src/api/response.rs
+++ b/crates/jobs/src/api/response.rs
@@ -35,7 +35,7 @@
     /// The job that the path ends with, whether or not the call is allowed.
     pub fn job(&self) -> Option<JobId> {
         let digits = self.path.get(self.path.len().checked_sub(JOB_DIGITS)?..)?;
-        parse_job(digits)
+        parse_job_id(digits)
     }
 
     /// When the response has to be sent, so that it arrives within the caller's timeout.
@@ -51,7 +51,7 @@
 }
 
 /// Parses a job's id: 16 hexadecimal digits.
-pub(super) fn parse_job(digits: &str) -> Option<JobId> {
+pub(super) fn parse_job_id(digits: &str) -> Option<JobId> {
     let is_job =
         digits.len() == JOB_DIGITS && digits.bytes().all(|digit| digit.is_ascii_hexdigit());
     is_job.then(|| JobId::from_str_radix(digits, 16).ok()).flatten()
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -62,8 +62,8 @@
         let state = match decoded {
             Ok(_) => JobState::Queued,
             // The owner stores a state from the start of the first task on, so the job is no longer
-            // queued. That it has ended is not certain, and the owner's next write repairs the
-            // record.
+            // queued; whether it has ended is not known. Only an owner whose term began before can
+            // still write the state.
             Err(record) if job.is_some() => {
                 self.log_unreadable(id, &record);
                 JobState::Running
--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -1,15 +1,21 @@
 //! Calls to the store that a caller waits for, bounded by the caller's deadline.
 
+use std::time::Duration;
+
 use cassiafold_platform::{Record, Store, StoreError};
 use tokio::pin;
 use tokio::time::{Instant, timeout_at};
 
 use super::reason::{StoreOperation, UnknownReason};
-use super::{FIRST_ATTEMPT_TIMEOUT, JobApi, RETRY_DELAY};
+use super::{JobApi, RETRY_DELAY};
 use crate::platform_clients::PlatformClients;
 
-/// Divisor of the time to the deadline that gives the time for the first attempt alone.
-const FIRST_ATTEMPT_DIVISOR: u32 = 4;
+/// Longest delay of the second attempt after the first one.
+const HEDGE_DELAY_MAX: Duration = Duration::from_millis(200);
+/// Divisor of the time to the deadline that gives a shorter delay for callers with little time.
+const HEDGE_DELAY_DIVISOR: u32 = 4;
+/// Shortest time without a response that counts as a failure of the store.
+const EVIDENCE_WAIT_MIN: Duration = Duration::from_millis(200);
 
 impl<S: PlatformClients> JobApi<S> {
     /// Reads a key for a caller who waits until `deadline`.
@@ -41,20 +47,20 @@
             return Err(UnknownReason::DeadlineTooShort);
         }
         let response = tokio::select! {
-            response = timeout_at(deadline, call_twice(call, deadline)) => response,
+            response = timeout_at(deadline, call_hedged(call, deadline)) => response,
             loss = self.availability.watch_call(operation) => {
                 return Err(UnknownReason::StoreUnavailable(loss));
             }
         };
         let result = match response {
-            Ok(result) => self.availability.track(operation, result),
+            Ok(result) => self.availability.record_result(operation, result),
             Err(_) => {
                 let no_response =
                     Err(StoreError::OutcomeUnknown("no response before the deadline".into()));
                 // That a response takes longer than a caller with little time waits says nothing
                 // about the store.
-                match started.elapsed() >= FIRST_ATTEMPT_TIMEOUT {
-                    true => self.availability.track(operation, no_response),
+                match started.elapsed() >= EVIDENCE_WAIT_MIN {
+                    true => self.availability.record_result(operation, no_response),
                     false => no_response,
                 }
             }
@@ -74,7 +80,7 @@
 /// first response.
 ///
 /// The first attempt goes on beside the second one, so that a slow store has time to respond.
-pub(super) async fn call_twice<T, F>(
+pub(super) async fn call_hedged<T, F>(
     mut call: impl FnMut() -> F,
     deadline: Instant,
 ) -> Result<T, StoreError>
@@ -83,7 +89,7 @@
 {
     let now = Instant::now();
     let left = deadline.saturating_duration_since(now);
-    let second_at = now + FIRST_ATTEMPT_TIMEOUT.min(left / FIRST_ATTEMPT_DIVISOR);
+    let second_at = now + HEDGE_DELAY_MAX.min(left / HEDGE_DELAY_DIVISOR);
     let first = call();
     pin!(first);
     if let Ok(result) = timeout_at(second_at, &mut first).await {
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -8,7 +8,7 @@
         JobUnsettled = 1602, Warn, "outcome of a job submission is unknown";
         JobCancelled = 1603, Info, "job cancellation stored";
         JobEnded = 1604, Info, "job ended";
-        CallWithoutResult = 1605, Warn, "state query, cancellation or count has no result";
+        CallWithoutResult = 1605, Warn, "call has no result";
         JobStarted = 1606, Info, "first task of a job started";
         CountOutdated = 1607, Warn, "number of waiting jobs is outdated and not reported";
         CallLinesOmitted = 1608, Warn, "calls without a result that have no line of their own";
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -9,8 +9,8 @@
 use crate::delay::Delays;
 use crate::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use crate::spec::{
-    JobId, OPEN_OCCURRENCES_MAX, OccurrenceNumber, RunNumber, StepId, StepNumber, StepSpec,
-    TASKS_MAX, TaskId, TaskNumber,
+    JOB_TASKS_MAX, JobId, OPEN_OCCURRENCES_MAX, OccurrenceNumber, RunNumber, StepId, StepNumber,
+    StepSpec, TaskId, TaskNumber,
 };
 
 /// Index of a worker incarnation in the owner's list.
@@ -166,7 +166,7 @@
     pub fn may_start_occurrence(&self) -> bool {
         let open = self.occurrences.len();
         let tasks = self.record.spec.tasks().saturating_mul(open as u64 + 1);
-        open == 0 || (open < OPEN_OCCURRENCES_MAX && tasks <= TASKS_MAX)
+        open == 0 || (open < OPEN_OCCURRENCES_MAX && tasks <= JOB_TASKS_MAX)
     }
 
     /// Starts an occurrence, with the stored state of its tasks.
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -169,7 +169,7 @@
     /// Whether a task of the term ended by a panic.
     has_panicked: bool,
     /// Whether a worker refused the token and the owner key is being read.
-    is_ownership_in_doubt: bool,
+    is_ownership_check_pending: bool,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -211,7 +211,7 @@
         machines_requested: None,
         is_fenced: false,
         has_panicked: false,
-        is_ownership_in_doubt: false,
+        is_ownership_check_pending: false,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
@@ -373,7 +373,7 @@
         if self.workers.is_due(now) {
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
-        if self.lease.is_valid() && !self.is_ownership_in_doubt {
+        if self.lease.is_valid() && !self.is_ownership_check_pending {
             let commands = self.scheduler.plan(unix_now(), now);
             let planned = self.loop_stats.record(LoopPhase::Plan, now);
             self.execute(commands, now);
--- a/crates/jobs/src/owner/fencing.rs
+++ b/crates/jobs/src/owner/fencing.rs
@@ -28,10 +28,10 @@
             return;
         }
         self.scheduler.handle_token_refusal(worker, now);
-        if self.is_ownership_in_doubt {
+        if self.is_ownership_check_pending {
             return;
         }
-        self.is_ownership_in_doubt = true;
+        self.is_ownership_check_pending = true;
         let (platform, token) = (self.platform.clone(), self.scheduler.token());
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -45,7 +45,7 @@
     }
 
     pub(super) fn handle_ownership_checked(&mut self, is_held: bool) {
-        self.is_ownership_in_doubt = false;
+        self.is_ownership_check_pending = false;
         self.is_fenced |= !is_held;
     }
 }
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -31,7 +31,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time after which the owner gives up if no attempt has succeeded. An attempt in progress may take
 /// longer.
-const ATTEMPTS_TIME_MAX: Duration = Duration::from_secs(2);
+const LOAD_RETRY_TIME_MAX: Duration = Duration::from_secs(2);
 /// Number of run numbers per task that one owner may use.
 const RUN_NUMBERS_PER_TERM: RunNumber = 1_000;
 
@@ -55,7 +55,7 @@
     token: FencingToken,
     instance: &Arc<str>,
 ) -> Result<Loaded, StoreError> {
-    let give_up_at = since_boot() + ATTEMPTS_TIME_MAX;
+    let give_up_at = since_boot() + LOAD_RETRY_TIME_MAX;
     let mut outage = OutageLog::new("load");
     loop {
         match try_load(platform, settings, token, instance).await {
@@ -87,7 +87,7 @@
         store.list(S::Formats::WORKERS_PREFIX),
     )?;
     let sequence = start_chains(platform, token, sequence).await?;
-    let (known_workers, has_unread_workers) = read_workers(&known.records);
+    let (known_workers, has_unreadable_workers) = read_workers(&known.records);
     // A wave whose progress is unknown starts anew: a machine whose maintenance is done is not
     // taken down again for the same wave.
     let waves: WavesRecord = waves.as_ref().and_then(read_json).unwrap_or_default();
@@ -101,9 +101,9 @@
         run_number_base,
         known_workers,
         waves,
-        has_unread_commands: commanded_machines.is_none(),
+        has_unreadable_commands: commanded_machines.is_none(),
         commanded_machines: commanded_machines.unwrap_or_default(),
-        has_unread_workers,
+        has_unreadable_workers,
         instance,
         started_unix: unix_now(),
     };
@@ -171,8 +171,8 @@
 /// Decodes the records of workers; also returns whether one can't be read.
 fn read_workers(records: &[Record]) -> (Vec<WorkerRecord>, bool) {
     let shards: Vec<Option<Vec<WorkerRecord>>> = records.iter().map(read_json).collect();
-    let has_unread = shards.iter().any(Option::is_none);
-    (shards.into_iter().flatten().flatten().collect(), has_unread)
+    let has_unreadable = shards.iter().any(Option::is_none);
+    (shards.into_iter().flatten().flatten().collect(), has_unreadable)
 }
 
 /// Decodes the states of jobs, and excludes the jobs whose state can't be read.
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -125,9 +125,7 @@
     loop {
         let attempt = timeout(attempt_timeout, platform.store().commit(transaction.clone())).await;
         attempt_timeout = (attempt_timeout * 2).min(ATTEMPT_TIMEOUT_MAX);
-        let no_response =
-            || Err(StoreError::OutcomeUnknown("no response before the timeout".into()));
-        match attempt.unwrap_or_else(|_| no_response()) {
+        match attempt.unwrap_or_else(|_| Err(StoreError::no_response())) {
             Ok(TransactionOutcome::Written(revision)) => {
                 outage.record_success();
                 return WriteOutcome::Committed { batch, sequence: Sequence { revision, ..next } };
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -19,9 +19,9 @@
 mod polls;
 mod run_commands;
 mod run_ends;
-mod silent_machines;
 mod steps;
 mod throttle;
+mod unresponsive_machines;
 mod workers;
 mod write_batch;
 
@@ -41,8 +41,8 @@
 use self::maintenance::{SentCommand, WaveProgress};
 pub use self::policy_queries::PolicyQuery;
 use self::policy_queries::StepTickets;
-use self::silent_machines::SilentMachines;
 use self::steps::StepsByService;
+use self::unresponsive_machines::UnresponsiveMachines;
 use self::workers::EndedIncarnation;
 pub use self::write_batch::{WriteBatch, WriteUrgency};
 use crate::arrivals::Arrivals;
@@ -88,9 +88,9 @@
     /// Machines to which previous owners may have sent commands recently.
     pub commanded_machines: CommandedMachinesRecord,
     /// Whether records of workers could not be read, so that there may be unknown ones with runs.
-    pub has_unread_workers: bool,
+    pub has_unreadable_workers: bool,
     /// Whether the record of commanded machines could not be read.
-    pub has_unread_commands: bool,
+    pub has_unreadable_commands: bool,
     /// Name of the instance that is the owner.
     pub instance: Arc<str>,
     /// Unix time at the start of the term.
@@ -218,7 +218,7 @@
     /// Moves that wait until the leases on their machines are stored.
     pending_moves: Vec<MachineCommand>,
     machine_leases: MachineLeases,
-    silent_machines: SilentMachines,
+    unresponsive_machines: UnresponsiveMachines,
     last_balanced: Moment,
     /// Machines that each service has needed recently.
     peak_needs: HashMap<ServiceId, PeakNeed>,
@@ -251,7 +251,7 @@
             term.commanded_machines.clone(),
             now,
         );
-        if term.has_unread_commands {
+        if term.has_unreadable_commands {
             machine_leases.lease_all_to_others(now);
         }
         let mut scheduler = Self {
@@ -294,7 +294,7 @@
             moving_machines: HashMap::new(),
             pending_moves: Vec::new(),
             machine_leases,
-            silent_machines: SilentMachines::default(),
+            unresponsive_machines: UnresponsiveMachines::default(),
             last_balanced: now,
             peak_needs: HashMap::new(),
             surplus_machines: HashMap::new(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -44,7 +44,7 @@
             return;
         }
         self.remove_finished_moves(now);
-        self.silent_machines.update(self.list_silent_machines(), now);
+        self.unresponsive_machines.update(self.list_unresponsive_machines(), now);
         let pools = self.pools(now);
         let moves = choose_moves(&pools, self.moves_max());
         self.surplus_machines = count_surplus(&pools);
@@ -94,7 +94,7 @@
     }
 
     fn pools(&mut self, now: Moment) -> BTreeMap<ServiceId, Pool> {
-        let silence_max = self.lease_max_with_skew();
+        let unresponsive_max = self.lease_max_with_skew();
         let unreachable_zones = self.unreachable_zones();
         let mut idle: BTreeMap<ServiceId, Vec<(bool, &Machine)>> = BTreeMap::new();
         let mut pools: BTreeMap<ServiceId, Pool> = BTreeMap::new();
@@ -108,7 +108,11 @@
             let is_usable = !matches!(machine.state, MachineState::Down | MachineState::Unknown);
             if !is_usable
                 || self.is_draining(machine)
-                || self.silent_machines.is_silent_for(&machine.id, silence_max, now)
+                || self.unresponsive_machines.is_unresponsive_for(
+                    &machine.id,
+                    unresponsive_max,
+                    now,
+                )
             {
                 continue;
             }
@@ -153,17 +157,18 @@
     }
 
     /// Returns the machines in use whose workers do not respond.
-    fn list_silent_machines(&self) -> Vec<InstanceId> {
-        let silent = self.machines_in_use().filter(|machine| !self.has_responding_worker(machine));
-        silent.map(|machine| machine.id.clone()).collect()
+    fn list_unresponsive_machines(&self) -> Vec<InstanceId> {
+        let unresponsive =
+            self.machines_in_use().filter(|machine| !self.has_responding_worker(machine));
+        unresponsive.map(|machine| machine.id.clone()).collect()
     }
 
     /// Returns the availability zones with machines in use of which none responds.
     fn unreachable_zones(&self) -> HashSet<ZoneId> {
-        let (responding, silent): (Vec<&Machine>, Vec<&Machine>) =
+        let (responding, unresponsive): (Vec<&Machine>, Vec<&Machine>) =
             self.machines_in_use().partition(|machine| self.has_responding_worker(machine));
         let mut zones: HashSet<ZoneId> =
-            silent.into_iter().map(|machine| machine.zone.clone()).collect();
+            unresponsive.into_iter().map(|machine| machine.zone.clone()).collect();
         for machine in responding {
             zones.remove(&machine.zone);
         }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -151,8 +151,8 @@
         self.retire_workers_on_down_machines(sent, now);
     }
 
-    /// Retires silent workers whose machines are down or run another worker, according to a list
-    /// that was requested after they stopped responding.
+    /// Retires unresponsive workers whose machines are down or run another worker, according to a
+    /// list that was requested after they stopped responding.
     fn retire_workers_on_down_machines(&mut self, sent: Moment, now: Moment) {
         for slot in 0..self.workers.len() {
             let worker = &self.workers[slot];
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -209,7 +209,8 @@
             !worker.may_have_earlier_runs || worker.was_confirmed
         };
         now >= self.inherited_runs_expire
-            || (!self.term.has_unread_workers && self.service_slots(service).iter().all(are_known))
+            || (!self.term.has_unreadable_workers
+                && self.service_slots(service).iter().all(are_known))
     }
 
     /// Returns the addresses of the incarnations that have ended since the last call.
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -25,7 +25,7 @@
 pub const STEPS_MAX: usize = 1_000;
 /// Largest number of tasks of a job's steps together. The owner holds the state of each task that is
 /// not done, of all occurrences that have started, in memory, and in one value of the store.
-pub const TASKS_MAX: u64 = 20_000;
+pub const JOB_TASKS_MAX: u64 = 20_000;
 /// Largest number of occurrences of a job.
 pub const OCCURRENCES_MAX: u32 = 100_000;
 /// Largest number of occurrences of a job that have started and not ended.
@@ -35,16 +35,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum JobSizeError {
     /// It has too many steps.
-    #[error("{0} steps, of at most {STEPS_MAX}")]
+    #[error("{0} steps exceed the limit of {STEPS_MAX}")]
     Steps(usize),
     /// Its steps have too many tasks.
-    #[error("{0} tasks, of at most {TASKS_MAX}")]
+    #[error("{0} tasks exceed the limit of {JOB_TASKS_MAX}")]
     Tasks(u64),
     /// It has too many occurrences.
-    #[error("{0} occurrences, of at most {OCCURRENCES_MAX}")]
+    #[error("{0} occurrences exceed the limit of {OCCURRENCES_MAX}")]
     Occurrences(u32),
     /// Its state does not fit into a value of the store.
-    #[error("a state of {0} bytes, of at most {VALUE_BYTES_MAX}")]
+    #[error("a state of {0} bytes exceeds the limit of {VALUE_BYTES_MAX}")]
     State(usize),
 }
 
@@ -107,7 +107,7 @@
         if self.steps.len() > STEPS_MAX {
             return Err(JobSizeError::Steps(self.steps.len()));
         }
-        if self.tasks() > TASKS_MAX {
+        if self.tasks() > JOB_TASKS_MAX {
             return Err(JobSizeError::Tasks(self.tasks()));
         }
         if self.occurrences() > OCCURRENCES_MAX {
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -12,7 +12,7 @@
 use cassiafold_jobs::cluster::{ClusterConfig, MachineState, PlacementPolicy, Wave};
 use cassiafold_jobs::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use cassiafold_jobs::scheduler::{Command, OwnerTerm};
-use cassiafold_jobs::spec::{JobId, Resources, Schedule, StepId, StepSpec, TASKS_MAX, TaskId};
+use cassiafold_jobs::spec::{JOB_TASKS_MAX, JobId, Resources, Schedule, StepId, StepSpec, TaskId};
 use cassiafold_platform::VALUE_BYTES_MAX;
 use proptest::prelude::*;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
@@ -433,7 +433,7 @@
         last_run: 1_000_000_000,
         ..TaskRecord::default()
     };
-    let tasks = u32::try_from(TASKS_MAX).expect("a number of tasks");
+    let tasks = u32::try_from(JOB_TASKS_MAX).expect("a number of tasks");
     let stored = state_from_previous_owner((0..tasks).map(row).collect());
     let bytes = stored.encode().expect("bytes").len();
     assert!(bytes <= VALUE_BYTES_MAX, "a value of {bytes} bytes");
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -401,7 +401,7 @@
 
 #[test]
 fn a_new_owner_waits_for_all_machines_if_recent_commands_are_unreadable() {
-    let term = OwnerTerm { token: 50, has_unread_commands: true, ..OwnerTerm::default() };
+    let term = OwnerTerm { token: 50, has_unreadable_commands: true, ..OwnerTerm::default() };
     let mut harness = harness_in_need_of_a_machine_at(term);
     harness.run_for(settings().machine_lease);
     assert!(commanded(&harness).is_empty());
--- a/crates/jobs/tests/scheduler.rs
+++ b/crates/jobs/tests/scheduler.rs
@@ -354,7 +354,7 @@
 
 #[test]
 fn tasks_of_a_previous_owner_wait_while_its_workers_are_unreadable() {
-    let term = OwnerTerm { token: 50, has_unread_workers: true, ..OwnerTerm::default() };
+    let term = OwnerTerm { token: 50, has_unreadable_workers: true, ..OwnerTerm::default() };
     let mut harness = SchedulerHarness::at_term_start(1, term);
     let stored = state_from_previous_owner(Vec::new());
     harness.scheduler.add_job(1, job(vec![step(1, 1, &[])]), 40, Some(&stored), harness.now);
--- a/crates/jobs/tests/silent_machines.rs
+++ b/crates/jobs/tests/unresponsive_machines.rs
@@ -40,7 +40,11 @@
 }
 
 /// Advances the time while one worker does not respond and its machine is listed as up.
-fn run_with_silent_worker(harness: &mut SchedulerHarness, silent: WorkerSlot, length_ms: u64) {
+fn run_with_unresponsive_worker(
+    harness: &mut SchedulerHarness,
+    unresponsive: WorkerSlot,
+    length_ms: u64,
+) {
     let error = PollError::NoAnswer("timeout".into());
     for elapsed_ms in (0..length_ms).step_by(10) {
         if elapsed_ms % LIST_INTERVAL_MS == 0 {
@@ -48,7 +52,7 @@
         }
         for command in harness.scheduler.plan(ms(0), harness.now) {
             match command {
-                Command::Poll { worker, .. } if worker == silent => {
+                Command::Poll { worker, .. } if worker == unresponsive => {
                     let _ = harness.scheduler.poll_request(worker, false, harness.now);
                     harness.scheduler.handle_poll_failure(worker, false, &error, harness.now);
                 }
@@ -71,14 +75,14 @@
 #[test]
 fn a_machine_cut_off_for_longer_than_a_lease_is_replaced() {
     let mut harness = harness_with_a_task_on_each_machine(&[1]);
-    run_with_silent_worker(&mut harness, 0, lease_ms() + 1_500);
+    run_with_unresponsive_worker(&mut harness, 0, lease_ms() + 1_500);
     assert_eq!(harness.machine_commands, [move_to_service("m3")]);
 }
 
 #[test]
 fn a_machine_cut_off_for_less_than_a_lease_is_not_replaced() {
     let mut harness = harness_with_a_task_on_each_machine(&[1]);
-    run_with_silent_worker(&mut harness, 0, lease_ms() - 500);
+    run_with_unresponsive_worker(&mut harness, 0, lease_ms() - 500);
     harness.set_machines(harness.listed_machines.clone());
     harness.run_for(ms(1_000));
     assert_eq!(harness.machine_commands, []);
@@ -88,7 +92,7 @@
 fn the_replacement_of_a_machine_in_a_cut_off_zone_comes_from_another_zone() {
     for spare in [[0, 1], [1, 0]] {
         let mut harness = harness_with_a_task_on_each_machine(&spare);
-        run_with_silent_worker(&mut harness, 0, lease_ms() + 1_500);
+        run_with_unresponsive_worker(&mut harness, 0, lease_ms() + 1_500);
         let reachable = if spare == [1, 0] { "m3" } else { "m4" };
         assert_eq!(harness.machine_commands, [move_to_service(reachable)]);
     }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -117,6 +117,13 @@
     Malformed(Arc<str>),
 }
 
+impl StoreError {
+    /// Error of a call that got no response in time.
+    pub fn no_response() -> Self {
+        Self::OutcomeUnknown("no response before the timeout".into())
+    }
+}
+
 /// Client of the key-value service. Every call has a deadline.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Stream of changes.
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -158,7 +158,7 @@
         let result = self.shared.change(change);
         match self.deliver_response(delivery).await {
             true => result,
-            false => Err(StoreError::OutcomeUnknown("no response before the timeout".into())),
+            false => Err(StoreError::no_response()),
         }
     }
 
@@ -209,9 +209,7 @@
         match self {
             Self::Outage => StoreError::Unavailable("outage".into()),
             Self::Refused => StoreError::Unavailable("refused".into()),
-            Self::RequestLost => {
-                StoreError::OutcomeUnknown("no response before the timeout".into())
-            }
+            Self::RequestLost => StoreError::no_response(),
         }
     }
 }
@@ -304,7 +302,7 @@
         let result = self.shared.change(|state| state.commit(transaction));
         match self.deliver_response(delivery).await {
             true => result,
-            false => Err(StoreError::OutcomeUnknown("no response before the timeout".into())),
+            false => Err(StoreError::no_response()),
         }
     }
 }
