--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -49,7 +49,7 @@
 /// Time from the end of the lease of a term that panicked or could not read the state until its
 /// instance claims the ownership again. It is longer than the delays of the other instances' claims.
 const FAILED_TERM_MARGIN: Duration = Duration::from_secs(1);
-/// Time between two looks at a lease that is not valid; commands that are due wait for it.
+/// Interval at which a lease that is not valid is checked; no command is sent meanwhile.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -133,7 +133,7 @@
     Stopped,
     #[error("fenced by a later owner")]
     Fenced,
-    /// The loop may wait for the result of that task in vain.
+    /// The loop might wait for the result of that task for ever.
     #[error("a task of the term panicked")]
     Panicked,
 }
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -157,7 +157,7 @@
 }
 
 /// Decodes a JSON record; `None` if it can't be read. Such a record must not keep each instance
-/// that becomes the owner from starting; what it may have said is replaced by the worst case.
+/// that becomes the owner from starting; the caller substitutes what is safe.
 fn read_json<T: DeserializeOwned>(record: &Record) -> Option<T> {
     match serde_json::from_slice(&record.value) {
         Ok(value) => Some(value),
