Start no process of a test while a port is tried

A port is tried by a listener; a process that another test starts at that moment keeps a copy of it until it executes its program, so the port can still be in use when the program that shall have it starts. The operators' commands are started many times a second.

Change: a lock is held while a process is started and while a port is tried. No check changes.

Conclusion: a cause that fits is mended; that it was the cause is not shown.

--- a/crates/cassiafold/tests/processes/fleet.rs
+++ b/crates/cassiafold/tests/processes/fleet.rs
@@ -2,8 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cassiafold_config::raw::CURRENT_KEY;
@@ -118,14 +118,20 @@
     }
 }
 
+/// Held while a process is started and while a port is tried. A process that is being started has
+/// a copy of each listener until it executes its program, and would keep a tried port in use.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn start_process(command: &mut Command) -> Child {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("the program starts")
+}
+
 fn spawn(settings: &std::path::Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_cassiafold"))
-        .args(["entry", "--settings"])
-        .arg(settings)
-        .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_owned()))
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("the program starts")
+    let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_owned());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cassiafold"));
+    command.args(["entry", "--settings"]).arg(settings).env("RUST_LOG", level);
+    start_process(command.stdout(Stdio::null()))
 }
 
 /// First port of the range for listeners. The range lies below the ephemeral ports, which the
@@ -139,6 +145,7 @@
         let offset = std::process::id().wrapping_mul(64) + NEXT.fetch_add(1, Ordering::Relaxed);
         let port = PORT_FIRST + (offset % PORT_COUNT) as u16;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
@@ -213,12 +220,15 @@
 
     fn run_operator_command_at(&self, entries: &[&EntryProcess], arguments: &[&str]) -> Output {
         let addresses = entries.iter().map(|entry| entry.operators.to_string());
-        Command::new(env!("CARGO_BIN_EXE_cassiafold"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cassiafold"));
+        command
             .args(arguments)
             .env("CASSIAFOLD_ADDRESS", addresses.collect::<Vec<_>>().join(","))
             .env("CASSIAFOLD_CREDENTIAL", CREDENTIAL)
-            .output()
-            .expect("the program starts")
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        start_process(&mut command).wait_with_output().expect("the program's output")
     }
 
     /// Returns the configuration version in force at an entry instance, or zero if unknown.
