--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -122,6 +122,11 @@
     pub fn no_response() -> Self {
         Self::OutcomeUnknown("no response before the timeout".into())
     }
+
+    /// Whether the same call may succeed if it is made again.
+    pub fn is_transient(&self) -> bool {
+        matches!(self, Self::Unavailable(_) | Self::OutcomeUnknown(_))
+    }
 }
 
 /// Client of the key-value service. Every call has a deadline.
