Pass the ownership on when an owner reads the state for too long

What callers would see: accepted jobs stay queued at every instance for as long as one instance with a very slow connection reads the state, while others with good ones wait.

Cause: the time for a load was only looked at after an attempt had failed. One attempt had no bound, since an instance that is alone must be able to finish it, and the lease is renewed meanwhile.

Weighed: a limit for each instance by itself needs a round of all instances before it grows, which takes minutes where many have slow links. A list of the instances that could do better, or a challenge by those that wait, needs writes of all of them. Keeping what has been read and going on from there needs a watch beside the claim. Chosen is a limit that starts at 6 s and doubles with each owner in a row that reached it; the number lies in the store, is written under the owner key before the ownership is released, and is reset in the transaction that starts the write chains of an owner that has read. What could not be written is counted by the instance. A new owner reads one key more, at the same time as the others.

Safety is as before: an owner that gives up has sent no command, its late writes expect the owner key and the chains' keys at their revisions.

Conclusion: the ownership passes on after 6 s, and does not go round for ever.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -8,6 +8,7 @@
 mod execute;
 mod fencing;
 mod load;
+mod load_limit;
 mod usage;
 mod watch_store;
 mod write;
@@ -24,6 +25,7 @@
 
 use self::claim::Ownership;
 use self::execute::Outcome;
+use self::load_limit::LoadLimit;
 use self::usage::{LoopPhase, LoopStats};
 use self::watch_store::{InboxPrefix, StoreUpdate, WorkerList, WorkersPrefix};
 use self::write::{WriteOutcome, Writer};
@@ -33,6 +35,7 @@
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::PlatformClients;
+use crate::record::UnfinishedLoads;
 use crate::scheduler::{Scheduler, SchedulerSettings};
 use crate::task_panic::catch_panic;
 
@@ -46,7 +49,7 @@
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
-/// Time from the end of the lease of a term that panicked or could not read the state until its
+/// Time from the end of the lease of a term that panicked or has not read the state until its
 /// instance claims the ownership again. It is longer than the delays of the other instances' claims.
 const FAILED_TERM_MARGIN: Duration = Duration::from_secs(1);
 /// Interval at which a lease that is not valid is checked; no command is sent meanwhile.
@@ -80,12 +83,14 @@
     desired_states: watch::Receiver<Arc<DesiredState>>,
     stop: CancellationToken,
 ) {
+    let mut uncounted_loads = 0;
     while !stop.is_cancelled() {
-        let term = claim_and_run(&platform, &settings, &desired_states, &stop);
+        let term = claim_and_run(&platform, &settings, uncounted_loads, &desired_states, &stop);
         let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
         // The lease is no longer renewed, so another instance can claim before this one does.
-        if !matches!(end, TermEnd::Panicked | TermEnd::NotLoaded(_)) {
+        uncounted_loads = end.uncounted_loads(uncounted_loads);
+        if !end.has_failed() {
             continue;
         }
         tokio::select! {
@@ -99,6 +104,7 @@
 async fn claim_and_run<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
+    uncounted_loads: UnfinishedLoads,
     desired_states: &watch::Receiver<Arc<DesiredState>>,
     stop: &CancellationToken,
 ) -> TermEnd {
@@ -109,7 +115,8 @@
     let token = claimed.token;
     emit!(JobsEvent::OwnerBegan, token = token);
     settings.metrics.set_is_owner(true);
-    let end = run_term(platform, settings, desired_states.clone(), claimed, stop).await;
+    let limit = LoadLimit::new(platform, token, uncounted_loads);
+    let end = run_term(platform, settings, limit, desired_states.clone(), claimed, stop).await;
     emit!(JobsEvent::OwnerEnded, token = token, reason = end);
     end
 }
@@ -123,6 +130,12 @@
     StoppedWhileLoading,
     #[error("the state could not be read: {0}")]
     NotLoaded(StoreError),
+    #[error("reading the state took longer than {limit:?}")]
+    LoadTookTooLong {
+        limit: Duration,
+        /// Unfinished readings of this instance that the store does not count.
+        uncounted: UnfinishedLoads,
+    },
     #[error("message channel closed")]
     MessagesClosed,
     #[error("desired state channel closed")]
@@ -138,6 +151,23 @@
     Panicked,
 }
 
+impl TermEnd {
+    /// Whether another instance may run a term although this one cannot.
+    fn has_failed(&self) -> bool {
+        matches!(self, Self::Panicked | Self::NotLoaded(_) | Self::LoadTookTooLong { .. })
+    }
+
+    /// Unfinished readings of this instance that the store does not count; `before` the term there
+    /// were this many.
+    fn uncounted_loads(&self, before: UnfinishedLoads) -> UnfinishedLoads {
+        match self {
+            Self::LoadTookTooLong { uncounted, .. } => *uncounted,
+            Self::Panicked | Self::NotLoaded(_) | Self::LeaseEndedWhileLoading => before,
+            _ => 0,
+        }
+    }
+}
+
 /// Input of the owner's loop.
 enum Message {
     Outcome(Outcome),
@@ -173,14 +203,20 @@
 async fn run_term<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
+    limit: LoadLimit<'_, S>,
     mut desired_states: watch::Receiver<Arc<DesiredState>>,
     ownership: Ownership<S>,
     stop: &CancellationToken,
 ) -> TermEnd {
     let Ownership { lease, token } = ownership;
-    let loading = load::load(platform, settings.scheduler, token, &settings.instance);
+    let loading = load::load(platform, settings.scheduler, token, &settings.instance, &limit);
     let loaded = tokio::select! {
         loaded = loading => loaded,
+        limit_time = limit.reached() => {
+            let uncounted = limit.count_unfinished().await;
+            release_ownership(lease).await;
+            return TermEnd::LoadTookTooLong { limit: limit_time, uncounted };
+        }
         () = lease.ended() => return TermEnd::LeaseEndedWhileLoading,
         () = stop.cancelled() => {
             release_ownership(lease).await;
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -13,6 +13,7 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
+use super::load_limit::{self, LoadLimit};
 use super::unix_now;
 use super::write::Sequence;
 use crate::clients::FencingToken;
@@ -21,8 +22,8 @@
 use crate::platform_clients::{Formats, PlatformClients};
 use crate::record::{
     CANCEL_PREFIX, COMMANDED_MACHINES_KEY, CommandedMachinesRecord, INBOX_PREFIX, JOB_PREFIX,
-    JobRecord, OWNER_KEY, SEQUENCE_KEY, STATE_PREFIX, StateRecord, WAVES_KEY, WORKERS_PREFIX,
-    WRITE_CHAINS, WavesRecord, WorkerRecord, parse_job_key, sequence_key,
+    JobRecord, OWNER_KEY, SEQUENCE_KEY, STATE_PREFIX, StateRecord, UnfinishedLoads, WAVES_KEY,
+    WORKERS_PREFIX, WRITE_CHAINS, WavesRecord, WorkerRecord, parse_job_key, sequence_key,
 };
 use crate::scheduler::{OwnerTerm, Scheduler, SchedulerSettings};
 use crate::spec::{JobId, RunNumber};
@@ -30,7 +31,7 @@
 /// Delay between two attempts to read the store.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time after which the owner gives up if no attempt has succeeded. An attempt in progress may take
-/// longer.
+/// longer, up to its [`LoadLimit`].
 const LOAD_RETRY_TIME_MAX: Duration = Duration::from_secs(2);
 /// Number of run numbers per task that one owner may use.
 const RUN_NUMBERS_PER_TERM: RunNumber = 1_000;
@@ -54,11 +55,12 @@
     settings: SchedulerSettings,
     token: FencingToken,
     instance: &Arc<str>,
+    limit: &LoadLimit<'_, S>,
 ) -> Result<Loaded, StoreError> {
     let give_up_at = since_boot() + LOAD_RETRY_TIME_MAX;
     let mut outage = OutageLog::new("load");
     loop {
-        match try_load(platform, settings, token, instance).await {
+        match try_load(platform, settings, token, instance, limit).await {
             Ok(loaded) => {
                 outage.record_success();
                 return Ok(loaded);
@@ -75,9 +77,10 @@
     settings: SchedulerSettings,
     token: FencingToken,
     instance: &Arc<str>,
+    limit: &LoadLimit<'_, S>,
 ) -> Result<Loaded, StoreError> {
     let store = platform.store();
-    let (inbox, states, sequence, known, waves, commanded_machines, listed) = tokio::try_join!(
+    let (inbox, states, sequence, known, waves, commanded, listed, unfinished) = tokio::try_join!(
         store.list(INBOX_PREFIX),
         store.list(STATE_PREFIX),
         store.get(SEQUENCE_KEY),
@@ -85,14 +88,15 @@
         store.get(WAVES_KEY),
         store.get(COMMANDED_MACHINES_KEY),
         store.list(S::Formats::WORKERS_PREFIX),
+        limit.counted(),
     )?;
-    let sequence = start_chains(platform, token, sequence).await?;
+    let sequence = start_chains(platform, token, sequence, unfinished).await?;
     let (known_workers, has_unreadable_workers) = read_workers(&known.records);
     // A wave whose progress is unknown starts anew: a machine whose maintenance is done is not
     // taken down again for the same wave.
     let waves: WavesRecord = waves.as_ref().and_then(read_json).unwrap_or_default();
     let commanded_machines: Option<CommandedMachinesRecord> =
-        commanded_machines.as_ref().map_or(Some(CommandedMachinesRecord::default()), read_json);
+        commanded.as_ref().map_or(Some(CommandedMachinesRecord::default()), read_json);
     let run_number_base = RunNumber::try_from(sequence.tenure).unwrap_or(0) * RUN_NUMBERS_PER_TERM;
     let now = since_boot();
     let instance = Arc::clone(instance);
@@ -158,7 +162,7 @@
 
 /// Decodes a JSON record; `None` if it can't be read. Such a record must not keep each instance
 /// that becomes the owner from starting; the caller substitutes what is safe.
-fn read_json<T: DeserializeOwned>(record: &Record) -> Option<T> {
+pub(super) fn read_json<T: DeserializeOwned>(record: &Record) -> Option<T> {
     match serde_json::from_slice(&record.value) {
         Ok(value) => Some(value),
         Err(error) => {
@@ -195,11 +199,13 @@
 }
 
 /// Starts this owner's write chains, so that no late write of a previous owner is applied. All
-/// chains start in one transaction, and therefore at one revision.
+/// chains start in one transaction, and therefore at one revision. It also resets the number of
+/// unfinished readings.
 async fn start_chains<S: PlatformClients>(
     platform: &S,
     token: FencingToken,
     stored: Option<Record>,
+    unfinished: UnfinishedLoads,
 ) -> Result<Sequence, StoreError> {
     let previous = stored.as_ref().map(Sequence::read).transpose()?;
     let next = match previous {
@@ -216,6 +222,7 @@
     for chain in 0..WRITE_CHAINS {
         transaction = transaction.put(sequence_key(chain), next.encode()?, None);
     }
+    let transaction = load_limit::reset(transaction, unfinished);
     match platform.store().commit(transaction).await? {
         TransactionOutcome::Written(revision) => Ok(Sequence { revision, ..next }),
         TransactionOutcome::Conflict(_) => {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -11,6 +11,7 @@
 //! | `cassiafold/workers/SHARD` | the owner | workers that were given tasks, by shard |
 //! | `cassiafold/waves` | the owner | machines whose maintenance has started, by wave |
 //! | `cassiafold/ordered` | the owner | machines that were sent a command recently, and the instance that sent it |
+//! | `cassiafold/unfinished-loads` | the owner | number of owners in a row that did not finish reading the state |
 //! | `cassiafold/waiting` | the owner | number of waiting jobs, by queue |
 
 use std::collections::BTreeMap;
@@ -53,6 +54,8 @@
 pub const WAVES_KEY: &str = "cassiafold/waves";
 /// Key of the machines that were sent a command recently.
 pub const COMMANDED_MACHINES_KEY: &str = "cassiafold/ordered";
+/// Key of the number of owners in a row that did not finish reading the state.
+pub const UNFINISHED_LOADS_KEY: &str = "cassiafold/unfinished-loads";
 /// Key of the number of waiting jobs.
 pub const WAITING_KEY: &str = "cassiafold/waiting";
 
@@ -214,6 +217,9 @@
 /// Machines that were sent a command recently, with the instance that sent it.
 pub type CommandedMachinesRecord = BTreeMap<InstanceId, Arc<str>>;
 
+/// Number of owners in a row that took too long to read the state.
+pub type UnfinishedLoads = u32;
+
 /// Stored record of a worker that was given tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -199,14 +199,23 @@
 }
 
 /// Polls a condition every 20 ms for up to 8 s.
-pub async fn wait_until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
-    for _ in 0..400 {
+pub async fn wait_until<T>(what: &str, check: impl AsyncFnMut() -> Option<T>) -> T {
+    wait_until_within(ms(8_000), what, check).await
+}
+
+/// Polls a condition every 20 ms until the timeout.
+pub async fn wait_until_within<T>(
+    timeout: Duration,
+    what: &str,
+    mut check: impl AsyncFnMut() -> Option<T>,
+) -> T {
+    for _ in 0..timeout.as_millis() / 20 {
         if let Some(found) = check().await {
             return found;
         }
         tokio::time::sleep(ms(20)).await;
     }
-    panic!("timed out after 8 s waiting for: {what}");
+    panic!("timed out after {timeout:?} waiting for: {what}");
 }
 
 /// Waits until there is an owner, or none.
