Let an instance that has not read the state claim after the others

What callers would see: accepted jobs stay queued for good although one instance could place them. Two that cannot read the state take the ownership from each other in turn, and one whose claims are delayed (a weaker machine, by up to 0.58 s) never gets it. An instance that lost its lease while it read claims again at once, before all others.

Cause: after a failed term an instance waited once, for its lease and 1 s, and then claimed with its usual delay. While another one failed too, this wait passed without a free ownership, so it did not order the claims. The end of the lease while loading was not taken for a failed term.

Change: the margin of 1 s is part of the delay of each claim until a term of this instance has read the state and has not panicked. The wait for the lease stays; together they are as long as before for an instance that is alone. Lost leases have no further wait, for the lease is over.

Weighed: a longer single wait would hold up an instance that is alone and still not order the claims. What it costs: once after such a term, an instance that is alone takes a free ownership 1 s later.

Conclusion: instances that have not failed claim first.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -49,8 +49,8 @@
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
-/// Time from the end of the lease of a term that panicked or has not read the state until its
-/// instance claims the ownership again. It is longer than the delays of the other instances' claims.
+/// Further delay of the claims of an instance whose last term panicked or has not read the state.
+/// It is longer than the delays of the other instances' claims.
 const FAILED_TERM_MARGIN: Duration = Duration::from_secs(1);
 /// Interval at which a lease that is not valid is checked; no command is sent meanwhile.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -84,17 +84,22 @@
     stop: CancellationToken,
 ) {
     let mut uncounted_loads = 0;
+    let mut claim_margin = Duration::ZERO;
     while !stop.is_cancelled() {
-        let term = claim_and_run(&platform, &settings, uncounted_loads, &desired_states, &stop);
+        let claim_settings =
+            OwnerSettings { claim_delay: settings.claim_delay + claim_margin, ..settings.clone() };
+        let term =
+            claim_and_run(&platform, &claim_settings, uncounted_loads, &desired_states, &stop);
         let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
-        // The lease is no longer renewed, so another instance can claim before this one does.
         uncounted_loads = end.uncounted_loads(uncounted_loads);
-        if !end.has_failed() {
+        claim_margin = end.claim_margin();
+        if claim_margin.is_zero() || matches!(end, TermEnd::LeaseEndedWhileLoading) {
             continue;
         }
+        // The lease is no longer renewed, so another instance can claim before this one does.
         tokio::select! {
-            () = sleep(settings.lease_ttl + FAILED_TERM_MARGIN) => {}
+            () = sleep(settings.lease_ttl) => {}
             () = stop.cancelled() => return,
         }
     }
@@ -152,9 +157,16 @@
 }
 
 impl TermEnd {
-    /// Whether another instance may run a term although this one cannot.
-    fn has_failed(&self) -> bool {
-        matches!(self, Self::Panicked | Self::NotLoaded(_) | Self::LoadTookTooLong { .. })
+    /// Further delay of the next claim: another instance may run a term although this one could
+    /// not.
+    fn claim_margin(&self) -> Duration {
+        match self {
+            Self::Panicked
+            | Self::NotLoaded(_)
+            | Self::LoadTookTooLong { .. }
+            | Self::LeaseEndedWhileLoading => FAILED_TERM_MARGIN,
+            _ => Duration::ZERO,
+        }
     }
 
     /// Unfinished readings of this instance that the store does not count; `before` the term there
--- a/crates/jobs/tests/slow_readings.rs
+++ b/crates/jobs/tests/slow_readings.rs
@@ -1,4 +1,4 @@
-//! Owners that read the state for long, with stand-ins and in real time.
+//! Owners that read the state for long, or cannot read it, with stand-ins and in real time.
 
 mod clients;
 mod emulator;
@@ -10,10 +10,12 @@
 use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::record::{INBOX_PREFIX, JobState, OWNER_KEY};
 use cassiafold_platform::Store;
-use cassiafold_standin::WriteFault;
+use cassiafold_standin::{Partition, WriteFault};
 use tokio::time::Instant;
 
-use self::clients::{TestClients, call, wait_for_owner_key, wait_until_ready, wait_until_within};
+use self::clients::{
+    TestClients, call, wait_for_owner_key, wait_until, wait_until_ready, wait_until_within,
+};
 use self::emulator::{job, ms, step};
 use self::log_lines::{capture, lines};
 
@@ -129,3 +131,33 @@
     wait_until_owner(&platform, "last", ms(8_000)).await;
     assert!(begun.elapsed() < ms(8_000), "passed on after {:?}", begun.elapsed());
 }
+
+/// Guards against an ownership that goes round among instances that claim first and cannot read.
+#[tokio::test]
+async fn two_instances_that_cannot_read_the_jobs_leave_the_ownership_to_a_third_that_claims_later()
+{
+    let (platform, api) = platform_with_job().await;
+    for (instance, claim_delay) in [("one", ms(0)), ("two", ms(300))] {
+        platform.store.faults().fail_lists(instance, INBOX_PREFIX);
+        let _owner = platform.client(instance).start_delayed_owner(instance, claim_delay);
+        wait_for_owner_key(&platform, true).await;
+    }
+    wait_until_owner(&platform, "two", ms(4_000)).await;
+    let _third = platform.client("third").start_delayed_owner("third", ms(600));
+    wait_until_completed(&api, ms(8_000)).await;
+    assert_eq!(owner(&platform).await.as_deref(), Some("third"));
+}
+
+#[tokio::test]
+async fn an_instance_that_lost_its_lease_while_it_read_leaves_the_ownership_to_another() {
+    let (platform, api) = platform_with_job().await;
+    read_slowly(&platform, "slow", VERY_LONG);
+    let _slow = platform.client("slow").start_owner("slow");
+    wait_until_owner(&platform, "slow", ms(1_000)).await;
+    let _other = platform.client("other").start_delayed_owner("other", ms(600));
+    tokio::time::sleep(ms(200)).await;
+    platform.store.faults().cut_off("slow", Partition::Requests);
+    wait_until("free", async || owner(&platform).await.is_none().then_some(())).await;
+    platform.store.faults().reconnect("slow");
+    wait_until_completed(&api, ms(4_000)).await;
+}
