Send commands again once the lease is renewed after a refused token

What callers would see: accepted jobs stay queued for good, at every instance, while one worker refuses the owner's token (it took a higher one from elsewhere) and reads of the owner key alone are not answered.

Cause: nothing was planned from the refusal until the owner key had been read, and the lease was renewed meanwhile, so nobody else took over.

Weighed: ending the term after some time makes each owner end in turn, and a new one reads all jobs each time, for one odd worker. Going on after a fixed time needs a value that fits each store, and shows nothing: a store that ended the lease early may have another owner by then. Chosen is what the store says by another call: a renewal that was sent after the refusal and succeeded.

Safety: a later owner of another instance claims only when the owner key is gone, that is once the lease is over, and the store refuses to renew a lease that is over (the term then ends). Whoever gave the worker its token did so before the refusal; so a renewal sent later that succeeds shows that it was no later owner, also if the store ends leases early. Until then nothing is sent, as before; each further worker that refuses starts the pause anew; workers that refused are left out; the read goes on and ends the term if it finds another claim. Not covered by the renewal is a claim by a new process of the same instance while the old one still runs; such a claim has always assumed that the old one has ended, and the workers' tokens and the read still stand against it. So there are no two holders of a machine command, and no two sides that act.

Conclusion: one worker and one unanswered key no longer stop all starts.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -52,7 +52,7 @@
 /// Further delay of the claims of an instance whose last term panicked or has not read the state.
 /// It is longer than the delays of the other instances' claims.
 const FAILED_TERM_MARGIN: Duration = Duration::from_secs(1);
-/// Interval at which a lease that is not valid is checked; no command is sent meanwhile.
+/// Interval at which it is checked whether commands may be sent again.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -197,6 +197,7 @@
     platform: S,
     scheduler: Scheduler,
     lease: LeaseValidity,
+    lease_ttl: Duration,
     sender: mpsc::Sender<Message>,
     workers: WorkerList,
     writer: Writer<S>,
@@ -205,8 +206,8 @@
     is_fenced: bool,
     /// Whether a task of the term ended by a panic.
     has_panicked: bool,
-    /// Whether a worker refused the token and the owner key is being read.
-    is_ownership_check_pending: bool,
+    /// When a worker last refused the token, while the owner key is being read.
+    unchecked_refusal: Option<Moment>,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -247,6 +248,7 @@
         platform: platform.clone(),
         scheduler: loaded.scheduler,
         lease: lease.validity(),
+        lease_ttl: settings.lease_ttl,
         workers: WorkerList::new(loaded.workers),
         writer: Writer::new(platform.clone(), token, loaded.sequences),
         sender: sender.clone(),
@@ -254,7 +256,7 @@
         machines_requested: None,
         is_fenced: false,
         has_panicked: false,
-        is_ownership_check_pending: false,
+        unchecked_refusal: None,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
@@ -359,9 +361,9 @@
 
     /// Returns when the next pass is due if there is no message.
     ///
-    /// Nothing is planned while the lease is not valid, so what is due stays due.
+    /// Nothing is planned while no command may be sent, so what is due stays due.
     fn next_due(&self, now: Moment) -> Moment {
-        match self.lease.is_valid() {
+        match self.may_send_commands(now) {
             true => self.scheduler.next_due(now),
             false => now + LEASE_CHECK_INTERVAL,
         }
@@ -416,7 +418,7 @@
         if self.workers.is_due(now) {
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
-        if self.lease.is_valid() && !self.is_ownership_check_pending {
+        if self.may_send_commands(now) {
             let commands = self.scheduler.plan(unix_now(), now);
             let planned = self.loop_stats.record(LoopPhase::Plan, now);
             self.execute(commands, now);
--- a/crates/jobs/src/owner/fencing.rs
+++ b/crates/jobs/src/owner/fencing.rs
@@ -2,7 +2,8 @@
 //!
 //! Usually a later owner has used a higher token, and this owner's term ends. The store decides: a
 //! worker may also have taken a higher token from elsewhere, and must not end the term of each
-//! owner in turn.
+//! owner in turn. Until the owner key has been read, a renewal of the lease decides whether
+//! commands are sent to the other workers.
 
 use std::time::Duration;
 
@@ -22,16 +23,16 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 impl<S: PlatformClients> OwnerLoop<S> {
-    /// Handles a refusal of the token: no command is sent until the owner key has been read.
+    /// Handles a refusal of the token: no command is sent until the owner key has been read, or the
+    /// lease has been renewed.
     pub(super) fn handle_token_refusal(&mut self, worker: WorkerSlot, now: Moment) {
         if self.scheduler.worker(worker).has_refused_token {
             return;
         }
         self.scheduler.handle_token_refusal(worker, now);
-        if self.is_ownership_check_pending {
+        if self.unchecked_refusal.replace(now).is_some() {
             return;
         }
-        self.is_ownership_check_pending = true;
         let (platform, token) = (self.platform.clone(), self.scheduler.token());
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -45,9 +46,21 @@
     }
 
     pub(super) fn handle_ownership_checked(&mut self, is_held: bool) {
-        self.is_ownership_check_pending = false;
+        self.unchecked_refusal = None;
         self.is_fenced |= !is_held;
     }
+
+    /// Whether commands may be sent: this owner certainly holds the lease, and no refusal of its
+    /// token can be due to a later owner.
+    ///
+    /// A later owner claims only once the lease is over, and the store does not renew a lease that
+    /// is. So a renewal that was sent after the refusal shows that there was no later owner. The
+    /// lease is valid for at most its time to live from when the last renewal was sent.
+    pub(super) fn may_send_commands(&self, now: Moment) -> bool {
+        let remaining = self.lease.remaining();
+        let is_renewed = |refused| now + remaining >= refused + self.lease_ttl;
+        !remaining.is_zero() && self.unchecked_refusal.is_none_or(is_renewed)
+    }
 }
 
 /// Reads whether the owner key was last written by the owner with this token; tries again until the
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -44,6 +44,8 @@
 #[derive(Debug)]
 struct Plan {
     reads: HashMap<Arc<str>, CallFault>,
+    all_reads: HashMap<Arc<str>, CallFault>,
+    renewals: CallFault,
     next: VecDeque<CallFault>,
     others: CallFault,
     calls: u32,
@@ -68,6 +70,16 @@
         self.plan.lock().expect("lock").reads.insert(key.into(), fault);
     }
 
+    /// Plans the fault of all reads of a key.
+    pub fn plan_all_reads(&self, key: &str, fault: CallFault) {
+        self.plan.lock().expect("lock").all_reads.insert(key.into(), fault);
+    }
+
+    /// Plans the fault of all renewals of leases.
+    pub fn plan_renewals(&self, fault: CallFault) {
+        self.plan.lock().expect("lock").renewals = fault;
+    }
+
     /// Whether the planned fault of the next read of a key has not happened yet.
     pub fn is_planned(&self, key: &str) -> bool {
         self.plan.lock().expect("lock").reads.contains_key(key)
@@ -82,21 +94,29 @@
         let fault = {
             let mut plan = self.plan.lock().expect("lock");
             plan.calls += 1;
-            let of_read = read_key.and_then(|key| plan.reads.remove(key));
+            let of_read = read_key.and_then(|key| {
+                plan.reads.remove(key).or_else(|| plan.all_reads.get(key).copied())
+            });
             of_read.or_else(|| plan.next.pop_front()).unwrap_or(plan.others)
         };
-        match fault {
-            CallFault::None => Ok(()),
-            CallFault::Silent => {
+        fault.happen().await
+    }
+}
+
+impl CallFault {
+    async fn happen(self) -> Result<(), StoreError> {
+        match self {
+            Self::None => Ok(()),
+            Self::Silent => {
                 tokio::time::sleep(CLIENT_TIMEOUT).await;
                 Err(StoreError::OutcomeUnknown("no answer: timeout".into()))
             }
-            CallFault::Refused => Err(StoreError::Unavailable("429 Too Many Requests".into())),
-            CallFault::Slow(delay) => {
+            Self::Refused => Err(StoreError::Unavailable("429 Too Many Requests".into())),
+            Self::Slow(delay) => {
                 tokio::time::sleep(delay).await;
                 Ok(())
             }
-            CallFault::Panic => panic!("a call to the store that panics"),
+            Self::Panic => panic!("a call to the store that panics"),
         }
     }
 }
@@ -122,6 +142,8 @@
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        let fault = self.plan.lock().expect("lock").renewals;
+        fault.happen().await?;
         self.store.keep_alive(lease).await
     }
 
@@ -161,6 +183,8 @@
         clients.configure(1, &["k1"]).await;
         let plan = Plan {
             reads: HashMap::new(),
+            all_reads: HashMap::new(),
+            renewals: CallFault::None,
             next: VecDeque::new(),
             others: CallFault::None,
             calls: 0,
