--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -8,6 +8,7 @@
 mod execute;
 mod fencing;
 mod load;
+mod load_limit;
 mod usage;
 mod watch_store;
 mod write;
@@ -24,6 +25,7 @@
 
 use self::claim::Ownership;
 use self::execute::Outcome;
+use self::load_limit::LoadLimit;
 use self::usage::{LoopPhase, LoopStats};
 use self::watch_store::{InboxPrefix, StoreUpdate, WorkerList, WorkersPrefix};
 use self::write::{WriteOutcome, Writer};
@@ -33,6 +35,7 @@
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::platform_clients::PlatformClients;
+use crate::record::UnfinishedLoads;
 use crate::scheduler::{Scheduler, SchedulerSettings};
 use crate::task_panic::catch_panic;
 
@@ -46,10 +49,10 @@
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
-/// Time from the end of the lease of a term that panicked or could not read the state until its
-/// instance claims the ownership again. It is longer than the delays of the other instances' claims.
+/// Further delay of the claims of an instance whose last term panicked or has not read the state.
+/// It is longer than the delays of the other instances' claims.
 const FAILED_TERM_MARGIN: Duration = Duration::from_secs(1);
-/// Interval at which a lease that is not valid is checked; no command is sent meanwhile.
+/// Interval at which it is checked whether commands may be sent again.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the message channel of the owner's loop.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -80,16 +83,23 @@
     desired_states: watch::Receiver<Arc<DesiredState>>,
     stop: CancellationToken,
 ) {
+    let mut uncounted_loads = 0;
+    let mut claim_margin = Duration::ZERO;
     while !stop.is_cancelled() {
-        let term = claim_and_run(&platform, &settings, &desired_states, &stop);
+        let claim_settings =
+            OwnerSettings { claim_delay: settings.claim_delay + claim_margin, ..settings.clone() };
+        let term =
+            claim_and_run(&platform, &claim_settings, uncounted_loads, &desired_states, &stop);
         let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
-        // The lease is no longer renewed, so another instance can claim before this one does.
-        if !matches!(end, TermEnd::Panicked | TermEnd::NotLoaded(_)) {
+        uncounted_loads = end.uncounted_loads(uncounted_loads);
+        claim_margin = end.claim_margin();
+        if claim_margin.is_zero() || matches!(end, TermEnd::LeaseEndedWhileLoading) {
             continue;
         }
+        // The lease is no longer renewed, so another instance can claim before this one does.
         tokio::select! {
-            () = sleep(settings.lease_ttl + FAILED_TERM_MARGIN) => {}
+            () = sleep(settings.lease_ttl) => {}
             () = stop.cancelled() => return,
         }
     }
@@ -99,6 +109,7 @@
 async fn claim_and_run<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
+    uncounted_loads: UnfinishedLoads,
     desired_states: &watch::Receiver<Arc<DesiredState>>,
     stop: &CancellationToken,
 ) -> TermEnd {
@@ -109,7 +120,8 @@
     let token = claimed.token;
     emit!(JobsEvent::OwnerBegan, token = token);
     settings.metrics.set_is_owner(true);
-    let end = run_term(platform, settings, desired_states.clone(), claimed, stop).await;
+    let limit = LoadLimit::new(platform, token, uncounted_loads);
+    let end = run_term(platform, settings, limit, desired_states.clone(), claimed, stop).await;
     emit!(JobsEvent::OwnerEnded, token = token, reason = end);
     end
 }
@@ -123,6 +135,12 @@
     StoppedWhileLoading,
     #[error("the state could not be read: {0}")]
     NotLoaded(StoreError),
+    #[error("reading the state took longer than {limit:?}")]
+    LoadTookTooLong {
+        limit: Duration,
+        /// Unfinished readings of this instance that the store does not count.
+        uncounted: UnfinishedLoads,
+    },
     #[error("message channel closed")]
     MessagesClosed,
     #[error("desired state channel closed")]
@@ -138,6 +156,30 @@
     Panicked,
 }
 
+impl TermEnd {
+    /// Further delay of the next claim: another instance may run a term although this one could
+    /// not.
+    fn claim_margin(&self) -> Duration {
+        match self {
+            Self::Panicked
+            | Self::NotLoaded(_)
+            | Self::LoadTookTooLong { .. }
+            | Self::LeaseEndedWhileLoading => FAILED_TERM_MARGIN,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Unfinished readings of this instance that the store does not count; `before` the term there
+    /// were this many.
+    fn uncounted_loads(&self, before: UnfinishedLoads) -> UnfinishedLoads {
+        match self {
+            Self::LoadTookTooLong { uncounted, .. } => *uncounted,
+            Self::Panicked | Self::NotLoaded(_) | Self::LeaseEndedWhileLoading => before,
+            _ => 0,
+        }
+    }
+}
+
 /// Input of the owner's loop.
 enum Message {
     Outcome(Outcome),
@@ -155,6 +197,7 @@
     platform: S,
     scheduler: Scheduler,
     lease: LeaseValidity,
+    lease_ttl: Duration,
     sender: mpsc::Sender<Message>,
     workers: WorkerList,
     writer: Writer<S>,
@@ -163,8 +206,8 @@
     is_fenced: bool,
     /// Whether a task of the term ended by a panic.
     has_panicked: bool,
-    /// Whether a worker refused the token and the owner key is being read.
-    is_ownership_check_pending: bool,
+    /// When a worker last refused the token, while the owner key is being read.
+    unchecked_refusal: Option<Moment>,
     metrics: JobsMetrics,
     loop_stats: LoopStats,
     rate: MessageRate,
@@ -173,14 +216,20 @@
 async fn run_term<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
+    limit: LoadLimit<'_, S>,
     mut desired_states: watch::Receiver<Arc<DesiredState>>,
     ownership: Ownership<S>,
     stop: &CancellationToken,
 ) -> TermEnd {
     let Ownership { lease, token } = ownership;
-    let loading = load::load(platform, settings.scheduler, token, &settings.instance);
+    let loading = load::load(platform, settings.scheduler, token, &settings.instance, &limit);
     let loaded = tokio::select! {
         loaded = loading => loaded,
+        limit_time = limit.reached() => {
+            let uncounted = limit.count_unfinished().await;
+            release_ownership(lease).await;
+            return TermEnd::LoadTookTooLong { limit: limit_time, uncounted };
+        }
         () = lease.ended() => return TermEnd::LeaseEndedWhileLoading,
         () = stop.cancelled() => {
             release_ownership(lease).await;
@@ -199,6 +248,7 @@
         platform: platform.clone(),
         scheduler: loaded.scheduler,
         lease: lease.validity(),
+        lease_ttl: settings.lease_ttl,
         workers: WorkerList::new(loaded.workers),
         writer: Writer::new(platform.clone(), token, loaded.sequences),
         sender: sender.clone(),
@@ -206,7 +256,7 @@
         machines_requested: None,
         is_fenced: false,
         has_panicked: false,
-        is_ownership_check_pending: false,
+        unchecked_refusal: None,
         metrics: settings.metrics.clone(),
         loop_stats: LoopStats::new(since_boot()),
         rate: MessageRate::new(settings.coalescing.clone(), since_boot()),
@@ -311,9 +361,9 @@
 
     /// Returns when the next pass is due if there is no message.
     ///
-    /// Nothing is planned while the lease is not valid, so what is due stays due.
+    /// Nothing is planned while no command may be sent, so what is due stays due.
     fn next_due(&self, now: Moment) -> Moment {
-        match self.lease.is_valid() {
+        match self.may_send_commands(now) {
             true => self.scheduler.next_due(now),
             false => now + LEASE_CHECK_INTERVAL,
         }
@@ -368,7 +418,7 @@
         if self.workers.is_due(now) {
             self.scheduler.set_workers(self.workers.entries(now), now);
         }
-        if self.lease.is_valid() && !self.is_ownership_check_pending {
+        if self.may_send_commands(now) {
             let commands = self.scheduler.plan(unix_now(), now);
             let planned = self.loop_stats.record(LoopPhase::Plan, now);
             self.execute(commands, now);
