Acknowledge no run end by a poll beside a pending one

Cause found in reading, a fault that fits, not shown to be the one: a worker that restarts keeps its id, and its new incarnation numbers its run ends from 1. While a poll is pending, its failure is not known yet; a poll beside it (sent after a start without a response or a stop) acknowledged the ends of the incarnation before by their numbers, and the new one forgets its first ends unseen. Their tasks run again.

Change: such a poll acknowledges nothing; the next regular one does.

Test: a_poll_beside_a_pending_one_acknowledges_no_run_end failed before ("left: 8, right: 0").

--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -56,8 +56,10 @@
             (true, false) => POLL_WAIT_BUSY,
         };
         // Nothing may be acknowledged while the worker's incarnation is unconfirmed: a new one
-        // would use the same numbers for its run ends.
-        let acknowledged = if worker.is_confirmed { worker.last_end_stored } else { 0 };
+        // would use the same numbers for its run ends. While a poll is pending, the worker may have
+        // restarted since the last response.
+        let is_certain = worker.is_confirmed && !is_out_of_band;
+        let acknowledged = if is_certain { worker.last_end_stored } else { 0 };
         PollRequest { token, acknowledged, lease_until, wait }
     }
 
--- a/crates/jobs/tests/writes.rs
+++ b/crates/jobs/tests/writes.rs
@@ -101,8 +101,12 @@
 
 /// Highest run end that is acknowledged to any worker.
 fn acknowledged(harness: &mut SchedulerHarness) -> u64 {
+    acknowledged_by_polls(harness, false)
+}
+
+fn acknowledged_by_polls(harness: &mut SchedulerHarness, are_out_of_band: bool) -> u64 {
     let now = harness.now;
-    let polls = (0..8).map(|slot| harness.scheduler.poll_request(slot, true, now));
+    let polls = (0..8).map(|slot| harness.scheduler.poll_request(slot, are_out_of_band, now));
     polls.map(|poll| poll.acknowledged).max().expect("workers")
 }
 
@@ -117,6 +121,18 @@
     assert!(acknowledged(&mut harness) > 0);
 }
 
+/// Guards against ends that a worker forgets before they were seen: while a poll is pending, the
+/// worker may have restarted under its id, and its new incarnation numbers its ends from 1.
+#[test]
+fn a_poll_beside_a_pending_one_acknowledges_no_run_end() {
+    let mut harness = harness_with_run_ends_of(MANY_JOBS);
+    while let Some(batch) = harness.scheduler.next_write_batch(harness.now) {
+        harness.scheduler.handle_write_committed(&batch, harness.now);
+    }
+    assert!(acknowledged(&mut harness) > 0);
+    assert_eq!(acknowledged_by_polls(&mut harness, true), 0);
+}
+
 #[test]
 fn a_state_is_not_written_while_an_older_one_of_its_job_is_in_flight() {
     let mut harness = harness_with_run_ends_of(MANY_JOBS);
