Renew a lease more often while renewals take long

Cause: each attempt to renew was cut at three quarters of the time to live and the next one was sent a sixth to a third of the time to live later. The validity counts from the time at which a renewal was sent, for nine tenths of the time to live. So from half of the time to live on there were gaps, and from three quarters on no renewal ever counted. All of them reached the store, so no other instance could claim either.

Change: the interval is half of the time by which the validity outlasts a round trip, between a sixteenth and a third of the time to live; the round trip is that of the latest renewals, and rises at once. An attempt ends after two times to live.

A fast store gets as many renewals as before (a_lease_needs_three_to_six_renewals_per_time_to_live, unchanged).

A store that becomes slow leaves gaps for about three times to live, until slow responses have been seen.

--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -23,13 +23,19 @@
 
 /// Divisor of the time to live that gives the safety margin for clocks of different rates.
 const TTL_MARGIN_DIVISOR: u32 = 10;
-/// Number of renewals per time to live while renewals succeed.
+/// Number of renewals per time to live while renewals succeed and the store is fast.
 const RENEWALS_PER_TTL: u32 = 3;
+/// Largest number of renewals per time to live while the store is slow.
+const SLOW_RENEWALS_PER_TTL: u32 = 16;
 /// Number of renewals per time to live after a failure.
 const RETRIES_PER_TTL: u32 = 10;
-/// Timeout of a renewal as a fraction of the time to live; a later response would extend the
-/// validity by too little.
-const ATTEMPT_TTL_FRACTION: f64 = 0.75;
+/// Renewals that are sent while the validity outlasts a round trip. One of them may be lost.
+const RENEWALS_PER_SLACK: u32 = 2;
+/// Timeout of a renewal in times to live. A response after the end of the lease extends nothing,
+/// but it shows how long a round trip takes.
+const ATTEMPT_TTLS: u32 = 2;
+/// Divisor of the part of the estimated round trip by which it falls with each faster one.
+const ROUND_TRIP_DECAY: u32 = 8;
 
 /// Validity of a lease. Clones are cheap and share one state.
 #[derive(Debug, Clone)]
@@ -79,7 +85,7 @@
     /// Extends the validity by a renewal that was sent at `sent` and returned the time to live
     /// `ttl`.
     fn extend(&self, sent: Stamp, ttl: Duration) {
-        let until = sent.since(&self.start) + (ttl - ttl / TTL_MARGIN_DIVISOR);
+        let until = sent.since(&self.start) + certain_ttl(ttl);
         let until_ns = u64::try_from(until.as_nanos()).unwrap_or(u64::MAX);
         self.valid_until_ns.fetch_max(until_ns, Ordering::AcqRel);
     }
@@ -89,7 +95,12 @@
     }
 }
 
-/// Renews a lease until the keeper is closed or dropped, or the lease has expired in the store.
+/// Returns the time for which a lease is certainly valid after a renewal was sent.
+fn certain_ttl(ttl: Duration) -> Duration {
+    ttl - ttl / TTL_MARGIN_DIVISOR
+}
+
+/// Renews a lease until the keeper is closed or dropped, or the lease has ended.
 #[derive(Debug)]
 pub struct LeaseKeeper<S: Store> {
     store: S,
@@ -107,7 +118,8 @@
         let validity = LeaseValidity::new(sent);
         validity.extend(sent, ttl);
         let (sender, ended) = watch::channel(false);
-        let task = renew(store.clone(), id, ttl, validity.clone(), sender);
+        let pace = RenewalPace { ttl, round_trip: Stamp::now().since(&sent) };
+        let task = renew(store.clone(), id, pace, validity.clone(), sender);
         let renewal_task = AbortOnDropHandle::new(tokio::spawn(task));
         Ok(Self { store, id, validity, ended, renewal_task })
     }
@@ -142,17 +154,46 @@
     }
 }
 
+/// Interval of the renewals, which follows the time that they take.
+#[derive(Debug)]
+struct RenewalPace {
+    ttl: Duration,
+    /// Estimated round trip of a renewal.
+    round_trip: Duration,
+}
+
+impl RenewalPace {
+    /// Records the round trip of a renewal. The estimate rises at once and falls slowly.
+    fn record(&mut self, round_trip: Duration) {
+        let decayed = self.round_trip - self.round_trip / ROUND_TRIP_DECAY;
+        self.round_trip = round_trip.max(decayed);
+    }
+
+    /// Returns the time until the next renewal: a third of the time to live, or less if the
+    /// validity does not outlast a round trip by that much.
+    fn interval(&self) -> Duration {
+        let slack = certain_ttl(self.ttl).saturating_sub(self.round_trip);
+        let bound = (slack / RENEWALS_PER_SLACK).min(self.ttl / RENEWALS_PER_TTL);
+        jitter(bound.max(self.ttl / SLOW_RENEWALS_PER_TTL))
+    }
+
+    fn retry_delay(&self) -> Duration {
+        jitter(self.ttl / RETRIES_PER_TTL)
+    }
+}
+
 /// Result of one attempt to renew a lease.
 struct RenewalAttempt {
     sent: Stamp,
+    round_trip: Duration,
     /// `None` if the attempt timed out.
     result: Option<Result<Duration, StoreError>>,
 }
 
 async fn attempt<S: Store>(store: &S, id: LeaseId, ttl: Duration) -> RenewalAttempt {
     let sent = Stamp::now();
-    let result = timeout(ttl.mul_f64(ATTEMPT_TTL_FRACTION), store.keep_alive(id)).await.ok();
-    RenewalAttempt { sent, result }
+    let result = timeout(ttl * ATTEMPT_TTLS, store.keep_alive(id)).await.ok();
+    RenewalAttempt { sent, round_trip: Stamp::now().since(&sent), result }
 }
 
 /// Renews a lease until the store reports that it has expired.
@@ -162,18 +203,18 @@
 async fn renew<S: Store>(
     store: S,
     id: LeaseId,
-    ttl: Duration,
+    mut pace: RenewalPace,
     validity: LeaseValidity,
     ended: watch::Sender<bool>,
 ) {
-    let interval = || jitter(ttl / RENEWALS_PER_TTL);
+    let ttl = pace.ttl;
     let mut attempts = FuturesUnordered::new();
-    let mut next_attempt = Instant::now() + interval();
+    let mut next_attempt = Instant::now() + pace.interval();
     loop {
         let renewal = tokio::select! {
             () = sleep_until(next_attempt) => {
                 attempts.push(attempt(&store, id, ttl));
-                next_attempt = Instant::now() + interval();
+                next_attempt = Instant::now() + pace.interval();
                 continue;
             }
             Some(renewal) = attempts.next() => renewal,
@@ -181,17 +222,18 @@
         match renewal.result {
             Some(Ok(granted)) => {
                 validity.extend(renewal.sent, granted.min(ttl));
-                continue;
+                pace.record(renewal.round_trip);
             }
             Some(Err(StoreError::LeaseExpired)) => break,
             Some(Err(error)) => {
                 cassiafold_event::emit!(PlatformEvent::LeaseRenewalFailed, error = error);
+                next_attempt = next_attempt.min(Instant::now() + pace.retry_delay());
             }
             None => {
                 cassiafold_event::emit!(PlatformEvent::LeaseRenewalFailed, error = "timeout");
+                next_attempt = next_attempt.min(Instant::now() + pace.retry_delay());
             }
         }
-        next_attempt = next_attempt.min(Instant::now() + jitter(ttl / RETRIES_PER_TTL));
     }
     validity.invalidate();
     ended.send_replace(true);
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -19,7 +19,11 @@
 const TIMEOUT: Duration = Duration::from_secs(4);
 
 async fn holder(store: &MemoryStore) -> LeaseKeeper<MemoryStore> {
-    let client = store.client("holder").with_timeout(TIMEOUT);
+    holder_with_timeout(store, TIMEOUT).await
+}
+
+async fn holder_with_timeout(store: &MemoryStore, timeout: Duration) -> LeaseKeeper<MemoryStore> {
+    let client = store.client("holder").with_timeout(timeout);
     let keeper = LeaseKeeper::start(client, TTL).await.unwrap();
     let operation = Operation::Put { value: "up".into(), lease: Some(keeper.id()) };
     let write = Write { key: KEY.into(), compare: Compare::Absent, operation };
@@ -100,6 +104,57 @@
     }
 }
 
+/// Times of a slow store's calls, as a part of the time to live.
+macro_rules! a_lease_stays_valid_although_each_call_takes {
+    ($($case:ident: $part:literal;)+) => {
+        $(#[tokio::test(start_paused = true)]
+        async fn $case() {
+            let store = MemoryStore::default();
+            store.faults().set_delay(TTL.mul_f64($part));
+            let keeper = holder_with_timeout(&store.with_timeout(TTL * 3), TTL * 3).await;
+            // The first renewal is sent when the lease has been granted.
+            sleep(TTL).await;
+            for check in 0..1_000 {
+                assert!(keeper.is_valid(), "not valid at check {check}");
+                assert!(store.faults().peek(KEY).is_some(), "ended at check {check}");
+                sleep(TTL / 100).await;
+            }
+        })+
+    };
+}
+
+a_lease_stays_valid_although_each_call_takes! {
+    a_lease_stays_valid_although_each_call_takes_half_of_it: 0.5;
+    a_lease_stays_valid_although_each_call_takes_two_thirds_of_it: 0.67;
+    a_lease_stays_valid_although_each_call_takes_five_sixths_of_it: 0.83;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_is_valid_again_soon_after_calls_have_become_slow() {
+    let store = MemoryStore::default();
+    let keeper = holder_with_timeout(&store, TTL * 3).await;
+    sleep(TTL).await;
+    store.faults().set_delay(TTL.mul_f64(0.83));
+    // The first slow response comes after more than one time to live, that of a renewal which is
+    // sent more often after another one.
+    sleep(TTL * 3).await;
+    for check in 0..1_000 {
+        assert!(keeper.is_valid(), "not valid at check {check}");
+        sleep(TTL / 100).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_is_sent_at_most_a_few_tens_of_renewals_per_time_to_live() {
+    let store = MemoryStore::default();
+    let keeper = holder_with_timeout(&store, TTL * 3).await;
+    store.faults().set_delay(TTL.mul_f64(0.83));
+    sleep(TTL * 100).await;
+    let calls = store.faults().counts("holder").keep_alives;
+    assert!((300..=3_000).contains(&calls), "{calls} renewals");
+    keeper.close().await.unwrap();
+}
+
 #[tokio::test(start_paused = true)]
 async fn lost_responses_end_the_validity_before_the_lease() {
     let store = MemoryStore::default();
