Let the owner's writes take as long as the latest ones

Cause: each write began with an attempt of 150 ms, was given up, and sent again with twice the time: at 500 ms a call three transactions for each write, the first two of them dropped while the store executed them.

Change: an attempt without a response goes on while the next one is sent on another connection, and the first response counts; a write that an earlier attempt committed is known by its sequence key, as before. At most five attempts of a write wait at the same time.

--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -1,8 +1,9 @@
 //! The owner's writes, in several concurrent chains.
 //!
 //! Each write is conditional on the one before it in its chain, by the revision of the chain's
-//! sequence key. A write without a response is sent again; if it was committed, the sequence key
-//! contains its number. A write that arrives late finds the key changed and is not committed.
+//! sequence key. A write without a response is sent again while the first attempt goes on; if one of
+//! them was committed, the sequence key contains its number. A write that arrives late finds the key
+//! changed and is not committed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,10 +12,13 @@
     Compare, Moment, Record, Revision, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, since_boot,
 };
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until};
 
+use super::response_times::ResponseTimes;
 use super::{ENDS_WRITE_INTERVAL, Message, OwnerLoop, URGENT_WRITE_INTERVAL, WRITE_INTERVAL};
 use crate::clients::FencingToken;
 use crate::outage::OutageLog;
@@ -23,13 +27,12 @@
 use crate::scheduler::{WriteBatch, WriteUrgency};
 use crate::task_panic::catch_panic;
 
-/// Delay between two attempts of a write.
+/// Attempts of a write that wait for a response at the same time.
+const ATTEMPTS_MAX: usize = 5;
+/// Delay after an attempt of a write that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Timeout of the first attempt of a write; the next attempt uses another connection. The timeout
-/// doubles with each attempt, so that a slow store has time to respond.
-const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest timeout of an attempt.
-const ATTEMPT_TIMEOUT_MAX: Duration = Duration::from_millis(1_200);
+/// Longest time between two attempts of a write that get no response.
+const RESEND_DELAY_MAX: Duration = Duration::from_millis(2_400);
 
 /// Position in a write chain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,7 +63,7 @@
 /// Outcome of a write.
 pub(super) enum WriteOutcome {
     /// It was committed.
-    Committed { batch: Box<WriteBatch>, sequence: Sequence },
+    Committed { batch: Box<WriteBatch>, sequence: Sequence, response_time: Duration },
     /// Another instance has become the owner.
     Superseded,
 }
@@ -77,13 +80,15 @@
     platform: S,
     token: FencingToken,
     chains: Vec<Chain>,
+    response_times: ResponseTimes,
 }
 
 impl<S: PlatformClients> Writer<S> {
     /// A writer that continues the chains from `first_sequences`.
     pub(super) fn new(platform: S, token: FencingToken, first_sequences: Vec<Sequence>) -> Self {
         let chain = |sequence| Chain { sequence, started: None };
-        Self { platform, token, chains: first_sequences.into_iter().map(chain).collect() }
+        let chains = first_sequences.into_iter().map(chain).collect();
+        Self { platform, token, chains, response_times: ResponseTimes::default() }
     }
 
     /// Whether a write is in flight.
@@ -95,8 +100,9 @@
         let chain = &mut self.chains[batch.chain];
         chain.started = Some(since_boot());
         let (platform, token, sequence) = (self.platform.clone(), self.token, chain.sequence);
+        let resend_delay = self.response_times.resend_delay();
         tokio::spawn(async move {
-            let writing = write(&platform, token, sequence, batch);
+            let writing = write(&platform, token, sequence, batch, resend_delay);
             let outcome = catch_panic("write of the owner", writing).await;
             let message = outcome.map_or(Message::TaskPanicked, Message::WriteOutcome);
             // The loop may have ended.
@@ -105,40 +111,79 @@
     }
 
     /// Records that a write was committed, and returns how long it took.
-    fn record_done(&mut self, chain: ChainNumber, sequence: Sequence) -> Duration {
+    fn record_done(
+        &mut self,
+        chain: ChainNumber,
+        sequence: Sequence,
+        response_time: Duration,
+    ) -> Duration {
+        self.response_times.record(response_time);
         let chain = &mut self.chains[chain];
         chain.sequence = sequence;
         since_boot().saturating_sub(chain.started.take().unwrap_or_else(since_boot))
     }
 }
 
+/// Response to an attempt of a write.
+struct Response {
+    result: Result<TransactionOutcome, StoreError>,
+    /// Time since the attempt.
+    time: Duration,
+}
+
+async fn attempt<S: PlatformClients>(platform: &S, transaction: Transaction) -> Response {
+    let sent = since_boot();
+    let result = platform.store().commit(transaction).await;
+    Response { result, time: since_boot().saturating_sub(sent) }
+}
+
+/// Writes until the store responds. An attempt without a response goes on while the next one uses
+/// another connection: the store may be slow, or the connection may be silent.
 async fn write<S: PlatformClients>(
     platform: &S,
     token: FencingToken,
     previous: Sequence,
     batch: Box<WriteBatch>,
+    mut resend_delay: Duration,
 ) -> WriteOutcome {
     let next = Sequence { number: previous.number + 1, ..previous };
     let transaction = transaction(platform, token, previous, next, &batch);
     let mut outage = OutageLog::new("owner's writes");
-    let mut attempt_timeout = FIRST_ATTEMPT_TIMEOUT;
+    let mut attempts = FuturesUnordered::new();
+    let mut next_attempt = Instant::now();
     loop {
-        let attempt = timeout(attempt_timeout, platform.store().commit(transaction.clone())).await;
-        attempt_timeout = (attempt_timeout * 2).min(ATTEMPT_TIMEOUT_MAX);
-        match attempt.unwrap_or_else(|_| Err(StoreError::no_response())) {
+        let response = tokio::select! {
+            Some(response) = attempts.next() => response,
+            () = sleep_until(next_attempt), if attempts.len() < ATTEMPTS_MAX => {
+                if !attempts.is_empty() {
+                    outage.record_failure(&StoreError::no_response());
+                }
+                attempts.push(attempt(platform, transaction.clone()));
+                next_attempt = Instant::now() + resend_delay;
+                resend_delay = (resend_delay * 2).min(RESEND_DELAY_MAX);
+                continue;
+            }
+        };
+        let sequence = match response.result {
             Ok(TransactionOutcome::Written(revision)) => {
                 outage.record_success();
-                return WriteOutcome::Committed { batch, sequence: Sequence { revision, ..next } };
+                Some(Sequence { revision, ..next })
             }
             Ok(TransactionOutcome::Conflict(records)) => {
-                return match committed_sequence(token, batch.chain, next, &records) {
-                    Some(sequence) => WriteOutcome::Committed { batch, sequence },
-                    None => WriteOutcome::Superseded,
-                };
+                committed_sequence(token, batch.chain, next, &records)
             }
-            Err(error) => outage.record_failure(&error),
-        }
-        sleep(RETRY_DELAY).await;
+            Err(error) => {
+                outage.record_failure(&error);
+                next_attempt = next_attempt.min(Instant::now() + RETRY_DELAY);
+                continue;
+            }
+        };
+        return match sequence {
+            Some(sequence) => {
+                WriteOutcome::Committed { batch, sequence, response_time: response.time }
+            }
+            None => WriteOutcome::Superseded,
+        };
     }
 }
 
@@ -209,8 +254,8 @@
 
     pub(super) fn handle_write_outcome(&mut self, outcome: WriteOutcome) {
         match outcome {
-            WriteOutcome::Committed { batch, sequence } => {
-                let latency = self.writer.record_done(batch.chain, sequence);
+            WriteOutcome::Committed { batch, sequence, response_time } => {
+                let latency = self.writer.record_done(batch.chain, sequence, response_time);
                 self.loop_stats.record_write(batch.states(), latency);
                 self.scheduler.handle_write_committed(&batch, since_boot());
             }
