Ask for a longer lease when the store is slow at the claim

Cause: a lease of 1.2 s is asked for, then the claim is written, then the first renewal is sent; each waits for the one before, and the lease runs from the arrival of its request.

Change: an instance measures the grant. If it took more than half of the lease, it asks for another one of four times that, at most 4 s, and uses that one unless the second grant was fast: a lost owner is replaced only after its lease, and one slow call is no slow store. A failed term waits for the lease that it had, not for that of the settings.

Weighed: a longer lease always (a lost owner is replaced later, see DESIGN.md); the time of the list before (it may be minutes old when the ownership becomes free); one more read before each claim (costs a fast store's instances a call).

A failed owner whose lease was of 3.2 s claimed again before it had ended (slow_owner.rs:299) -> the other instance is the next owner.

Conclusion: claims work up to 1.5 s a call. A term that began while the store was fast keeps its short lease.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -60,7 +60,7 @@
 pub struct OwnerSettings {
     /// Name of this instance.
     pub instance: Arc<str>,
-    /// Time to live of the owner's lease.
+    /// Time to live of the owner's lease; longer if the store is slow when it is requested.
     pub lease_ttl: Duration,
     /// Longest random delay before a free ownership is claimed.
     pub claim_delay_max: Duration,
@@ -82,7 +82,8 @@
     stop: CancellationToken,
 ) {
     while !stop.is_cancelled() {
-        let term = claim_and_run(&platform, &settings, &desired_states, &stop);
+        let mut lease_ttl = settings.lease_ttl;
+        let term = claim_and_run(&platform, &settings, &desired_states, &stop, &mut lease_ttl);
         let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
         // The lease is no longer renewed, so another instance can claim before this one does.
@@ -90,24 +91,27 @@
             continue;
         }
         tokio::select! {
-            () = sleep(settings.lease_ttl + FAILED_TERM_MARGIN) => {}
+            () = sleep(lease_ttl + FAILED_TERM_MARGIN) => {}
             () = stop.cancelled() => return,
         }
     }
 }
 
-/// Claims the ownership when it is free, and runs one term.
+/// Claims the ownership when it is free, and runs one term under a lease whose time to live is
+/// stored in `lease_ttl`.
 async fn claim_and_run<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
     desired_states: &watch::Receiver<Arc<DesiredState>>,
     stop: &CancellationToken,
+    lease_ttl: &mut Duration,
 ) -> TermEnd {
     let claimed = tokio::select! {
         claimed = claim::claim(platform, settings) => claimed,
         () = stop.cancelled() => return TermEnd::Stopped,
     };
     let token = claimed.token;
+    *lease_ttl = claimed.lease.ttl();
     emit!(JobsEvent::OwnerBegan, token = token);
     settings.metrics.set_is_owner(true);
     let end = run_term(platform, settings, desired_states.clone(), claimed, stop).await;
--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -7,7 +7,7 @@
     Compare, LeaseKeeper, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, Watch,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::OwnerSettings;
 use crate::clients::FencingToken;
@@ -17,6 +17,15 @@
 /// Delay between two attempts to reach the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
+/// Number of calls for which a lease lasts at least. The claim is written between its grant and its
+/// first renewal.
+const LEASE_CALLS_MIN: u32 = 2;
+/// Number of calls for which the lease of a slow store lasts.
+const SLOW_LEASE_CALLS: u32 = 4;
+/// Longest time to live of a lease, unless the settings require a longer one. An owner that is lost
+/// is replaced after this time.
+const LEASE_TTL_MAX: Duration = Duration::from_secs(4);
+
 /// A claimed ownership.
 pub(super) struct Ownership<S: PlatformClients> {
     /// Lease to which the owner key is attached.
@@ -56,12 +65,37 @@
     let random = settings.claim_delay_max.mul_f64(rand::random());
     sleep(settings.claim_delay + random).await;
     let compare = own.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
-    let lease = LeaseKeeper::start(platform.store().clone(), settings.lease_ttl).await?;
+    let lease = start_lease(platform.store(), settings.lease_ttl).await?;
     let claim: Arc<str> = format!("{} {:016x}", settings.instance, rand::random::<u64>()).into();
     let token = write_claim(platform, compare, &claim, lease.id()).await?;
     Ok(token.map(|token| Ownership { lease, token }))
 }
 
+/// Requests a lease, and another one that lasts longer if the store takes too long for it.
+async fn start_lease<T: Store>(store: &T, ttl: Duration) -> Result<LeaseKeeper<T>, StoreError> {
+    let (lease, call_time) = start_timed_lease(store, ttl).await?;
+    if call_time * LEASE_CALLS_MIN <= ttl {
+        return Ok(lease);
+    }
+    let slow_ttl = (call_time * SLOW_LEASE_CALLS).min(LEASE_TTL_MAX).max(ttl);
+    let (slow_lease, call_time) = start_timed_lease(store, slow_ttl).await?;
+    // One slow call does not make a slow store. The lease that is dropped ends by itself.
+    match call_time * LEASE_CALLS_MIN <= ttl {
+        true => Ok(lease),
+        false => Ok(slow_lease),
+    }
+}
+
+/// Requests a lease, and returns how long the store took for it.
+async fn start_timed_lease<T: Store>(
+    store: &T,
+    ttl: Duration,
+) -> Result<(LeaseKeeper<T>, Duration), StoreError> {
+    let asked = Instant::now();
+    let lease = LeaseKeeper::start(store.clone(), ttl).await?;
+    Ok((lease, asked.elapsed()))
+}
+
 fn instance_of(record: &Record) -> Option<&str> {
     std::str::from_utf8(&record.value).ok()?.split(' ').next()
 }
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -44,6 +44,7 @@
 #[derive(Debug)]
 struct Plan {
     reads: HashMap<Arc<str>, CallFault>,
+    grant: CallFault,
     next: VecDeque<CallFault>,
     others: CallFault,
     calls: u32,
@@ -68,6 +69,11 @@
         self.plan.lock().expect("lock").reads.insert(key.into(), fault);
     }
 
+    /// Plans the fault of the next grant of a lease.
+    pub fn plan_grant(&self, fault: CallFault) {
+        self.plan.lock().expect("lock").grant = fault;
+    }
+
     /// Whether the planned fault of the next read of a key has not happened yet.
     pub fn is_planned(&self, key: &str) -> bool {
         self.plan.lock().expect("lock").reads.contains_key(key)
@@ -85,6 +91,10 @@
             let of_read = read_key.and_then(|key| plan.reads.remove(key));
             of_read.or_else(|| plan.next.pop_front()).unwrap_or(plan.others)
         };
+        Self::suffer(fault).await
+    }
+
+    async fn suffer(fault: CallFault) -> Result<(), StoreError> {
         match fault {
             CallFault::None => Ok(()),
             CallFault::Silent => {
@@ -118,6 +128,8 @@
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let fault = std::mem::replace(&mut self.plan.lock().expect("lock").grant, CallFault::None);
+        Self::suffer(fault).await?;
         self.store.grant_lease(ttl).await
     }
 
@@ -161,6 +173,7 @@
         clients.configure(1, &["k1"]).await;
         let plan = Plan {
             reads: HashMap::new(),
+            grant: CallFault::None,
             next: VecDeque::new(),
             others: CallFault::None,
             calls: 0,
--- a/crates/jobs/tests/slow_owner.rs
+++ b/crates/jobs/tests/slow_owner.rs
@@ -9,7 +9,7 @@
 use cassiafold_jobs::clients::FencingToken;
 use cassiafold_jobs::owner::OwnerSettings;
 use cassiafold_jobs::record::{
-    JobState, OWNER_KEY, StateRecord, WRITE_CHAINS, job_key, sequence_key, state_key,
+    INBOX_PREFIX, JobState, OWNER_KEY, StateRecord, WRITE_CHAINS, job_key, sequence_key, state_key,
 };
 use cassiafold_jobs::spec::JobId;
 use cassiafold_platform::{Compare, Transaction, TransactionalStore};
@@ -28,6 +28,8 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// Time for which a test waits.
 const WAIT_MAX: Duration = Duration::from_secs(20);
+/// Name of a client of the store that was given none.
+const DEFAULT_CLIENT: &str = "default";
 /// Time between two looks at the store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -249,6 +251,7 @@
     an_ownership_is_claimed_although_each_store_call_takes_500_ms: 500;
     an_ownership_is_claimed_although_each_store_call_takes_800_ms: 800;
     an_ownership_is_claimed_although_each_store_call_takes_1000_ms: 1_000;
+    an_ownership_is_claimed_although_each_store_call_takes_1500_ms: 1_500;
 }
 
 /// Longest time until a lost owner is replaced while the store is fast.
@@ -262,3 +265,36 @@
     let taken = wait_for_owner(&platform, "two").await;
     assert!(taken <= REPLACED_AFTER_MAX, "replaced after {taken:?}");
 }
+
+/// Guards against a long lease of a whole term that one slow call causes.
+#[tokio::test]
+async fn a_lost_owner_whose_lease_was_granted_slowly_once_is_replaced_in_the_usual_time() {
+    let platform = ScriptedClients::with_workers(1).await;
+    platform.store.plan_grant(CallFault::Slow(ms(900)));
+    let settings = OwnerSettings { lease_ttl: LEASE_TTL, ..owner_settings("one") };
+    let _owner = start_owner(platform.clone(), settings);
+    let _ = wait_for_owner(&platform.clients, "one").await;
+    let _other = start_instance(&platform.clients, "two");
+    sleep(ms(500)).await;
+    platform.clients.store.faults().cut_off(DEFAULT_CLIENT, Partition::Requests);
+    let taken = wait_for_owner(&platform.clients, "two").await;
+    assert!(taken <= REPLACED_AFTER_MAX, "replaced after {taken:?}");
+}
+
+/// Guards against an instance that takes the ownership again and again and can't read the jobs.
+#[tokio::test]
+async fn a_failed_owner_does_not_claim_again_before_its_lease_of_a_slow_store_has_ended() {
+    let platform = patient_platform().await;
+    platform.store.faults().fail_lists("blind", INBOX_PREFIX);
+    platform.store.faults().lose_revocations("blind");
+    platform.store.faults().set_delay(ms(800));
+    let _blind = start_instance(&platform, "blind");
+    let _ = wait_for_owner(&platform, "blind").await;
+    let failed = token(&platform);
+    platform.store.faults().set_delay(ms(0));
+    let _other = start_instance(&platform, "other");
+    let next = || token(&platform).filter(|token| Some(*token) != failed);
+    let _ = wait_for("the next owner", next).await;
+    let owner = platform.store.faults().peek(OWNER_KEY).expect("owner");
+    assert!(owner.value.starts_with(b"other "), "{:?}", owner.value);
+}
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -105,6 +105,7 @@
 pub struct LeaseKeeper<S: Store> {
     store: S,
     id: LeaseId,
+    ttl: Duration,
     validity: LeaseValidity,
     ended: watch::Receiver<bool>,
     renewal_task: AbortOnDropHandle<()>,
@@ -121,7 +122,7 @@
         let pace = RenewalPace { ttl, round_trip: Stamp::now().since(&sent) };
         let task = renew(store.clone(), id, pace, validity.clone(), sender);
         let renewal_task = AbortOnDropHandle::new(tokio::spawn(task));
-        Ok(Self { store, id, validity, ended, renewal_task })
+        Ok(Self { store, id, ttl, validity, ended, renewal_task })
     }
 
     /// Returns the identifier of the lease, to which keys can be bound.
@@ -129,6 +130,11 @@
         self.id
     }
 
+    /// Returns the time to live that was requested.
+    pub fn ttl(&self) -> Duration {
+        self.ttl
+    }
+
     /// Returns whether the lease is certainly valid now.
     pub fn is_valid(&self) -> bool {
         self.validity.is_valid()
