Give up a lease whose renewals take longer than it lasts

Cause: renewals reach the store, which holds the lease, and are answered after the end of the time for which they count. The owner is never certain of its lease, and nobody else can claim.

Change: when a renewal is answered too late, and one that was sent after that answer as well, the lease is given up (event 1107). Lost responses, refusals and one stalled moment are no reason, since then the next owner would be no better off; tests show each.

Conclusion: for a slow store an owner either works or leaves. Beyond twice the lease (2.4 s a call) renewals are cut, and the lease is held as before.

--- a/crates/jobs/tests/slow_owner.rs
+++ b/crates/jobs/tests/slow_owner.rs
@@ -298,3 +298,12 @@
     let owner = platform.store.faults().peek(OWNER_KEY).expect("owner");
     assert!(owner.value.starts_with(b"other "), "{:?}", owner.value);
 }
+
+/// Guards against an owner that keeps the ownership for ever and starts nothing.
+#[tokio::test]
+async fn jobs_end_although_the_calls_have_come_to_take_longer_than_the_lease_of_the_owner() {
+    let (platform, _owners) = working_platform().await;
+    platform.store.faults().set_delay(ms(1_500));
+    accept(&platform, 2).await;
+    wait_until_completed(&platform, 2).await;
+}
--- a/crates/platform/src/event.rs
+++ b/crates/platform/src/event.rs
@@ -10,5 +10,6 @@
         ItemUnreadable = 1104, Warn, "item of the key-value service could not be read";
         MachineUnreadable = 1105, Warn, "machine in the list of machines could not be read";
         MachineListUnreadable = 1106, Warn, "list of machines could not be read";
+        LeaseTooShort = 1107, Warn, "lease given up: renewals take longer than it lasts";
     }
 }
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -145,7 +145,8 @@
         self.validity.clone()
     }
 
-    /// Waits until the store reports that the lease has expired, which is final.
+    /// Waits until the store reports that the lease has expired, or until it is given up because
+    /// renewals take longer than it lasts. Both are final.
     pub async fn ended(&self) {
         let _ = self.ended.clone().wait_for(|ended| *ended).await;
     }
@@ -196,13 +197,33 @@
     result: Option<Result<Duration, StoreError>>,
 }
 
+/// Detects that renewals take longer than the lease lasts. The store holds such a lease, and its
+/// holder can never be certain of it.
+#[derive(Debug, Default)]
+struct Lateness {
+    /// When the first response came since which the lease has not been valid.
+    since: Option<Stamp>,
+}
+
+impl Lateness {
+    /// Records a successful renewal. Returns whether it and another one before it came too late.
+    fn record(&mut self, renewal: &RenewalAttempt, validity: &LeaseValidity) -> bool {
+        if validity.is_valid() {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert_with(Stamp::now);
+        renewal.sent.monotonic > since.monotonic
+    }
+}
+
 async fn attempt<S: Store>(store: &S, id: LeaseId, ttl: Duration) -> RenewalAttempt {
     let sent = Stamp::now();
     let result = timeout(ttl * ATTEMPT_TTLS, store.keep_alive(id)).await.ok();
     RenewalAttempt { sent, round_trip: Stamp::now().since(&sent), result }
 }
 
-/// Renews a lease until the store reports that it has expired.
+/// Renews a lease until the store reports that it has expired, or gives it up.
 ///
 /// Attempts run concurrently, so a slow store or a connection on which a response was lost delays
 /// only the affected attempt.
@@ -214,9 +235,10 @@
     ended: watch::Sender<bool>,
 ) {
     let ttl = pace.ttl;
+    let mut lateness = Lateness::default();
     let mut attempts = FuturesUnordered::new();
     let mut next_attempt = Instant::now() + pace.interval();
-    loop {
+    let end = loop {
         let renewal = tokio::select! {
             () = sleep_until(next_attempt) => {
                 attempts.push(attempt(&store, id, ttl));
@@ -229,8 +251,11 @@
             Some(Ok(granted)) => {
                 validity.extend(renewal.sent, granted.min(ttl));
                 pace.record(renewal.round_trip);
+                if lateness.record(&renewal, &validity) {
+                    break PlatformEvent::LeaseTooShort;
+                }
             }
-            Some(Err(StoreError::LeaseExpired)) => break,
+            Some(Err(StoreError::LeaseExpired)) => break PlatformEvent::LeaseExpired,
             Some(Err(error)) => {
                 cassiafold_event::emit!(PlatformEvent::LeaseRenewalFailed, error = error);
                 next_attempt = next_attempt.min(Instant::now() + pace.retry_delay());
@@ -240,8 +265,8 @@
                 next_attempt = next_attempt.min(Instant::now() + pace.retry_delay());
             }
         }
-    }
+    };
     validity.invalidate();
     ended.send_replace(true);
-    cassiafold_event::emit!(PlatformEvent::LeaseExpired, lease = id);
+    cassiafold_event::emit!(end, lease = id, round_trip_ms = pace.round_trip.as_millis());
 }
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -155,6 +155,42 @@
     keeper.close().await.unwrap();
 }
 
+/// Guards against an owner that keeps its key and is never certain to hold it.
+#[tokio::test(start_paused = true)]
+async fn a_lease_whose_renewals_are_answered_after_its_end_is_given_up() {
+    let store = MemoryStore::default();
+    let keeper = holder_with_timeout(&store, TTL * 3).await;
+    store.faults().set_delay(TTL.mul_f64(1.2));
+    timeout(TTL * 4, keeper.ended()).await.expect("given up");
+    assert!(!keeper.is_valid());
+    sleep(TTL * 2).await;
+    assert_eq!(store.faults().peek(KEY), None);
+}
+
+/// Guards against a change of the owner at each short slowdown of the store.
+#[tokio::test(start_paused = true)]
+async fn a_lease_survives_a_short_time_in_which_renewals_are_answered_after_its_end() {
+    let store = MemoryStore::default();
+    let keeper = holder_with_timeout(&store, TTL * 3).await;
+    store.faults().set_delay(TTL.mul_f64(1.2));
+    sleep(TTL.mul_f64(1.8)).await;
+    store.faults().set_delay(Duration::ZERO);
+    timeout(TTL * 4, keeper.ended()).await.expect_err("the lease is held");
+    assert!(keeper.is_valid());
+}
+
+/// Guards against a given up lease during an outage that the store pauses leases for.
+#[tokio::test(start_paused = true)]
+async fn a_lease_whose_responses_are_lost_is_not_given_up() {
+    let store = MemoryStore::default();
+    let keeper = holder(&store).await;
+    store.faults().cut_off("holder", Partition::Answers);
+    timeout(TTL * 10, keeper.ended()).await.expect_err("the lease is held");
+    store.faults().reconnect("holder");
+    sleep(TTL / 2).await;
+    assert!(keeper.is_valid());
+}
+
 #[tokio::test(start_paused = true)]
 async fn lost_responses_end_the_validity_before_the_lease() {
     let store = MemoryStore::default();
