--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -9,6 +9,7 @@
 mod fencing;
 mod load;
 mod load_limit;
+mod response_times;
 mod usage;
 mod watch_store;
 mod write;
@@ -62,7 +63,7 @@
 pub struct OwnerSettings {
     /// Name of this instance.
     pub instance: Arc<str>,
-    /// Time to live of the owner's lease.
+    /// Time to live of the owner's lease; longer if the store is slow when it is requested.
     pub lease_ttl: Duration,
     /// Longest random delay before a free ownership is claimed.
     pub claim_delay_max: Duration,
@@ -88,8 +89,15 @@
     while !stop.is_cancelled() {
         let claim_settings =
             OwnerSettings { claim_delay: settings.claim_delay + claim_margin, ..settings.clone() };
-        let term =
-            claim_and_run(&platform, &claim_settings, uncounted_loads, &desired_states, &stop);
+        let mut lease_ttl = settings.lease_ttl;
+        let term = claim_and_run(
+            &platform,
+            &claim_settings,
+            uncounted_loads,
+            &desired_states,
+            &stop,
+            &mut lease_ttl,
+        );
         let end = catch_panic("owner's term", term).await.unwrap_or(TermEnd::Panicked);
         settings.metrics.set_is_owner(false);
         uncounted_loads = end.uncounted_loads(uncounted_loads);
@@ -99,25 +107,28 @@
         }
         // The lease is no longer renewed, so another instance can claim before this one does.
         tokio::select! {
-            () = sleep(settings.lease_ttl) => {}
+            () = sleep(lease_ttl) => {}
             () = stop.cancelled() => return,
         }
     }
 }
 
-/// Claims the ownership when it is free, and runs one term.
+/// Claims the ownership when it is free, and runs one term under a lease whose time to live is
+/// stored in `lease_ttl`.
 async fn claim_and_run<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
     uncounted_loads: UnfinishedLoads,
     desired_states: &watch::Receiver<Arc<DesiredState>>,
     stop: &CancellationToken,
+    lease_ttl: &mut Duration,
 ) -> TermEnd {
     let claimed = tokio::select! {
         claimed = claim::claim(platform, settings) => claimed,
         () = stop.cancelled() => return TermEnd::Stopped,
     };
     let token = claimed.token;
+    *lease_ttl = claimed.lease.ttl();
     emit!(JobsEvent::OwnerBegan, token = token);
     settings.metrics.set_is_owner(true);
     let limit = LoadLimit::new(platform, token, uncounted_loads);
@@ -248,7 +259,7 @@
         platform: platform.clone(),
         scheduler: loaded.scheduler,
         lease: lease.validity(),
-        lease_ttl: settings.lease_ttl,
+        lease_ttl: lease.ttl(),
         workers: WorkerList::new(loaded.workers),
         writer: Writer::new(platform.clone(), token, loaded.sequences),
         sender: sender.clone(),
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -46,6 +46,7 @@
     reads: HashMap<Arc<str>, CallFault>,
     all_reads: HashMap<Arc<str>, CallFault>,
     renewals: CallFault,
+    grant: CallFault,
     next: VecDeque<CallFault>,
     others: CallFault,
     calls: u32,
@@ -80,6 +81,11 @@
         self.plan.lock().expect("lock").renewals = fault;
     }
 
+    /// Plans the fault of the next grant of a lease.
+    pub fn plan_grant(&self, fault: CallFault) {
+        self.plan.lock().expect("lock").grant = fault;
+    }
+
     /// Whether the planned fault of the next read of a key has not happened yet.
     pub fn is_planned(&self, key: &str) -> bool {
         self.plan.lock().expect("lock").reads.contains_key(key)
@@ -138,6 +144,8 @@
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let fault = std::mem::replace(&mut self.plan.lock().expect("lock").grant, CallFault::None);
+        fault.happen().await?;
         self.store.grant_lease(ttl).await
     }
 
@@ -185,6 +193,7 @@
             reads: HashMap::new(),
             all_reads: HashMap::new(),
             renewals: CallFault::None,
+            grant: CallFault::None,
             next: VecDeque::new(),
             others: CallFault::None,
             calls: 0,
