--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -13,7 +13,6 @@
 mod final_states;
 mod reason;
 mod response;
-mod response_times;
 mod state_query;
 mod store_call;
 mod submission;
--- a/crates/jobs/src/api/availability.rs
+++ b/crates/jobs/src/api/availability.rs
@@ -14,11 +14,11 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::reason::{StoreLoss, StoreOperation};
-use super::response_times::ResponseTimes;
 use super::store_call::call_hedged;
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::record::WAITING_KEY;
+use crate::response_times::ResponseTimes;
 use crate::task_panic::restart_on_panic;
 
 /// Shortest time without a response after which a call has failed for others.
@@ -30,6 +30,8 @@
 const LOSS_TIME_MIN: Duration = Duration::from_millis(750);
 /// Longest such time: half of those three seconds.
 const LOSS_TIME_MAX: Duration = Duration::from_millis(1_500);
+/// Multiple of the latest response times that a response is not expected to exceed.
+const EXPECTED_FACTOR: f64 = 1.5;
 /// Longest time for which a check waits; its client repeats it meanwhile.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time between two checks.
@@ -165,7 +167,8 @@
 
     fn expected_time_max(&self) -> Duration {
         let times = &self.knowledge.response_times;
-        times.lock().unwrap_or_else(PoisonError::into_inner).expected_max()
+        let times = times.lock().unwrap_or_else(PoisonError::into_inner);
+        times.shorter_of_latest_two().mul_f64(EXPECTED_FACTOR)
     }
 
     fn record_response(&self, sent: Instant) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod platform_clients;
 pub mod record;
+mod response_times;
 pub mod scheduler;
 pub mod spec;
 pub mod step_order;
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -9,7 +9,6 @@
 mod fencing;
 mod load;
 mod load_limit;
-mod response_times;
 mod usage;
 mod watch_store;
 mod write;
--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -18,12 +18,12 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use super::response_times::ResponseTimes;
 use super::{ENDS_WRITE_INTERVAL, Message, OwnerLoop, URGENT_WRITE_INTERVAL, WRITE_INTERVAL};
 use crate::clients::FencingToken;
 use crate::outage::OutageLog;
 use crate::platform_clients::{Formats, PlatformClients};
 use crate::record::{ChainNumber, OWNER_KEY, sequence_key};
+use crate::response_times::ResponseTimes;
 use crate::scheduler::{WriteBatch, WriteUrgency};
 use crate::task_panic::catch_panic;
 
@@ -31,6 +31,10 @@
 const ATTEMPTS_MAX: usize = 5;
 /// Delay after an attempt of a write that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Shortest time until a write without a response is sent again.
+const FIRST_RESEND_DELAY_MIN: Duration = Duration::from_millis(150);
+/// Longest time until a write without a response is sent again for the first time.
+const FIRST_RESEND_DELAY_MAX: Duration = Duration::from_millis(1_500);
 /// Longest time between two attempts of a write that get no response.
 const RESEND_DELAY_MAX: Duration = Duration::from_millis(2_400);
 
@@ -100,7 +104,7 @@
         let chain = &mut self.chains[batch.chain];
         chain.started = Some(since_boot());
         let (platform, token, sequence) = (self.platform.clone(), self.token, chain.sequence);
-        let resend_delay = self.response_times.resend_delay();
+        let resend_delay = first_resend_delay(&self.response_times);
         tokio::spawn(async move {
             let writing = write(&platform, token, sequence, batch, resend_delay);
             let outcome = catch_panic("write of the owner", writing).await;
@@ -124,6 +128,13 @@
     }
 }
 
+/// Returns the time after which a write without a response is sent again: half as much again as the
+/// slowest of the latest writes took.
+fn first_resend_delay(times: &ResponseTimes) -> Duration {
+    let slowest = times.longest();
+    (slowest + slowest / 2).clamp(FIRST_RESEND_DELAY_MIN, FIRST_RESEND_DELAY_MAX)
+}
+
 /// Response to an attempt of a write.
 struct Response {
     result: Result<TransactionOutcome, StoreError>,
@@ -263,3 +274,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/jobs/src/owner/response_times/tests.rs
+++ b/crates/jobs/src/owner/write/tests.rs
@@ -1,8 +1,9 @@
-//! Tests of the response times of writes.
+//! Tests of the delay of repeated writes.
 
 use std::time::Duration;
 
-use super::ResponseTimes;
+use super::first_resend_delay;
+use crate::response_times::ResponseTimes;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -13,7 +14,7 @@
     for time in times {
         response_times.record(time);
     }
-    response_times.resend_delay()
+    first_resend_delay(&response_times)
 }
 
 #[test]
