Send a claim without a response once more

What callers saw: nothing starts while a new owner's claim waits on a silent connection for as long as the store's client waits (700 ms, and more if the client leaves a slow store more time).

Cause: the request for the lease and the claim were sent once, and their timeouts were those of the client.

Change: each is sent a second time, while the first one goes on: the request for the lease after a quarter of the lease, the claim after half as much again as the grant took (150 ms to 1.5 s). A claim that the first attempt wrote is known by its text, which the conflict returns; a lease that is not used ends by itself. One slow grant beside a fast one no longer counts as a slow store, so the look at a second grant is gone; the test of it is unchanged.

Weighed: hedging in the store's client, which cannot know whether a transaction may be sent twice.

A trial that does not know its own claim again claims twice (slow_owner.rs:344).

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -8,6 +8,7 @@
 mod execute;
 mod fencing;
 mod load;
+mod resend;
 mod response_times;
 mod usage;
 mod watch_store;
--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use cassiafold_platform::{
-    Compare, LeaseKeeper, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
-    TransactionalStore, Watch,
+    Compare, LeaseId, LeaseKeeper, Record, Revision, Store, StoreError, Transaction,
+    TransactionOutcome, TransactionalStore, Watch,
 };
 use tokio::time::{Instant, sleep};
 
 use super::OwnerSettings;
+use super::resend::resend;
+use super::response_times::ResponseTimes;
 use crate::clients::FencingToken;
 use crate::platform_clients::PlatformClients;
 use crate::record::OWNER_KEY;
@@ -20,6 +22,8 @@
 /// Number of calls for which a lease lasts at least. The claim is written between its grant and its
 /// first renewal.
 const LEASE_CALLS_MIN: u32 = 2;
+/// Part of the time to live after which a request for a lease without a response is sent again.
+const LEASE_RESEND_DIVISOR: u32 = 4;
 /// Number of calls for which the lease of a slow store lasts.
 const SLOW_LEASE_CALLS: u32 = 4;
 /// Longest time to live of a lease, unless the settings require a longer one. An owner that is lost
@@ -65,37 +69,43 @@
     let random = settings.claim_delay_max.mul_f64(rand::random());
     sleep(settings.claim_delay + random).await;
     let compare = own.map_or(Compare::Absent, |record| Compare::Revision(record.revision));
-    let lease = start_lease(platform.store(), settings.lease_ttl).await?;
+    let (lease, call_time) = start_lease(platform.store(), settings.lease_ttl).await?;
     let claim: Arc<str> = format!("{} {:016x}", settings.instance, rand::random::<u64>()).into();
-    let token = write_claim(platform, compare, &claim, lease.id()).await?;
+    let token = write_claim(platform, compare, &claim, lease.id(), call_time).await?;
     Ok(token.map(|token| Ownership { lease, token }))
 }
 
+/// A lease, and how long the store took to grant it.
+type TimedLease<T> = (LeaseKeeper<T>, Duration);
+
 /// Requests a lease, and another one that lasts longer if the store takes too long for it.
-async fn start_lease<T: Store>(store: &T, ttl: Duration) -> Result<LeaseKeeper<T>, StoreError> {
-    let (lease, call_time) = start_timed_lease(store, ttl).await?;
+async fn start_lease<T: Store>(store: &T, ttl: Duration) -> Result<TimedLease<T>, StoreError> {
+    let (lease, call_time) = start_timed_lease(store, ttl, ttl / LEASE_RESEND_DIVISOR).await?;
     if call_time * LEASE_CALLS_MIN <= ttl {
-        return Ok(lease);
+        return Ok((lease, call_time));
     }
+    // The first lease is not used, and ends by itself.
     let slow_ttl = (call_time * SLOW_LEASE_CALLS).min(LEASE_TTL_MAX).max(ttl);
-    let (slow_lease, call_time) = start_timed_lease(store, slow_ttl).await?;
-    // One slow call does not make a slow store. The lease that is dropped ends by itself.
-    match call_time * LEASE_CALLS_MIN <= ttl {
-        true => Ok(lease),
-        false => Ok(slow_lease),
-    }
+    start_timed_lease(store, slow_ttl, resend_delay(call_time)).await
 }
 
-/// Requests a lease, and returns how long the store took for it.
 async fn start_timed_lease<T: Store>(
     store: &T,
     ttl: Duration,
-) -> Result<(LeaseKeeper<T>, Duration), StoreError> {
+    resend_delay: Duration,
+) -> Result<TimedLease<T>, StoreError> {
     let asked = Instant::now();
-    let lease = LeaseKeeper::start(store.clone(), ttl).await?;
+    let lease = resend(resend_delay, || LeaseKeeper::start(store.clone(), ttl)).await?;
     Ok((lease, asked.elapsed()))
 }
 
+/// Time after which a call without a response is made again, when another one took `call_time`.
+fn resend_delay(call_time: Duration) -> Duration {
+    let mut response_times = ResponseTimes::default();
+    response_times.record(call_time);
+    response_times.resend_delay()
+}
+
 fn instance_of(record: &Record) -> Option<&str> {
     std::str::from_utf8(&record.value).ok()?.split(' ').next()
 }
@@ -117,20 +127,25 @@
     platform: &S,
     compare: Compare,
     claim: &Arc<str>,
-    lease: i64,
+    lease: LeaseId,
+    call_time: Duration,
 ) -> Result<Option<FencingToken>, StoreError> {
     let transaction = Transaction::default().expect(OWNER_KEY, compare).put(
         OWNER_KEY,
         claim.as_bytes().to_vec(),
         Some(lease),
     );
-    match platform.store().commit(transaction).await {
+    let commit = || platform.store().commit(transaction.clone());
+    let is_own = |record: &Record| record.value == claim.as_bytes();
+    match resend(resend_delay(call_time), commit).await {
         Ok(TransactionOutcome::Written(revision)) => Ok(Some(revision)),
-        Ok(TransactionOutcome::Conflict(_)) => Ok(None),
+        // The first attempt may have been committed.
+        Ok(TransactionOutcome::Conflict(records)) => {
+            Ok(records.into_iter().find(is_own).map(|record| record.revision))
+        }
         Err(StoreError::OutcomeUnknown(_)) => {
             let record = platform.store().get(OWNER_KEY).await?;
-            let own = record.filter(|record| record.value == claim.as_bytes());
-            Ok(own.map(|record| record.revision))
+            Ok(record.filter(is_own).map(|record| record.revision))
         }
         Err(error) => Err(error),
     }
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -37,6 +37,8 @@
     Refused,
     /// The response takes this time.
     Slow(Duration),
+    /// The call takes effect at once, and the response takes this time.
+    SlowResponse(Duration),
     /// The store's client panics.
     Panic,
 }
@@ -84,7 +86,8 @@
         self.plan.lock().expect("lock").calls
     }
 
-    async fn fault(&self, read_key: Option<&str>) -> Result<(), StoreError> {
+    /// Returns the time that the response takes after the effect.
+    async fn fault(&self, read_key: Option<&str>) -> Result<Duration, StoreError> {
         let fault = {
             let mut plan = self.plan.lock().expect("lock");
             plan.calls += 1;
@@ -94,9 +97,10 @@
         Self::suffer(fault).await
     }
 
-    async fn suffer(fault: CallFault) -> Result<(), StoreError> {
+    async fn suffer(fault: CallFault) -> Result<Duration, StoreError> {
         match fault {
-            CallFault::None => Ok(()),
+            CallFault::None => Ok(Duration::ZERO),
+            CallFault::SlowResponse(delay) => Ok(delay),
             CallFault::Silent => {
                 tokio::time::sleep(CLIENT_TIMEOUT).await;
                 Err(StoreError::OutcomeUnknown("no answer: timeout".into()))
@@ -104,7 +108,7 @@
             CallFault::Refused => Err(StoreError::Unavailable("429 Too Many Requests".into())),
             CallFault::Slow(delay) => {
                 tokio::time::sleep(delay).await;
-                Ok(())
+                Ok(Duration::ZERO)
             }
             CallFault::Panic => panic!("a call to the store that panics"),
         }
@@ -115,8 +119,10 @@
     type Watch = MemoryWatch;
 
     async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
-        self.fault(Some(key)).await?;
-        self.store.get(key).await
+        let response_time = self.fault(Some(key)).await?;
+        let response = self.store.get(key).await;
+        tokio::time::sleep(response_time).await;
+        response
     }
 
     async fn list(&self, prefix: &str) -> Result<Snapshot, StoreError> {
@@ -129,8 +135,10 @@
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let fault = std::mem::replace(&mut self.plan.lock().expect("lock").grant, CallFault::None);
-        Self::suffer(fault).await?;
-        self.store.grant_lease(ttl).await
+        let response_time = Self::suffer(fault).await?;
+        let response = self.store.grant_lease(ttl).await;
+        tokio::time::sleep(response_time).await;
+        response
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
@@ -148,8 +156,10 @@
 
 impl TransactionalStore for ScriptedStore {
     async fn commit(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
-        self.fault(None).await?;
-        self.store.commit(transaction).await
+        let response_time = self.fault(None).await?;
+        let response = self.store.commit(transaction).await;
+        tokio::time::sleep(response_time).await;
+        response
     }
 }
 
--- a/crates/jobs/tests/slow_owner.rs
+++ b/crates/jobs/tests/slow_owner.rs
@@ -20,7 +20,7 @@
 
 use self::clients::{TestClients, owner_settings, start_owner};
 use self::emulator::{job, ms, step};
-use self::scripted_store::{CallFault, ScriptedClients};
+use self::scripted_store::{CallFault, ScriptedClients, ScriptedStore};
 
 /// Time to live of the owner's lease while the store is fast.
 const LEASE_TTL: Duration = Duration::from_millis(1_200);
@@ -307,3 +307,39 @@
     accept(&platform, 2).await;
     wait_until_completed(&platform, 2).await;
 }
+
+/// Starts an owner whose store leaves one call without a response, and returns how long it took to
+/// claim the ownership.
+async fn claim_time(plan: impl FnOnce(&ScriptedStore)) -> Duration {
+    let platform = ScriptedClients::new().await;
+    plan(&platform.store);
+    let settings = OwnerSettings { lease_ttl: LEASE_TTL, ..owner_settings("one") };
+    let _owner = start_owner(platform.clone(), settings);
+    wait_for_owner(&platform.clients, "one").await
+}
+
+#[tokio::test]
+async fn an_ownership_is_claimed_soon_although_the_request_for_the_lease_gets_no_response() {
+    let taken = claim_time(|store| store.plan_grant(CallFault::Silent)).await;
+    assert!(taken < ms(700), "claimed after {taken:?}");
+}
+
+#[tokio::test]
+async fn an_ownership_is_claimed_soon_although_the_claim_gets_no_response() {
+    let taken = claim_time(|store| store.plan(&[CallFault::Silent], CallFault::None)).await;
+    assert!(taken < ms(700), "claimed after {taken:?}");
+}
+
+/// Guards against a second claim by an instance whose first one was committed.
+#[tokio::test]
+async fn a_claim_that_was_sent_twice_is_one_claim() {
+    let platform = ScriptedClients::with_workers(1).await;
+    platform.clients.register_workers().await;
+    platform.store.plan(&[CallFault::SlowResponse(ms(900))], CallFault::None);
+    let _owner = platform.start_owner("one");
+    let _ = wait_for_owner(&platform.clients, "one").await;
+    let claimed = token(&platform.clients);
+    accept(&platform.clients, 1).await;
+    wait_until_completed(&platform.clients, 1).await;
+    assert_eq!(token(&platform.clients), claimed);
+}
