--- a/crates/jobs/src/owner/write.rs
+++ b/crates/jobs/src/owner/write.rs
@@ -130,7 +130,7 @@
 
 /// Returns the time after which a write without a response is sent again: half as much again as the
 /// slowest of the latest writes took.
-fn first_resend_delay(times: &ResponseTimes) -> Duration {
+pub(super) fn first_resend_delay(times: &ResponseTimes) -> Duration {
     let slowest = times.longest();
     (slowest + slowest / 2).clamp(FIRST_RESEND_DELAY_MIN, FIRST_RESEND_DELAY_MAX)
 }
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -37,6 +37,8 @@
     Refused,
     /// The response takes this time.
     Slow(Duration),
+    /// The call takes effect at once, and the response takes this time.
+    SlowResponse(Duration),
     /// The store's client panics.
     Panic,
 }
@@ -96,7 +98,8 @@
         self.plan.lock().expect("lock").calls
     }
 
-    async fn fault(&self, read_key: Option<&str>) -> Result<(), StoreError> {
+    /// Returns the time that the response takes after the effect.
+    async fn fault(&self, read_key: Option<&str>) -> Result<Duration, StoreError> {
         let fault = {
             let mut plan = self.plan.lock().expect("lock");
             plan.calls += 1;
@@ -110,9 +113,11 @@
 }
 
 impl CallFault {
-    async fn happen(self) -> Result<(), StoreError> {
+    /// Returns the time that the response takes after the effect.
+    async fn happen(self) -> Result<Duration, StoreError> {
         match self {
-            Self::None => Ok(()),
+            Self::None => Ok(Duration::ZERO),
+            Self::SlowResponse(delay) => Ok(delay),
             Self::Silent => {
                 tokio::time::sleep(CLIENT_TIMEOUT).await;
                 Err(StoreError::OutcomeUnknown("no answer: timeout".into()))
@@ -120,7 +125,7 @@
             Self::Refused => Err(StoreError::Unavailable("429 Too Many Requests".into())),
             Self::Slow(delay) => {
                 tokio::time::sleep(delay).await;
-                Ok(())
+                Ok(Duration::ZERO)
             }
             Self::Panic => panic!("a call to the store that panics"),
         }
@@ -131,8 +136,10 @@
     type Watch = MemoryWatch;
 
     async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
-        self.fault(Some(key)).await?;
-        self.store.get(key).await
+        let response_time = self.fault(Some(key)).await?;
+        let response = self.store.get(key).await;
+        tokio::time::sleep(response_time).await;
+        response
     }
 
     async fn list(&self, prefix: &str) -> Result<Snapshot, StoreError> {
@@ -145,8 +152,10 @@
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let fault = std::mem::replace(&mut self.plan.lock().expect("lock").grant, CallFault::None);
-        fault.happen().await?;
-        self.store.grant_lease(ttl).await
+        let response_time = fault.happen().await?;
+        let response = self.store.grant_lease(ttl).await;
+        tokio::time::sleep(response_time).await;
+        response
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
@@ -166,8 +175,10 @@
 
 impl TransactionalStore for ScriptedStore {
     async fn commit(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
-        self.fault(None).await?;
-        self.store.commit(transaction).await
+        let response_time = self.fault(None).await?;
+        let response = self.store.commit(transaction).await;
+        tokio::time::sleep(response_time).await;
+        response
     }
 }
 
