Log when a known worker is listed again

Callers saw nothing of this. After a change of the owner nobody could tell whether jobs waited for capacity because workers were full or because the store did not list them.

Event 1620 is now logged whenever a worker appears in the list.

--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -84,10 +84,9 @@
             if self.is_ended_incarnation(&entry) {
                 return;
             }
-            let (id, service) = (entry.id.clone(), entry.service.clone());
             let slot = self.add_worker(entry, now);
             self.mark_unrecorded(slot);
-            emit!(JobsEvent::WorkerListed, worker = id, service = service, slot = slot);
+            log_listed(&self.workers[slot], slot);
             return;
         };
         let worker = &mut self.workers[slot];
@@ -109,6 +108,7 @@
         let started_unix = worker.entry.started_unix;
         let has_changed = !worker.is_listed || worker.entry != entry;
         let starts_draining = entry.is_draining && !worker.entry.is_draining;
+        let is_listed_again = !worker.is_listed;
         worker.is_listed = true;
         let previous = std::mem::replace(
             &mut worker.entry,
@@ -120,6 +120,9 @@
             self.slots_by_service.entry(service).or_default().push(slot);
         }
         let worker = &self.workers[slot];
+        if is_listed_again {
+            log_listed(worker, slot);
+        }
         if starts_draining {
             emit!(JobsEvent::WorkerDraining, worker = worker.entry.id, runs = worker.runs.len());
         }
@@ -236,3 +239,9 @@
         slots
     }
 }
+
+/// Logs that the list of workers contains a worker that the previous one did not.
+fn log_listed(worker: &Worker, slot: WorkerSlot) {
+    let entry = &worker.entry;
+    emit!(JobsEvent::WorkerListed, worker = entry.id, service = entry.service, slot = slot);
+}
