Start tasks on workers whose entries an outage removed

What callers saw: after an outage of the store of more than about 4.5 s, jobs that were accepted again waited up to two seconds for their first task although workers were free. Event 1604 counts the wait as missing capacity.

Cause: workers' entries expire while the store is away and come back within two seconds. The owner's list keeps missing entries for that time, but only those that this owner had seen. After such an outage the owner is always a new one, since its lease is shorter, so the list is empty and no worker counts as usable.

Change: a worker that previous owners recorded and whose entry is missing may be given tasks for 2.3 s from the start of the term if it has responded to a poll and the list of machines shows it on a machine of its service that is up; its labels and capacity come from that list. After that it counts as gone, as before. Whether it was draining is not known in that time; its entry returns within it.

Test: a_new_owner_starts_tasks_on_workers_whose_entries_an_outage_of_the_store_removed failed before (takeovers.rs:46, 0 of 40 tasks running, left: 0 right: 40). Four more tests name the cases in which such a worker must still get nothing; they passed before and pass now.

--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -149,6 +149,7 @@
         self.machines = machines;
         self.machines_listed_at = Some(sent);
         self.retire_workers_on_down_machines(sent, now);
+        self.complete_missing_entries(now);
     }
 
     /// Retires unresponsive workers whose machines are down or run another worker, according to a
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -17,6 +17,10 @@
 use crate::spec::Resources;
 use crate::worker::{PollPhase, Worker};
 
+/// Time from the start of a term in which the entries of known workers may be missing: after an
+/// outage of the store they are back within two seconds.
+const ENTRY_RETURN_TIME: Duration = Duration::from_millis(2_300);
+
 /// An incarnation that has ended although it is still listed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EndedIncarnation {
@@ -41,9 +45,11 @@
                 is_draining: false,
             };
             let slot = self.add_worker(entry, now);
-            self.workers[slot].is_listed = false;
-            self.workers[slot].is_recorded = true;
-            self.workers[slot].may_have_earlier_runs = true;
+            let worker = &mut self.workers[slot];
+            worker.is_listed = false;
+            worker.entry_due = Some(now + ENTRY_RETURN_TIME);
+            worker.is_recorded = true;
+            worker.may_have_earlier_runs = true;
         }
     }
 
@@ -110,6 +116,7 @@
         let starts_draining = entry.is_draining && !worker.entry.is_draining;
         let is_listed_again = !worker.is_listed;
         worker.is_listed = true;
+        worker.entry_due = None;
         let previous = std::mem::replace(
             &mut worker.entry,
             WorkerEntry { started_unix: started_unix.or(entry.started_unix), ..entry },
@@ -140,6 +147,28 @@
         !is_seen_up && entry.started_unix == ended.started_unix
     }
 
+    /// Takes what the entries of known workers would tell from the list of machines, as long as
+    /// they may be missing because the store was away.
+    ///
+    /// Such a worker may be given tasks once it has responded. Otherwise a new owner could start
+    /// nothing in the first seconds after an outage, when callers send what was refused meanwhile.
+    pub(super) fn complete_missing_entries(&mut self, now: Moment) {
+        for slot in 0..self.workers.len() {
+            let worker = &mut self.workers[slot];
+            if worker.is_gone || worker.entry_due.is_none_or(|due| now >= due) {
+                continue;
+            }
+            let machine = self.machines.running_worker(&worker.entry.id);
+            let machine = machine.filter(|machine| machine.service == worker.entry.service);
+            worker.is_on_machine = machine.is_some();
+            if let Some(machine) = machine {
+                worker.entry.labels = machine.labels.clone().into();
+                worker.entry.capacity = machine.capacity;
+                self.mark_worker_service_changed(slot);
+            }
+        }
+    }
+
     /// Ends the incarnation of a worker and removes its runs.
     pub(super) fn retire_worker(&mut self, slot: WorkerSlot, now: Moment) {
         let worker = &mut self.workers[slot];
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -149,6 +149,11 @@
     pub shard: WorkerShard,
     /// Whether the current list of workers contains it.
     pub is_listed: bool,
+    /// Until when its entry may be missing because the store was away. Set for a worker that
+    /// previous owners recorded, until it is listed.
+    pub entry_due: Option<Moment>,
+    /// Whether the list of machines shows it on a machine of its service that is up.
+    pub is_on_machine: bool,
     /// Whether this incarnation has ended.
     pub is_gone: bool,
     /// Whether the store records it as a worker that may have been given tasks.
@@ -218,6 +223,8 @@
             entry,
             address,
             is_listed: true,
+            entry_due: None,
+            is_on_machine: false,
             is_gone: false,
             is_recorded: false,
             is_confirmed: false,
@@ -309,7 +316,7 @@
     pub fn is_usable(&self, now: Moment) -> bool {
         let has_recent_response =
             self.last_answered.is_some_and(|at| now.saturating_sub(at) < RESPONSE_AGE_MAX);
-        self.is_listed
+        (self.is_listed || self.is_entry_pending(now))
             && !self.is_gone
             && self.is_recorded
             && self.was_confirmed
@@ -321,6 +328,12 @@
             && self.blocked_until <= now
     }
 
+    /// Whether it counts as listed although its entry is missing: the store may have lost the
+    /// entry while it was away, and the list of machines shows the worker.
+    fn is_entry_pending(&self, now: Moment) -> bool {
+        self.is_on_machine && self.entry_due.is_some_and(|due| now < due)
+    }
+
     /// The worker's rack, if known.
     pub fn rack(&self) -> Option<&Arc<str>> {
         self.entry.rack()
--- /dev/null
+++ b/crates/jobs/tests/takeovers.rs
@@ -0,0 +1,87 @@
+//! Regression tests of the scheduler: what a new owner does in the first moments of its term.
+
+mod emulator;
+mod harness;
+
+use cassiafold_jobs::cluster::{Machine, MachineState};
+use cassiafold_jobs::record::WorkerRecord;
+use cassiafold_jobs::scheduler::OwnerTerm;
+use cassiafold_jobs::spec::Resources;
+
+use self::emulator::worker::EmulatedWorker;
+use self::emulator::{cores, ms, step};
+use self::harness::SchedulerHarness;
+
+/// Jobs that callers hand in as soon as the store is back.
+const WAITING_JOBS: u64 = 40;
+
+/// Capacity of each worker.
+fn capacity() -> Resources {
+    Resources { memory_bytes: 64 << 30, ..cores(16) }
+}
+
+/// Records of workers to which previous owners assigned tasks.
+fn records(workers: usize) -> Vec<WorkerRecord> {
+    let entry = |number| EmulatedWorker::new(number, capacity()).entry();
+    (0..workers).map(|number| WorkerRecord::from(&entry(number))).collect()
+}
+
+/// Machines of the service, each with the worker of the same number.
+fn machines(workers: usize) -> Vec<Machine> {
+    let machines = SchedulerHarness::machines(workers, MachineState::Up);
+    machines.into_iter().map(|machine| Machine { capacity: capacity(), ..machine }).collect()
+}
+
+/// A new owner whose known workers are all missing in the store's list, with jobs that wait.
+fn harness_with_missing_entries(workers: usize) -> SchedulerHarness {
+    let term = OwnerTerm { known_workers: records(workers), ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::at_term_start(0, term);
+    for id in 0..WAITING_JOBS {
+        harness.submit(id, vec![step(1, 1, &[])]);
+    }
+    harness
+}
+
+/// Happens after an outage of the store: the workers' entries have expired, and come back within two
+/// seconds. Callers send at once what was refused meanwhile.
+#[test]
+fn a_new_owner_starts_tasks_on_workers_whose_entries_an_outage_of_the_store_removed() {
+    let mut harness = harness_with_missing_entries(3);
+    harness.set_machines(machines(3));
+    harness.run_for(ms(200));
+    assert_eq!(harness.running(), WAITING_JOBS as usize, "48 cores are free");
+}
+
+#[test]
+fn a_worker_whose_entry_stays_missing_gets_no_tasks_after_two_seconds() {
+    let term = OwnerTerm { known_workers: records(1), ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::at_term_start(0, term);
+    harness.set_machines(machines(1));
+    harness.run_for(ms(2_300));
+    harness.submit(1, vec![step(1, 1, &[])]);
+    harness.set_machines(machines(1));
+    harness.run_for(ms(200));
+    assert_eq!(harness.running(), 0);
+}
+
+macro_rules! unvouched {
+    ($($name:ident: $change:expr;)+) => {
+        $(#[test] fn $name() {
+            let mut harness = harness_with_missing_entries(1);
+            let mut machines = machines(1);
+            $change(&mut machines[0]);
+            harness.set_machines(machines);
+            harness.run_for(ms(200));
+            assert_eq!(harness.running(), 0);
+        })+
+    };
+}
+
+unvouched! {
+    a_worker_without_entry_gets_no_tasks_while_its_machine_is_not_listed_as_up:
+        |machine: &mut Machine| machine.state = MachineState::Moving;
+    a_worker_without_entry_gets_no_tasks_while_its_machine_belongs_to_another_service:
+        |machine: &mut Machine| machine.service = "spare".into();
+    a_worker_without_entry_gets_no_tasks_while_its_machine_runs_another_worker:
+        |machine: &mut Machine| machine.worker = Some("w9".into());
+}
