Balance machines with a new owner's first list of machines

What callers saw: after a change of the owner machines for work that waited already were ordered 200 to 270 ms later than they could have been, and took work that much later.

Cause: the time of the last balancing pass was set to the start of the term, so the first pass came one interval (200 ms) later, and a pass that found no recent list of machines counted as one, too.

Change: a new owner has no last pass; a pass without a recent list is not counted. Leases of other instances on machines are respected as before.

Test: a_new_owner_moves_machines_in_as_soon_as_it_knows_them failed before (takeovers.rs:95, left: 0 right: 5, no machine ordered within 100 ms).

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -219,7 +219,8 @@
     pending_moves: Vec<MachineCommand>,
     machine_leases: MachineLeases,
     unresponsive_machines: UnresponsiveMachines,
-    last_balanced: Moment,
+    /// When the machines were last balanced; a new owner does so with its first list of machines.
+    last_balanced: Option<Moment>,
     /// Machines that each service has needed recently.
     peak_needs: HashMap<ServiceId, PeakNeed>,
     /// Number of machines of each service that no service needs.
@@ -295,7 +296,7 @@
             pending_moves: Vec::new(),
             machine_leases,
             unresponsive_machines: UnresponsiveMachines::default(),
-            last_balanced: now,
+            last_balanced: None,
             peak_needs: HashMap::new(),
             surplus_machines: HashMap::new(),
             arrivals: Arrivals::default(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -34,15 +34,15 @@
 impl Scheduler {
     /// Chooses the machine moves that are due.
     pub(super) fn plan_machine_moves(&mut self, now: Moment) {
-        if now.saturating_sub(self.last_balanced) < BALANCE_INTERVAL {
+        if self.last_balanced.is_some_and(|at| now < at + BALANCE_INTERVAL) {
             return;
         }
-        self.last_balanced = now;
         let is_list_recent =
             self.machines_listed_at.is_some_and(|at| now < at + MACHINE_LIST_AGE_MAX);
         if !is_list_recent {
             return;
         }
+        self.last_balanced = Some(now);
         self.remove_finished_moves(now);
         self.unresponsive_machines.update(self.list_unresponsive_machines(), now);
         let pools = self.pools(now);
--- a/crates/jobs/tests/takeovers.rs
+++ b/crates/jobs/tests/takeovers.rs
@@ -85,3 +85,21 @@
     a_worker_without_entry_gets_no_tasks_while_its_machine_runs_another_worker:
         |machine: &mut Machine| machine.worker = Some("w9".into());
 }
+
+/// Happens when callers send at once what was refused while the store was away.
+#[test]
+fn a_new_owner_moves_machines_in_as_soon_as_it_knows_them() {
+    let mut harness = SchedulerHarness::at_term_start(1, OwnerTerm::default());
+    for id in 0..WAITING_JOBS {
+        harness.submit(id, vec![step(4, 2, &[])]);
+    }
+    harness.run_for(ms(10));
+    let mut machines = SchedulerHarness::machines(6, MachineState::Up);
+    for machine in &mut machines[1..] {
+        machine.service = "spare".into();
+        machine.worker = None;
+    }
+    harness.set_machines(machines);
+    harness.run_for(ms(100));
+    assert_eq!(harness.machine_commands.len(), 5);
+}
