Check an ejection by its results and events, not by 60 requests

No caller of the product saw a fault.

Cause: the test sent 60 requests and took for granted that five of them reach the instance that fails. Backend servers are drawn at random: once an instance has failed, it receives a request only if both draws name it, one in four.

Change: the test sends requests until the event of the ejection was logged, and compares the results that the instance received: exactly five server errors, all seen by callers. After that, no result of the instance may be older than the end of its backoff, each request succeeds, it returns once and receives requests again, and it is not ejected again. The product is unchanged.

Conclusion: the test failed by chance; it depends neither on chance nor on the machine's speed now.

--- a/crates/dispatch/tests/changes.rs
+++ b/crates/dispatch/tests/changes.rs
@@ -1,22 +1,31 @@
 //! Changes while requests wait and run: zones taken out, leaving instances, keys, limits,
 //! cancellations, ejection and the graceful stop.
 
+#[path = "../../jobs/tests/log_lines/mod.rs"]
+mod log_lines;
 mod support;
 
 use std::collections::BTreeMap;
+use std::iter;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cassiafold_config::{InstanceState, TeamId};
-use cassiafold_dispatch::{AttemptResult, LimitSource, Sources};
+use cassiafold_dispatch::{AttemptResult, DispatchEvent, LimitSource, Observation, Sources};
 use cassiafold_standin::{BackendOptions, Fault};
 use http::Method;
+use log_lines::{capture, lines};
 use support::{CallerResponse, Fleet, OTHER_KEY, config};
+use tokio::sync::broadcast::Receiver;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 const SLOW_RUN_TIME: Duration = Duration::from_millis(2_000);
 const SHORT_DELAY: Duration = Duration::from_millis(500);
+/// Backoff of an instance that is ejected for the first time.
+const BACKOFF_FIRST: Duration = Duration::from_secs(1);
+/// Requests after which something that requests bring about counts as missing.
+const REQUESTS_MAX: usize = 2_000;
 
 /// `size` backend servers with one slot each, which run each request for [`SLOW_RUN_TIME`].
 async fn slow_fleet(size: usize) -> Fleet {
@@ -245,30 +254,73 @@
     call.abort();
 }
 
+/// Results recorded for the first backend server since the previous call.
+fn results_of_first(observations: &mut Receiver<Observation>) -> Vec<Observation> {
+    let received = iter::from_fn(|| observations.try_recv().ok());
+    received.filter(|observation| &*observation.instance == "portal-0").collect()
+}
+
+fn event_count(event: DispatchEvent) -> usize {
+    lines(event.row().number).len()
+}
+
+/// Sends requests until the first backend server is ejected, and returns the results that it
+/// received and the number of callers that received a server error.
+async fn fail_until_ejected(
+    fleet: &Fleet,
+    observations: &mut Receiver<Observation>,
+) -> (Vec<Observation>, u32) {
+    let (mut results, mut failed_callers) = (Vec::new(), 0);
+    for index in 0..REQUESTS_MAX {
+        let response = fleet.call(Method::POST, "/a", &format!("r{index}")).send().await;
+        failed_callers += u32::from(response.status == 500);
+        results.extend(results_of_first(observations));
+        if event_count(DispatchEvent::InstanceEjected) > 0 {
+            return (results, failed_callers);
+        }
+    }
+    panic!("the instance was not ejected: {results:?}");
+}
+
+/// Sends requests until the first backend server returns to routing and `count` results of it were
+/// recorded, and returns these.
+async fn send_until_returned(
+    fleet: &Fleet,
+    observations: &mut Receiver<Observation>,
+    count: usize,
+) -> Vec<Observation> {
+    let mut results = Vec::new();
+    for index in 0..REQUESTS_MAX {
+        for method in [Method::POST, Method::GET] {
+            let call = fleet.call(method.clone(), "/a", &format!("{method}-{index}"));
+            assert_eq!(call.send().await.summary(), "200, whole");
+        }
+        results.extend(results_of_first(observations));
+        if event_count(DispatchEvent::InstanceReturned) > 0 && results.len() >= count {
+            return results;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the instance did not return: {results:?}");
+}
+
 #[tokio::test]
 async fn an_instance_that_fails_fast_is_ejected_and_recovers_after_a_trial() {
+    capture();
     let options = [BackendOptions::default(), BackendOptions::default()];
     let fleet = Fleet::start_with(&options, <Sources>::default(), config(1, |_| {})).await;
     let mut observations = fleet.server.caller_api().dispatcher().observe();
     fleet.faults.set(Some(Fault::ServerError));
-    let mut failures = 0;
-    for index in 0..60 {
-        let response = fleet.call(Method::POST, "/a", &format!("r{index}")).send().await;
-        failures += u32::from(response.status == 500);
-    }
-    assert_eq!(failures, 5);
+    let (failures, failed_callers) = fail_until_ejected(&fleet, &mut observations).await;
+    let results: Vec<_> = failures.iter().map(|failure| failure.result).collect();
+    assert_eq!((results, failed_callers), (vec![AttemptResult::ServerError; 5], 5));
     fleet.faults.set(None);
-    tokio::time::sleep(Duration::from_millis(1_100)).await;
-    while observations.try_recv().is_ok() {}
-    for index in 0..40 {
-        let response = fleet.call(Method::GET, "/a", &format!("s{index}")).send().await;
-        assert_eq!(response.summary(), "200, whole");
-    }
-    let mut by_instance = BTreeMap::<_, u32>::new();
-    while let Ok(observation) = observations.try_recv() {
-        *by_instance.entry(observation.instance).or_default() += 1;
-    }
-    assert!(by_instance.get("portal-0").is_some_and(|count| *count > 1), "{by_instance:?}");
+    let trial_from = failures[4].at + BACKOFF_FIRST;
+    let after = send_until_returned(&fleet, &mut observations, 2).await;
+    assert!(after.iter().all(|result| result.at >= trial_from), "{failures:?}, {after:?}");
+    assert!(after.iter().all(|result| result.result == AttemptResult::Ok), "{after:?}");
+    assert_eq!(event_count(DispatchEvent::InstanceEjected), 1);
+    assert_eq!(event_count(DispatchEvent::InstanceReturned), 1);
 }
 
 /// Counts the missing responses recorded for the first backend server after `inject`, in up to 200
