Send the first write of a term again while its response is lost

The first write of a term was sent once. With the limit of 2.8 s for a call in place of 700 ms, one lost response lasts longer than the 2 s in which an owner tries again to read the state, so that it gives the ownership up, and the next one loses its response too.

Change: the write is sent again after 0.3, 0.9 and 2.1 s. If an earlier attempt was committed, a later one conflicts with it, and the sequence key says so, as for all other writes of an owner.

--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -9,6 +9,10 @@
 use super::{JobApi, RETRY_DELAY};
 use crate::platform_clients::PlatformClients;
 
+/// Most attempts of a call. The client of the store repeats reads as well, but no transaction.
+const ATTEMPTS_MAX: u32 = 4;
+/// Factor by which the delay of the next attempt grows.
+const HEDGE_DELAY_GROWTH: u32 = 2;
 /// Longest delay of the second attempt after the first one.
 const HEDGE_DELAY_MAX: Duration = Duration::from_millis(200);
 /// Divisor of the time to the deadline that gives a shorter delay for callers with little time.
@@ -64,8 +68,8 @@
     is_transient && Instant::now() + RETRY_DELAY < deadline
 }
 
-/// Makes a call, and once more on another connection if there is no response in time. Returns the
-/// first response.
+/// Makes a call, and again on other connections while there is no response. Returns the first
+/// response.
 pub(super) async fn call_hedged<T, F>(
     call: impl FnMut() -> F,
     deadline: Instant,
@@ -75,5 +79,5 @@
 {
     let left = deadline.saturating_duration_since(Instant::now());
     let interval = HEDGE_DELAY_MAX.min(left / HEDGE_DELAY_DIVISOR);
-    Hedge { interval, attempts_max: 2 }.run(call).await
+    Hedge { interval, growth: HEDGE_DELAY_GROWTH, attempts_max: ATTEMPTS_MAX }.run(call).await
 }
--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -101,7 +101,7 @@
 
 /// A call that is made once more if it gets no response within `delay`.
 fn sent_twice(delay: Duration) -> Hedge {
-    Hedge { interval: delay, attempts_max: 2 }
+    Hedge { interval: delay, growth: 1, attempts_max: 2 }
 }
 
 /// Time after which a call without a response is made again, when another one took `call_time`.
--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -6,7 +6,7 @@
 
 use cassiafold_event::emit;
 use cassiafold_platform::{
-    Compare, Moment, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
+    Compare, Hedge, Moment, Record, Revision, Store, StoreError, Transaction, TransactionOutcome,
     TransactionalStore, since_boot,
 };
 use serde::de::DeserializeOwned;
@@ -33,6 +33,9 @@
 /// Time after which the owner gives up if no attempt has succeeded. An attempt in progress may take
 /// longer, up to its [`LoadLimit`].
 const LOAD_RETRY_TIME_MAX: Duration = Duration::from_secs(2);
+/// Attempts of the first write of a term: its response may be lost, again and again.
+const START_ATTEMPTS: Hedge =
+    Hedge { interval: Duration::from_millis(300), growth: 2, attempts_max: 4 };
 /// Number of run numbers per task that one owner may use.
 const RUN_NUMBERS_PER_TERM: RunNumber = 1_000;
 
@@ -223,10 +226,23 @@
         transaction = transaction.put(sequence_key(chain), next.encode()?, None);
     }
     let transaction = load_limit::reset(transaction, unfinished);
-    match platform.store().commit(transaction).await? {
+    let commit = || platform.store().commit(transaction.clone());
+    match START_ATTEMPTS.run(commit).await? {
         TransactionOutcome::Written(revision) => Ok(Sequence { revision, ..next }),
-        TransactionOutcome::Conflict(_) => {
-            Err(StoreError::OutcomeUnknown("the sequence key was changed by another write".into()))
+        TransactionOutcome::Conflict(records) => {
+            started_sequence(next, &records).ok_or_else(|| {
+                StoreError::OutcomeUnknown("the sequence key was changed by another write".into())
+            })
         }
     }
 }
+
+/// Sequence that an earlier attempt of the same transaction has stored, by the records with which a
+/// later attempt conflicts.
+fn started_sequence(next: Sequence, records: &[Record]) -> Option<Sequence> {
+    let stored = records.iter().find(|record| *record.key == *SEQUENCE_KEY)?;
+    let stored = Sequence::read(stored).ok()?;
+    let is_own =
+        (stored.token, stored.tenure, stored.number) == (next.token, next.tenure, next.number);
+    is_own.then_some(stored)
+}
--- a/crates/jobs/tests/day/store.rs
+++ b/crates/jobs/tests/day/store.rs
@@ -13,7 +13,8 @@
 /// Longest time until a response begins.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// When a read without a response is repeated.
-const REPEATED_READS: Hedge = Hedge { interval: Duration::from_millis(700), attempts_max: 4 };
+const REPEATED_READS: Hedge =
+    Hedge { interval: Duration::from_millis(700), growth: 1, attempts_max: 4 };
 /// How long the store waits for a change before it responds to a watch request.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
--- a/crates/jobs/tests/slow_owner.rs
+++ b/crates/jobs/tests/slow_owner.rs
@@ -360,3 +360,20 @@
     wait_until_completed(&platform.clients, 1).await;
     assert_eq!(token(&platform.clients), claimed);
 }
+
+/// Guards against owners that give the ownership up one after the other while responses to writes
+/// are lost, because none of them gets one to the write with which its term begins.
+#[tokio::test]
+async fn a_job_is_started_soon_although_the_response_to_the_first_write_of_a_term_is_lost() {
+    let platform = ScriptedClients::with_workers(1).await;
+    platform.clients.register_workers().await;
+    accept(&platform.clients, 1).await;
+    let (claim, reads_of_the_state) = (1, 4);
+    let mut calls = vec![CallFault::None; claim + reads_of_the_state];
+    calls.push(CallFault::SlowResponse(ms(4_000)));
+    platform.store.plan(&calls, CallFault::None);
+    let began = Instant::now();
+    let _owner = platform.start_owner("one");
+    wait_until_completed(&platform.clients, 1).await;
+    assert!(began.elapsed() < ms(2_000), "completed after {:?}", began.elapsed());
+}
--- a/crates/platform/src/hedge.rs
+++ b/crates/platform/src/hedge.rs
@@ -19,6 +19,8 @@
 pub struct Hedge {
     /// Time without a response after which the call is made once more.
     pub interval: Duration,
+    /// Factor by which that time grows with each attempt.
+    pub growth: u32,
     /// Most attempts.
     pub attempts_max: u32,
 }
@@ -35,10 +37,12 @@
         let mut attempts = FuturesUnordered::new();
         let mut started = 0;
         let mut failure: Option<StoreError> = None;
+        let mut interval = self.interval;
         loop {
             attempts.push(call());
             started += 1;
-            let next_at = Instant::now() + self.interval;
+            let next_at = Instant::now() + interval;
+            interval *= self.growth;
             while !attempts.is_empty() {
                 let may_repeat = started < self.attempts_max(failure.as_ref());
                 let result = tokio::select! {
--- a/crates/platform/tests/hedge.rs
+++ b/crates/platform/tests/hedge.rs
@@ -6,7 +6,7 @@
 use cassiafold_platform::{Hedge, StoreError};
 use tokio::time::{Instant, sleep};
 
-const HEDGE: Hedge = Hedge { interval: Duration::from_millis(700), attempts_max: 4 };
+const HEDGE: Hedge = Hedge { interval: Duration::from_millis(700), growth: 1, attempts_max: 4 };
 
 /// What one attempt does: it gets its result after a time.
 type Attempt = (u64, Result<u32, StoreError>);
@@ -20,7 +20,7 @@
 }
 
 /// Runs a call with these attempts; returns its result, its time and the number of attempts.
-async fn run(attempts: &[Attempt]) -> (Result<u32, StoreError>, Duration, usize) {
+async fn run(hedge: Hedge, attempts: &[Attempt]) -> (Result<u32, StoreError>, Duration, usize) {
     let (started, made) = (Instant::now(), Cell::new(0));
     let call = || {
         let (time_ms, result) = attempts[made.get()].clone();
@@ -30,14 +30,14 @@
             result
         }
     };
-    let result = HEDGE.run(call).await;
+    let result = hedge.run(call).await;
     (result, started.elapsed(), made.get())
 }
 
 macro_rules! calls {
     ($($name:ident: $attempts:expr => $result:expr, $time_ms:expr, $made:expr;)+) => {
         $(#[tokio::test(start_paused = true)] async fn $name() {
-            let (result, time, made) = run(&$attempts).await;
+            let (result, time, made) = run(HEDGE, &$attempts).await;
             assert_eq!((result, made), ($result, $made));
             assert_eq!(time.as_millis(), $time_ms);
         })+
@@ -65,3 +65,12 @@
     an_expired_lease_is_not_asked_for_again:
         [(4, Err(StoreError::LeaseExpired))] => Err(StoreError::LeaseExpired), 4, 1;
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_time_between_attempts_grows() {
+    let hedge = Hedge { interval: Duration::from_millis(100), growth: 2, attempts_max: 4 };
+    let silent = (9_000, unknown());
+    let attempts = [silent.clone(), silent.clone(), silent, (4, Ok(4))];
+    let (result, time, made) = run(hedge, &attempts).await;
+    assert_eq!((result, made, time.as_millis()), (Ok(4), 4, 704));
+}
