Repeat a caller's call only when it takes longer than the store's latest responses

Change: the delay of the second attempt is half longer than the shorter of the latest two responses took, at least the old 200 ms.

Test: a_query_makes_each_call_once_while_the_store_is_known_to_be_slow failed before ("left: 5, right: 2": both reads twice, and a check).

How many states are stored while most responses are lost (about 120 a second) stays as it is.

--- a/crates/jobs/src/api/availability.rs
+++ b/crates/jobs/src/api/availability.rs
@@ -165,7 +165,8 @@
         self.expected_time_max().clamp(LOSS_TIME_MIN, LOSS_TIME_MAX)
     }
 
-    fn expected_time_max(&self) -> Duration {
+    /// Time that a response is not expected to exceed; zero if too few are known.
+    pub(super) fn expected_time_max(&self) -> Duration {
         let times = &self.knowledge.response_times;
         let times = times.lock().unwrap_or_else(PoisonError::into_inner);
         times.shorter_of_latest_two().mul_f64(EXPECTED_FACTOR)
@@ -233,7 +234,7 @@
 
     async fn check_once(&self) -> Result<(), StoreError> {
         let deadline = Instant::now() + CHECK_TIMEOUT;
-        let check = call_hedged(|| self.store.get(WAITING_KEY), deadline);
+        let check = call_hedged(|| self.store.get(WAITING_KEY), deadline, self.expected_time_max());
         match timeout_at(deadline, check).await {
             Ok(Err(error)) if error.is_transient() => Err(error),
             Ok(_) => Ok(()),
--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -13,8 +13,8 @@
 const ATTEMPTS_MAX: u32 = 4;
 /// Factor by which the delay of the next attempt grows.
 const HEDGE_DELAY_GROWTH: u32 = 2;
-/// Longest delay of the second attempt after the first one.
-const HEDGE_DELAY_MAX: Duration = Duration::from_millis(200);
+/// Longest delay of the second attempt after the first one while the store is fast.
+const FAST_HEDGE_DELAY_MAX: Duration = Duration::from_millis(200);
 /// Divisor of the time to the deadline that gives a shorter delay for callers with little time.
 const HEDGE_DELAY_DIVISOR: u32 = 4;
 
@@ -47,8 +47,9 @@
         if sent >= deadline {
             return Err(UnknownReason::DeadlineTooShort);
         }
+        let expected = self.availability.expected_time_max();
         let response = tokio::select! {
-            response = timeout_at(deadline, call_hedged(call, deadline)) => response,
+            response = timeout_at(deadline, call_hedged(call, deadline, expected)) => response,
             loss = self.availability.watch_call(operation) => {
                 return Err(UnknownReason::StoreUnavailable(loss));
             }
@@ -68,16 +69,17 @@
     is_transient && Instant::now() + RETRY_DELAY < deadline
 }
 
-/// Makes a call, and again on other connections while there is no response. Returns the first
-/// response.
+/// Makes a call, and again on other connections while there is no response within the time that is
+/// expected. Returns the first response.
 pub(super) async fn call_hedged<T, F>(
     call: impl FnMut() -> F,
     deadline: Instant,
+    expected: Duration,
 ) -> Result<T, StoreError>
 where
     F: Future<Output = Result<T, StoreError>>,
 {
     let left = deadline.saturating_duration_since(Instant::now());
-    let interval = HEDGE_DELAY_MAX.min(left / HEDGE_DELAY_DIVISOR);
+    let interval = FAST_HEDGE_DELAY_MAX.min(left / HEDGE_DELAY_DIVISOR).max(expected);
     Hedge { interval, growth: HEDGE_DELAY_GROWTH, attempts_max: ATTEMPTS_MAX }.run(call).await
 }
--- a/crates/jobs/tests/caller_reads.rs
+++ b/crates/jobs/tests/caller_reads.rs
@@ -133,3 +133,19 @@
     query(&api, call_for(1, ms(100))).await;
     assert_eq!(api.job_state(&call_for(1, ms(1_000))).await, RUNNING);
 }
+
+/// Guards against a slow store that gets twice the calls, and refuses them for their number.
+#[tokio::test(start_paused = true)]
+async fn a_query_makes_each_call_once_while_the_store_is_known_to_be_slow() {
+    let platform = ScriptedClients::new().await;
+    put_state(&platform, 1, "running").await;
+    let api = platform.api().await;
+    platform.store.plan(&[], CallFault::Slow(ms(400)));
+    for _ in 0..2 {
+        assert_eq!(api.job_state(&call_for(1, ms(3_000))).await, RUNNING);
+    }
+    let calls = platform.store.calls();
+    assert_eq!(api.job_state(&call_for(1, ms(3_000))).await, RUNNING);
+    // The state and the job.
+    assert_eq!(platform.store.calls() - calls, 2);
+}
