Repeat a read only until its response begins to arrive

A new owner behind a slow link would have read the accepted jobs far slower than on the landed code, and again given the ownership up.

Change: attempts run until the first byte of one response; that response is read, the others are dropped.

Conclusion: a slow store and a slow link are told apart by the first byte.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -69,8 +69,6 @@
 /// Limits of a response that may take long to arrive.
 #[derive(Debug, Clone, Copy)]
 pub struct DownloadLimits {
-    /// Timeout of the head of the response.
-    pub head_timeout: Duration,
     /// Longest pause between two parts of the body.
     pub pause_max: Duration,
     /// Size of the largest body, in bytes.
@@ -116,6 +114,39 @@
     _task: AbortOnDropHandle<()>,
 }
 
+/// A response that has begun to arrive.
+#[derive(Debug)]
+pub struct Download {
+    client: HttpClient,
+    connection: Connection,
+    parts: Parts,
+    body: Incoming,
+}
+
+impl Download {
+    /// Reads the complete response, however long it takes, as long as it keeps arriving.
+    pub async fn complete(self, limits: DownloadLimits) -> Result<Answer, CallError> {
+        let Self { client, connection, parts, mut body } = self;
+        let DownloadLimits { pause_max, max_bytes } = limits;
+        let failure = |reason: Arc<str>| client.no_response(connection.endpoint, reason, false);
+        let mut received = BytesMut::new();
+        loop {
+            let frame = match timeout(pause_max, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Err(failure(to_text(error))),
+                Ok(None) => break,
+                Err(_) => return Err(failure("timeout".into())),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if received.len() + data.len() > max_bytes {
+                return Err(CallError::TooLarge { max_bytes });
+            }
+            received.extend_from_slice(&data);
+        }
+        Ok(client.complete(connection, parts, received.freeze()))
+    }
+}
+
 impl HttpClient {
     /// Creates a client of the service at `addresses`, which starts with a random one.
     pub fn new(addresses: &[SocketAddr], user_agent: impl Into<Arc<str>>) -> Self {
@@ -167,32 +198,14 @@
         Ok(self.complete(connection, parts, body))
     }
 
-    /// Sends a request and reads the complete response, however long it takes, as long as it keeps
-    /// arriving.
-    pub async fn download(
+    /// Sends a request and returns the response as soon as it begins to arrive.
+    pub async fn begin_download(
         &self,
         request: Request<Bytes>,
-        limits: DownloadLimits,
-    ) -> Result<Answer, CallError> {
-        let DownloadLimits { head_timeout, pause_max, max_bytes } = limits;
-        let (connection, parts, mut body) =
-            self.open(request, Instant::now() + head_timeout).await?;
-        let failure = |reason: Arc<str>| self.no_response(connection.endpoint, reason, false);
-        let mut received = BytesMut::new();
-        loop {
-            let frame = match timeout(pause_max, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(failure(to_text(error))),
-                Ok(None) => break,
-                Err(_) => return Err(failure("timeout".into())),
-            };
-            let Ok(data) = frame.into_data() else { continue };
-            if received.len() + data.len() > max_bytes {
-                return Err(CallError::TooLarge { max_bytes });
-            }
-            received.extend_from_slice(&data);
-        }
-        Ok(self.complete(connection, parts, received.freeze()))
+        deadline: Instant,
+    ) -> Result<Download, CallError> {
+        let (connection, parts, body) = self.open(request, deadline).await?;
+        Ok(Download { client: self.clone(), connection, parts, body })
     }
 
     /// Keeps the connection of a complete response for the next request.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,7 +23,7 @@
 pub use etcd::{EtcdSettings, EtcdStore, EtcdWatch};
 pub use event::PlatformEvent;
 pub use hedge::Hedge;
-pub use http::{Answer, CallError, DownloadLimits, HttpClient};
+pub use http::{Answer, CallError, Download, DownloadLimits, HttpClient};
 pub use instances::{ControlError, InstanceControl, InstanceList, ListError, ListedInstance};
 pub use lease::{LeaseKeeper, LeaseValidity, Stamp};
 pub use metrics::{CallOutcome, StoreCall, StoreMetrics};
