--- a/crates/jobs/src/api/cancellation.rs
+++ b/crates/jobs/src/api/cancellation.rs
@@ -4,16 +4,14 @@
 use cassiafold_event::emit;
 use cassiafold_platform::{Compare, Record, Transaction, TransactionOutcome, TransactionalStore};
 use futures_util::{FutureExt, TryFutureExt};
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 use tokio::try_join;
 
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason};
 use super::state_query::decode_state;
 use super::store_call::may_retry;
-use super::{
-    Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, RETRY_DELAY, may_access, team_of,
-};
+use super::{Call, CallKind, CancelResponse, Denial, JobApi, LOG_TARGET, may_access, team_of};
 use crate::event::JobsEvent;
 use crate::platform_clients::PlatformClients;
 use crate::record::{cancel_key, job_key, state_key};
@@ -52,7 +50,7 @@
                     return CancelResponse::Accepted;
                 }
                 Ok(false) => return CancelResponse::NoSuchJob,
-                Err(reason) if may_retry(&reason, deadline) => sleep(RETRY_DELAY).await,
+                Err(reason) if may_retry(&reason, deadline) => self.wait_to_retry(deadline).await,
                 Err(reason) => return CancelResponse::Unknown(reason),
             }
             job = self.read_job(id, deadline).await;
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -9,13 +9,13 @@
 use cassiafold_platform::Record;
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, TryFutureExt};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 use tokio::try_join;
 
 use super::call_log::OpenCall;
 use super::reason::{StoreOperation, UnknownReason, UnreadableRecord, unreadable};
 use super::store_call::may_retry;
-use super::{Call, CallKind, JobApi, JobStateResponse, RETRY_DELAY, may_access, team_of};
+use super::{Call, CallKind, JobApi, JobStateResponse, may_access, team_of};
 use crate::api::Denial;
 use crate::platform_clients::PlatformClients;
 use crate::record::{JobState, StateRecord, job_key, state_key};
@@ -65,7 +65,7 @@
     ) -> Result<Option<FoundJob>, UnknownReason> {
         loop {
             match self.read_state_once(id, deadline).await {
-                Err(reason) if may_retry(&reason, deadline) => sleep(RETRY_DELAY).await,
+                Err(reason) if may_retry(&reason, deadline) => self.wait_to_retry(deadline).await,
                 result => return result,
             }
         }
--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cassiafold_platform::{Hedge, Record, Store, StoreError};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::reason::{StoreOperation, UnknownReason};
 use super::{JobApi, RETRY_DELAY};
@@ -62,6 +62,16 @@
     }
 }
 
+impl<S: PlatformClients> JobApi<S> {
+    /// Waits before a failed call is made again: until another call has been answered, if that
+    /// shows in time.
+    pub(super) async fn wait_to_retry(&self, deadline: Instant) {
+        sleep(RETRY_DELAY).await;
+        // Whether the store is available is checked again by the call.
+        let _ = self.availability.wait_for_checks(deadline).await;
+    }
+}
+
 /// Whether a call that failed for this reason may succeed before the deadline.
 pub(super) fn may_retry(reason: &UnknownReason, deadline: Instant) -> bool {
     let is_transient =
