--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -18,7 +18,9 @@
 /// Age from which an unconfirmed configuration may be out of date. The store holds a watch request
 /// for one second before it reports that nothing has changed.
 const CONFIG_AGE_MAX: Duration = Duration::from_millis(2_200);
-/// Divisor of the time that a caller has left that gives the timeout of the read that confirms the
+/// Timeout of the read that confirms the configuration, unless the store is expected to take longer.
+const CONFIG_TIMEOUT_MIN: Duration = Duration::from_millis(300);
+/// Divisor of the time that a caller has left that gives the longest timeout of the read that confirms the
 /// configuration. What the call itself reads is read meanwhile.
 const CONFIG_TIMEOUT_DIVISOR: u32 = 2;
 /// Log target of this module, which operators' filters name.
@@ -77,7 +79,8 @@
         let requested_at = since_boot();
         let now = Instant::now();
         let left = call.respond_by().saturating_duration_since(now);
-        let deadline = now + left / CONFIG_TIMEOUT_DIVISOR;
+        let expected = self.availability.expected_time_max();
+        let deadline = now + CONFIG_TIMEOUT_MIN.max(expected).min(left / CONFIG_TIMEOUT_DIVISOR);
         let key = S::Formats::CONFIG_KEY;
         let record = self.read_key(StoreOperation::ReadConfig, key, deadline).await?;
         self.apply_config_record(record.as_slice());
