Limit the release of an ownership to 700 ms

What callers saw: nothing; by reading, a stop whose revocation gets no response would have taken 5.7 s of the six that it has, since a call may now wait for 2.8 s.

Change: the release, and the note that a reading was not finished, end after 700 ms; the lease ends by itself.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -47,6 +47,8 @@
 const URGENT_WRITE_INTERVAL: Duration = Duration::from_millis(12);
 /// Timeout of the last writes before the ownership is released.
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of the release of the ownership. A lease that is not released ends by itself.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time between two lists of machines while they are needed.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(700);
 /// Further delay of the claims of an instance whose last term panicked or has not read the state.
@@ -236,7 +238,7 @@
     let loaded = tokio::select! {
         loaded = loading => loaded,
         limit_time = limit.reached() => {
-            let uncounted = limit.count_unfinished().await;
+            let uncounted = limit.count_unfinished(RELEASE_TIMEOUT).await;
             release_ownership(lease).await;
             return TermEnd::LoadTookTooLong { limit: limit_time, uncounted };
         }
@@ -335,7 +337,8 @@
 }
 
 async fn release_ownership<S: cassiafold_platform::Store>(lease: LeaseKeeper<S>) {
-    if let Err(error) = lease.close().await {
+    let released = timeout(RELEASE_TIMEOUT, lease.close()).await;
+    if let Err(error) = released.unwrap_or_else(|_| Err(StoreError::no_response())) {
         emit!(JobsEvent::StoreLost, error = error);
     }
 }
--- a/crates/jobs/src/owner/load_limit.rs
+++ b/crates/jobs/src/owner/load_limit.rs
@@ -12,7 +12,7 @@
     Compare, Store, StoreError, Transaction, TransactionOutcome, TransactionalStore,
 };
 use tokio::sync::OnceCell;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::load::read_json;
 use crate::clients::FencingToken;
@@ -67,11 +67,13 @@
         SHORTEST_LIMIT * (1 << unfinished.min(DOUBLINGS_MAX))
     }
 
-    /// Counts this reading as unfinished; returns the number that the store does not count.
-    pub(super) async fn count_unfinished(&self) -> UnfinishedLoads {
+    /// Counts this reading as unfinished, if the store responds within `time_max`; returns the number
+    /// that the store does not count.
+    pub(super) async fn count_unfinished(&self, time_max: Duration) -> UnfinishedLoads {
         let uncounted = self.uncounted.saturating_add(1);
         let Some(counted) = self.counted.get() else { return uncounted };
-        match self.write(counted.saturating_add(uncounted)).await {
+        let write = timeout(time_max, self.write(counted.saturating_add(uncounted))).await;
+        match write.unwrap_or_else(|_| Err(StoreError::no_response())) {
             Ok(TransactionOutcome::Written(_)) => 0,
             // The ownership is over.
             Ok(TransactionOutcome::Conflict(_)) => uncounted,
