Judge a repeated submission by the configuration in force

An instance that no longer receives changes accepted a job that is stored already from a caller whose key had been withdrawn.

A submission no longer confirms the configuration, since its write is conditional on it; but a write that conflicts with the job itself was answered with 200 before the configuration in the same response was looked at.

Change: the job counts as accepted only if the configuration is still the one by which the call was authorized; otherwise the new one is applied and the call is judged again. A configuration that cannot be read makes no busy loop. A submission waits before a further write as well while the store is suspected.

--- a/crates/jobs/src/api/submission.rs
+++ b/crates/jobs/src/api/submission.rs
@@ -4,7 +4,7 @@
 
 use cassiafold_event::emit;
 use cassiafold_platform::{
-    Compare, StoreError, Transaction, TransactionOutcome, TransactionalStore,
+    Compare, Record, StoreError, Transaction, TransactionOutcome, TransactionalStore,
 };
 use tokio::time::{Instant, sleep};
 
@@ -51,8 +51,11 @@
                 return SubmitResponse::Denied(Denial::NoJob);
             };
             let is_first = failed_writes == 0;
-            if is_first && self.availability.wait_for_checks(deadline).await.is_err() {
-                return refuse(id, "the store is unavailable");
+            if self.availability.wait_for_checks(deadline).await.is_err() {
+                return match is_first {
+                    true => refuse(id, "the store is unavailable"),
+                    false => SubmitResponse::Unknown,
+                };
             }
             let error = match self.store_job(&auth, id, &spec, deadline).await {
                 Ok(StoreOutcome::Created) => {
@@ -60,7 +63,13 @@
                     return SubmitResponse::Accepted;
                 }
                 Ok(StoreOutcome::Present) => return SubmitResponse::Accepted,
-                Ok(StoreOutcome::ConfigChanged) => continue,
+                Ok(StoreOutcome::ConfigChanged) => {
+                    // The new one may be unreadable.
+                    if self.config_revision() == auth.config_revision {
+                        sleep(RETRY_DELAY).await;
+                    }
+                    continue;
+                }
                 Err(error) => error,
             };
             match error {
@@ -106,14 +115,17 @@
         // Of a job that has ended, only the state may still be stored.
         let transaction = Transaction::default()
             .expect(key.clone(), Compare::Absent)
-            .expect(state_key.clone(), Compare::Absent)
+            .expect(state_key, Compare::Absent)
             .expect(S::Formats::CONFIG_KEY, Compare::Revision(auth.config_revision))
-            .put(key.clone(), bytes, None);
+            .put(key, bytes, None);
         let commit = || self.platform.store().commit(transaction.clone());
         match self.call_store(StoreOperation::WriteJob, deadline, commit).await? {
             TransactionOutcome::Written(_) => Ok(StoreOutcome::Created),
             TransactionOutcome::Conflict(records) => {
-                if records.iter().any(|record| record.key == key || record.key == state_key) {
+                let is_known_config = |record: &Record| record.revision == auth.config_revision;
+                let config = records.iter().find(|record| *record.key == *S::Formats::CONFIG_KEY);
+                // Under another configuration the caller may have no access to the job.
+                if config.is_some_and(is_known_config) {
                     return Ok(StoreOutcome::Present);
                 }
                 self.apply_config_record(&records);
--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -33,6 +33,8 @@
     None,
     /// No response arrives.
     Silent,
+    /// No response arrives, and the client gives up after this time.
+    Unanswered(Duration),
     /// The store refuses the call at once.
     Refused,
     /// The response takes this time.
@@ -122,6 +124,10 @@
                 tokio::time::sleep(CLIENT_TIMEOUT).await;
                 Err(StoreError::OutcomeUnknown("no answer: timeout".into()))
             }
+            Self::Unanswered(timeout) => {
+                tokio::time::sleep(timeout).await;
+                Err(StoreError::no_response())
+            }
             Self::Refused => Err(StoreError::Unavailable("429 Too Many Requests".into())),
             Self::Slow(delay) => {
                 tokio::time::sleep(delay).await;
