Refuse or deny no submission that may be stored

What callers saw: nothing yet; a newcomer who read the change found it. A caller could be told that a job is rejected, or will never run, although it was stored and would run.

When a write found both the job and another configuration in the store, only the configuration was looked at. If an earlier attempt of the same hedged write had stored the job, the call was denied by the new configuration; if that one could not be read, it was refused as never running when its time was over.

Change: what the writes of a submission have found is kept (WriteHistory). A job that was found, or whose write has an unknown outcome, is never refused; a call that may have stored it is not denied.

--- a/crates/jobs/src/api/submission.rs
+++ b/crates/jobs/src/api/submission.rs
@@ -1,5 +1,6 @@
 //! Submission of a job.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use cassiafold_event::emit;
@@ -19,14 +20,75 @@
 
 /// Time after which a caller may retry when the store is unavailable.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Writes without a response, after which the caller gets an unknown outcome.
-const FAILED_WRITES_MAX: u32 = 3;
+/// Shortest time for the writes of a submission, whatever time its caller names.
+const WRITE_TIME_MIN: Duration = Duration::from_millis(200);
+/// Hedged writes without a response, after which the caller gets an unknown outcome.
+const FAILED_CALLS_MAX: u32 = 3;
 
-/// What is in the store after a write.
+/// What a write found in the store.
 enum StoreOutcome {
+    /// It stored the job.
     Created,
+    /// The job is stored already.
     Present,
-    ConfigChanged,
+    /// The configuration is another one than the caller was authorized by.
+    ConfigChanged(StoredBy),
+}
+
+/// Who may have stored a job that a write finds in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoredBy {
+    /// The job is not stored.
+    Nobody,
+    /// An earlier submission of the same job.
+    EarlierSubmission,
+    /// Perhaps an earlier attempt of this submission, whose response was lost.
+    PerhapsThis,
+}
+
+/// What the writes of a submission so far allow its caller to be told.
+#[derive(Debug, Default)]
+struct WriteHistory {
+    /// Writes whose outcome is unknown.
+    failed_calls: u32,
+    /// Whether the job was found in the store.
+    is_stored: bool,
+    /// Whether this submission may have stored it.
+    may_be_own: bool,
+}
+
+impl WriteHistory {
+    fn record_found(&mut self, stored_by: StoredBy) {
+        self.is_stored |= stored_by != StoredBy::Nobody;
+        self.may_be_own |= stored_by == StoredBy::PerhapsThis;
+    }
+
+    fn record_failure(&mut self) {
+        self.failed_calls += 1;
+        self.may_be_own = true;
+    }
+
+    /// Refuses the job as one that will never run, unless it may be stored.
+    fn refuse(&self, id: JobId, reason: &str) -> SubmitResponse {
+        if self.is_stored || self.may_be_own {
+            return SubmitResponse::Unknown;
+        }
+        emit!(
+            target: LOG_TARGET,
+            JobsEvent::JobRefused,
+            job = format_args!("{id:016x}"),
+            reason = reason
+        );
+        SubmitResponse::Refused(STORE_RETRY_AFTER)
+    }
+
+    /// Denies the call, unless it may have stored the job.
+    fn deny(&self, denial: Denial) -> SubmitResponse {
+        match self.may_be_own {
+            true => SubmitResponse::Unknown,
+            false => SubmitResponse::Denied(denial),
+        }
+    }
 }
 
 impl<S: PlatformClients> JobApi<S> {
@@ -39,62 +101,59 @@
     }
 
     async fn submit_once(&self, call: &Call, spec: JobSpec) -> SubmitResponse {
-        let deadline = call.respond_by();
-        let mut failed_writes = 0;
+        let deadline = call.respond_by().max(Instant::now() + WRITE_TIME_MIN);
+        let mut history = WriteHistory::default();
         loop {
             // The write is conditional on the configuration, so a known one need not be confirmed.
             let auth = match self.authorize_known(call).await {
                 Ok(auth) => auth,
-                Err(denial) => return denied(denial, failed_writes > 0),
+                Err(denial) => return history.deny(denial),
             };
             let Target::Job(id) = auth.target else {
                 return SubmitResponse::Denied(Denial::NoJob);
             };
-            let is_first = failed_writes == 0;
             if self.availability.wait_for_checks(deadline).await.is_err() {
-                return match is_first {
-                    true => refuse(id, "the store is unavailable"),
-                    false => SubmitResponse::Unknown,
-                };
+                return history.refuse(id, "the store is unavailable");
             }
-            let error = match self.store_job(&auth, id, &spec, deadline).await {
+            match self.store_job(&auth, id, &spec, deadline).await {
                 Ok(StoreOutcome::Created) => {
                     log_accepted(&auth, id);
                     return SubmitResponse::Accepted;
                 }
                 Ok(StoreOutcome::Present) => return SubmitResponse::Accepted,
-                Ok(StoreOutcome::ConfigChanged) => {
+                Ok(StoreOutcome::ConfigChanged(stored_by)) => {
+                    history.record_found(stored_by);
                     // The new one may be unreadable.
                     if self.config_revision() == auth.config_revision {
                         sleep(RETRY_DELAY).await;
                     }
-                    continue;
                 }
-                Err(error) => error,
-            };
-            match error {
-                UnknownReason::StoreFailed(StoreError::Unavailable(reason)) if is_first => {
-                    return refuse(id, &reason);
+                Err(UnknownReason::StoreFailed(StoreError::Unavailable(reason))) => {
+                    return history.refuse(id, &reason);
+                }
+                Err(UnknownReason::DeadlineTooShort) => {
+                    return history.refuse(id, "no time is left for a write");
                 }
-                UnknownReason::DeadlineTooShort if is_first => {
-                    return refuse(id, "the caller has no time left");
+                Err(UnknownReason::StoreFailed(error)) => {
+                    log_unsettled(id, &error);
+                    history.record_failure();
+                    let is_over = Instant::now() + RETRY_DELAY >= deadline;
+                    if is_over || history.failed_calls >= FAILED_CALLS_MAX {
+                        return SubmitResponse::Unknown;
+                    }
+                    sleep(RETRY_DELAY).await;
                 }
-                UnknownReason::StoreFailed(error) => log_unsettled(id, &error),
-                UnknownReason::StoreUnavailable(loss) => {
+                Err(UnknownReason::StoreUnavailable(loss)) => {
                     log_unsettled(id, &loss.error);
                     return SubmitResponse::Unknown;
                 }
-                _ => return SubmitResponse::Unknown,
-            }
-            failed_writes += 1;
-            if failed_writes >= FAILED_WRITES_MAX || Instant::now() + RETRY_DELAY >= deadline {
-                return SubmitResponse::Unknown;
+                Err(_) => return SubmitResponse::Unknown,
             }
-            sleep(RETRY_DELAY).await;
         }
     }
 
-    /// Writes a job. The write may be repeated: once the job is stored, it conflicts with itself.
+    /// Writes a job. The write may be repeated: if an earlier attempt was committed, a later one
+    /// conflicts and finds the job.
     async fn store_job(
         &self,
         auth: &AuthorizedCall,
@@ -112,13 +171,17 @@
             UnknownReason::StoreFailed(StoreError::Unavailable(error.to_string().into()))
         })?;
         let (key, state_key) = (job_key(id), state_key(id));
-        // Of a job that has ended, only the state may still be stored.
+        // A job that has ended may have only a state left.
         let transaction = Transaction::default()
             .expect(key.clone(), Compare::Absent)
-            .expect(state_key, Compare::Absent)
+            .expect(state_key.clone(), Compare::Absent)
             .expect(S::Formats::CONFIG_KEY, Compare::Revision(auth.config_revision))
-            .put(key, bytes, None);
-        let commit = || self.platform.store().commit(transaction.clone());
+            .put(key.clone(), bytes, None);
+        let attempts = AtomicU32::new(0);
+        let commit = || {
+            attempts.fetch_add(1, Ordering::Relaxed);
+            self.platform.store().commit(transaction.clone())
+        };
         match self.call_store(StoreOperation::WriteJob, deadline, commit).await? {
             TransactionOutcome::Written(_) => Ok(StoreOutcome::Created),
             TransactionOutcome::Conflict(records) => {
@@ -129,30 +192,18 @@
                     return Ok(StoreOutcome::Present);
                 }
                 self.apply_config_record(&records);
-                Ok(StoreOutcome::ConfigChanged)
+                let is_job = |record: &Record| record.key == key || record.key == state_key;
+                let stored_by = match (records.iter().any(is_job), attempts.into_inner()) {
+                    (false, _) => StoredBy::Nobody,
+                    (true, 1) => StoredBy::EarlierSubmission,
+                    (true, _) => StoredBy::PerhapsThis,
+                };
+                Ok(StoreOutcome::ConfigChanged(stored_by))
             }
         }
     }
 }
 
-/// Refuses a job of which nothing was sent to the store, or nothing that the store executed.
-fn refuse(id: JobId, reason: &str) -> SubmitResponse {
-    emit!(
-        target: LOG_TARGET,
-        JobsEvent::JobRefused,
-        job = format_args!("{id:016x}"),
-        reason = reason
-    );
-    SubmitResponse::Refused(STORE_RETRY_AFTER)
-}
-
-fn denied(denial: Denial, may_be_stored: bool) -> SubmitResponse {
-    match may_be_stored {
-        true => SubmitResponse::Unknown,
-        false => SubmitResponse::Denied(denial),
-    }
-}
-
 fn log_accepted(auth: &AuthorizedCall, id: JobId) {
     emit!(
         target: LOG_TARGET,
