Check a store that may be slow and may be back, at the same time

What was seen: calls_are_served_again_when_the_store_is_back failed once after passing: the store was back, and one second later calls were still refused. It passed or failed by the order in which two timers of the same moment were looked at.

A check waited for up to 3 s, so that slow stores are not lost, and no new one began meanwhile; checks sent to the silent store held up those that would have been answered.

Change: checks begin 200 ms after the first one and then every 750 ms, and earlier ones go on for 1.5 s beside them. The first response counts.

Also what the newcomer stumbled over: names and comments of the availability, the hedge, claims and machine lists, and the user in two lines of event 1644. One test waits until earlier checks have ended before it counts calls.

--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Authorizes a call that what it does confirms, or that is authorized again. Only a call that
-    /// the known configuration denies waits until that one is confirmed.
+    /// Authorizes a call by the known configuration, for calls whose write is conditional on it, or
+    /// that are authorized again. A denial is confirmed with the store first.
     pub(super) async fn authorize_known(&self, call: &Call) -> Result<AuthorizedCall, Denial> {
         match self.authorize(call) {
             Ok(auth) => Ok(auth),
--- a/crates/jobs/src/api/availability.rs
+++ b/crates/jobs/src/api/availability.rs
@@ -10,37 +10,48 @@
 
 use cassiafold_event::emit;
 use cassiafold_platform::{Store, StoreError};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::reason::{StoreLoss, StoreOperation};
-use super::store_call::call_hedged;
 use crate::event::JobsEvent;
 use crate::metrics::JobsMetrics;
 use crate::record::WAITING_KEY;
 use crate::response_times::ResponseTimes;
 use crate::task_panic::restart_on_panic;
 
-/// Shortest time without a response after which a call has failed for others.
+/// Shortest time without a response after which the store is suspected, while the call goes on.
 const SUSPICION_TIME_MIN: Duration = Duration::from_millis(200);
 /// Longest such time: a third of the three seconds that callers wait who name no deadline.
 const SUSPICION_TIME_MAX: Duration = Duration::from_secs(1);
-/// Shortest time after a failed call in which another one has to be answered: a quarter of those
-/// three seconds, so that queries outlast both times.
+/// Shortest time from the first failure until the store counts as unavailable if no call is
+/// answered: a quarter of those three seconds, so that queries outlast both times.
 const LOSS_TIME_MIN: Duration = Duration::from_millis(750);
 /// Longest such time: half of those three seconds.
 const LOSS_TIME_MAX: Duration = Duration::from_millis(1_500);
 /// Multiple of the latest response times that a response is not expected to exceed.
 const EXPECTED_FACTOR: f64 = 1.5;
-/// Longest time for which a check waits; its client repeats it meanwhile.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time between two checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(60);
+/// Longest time for which a check waits.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time from the first check to the second one, which uses another connection.
+const SECOND_CHECK_DELAY: Duration = Duration::from_millis(200);
+/// Time between two later checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(750);
+/// Time from a check that failed to the next one.
+const FAILED_CHECK_DELAY: Duration = Duration::from_millis(60);
 /// Divisor of the time to a caller's deadline that gives the longest wait for the checks.
 const WAIT_DIVISOR: u32 = 4;
 /// User of the store that the log names.
 const USER: &str = "callers";
 
+/// A check of the store that has ended.
+struct Check {
+    sent: Instant,
+    result: Result<(), StoreError>,
+}
+
 /// What the calls so far say about the store.
 #[derive(Debug, Clone, Default)]
 enum Phase {
@@ -53,9 +64,9 @@
     Unavailable(StoreLoss),
 }
 
-/// What is known of the store by the calls that callers cause.
+/// State that the clones share.
 #[derive(Debug, Default)]
-struct Knowledge {
+struct SharedState {
     phase: watch::Sender<Phase>,
     response_times: Mutex<ResponseTimes>,
     /// Checks since the store was last available.
@@ -66,23 +77,23 @@
 #[derive(Debug, Clone)]
 pub(super) struct StoreAvailability<S> {
     store: S,
-    knowledge: Arc<Knowledge>,
+    shared: Arc<SharedState>,
     metrics: JobsMetrics,
 }
 
 impl<S: Store> StoreAvailability<S> {
     pub(super) fn new(store: S, metrics: JobsMetrics) -> Self {
-        Self { store, knowledge: Arc::default(), metrics }
+        Self { store, shared: Arc::default(), metrics }
     }
 
     /// Why the store counts as unavailable, if it does.
     pub(super) fn loss(&self) -> Option<StoreLoss> {
-        self.knowledge.phase.borrow().loss()
+        self.shared.phase.borrow().loss()
     }
 
     /// Whether a call failed and none has been answered since.
     pub(super) fn is_suspected(&self) -> bool {
-        !matches!(*self.knowledge.phase.borrow(), Phase::Available)
+        !matches!(*self.shared.phase.borrow(), Phase::Available)
     }
 
     /// Waits while a failed call is being checked, for a part of the time to a caller's deadline.
@@ -93,7 +104,7 @@
         }
         let now = Instant::now();
         let left = deadline.saturating_duration_since(now);
-        let mut phases = self.knowledge.phase.subscribe();
+        let mut phases = self.shared.phase.subscribe();
         let decision = phases.wait_for(|phase| !matches!(phase, Phase::Suspected(_)));
         let _ = timeout_at(now + left / WAIT_DIVISOR, decision).await;
         self.loss().map_or(Ok(()), Err)
@@ -111,7 +122,7 @@
 
     /// Waits until the store counts as unavailable.
     async fn wait_for_loss(&self) -> StoreLoss {
-        let mut phases = self.knowledge.phase.subscribe();
+        let mut phases = self.shared.phase.subscribe();
         loop {
             if let Some(loss) = phases.borrow_and_update().loss() {
                 return loss;
@@ -124,8 +135,8 @@
 
     /// Waits until a call has been answered since this loss.
     async fn wait_for_response(&self, loss: &StoreLoss) {
-        let mut phases = self.knowledge.phase.subscribe();
-        if phases.wait_for(|phase| !phase.is_about(loss)).await.is_err() {
+        let mut phases = self.shared.phase.subscribe();
+        if phases.wait_for(|phase| !phase.is_same_loss(loss)).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
@@ -167,16 +178,16 @@
 
     /// Time that a response is not expected to exceed; zero if too few are known.
     pub(super) fn expected_time_max(&self) -> Duration {
-        let times = &self.knowledge.response_times;
+        let times = &self.shared.response_times;
         let times = times.lock().unwrap_or_else(PoisonError::into_inner);
         times.shorter_of_latest_two().mul_f64(EXPECTED_FACTOR)
     }
 
     fn record_response(&self, sent: Instant) {
-        let times = &self.knowledge.response_times;
+        let times = &self.shared.response_times;
         times.lock().unwrap_or_else(PoisonError::into_inner).record(sent.elapsed());
         let mut loss = None;
-        self.knowledge.phase.send_if_modified(|phase| {
+        self.shared.phase.send_if_modified(|phase| {
             let is_new = !matches!(phase, Phase::Available);
             loss = phase.loss();
             *phase = Phase::Available;
@@ -184,7 +195,7 @@
         });
         if let Some(loss) = loss {
             self.metrics.set_store_unavailable(false);
-            let checks = self.knowledge.checks.load(Ordering::Relaxed);
+            let checks = self.shared.checks.load(Ordering::Relaxed);
             let lost_ms = loss.since.elapsed().as_millis();
             emit!(JobsEvent::StoreRegained, user = USER, lost_ms = lost_ms, checks = checks);
         }
@@ -192,7 +203,7 @@
 
     fn record_failure(&self, operation: StoreOperation, error: &StoreError) {
         let loss = StoreLoss { since: Instant::now(), operation, error: error.clone() };
-        let is_new = self.knowledge.phase.send_if_modified(|phase| {
+        let is_new = self.shared.phase.send_if_modified(|phase| {
             let is_new = matches!(phase, Phase::Available);
             if is_new {
                 *phase = Phase::Suspected(loss.clone());
@@ -208,45 +219,56 @@
 
     /// Checks the store until a call is answered.
     async fn check(self, loss: StoreLoss) {
-        self.knowledge.checks.store(0, Ordering::Relaxed);
+        self.shared.checks.store(0, Ordering::Relaxed);
         let check_error = Mutex::new(StoreError::no_response());
         tokio::select! {
             () = self.wait_for_response(&loss) => {}
             () = self.repeat_checks(&check_error) => {}
-            () = self.refuse_after(&loss, &check_error) => {}
+            () = self.declare_loss(&loss, &check_error) => {}
         }
     }
 
-    /// Makes checks until one is answered.
+    /// Makes checks until one is answered. Earlier ones go on beside the later ones: they were sent
+    /// to a store that may be slow, and the later ones find out soon that it is back.
     async fn repeat_checks(&self, check_error: &Mutex<StoreError>) {
+        let mut checks = FuturesUnordered::new();
+        let mut interval = SECOND_CHECK_DELAY;
         loop {
-            self.knowledge.checks.fetch_add(1, Ordering::Relaxed);
-            let sent = Instant::now();
-            match self.check_once().await {
-                Ok(()) => return self.record_response(sent),
-                Err(error) => {
-                    *check_error.lock().unwrap_or_else(PoisonError::into_inner) = error;
+            checks.push(self.check_once());
+            self.shared.checks.fetch_add(1, Ordering::Relaxed);
+            let mut next_at = Instant::now() + interval;
+            interval = CHECK_INTERVAL;
+            loop {
+                let check = tokio::select! {
+                    Some(check) = checks.next() => check,
+                    () = sleep_until(next_at) => break,
+                };
+                match check.result {
+                    Ok(()) => return self.record_response(check.sent),
+                    Err(error) => {
+                        *check_error.lock().unwrap_or_else(PoisonError::into_inner) = error;
+                        next_at = next_at.min(Instant::now() + FAILED_CHECK_DELAY);
+                    }
                 }
             }
-            sleep(CHECK_INTERVAL).await;
         }
     }
 
-    async fn check_once(&self) -> Result<(), StoreError> {
-        let deadline = Instant::now() + CHECK_TIMEOUT;
-        let check = call_hedged(|| self.store.get(WAITING_KEY), deadline, self.expected_time_max());
-        match timeout_at(deadline, check).await {
+    async fn check_once(&self) -> Check {
+        let sent = Instant::now();
+        let result = match timeout(CHECK_TIMEOUT, self.store.get(WAITING_KEY)).await {
             Ok(Err(error)) if error.is_transient() => Err(error),
             Ok(_) => Ok(()),
             Err(_) => Err(StoreError::no_response()),
-        }
+        };
+        Check { sent, result }
     }
 
-    /// Refuses all calls from the loss time after a failed call on.
-    async fn refuse_after(&self, loss: &StoreLoss, check_error: &Mutex<StoreError>) {
+    /// Refuses all calls once the loss time is over. Never returns: a response ends the check.
+    async fn declare_loss(&self, loss: &StoreLoss, check_error: &Mutex<StoreError>) {
         sleep_until(loss.since + self.loss_time()).await;
-        let is_changed = self.knowledge.phase.send_if_modified(|phase| {
-            let is_suspected = matches!(phase, Phase::Suspected(_)) && phase.is_about(loss);
+        let is_changed = self.shared.phase.send_if_modified(|phase| {
+            let is_suspected = matches!(phase, Phase::Suspected(_)) && phase.is_same_loss(loss);
             if is_suspected {
                 *phase = Phase::Unavailable(loss.clone());
             }
@@ -276,8 +298,8 @@
         }
     }
 
-    /// Whether no call has been answered since this loss.
-    fn is_about(&self, loss: &StoreLoss) -> bool {
+    /// Whether the phase still belongs to this loss.
+    fn is_same_loss(&self, loss: &StoreLoss) -> bool {
         match self {
             Self::Available => false,
             Self::Suspected(current) | Self::Unavailable(current) => current.since == loss.since,
--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -21,13 +21,13 @@
 use crate::record::{JobState, StateRecord, job_key, state_key};
 use crate::spec::JobId;
 
-/// Time after which the job is read beside its state, so that a slow store is waited for once.
+/// Time without the state after which the job is read beside it.
 const JOB_READ_DELAY: Duration = Duration::from_millis(100);
 
 /// A job that the store knows.
 struct FoundJob {
     state: JobState,
-    /// Team that submitted it, if a key was needed.
+    /// Team that submitted it; `None` if it was submitted without a key.
     team: Option<TeamId>,
 }
 
@@ -93,7 +93,7 @@
         }
     }
 
-    /// The job by its stored state, or by its record if no state tells of it.
+    /// The job by its stored state, or by its record if there is no readable state.
     async fn find_job(
         &self,
         id: JobId,
--- a/crates/jobs/src/api/store_call.rs
+++ b/crates/jobs/src/api/store_call.rs
@@ -63,8 +63,8 @@
 }
 
 impl<S: PlatformClients> JobApi<S> {
-    /// Waits before a failed call is made again: until another call has been answered, if that
-    /// shows in time.
+    /// Waits before a failed call is made again: for the retry delay, and then until the store is no
+    /// longer suspected, for a part of the time left.
     pub(super) async fn wait_to_retry(&self, deadline: Instant) {
         sleep(RETRY_DELAY).await;
         // Whether the store is available is checked again by the call.
@@ -81,7 +81,7 @@
 
 /// Makes a call, and again on other connections while there is no response within the time that is
 /// expected. Returns the first response.
-pub(super) async fn call_hedged<T, F>(
+async fn call_hedged<T, F>(
     call: impl FnMut() -> F,
     deadline: Instant,
     expected: Duration,
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// Claims the ownership when it is free, and runs one term under a lease whose time to live is
-/// stored in `lease_ttl`.
+/// Claims the ownership when it is free, and runs one term. Stores the time to live of its lease in
+/// `lease_ttl`, which is needed also if the term panics.
 async fn claim_and_run<S: PlatformClients>(
     platform: &S,
     settings: &OwnerSettings,
@@ -339,7 +339,7 @@
 async fn release_ownership<S: cassiafold_platform::Store>(lease: LeaseKeeper<S>) {
     let released = timeout(RELEASE_TIMEOUT, lease.close()).await;
     if let Err(error) = released.unwrap_or_else(|_| Err(StoreError::no_response())) {
-        emit!(JobsEvent::StoreLost, error = error);
+        emit!(JobsEvent::StoreLost, user = "release of the ownership", error = error);
     }
 }
 
--- a/crates/jobs/src/owner/claim.rs
+++ b/crates/jobs/src/owner/claim.rs
@@ -19,12 +19,12 @@
 /// Delay between two attempts to reach the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
-/// Number of calls for which a lease lasts at least. The claim is written between its grant and its
-/// first renewal.
+/// Shortest time to live of a lease, in durations of one call: the claim and the first renewal have
+/// to fit into it.
 const LEASE_CALLS_MIN: u32 = 2;
 /// Part of the time to live after which a request for a lease without a response is sent again.
 const LEASE_RESEND_DIVISOR: u32 = 4;
-/// Number of calls for which the lease of a slow store lasts.
+/// Time to live of a slow store's lease, in durations of one call.
 const SLOW_LEASE_CALLS: u32 = 4;
 /// Longest time to live of a lease, unless the settings require a longer one. An owner that is lost
 /// is replaced after this time.
@@ -95,12 +95,12 @@
     resend_delay: Duration,
 ) -> Result<TimedLease<T>, StoreError> {
     let asked = Instant::now();
-    let lease = sent_twice(resend_delay).run(|| LeaseKeeper::start(store.clone(), ttl)).await?;
+    let lease = hedge_once(resend_delay).run(|| LeaseKeeper::start(store.clone(), ttl)).await?;
     Ok((lease, asked.elapsed()))
 }
 
 /// A call that is made once more if it gets no response within `delay`.
-fn sent_twice(delay: Duration) -> Hedge {
+fn hedge_once(delay: Duration) -> Hedge {
     Hedge { interval: delay, growth: 1, attempts_max: 2 }
 }
 
@@ -142,7 +142,7 @@
     );
     let commit = || platform.store().commit(transaction.clone());
     let is_own = |record: &Record| record.value == claim.as_bytes();
-    match sent_twice(resend_delay(call_time)).run(commit).await {
+    match hedge_once(resend_delay(call_time)).run(commit).await {
         Ok(TransactionOutcome::Written(revision)) => Ok(Some(revision)),
         // The first attempt may have been committed.
         Ok(TransactionOutcome::Conflict(records)) => {
--- a/crates/jobs/src/owner/load_limit.rs
+++ b/crates/jobs/src/owner/load_limit.rs
@@ -78,7 +78,7 @@
             // The ownership is over.
             Ok(TransactionOutcome::Conflict(_)) => uncounted,
             Err(error) => {
-                emit!(JobsEvent::StoreLost, error = error);
+                emit!(JobsEvent::StoreLost, user = "count of unfinished loads", error = error);
                 uncounted
             }
         }
--- a/crates/jobs/src/scheduler/machine_list.rs
+++ b/crates/jobs/src/scheduler/machine_list.rs
@@ -45,11 +45,11 @@
 
     /// Returns whether a worker runs on a machine that is up.
     pub(super) fn has_running_worker(&self, worker: &str) -> bool {
-        self.running_worker(worker).is_some()
+        self.machine_running(worker).is_some()
     }
 
     /// Returns the machine that is up and runs a worker.
-    pub(super) fn running_worker(&self, worker: &str) -> Option<&Machine> {
+    pub(super) fn machine_running(&self, worker: &str) -> Option<&Machine> {
         self.machines.get(*self.up_by_worker.get(worker)?)
     }
 }
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -158,7 +158,7 @@
             if worker.is_gone || worker.entry_due.is_none_or(|due| now >= due) {
                 continue;
             }
-            let machine = self.machines.running_worker(&worker.entry.id);
+            let machine = self.machines.machine_running(&worker.entry.id);
             let machine = machine.filter(|machine| machine.service == worker.entry.service);
             worker.is_on_machine = machine.is_some();
             if let Some(machine) = machine {
--- a/crates/jobs/tests/caller_reads.rs
+++ b/crates/jobs/tests/caller_reads.rs
@@ -144,6 +144,8 @@
     for _ in 0..2 {
         assert_eq!(api.job_state(&call_for(1, ms(3_000))).await, RUNNING);
     }
+    // Checks that the first queries caused have ended.
+    tokio::time::sleep(ms(1_000)).await;
     let calls = platform.store.calls();
     assert_eq!(api.job_state(&call_for(1, ms(3_000))).await, RUNNING);
     // The state and the job.
--- a/crates/platform/src/hedge.rs
+++ b/crates/platform/src/hedge.rs
@@ -28,8 +28,8 @@
 impl Hedge {
     /// Makes a call until one attempt gets a response.
     ///
-    /// A call that fails without a response is made once more, unless it was already; one that is
-    /// refused is not.
+    /// After an attempt fails with an unknown outcome, at most two are made in all; after a refusal,
+    /// no further one.
     pub async fn run<T, F>(self, mut call: impl FnMut() -> F) -> Result<T, StoreError>
     where
         F: Future<Output = Result<T, StoreError>>,
@@ -44,19 +44,19 @@
             let next_at = Instant::now() + interval;
             interval *= self.growth;
             while !attempts.is_empty() {
-                let may_repeat = started < self.attempts_max(failure.as_ref());
+                let may_repeat = started < self.attempts_allowed(failure.as_ref());
                 let result = tokio::select! {
                     Some(result) = attempts.next() => result,
                     () = sleep_until(next_at), if may_repeat => break,
                 };
                 match result {
-                    Err(error) if error.is_transient() => failure = Some(either(failure, error)),
+                    Err(error) if error.is_transient() => failure = Some(combine(failure, error)),
                     result => return result,
                 }
             }
             match failure.take() {
                 Some(error)
-                    if attempts.is_empty() && started >= self.attempts_max(Some(&error)) =>
+                    if attempts.is_empty() && started >= self.attempts_allowed(Some(&error)) =>
                 {
                     return Err(error);
                 }
@@ -66,7 +66,7 @@
     }
 
     /// Most attempts of a call, given the error of those that have failed.
-    fn attempts_max(&self, failure: Option<&StoreError>) -> u32 {
+    fn attempts_allowed(&self, failure: Option<&StoreError>) -> u32 {
         match failure {
             None => self.attempts_max,
             Some(StoreError::Unavailable(_)) => 1,
@@ -76,7 +76,7 @@
 }
 
 /// Error of two failed attempts: the outcome of the call is unknown if that of one attempt is.
-fn either(first: Option<StoreError>, second: StoreError) -> StoreError {
+fn combine(first: Option<StoreError>, second: StoreError) -> StoreError {
     match first {
         Some(first @ StoreError::OutcomeUnknown(_)) => first,
         _ => second,
