--- a/crates/jobs/tests/scripted_store/mod.rs
+++ b/crates/jobs/tests/scripted_store/mod.rs
@@ -24,7 +24,7 @@
 };
 use crate::emulator::{config, ms};
 
-/// Time after which the platform's client gives up a read that gets no response.
+/// Simulated time after which a call without a response fails.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// What happens to one call.
