Log how a worker's incarnation ended, and the runs that ended with it

Callers saw jobs beside a task that crashes its workers start again and again. From the job's id the on-call path ended at its first start: event 1623 had the number of runs of an ended incarnation only, and no reason, so a crash could not be told from a move, a drain or a lost zone.

Now 1623 has the reason, event 1616 names each run that ended with its worker (at most 24 lines for an incarnation), and a failed poll tells a closed connection from silence. No decision changes.

--- a/crates/jobs/src/clients.rs
+++ b/crates/jobs/src/clients.rs
@@ -160,6 +160,9 @@
     /// The worker has seen a higher token.
     #[error("the worker has seen a higher fencing token")]
     Fenced,
+    /// The worker's host closed or refused the connection, so the worker's process may have ended.
+    #[error("connection closed: {0}")]
+    Closed(Arc<str>),
     /// No valid response was received.
     #[error("no valid response: {0}")]
     NoAnswer(Arc<str>),
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -18,6 +18,7 @@
         RunVanished = 1613, Info, "worker no longer reports a run";
         StartNotAccepted = 1614, Info, "start command was not accepted";
         PaceChanged = 1615, Info, "speed of an opportunistic task changed";
+        RunLost = 1616, Info, "worker incarnation ended under a run";
         WorkerListed = 1620, Info, "worker listed";
         WorkerUnlisted = 1621, Info, "worker no longer listed";
         WorkerDraining = 1622, Info, "worker is draining";
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod desired_state;
 pub mod estimate;
 pub mod event;
+pub mod incarnation;
 pub mod job;
 pub mod metrics;
 pub mod outage;
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -12,6 +12,7 @@
 use crate::clients::MachineOutcome;
 use crate::cluster::{Machine, MachineState, Wave, WaveNumber};
 use crate::event::JobsEvent;
+use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::record::{WaveRecord, WavesRecord};
 
@@ -135,7 +136,7 @@
             let id = &self.workers[slot].entry.id;
             if !machines.has_running_worker(id) {
                 if !machines.may_run_worker(id) {
-                    self.retire_worker(slot, now);
+                    self.retire_worker(slot, IncarnationEnd::MachineOrdered, now);
                 }
                 continue;
             }
@@ -148,6 +149,7 @@
         }
         self.machines = machines;
         self.machines_listed_at = Some(sent);
+        self.assign_machines();
         self.retire_workers_on_down_machines(sent, now);
         self.complete_missing_entries(now);
     }
@@ -162,7 +164,38 @@
                 continue;
             }
             if !self.machines.may_run_worker(&worker.entry.id) {
-                self.retire_worker(slot, now);
+                let end = self.machine_end(slot, now);
+                self.retire_worker(slot, end, now);
+            }
+        }
+    }
+
+    /// Returns what the list of machines says about the end of a worker that is on no machine that
+    /// is up.
+    fn machine_end(&self, slot: WorkerSlot, now: Moment) -> IncarnationEnd {
+        // A worker that started after the previous list is not known to have had a machine.
+        let Some(id) = &self.workers[slot].machine else { return IncarnationEnd::MachineDown };
+        let Some(machine) = self.machines.get(id) else { return IncarnationEnd::MachineUnlisted };
+        if self.machine_leases.is_leased_to_other(id, now) {
+            return IncarnationEnd::MachineOrdered;
+        }
+        match machine.state {
+            MachineState::Moving | MachineState::Maintenance => IncarnationEnd::MachineOrdered,
+            _ if machine.service != self.workers[slot].entry.service => {
+                IncarnationEnd::MachineOrdered
+            }
+            MachineState::Up => IncarnationEnd::MachineRunsOther,
+            MachineState::Down | MachineState::Unknown => IncarnationEnd::MachineDown,
+        }
+    }
+
+    /// Notes on which machine each worker runs.
+    fn assign_machines(&mut self) {
+        let up = self.machines.iter().filter(|machine| machine.state == MachineState::Up);
+        for machine in up {
+            let slot = machine.worker.as_ref().and_then(|worker| self.current_slots.get(worker));
+            if let Some(slot) = slot {
+                self.workers[*slot].machine = Some(machine.id.clone());
             }
         }
     }
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -10,6 +10,7 @@
 use super::{Scheduler, WriteUrgency};
 use crate::clients::{EndedRun, PollError, PollRequest, PollResponse, RunEnd, RunningRun};
 use crate::event::JobsEvent;
+use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::spec::TaskId;
 use crate::worker::{PollPhase, Run, RunKind, RunPhase};
@@ -343,7 +344,7 @@
         worker.unresponsive_since = worker.unresponsive_since.or(Some(now));
         worker.failed_polls += 1;
         if *error == PollError::OtherLife {
-            self.retire_worker(slot, now);
+            self.retire_worker(slot, IncarnationEnd::AddressReused, now);
             return;
         }
         self.expire_lease(slot, now);
@@ -379,7 +380,7 @@
         }
         let worker = &self.workers[slot];
         if !worker.is_listed && worker.failed_polls >= FAILED_POLLS_MAX {
-            self.retire_worker(slot, now);
+            self.retire_worker(slot, IncarnationEnd::LeaseExpired, now);
         }
     }
 }
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -8,6 +8,7 @@
 use super::Scheduler;
 use crate::clients::{CommandOutcome, Refusal, StartRequest};
 use crate::event::JobsEvent;
+use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::spec::{RunNumber, TaskId};
 use crate::worker::RunPhase;
@@ -120,7 +121,7 @@
         now: Moment,
     ) {
         if refusal == Refusal::OtherLife {
-            self.retire_worker(slot, now);
+            self.retire_worker(slot, IncarnationEnd::AddressReused, now);
             return;
         }
         if refusal == Refusal::NoTicket {
@@ -154,7 +155,7 @@
         now: Moment,
     ) {
         if outcome == CommandOutcome::Refused(Refusal::OtherLife) {
-            self.retire_worker(slot, now);
+            self.retire_worker(slot, IncarnationEnd::AddressReused, now);
             return;
         }
         let known_run = self.workers[slot].runs.get_mut(&task);
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -12,15 +12,19 @@
 use crate::clients::WorkerAddress;
 use crate::cluster::{WorkerEntry, WorkerId};
 use crate::event::JobsEvent;
+use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::record::WorkerShard;
-use crate::spec::Resources;
-use crate::worker::{PollPhase, Worker};
+use crate::spec::{Resources, TaskId};
+use crate::worker::{PollPhase, Run, Worker};
 
 /// Time from the start of a term in which the entries of known workers may be missing: after an
 /// outage of the store they are back within two seconds.
 const ENTRY_RETURN_TIME: Duration = Duration::from_millis(2_300);
 
+/// Maximum number of log lines about the runs of an incarnation that has ended.
+const LOST_RUNS_LOGGED_MAX: usize = 24;
+
 /// An incarnation that has ended although it is still listed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EndedIncarnation {
@@ -99,7 +103,11 @@
         let is_same_place = worker.entry.address == entry.address
             && (worker.entry.service == entry.service || !worker.is_listed);
         if worker.is_gone || !is_same_place {
-            self.retire_worker(slot, now);
+            let end = match worker.entry.service == entry.service {
+                true => IncarnationEnd::EntryReplaced,
+                false => IncarnationEnd::MachineOrdered,
+            };
+            self.retire_worker(slot, end, now);
             let slot = self.add_worker(entry, now);
             self.mark_unrecorded(slot);
             return;
@@ -169,8 +177,9 @@
         }
     }
 
-    /// Ends the incarnation of a worker and removes its runs.
-    pub(super) fn retire_worker(&mut self, slot: WorkerSlot, now: Moment) {
+    /// Ends the incarnation of a worker and removes its runs; `sign` is how that was learned.
+    pub(super) fn retire_worker(&mut self, slot: WorkerSlot, sign: IncarnationEnd, now: Moment) {
+        let end = self.incarnation_end(slot, sign);
         let worker = &mut self.workers[slot];
         if worker.is_gone {
             return;
@@ -183,7 +192,8 @@
         let ended = EndedIncarnation { ended_at: now, started_unix: worker.entry.started_unix };
         self.ended_incarnations.insert(id.clone(), ended);
         let worker = &self.workers[slot];
-        emit!(JobsEvent::WorkerLost, worker = id, runs = worker.runs.len());
+        emit!(JobsEvent::WorkerLost, worker = id, runs = worker.runs.len(), reason = end);
+        self.log_lost_runs(slot, end, now);
         self.release_all_runs(slot, now);
         let service = self.workers[slot].entry.service.clone();
         self.remove_from_service(&service, slot);
@@ -202,8 +212,11 @@
         started_unix: Option<Duration>,
         now: Moment,
     ) {
+        let end = self.incarnation_end(slot, IncarnationEnd::Restarted);
+        let worker = &self.workers[slot];
+        emit!(JobsEvent::WorkerReborn, worker = worker.entry.id, runs = worker.runs.len());
+        self.log_lost_runs(slot, end, now);
         let worker = &self.workers[slot];
-        emit!(JobsEvent::WorkerReborn, worker = worker.entry.id);
         let last_poll_sent = worker.poll_sent;
         self.release_runs_if(slot, now, |run| run.since <= last_poll_sent);
         let lease_max = self.lease_max_with_skew();
@@ -214,6 +227,35 @@
         }
     }
 
+    /// Returns how an incarnation ended, by the sign of it and what the worker was about to do.
+    fn incarnation_end(&self, slot: WorkerSlot, sign: IncarnationEnd) -> IncarnationEnd {
+        let worker = &self.workers[slot];
+        match sign {
+            _ if worker.is_leaving => IncarnationEnd::MachineOrdered,
+            _ if worker.entry.is_draining => IncarnationEnd::Drained,
+            sign => sign,
+        }
+    }
+
+    /// Logs the runs of an incarnation that has ended, those that started last first: a task that
+    /// crashes its worker mostly does so soon after its start.
+    fn log_lost_runs(&self, slot: WorkerSlot, end: IncarnationEnd, now: Moment) {
+        let worker = &self.workers[slot];
+        let mut runs: Vec<(&TaskId, &Run)> = worker.runs.iter().collect();
+        runs.sort_by_key(|(task, run)| (Reverse(run.since), **task));
+        for (task, run) in runs.into_iter().take(LOST_RUNS_LOGGED_MAX) {
+            emit!(
+                JobsEvent::RunLost,
+                task = task,
+                run = run.number,
+                worker = worker.entry.id,
+                incarnation = worker.incarnation,
+                reason = end,
+                ran_ms = now.saturating_sub(run.since).as_millis()
+            );
+        }
+    }
+
     /// Withholds new tasks from a worker until a poll has confirmed its new incarnation.
     fn await_first_poll(&mut self, slot: WorkerSlot, now: Moment) {
         let worker = &mut self.workers[slot];
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cassiafold_config::InstanceId;
 use cassiafold_platform::Moment;
 
 use crate::clients::WorkerAddress;
@@ -173,6 +174,8 @@
     pub is_cordoned: bool,
     /// Whether its machine has yet to be maintained in a wave.
     pub is_maintenance_due: bool,
+    /// Its machine, once a list of machines has shown it.
+    pub machine: Option<InstanceId>,
     /// Whether its machine was commanded to move or to be maintained.
     pub is_leaving: bool,
     /// When such a command was accepted.
@@ -234,6 +237,7 @@
             unresponsive_since: None,
             is_cordoned: false,
             is_maintenance_due: false,
+            machine: None,
             is_leaving: false,
             leaving_since: None,
             runs: HashMap::new(),
