--- a/crates/jobs/tests/emulator/event.rs
+++ b/crates/jobs/tests/emulator/event.rs
@@ -1,6 +1,7 @@
 //! Events of the emulation, ordered by time.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_jobs::clients::{
@@ -23,6 +24,7 @@
     pub slot: usize,
     pub is_out_of_band: bool,
     pub worker: usize,
+    pub worker_id: Arc<str>,
     pub request: PollRequest,
     pub sent: Duration,
 }
--- a/crates/jobs/tests/emulator/handler.rs
+++ b/crates/jobs/tests/emulator/handler.rs
@@ -26,6 +26,7 @@
                     if let Some(scheduler) = &mut self.scheduler {
                         scheduler.set_workers(entries, now);
                     }
+                    self.list_machines();
                 }
                 self.schedule(ms(20), Event::Tick);
             }
@@ -70,8 +71,11 @@
                 }
             }
             Event::RunFinished { worker, task, run } => self.end_run(worker, task, run),
-            Event::Crash { worker } => self.workers[worker].crash(),
-            Event::Restart { worker } => self.workers[worker].restart(now),
+            Event::Crash { worker } => {
+                self.count_crash(worker);
+                self.workers[worker].crash();
+            }
+            Event::Restart { worker } => self.restart(worker),
             Event::OwnerCrash => self.scheduler = None,
             Event::OwnerStart => {
                 self.owner += 1;
@@ -86,10 +90,12 @@
     }
 
     fn poll(&mut self, poll: SentPoll) {
-        let SentPoll { owner, slot, is_out_of_band, worker, request, sent } = poll;
+        let SentPoll { owner, slot, is_out_of_band, worker, worker_id, request, sent } = poll;
         let (delay, responds) = self.faults.poll_delivery(&mut self.random);
         let now = self.now;
+        let is_other = self.workers[worker].is_up && self.workers[worker].id != worker_id;
         let result = match responds {
+            true if is_other => Err(PollError::OtherLife),
             true => self.workers[worker].poll(request, now),
             false => Err(PollError::NoAnswer("lost".into())),
         };
@@ -135,6 +141,7 @@
         {
             self.start_count += 1;
             self.check_start(worker, task);
+            self.crash_worker_of_deadly_task(worker, task);
             let spec = &self.jobs[&task.step.job].spec;
             if !spec.steps[usize::from(task.step.step)].long_running {
                 let length = ms(self.random.random_range(200..1_500));
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the emulator")]
 
 mod checks;
+pub mod crashes;
 mod event;
 pub mod faults;
 mod handler;
@@ -27,6 +28,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use self::crashes::Crashes;
 use self::event::{Event, Incarnation, Scheduled, SentPoll};
 use self::faults::Faults;
 use self::worker::EmulatedWorker;
@@ -137,6 +139,8 @@
     acknowledged: HashSet<TaskId>,
     failure_counts: HashMap<TaskId, u32>,
     limit: Resources,
+    /// Tasks that crash their workers, and the crashes so far.
+    pub crashes: Crashes,
 }
 
 impl Emulator {
@@ -167,6 +171,7 @@
             acknowledged: HashSet::new(),
             failure_counts: HashMap::new(),
             limit,
+            crashes: Crashes::default(),
         };
         emulator.start_owner();
         emulator.schedule(Duration::ZERO, Event::Tick);
@@ -295,7 +300,7 @@
     }
 
     fn worker_index(&self, id: &str) -> usize {
-        self.workers.iter().position(|worker| *worker.id == *id).expect("known worker")
+        self.workers.iter().position(|worker| worker.has_or_had_id(id)).expect("known worker")
     }
 
     fn incarnation(&self, id: &str) -> Incarnation {
@@ -318,9 +323,11 @@
         match command {
             Command::Poll { worker: slot, is_out_of_band } => {
                 let request = scheduler.poll_request(slot, is_out_of_band, self.now);
-                let worker = self.worker_index(&scheduler.worker(slot).entry.id);
+                let worker_id = scheduler.worker(slot).entry.id.clone();
+                let worker = self.worker_index(&worker_id);
                 let sent = self.now;
-                let poll = SentPoll { owner, slot, is_out_of_band, worker, request, sent };
+                let poll =
+                    SentPoll { owner, slot, is_out_of_band, worker, worker_id, request, sent };
                 self.schedule(latency, Event::Poll(poll));
             }
             Command::Start { worker: slot, task, run, ticket } => {
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -30,6 +30,8 @@
     pub is_up: bool,
     pub runs: BTreeMap<TaskId, EmulatedRun>,
     pub started_at: Duration,
+    /// Ids of earlier incarnations.
+    past_ids: Vec<Arc<str>>,
     token: u64,
     ended: Vec<EndedRun>,
     next_number: u64,
@@ -46,6 +48,7 @@
             is_up: true,
             runs: BTreeMap::new(),
             started_at: Duration::from_secs(1),
+            past_ids: Vec::new(),
             token: 0,
             ended: Vec::new(),
             next_number: 1,
@@ -90,6 +93,18 @@
         self.lease_until = Duration::ZERO;
     }
 
+    /// Whether this is or was the worker's id.
+    pub fn has_or_had_id(&self, id: &str) -> bool {
+        *self.id == *id || self.past_ids.iter().any(|past| **past == *id)
+    }
+
+    /// Starts a new incarnation under another id.
+    pub fn restart_as_another(&mut self, now: Duration) {
+        let id = format!("{}-{}", self.id, now.as_millis()).into();
+        self.past_ids.push(std::mem::replace(&mut self.id, id));
+        self.restart(now);
+    }
+
     /// Starts a new incarnation.
     pub fn restart(&mut self, now: Duration) {
         self.is_up = true;
@@ -104,7 +119,7 @@
     /// Handles a poll: extends the lease, drops acknowledged ends and reports the runs.
     pub fn poll(&mut self, request: PollRequest, now: Duration) -> Result<PollResponse, PollError> {
         if !self.is_up {
-            return Err(PollError::NoAnswer("down".into()));
+            return Err(PollError::Closed("down".into()));
         }
         if request.token < self.token {
             return Err(PollError::Fenced);
