Give a task up that crashes each worker which starts it

Cause: the owner released the runs of an ended incarnation and started them elsewhere; nothing counted the crashes, nothing told their tasks apart, and nothing of it was stored. The class of fault: a retry without a limit, of work whose failure is seen only as the loss of the one that did it.

Change: each crash counts against the tasks that ran there, with whether the run was in its start window, and is stored with the job's state. A suspect starts where no other suspect has just started; after a second crash where nothing else has, or on a worker of its own; it is given up after the third crash in which no other task could be to blame. Cuts, drains, ordered moves, expired leases and losses of several workers at once do not count.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -6,6 +6,7 @@
 
 use cassiafold_platform::{Moment, Revision};
 
+use crate::crash::CrashHistory;
 use crate::delay::Delays;
 use crate::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use crate::spec::{
@@ -46,6 +47,10 @@
     pub ended: BTreeSet<OccurrenceNumber>,
     /// Number up to which each occurrence has started.
     next_occurrence: OccurrenceNumber,
+    /// Number of crashes that were counted against its tasks in this term.
+    crashes: u32,
+    /// Value of `crashes` that is stored.
+    crashes_stored: u32,
 }
 
 /// One occurrence of a job: a repetition of its steps.
@@ -87,6 +92,10 @@
     pub last_run: RunNumber,
     /// Runs of it that failed.
     pub failed_runs: Vec<RunNumber>,
+    /// Crashes of workers that ran it.
+    pub crashes: CrashHistory,
+    /// Number of its last crash among those of the job in this term.
+    last_crash: u32,
     /// Last checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// Workers on which it failed or was refused.
@@ -105,7 +114,10 @@
 
     /// Whether it has state to store.
     fn has_stored_state(&self) -> bool {
-        self.is_done || self.last_run > 0 || !self.failed_runs.is_empty()
+        self.is_done
+            || self.last_run > 0
+            || !self.failed_runs.is_empty()
+            || !self.crashes.is_empty()
     }
 }
 
@@ -133,6 +145,8 @@
             occurrences: BTreeMap::new(),
             ended: state.map(|state| state.ended.iter().copied().collect()).unwrap_or_default(),
             next_occurrence: 0,
+            crashes: 0,
+            crashes_stored: 0,
         }
     }
 
@@ -201,6 +215,8 @@
             task.is_done = row.done;
             task.last_run = row.last_run.max(run_number_base);
             task.failed_runs = row.failed_runs.clone();
+            task.crashes =
+                CrashHistory { soon: row.crashed_soon.clone(), late: row.crashed_late.clone() };
             task.checkpoint = row.checkpoint.clone();
             step.done += u32::from(row.done);
         }
@@ -265,6 +281,49 @@
         self.record.spec.steps.get(usize::from(step))
     }
 
+    /// Counts a crash against a task; it is stored with the next state.
+    pub fn record_crash(&mut self, id: TaskId) {
+        self.crashes += 1;
+        let crashes = self.crashes;
+        if let Some(task) = self.task_mut(id) {
+            task.last_crash = crashes;
+        }
+    }
+
+    /// Number of crashes that were counted against its tasks in this term.
+    pub fn crashes(&self) -> u32 {
+        self.crashes
+    }
+
+    /// Marks the crashes up to a number as stored.
+    pub fn mark_crashes_stored(&mut self, crashes: u32) {
+        self.crashes_stored = self.crashes_stored.max(crashes);
+    }
+
+    /// Whether all crashes are stored that were counted against a task.
+    pub fn are_crashes_stored(&self, id: TaskId) -> bool {
+        self.task(id).is_none_or(|task| task.last_crash <= self.crashes_stored)
+    }
+
+    /// Whether a crash that was counted against one of its tasks is not stored.
+    pub fn has_unstored_crash(&self) -> bool {
+        self.crashes_stored < self.crashes
+    }
+
+    /// Tasks under which a worker has crashed.
+    pub fn tasks_with_crashes(&self) -> Vec<TaskId> {
+        let mut tasks = Vec::new();
+        for (occurrence, contents) in &self.occurrences {
+            for (step, contents) in (0..).zip(&contents.steps) {
+                let step = StepId { job: self.id, occurrence: *occurrence, step };
+                let crashed = (0..).zip(&contents.tasks);
+                let crashed = crashed.filter(|(_, task)| !task.crashes.is_empty());
+                tasks.extend(crashed.map(|(index, _)| TaskId { step, index }));
+            }
+        }
+        tasks
+    }
+
     /// Runs of its tasks that are starting, in progress or being stopped.
     ///
     /// Runs of ended occurrences are left out: they were stopped when the occurrence ended.
@@ -344,6 +403,8 @@
                     done: task.is_done,
                     last_run: task.last_run,
                     failed_runs: task.failed_runs.clone(),
+                    crashed_soon: task.crashes.soon.clone(),
+                    crashed_late: task.crashes.late.clone(),
                     checkpoint: task.checkpoint.clone().filter(|_| !task.is_done),
                 });
             }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::job::WorkerSlot;
-use crate::spec::Resources;
+use crate::spec::{JobId, Resources};
 
 /// A worker that may be chosen.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +26,8 @@
     pub opportunistic: u32,
     /// Whether most of the recent runs on it failed.
     pub is_suspect: bool,
+    /// Job of a suspected task that has just started on it.
+    pub starting_suspect: Option<JobId>,
     /// Whether its machine has yet to be maintained in a wave.
     pub is_maintenance_due: bool,
 }
@@ -47,6 +49,8 @@
     pub serves: bool,
     /// Whether it runs on CPU time that other tasks leave unused.
     pub opportunistic: bool,
+    /// Its job, if it is suspected to crash its workers.
+    pub suspect_of: Option<JobId>,
 }
 
 impl Candidate {
@@ -59,7 +63,13 @@
     fn qualifies(&self, requirements: &TaskRequirements) -> bool {
         let has_label = requirements.label.as_ref().is_none_or(|label| self.labels.contains(label));
         let is_below_max = requirements.per_worker_max.is_none_or(|most| self.same_step < most);
-        has_label && is_below_max
+        has_label && is_below_max && !self.would_join_suspects(requirements)
+    }
+
+    /// Whether two suspected tasks would start on it at the same time. Those of one job may.
+    fn would_join_suspects(&self, requirements: &TaskRequirements) -> bool {
+        let (starting, suspect) = (self.starting_suspect, requirements.suspect_of);
+        starting.is_some() && suspect.is_some() && starting != suspect
     }
 
     /// Number of tasks with the same requirements that can start on it together.
@@ -87,14 +97,21 @@
             (_, true) => 4 * self.serving + self.opportunistic,
             _ => 0,
         };
+        // A crash ends as few other runs as possible.
+        let (long_running_beside, free_milli) = match requirements.suspect_of.is_some() {
+            true => (self.long_running, u32::MAX - self.free.processors_milli),
+            false => (0, self.free.processors_milli),
+        };
         Rank {
             is_suspect: self.is_suspect,
             is_avoided: avoided_workers.contains(&self.slot),
+            has_starting_suspect: self.starting_suspect.is_some(),
+            long_running_beside,
             would_move_again: requirements.long_running && self.is_maintenance_due,
             is_far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
             interference,
             has_no_long_running: self.long_running == 0,
-            free_milli: self.free.processors_milli,
+            free_milli,
         }
     }
 }
@@ -104,6 +121,8 @@
 struct Rank {
     is_suspect: bool,
     is_avoided: bool,
+    has_starting_suspect: bool,
+    long_running_beside: u32,
     would_move_again: bool,
     is_far_from_data: bool,
     interference: u32,
@@ -118,6 +137,9 @@
 /// workers, and short tasks fill these first, so that the other machines become free to move as
 /// soon as demand falls. Workers on which the task failed come last.
 ///
+/// A task that is suspected to crash its workers goes where few others run, and other tasks avoid
+/// it.
+///
 /// During a wave over machines with long-running tasks, only a few of these tasks may be
 /// unavailable at once. A task that has to leave a machine therefore goes to one whose maintenance
 /// is not due, so that it moves only once.
@@ -142,10 +164,13 @@
 }
 
 impl UnplaceableRequirements {
-    /// Records requirements that found no worker. Those that exclude some workers by label or by
-    /// number of tasks say nothing about other tasks.
+    /// Records requirements that found no worker. Those that exclude some workers by label, by
+    /// number of tasks or as those of a suspect say nothing about other tasks.
     pub fn record(&mut self, requirements: &TaskRequirements) {
-        if requirements.label.is_none() && requirements.per_worker_max.is_none() {
+        let excludes_workers = requirements.label.is_some()
+            || requirements.per_worker_max.is_some()
+            || requirements.suspect_of.is_some();
+        if !excludes_workers {
             self.smallest.retain(|other| !requirements.reserved.fits(other));
             self.smallest.push(requirements.reserved);
         }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -183,6 +183,12 @@
     /// Runs that failed.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<RunNumber>,
+    /// Runs under which the worker crashed soon after the start.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed_soon: Vec<RunNumber>,
+    /// Runs under which the worker crashed later.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed_late: Vec<RunNumber>,
     /// Last checkpoint.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Arc<str>>,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,9 +7,11 @@
 mod backlog;
 mod balance;
 mod budget;
+mod crashes;
 mod delays;
 mod gang;
 mod in_flight_writes;
+mod isolation;
 mod job_lifecycle;
 mod machine_leases;
 mod machine_list;
@@ -34,6 +36,7 @@
 use cassiafold_platform::Moment;
 
 pub use self::backlog::Backlog;
+pub use self::crashes::CrashCounts;
 use self::in_flight_writes::InFlightWrites;
 use self::machine_leases::MachineLeases;
 use self::machine_list::MachineList;
@@ -171,6 +174,10 @@
     ready_steps: StepsByService,
     /// Ready steps that may have waiting tasks.
     waiting_steps: StepsByService,
+    /// Tasks of live jobs under which a worker has crashed; of a gang the first member.
+    suspects: BTreeSet<TaskId>,
+    /// Crashes since they were last counted.
+    crash_counts: CrashCounts,
     /// Worker shards whose record in the store is outdated.
     stale_shards: BTreeSet<WorkerShard>,
     /// Ended jobs whose state is retained, with the time at which they ended, oldest first.
@@ -270,6 +277,8 @@
             jobs: HashMap::new(),
             ready_steps: StepsByService::default(),
             waiting_steps: StepsByService::default(),
+            suspects: BTreeSet::new(),
+            crash_counts: CrashCounts::default(),
             stale_shards: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
             ended_records: VecDeque::new(),
--- a/crates/jobs/src/scheduler/gang.rs
+++ b/crates/jobs/src/scheduler/gang.rs
@@ -32,6 +32,9 @@
         if !self.is_amount_within_team_quota(id, &total_resources) {
             return None;
         }
+        let first = TaskId { step: id, index: 0 };
+        let requirements =
+            &TaskRequirements { suspect_of: self.suspect_job(first), ..requirements.clone() };
         let mut racks: Vec<Option<Arc<str>>> = vec![None];
         if spec.same_rack {
             racks = candidates.iter().map(|candidate| candidate.labels.get(1).cloned()).collect();
@@ -55,7 +58,6 @@
             if !self.ensure_start_stored(id) {
                 return None;
             }
-            let first = TaskId { step: id, index: 0 };
             let members = (0..spec.tasks).map(|index| TaskId { index, ..first });
             let run = members.map(|task| self.next_run_number(task)).max().unwrap_or(1);
             for (index, slot) in (0..).zip(slots) {
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -60,6 +60,7 @@
                 Work { core_seconds: job.work_left(0), cores_max: cores.fold(0.0, f64::max) };
             self.arrivals.record(&job.record.service, work, now);
         }
+        self.restore_suspects(&job);
         self.jobs.insert(id, job);
         match is_recurring {
             true => self.recurring_jobs.push(id),
@@ -169,6 +170,7 @@
         for number in numbers {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.start_occurrence(number, Some(stored), self.term.run_number_base, now);
+                self.suspects.extend(job.tasks_with_crashes());
             }
             self.advance_occurrence(id, number, now);
         }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -37,6 +37,7 @@
         if now.saturating_sub(self.last_full_plan) >= REPLAN_INTERVAL {
             self.record_delays(now.saturating_sub(self.last_full_plan), now);
             self.last_full_plan = now;
+            self.forget_ended_suspects();
             self.start_due_occurrences(now_unix, now);
             self.mark_all_changed();
             for slot in self.active_slots().collect::<Vec<_>>() {
@@ -103,6 +104,8 @@
         }
         sort(&mut eligible_steps, now);
         let mut candidates = self.candidates(service, now);
+        let separated = self.separate_suspects(&mut candidates, now);
+        self.place_separated_tasks(&eligible_steps, separated, &mut candidates, now, commands);
         let mut reserved_count = 0;
         let mut unplaced = UnplaceableRequirements::default();
         for waiting_step in &eligible_steps {
@@ -226,6 +229,7 @@
                 serving: worker.counts.serving,
                 opportunistic: worker.counts.opportunistic,
                 is_suspect: is_suspect(&worker.recent_ends),
+                starting_suspect: None,
                 is_maintenance_due: worker.is_maintenance_due,
             })
             .collect()
@@ -236,13 +240,34 @@
     }
 
     /// Starts as many tasks of a step as fit; returns the requirements of a task if some did not
-    /// fit.
+    /// fit. Tasks that must start apart from others are left out.
     fn place_step(
         &mut self,
         id: StepId,
         candidates: &mut [Candidate],
         now: Moment,
         commands: &mut Vec<Command>,
+    ) -> Option<TaskRequirements> {
+        let mut waiting = self.waiting_tasks(id, now);
+        waiting.retain(|index| {
+            let task = TaskId { step: id, index: *index };
+            !self.suspicion(task).is_separated()
+        });
+        if waiting.is_empty() {
+            return None;
+        }
+        self.place_tasks(id, &waiting, candidates, now, commands)
+    }
+
+    /// Starts as many of the `waiting` tasks of a step as fit, of a gang all members or none;
+    /// returns the requirements of a task if some did not fit.
+    pub(super) fn place_tasks(
+        &mut self,
+        id: StepId,
+        waiting: &[u32],
+        candidates: &mut [Candidate],
+        now: Moment,
+        commands: &mut Vec<Command>,
     ) -> Option<TaskRequirements> {
         let record = Arc::clone(&self.jobs.get(&id.job)?.record);
         let spec = record.spec.steps.get(usize::from(id.step))?;
@@ -254,6 +279,7 @@
             long_running: spec.long_running,
             serves: spec.tail_target.is_some(),
             opportunistic: spec.opportunistic,
+            suspect_of: None,
         };
         self.count_same_step(id, spec, candidates);
         let has_policy = self.placement_policy(id).is_some();
@@ -272,9 +298,10 @@
                 now,
             );
         }
-        let waiting = self.waiting_tasks(id, now);
         for index in waiting {
-            let task = TaskId { step: id, index };
+            let task = TaskId { step: id, index: *index };
+            let requirements =
+                TaskRequirements { suspect_of: self.suspect_job(task), ..requirements.clone() };
             if !self.is_within_team_quota(id, spec) {
                 return None;
             }
@@ -375,6 +402,7 @@
             phase: RunPhase::Starting,
             since: now,
             start_unanswered_at: None,
+            possible_crash: None,
             is_adopted: false,
             confirmed: None,
             kind: RunKind::from(spec),
@@ -409,6 +437,7 @@
     };
     chosen.free = chosen.free.minus(&requirements.reserved);
     chosen.same_step += 1;
+    chosen.starting_suspect = chosen.starting_suspect.or(requirements.suspect_of);
     chosen.long_running += u32::from(requirements.long_running);
     chosen.serving += u32::from(requirements.serves);
     chosen.opportunistic += u32::from(requirements.opportunistic);
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -94,6 +94,7 @@
         if !is_excluded {
             worker.is_confirmed = true;
             worker.unresponsive_since = None;
+            worker.contact_loss = None;
             worker.was_confirmed = true;
             worker.failed_polls = 0;
         }
@@ -175,6 +176,7 @@
             if run.phase == RunPhase::Starting {
                 run.phase = RunPhase::Running;
             }
+            run.possible_crash = None;
             run.confirmed = run.confirmed.or(Some(now));
             if run.percent != running_run.percent {
                 run.percent = running_run.percent;
@@ -219,6 +221,7 @@
             phase: RunPhase::Running,
             since: now,
             start_unanswered_at: None,
+            possible_crash: None,
             is_adopted: true,
             confirmed: Some(now),
             kind,
@@ -285,6 +288,7 @@
                 task = task,
                 worker = self.workers[slot].entry.id
             );
+            self.judge_missing_run(slot, task, now);
             self.release_run(slot, task, now);
         }
     }
@@ -343,6 +347,7 @@
         worker.is_confirmed = false;
         worker.unresponsive_since = worker.unresponsive_since.or(Some(now));
         worker.failed_polls += 1;
+        self.record_contact_loss(slot, matches!(error, PollError::Closed(_)), now);
         if *error == PollError::OtherLife {
             self.retire_worker(slot, IncarnationEnd::AddressReused, now);
             return;
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -15,16 +15,13 @@
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::record::WorkerShard;
-use crate::spec::{Resources, TaskId};
-use crate::worker::{PollPhase, Run, Worker};
+use crate::spec::Resources;
+use crate::worker::{PollPhase, Worker};
 
 /// Time from the start of a term in which the entries of known workers may be missing: after an
 /// outage of the store they are back within two seconds.
 const ENTRY_RETURN_TIME: Duration = Duration::from_millis(2_300);
 
-/// Maximum number of log lines about the runs of an incarnation that has ended.
-const LOST_RUNS_LOGGED_MAX: usize = 24;
-
 /// An incarnation that has ended although it is still listed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EndedIncarnation {
@@ -193,7 +190,7 @@
         self.ended_incarnations.insert(id.clone(), ended);
         let worker = &self.workers[slot];
         emit!(JobsEvent::WorkerLost, worker = id, runs = worker.runs.len(), reason = end);
-        self.log_lost_runs(slot, end, now);
+        self.judge_lost_runs(slot, end, now);
         self.release_all_runs(slot, now);
         let service = self.workers[slot].entry.service.clone();
         self.remove_from_service(&service, slot);
@@ -215,7 +212,7 @@
         let end = self.incarnation_end(slot, IncarnationEnd::Restarted);
         let worker = &self.workers[slot];
         emit!(JobsEvent::WorkerReborn, worker = worker.entry.id, runs = worker.runs.len());
-        self.log_lost_runs(slot, end, now);
+        self.judge_lost_runs(slot, end, now);
         let worker = &self.workers[slot];
         let last_poll_sent = worker.poll_sent;
         self.release_runs_if(slot, now, |run| run.since <= last_poll_sent);
@@ -237,25 +234,6 @@
         }
     }
 
-    /// Logs the runs of an incarnation that has ended, those that started last first: a task that
-    /// crashes its worker mostly does so soon after its start.
-    fn log_lost_runs(&self, slot: WorkerSlot, end: IncarnationEnd, now: Moment) {
-        let worker = &self.workers[slot];
-        let mut runs: Vec<(&TaskId, &Run)> = worker.runs.iter().collect();
-        runs.sort_by_key(|(task, run)| (Reverse(run.since), **task));
-        for (task, run) in runs.into_iter().take(LOST_RUNS_LOGGED_MAX) {
-            emit!(
-                JobsEvent::RunLost,
-                task = task,
-                run = run.number,
-                worker = worker.entry.id,
-                incarnation = worker.incarnation,
-                reason = end,
-                ran_ms = now.saturating_sub(run.since).as_millis()
-            );
-        }
-    }
-
     /// Withholds new tasks from a worker until a poll has confirmed its new incarnation.
     fn await_first_poll(&mut self, slot: WorkerSlot, now: Moment) {
         let worker = &mut self.workers[slot];
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -77,6 +77,8 @@
     recorded_workers: Vec<WorkerSlot>,
     deleted_jobs: Vec<JobId>,
     states: Vec<JobId>,
+    /// Jobs in the write with the number of their crashes.
+    crashes: Vec<(JobId, u32)>,
     commanded_machines: CommandedMachinesRecord,
 }
 
@@ -210,7 +212,7 @@
     /// Returns how soon the changed state of a job should be written.
     fn state_urgency(&self, id: JobId) -> WriteUrgency {
         let Some(job) = self.jobs.get(&id) else { return WriteUrgency::Low };
-        match job.awaits_start_write() || !job.is_live() {
+        match job.awaits_start_write() || job.has_unstored_crash() || !job.is_live() {
             true => WriteUrgency::High,
             false => WriteUrgency::Normal,
         }
@@ -228,6 +230,9 @@
                 Ok(bytes) => {
                     batch.puts.push((state_key(id), bytes));
                     batch.states.push(id);
+                    if job.has_unstored_crash() {
+                        batch.crashes.push((id, job.crashes()));
+                    }
                     self.in_flight_writes.add(id, first_end);
                 }
                 Err(error) => log_encode_error(id, &error),
@@ -373,11 +378,21 @@
             self.in_flight_writes.remove(*id);
             self.mark_start_stored(*id);
         }
+        self.mark_crashes_stored(&batch.crashes);
         self.machine_leases.mark_stored(&batch.commanded_machines);
         self.mark_wave_statuses_stored(&batch.waves);
         self.mark_ends_stored(now);
     }
 
+    fn mark_crashes_stored(&mut self, crashes: &[(JobId, u32)]) {
+        for (id, crashes) in crashes {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.mark_crashes_stored(*crashes);
+                self.changed_services.insert(job.record.service.clone());
+            }
+        }
+    }
+
     fn mark_start_stored(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.state != JobState::Queued && !job.is_start_stored {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -9,6 +9,7 @@
 
 use crate::clients::WorkerAddress;
 use crate::cluster::WorkerEntry;
+use crate::crash::{ContactLoss, Crash, START_WINDOW, is_past_probation};
 use crate::record::{WorkerShard, worker_shard};
 use crate::spec::{Resources, RunNumber, StepSpec, TaskId};
 
@@ -99,6 +100,9 @@
     pub since: Moment,
     /// When the start command timed out.
     pub start_unanswered_at: Option<Moment>,
+    /// The crash with which it may have ended: the worker has restarted since the start command
+    /// was sent.
+    pub possible_crash: Option<Crash>,
     /// Whether a previous owner started it, and may have sent a stop command.
     pub is_adopted: bool,
     /// When the worker confirmed the run.
@@ -125,6 +129,16 @@
         matches!(self.phase, RunPhase::Stopping { .. })
     }
 
+    /// Whether it is in the time after its start in which it is most likely to crash its worker.
+    pub fn is_in_start_window(&self, now: Moment) -> bool {
+        now < self.since + START_WINDOW
+    }
+
+    /// Whether it has lasted so long that it is taken not to crash its worker.
+    pub fn is_past_probation(&self, now: Moment) -> bool {
+        is_past_probation(self.kind.long_running, now.saturating_sub(self.since))
+    }
+
     fn long_running_milli(&self) -> u32 {
         if self.kind.long_running { self.reserved.processors_milli } else { 0 }
     }
@@ -170,6 +184,8 @@
     pub has_refused_token: bool,
     /// When it stopped responding.
     pub unresponsive_since: Option<Moment>,
+    /// How contact was lost, until it responds again.
+    pub contact_loss: Option<ContactLoss>,
     /// Whether it gets no new work because its machine is about to be moved or maintained.
     pub is_cordoned: bool,
     /// Whether its machine has yet to be maintained in a wave.
@@ -235,6 +251,7 @@
             may_have_earlier_runs: false,
             has_refused_token: false,
             unresponsive_since: None,
+            contact_loss: None,
             is_cordoned: false,
             is_maintenance_due: false,
             machine: None,
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -58,7 +58,7 @@
     }
 
     fn is_deadly(&self, id: JobId) -> bool {
-        id % self.deadly_every == 0
+        id.is_multiple_of(self.deadly_every)
     }
 
     /// Plays 60 jobs, and time for all of them to end.
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -154,6 +154,7 @@
         long_running: false,
         serves: false,
         opportunistic: false,
+        suspect_of: None,
     };
     let mut unplaced = UnplaceableRequirements::default();
     unplaced.record(&requirements(cores(2), Some(1)));
@@ -189,7 +190,8 @@
         let labels: Vec<std::sync::Arc<str>> = if has_label { vec!["l".into()] } else { Vec::new() };
         Candidate {
             slot: 0, capacity: free, free, labels: labels.into(), same_step, long_running: 0,
-            serving: 0, opportunistic: 0, is_suspect: false, is_maintenance_due: false,
+            serving: 0, opportunistic: 0, is_suspect: false, starting_suspect: None,
+            is_maintenance_due: false,
         }
     }
 }
@@ -221,6 +223,7 @@
             long_running: false,
             serves: false,
             opportunistic: false,
+            suspect_of: None,
         };
         let fitting: u64 = candidates.iter().map(|one| one.tasks_that_fit(&requirements)).sum();
         prop_assert_eq!(fitting, count_by_choice(&requirements, candidates));
