Take a crash for one whoever commanded the machine last, and start suspects on vacant workers

Change: a machine that is down counts as a crash; a loss is wide only by workers on which nothing had just started; a run beside a starting suspect is not counted; after all others are placed, suspects may use any vacant worker; and workers that close their connections have the list of machines read early, every 150 ms at most.

--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -31,7 +31,8 @@
 /// another kind.
 const GIVEN_UP_ANYWAY_FROM: usize = 4;
 /// Other workers lost at the same time from which on the cause is taken to be something that they
-/// share, such as a rack or a power feed.
+/// share, such as a rack or a power feed. Several deadly tasks may start at the same time, too, so
+/// those on which a task had just started are left out.
 const WIDESPREAD_FROM: usize = 2;
 /// Losses of workers that closed their connections count as simultaneous within this time.
 const CLOSED_TOGETHER: Duration = Duration::from_millis(40);
@@ -55,6 +56,8 @@
     /// Whether a suspected task had just started or was alone there, so that it may have crashed
     /// the worker.
     pub had_culprit: bool,
+    /// Whether any task had just started there.
+    pub had_start: bool,
 }
 
 impl ContactLoss {
@@ -77,7 +80,7 @@
 pub struct Crash {
     /// Whether the run may have been in its start window.
     pub is_soon: bool,
-    /// Whether it had run well for long, and others that ran there had not.
+    /// Whether it had run well for longer than another task that is more likely to blame.
     pub is_unlikely: bool,
     /// Whether no task of another job could be to blame: beside a run in its start window, none was
     /// in its own; beside another one, none was on probation; beside one past its probation, none
@@ -87,6 +90,8 @@
     pub is_closed: bool,
     /// Other workers that were lost at the same time though no suspected task may have crashed them.
     pub others_lost: usize,
+    /// Those of them on which no task had just started.
+    pub others_lost_without_start: usize,
 }
 
 /// Runs of a task under which the worker crashed.
@@ -160,7 +165,7 @@
 pub enum Verdict {
     /// Something that several workers share has failed; the crash does not count.
     Widespread,
-    /// A task that had started later is to blame; the crash does not count.
+    /// Another task is more likely to blame; the crash does not count.
     Unlikely,
     /// The crash counts, and the task is started again.
     Counted,
@@ -181,7 +186,7 @@
 
 /// Judges a task by a crash, after earlier ones.
 pub fn judge(earlier: &CrashHistory, crash: &Crash) -> Verdict {
-    if crash.others_lost >= WIDESPREAD_FROM {
+    if crash.others_lost_without_start >= WIDESPREAD_FROM {
         return Verdict::Widespread;
     }
     if crash.is_unlikely {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -218,6 +218,8 @@
     /// When the current list of machines was requested.
     machines_listed_at: Option<Moment>,
     is_machine_list_requested: bool,
+    /// Whether workers with runs have closed their connections since a list was last requested.
+    has_unlisted_losses: bool,
     waves_written: WavesRecord,
     /// Machines that are moving or about to move, with the target service and the time of the
     /// decision.
@@ -300,6 +302,7 @@
             machines: MachineList::default(),
             machines_listed_at: None,
             is_machine_list_requested: false,
+            has_unlisted_losses: false,
             waves_written: term.waves.clone(),
             moving_machines: HashMap::new(),
             pending_moves: Vec::new(),
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -1,6 +1,7 @@
 //! Crashes of workers: which tasks they count against, and which tasks are given up.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
@@ -14,11 +15,14 @@
 use crate::job::{Job, WorkerSlot};
 use crate::record::JobState;
 use crate::spec::{JobId, RunNumber, StepSpec, TaskId};
-use crate::worker::{Run, Worker};
+use crate::worker::Run;
 
 /// Maximum number of log lines about the runs of an incarnation that has ended.
 const LOST_RUNS_LOGGED_MAX: usize = 24;
 
+/// Minimum time between two lists of machines that lost workers cause.
+const LOSSES_LIST_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Number of crashes of workers with runs and of tasks given up, since they were last counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CrashCounts {
@@ -44,9 +48,23 @@
             return;
         }
         let had_culprit = self.has_culprit(slot, now);
+        let mut runs = self.workers[slot].runs.values();
+        let had_start = runs.any(|run| run.is_in_start_window(now));
         let worker = &mut self.workers[slot];
         let last_response = worker.last_answered.unwrap_or(Moment::ZERO);
-        worker.contact_loss = Some(ContactLoss { at: now, last_response, is_closed, had_culprit });
+        let loss = ContactLoss { at: now, last_response, is_closed, had_culprit, had_start };
+        worker.contact_loss = Some(loss);
+        self.has_unlisted_losses |= is_closed && !worker.runs.is_empty() && !worker.is_leaving;
+    }
+
+    /// Requests a list of machines if workers with runs closed their connections since the last one:
+    /// it tells whether they have crashed, so that their tasks can start elsewhere.
+    pub(super) fn request_list_of_lost_machines(&mut self, now: Moment) {
+        let is_due = self.machines_listed_at.is_none_or(|at| now >= at + LOSSES_LIST_INTERVAL);
+        if self.has_unlisted_losses && is_due {
+            self.has_unlisted_losses = false;
+            self.is_machine_list_requested = true;
+        }
     }
 
     /// Judges the tasks that ran on an incarnation which has ended.
@@ -97,42 +115,58 @@
     ) -> LostRun {
         let loss = self.contact_loss(slot, now);
         let is_soon = loss.is_in_start_window(run.since);
+        let others_lost = self.others_lost(slot, &loss);
         let runs = &self.workers[slot].runs;
         let mut others = runs.iter().filter(|(other, _)| other.step.job != task.step.job);
         let crash = end.is_crash().then(|| Crash {
             is_soon,
-            is_unlikely: run.is_past_probation(loss.at)
-                && runs.values().any(|other| !other.is_past_probation(loss.at)),
+            is_unlikely: !is_soon && self.has_likelier_culprit(slot, run, &loss),
             was_alone: others.all(|(_, other)| match is_soon {
                 true => !loss.is_in_start_window(other.since),
                 false => other.is_past_probation(loss.at) && !run.is_past_probation(loss.at),
             }),
             is_closed: loss.is_closed,
-            others_lost: self.others_lost(slot, &loss),
+            others_lost: others_lost.len(),
+            others_lost_without_start: others_lost.iter().filter(|one| !one.had_start).count(),
         });
         LostRun { task, run: run.number, since: run.since, crash }
     }
 
+    /// Returns whether a run that has left its start window is less likely to have crashed its
+    /// worker than another one.
+    fn has_likelier_culprit(&self, slot: WorkerSlot, run: &Run, loss: &ContactLoss) -> bool {
+        let mut runs = self.workers[slot].runs.iter();
+        runs.any(|(other, other_run)| {
+            let is_starting_suspect = loss.is_in_start_window(other_run.since)
+                && self.suspicion(*other) != Suspicion::None;
+            is_starting_suspect
+                || run.is_past_probation(loss.at) && !other_run.is_past_probation(loss.at)
+        })
+    }
+
     /// Returns how contact with a worker was lost. One that restarted between two polls has closed
     /// its connections.
     fn contact_loss(&self, slot: WorkerSlot, now: Moment) -> ContactLoss {
         let worker = &self.workers[slot];
         let last_response = worker.last_answered.unwrap_or(Moment::ZERO);
-        let unnoticed = ContactLoss { at: now, last_response, is_closed: true, had_culprit: false };
+        let unnoticed = ContactLoss {
+            at: now,
+            last_response,
+            is_closed: true,
+            had_culprit: false,
+            had_start: false,
+        };
         worker.contact_loss.unwrap_or(unnoticed)
     }
 
-    /// Returns how many other workers were lost at the same time though nobody wanted them to end
+    /// Returns the other workers that were lost at the same time though nobody wanted them to end
     /// and no suspected task may have crashed them.
-    fn others_lost(&self, slot: WorkerSlot, loss: &ContactLoss) -> usize {
-        let is_lost_too = |worker: &Worker| {
-            let other = worker.contact_loss.as_ref();
-            !worker.is_leaving
-                && !worker.entry.is_draining
-                && other.is_some_and(|other| !other.had_culprit && loss.is_simultaneous(other))
-        };
-        let others = self.workers.iter().enumerate().filter(|(other, _)| *other != slot);
-        others.filter(|(_, worker)| is_lost_too(worker)).count()
+    fn others_lost(&self, slot: WorkerSlot, loss: &ContactLoss) -> Vec<ContactLoss> {
+        let others = self.workers.iter().enumerate().filter(|(other, worker)| {
+            *other != slot && !worker.is_leaving && !worker.entry.is_draining
+        });
+        let losses = others.filter_map(|(_, worker)| worker.contact_loss);
+        losses.filter(|other| !other.had_culprit && loss.is_simultaneous(other)).collect()
     }
 
     /// Counts a crash against a task, and gives the task up if it is to blame.
--- a/crates/jobs/src/scheduler/isolation.rs
+++ b/crates/jobs/src/scheduler/isolation.rs
@@ -21,6 +21,19 @@
 /// at least one is.
 const SEPARATED_SHARE: usize = 4;
 
+/// Result of the placement of tasks that must start apart from others.
+enum Placement {
+    /// They started on these workers; on none if they may not start yet.
+    Started(Vec<WorkerSlot>),
+    /// No worker is vacant that fits.
+    Unmet {
+        /// How far they are suspected.
+        suspicion: Suspicion,
+        /// What each of them requires.
+        requirements: TaskRequirements,
+    },
+}
+
 impl Scheduler {
     /// Notes which candidates have just started a suspected task, and removes those that must start
     /// no other task now. Returns how many were removed.
@@ -91,12 +104,42 @@
             if allowed == 0 {
                 return;
             }
-            let taken = self.place_apart(step.step, &tasks, candidates, now, commands);
+            let taken = match self.place_apart(step.step, &tasks, candidates, now, commands) {
+                Placement::Started(taken) => taken,
+                Placement::Unmet { suspicion, requirements } => {
+                    self.choose_kept(step.step, suspicion, &requirements, candidates, now)
+                }
+            };
             candidates.retain(|candidate| !taken.contains(&candidate.slot));
             allowed = allowed.saturating_sub(taken.len());
         }
     }
 
+    /// Starts further tasks that must start apart from others, on workers that are vacant after all
+    /// other tasks have been placed.
+    pub(super) fn place_leftover_separated(
+        &mut self,
+        steps: &[WaitingStep],
+        candidates: &mut Vec<Candidate>,
+        now: Moment,
+        commands: &mut Vec<Command>,
+    ) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        for step in steps {
+            let tasks = self.waiting_separated_tasks(step.step, now);
+            if candidates.is_empty() {
+                return;
+            }
+            if let Placement::Started(taken) =
+                self.place_apart(step.step, &tasks, candidates, now, commands)
+            {
+                candidates.retain(|candidate| !taken.contains(&candidate.slot));
+            }
+        }
+    }
+
     /// Returns the waiting tasks of a step that must start apart from others and whose crashes are
     /// stored, so that a new owner would know of them; of a gang the first member.
     fn waiting_separated_tasks(&self, step: StepId, now: Moment) -> Vec<u32> {
@@ -112,8 +155,7 @@
     }
 
     /// Starts tasks of a step together on a worker where no other task could be to blame for a
-    /// crash; returns the workers that they take or, if none can start yet, that are to be kept for
-    /// them.
+    /// crash.
     fn place_apart(
         &mut self,
         step: StepId,
@@ -121,8 +163,10 @@
         candidates: &[Candidate],
         now: Moment,
         commands: &mut Vec<Command>,
-    ) -> Vec<WorkerSlot> {
-        let Some((first, others)) = tasks.split_first() else { return Vec::new() };
+    ) -> Placement {
+        let Some((first, others)) = tasks.split_first() else {
+            return Placement::Started(Vec::new());
+        };
         let suspicion = self.suspicion(TaskId { step, index: *first });
         let is_vacant =
             |candidate: &&Candidate| self.occupants(candidate.slot, step.job, suspicion, now) == 0;
@@ -130,7 +174,7 @@
         let first_command = commands.len();
         let unmet = self.place_tasks(step, &[*first], &mut vacant, now, commands);
         if let Some(requirements) = unmet {
-            return self.choose_kept(step, suspicion, &requirements, candidates, now);
+            return Placement::Unmet { suspicion, requirements };
         }
         let taken = started_on(&commands[first_command..]);
         // Tasks of one job are judged together.
@@ -138,7 +182,7 @@
         let others: Vec<u32> = others.iter().filter(same).copied().collect();
         vacant.retain(|candidate| taken.contains(&candidate.slot));
         self.place_tasks(step, &others, &mut vacant, now, commands);
-        taken
+        Placement::Started(taken)
     }
 
     /// Returns the number of runs of other jobs on a worker that could be to blame for a crash as
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -176,14 +176,15 @@
         // A worker that started after the previous list is not known to have had a machine.
         let Some(id) = &self.workers[slot].machine else { return IncarnationEnd::MachineDown };
         let Some(machine) = self.machines.get(id) else { return IncarnationEnd::MachineUnlisted };
-        if self.machine_leases.is_leased_to_other(id, now) {
-            return IncarnationEnd::MachineOrdered;
-        }
         match machine.state {
             MachineState::Moving | MachineState::Maintenance => IncarnationEnd::MachineOrdered,
             _ if machine.service != self.workers[slot].entry.service => {
                 IncarnationEnd::MachineOrdered
             }
+            // Another owner may have had it maintained.
+            MachineState::Up if self.machine_leases.is_leased_to_other(id, now) => {
+                IncarnationEnd::MachineOrdered
+            }
             MachineState::Up => IncarnationEnd::MachineRunsOther,
             MachineState::Down | MachineState::Unknown => IncarnationEnd::MachineDown,
         }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -38,6 +38,7 @@
             self.record_delays(now.saturating_sub(self.last_full_plan), now);
             self.last_full_plan = now;
             self.forget_ended_suspects();
+            self.request_list_of_lost_machines(now);
             self.start_due_occurrences(now_unix, now);
             self.mark_all_changed();
             for slot in self.active_slots().collect::<Vec<_>>() {
@@ -130,6 +131,7 @@
                 candidates.retain(|candidate| Some(candidate.slot) != reserved_slot);
             }
         }
+        self.place_leftover_separated(&eligible_steps, &mut candidates, now, commands);
         if !unplaced.is_empty() {
             self.next_placement.insert(service.into(), now + PLACEMENT_RETRY_INTERVAL);
         }
