Store which runs were just starting when their worker was lost, so that a new owner counts them

Cause: until a list of machines or a restart showed the crash, the store knew nothing of the runs, and an owner that ended before took its knowledge along; a worker that fell silent first was compared with others by the moment of the failed poll in place of the moment at which it can have crashed.

Change: when a worker closes its connections, the runs in their start window are stored as unsettled with their jobs; a run that nobody sees again counts as presumed when its task next starts. Presumed crashes make a task a suspect, and count beside at least one that was seen while no other task could be to blame. A silent loss is dated by the last response.

The emulator has deadly tasks, workers that come back under either id, lists of machines and gangs that need all members, and takes an end that a worker told the current owner for known when the worker has crashed since.

Metrics cassiafold_workers_crashed_total and cassiafold_tasks_given_up_total are new.

--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -49,9 +49,10 @@
 pub struct ContactLoss {
     /// When the first poll failed.
     pub at: Moment,
-    /// When the worker last responded before that.
-    pub last_response: Moment,
-    /// Whether its host closed or refused the connection; otherwise it was silent.
+    /// When the worker may have crashed at the earliest: at that moment if its host closed or
+    /// refused the connection, otherwise after its last response.
+    pub crashed_from: Moment,
+    /// Whether its host has closed or refused a connection since.
     pub is_closed: bool,
     /// Whether a suspected task had just started or was alone there, so that it may have crashed
     /// the worker.
@@ -61,17 +62,22 @@
 }
 
 impl ContactLoss {
-    /// Whether two workers were lost at the same time and in the same way.
+    /// Whether two workers may have been lost for the same cause: at the same time, and in the same
+    /// way.
     pub fn is_simultaneous(&self, other: &Self) -> bool {
-        let limit = if self.is_closed { CLOSED_TOGETHER } else { SILENT_TOGETHER };
-        self.is_closed == other.is_closed && self.at.abs_diff(other.at) <= limit
+        let limit = if self.is_exact() { CLOSED_TOGETHER } else { SILENT_TOGETHER };
+        self.is_exact() == other.is_exact() && self.at.abs_diff(other.at) <= limit
+    }
+
+    /// Whether the time of the loss is known exactly.
+    fn is_exact(&self) -> bool {
+        self.crashed_from == self.at
     }
 
     /// Whether a run that was started at `started` may have been in its start window when the
-    /// worker crashed. One that fell silent may have crashed right after its last response.
+    /// worker crashed.
     pub fn is_in_start_window(&self, started: Moment) -> bool {
-        let crashed_from = if self.is_closed { self.at } else { self.last_response };
-        crashed_from < started + START_WINDOW
+        self.crashed_from < started + START_WINDOW
     }
 }
 
@@ -101,6 +107,9 @@
     pub soon: Vec<RunNumber>,
     /// Other runs.
     pub late: Vec<RunNumber>,
+    /// Runs on workers that were lost just after the start and were not seen to have crashed, since
+    /// the owner changed or the worker never came back.
+    pub presumed: Vec<RunNumber>,
 }
 
 impl CrashHistory {
@@ -111,12 +120,17 @@
 
     /// Number of crashes.
     pub fn count(&self) -> usize {
+        self.seen() + self.presumed.len()
+    }
+
+    /// Number of crashes that were seen.
+    fn seen(&self) -> usize {
         self.soon.len() + self.late.len()
     }
 
     /// Whether a crash under a run is counted.
     pub fn contains(&self, run: RunNumber) -> bool {
-        self.soon.contains(&run) || self.late.contains(&run)
+        self.soon.contains(&run) || self.late.contains(&run) || self.presumed.contains(&run)
     }
 
     /// Counts a crash under a run.
@@ -134,6 +148,7 @@
         match (soon, late) {
             (APART_FROM.., _) => Suspicion::Apart,
             (1.., _) | (_, ALONE_FROM_LATE..) => Suspicion::Suspected,
+            _ if !self.presumed.is_empty() => Suspicion::Suspected,
             _ => Suspicion::None,
         }
     }
@@ -192,7 +207,7 @@
     if crash.is_unlikely {
         return Verdict::Unlikely;
     }
-    let crashes = earlier.count() + 1;
+    let (seen, count) = (earlier.seen() + 1, earlier.count() + 1);
     // A task that crashes its worker does so in the same way each time.
     let is_consistent = match crash.is_soon {
         true => earlier.late.is_empty(),
@@ -200,7 +215,7 @@
     };
     let is_certain = crash.is_closed && crash.others_lost == 0 && is_consistent;
     let needed = if is_certain { GIVEN_UP_FROM } else { GIVEN_UP_ANYWAY_FROM };
-    match crash.was_alone && crashes >= needed {
+    match crash.was_alone && (seen >= needed || count >= GIVEN_UP_ANYWAY_FROM) {
         true => Verdict::GivenUp,
         false => Verdict::Counted,
     }
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -20,6 +20,7 @@
         PaceChanged = 1615, Info, "speed of an opportunistic task changed";
         RunLost = 1616, Info, "worker incarnation ended under a run";
         TaskGivenUp = 1617, Warn, "task crashes its workers and is given up; its job has failed";
+        CrashPresumed = 1618, Info, "run is presumed to have crashed its worker";
         WorkerListed = 1620, Info, "worker listed";
         WorkerUnlisted = 1621, Info, "worker no longer listed";
         WorkerDraining = 1622, Info, "worker is draining";
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -94,6 +94,9 @@
     pub failed_runs: Vec<RunNumber>,
     /// Crashes of workers that ran it.
     pub crashes: CrashHistory,
+    /// Run on a worker that was lost just after the start. It is presumed to have crashed the worker
+    /// unless the run is seen again, or the worker's end.
+    pub unsettled_run: Option<RunNumber>,
     /// Number of its last crash among those of the job in this term.
     last_crash: u32,
     /// Last checkpoint.
@@ -118,6 +121,7 @@
             || self.last_run > 0
             || !self.failed_runs.is_empty()
             || !self.crashes.is_empty()
+            || self.unsettled_run.is_some()
     }
 }
 
@@ -215,8 +219,12 @@
             task.is_done = row.done;
             task.last_run = row.last_run.max(run_number_base);
             task.failed_runs = row.failed_runs.clone();
-            task.crashes =
-                CrashHistory { soon: row.crashed_soon.clone(), late: row.crashed_late.clone() };
+            task.crashes = CrashHistory {
+                soon: row.crashed_soon.clone(),
+                late: row.crashed_late.clone(),
+                presumed: row.crashes_presumed.clone(),
+            };
+            task.unsettled_run = row.unsettled_run;
             task.checkpoint = row.checkpoint.clone();
             step.done += u32::from(row.done);
         }
@@ -405,6 +413,8 @@
                     failed_runs: task.failed_runs.clone(),
                     crashed_soon: task.crashes.soon.clone(),
                     crashed_late: task.crashes.late.clone(),
+                    crashes_presumed: task.crashes.presumed.clone(),
+                    unsettled_run: task.unsettled_run,
                     checkpoint: task.checkpoint.clone().filter(|_| !task.is_done),
                 });
             }
--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -16,6 +16,7 @@
 
 use crate::clients::{CommandOutcome, MachineOutcome, RunEnd};
 use crate::cluster::QueueId;
+use crate::scheduler::CrashCounts;
 
 /// Upper bound of the first bucket of durations, in seconds.
 const FIRST_BUCKET_S: f64 = 0.002;
@@ -63,6 +64,8 @@
     commands: Family<OutcomeLabels, Counter>,
     ends: Family<OutcomeLabels, Counter>,
     terms: Counter,
+    workers_crashed: Counter,
+    tasks_given_up: Counter,
     is_owner: Gauge,
     config_version: Gauge,
     store_unavailable: Gauge,
@@ -76,6 +79,8 @@
             commands: Family::default(),
             ends: Family::default(),
             terms: Counter::default(),
+            workers_crashed: Counter::default(),
+            tasks_given_up: Counter::default(),
             is_owner: Gauge::default(),
             config_version: Gauge::default(),
             store_unavailable: Gauge::default(),
@@ -96,6 +101,16 @@
         registry.register("orders", "Orders to workers and machines", self.commands.clone());
         registry.register("ends", "Ends of runs", self.ends.clone());
         registry.register("tenures", "Tenures as owner", self.terms.clone());
+        registry.register(
+            "workers_crashed",
+            "Workers that crashed while tasks ran on them",
+            self.workers_crashed.clone(),
+        );
+        registry.register(
+            "tasks_given_up",
+            "Tasks that were given up because workers crashed under them",
+            self.tasks_given_up.clone(),
+        );
         registry.register("owns", "Whether this instance places the jobs", self.is_owner.clone());
         registry.register(
             "config_version",
@@ -167,6 +182,12 @@
         self.ends.get_or_create(&OutcomeLabels { order: "run", outcome }).inc();
     }
 
+    /// Adds crashes of workers, and the tasks that were given up for them.
+    pub fn count_crashes(&self, counts: CrashCounts) {
+        self.workers_crashed.inc_by(counts.workers_crashed);
+        self.tasks_given_up.inc_by(counts.tasks_given_up);
+    }
+
     /// Records whether this instance is the owner.
     pub fn set_is_owner(&self, is_owner: bool) {
         self.is_owner.set(i64::from(is_owner));
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -444,6 +444,7 @@
         for address in self.scheduler.take_retired_addresses() {
             self.platform.workers().forget(&address);
         }
+        self.metrics.count_crashes(self.scheduler.take_crash_counts());
         self.loop_stats.report(now, || self.scheduler.backlog(now));
     }
 
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -189,6 +189,12 @@
     /// Runs under which the worker crashed later.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
     pub crashed_late: Vec<RunNumber>,
+    /// Runs that are presumed to have crashed their worker.
+    #[serde(rename = "z", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes_presumed: Vec<RunNumber>,
+    /// Run on a worker that was lost just after the start.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub unsettled_run: Option<RunNumber>,
     /// Last checkpoint.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Arc<str>>,
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -20,6 +20,8 @@
 /// Maximum number of log lines about the runs of an incarnation that has ended.
 const LOST_RUNS_LOGGED_MAX: usize = 24;
 
+/// Failed polls from which on a worker counts as lost: a single one may be lost on its way.
+const LOST_FROM_POLLS: u32 = 2;
 /// Minimum time between two lists of machines that lost workers cause.
 const LOSSES_LIST_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -42,19 +44,79 @@
 }
 
 impl Scheduler {
-    /// Notes that a worker does not respond.
+    /// Notes that a poll of a worker failed.
     pub(super) fn record_contact_loss(&mut self, slot: WorkerSlot, is_closed: bool, now: Moment) {
-        if self.workers[slot].contact_loss.is_some() {
-            return;
+        if self.workers[slot].contact_loss.is_none() {
+            self.workers[slot].contact_loss = Some(self.new_contact_loss(slot, is_closed, now));
         }
-        let had_culprit = self.has_culprit(slot, now);
-        let mut runs = self.workers[slot].runs.values();
-        let had_start = runs.any(|run| run.is_in_start_window(now));
         let worker = &mut self.workers[slot];
+        if let Some(loss) = &mut worker.contact_loss {
+            loss.is_closed |= is_closed;
+        }
+        let is_wanted = worker.is_leaving || worker.entry.is_draining;
+        if is_closed && !worker.runs.is_empty() && !is_wanted {
+            self.has_unlisted_losses = true;
+            self.mark_unsettled(slot);
+        }
+    }
+
+    fn new_contact_loss(&self, slot: WorkerSlot, is_closed: bool, now: Moment) -> ContactLoss {
+        let worker = &self.workers[slot];
         let last_response = worker.last_answered.unwrap_or(Moment::ZERO);
-        let loss = ContactLoss { at: now, last_response, is_closed, had_culprit, had_start };
-        worker.contact_loss = Some(loss);
-        self.has_unlisted_losses |= is_closed && !worker.runs.is_empty() && !worker.is_leaving;
+        let crashed_from = if is_closed { now } else { last_response };
+        ContactLoss {
+            at: now,
+            crashed_from,
+            is_closed,
+            had_culprit: self.has_culprit(slot, crashed_from),
+            had_start: worker.runs.values().any(|run| run.is_in_start_window(crashed_from)),
+        }
+    }
+
+    /// Stores which runs were in their start window when their worker was lost: the owner may end
+    /// before the worker is seen to have crashed.
+    fn mark_unsettled(&mut self, slot: WorkerSlot) {
+        let worker = &self.workers[slot];
+        let Some(loss) = worker.contact_loss else { return };
+        let runs = worker.runs.iter().filter(|(_, run)| loss.is_in_start_window(run.since));
+        let runs: Vec<(TaskId, RunNumber)> = runs.map(|(task, run)| (*task, run.number)).collect();
+        for (task, run) in runs {
+            let id = self.counted_task(task);
+            let job = self.jobs.get_mut(&id.step.job).filter(|job| job.is_live());
+            let Some(task) = job.and_then(|job| job.task_mut(id)) else { continue };
+            if task.unsettled_run.replace(run) != Some(run) {
+                self.mark_unwritten(id.step.job);
+                self.raise_write_urgency(WriteUrgency::High);
+            }
+        }
+    }
+
+    /// Notes that a run was seen after its worker was lost, or how its worker ended.
+    pub(super) fn settle_run(&mut self, task: TaskId, run: RunNumber) {
+        let id = self.counted_task(task);
+        let job = self.jobs.get_mut(&id.step.job);
+        let Some(task) = job.and_then(|job| job.task_mut(id)) else { return };
+        if task.unsettled_run == Some(run) {
+            task.unsettled_run = None;
+            self.mark_unwritten(id.step.job);
+        }
+    }
+
+    /// Counts a run that was never settled as a crash, before its task starts again.
+    pub(super) fn presume_crash(&mut self, task: TaskId) {
+        let id = self.counted_task(task);
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        let Some(run) = task.unsettled_run.take() else { return };
+        if task.crashes.contains(run) {
+            return;
+        }
+        task.crashes.presumed.push(run);
+        let crashes = task.crashes.count();
+        job.record_crash(id);
+        self.suspects.insert(id);
+        self.mark_unwritten(id.step.job);
+        emit!(JobsEvent::CrashPresumed, task = id, run = run, crashes = crashes);
     }
 
     /// Requests a list of machines if workers with runs closed their connections since the last one:
@@ -89,6 +151,9 @@
                 }
                 continue;
             }
+            if end != IncarnationEnd::LeaseExpired {
+                self.settle_run(lost.task, lost.run);
+            }
             let verdict = lost.crash.map(|crash| self.apply_crash(&lost, &crash, slot, now));
             if position < LOST_RUNS_LOGGED_MAX {
                 self.log_lost_run(slot, &lost, end, verdict, now);
@@ -99,8 +164,9 @@
     /// Judges a task whose run has not reached the incarnation that followed a crash.
     pub(super) fn judge_missing_run(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
         let Some(run) = self.workers[slot].runs.get(&task) else { return };
-        let Some(crash) = run.possible_crash else { return };
-        let lost = LostRun { task, run: run.number, since: run.since, crash: Some(crash) };
+        let lost = LostRun { task, run: run.number, since: run.since, crash: run.possible_crash };
+        self.settle_run(task, lost.run);
+        let Some(crash) = lost.crash else { return };
         let verdict = self.apply_crash(&lost, &crash, slot, now);
         self.log_lost_run(slot, &lost, IncarnationEnd::Restarted, Some(verdict), now);
     }
@@ -147,23 +213,23 @@
     /// Returns how contact with a worker was lost. One that restarted between two polls has closed
     /// its connections.
     fn contact_loss(&self, slot: WorkerSlot, now: Moment) -> ContactLoss {
-        let worker = &self.workers[slot];
-        let last_response = worker.last_answered.unwrap_or(Moment::ZERO);
         let unnoticed = ContactLoss {
             at: now,
-            last_response,
+            crashed_from: now,
             is_closed: true,
             had_culprit: false,
             had_start: false,
         };
-        worker.contact_loss.unwrap_or(unnoticed)
+        self.workers[slot].contact_loss.unwrap_or(unnoticed)
     }
 
     /// Returns the other workers that were lost at the same time though nobody wanted them to end
     /// and no suspected task may have crashed them.
     fn others_lost(&self, slot: WorkerSlot, loss: &ContactLoss) -> Vec<ContactLoss> {
         let others = self.workers.iter().enumerate().filter(|(other, worker)| {
-            *other != slot && !worker.is_leaving && !worker.entry.is_draining
+            let is_wanted = worker.is_leaving || worker.entry.is_draining;
+            let is_lost = worker.is_gone || worker.failed_polls >= LOST_FROM_POLLS;
+            *other != slot && is_lost && !is_wanted
         });
         let losses = others.filter_map(|(_, worker)| worker.contact_loss);
         losses.filter(|other| !other.had_culprit && loss.is_simultaneous(other)).collect()
@@ -219,6 +285,7 @@
             crashes = task.crashes.count(),
             runs_soon = format_args!("{:?}", task.crashes.soon),
             runs_late = format_args!("{:?}", task.crashes.late),
+            runs_presumed = format_args!("{:?}", task.crashes.presumed),
             worker = worker.entry.id,
             incarnation = worker.incarnation
         );
@@ -283,12 +350,12 @@
     }
 
     /// Returns whether a suspected task may be about to crash a worker.
-    fn has_culprit(&self, slot: WorkerSlot, now: Moment) -> bool {
+    fn has_culprit(&self, slot: WorkerSlot, crashed_from: Moment) -> bool {
         let mut runs = self.workers[slot].runs.iter();
         runs.any(|(task, run)| match self.suspicion(*task) {
             Suspicion::None => false,
-            Suspicion::Suspected | Suspicion::Apart => run.is_in_start_window(now),
-            Suspicion::Alone => !run.is_past_probation(now),
+            Suspicion::Suspected | Suspicion::Apart => run.is_in_start_window(crashed_from),
+            Suspicion::Alone => !run.is_past_probation(crashed_from),
         })
     }
 
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -394,6 +394,7 @@
         now: Moment,
         commands: &mut Vec<Command>,
     ) {
+        self.presume_crash(task);
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(entry) = job.task_mut(task) else { return };
         entry.last_run = run;
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -183,6 +183,7 @@
                 run.last_progress = now;
             }
             run.load_metric = running_run.load_metric;
+            self.settle_run(running_run.task, running_run.run);
             self.mark_job_started(slot, running_run.task, now);
             self.set_checkpoint(running_run.task, running_run.checkpoint);
             return;
@@ -199,6 +200,7 @@
     fn adopt_run(&mut self, slot: WorkerSlot, running_run: RunningRun, token: u64, now: Moment) {
         let id = running_run.task;
         self.ensure_occurrence_started(id.step, now);
+        self.settle_run(id, running_run.run);
         let job = self.jobs.get_mut(&id.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(id.step.step)).cloned();
         let is_live = job.as_ref().is_some_and(|job| job.is_live());
--- a/crates/jobs/src/scheduler/run_ends.rs
+++ b/crates/jobs/src/scheduler/run_ends.rs
@@ -31,6 +31,7 @@
             self.record_run_time(slot, ended_run, now);
             self.release_run(slot, ended_run.task, now);
         }
+        self.settle_run(ended_run.task, ended_run.run);
         let Some(job) = self.jobs.get_mut(&ended_run.task.step.job) else { return };
         job.has_started = true;
         if let Some(task) = job.task_mut(ended_run.task) {
--- a/crates/jobs/tests/emulator/checks.rs
+++ b/crates/jobs/tests/emulator/checks.rs
@@ -60,9 +60,11 @@
         }
     }
 
-    /// Whether a task is done according to the store or to a worker.
+    /// Whether a task is done according to the store or to a worker, which may have crashed after it
+    /// told the current owner.
     fn is_known_done(&self, task: TaskId) -> bool {
         self.acknowledged.contains(&task)
+            || self.reported_done.contains(&(self.owner, task))
             || self.workers.iter().any(|worker| worker.has_completed(task))
             || self.states.get(&task.step.job).is_some_and(|state| {
                 state
--- a/crates/jobs/tests/emulator/handler.rs
+++ b/crates/jobs/tests/emulator/handler.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{CommandOutcome, PollError, PollResponse, StartRequest};
+use cassiafold_jobs::clients::{CommandOutcome, PollError, PollResponse, RunEnd, StartRequest};
 use cassiafold_jobs::spec::{RunNumber, TaskId};
 use rand::RngExt;
 
 use super::event::{Event, Incarnation, SentPoll};
+use super::worker::EmulatedWorker;
 use super::{Emulator, ms};
 
 /// Interval at which the scheduler receives the list of workers, so that it lags behind restarts.
@@ -101,6 +102,8 @@
         };
         if let Ok(poll) = &result {
             self.count_redundant(worker, poll);
+            let done = poll.ended.iter().filter(|row| row.end == RunEnd::Done);
+            self.reported_done.extend(done.map(|row| (owner, row.task)));
             for row in &poll.ended {
                 if row.number <= request.acknowledged {
                     self.violations
@@ -143,7 +146,8 @@
             self.check_start(worker, task);
             self.crash_worker_of_deadly_task(worker, task);
             let spec = &self.jobs[&task.step.job].spec;
-            if !spec.steps[usize::from(task.step.step)].long_running {
+            let is_deadly = self.crashes.deadly.contains_key(&task);
+            if !spec.steps[usize::from(task.step.step)].long_running && !is_deadly {
                 let length = ms(self.random.random_range(200..1_500));
                 self.schedule(length, Event::RunFinished { worker, task, run });
             }
@@ -155,12 +159,30 @@
     }
 
     fn end_run(&mut self, worker: usize, task: TaskId, run: RunNumber) {
+        if !self.is_gang_complete(task, run) {
+            self.workers[worker].break_run(task, run, self.now);
+            return;
+        }
         let is_failure = self.random.random_bool(self.faults.run_failed);
         if self.workers[worker].finish(task, run, is_failure, self.now) && is_failure {
             *self.failure_counts.entry(task).or_default() += 1;
         }
     }
 
+    /// Whether a task is no member of a gang, or all members run under the same number or are done.
+    fn is_gang_complete(&self, task: TaskId, run: RunNumber) -> bool {
+        let spec = &self.jobs[&task.step.job].spec.steps[usize::from(task.step.step)];
+        let mut members = (0..spec.tasks).map(|index| TaskId { index, ..task });
+        !spec.gang
+            || members.all(|member| {
+                let is_present = |worker: &EmulatedWorker| {
+                    worker.runs.get(&member).is_some_and(|one| one.number == run)
+                        || worker.has_completed(member)
+                };
+                self.workers.iter().any(is_present)
+            })
+    }
+
     fn expire_leases(&mut self) {
         for worker in &mut self.workers {
             worker.expire_lease(self.now);
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -137,6 +137,8 @@
     config: Arc<ClusterConfig>,
     /// Done tasks whose ends were acknowledged to workers.
     acknowledged: HashSet<TaskId>,
+    /// Done tasks that workers have reported, and to which owner.
+    reported_done: HashSet<(u64, TaskId)>,
     failure_counts: HashMap<TaskId, u32>,
     limit: Resources,
     /// Tasks that crash their workers, and the crashes so far.
@@ -169,6 +171,7 @@
             random: StdRng::seed_from_u64(seed),
             config: config(limit),
             acknowledged: HashSet::new(),
+            reported_done: HashSet::new(),
             failure_counts: HashMap::new(),
             limit,
             crashes: Crashes::default(),
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -243,6 +243,13 @@
         is_running
     }
 
+    /// Ends a run because another member of its gang is missing.
+    pub fn break_run(&mut self, task: TaskId, run: RunNumber, now: Duration) {
+        if self.runs.get(&task).is_some_and(|one| one.number == run) {
+            self.end_run(task, RunEnd::Broken, now);
+        }
+    }
+
     /// Ends all runs if the lease has expired.
     pub fn expire_lease(&mut self, now: Duration) {
         if !self.is_up || self.lease_until > self.clock(now) {
