Keep what a worker's capacity has shrunk to across a change of the owner

Found by a new test, which failed before: after an outage of the store a new owner that knows a worker only from its record took the capacity of its machine (16 cores) though the worker had shrunk to 4, and would have started 10 tasks of a core on it.

Cause: the list of machines tells what a machine had at its start; the record of a worker told no capacity, so the only place of the shrunk one was the entry, which is missing for up to 2.3 s then.

Change: the record of a worker holds the capacity that it last showed, and is written again when that changes; without an entry the smaller of both counts. Records of earlier versions, without the field, count as before.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -22,7 +22,7 @@
 use cassiafold_config::{InstanceId, ServiceId, TeamId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::{QueueId, WaveNumber, WorkerEntry, WorkerId};
+use crate::cluster::{QueueId, WaveNumber, WorkerId};
 use crate::spec::{
     JobId, JobSpec, OccurrenceNumber, Resources, RunNumber, Schedule, StepNumber, StepSpec,
     TaskNumber,
@@ -243,15 +243,35 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// The capacity that it last showed; unknown in records of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<CapacityRecord>,
+}
+
+/// Stored form of a worker's capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CapacityRecord {
+    cpu_milli: u32,
+    mem_bytes: u64,
+    acc: u32,
+}
+
+impl From<Resources> for CapacityRecord {
+    fn from(capacity: Resources) -> Self {
+        Self {
+            cpu_milli: capacity.processors_milli,
+            mem_bytes: capacity.memory_bytes,
+            acc: capacity.accelerators,
+        }
+    }
 }
 
-impl From<&WorkerEntry> for WorkerRecord {
-    fn from(entry: &WorkerEntry) -> Self {
+impl From<CapacityRecord> for Resources {
+    fn from(record: CapacityRecord) -> Self {
         Self {
-            id: entry.id.clone(),
-            service: entry.service.clone(),
-            address: entry.address,
-            zone: entry.zone.clone(),
+            processors_milli: record.cpu_milli,
+            memory_bytes: record.mem_bytes,
+            accelerators: record.acc,
         }
     }
 }
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -47,6 +47,7 @@
             };
             let slot = self.add_worker(entry, now);
             let worker = &mut self.workers[slot];
+            worker.recorded_capacity = record.capacity.map(Resources::from);
             worker.is_listed = false;
             worker.entry_due = Some(now + ENTRY_RETURN_TIME);
             worker.is_recorded = true;
@@ -120,6 +121,9 @@
         let has_changed = !worker.is_listed || worker.entry != entry;
         let starts_draining = entry.is_draining && !worker.entry.is_draining;
         let is_listed_again = !worker.is_listed;
+        if worker.known_capacity() != Some(entry.capacity) {
+            self.stale_shards.insert(worker.shard);
+        }
         worker.is_listed = true;
         worker.entry_due = None;
         let previous = std::mem::replace(
@@ -168,7 +172,9 @@
             worker.is_on_machine = machine.is_some();
             if let Some(machine) = machine {
                 worker.entry.labels = machine.labels.clone().into();
-                worker.entry.capacity = machine.capacity;
+                // The list tells the capacity of the machine, not what is left of it.
+                let recorded = worker.recorded_capacity.unwrap_or(machine.capacity);
+                worker.entry.capacity = machine.capacity.min(&recorded);
                 self.mark_worker_service_changed(slot);
             }
         }
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -261,7 +261,7 @@
         for shard in shards {
             self.stale_shards.remove(&shard);
             let members = self.shard_members(shard);
-            let records = members.iter().map(|slot| WorkerRecord::from(&self.workers[*slot].entry));
+            let records = members.iter().map(|slot| self.workers[*slot].to_record());
             match encode_workers(&records.collect::<Vec<_>>()) {
                 Ok(bytes) => batch.puts.push((workers_key(shard), bytes)),
                 Err(error) => return log_encode_error(0, &error),
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,7 +10,7 @@
 use crate::clients::WorkerAddress;
 use crate::cluster::WorkerEntry;
 use crate::crash::{ContactLoss, Crash, START_WINDOW, is_past_probation};
-use crate::record::{WorkerShard, worker_shard};
+use crate::record::{CapacityRecord, WorkerRecord, WorkerShard, worker_shard};
 use crate::spec::{Resources, RunNumber, StepSpec, TaskId};
 
 /// A worker's clock may be slow by this many percent.
@@ -167,6 +167,8 @@
     /// Until when its entry may be missing because the store was away. Set for a worker that
     /// previous owners recorded, until it is listed.
     pub entry_due: Option<Moment>,
+    /// The capacity that it showed to previous owners, until it is listed.
+    pub recorded_capacity: Option<Resources>,
     /// Whether the list of machines shows it on a machine of its service that is up.
     pub is_on_machine: bool,
     /// Whether this incarnation has ended.
@@ -243,6 +245,7 @@
             address,
             is_listed: true,
             entry_due: None,
+            recorded_capacity: None,
             is_on_machine: false,
             is_gone: false,
             is_recorded: false,
@@ -278,6 +281,25 @@
         }
     }
 
+    /// The last capacity that the worker itself is known to have shown.
+    pub fn known_capacity(&self) -> Option<Resources> {
+        match self.entry_due {
+            Some(_) => self.recorded_capacity,
+            None => Some(self.entry.capacity),
+        }
+    }
+
+    /// The record to store, so that a later owner knows the worker.
+    pub fn to_record(&self) -> WorkerRecord {
+        WorkerRecord {
+            id: self.entry.id.clone(),
+            service: self.entry.service.clone(),
+            address: self.entry.address,
+            zone: self.entry.zone.clone(),
+            capacity: self.known_capacity().map(CapacityRecord::from),
+        }
+    }
+
     /// Stores the worker's clock as of a response received at `received`.
     ///
     /// A steady clock doesn't go back: after a lower reading, leases that were computed from the
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -40,6 +40,9 @@
 const UNIX_START: Duration = Duration::from_secs(1_000_000);
 /// Longest lease that workers accept.
 pub const LEASE_MAX: Duration = Duration::from_millis(6_000);
+/// How long the capacity before a change may still be filled: the platform's stable time of 3 s and
+/// one heartbeat.
+const SHRINK_GRACE_PERIOD: Duration = Duration::from_millis(4_500);
 
 pub fn settings() -> SchedulerSettings {
     SchedulerSettings {
@@ -193,6 +196,12 @@
         self.schedule(delay + down, Event::Restart { worker });
     }
 
+    /// Changes the capacity of a worker, which its entry shows from now on.
+    pub fn resize(&mut self, worker: usize, capacity: Resources) {
+        let until = self.now + SHRINK_GRACE_PERIOD;
+        self.workers[worker].resize(capacity, until);
+    }
+
     /// Ends the owner after `delay` and starts another one after `gap` more.
     pub fn replace_owner(&mut self, delay: Duration, gap: Duration) {
         self.schedule(delay, Event::OwnerCrash);
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -30,6 +30,8 @@
     pub is_up: bool,
     pub runs: BTreeMap<TaskId, EmulatedRun>,
     pub started_at: Duration,
+    /// Earlier capacities, and until when each of them counts.
+    past_capacities: Vec<(Resources, Duration)>,
     /// Ids of earlier incarnations.
     past_ids: Vec<Arc<str>>,
     token: u64,
@@ -48,6 +50,7 @@
             is_up: true,
             runs: BTreeMap::new(),
             started_at: Duration::from_secs(1),
+            past_capacities: Vec::new(),
             past_ids: Vec::new(),
             token: 0,
             ended: Vec::new(),
@@ -82,6 +85,19 @@
         self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.task_resources))
     }
 
+    /// Changes the capacity; the one before counts until `until`.
+    pub fn resize(&mut self, capacity: Resources, until: Duration) {
+        let previous = std::mem::replace(&mut self.capacity, capacity);
+        self.past_capacities.push((previous, until));
+    }
+
+    /// Whether the runs fit into the capacity, or into an earlier one that still counts.
+    pub fn is_within_capacity(&self, now: Duration) -> bool {
+        let mut counting = self.past_capacities.iter().filter(|(_, until)| now <= *until);
+        self.reserved().fits(&self.capacity)
+            || counting.any(|(capacity, _)| self.reserved().fits(capacity))
+    }
+
     /// Ends the incarnation and discards its runs and their unacknowledged ends.
     pub fn crash(&mut self) {
         self.is_up = false;
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use cassiafold_jobs::clients::{CommandOutcome, PollError, PollResponse, RunningRun};
-use cassiafold_jobs::cluster::{Machine, MachineState, Service, Wave};
+use cassiafold_jobs::cluster::{Machine, MachineState, Service, Wave, WorkerEntry};
 use cassiafold_jobs::job::WorkerSlot;
-use cassiafold_jobs::record::{JobState, StateRecord, TaskRecord};
+use cassiafold_jobs::record::{JobState, StateRecord, TaskRecord, WorkerRecord};
 use cassiafold_jobs::scheduler::{Command, MachineCommand, OwnerTerm, Scheduler};
 use cassiafold_jobs::spec::{JobId, Resources, StepSpec, TaskId};
+use cassiafold_jobs::worker::Worker;
 
 use crate::emulator::worker::EmulatedWorker;
 use crate::emulator::{SERVICE, config, cores, job, ms, settings, step};
@@ -195,6 +196,11 @@
     }
 }
 
+/// The record that an owner stores of a worker with this entry.
+pub fn worker_record(entry: WorkerEntry) -> WorkerRecord {
+    Worker::new(entry, ms(0), ms(0)).to_record()
+}
+
 /// A step of long-running tasks, one of which may be unavailable at a time.
 pub fn long_running(tasks: u32, per_worker_max: Option<u32>) -> StepSpec {
     StepSpec { long_running: true, unavailable_max: Some(1), per_worker_max, ..step(tasks, 2, &[]) }
--- a/crates/tasks/src/record.rs
+++ b/crates/tasks/src/record.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Returns the smaller of two amounts of each resource.
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            processors_milli: self.processors_milli.min(other.processors_milli),
+            memory_bytes: self.memory_bytes.min(other.memory_bytes),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the difference of two amounts, saturating at zero.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
