Fill a restarted worker only once the entry of its incarnation is known

Callers saw nothing; found by a new test, which failed before: a worker that restarts under its id may be one of another kind, and until its new entry was read the owner filled it by the capacity of the incarnation before (10 tasks of a core on 4 cores).

Cause: a poll tells the new start at once, the capacity comes only with the entry, and an entry that is older than the restart was taken as it came.

Change: after a restart that a poll has shown, a worker gets no new tasks until an entry with that start, or one without any, is listed.

--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -126,6 +126,9 @@
         }
         worker.is_listed = true;
         worker.entry_due = None;
+        // An entry without a start may be that of any incarnation.
+        worker.is_entry_outdated &=
+            entry.started_unix.is_some() && entry.started_unix < started_unix;
         let previous = std::mem::replace(
             &mut worker.entry,
             WorkerEntry { started_unix: started_unix.or(entry.started_unix), ..entry },
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -169,6 +169,8 @@
     pub entry_due: Option<Moment>,
     /// The capacity that it showed to previous owners, until it is listed.
     pub recorded_capacity: Option<Resources>,
+    /// Whether its entry is that of the incarnation before, so that its capacity is not known.
+    pub is_entry_outdated: bool,
     /// Whether the list of machines shows it on a machine of its service that is up.
     pub is_on_machine: bool,
     /// Whether this incarnation has ended.
@@ -246,6 +248,7 @@
             is_listed: true,
             entry_due: None,
             recorded_capacity: None,
+            is_entry_outdated: false,
             is_on_machine: false,
             is_gone: false,
             is_recorded: false,
@@ -327,6 +330,7 @@
 
     /// Resets what was known of the previous incarnation at this address.
     pub fn start_incarnation(&mut self, started_unix: Option<Duration>, now: Moment) {
+        self.is_entry_outdated = self.entry.started_unix < started_unix;
         self.entry.started_unix = started_unix;
         self.has_refused_token = false;
         self.last_end_seen = 0;
@@ -366,6 +370,7 @@
             && (self.is_confirmed || self.failed_polls <= FAILED_POLLS_MAX)
             && !self.is_cordoned
             && !self.has_refused_token
+            && !self.is_entry_outdated
             && !self.entry.is_draining
             && has_recent_response
             && self.blocked_until <= now
--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -3,6 +3,9 @@
 mod emulator;
 mod harness;
 
+use std::time::Duration;
+
+use cassiafold_jobs::clients::PollResponse;
 use cassiafold_jobs::cluster::{MachineState, WorkerEntry};
 use cassiafold_jobs::record::{JobState, WORKERS_PREFIX, WorkerRecord};
 use cassiafold_jobs::scheduler::{OwnerTerm, WriteBatch};
@@ -69,6 +72,29 @@
     assert_eq!(second.running(), 4);
 }
 
+/// Happens when a worker comes back as one of another kind, and its entry in the list is still that
+/// of the incarnation before.
+#[test]
+fn a_restarted_worker_is_filled_only_once_the_entry_of_its_incarnation_is_known() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    harness.scheduler.set_workers(vec![entry(16)], harness.now);
+    let restarted_at = Duration::from_secs(2);
+    let poll =
+        PollResponse { clock: ms(1), started_unix: Some(restarted_at), ..PollResponse::default() };
+    let now = harness.now;
+    let known = PollResponse { started_unix: Some(Duration::from_secs(1)), ..poll.clone() };
+    harness.scheduler.handle_poll_response(0, false, now, now, known);
+    harness.scheduler.handle_poll_response(0, false, now, now, poll);
+    harness.scheduler.set_workers(vec![entry(16)], harness.now);
+    harness.submit(1, vec![step(10, 1, &[])]);
+    harness.run_for(ms(300));
+    assert_eq!(harness.running(), 0, "the entry is that of the incarnation before");
+    let entry = WorkerEntry { started_unix: Some(restarted_at), ..entry(4) };
+    harness.scheduler.set_workers(vec![entry], harness.now);
+    harness.run_for(ms(300));
+    assert_eq!(harness.running(), 4);
+}
+
 /// The emulator counts a shrunk capacity some seconds later, when the entry must have been read.
 #[test]
 fn no_worker_is_filled_beyond_a_capacity_that_shrinks_and_grows_while_owners_change() {
