Settle runs whose start was not sent, or whose lease expired on a machine that is up

Cause: a run in its start window when its worker closes the connections is unsettled until it is seen again or its worker's end is; an expired lease and a start that was not sent settled nothing.

Change: both do. The other workers lost at the same time are looked for once for each incarnation that ends, not for each run. Lost contact has a module of its own; no other change of behaviour.

--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -1,7 +1,6 @@
 //! Crashes of workers: which tasks they count against, and which tasks are given up.
 
 use std::cmp::Reverse;
-use std::time::Duration;
 
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
@@ -20,11 +19,6 @@
 /// Maximum number of log lines about the runs of an incarnation that has ended.
 const LOST_RUNS_LOGGED_MAX: usize = 24;
 
-/// Failed polls from which on a worker counts as lost: a single one may be lost on its way.
-const LOST_FROM_POLLS: u32 = 2;
-/// Minimum time between two lists of machines that lost workers cause.
-const LOSSES_LIST_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Number of crashes of workers with runs and of tasks given up, since they were last counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CrashCounts {
@@ -44,99 +38,20 @@
 }
 
 impl Scheduler {
-    /// Notes that a poll of a worker failed.
-    pub(super) fn record_contact_loss(&mut self, slot: WorkerSlot, is_closed: bool, now: Moment) {
-        if self.workers[slot].contact_loss.is_none() {
-            self.workers[slot].contact_loss = Some(self.new_contact_loss(slot, is_closed, now));
-        }
-        let worker = &mut self.workers[slot];
-        if let Some(loss) = &mut worker.contact_loss {
-            loss.is_closed |= is_closed;
-        }
-        let is_wanted = worker.is_leaving || worker.entry.is_draining;
-        if is_closed && !worker.runs.is_empty() && !is_wanted {
-            self.has_unlisted_losses = true;
-            self.mark_unsettled(slot);
-        }
-    }
-
-    fn new_contact_loss(&self, slot: WorkerSlot, is_closed: bool, now: Moment) -> ContactLoss {
-        let worker = &self.workers[slot];
-        let last_response = worker.last_answered.unwrap_or(Moment::ZERO);
-        let crashed_from = if is_closed { now } else { last_response };
-        ContactLoss {
-            at: now,
-            crashed_from,
-            is_closed,
-            had_culprit: self.has_culprit(slot, crashed_from),
-            had_start: worker.runs.values().any(|run| run.is_in_start_window(crashed_from)),
-        }
-    }
-
-    /// Stores which runs were in their start window when their worker was lost: the owner may end
-    /// before the worker is seen to have crashed.
-    fn mark_unsettled(&mut self, slot: WorkerSlot) {
-        let worker = &self.workers[slot];
-        let Some(loss) = worker.contact_loss else { return };
-        let runs = worker.runs.iter().filter(|(_, run)| loss.is_in_start_window(run.since));
-        let runs: Vec<(TaskId, RunNumber)> = runs.map(|(task, run)| (*task, run.number)).collect();
-        for (task, run) in runs {
-            let id = self.counted_task(task);
-            let job = self.jobs.get_mut(&id.step.job).filter(|job| job.is_live());
-            let Some(task) = job.and_then(|job| job.task_mut(id)) else { continue };
-            if task.unsettled_run.replace(run) != Some(run) {
-                self.mark_unwritten(id.step.job);
-                self.raise_write_urgency(WriteUrgency::High);
-            }
-        }
-    }
-
-    /// Notes that a run was seen after its worker was lost, or how its worker ended.
-    pub(super) fn settle_run(&mut self, task: TaskId, run: RunNumber) {
-        let id = self.counted_task(task);
-        let job = self.jobs.get_mut(&id.step.job);
-        let Some(task) = job.and_then(|job| job.task_mut(id)) else { return };
-        if task.unsettled_run == Some(run) {
-            task.unsettled_run = None;
-            self.mark_unwritten(id.step.job);
-        }
-    }
-
-    /// Counts a run that was never settled as a crash, before its task starts again.
-    pub(super) fn presume_crash(&mut self, task: TaskId) {
-        let id = self.counted_task(task);
-        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
-        let Some(task) = job.task_mut(id) else { return };
-        let Some(run) = task.unsettled_run.take() else { return };
-        if task.crashes.contains(run) {
-            return;
-        }
-        task.crashes.presumed.push(run);
-        let crashes = task.crashes.count();
-        job.record_crash(id);
-        self.suspects.insert(id);
-        self.mark_unwritten(id.step.job);
-        emit!(JobsEvent::CrashPresumed, task = id, run = run, crashes = crashes);
-    }
-
-    /// Requests a list of machines if workers with runs closed their connections since the last one:
-    /// it tells whether they have crashed, so that their tasks can start elsewhere.
-    pub(super) fn request_list_of_lost_machines(&mut self, now: Moment) {
-        let is_due = self.machines_listed_at.is_none_or(|at| now >= at + LOSSES_LIST_INTERVAL);
-        if self.has_unlisted_losses && is_due {
-            self.has_unlisted_losses = false;
-            self.is_machine_list_requested = true;
-        }
-    }
-
     /// Judges the tasks that ran on an incarnation which has ended.
     ///
     /// Of a worker that has restarted under its id, runs that may have reached the new incarnation
     /// are judged once a poll shows that they have not.
     pub(super) fn judge_lost_runs(&mut self, slot: WorkerSlot, end: IncarnationEnd, now: Moment) {
+        let loss = self.contact_loss(slot, now);
+        let others_lost = if end.is_crash() { self.others_lost(slot, &loss) } else { Vec::new() };
         let worker = &self.workers[slot];
-        let runs = worker.runs.iter();
-        let lost = runs.map(|(task, run)| self.lost_run(slot, *task, run, end, now));
+        let lost = worker.runs.iter().map(|(task, run)| LostRun {
+            task: *task,
+            run: run.number,
+            since: run.since,
+            crash: end.is_crash().then(|| self.crash_under(slot, *task, run, &loss, &others_lost)),
+        });
         let mut lost: Vec<LostRun> = lost.collect();
         // A task that crashes its worker mostly does so soon after its start.
         lost.sort_by_key(|lost| (Reverse(lost.since), lost.task));
@@ -171,22 +86,21 @@
         self.log_lost_run(slot, &lost, IncarnationEnd::Restarted, Some(verdict), now);
     }
 
-    fn lost_run(
+    /// Returns the crash of a worker as evidence about one task that ran there.
+    fn crash_under(
         &self,
         slot: WorkerSlot,
         task: TaskId,
         run: &Run,
-        end: IncarnationEnd,
-        now: Moment,
-    ) -> LostRun {
-        let loss = self.contact_loss(slot, now);
+        loss: &ContactLoss,
+        others_lost: &[ContactLoss],
+    ) -> Crash {
         let is_soon = loss.is_in_start_window(run.since);
-        let others_lost = self.others_lost(slot, &loss);
-        let runs = &self.workers[slot].runs;
-        let mut others = runs.iter().filter(|(other, _)| other.step.job != task.step.job);
-        let crash = end.is_crash().then(|| Crash {
+        let runs = self.workers[slot].runs.iter();
+        let mut others = runs.filter(|(other, _)| other.step.job != task.step.job);
+        Crash {
             is_soon,
-            is_unlikely: !is_soon && self.has_likelier_culprit(slot, run, &loss),
+            is_unlikely: !is_soon && self.has_likelier_culprit(slot, run, loss),
             was_alone: others.all(|(_, other)| match is_soon {
                 true => !loss.is_in_start_window(other.since),
                 false => other.is_past_probation(loss.at) && !run.is_past_probation(loss.at),
@@ -194,8 +108,7 @@
             is_closed: loss.is_closed,
             others_lost: others_lost.len(),
             others_lost_without_start: others_lost.iter().filter(|one| !one.had_start).count(),
-        });
-        LostRun { task, run: run.number, since: run.since, crash }
+        }
     }
 
     /// Returns whether a run that has left its start window is less likely to have crashed its
@@ -210,31 +123,6 @@
         })
     }
 
-    /// Returns how contact with a worker was lost. One that restarted between two polls has closed
-    /// its connections.
-    fn contact_loss(&self, slot: WorkerSlot, now: Moment) -> ContactLoss {
-        let unnoticed = ContactLoss {
-            at: now,
-            crashed_from: now,
-            is_closed: true,
-            had_culprit: false,
-            had_start: false,
-        };
-        self.workers[slot].contact_loss.unwrap_or(unnoticed)
-    }
-
-    /// Returns the other workers that were lost at the same time though nobody wanted them to end
-    /// and no suspected task may have crashed them.
-    fn others_lost(&self, slot: WorkerSlot, loss: &ContactLoss) -> Vec<ContactLoss> {
-        let others = self.workers.iter().enumerate().filter(|(other, worker)| {
-            let is_wanted = worker.is_leaving || worker.entry.is_draining;
-            let is_lost = worker.is_gone || worker.failed_polls >= LOST_FROM_POLLS;
-            *other != slot && is_lost && !is_wanted
-        });
-        let losses = others.filter_map(|(_, worker)| worker.contact_loss);
-        losses.filter(|other| !other.had_culprit && loss.is_simultaneous(other)).collect()
-    }
-
     /// Counts a crash against a task, and gives the task up if it is to blame.
     fn apply_crash(
         &mut self,
@@ -349,16 +237,6 @@
         (self.suspicion(id) != Suspicion::None).then_some(id.step.job)
     }
 
-    /// Returns whether a suspected task may be about to crash a worker.
-    fn has_culprit(&self, slot: WorkerSlot, crashed_from: Moment) -> bool {
-        let mut runs = self.workers[slot].runs.iter();
-        runs.any(|(task, run)| match self.suspicion(*task) {
-            Suspicion::None => false,
-            Suspicion::Suspected | Suspicion::Apart => run.is_in_start_window(crashed_from),
-            Suspicion::Alone => !run.is_past_probation(crashed_from),
-        })
-    }
-
     /// Adds the tasks of a job that earlier owners suspected.
     pub(super) fn restore_suspects(&mut self, job: &Job) {
         self.suspects.extend(job.tasks_with_crashes());
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -383,6 +383,7 @@
                 worker = worker.entry.id,
                 runs = worker.runs.len()
             );
+            self.settle_runs_of_cut_off_worker(slot);
             self.release_all_runs(slot, now);
         }
         let worker = &self.workers[slot];
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -140,6 +140,9 @@
     }
 
     fn cancel_start(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        if let Some(run) = self.workers[slot].runs.get(&task).map(|run| run.number) {
+            self.settle_run(task, run);
+        }
         self.release_run(slot, task, now);
         self.workers[slot].blocked_until =
             self.workers[slot].blocked_until.max(now + BLOCK_DURATION);
--- a/crates/jobs/tests/crash_causes.rs
+++ b/crates/jobs/tests/crash_causes.rs
@@ -94,7 +94,8 @@
         closed(), |machine| machine.id = "another".into() => (JobState::Running, LOSSES);
 }
 
-/// The machines of cut-off workers stay up, and the leases of their runs expire.
+/// The machines of cut-off workers stay up, their connections are reset, and the leases of their runs
+/// expire.
 #[test]
 fn a_task_whose_workers_are_cut_off_one_after_the_other_is_not_given_up() {
     let mut harness = SchedulerHarness::at_term_start(0, OwnerTerm::default());
@@ -106,10 +107,13 @@
         harness.set_machines(SchedulerHarness::machines(LOSSES, MachineState::Up));
         harness.run_for(SOON);
         harness.scheduler.set_workers(Vec::new(), harness.now);
+        harness.scheduler.handle_poll_failure(number, false, &closed(), harness.now);
         harness.run_without_responses(ms(8_000));
         harness.set_machines(SchedulerHarness::machines(LOSSES, MachineState::Up));
     }
-    assert_eq!(harness.scheduler.job(1).expect("a job").state, JobState::Running);
+    let record = harness.scheduler.job(1).expect("a job").to_state_record();
+    assert_eq!(record.state, JobState::Running);
+    assert_eq!(record.tasks[0].crashes_presumed, [0; 0]);
 }
 
 /// A crash with a task alone on a worker that closed its connections.
