Count a run's start window from the confirmation of its start

Cause, by a test that failed before: an owner that is busy takes in the confirmation of a start and the loss of the worker late, one after the other. Counted from the decision to start, a crash 10 ms after the start looked like one late in the run, and late ones need more crashes.

Change: the window begins when the start is confirmed, and lasts until then. Steps without suspects cost a lookup less.

--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -14,8 +14,8 @@
 
 use crate::spec::RunNumber;
 
-/// Time after its start in which a run is most likely to crash its worker, including the time until
-/// the owner notices.
+/// Time after its confirmed start in which a run is most likely to crash its worker, including the
+/// time until the owner notices.
 pub const START_WINDOW: Duration = Duration::from_millis(300);
 /// Crashes soon after the start from which on a task is started apart from all others.
 const APART_FROM: usize = 2;
@@ -73,12 +73,6 @@
     fn is_exact(&self) -> bool {
         self.crashed_from == self.at
     }
-
-    /// Whether a run that was started at `started` may have been in its start window when the
-    /// worker crashed.
-    pub fn is_in_start_window(&self, started: Moment) -> bool {
-        self.crashed_from < started + START_WINDOW
-    }
 }
 
 /// The crash of a worker, as evidence about one task that ran there.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -6,7 +6,7 @@
 
 use cassiafold_platform::{Moment, Revision};
 
-use crate::crash::CrashHistory;
+use crate::crash::{CrashHistory, Suspicion};
 use crate::delay::Delays;
 use crate::record::{JobRecord, JobState, StateRecord, TaskRecord};
 use crate::spec::{
@@ -318,15 +318,16 @@
         self.crashes_stored < self.crashes
     }
 
-    /// Tasks under which a worker has crashed.
-    pub fn tasks_with_crashes(&self) -> Vec<TaskId> {
+    /// Tasks that are suspected to crash their workers.
+    pub fn suspected_tasks(&self) -> Vec<TaskId> {
         let mut tasks = Vec::new();
         for (occurrence, contents) in &self.occurrences {
             for (step, contents) in (0..).zip(&contents.steps) {
                 let step = StepId { job: self.id, occurrence: *occurrence, step };
-                let crashed = (0..).zip(&contents.tasks);
-                let crashed = crashed.filter(|(_, task)| !task.crashes.is_empty());
-                tasks.extend(crashed.map(|(index, _)| TaskId { step, index }));
+                let tasks_of_step = (0..).zip(&contents.tasks);
+                let suspected =
+                    tasks_of_step.filter(|(_, task)| task.crashes.suspicion() != Suspicion::None);
+                tasks.extend(suspected.map(|(index, _)| TaskId { step, index }));
             }
         }
         tasks
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -175,7 +175,7 @@
     ready_steps: StepsByService,
     /// Ready steps that may have waiting tasks.
     waiting_steps: StepsByService,
-    /// Tasks of live jobs under which a worker has crashed; of a gang the first member.
+    /// Tasks of live jobs that are suspected to crash their workers; of a gang the first member.
     suspects: BTreeSet<TaskId>,
     /// Crashes since they were last counted.
     crash_counts: CrashCounts,
--- a/crates/jobs/src/scheduler/contact.rs
+++ b/crates/jobs/src/scheduler/contact.rs
@@ -51,7 +51,7 @@
     fn mark_unsettled(&mut self, slot: WorkerSlot) {
         let worker = &self.workers[slot];
         let Some(loss) = worker.contact_loss else { return };
-        let runs = worker.runs.iter().filter(|(_, run)| loss.is_in_start_window(run.since));
+        let runs = worker.runs.iter().filter(|(_, run)| run.is_in_start_window(loss.crashed_from));
         let runs: Vec<(TaskId, RunNumber)> = runs.map(|(task, run)| (*task, run.number)).collect();
         for (task, run) in runs {
             let id = self.counted_task(task);
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -13,7 +13,7 @@
 use crate::incarnation::IncarnationEnd;
 use crate::job::{Job, WorkerSlot};
 use crate::record::JobState;
-use crate::spec::{JobId, RunNumber, StepSpec, TaskId};
+use crate::spec::{JobId, RunNumber, StepId, StepSpec, TaskId, TaskNumber};
 use crate::worker::Run;
 
 /// Maximum number of log lines about the runs of an incarnation that has ended.
@@ -95,14 +95,14 @@
         loss: &ContactLoss,
         others_lost: &[ContactLoss],
     ) -> Crash {
-        let is_soon = loss.is_in_start_window(run.since);
+        let is_soon = run.is_in_start_window(loss.crashed_from);
         let runs = self.workers[slot].runs.iter();
         let mut others = runs.filter(|(other, _)| other.step.job != task.step.job);
         Crash {
             is_soon,
             is_unlikely: !is_soon && self.has_likelier_culprit(slot, run, loss),
             was_alone: others.all(|(_, other)| match is_soon {
-                true => !loss.is_in_start_window(other.since),
+                true => !other.is_in_start_window(loss.crashed_from),
                 false => other.is_past_probation(loss.at) && !run.is_past_probation(loss.at),
             }),
             is_closed: loss.is_closed,
@@ -116,7 +116,7 @@
     fn has_likelier_culprit(&self, slot: WorkerSlot, run: &Run, loss: &ContactLoss) -> bool {
         let mut runs = self.workers[slot].runs.iter();
         runs.any(|(other, other_run)| {
-            let is_starting_suspect = loss.is_in_start_window(other_run.since)
+            let is_starting_suspect = other_run.is_in_start_window(loss.crashed_from)
                 && self.suspicion(*other) != Suspicion::None;
             is_starting_suspect
                 || run.is_past_probation(loss.at) && !other_run.is_past_probation(loss.at)
@@ -151,8 +151,10 @@
             return verdict;
         }
         task.crashes.record(lost.run, crash);
+        if task.crashes.suspicion() != Suspicion::None {
+            self.suspects.insert(id);
+        }
         job.record_crash(id);
-        self.suspects.insert(id);
         self.mark_unwritten(id.step.job);
         self.raise_write_urgency(WriteUrgency::High);
         if verdict == Verdict::GivenUp {
@@ -223,7 +225,7 @@
 
     /// Returns how far a task is suspected to crash its workers.
     pub(super) fn suspicion(&self, id: TaskId) -> Suspicion {
-        if self.suspects.is_empty() {
+        if !self.has_suspects(id.step) {
             return Suspicion::None;
         }
         let counted = self.counted_task(id);
@@ -232,6 +234,19 @@
             .map_or(Suspicion::None, |task| task.crashes.suspicion())
     }
 
+    /// Returns whether a task of a step is suspected to crash its workers.
+    pub(super) fn has_suspects(&self, step: StepId) -> bool {
+        self.suspects_of(step).next().is_some()
+    }
+
+    /// Returns the tasks of a step that are suspected to crash their workers, in order; of a gang the
+    /// first member.
+    pub(super) fn suspects_of(&self, step: StepId) -> impl Iterator<Item = &TaskId> {
+        let first = TaskId { step, index: 0 };
+        let last = TaskId { step, index: TaskNumber::MAX };
+        self.suspects.range(first..=last)
+    }
+
     /// Returns the job of a task, if the task is suspected to crash its workers.
     pub(super) fn suspect_job(&self, id: TaskId) -> Option<JobId> {
         (self.suspicion(id) != Suspicion::None).then_some(id.step.job)
@@ -239,7 +254,7 @@
 
     /// Adds the tasks of a job that earlier owners suspected.
     pub(super) fn restore_suspects(&mut self, job: &Job) {
-        self.suspects.extend(job.tasks_with_crashes());
+        self.suspects.extend(job.suspected_tasks());
     }
 
     /// Removes the tasks that have ended from the suspects.
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -170,7 +170,7 @@
         for number in numbers {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.start_occurrence(number, Some(stored), self.term.run_number_base, now);
-                self.suspects.extend(job.tasks_with_crashes());
+                self.suspects.extend(job.suspected_tasks());
             }
             self.advance_occurrence(id, number, now);
         }
--- a/crates/jobs/src/scheduler/separation.rs
+++ b/crates/jobs/src/scheduler/separation.rs
@@ -144,8 +144,7 @@
     /// stored, so that a new owner would know of them; of a gang the first member.
     fn waiting_separated_tasks(&self, step: StepId, now: Moment) -> Vec<u32> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
-        let of_step = self.suspects.range(first_task(step)..=last_task(step));
-        let waiting = of_step.filter(|id| {
+        let waiting = self.suspects_of(step).filter(|id| {
             let task = job.task(**id);
             self.suspicion(**id).is_separated()
                 && job.are_crashes_stored(**id)
@@ -257,11 +256,3 @@
     });
     starts.collect()
 }
-
-fn first_task(step: StepId) -> TaskId {
-    TaskId { step, index: 0 }
-}
-
-fn last_task(step: StepId) -> TaskId {
-    TaskId { step, index: u32::MAX }
-}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -129,9 +129,10 @@
         matches!(self.phase, RunPhase::Stopping { .. })
     }
 
-    /// Whether it is in the time after its start in which it is most likely to crash its worker.
-    pub fn is_in_start_window(&self, now: Moment) -> bool {
-        now < self.since + START_WINDOW
+    /// Whether at `at` it is in the time after its start in which it is most likely to crash its
+    /// worker. A busy owner takes in the confirmation of a start as late as the loss of a worker.
+    pub fn is_in_start_window(&self, at: Moment) -> bool {
+        self.confirmed.is_none_or(|confirmed| at < confirmed + START_WINDOW)
     }
 
     /// Whether it has lasted so long that it is taken not to crash its worker.
--- a/crates/jobs/tests/crash_causes.rs
+++ b/crates/jobs/tests/crash_causes.rs
@@ -9,7 +9,7 @@
 use cassiafold_jobs::cluster::{Machine, MachineState, WorkerEntry};
 use cassiafold_jobs::crash::{Crash, CrashHistory, Suspicion, Verdict, judge};
 use cassiafold_jobs::record::{JobState, StateRecord, TaskRecord};
-use cassiafold_jobs::scheduler::OwnerTerm;
+use cassiafold_jobs::scheduler::{Command, OwnerTerm};
 
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{cores, ms, step};
@@ -94,6 +94,38 @@
         closed(), |machine| machine.id = "another".into() => (JobState::Running, LOSSES);
 }
 
+/// A busy owner takes in the confirmation of a start half a second late, and with it the lost worker.
+#[test]
+fn a_deadly_task_is_given_up_after_the_third_crash_although_the_owner_is_late() {
+    let mut harness = SchedulerHarness::at_term_start(0, OwnerTerm::default());
+    harness.run_for(ms(7_000));
+    harness.submit(1, vec![step(1, 1, &[])]);
+    for number in 0..3 {
+        harness.scheduler.set_workers(vec![entry(number)], harness.now);
+        harness.set_machines(vec![machine(number)]);
+        let start = loop {
+            let commands = harness.scheduler.plan(Duration::ZERO, harness.now);
+            let is_start = |command: &Command| matches!(command, Command::Start { .. });
+            let (starts, others) = commands.into_iter().partition::<Vec<_>, _>(is_start);
+            others.into_iter().for_each(|command| harness.execute(command));
+            harness.commit_writes();
+            harness.now += ms(10);
+            if let Some(start) = starts.into_iter().next() {
+                break start;
+            }
+        };
+        harness.now += ms(500);
+        harness.execute(start);
+        for _ in 0..2 {
+            harness.scheduler.handle_poll_failure(number, false, &closed(), harness.now);
+            harness.now += ms(1);
+        }
+        harness.set_machines(vec![Machine { state: MachineState::Down, ..machine(number) }]);
+        harness.scheduler.set_workers(Vec::new(), harness.now);
+    }
+    assert_eq!(harness.scheduler.job(1).expect("a job").state, JobState::Failed);
+}
+
 /// The machines of cut-off workers stay up, their connections are reset, and the leases of their runs
 /// expire.
 #[test]
