List the same workers in the test of a new worker's record, and test a changed capacity

The test listed the 600 workers again with another memory than the harness gives them (1 GiB for 64), by accident: nothing looked at it. Since the record of a worker holds its capacity, all of them had changed. The test lists what the harness lists now and checks the same bound; a second test changes the capacity of one of 600 and checks the same bound. Some names in package jobs say cause where they said culprit; no behaviour changes.

--- a/crates/jobs/src/crash.rs
+++ b/crates/jobs/src/crash.rs
@@ -56,7 +56,7 @@
     pub is_closed: bool,
     /// Whether a suspected task had just started or was alone there, so that it may have crashed
     /// the worker.
-    pub had_culprit: bool,
+    pub had_likely_cause: bool,
     /// Whether any task had just started there.
     pub had_start: bool,
 }
--- a/crates/jobs/src/scheduler/contact.rs
+++ b/crates/jobs/src/scheduler/contact.rs
@@ -41,7 +41,7 @@
             at: now,
             crashed_from,
             is_closed,
-            had_culprit: self.has_culprit(slot, crashed_from),
+            had_likely_cause: self.has_likely_cause(slot, crashed_from),
             had_start: worker.runs.values().any(|run| run.is_in_start_window(crashed_from)),
         }
     }
@@ -122,7 +122,7 @@
             at: now,
             crashed_from: now,
             is_closed: true,
-            had_culprit: false,
+            had_likely_cause: false,
             had_start: false,
         };
         self.workers[slot].contact_loss.unwrap_or(unnoticed)
@@ -137,11 +137,11 @@
             *other != slot && is_lost && !is_wanted
         });
         let losses = others.filter_map(|(_, worker)| worker.contact_loss);
-        losses.filter(|other| !other.had_culprit && loss.is_simultaneous(other)).collect()
+        losses.filter(|other| !other.had_likely_cause && loss.is_simultaneous(other)).collect()
     }
 
     /// Returns whether a suspected task may be about to crash a worker.
-    fn has_culprit(&self, slot: WorkerSlot, crashed_from: Moment) -> bool {
+    fn has_likely_cause(&self, slot: WorkerSlot, crashed_from: Moment) -> bool {
         let mut runs = self.workers[slot].runs.iter();
         runs.any(|(task, run)| match self.suspicion(*task) {
             Suspicion::None => false,
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -100,7 +100,7 @@
         let mut others = runs.filter(|(other, _)| other.step.job != task.step.job);
         Crash {
             is_soon,
-            is_unlikely: !is_soon && self.has_likelier_culprit(slot, run, loss),
+            is_unlikely: !is_soon && self.has_likelier_cause(slot, run, loss),
             was_alone: others.all(|(_, other)| match is_soon {
                 true => !other.is_in_start_window(loss.crashed_from),
                 false => other.is_past_probation(loss.at) && !run.is_past_probation(loss.at),
@@ -113,7 +113,7 @@
 
     /// Returns whether a run that has left its start window is less likely to have crashed its
     /// worker than another one.
-    fn has_likelier_culprit(&self, slot: WorkerSlot, run: &Run, loss: &ContactLoss) -> bool {
+    fn has_likelier_cause(&self, slot: WorkerSlot, run: &Run, loss: &ContactLoss) -> bool {
         let mut runs = self.workers[slot].runs.iter();
         runs.any(|(other, other_run)| {
             let is_starting_suspect = other_run.is_in_start_window(loss.crashed_from)
--- a/crates/jobs/tests/writes.rs
+++ b/crates/jobs/tests/writes.rs
@@ -5,10 +5,11 @@
 mod log_lines;
 
 use cassiafold_jobs::clients::{EndedRun, PollResponse, RunEnd};
+use cassiafold_jobs::cluster::WorkerEntry;
 use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::record::{JobRecord, WORKERS_PREFIX, WorkerRecord, state_key};
 use cassiafold_jobs::scheduler::{OwnerTerm, WriteBatch, WriteUrgency};
-use cassiafold_jobs::spec::JobId;
+use cassiafold_jobs::spec::{JobId, Resources};
 use cassiafold_platform::VALUE_BYTES_MAX;
 
 use self::emulator::worker::EmulatedWorker;
@@ -80,19 +81,38 @@
     );
 }
 
-#[test]
-fn a_new_worker_causes_few_other_workers_to_be_rewritten() {
-    let mut harness = SchedulerHarness::new(600, OwnerTerm::default());
-    let capacity = cores(16);
-    let entries = (0..601).map(|number| EmulatedWorker::new(number, capacity).entry());
-    harness.scheduler.set_workers(entries.collect(), harness.now);
+/// Number of workers in the next write.
+fn workers_written(harness: &mut SchedulerHarness) -> usize {
     let batch = harness.scheduler.next_write_batch(harness.now).expect("a write");
     let parts = batch.puts.iter().filter(|(key, _)| key.starts_with(WORKERS_PREFIX));
     let written = parts.map(|(_, bytes)| {
         let workers: Vec<WorkerRecord> = serde_json::from_slice(bytes).expect("workers");
         workers.len()
     });
-    let written: usize = written.sum();
+    written.sum()
+}
+
+/// Entries with the capacity that the harness gives to its workers.
+fn entries(workers: usize) -> Vec<WorkerEntry> {
+    let capacity = Resources { memory_bytes: 64 << 30, ..cores(16) };
+    (0..workers).map(|number| EmulatedWorker::new(number, capacity).entry()).collect()
+}
+
+#[test]
+fn a_new_worker_causes_few_other_workers_to_be_rewritten() {
+    let mut harness = SchedulerHarness::new(600, OwnerTerm::default());
+    harness.scheduler.set_workers(entries(601), harness.now);
+    let written = workers_written(&mut harness);
+    assert!((1..=40).contains(&written), "{written} workers");
+}
+
+#[test]
+fn a_changed_capacity_causes_few_other_workers_to_be_rewritten() {
+    let mut harness = SchedulerHarness::new(600, OwnerTerm::default());
+    let mut entries = entries(600);
+    entries[7].capacity = cores(4);
+    harness.scheduler.set_workers(entries, harness.now);
+    let written = workers_written(&mut harness);
     assert!((1..=40).contains(&written), "{written} workers");
 }
 
