--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -154,53 +154,6 @@
         self.complete_missing_entries(now);
     }
 
-    /// Retires unresponsive workers whose machines are down or run another worker, according to a
-    /// list that was requested after they stopped responding.
-    fn retire_workers_on_down_machines(&mut self, sent: Moment, now: Moment) {
-        for slot in 0..self.workers.len() {
-            let worker = &self.workers[slot];
-            let is_unresponsive = worker.unresponsive_since.is_some_and(|since| since < sent);
-            if worker.is_gone || !is_unresponsive {
-                continue;
-            }
-            if !self.machines.may_run_worker(&worker.entry.id) {
-                let end = self.machine_end(slot, now);
-                self.retire_worker(slot, end, now);
-            }
-        }
-    }
-
-    /// Returns what the list of machines says about the end of a worker that is on no machine that
-    /// is up.
-    fn machine_end(&self, slot: WorkerSlot, now: Moment) -> IncarnationEnd {
-        // A worker that started after the previous list is not known to have had a machine.
-        let Some(id) = &self.workers[slot].machine else { return IncarnationEnd::MachineDown };
-        let Some(machine) = self.machines.get(id) else { return IncarnationEnd::MachineUnlisted };
-        match machine.state {
-            MachineState::Moving | MachineState::Maintenance => IncarnationEnd::MachineOrdered,
-            _ if machine.service != self.workers[slot].entry.service => {
-                IncarnationEnd::MachineOrdered
-            }
-            // Another owner may have had it maintained.
-            MachineState::Up if self.machine_leases.is_leased_to_other(id, now) => {
-                IncarnationEnd::MachineOrdered
-            }
-            MachineState::Up => IncarnationEnd::MachineRunsOther,
-            MachineState::Down | MachineState::Unknown => IncarnationEnd::MachineDown,
-        }
-    }
-
-    /// Notes on which machine each worker runs.
-    fn assign_machines(&mut self) {
-        let up = self.machines.iter().filter(|machine| machine.state == MachineState::Up);
-        for machine in up {
-            let slot = machine.worker.as_ref().and_then(|worker| self.current_slots.get(worker));
-            if let Some(slot) = slot {
-                self.workers[*slot].machine = Some(machine.id.clone());
-            }
-        }
-    }
-
     /// Returns the progress of all waves as the record to store.
     pub(super) fn waves_record(&self) -> WavesRecord {
         let records = self.waves.values().map(|progress| {
