Review case 1: more ends than one response holds are run twice

A script kills the process that gives the orders while two minions have 700 to 800 pending ends each.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,43 @@
+//! Stand-ins of the users' platform, and the cases of the review that are scripts.
+//!
+//! `standin CASE RECORD` plays a case against the processes of the deploy file. It exits with 1 if
+//! the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod http;
+mod json;
+mod minion;
+mod store;
+mod system;
+
+mod ends;
+mod removed_queue;
+mod withdrawn_key;
+
+use std::process::exit;
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken,
+    CouldNotRun,
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let (Some(case), Some(record)) = (args.get(1), args.get(2)) else {
+        eprintln!("usage: standin CASE RECORD");
+        exit(2);
+    };
+    let is_troubled = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let verdict = match case.as_str() {
+        "ends" => ends::play(is_troubled, record),
+        "withdrawn-key" => withdrawn_key::play(is_troubled, record),
+        "removed-queue" => removed_queue::play(is_troubled, record),
+        _ => Verdict::CouldNotRun,
+    };
+    exit(match verdict {
+        Verdict::Held => 0,
+        Verdict::Broken => 1,
+        Verdict::CouldNotRun => 2,
+    });
+}
