--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,13 +3,16 @@
 //! `standin CASE RECORD` plays a case against the processes of the deploy file. It exits with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod advice;
 mod http;
 mod json;
 mod minion;
 mod store;
 mod system;
 
+mod burst_for_advice;
 mod ends;
+mod log_reader;
 mod removed_queue;
 mod withdrawn_key;
 
@@ -30,6 +33,8 @@
     };
     let is_troubled = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
+        "log-reader" => log_reader::play(is_troubled, record),
+        "burst-for-advice" => burst_for_advice::play(is_troubled, record),
         "ends" => ends::play(is_troubled, record),
         "withdrawn-key" => withdrawn_key::play(is_troubled, record),
         "removed-queue" => removed_queue::play(is_troubled, record),
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::advice::Advice;
 use crate::http::{Call, Caller, respond, serve};
 use crate::json::{Json, obj};
 use crate::minion::Minion;
@@ -25,6 +26,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Reads what the process writes, if it is not written to a file.
+    collector: Option<Child>,
 }
 
 pub struct System {
@@ -32,6 +35,8 @@
     pub daemons: Vec<Daemon>,
     folder: PathBuf,
     command: Vec<String>,
+    has_collectors: bool,
+    pub advice: Advice,
     began: Instant,
     lines: Mutex<Vec<String>>,
 }
@@ -53,6 +58,21 @@
 impl System {
     /// Starts the platform and `count` processes, one in each zone.
     pub fn start(count: usize, minions: &[Arc<Minion>], config: &str) -> Self {
+        Self::start_with_logs(count, minions, config, false)
+    }
+
+    /// Starts the same, where each process writes its log to a pipe that a process of its own
+    /// reads.
+    pub fn start_with_collectors(count: usize, minions: &[Arc<Minion>], config: &str) -> Self {
+        Self::start_with_logs(count, minions, config, true)
+    }
+
+    fn start_with_logs(
+        count: usize,
+        minions: &[Arc<Minion>],
+        config: &str,
+        has_collectors: bool,
+    ) -> Self {
         let store = Store::start();
         store.put("op/config", config);
         for minion in minions {
@@ -75,11 +95,14 @@
             daemons: Vec::new(),
             folder,
             command: deploy_command(),
+            has_collectors,
+            advice: Advice::start(),
             began: Instant::now(),
             lines: Mutex::default(),
         };
+        let advice = system.advice.address;
         for number in 0..count {
-            system.add_daemon(number, cloud);
+            system.add_daemon(number, cloud, advice);
         }
         for number in 0..count {
             system.spawn(number);
@@ -87,7 +110,7 @@
         system
     }
 
-    fn add_daemon(&mut self, number: usize, cloud: SocketAddr) {
+    fn add_daemon(&mut self, number: usize, cloud: SocketAddr, advice: SocketAddr) {
         let pid = std::process::id();
         // Each machine has an address of its own on the loopback interface.
         let ip = format!("127.{}.{}.{}", 64 + pid % 128, pid / 128 % 250, 10 + number);
@@ -163,6 +186,7 @@
   PaceMs: 100
   HarmMs: 4000
 Orders: "call"
+Advice: "{advice}"
 platform:
   Addr: "{store}"
   form: "kv"
@@ -189,6 +213,7 @@
             settings,
             log,
             child: None,
+            collector: None,
         });
     }
 
@@ -196,15 +221,20 @@
     pub fn spawn(&mut self, number: usize) {
         let daemon = &mut self.daemons[number];
         let log = fs::OpenOptions::new().create(true).append(true).open(&daemon.log).expect("log");
-        let child = Command::new(&self.command[0])
-            .args(&self.command[1..])
-            .env("CASSIAFOLD_CONFIG", &daemon.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("the program of the deploy file");
-        daemon.child = Some(child);
+        let mut command = Command::new(&self.command[0]);
+        command.args(&self.command[1..]);
+        command.env("CASSIAFOLD_CONFIG", &daemon.settings).stdin(Stdio::null());
+        if self.has_collectors {
+            let (output, input) = std::io::pipe().expect("pipe");
+            let child = command.stdout(input.try_clone().expect("pipe")).stderr(input).spawn();
+            let child = child.expect("the program of the deploy file");
+            let collector = Command::new("cat").stdin(output).stdout(log).spawn();
+            daemon.collector = Some(collector.expect("cat"));
+            daemon.child = Some(child);
+            return;
+        }
+        let child = command.stdout(log.try_clone().expect("log")).stderr(log).spawn();
+        daemon.child = Some(child.expect("the program of the deploy file"));
     }
 
     /// Kills the process of a machine with SIGKILL.
@@ -215,6 +245,20 @@
         }
     }
 
+    /// Sends a signal to the process that reads the log of a machine.
+    pub fn signal_collector(&self, number: usize, signal: &str) {
+        if let Some(collector) = &self.daemons[number].collector {
+            let pid = collector.id().to_string();
+            let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        }
+    }
+
+    /// Whether the process of a machine has not ended.
+    pub fn is_alive(&mut self, number: usize) -> bool {
+        let child = self.daemons[number].child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Waits until every process reports itself ready.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
@@ -265,7 +309,7 @@
 impl Drop for System {
     fn drop(&mut self) {
         for daemon in &mut self.daemons {
-            if let Some(child) = &mut daemon.child {
+            for child in [&mut daemon.child, &mut daemon.collector].into_iter().flatten() {
                 let _ = child.kill();
                 let _ = child.wait();
             }
