Review case 2: an odd entry of a minion doubles all tasks that run there

A script overwrites the entry of one minion once with a service that no configuration names. The cases on advice, the log and the withdrawn key become 3, 4 and 5; the lesser one on a removed route (BUDGET) leaves the five, its script stays in the stand-ins as 'standin removed-queue RECORD'.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/release/cassiafold ] && [ -x target/review/standin ] || { echo "not built"; exit 2; }
-TROUBLE=${TROUBLE:-1} exec timeout -k 5 115 target/review/standin removed-queue "$folder/record.txt"
+TROUBLE=${TROUBLE:-1} exec timeout -k 5 115 target/review/standin withdrawn-key "$folder/record.txt"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,7 @@
 mod burst_for_advice;
 mod ends;
 mod log_reader;
+mod odd_entry;
 mod removed_queue;
 mod withdrawn_key;
 
@@ -35,6 +36,7 @@
     let verdict = match case.as_str() {
         "log-reader" => log_reader::play(is_troubled, record),
         "burst-for-advice" => burst_for_advice::play(is_troubled, record),
+        "odd-entry" => odd_entry::play(is_troubled, record),
         "ends" => ends::play(is_troubled, record),
         "withdrawn-key" => withdrawn_key::play(is_troubled, record),
         "removed-queue" => removed_queue::play(is_troubled, record),
