--- a/review/standin/ends.rs
+++ b/review/standin/ends.rs
@@ -32,7 +32,7 @@
 fn work_of(task: &str) -> Work {
     let index: u64 = task.rsplit('.').next().and_then(|index| index.parse().ok()).unwrap_or(0);
     let ms = SHORTEST_MS + index * 7_919 % SPREAD_MS;
-    Work { ms, how: "done", cpu: TASK_CPU, mem_mb: TASK_MEM_MB }
+    Work { ms, how: "done", cpu: TASK_CPU, mem_mb: TASK_MEM_MB, serves: false }
 }
 
 fn call(method: &'static str, path: &str, body: &str, caller: &mut Caller) -> Option<(u16, String)> {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 over blocking sockets: a server with one thread for each connection, and a client.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -12,9 +12,22 @@
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
     pub body: String,
+    connection: Option<TcpStream>,
 }
 
 impl Request {
+    /// Whether its sender has closed or reset the connection.
+    pub fn is_abandoned(&self) -> bool {
+        let Some(stream) = &self.connection else { return false };
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
+        let peeked = stream.peek(&mut [0]);
+        let _ = stream.set_read_timeout(None);
+        match peeked {
+            Ok(bytes) => bytes == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+
     pub fn header(&self, name: &str) -> &str {
         let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
@@ -55,7 +68,8 @@
     let mut received: Vec<u8> = Vec::new();
     loop {
         let Some((head, body)) = read_message(&mut stream, &mut received, None) else { return };
-        let Some(request) = parse_request(&head, body) else { return };
+        let Some(mut request) = parse_request(&head, body) else { return };
+        request.connection = stream.try_clone().ok();
         let Some(response) = handler(&request) else {
             // The connection stays open and silent.
             let mut rest = [0; 1024];
@@ -123,7 +137,7 @@
     let query = pairs.map(|(name, value)| (unescape(name), unescape(value))).collect();
     let headers = lines.filter_map(|line| line.split_once(':'));
     let headers = headers.map(|(name, value)| (name.to_string(), value.trim().to_string()));
-    Some(Request { method, path: path.to_string(), query, headers: headers.collect(), body })
+    Some(Request { method, path: path.to_string(), query, headers: headers.collect(), body, connection: None })
 }
 
 fn unescape(text: &str) -> String {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod advice;
+mod cloud;
 mod http;
 mod json;
 mod minion;
@@ -12,8 +13,10 @@
 
 mod burst_for_advice;
 mod ends;
+mod held_up_orders;
 mod log_reader;
 mod odd_entry;
+mod paused_task;
 mod removed_queue;
 mod withdrawn_key;
 
@@ -37,6 +40,8 @@
         "log-reader" => log_reader::play(is_troubled, record),
         "burst-for-advice" => burst_for_advice::play(is_troubled, record),
         "odd-entry" => odd_entry::play(is_troubled, record),
+        "held-up-orders" => held_up_orders::play(is_troubled, record),
+        "paused-task" => paused_task::play(is_troubled, record),
         "ends" => ends::play(is_troubled, record),
         "withdrawn-key" => withdrawn_key::play(is_troubled, record),
         "removed-queue" => removed_queue::play(is_troubled, record),
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -31,6 +32,8 @@
     pub how: &'static str,
     pub cpu: u64,
     pub mem_mb: u64,
+    /// Whether it serves users of its own, so that its figure is the tail of their response times.
+    pub serves: bool,
 }
 
 /// Something that happened to a run.
@@ -62,12 +65,25 @@
 
 struct Run {
     number: u64,
-    started: Instant,
-    ends: Instant,
     work: Work,
+    /// Work that was done until `since`, from when on it works at `percent`.
+    worked_ms: f64,
+    since: Instant,
+    percent: u64,
     stops: Option<Instant>,
 }
 
+impl Run {
+    fn worked_ms(&self) -> f64 {
+        self.worked_ms + self.since.elapsed().as_secs_f64() * 10.0 * self.percent as f64
+    }
+
+    fn pace(&mut self, percent: u64) {
+        self.worked_ms = self.worked_ms();
+        (self.since, self.percent) = (Instant::now(), percent);
+    }
+}
+
 struct End {
     number: u64,
     task: String,
@@ -90,6 +106,9 @@
     pub address: SocketAddr,
     born_ms: u64,
     started: Instant,
+    has_left: AtomicBool,
+    /// Tail of the response times of the tasks that serve.
+    pub tail_ms: AtomicU64,
     state: Mutex<State>,
     ended: Condvar,
     record: Arc<Record>,
@@ -110,6 +129,8 @@
             address: listener.local_addr().expect("address"),
             born_ms: now.as_millis() as u64,
             started: Instant::now(),
+            has_left: AtomicBool::new(false),
+            tail_ms: AtomicU64::new(0),
             state: Mutex::new(State {
                 fence: 0,
                 due_ms: 0,
@@ -132,6 +153,19 @@
         minion
     }
 
+    /// Ends, with everything that runs there: its machine was moved.
+    pub fn leave(&self) {
+        self.has_left.store(true, Ordering::SeqCst);
+        let mut state = self.lock();
+        for (task, run) in std::mem::take(&mut state.running) {
+            self.record.add(&self.settings.id, &task, run.number, "moved");
+        }
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.has_left.load(Ordering::SeqCst)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
@@ -189,7 +223,7 @@
             let how = match run.stops {
                 _ if is_lapsed => "lapsed",
                 Some(stops) if stops <= now => "stopped",
-                _ if run.ends <= now => run.work.how,
+                _ if run.worked_ms() >= run.work.ms as f64 => run.work.how,
                 _ => continue,
             };
             over.push((task.clone(), how));
@@ -211,6 +245,9 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Response> {
+        if self.has_left() {
+            return None;
+        }
         let expected = request.header("X-Expect-Instance");
         if !expected.is_empty() && expected != self.settings.id {
             return respond(421, "");
@@ -225,7 +262,7 @@
         match &*request.path {
             "/run-start" => self.start_run(&body, state),
             "/run-stop" => self.stop_run(&body, state),
-            "/pace" => respond(200, self.clock().print()),
+            "/pace" => self.pace_run(&body, state),
             "/hold" => self.hold(&body, state),
             _ => respond(404, ""),
         }
@@ -268,9 +305,8 @@
         {
             return self.refuse("room");
         }
-        let now = Instant::now();
-        let ends = now + Duration::from_millis(work.ms);
-        let run = Run { number, started: now, ends, work, stops: None };
+        let (since, percent) = (Instant::now(), 100);
+        let run = Run { number, work, worked_ms: 0.0, since, percent, stops: None };
         state.running.insert(task.into(), run);
         self.record.add(&self.settings.id, task, number, "start");
         respond(200, self.clock().print())
@@ -287,6 +323,16 @@
         respond(200, self.clock().print())
     }
 
+    fn pace_run(&self, body: &Json, mut state: MutexGuard<'_, State>) -> Option<Response> {
+        let (task, number, percent) = (body.str("Task"), body.u64("Run"), body.u64("Percent"));
+        if let Some(run) = state.running.get_mut(task).filter(|run| run.number == number) {
+            run.pace(percent);
+            let what = if percent == 0 { "paced to 0" } else { "paced" };
+            self.record.add(&self.settings.id, task, number, what);
+        }
+        respond(200, self.clock().print())
+    }
+
     fn hold(&self, body: &Json, mut state: MutexGuard<'_, State>) -> Option<Response> {
         if body.get("DueMs").is_some() {
             self.extend(body.u64("DueMs"), &mut state);
@@ -305,9 +351,12 @@
             state = self.ended.wait_timeout(state, left).unwrap().0;
         }
         let running = state.running.iter().map(|(task, run)| {
-            let done = run.started.elapsed().as_millis() as u64 * 100 / run.work.ms.max(1);
-            let load = num(run.work.cpu as i64);
-            let percent = num(done.min(99) as i64);
+            let done = run.worked_ms() as u64 * 100 / run.work.ms.max(1);
+            let (percent, load) = match run.work.serves {
+                true => (100, self.tail_ms.load(Ordering::SeqCst)),
+                false => (done.min(99), run.work.cpu * run.percent / 100),
+            };
+            let (percent, load) = (num(percent as i64), num(load as i64));
             Json::Arr(vec![text(&**task), num(run.number as i64), text(""), percent, load])
         });
         let ends = state.ends.iter().take(ENDS_PER_RESPONSE).map(|end| {
--- a/review/standin/odd_entry.rs
+++ b/review/standin/odd_entry.rs
@@ -48,7 +48,7 @@
                 hold_max_ms: 10_000,
                 stop_ms: 400,
             };
-            let work = Work { ms: TASK_MS, how: "done", cpu: 1_600, mem_mb: 512 };
+            let work = Work { ms: TASK_MS, how: "done", cpu: 1_600, mem_mb: 512, serves: false };
             Minion::start(settings, &record, move |_, _| work.clone())
         })
         .collect();
--- a/review/standin/removed_queue.rs
+++ b/review/standin/removed_queue.rs
@@ -52,7 +52,7 @@
                 hold_max_ms: 10_000,
                 stop_ms: 400,
             };
-            let work = Work { ms: 640, how: "failed", cpu: 800, mem_mb: 256 };
+            let work = Work { ms: 640, how: "failed", cpu: 800, mem_mb: 256, serves: false };
             Minion::start(settings, &record, move |_, _| work.clone())
         })
         .collect();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -116,6 +116,17 @@
         self.changed.notify_all();
     }
 
+    /// Removes a key for the operator or a minion.
+    pub fn delete(&self, key: &str) {
+        let mut contents = self.lock();
+        if contents.items.contains_key(key) {
+            contents.rev += 1;
+            contents.remove(key);
+        }
+        drop(contents);
+        self.changed.notify_all();
+    }
+
     fn expire_leases(&self) {
         let mut contents = self.lock();
         let now = Instant::now();
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use crate::advice::Advice;
-use crate::http::{Call, Caller, respond, serve};
-use crate::json::{Json, obj};
+use crate::cloud::{Cloud, CloudDoor};
+use crate::http::{Call, Caller};
 use crate::minion::Minion;
 use crate::store::{Door, Store};
 
@@ -23,6 +23,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub door: Door,
+    pub cloud_door: CloudDoor,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -37,6 +38,7 @@
     command: Vec<String>,
     has_collectors: bool,
     pub advice: Advice,
+    pub cloud: Arc<Cloud>,
     began: Instant,
     lines: Mutex<Vec<String>>,
 }
@@ -78,15 +80,7 @@
         for minion in minions {
             store.put(&format!("servers/{}", minion.settings.id), &minion.entry());
         }
-        let machines: Vec<Json> = minions.iter().map(|minion| minion.machine()).collect();
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-        let cloud = listener.local_addr().expect("address");
-        let list = obj(&[("Machines", Json::Arr(machines)), ("NextToken", Json::Null)]).print();
-        serve(listener, move |request| match &*request.path {
-            "/machines" => respond(200, list.clone()),
-            // No machine is to be moved or maintained here.
-            _ => respond(409, r#"{"Reason":"busy"}"#),
-        });
+        let cloud = Cloud::new(minions);
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("cassiafold-review-{pid}"));
         fs::create_dir_all(&folder).expect("temporary folder");
@@ -97,12 +91,13 @@
             command: deploy_command(),
             has_collectors,
             advice: Advice::start(),
+            cloud,
             began: Instant::now(),
             lines: Mutex::default(),
         };
         let advice = system.advice.address;
         for number in 0..count {
-            system.add_daemon(number, cloud, advice);
+            system.add_daemon(number, advice);
         }
         for number in 0..count {
             system.spawn(number);
@@ -110,14 +105,15 @@
         system
     }
 
-    fn add_daemon(&mut self, number: usize, cloud: SocketAddr, advice: SocketAddr) {
+    fn add_daemon(&mut self, number: usize, advice: SocketAddr) {
         let pid = std::process::id();
         // Each machine has an address of its own on the loopback interface.
         let ip = format!("127.{}.{}.{}", 64 + pid % 128, pid / 128 % 250, 10 + number);
         let (front, ready) = (free_port(&ip), free_port(&ip));
         let door = self.store.open_door(number);
         let name = format!("front-zone-{number}");
-        let (store, folder) = (door.address, &self.folder);
+        let cloud_door = self.cloud.open_door();
+        let (store, cloud, folder) = (door.address, cloud_door.address, &self.folder);
         let settings = folder.join(format!("{name}.yaml"));
         let text = format!(
             r#"Node: "{name}"
@@ -210,6 +206,7 @@
             front: address(front),
             ready: address(ready),
             door,
+            cloud_door,
             settings,
             log,
             child: None,
@@ -253,6 +250,14 @@
         }
     }
 
+    /// Sends a signal to the process of a machine.
+    pub fn signal(&self, number: usize, signal: &str) {
+        if let Some(child) = &self.daemons[number].child {
+            let pid = child.id().to_string();
+            let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        }
+    }
+
     /// Whether the process of a machine has not ended.
     pub fn is_alive(&mut self, number: usize) -> bool {
         let child = self.daemons[number].child.as_mut();
