Tell whether a poll response lists all run ends, and log when it doesn't

The adapter now says in the type whether the list is whole (fewer than 500) or a first page; the owner logs the change (events 1628, 1629) and decides nothing by it yet.

--- a/crates/jobs/src/clients.rs
+++ b/crates/jobs/src/clients.rs
@@ -37,6 +37,16 @@
     pub wait: Duration,
 }
 
+/// How much of a list a response holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Listing {
+    /// All of it: what is not in the response does not exist.
+    #[default]
+    Whole,
+    /// As much as the protocol allows in one response: there may be more.
+    FirstPage,
+}
+
 /// Response to a poll.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PollResponse {
@@ -48,6 +58,8 @@
     pub running: Vec<RunningRun>,
     /// Ended runs that are not acknowledged, in order of their number.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` holds all of them. A worker lists further ones once these are acknowledged.
+    pub ended_listing: Listing,
 }
 
 /// A run in progress.
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -29,6 +29,8 @@
         LookFailed = 1625, Info, "poll of a worker failed";
         LeaseOver = 1626, Info, "lease of the runs on an unresponsive worker expired";
         TokenRefused = 1627, Warn, "worker refused the owner's token and is sent nothing more";
+        EndsPending = 1628, Info, "worker has more run ends than a response lists";
+        EndsListed = 1629, Info, "worker lists all of its run ends again";
         MachineOrdered = 1630, Info, "outcome of a command to move or maintain a machine";
         PoolsBalanced = 1631, Info, "machines move between services";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -8,7 +8,7 @@
 use cassiafold_platform::Moment;
 
 use super::{Scheduler, WriteUrgency};
-use crate::clients::{EndedRun, PollError, PollRequest, PollResponse, RunEnd, RunningRun};
+use crate::clients::{EndedRun, Listing, PollError, PollRequest, PollResponse, RunEnd, RunningRun};
 use crate::event::JobsEvent;
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
@@ -116,6 +116,9 @@
         if is_first {
             self.mark_worker_service_changed(slot);
         }
+        if is_latest {
+            self.note_listing(slot, &response);
+        }
         let mut reported: HashSet<TaskId> = HashSet::with_capacity(response.running.len());
         for ended_run in response.ended {
             self.receive_run_end(slot, ended_run, now);
@@ -131,6 +134,26 @@
         self.stop_unstarted_runs(slot, &reported, sent, now);
     }
 
+    /// Notes whether a worker lists all of its run ends, and logs when that changes.
+    fn note_listing(&mut self, slot: WorkerSlot, response: &PollResponse) {
+        let worker = &mut self.workers[slot];
+        let previous = std::mem::replace(&mut worker.ended_listing, response.ended_listing);
+        let event = match (previous, response.ended_listing) {
+            (Listing::Whole, Listing::FirstPage) => JobsEvent::EndsPending,
+            (Listing::FirstPage, Listing::Whole) => JobsEvent::EndsListed,
+            _ => return,
+        };
+        emit!(
+            target: LOG_TARGET,
+            event,
+            worker = worker.entry.id,
+            ends = response.ended.len(),
+            last = response.ended.last().map_or(0, |ended_run| ended_run.number),
+            running = response.running.len(),
+            known = worker.runs.len()
+        );
+    }
+
     /// Brings forward the poll of a worker whose run ends are all stored, to acknowledge them.
     /// Until then the worker reports them again.
     pub(super) fn schedule_ack_poll(&mut self, slot: WorkerSlot, now: Moment) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,7 +7,7 @@
 use cassiafold_config::InstanceId;
 use cassiafold_platform::Moment;
 
-use crate::clients::WorkerAddress;
+use crate::clients::{Listing, WorkerAddress};
 use crate::cluster::WorkerEntry;
 use crate::crash::{ContactLoss, Crash, START_WINDOW, is_past_probation};
 use crate::record::{CapacityRecord, WorkerRecord, WorkerShard, worker_shard};
@@ -216,6 +216,8 @@
     pub incarnation: u32,
     /// Number of the last run end whose effect is stored.
     pub last_end_stored: u64,
+    /// Whether the latest response listed all run ends that were not acknowledged.
+    pub ended_listing: Listing,
     /// When it is polled next.
     pub poll: PollPhase,
     /// When the latest answered poll was sent.
@@ -271,6 +273,7 @@
             ends_unstored: VecDeque::new(),
             incarnation: 0,
             last_end_stored: 0,
+            ended_listing: Listing::Whole,
             poll: PollPhase::DueAt(now),
             poll_sent: Moment::ZERO,
             failed_polls: 0,
--- a/crates/jobs/tests/emulator/checks.rs
+++ b/crates/jobs/tests/emulator/checks.rs
@@ -3,10 +3,16 @@
 use cassiafold_jobs::spec::{Resources, StepId, TaskId};
 
 use super::Emulator;
+use super::worker::AcknowledgedEnd;
 
 impl Emulator {
-    /// Checks that a run end is stored when it is acknowledged to its worker.
-    pub(super) fn check_acknowledged(&mut self, task: TaskId) {
+    /// Checks that a run end is stored when it is acknowledged to its worker, and that its task was
+    /// not started again before.
+    pub(super) fn check_acknowledged(&mut self, end: AcknowledgedEnd) {
+        let task = end.task;
+        if self.restarted.remove(&task) && !end.is_expired {
+            self.violations.push(format!("{task}: started after an end that is now acknowledged"));
+        }
         let state = self.states.get(&task.step.job);
         let is_stored = state.is_some_and(|state| {
             state.state.is_final()
@@ -29,6 +35,9 @@
         if others.count() > 0 {
             self.violations.push(format!("{task}: two concurrent runs"));
         }
+        if self.workers.iter().any(|worker| worker.is_up && worker.has_completed(task)) {
+            self.restarted.insert(task);
+        }
         if self.acknowledged.contains(&task) {
             self.violations.push(format!("{task}: started after its end was acknowledged"));
         }
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -140,6 +140,8 @@
     config: Arc<ClusterConfig>,
     /// Done tasks whose ends were acknowledged to workers.
     acknowledged: HashSet<TaskId>,
+    /// Tasks that were started although a worker listed, or had yet to list, their end as done.
+    restarted: HashSet<TaskId>,
     /// Done tasks that workers have reported, and to which owner.
     reported_done: HashSet<(u64, TaskId)>,
     failure_counts: HashMap<TaskId, u32>,
@@ -174,6 +176,7 @@
             random: StdRng::seed_from_u64(seed),
             config: config(limit),
             acknowledged: HashSet::new(),
+            restarted: HashSet::new(),
             reported_done: HashSet::new(),
             failure_counts: HashMap::new(),
             limit,
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cassiafold_jobs::clients::{
-    CommandOutcome, EndedRun, PollError, PollRequest, PollResponse, Refusal, RunEnd, RunningRun,
-    StartRequest,
+    CommandOutcome, EndedRun, Listing, PollError, PollRequest, PollResponse, Refusal, RunEnd,
+    RunningRun, StartRequest,
 };
 use cassiafold_jobs::cluster::WorkerEntry;
 use cassiafold_jobs::record::JobRecord;
@@ -14,6 +14,9 @@
 
 use super::{LEASE_MAX, SERVICE};
 
+/// Run ends in one poll response, unless a test sets fewer.
+const ENDS_PER_RESPONSE: usize = 500;
+
 /// A run on an emulated worker.
 #[derive(Debug, Clone)]
 pub struct EmulatedRun {
@@ -30,6 +33,8 @@
     pub is_up: bool,
     pub runs: BTreeMap<TaskId, EmulatedRun>,
     pub started_at: Duration,
+    /// Most run ends in one poll response.
+    pub ends_per_response: usize,
     /// Earlier capacities, and until when each of them counts.
     past_capacities: Vec<(Resources, Duration)>,
     /// Ids of earlier incarnations.
@@ -39,7 +44,17 @@
     next_number: u64,
     highest_run: HashMap<TaskId, RunNumber>,
     lease_until: Duration,
-    acknowledged: Vec<TaskId>,
+    /// Number of the last run end before the lease last expired.
+    last_end_before_expiry: u64,
+    acknowledged: Vec<AcknowledgedEnd>,
+}
+
+/// A task that ended as done and whose end was acknowledged.
+#[derive(Debug, Clone, Copy)]
+pub struct AcknowledgedEnd {
+    pub task: TaskId,
+    /// Whether the lease expired between the end and its acknowledgement.
+    pub is_expired: bool,
 }
 
 impl EmulatedWorker {
@@ -50,6 +65,7 @@
             is_up: true,
             runs: BTreeMap::new(),
             started_at: Duration::from_secs(1),
+            ends_per_response: ENDS_PER_RESPONSE,
             past_capacities: Vec::new(),
             past_ids: Vec::new(),
             token: 0,
@@ -57,6 +73,7 @@
             next_number: 1,
             highest_run: HashMap::new(),
             lease_until: Duration::ZERO,
+            last_end_before_expiry: 0,
             acknowledged: Vec::new(),
         }
     }
@@ -107,6 +124,7 @@
         self.next_number = 1;
         self.token = 0;
         self.lease_until = Duration::ZERO;
+        self.last_end_before_expiry = 0;
     }
 
     /// Whether this is or was the worker's id.
@@ -146,7 +164,10 @@
             self.ended.drain(..).partition(|row| row.number <= request.acknowledged);
         self.ended = unacknowledged_ends;
         let done = acknowledged_ends.iter().filter(|row| row.end == RunEnd::Done);
-        self.acknowledged.extend(done.map(|row| row.task));
+        self.acknowledged.extend(done.map(|row| AcknowledgedEnd {
+            task: row.task,
+            is_expired: row.number <= self.last_end_before_expiry,
+        }));
         let running = self.runs.iter().map(|(task, run)| RunningRun {
             task: *task,
             run: run.number,
@@ -158,12 +179,16 @@
             clock: self.clock(now),
             started_unix: Some(self.started_at),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.ends_per_response).cloned().collect(),
+            ended_listing: match self.ended.len() < self.ends_per_response {
+                true => Listing::Whole,
+                false => Listing::FirstPage,
+            },
         })
     }
 
     /// Removes and returns the done tasks whose ends were acknowledged since the last call.
-    pub fn take_acknowledged(&mut self) -> Vec<TaskId> {
+    pub fn take_acknowledged(&mut self) -> Vec<AcknowledgedEnd> {
         std::mem::take(&mut self.acknowledged)
     }
 
@@ -271,6 +296,7 @@
         if !self.is_up || self.lease_until > self.clock(now) {
             return;
         }
+        self.last_end_before_expiry = self.next_number - 1;
         let tasks: Vec<TaskId> = self.runs.keys().copied().collect();
         for task in tasks {
             self.end_run(task, RunEnd::Expired, now);
