Draw no conclusion from a run that a first page of run ends lacks

Cause: `release_missing_runs` took a run that is in neither list for one that vanished, and `judge_missing_run` could count it as a crash, although a response with 500 run ends says nothing of the ends after them; `stop_unstarted_runs` stopped runs that had started and ended.

Both now wait for a response that lists all run ends. Until then the run keeps its capacity: it is known to have been started, and its end comes with a later page.

--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -130,8 +130,11 @@
             reported.insert(running_run.task);
             self.receive_running_run(slot, running_run, now);
         }
-        self.release_missing_runs(slot, &reported, sent, now);
-        self.stop_unstarted_runs(slot, &reported, sent, now);
+        // A run that the first page lacks may have ended: a later page tells how.
+        if response.ended_listing == Listing::Whole {
+            self.release_missing_runs(slot, &reported, sent, now);
+            self.stop_unstarted_runs(slot, &reported, sent, now);
+        }
     }
 
     /// Notes whether a worker lists all of its run ends, and logs when that changes.
@@ -284,7 +287,8 @@
         }
     }
 
-    /// Removes the runs that are missing from a poll sent after they were last confirmed.
+    /// Removes the runs that are missing from a response, to a poll that was sent after they were
+    /// last confirmed, that lists all run ends.
     fn release_missing_runs(
         &mut self,
         slot: WorkerSlot,
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -112,13 +112,29 @@
     /// Advances the time by `length`, with no response to any poll.
     pub fn run_without_responses(&mut self, length: Duration) {
         let error = PollError::NoAnswer("timeout".into());
+        self.run_with_polls(length, |scheduler, worker, now| {
+            scheduler.handle_poll_failure(worker, false, &error, now);
+        });
+    }
+
+    /// Advances the time by `length`, while the workers hold each poll open.
+    pub fn run_with_open_polls(&mut self, length: Duration) {
+        self.run_with_polls(length, |_, _, _| {});
+    }
+
+    /// Advances the time by `length`, where `respond` is called for each poll that is sent.
+    fn run_with_polls(
+        &mut self,
+        length: Duration,
+        mut respond: impl FnMut(&mut Scheduler, WorkerSlot, Duration),
+    ) {
         let end = self.now + length;
         while self.now < end {
             for command in self.scheduler.plan(self.unix, self.now) {
                 match command {
                     Command::Poll { worker, .. } => {
                         let _ = self.scheduler.poll_request(worker, false, self.now);
-                        self.scheduler.handle_poll_failure(worker, false, &error, self.now);
+                        respond(&mut self.scheduler, worker, self.now);
                     }
                     command => self.execute(command),
                 }
--- /dev/null
+++ b/crates/jobs/tests/run_end_pages.rs
@@ -0,0 +1,62 @@
+//! Regression tests: workers with more run ends than one response lists.
+
+mod emulator;
+mod harness;
+
+use cassiafold_jobs::clients::{EndedRun, Listing, PollResponse, RunEnd};
+use cassiafold_jobs::record::JobState;
+use cassiafold_jobs::scheduler::OwnerTerm;
+use cassiafold_jobs::spec::{JobId, TaskId};
+
+use self::emulator::{ms, step};
+use self::harness::SchedulerHarness;
+
+/// A response that lists these ends of the first run of each task, numbered from `first`.
+fn page(
+    harness: &SchedulerHarness,
+    first: u64,
+    tasks: &[(TaskId, u32)],
+    ended_listing: Listing,
+) -> PollResponse {
+    let end = RunEnd::Done;
+    let row = |(number, (task, run)): (u64, &(TaskId, u32))| EndedRun {
+        number,
+        task: *task,
+        run: *run,
+        end,
+        checkpoint: None,
+    };
+    let ended = (first..).zip(tasks).map(row).collect();
+    PollResponse { clock: harness.now, ended, ended_listing, ..PollResponse::default() }
+}
+
+/// Passes a response of the first worker to the scheduler.
+fn report(harness: &mut SchedulerHarness, response: PollResponse) {
+    harness.scheduler.handle_poll_response(0, false, harness.now, harness.now, response);
+}
+
+/// Advances the time by `length` while the polls stay open, and returns the tasks that were started.
+fn starts(harness: &mut SchedulerHarness, length: u64) -> usize {
+    harness.run_with_open_polls(ms(length));
+    harness.running()
+}
+
+fn state(harness: &SchedulerHarness, job: JobId) -> Option<JobState> {
+    harness.scheduler.job(job).map(|job| job.state)
+}
+
+/// Guards against a second start of tasks that have ended within the same term, when more of them
+/// end together than a response lists.
+#[test]
+fn a_run_that_the_first_page_of_run_ends_lacks_is_not_started_again() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    harness.submit(1, vec![step(4, 1, &[])]);
+    harness.run_for(ms(100));
+    let runs = harness.running.remove(&0).expect("all run");
+    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+    report(&mut harness, first);
+    assert_eq!(starts(&mut harness, 500), 0);
+    let second = page(&harness, 3, &runs[2..], Listing::Whole);
+    report(&mut harness, second);
+    assert_eq!(state(&harness, 1), Some(JobState::Completed));
+}
