Know a previous owner's runs only once a response lists all run ends

Cause, from the log of the case: the new owner begins at 22.270 s, has the first 500 ends of both workers at 22.283 s (event 1628), and 500 runs of its own at 22.371 s. `are_inherited_runs_known` asked `was_confirmed`, which any first response sets.

A worker now has `are_inherited_runs_known`, set by the latest response that lists all ends, and reset with the incarnation. Placement, the load of a service and the delays of jobs read it through the same function.

--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -132,6 +132,7 @@
         }
         // A run that the first page lacks may have ended: a later page tells how.
         if response.ended_listing == Listing::Whole {
+            self.confirm_inherited_runs(slot);
             self.release_missing_runs(slot, &reported, sent, now);
             self.stop_unstarted_runs(slot, &reported, sent, now);
         }
@@ -221,6 +222,16 @@
         self.adopt_run(slot, running_run, token, now);
     }
 
+    /// Notes that all runs of previous owners on a worker have been reported.
+    fn confirm_inherited_runs(&mut self, slot: WorkerSlot) {
+        let worker = &mut self.workers[slot];
+        if worker.has_refused_token || worker.are_inherited_runs_known {
+            return;
+        }
+        worker.are_inherited_runs_known = true;
+        self.mark_worker_service_changed(slot);
+    }
+
     /// Adopts a run that this owner did not start; stops it if the task must not run on this
     /// worker.
     fn adopt_run(&mut self, slot: WorkerSlot, running_run: RunningRun, token: u64, now: Moment) {
--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -267,7 +267,7 @@
     pub(super) fn are_inherited_runs_known(&self, service: &str, now: Moment) -> bool {
         let are_known = |slot: &WorkerSlot| {
             let worker = &self.workers[*slot];
-            !worker.may_have_earlier_runs || worker.was_confirmed
+            !worker.may_have_earlier_runs || worker.are_inherited_runs_known
         };
         now >= self.inherited_runs_expire
             || (!self.term.has_unreadable_workers
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -184,6 +184,9 @@
     pub was_confirmed: bool,
     /// Whether previous owners may have started runs on it.
     pub may_have_earlier_runs: bool,
+    /// Whether a response under this owner's token has listed all runs of the incarnation, and all
+    /// of their ends that were not acknowledged.
+    pub are_inherited_runs_known: bool,
     /// Whether it refused this owner's token, although no later owner holds the owner key. It is
     /// sent nothing more during the owner's term.
     pub has_refused_token: bool,
@@ -258,6 +261,7 @@
             is_confirmed: false,
             was_confirmed: false,
             may_have_earlier_runs: false,
+            are_inherited_runs_known: false,
             has_refused_token: false,
             unresponsive_since: None,
             contact_loss: None,
@@ -337,6 +341,8 @@
         self.is_entry_outdated = self.entry.started_unix < started_unix;
         self.entry.started_unix = started_unix;
         self.has_refused_token = false;
+        self.are_inherited_runs_known = false;
+        self.ended_listing = Listing::Whole;
         self.last_end_seen = 0;
         self.last_end_stored = 0;
         self.ends_unstored.clear();
