Wait for the last page of run ends while polls extend the leases of what it may show

The time now is that of each worker's lease, which the polls move, and of the term only for workers that nobody knows. A worker that is silent frees its tasks as before.

--- a/crates/jobs/src/scheduler/workers.rs
+++ b/crates/jobs/src/scheduler/workers.rs
@@ -230,6 +230,9 @@
         worker.start_incarnation(started_unix, now);
         if !worker.runs.is_empty() {
             worker.lease_expires = now + lease_max;
+        } else if worker.may_have_earlier_runs {
+            // It may have restarted before this term, and have been given runs since.
+            worker.lease_expires = now.max(self.inherited_runs_expire);
         }
     }
 
@@ -263,15 +266,13 @@
         self.slots_by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether the runs of previous owners are known for all workers of a service.
+    /// Returns whether the runs of previous owners are known, or have expired, on all workers of a
+    /// service.
     pub(super) fn are_inherited_runs_known(&self, service: &str, now: Moment) -> bool {
-        let are_known = |slot: &WorkerSlot| {
-            let worker = &self.workers[*slot];
-            !worker.may_have_earlier_runs || worker.are_inherited_runs_known
-        };
-        now >= self.inherited_runs_expire
-            || (!self.term.has_unreadable_workers
-                && self.service_slots(service).iter().all(are_known))
+        let has_unknown_workers =
+            self.term.has_unreadable_workers && now < self.inherited_runs_expire;
+        let are_known = |slot: &WorkerSlot| self.workers[*slot].are_earlier_runs_known(now);
+        !has_unknown_workers && self.service_slots(service).iter().all(are_known)
     }
 
     /// Returns the addresses of the incarnations that have ended since the last call.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -363,6 +363,12 @@
         }
     }
 
+    /// Whether no run of a previous owner can be on the worker without being known. Each poll
+    /// extends the lease of runs that have not been reported, too.
+    pub fn are_earlier_runs_known(&self, now: Moment) -> bool {
+        !self.may_have_earlier_runs || self.are_inherited_runs_known || now >= self.lease_expires
+    }
+
     /// Capacity that is not reserved.
     pub fn free_resources(&self) -> Resources {
         self.entry.capacity.minus(&self.reserved)
--- a/crates/jobs/tests/run_end_pages.rs
+++ b/crates/jobs/tests/run_end_pages.rs
@@ -3,15 +3,23 @@
 mod emulator;
 mod harness;
 
+use std::time::Duration;
+
 use cassiafold_jobs::clients::{EndedRun, Listing, PollResponse, RunEnd};
 use cassiafold_jobs::record::JobState;
 use cassiafold_jobs::scheduler::OwnerTerm;
 use cassiafold_jobs::spec::{JobId, Resources, StepId, TaskId};
 
+use self::emulator::faults::Faults;
 use self::emulator::worker::EmulatedWorker;
-use self::emulator::{cores, job, ms, step};
+use self::emulator::{Emulator, LEASE_MAX, cores, job, ms, step};
 use self::harness::{SchedulerHarness, state_from_previous_owner, worker_record};
 
+/// Run ends in one poll response of the workers of a play.
+const ENDS_PER_RESPONSE: usize = 3;
+/// Jobs of a play.
+const JOBS: u64 = 40;
+
 /// A response that lists these ends of the first run of each task, numbered from `first`.
 fn page(
     harness: &SchedulerHarness,
@@ -46,10 +54,14 @@
     harness.scheduler.job(job).map(|job| job.state)
 }
 
+/// Capacity of each worker.
+fn capacity() -> Resources {
+    Resources { memory_bytes: 64 << 30, ..cores(16) }
+}
+
 /// A new owner of one worker, on which a previous owner has run four tasks of job 1.
 fn new_owner() -> (SchedulerHarness, Vec<(TaskId, u32)>) {
-    let capacity = Resources { memory_bytes: 64 << 30, ..cores(16) };
-    let known_workers = vec![worker_record(EmulatedWorker::new(0, capacity).entry())];
+    let known_workers = vec![worker_record(EmulatedWorker::new(0, capacity()).entry())];
     let term =
         OwnerTerm { token: 50, run_number_base: 1_000, known_workers, ..OwnerTerm::default() };
     let mut harness = SchedulerHarness::at_term_start(1, term);
@@ -99,3 +111,94 @@
     harness.scheduler.handle_poll_response(0, true, sent, harness.now, late);
     assert_eq!(starts(&mut harness, 500), 0);
 }
+
+/// Guards against a second start of ended tasks when a slow store delays the next page for longer
+/// than a lease: each poll extends the leases of the runs that have not been reported.
+#[test]
+fn inherited_tasks_wait_for_the_last_page_longer_than_a_lease() {
+    let (mut harness, runs) = new_owner();
+    for _ in 0..100 {
+        let _ = harness.scheduler.poll_request(0, false, harness.now);
+        let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+        report(&mut harness, first);
+        assert_eq!(starts(&mut harness, 100), 0);
+    }
+}
+
+/// Guards against a second start when the entry in the list is that of the incarnation before: the
+/// previous owner may have started the tasks on the present one.
+#[test]
+fn inherited_tasks_wait_for_the_last_page_of_a_worker_that_had_restarted() {
+    let (mut harness, runs) = new_owner();
+    let entry = |number| EmulatedWorker::new(number, capacity()).entry();
+    harness.scheduler.set_workers(vec![entry(0), entry(1)], harness.now);
+    let idle = PollResponse { clock: harness.now, ..PollResponse::default() };
+    harness.scheduler.handle_poll_response(1, false, harness.now, harness.now, idle);
+    assert_eq!(starts(&mut harness, 100), 0, "the first worker has not responded");
+    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+    let started_unix = Some(ms(5_000));
+    report(&mut harness, PollResponse { started_unix, ..first });
+    assert_eq!(starts(&mut harness, 500), 0);
+}
+
+/// Guards against tasks that wait for ever: no run outlasts the lease of a worker that is gone.
+#[test]
+fn inherited_tasks_start_once_the_lease_of_a_silent_worker_has_expired() {
+    let (mut harness, runs) = new_owner();
+    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+    report(&mut harness, first);
+    harness.run_without_responses(LEASE_MAX - ms(200));
+    assert_eq!(harness.running(), 0);
+    harness.run_without_responses(ms(600));
+    harness.scheduler.set_workers(vec![], harness.now);
+    let other = EmulatedWorker::new(1, capacity()).entry();
+    harness.scheduler.set_workers(vec![other], harness.now);
+    harness.run_for(ms(500));
+    assert_eq!(harness.running(), 2, "two tasks had ended");
+}
+
+/// Plays jobs on workers whose ends need several responses, while owners change and the store is
+/// slow.
+fn play(seed: u64, write_latency: Duration, faults: Faults) -> Emulator {
+    let mut emulator = Emulator::new(seed, 4, Resources::default(), faults);
+    for worker in &mut emulator.workers {
+        worker.ends_per_response = ENDS_PER_RESPONSE;
+    }
+    emulator.write_latency = write_latency;
+    emulator.run(ms(3_000));
+    emulator.replace_owner(ms(2_500), ms(1_500));
+    emulator.replace_owner(ms(7_000), ms(1_500));
+    for id in 1..=JOBS {
+        emulator.submit(id, job(vec![step(6, 0, &[]), step(3, 0, &[0])]));
+        emulator.run(ms(200));
+    }
+    emulator.write_latency = ms(5);
+    emulator.run(ms(60_000));
+    emulator
+}
+
+fn check(seed: u64, write_latency: Duration, faults: Faults) {
+    let emulator = play(seed, write_latency, faults);
+    assert!(emulator.violations.is_empty(), "seed {seed}: {:#?}", emulator.violations);
+    let is_over = |id: &u64| matches!(emulator.state(*id), JobState::Completed | JobState::Failed);
+    let ended = (1..=JOBS).filter(is_over).count();
+    assert_eq!(ended, usize::try_from(JOBS).expect("count"), "seed {seed}");
+}
+
+macro_rules! plays {
+    ($($name:ident: $write_latency_ms:expr, $faults:expr;)+) => {
+        $(#[test] fn $name() {
+            for seed in 1..=6 {
+                check(seed, ms($write_latency_ms), $faults);
+            }
+        })+
+    };
+}
+
+plays! {
+    no_task_runs_twice_while_run_ends_come_in_pages: 5, Faults::none();
+    no_task_runs_twice_while_run_ends_come_in_pages_and_calls_are_lost: 5, Faults::all();
+    no_task_runs_twice_while_a_slow_store_delays_the_pages_of_run_ends: 400, Faults::none();
+    no_task_runs_twice_while_a_slow_store_delays_the_pages_and_calls_are_lost: 400, Faults::all();
+    no_task_runs_twice_while_a_page_waits_longer_than_a_lease: 8_000, Faults::none();
+}
