Count no crash against a run that had ended before its worker crashed

Such a run could also count as the likelier cause of a crash, and hide the task that is to blame.

A response marks these runs as ended. They keep their capacity until their end is listed, and are left out of what a crash says, as evidence and as causes.

The test failed before (one crash of a worker with runs, and crashes of its four tasks) and passes now.

--- a/crates/jobs/src/scheduler/contact.rs
+++ b/crates/jobs/src/scheduler/contact.rs
@@ -45,7 +45,7 @@
             crashed_from,
             is_closed,
             had_likely_cause: self.has_likely_cause(slot, crashed_from),
-            had_start: worker.runs.values().any(|run| run.is_in_start_window(crashed_from)),
+            had_start: worker.unended_runs().any(|(_, run)| run.is_in_start_window(crashed_from)),
         }
     }
 
@@ -54,7 +54,8 @@
     fn mark_unsettled(&mut self, slot: WorkerSlot) {
         let worker = &self.workers[slot];
         let Some(loss) = worker.contact_loss else { return };
-        let runs = worker.runs.iter().filter(|(_, run)| run.is_in_start_window(loss.crashed_from));
+        let runs =
+            worker.unended_runs().filter(|(_, run)| run.is_in_start_window(loss.crashed_from));
         let runs: Vec<(TaskId, RunNumber)> = runs.map(|(task, run)| (*task, run.number)).collect();
         for (task, run) in runs {
             let id = self.counted_task(task);
@@ -145,7 +146,7 @@
 
     /// Returns whether a suspected task may be about to crash a worker.
     fn has_likely_cause(&self, slot: WorkerSlot, crashed_from: Moment) -> bool {
-        let mut runs = self.workers[slot].runs.iter();
+        let mut runs = self.workers[slot].unended_runs();
         runs.any(|(task, run)| match self.suspicion(*task) {
             Suspicion::None => false,
             Suspicion::Suspected | Suspicion::Apart => run.is_in_start_window(crashed_from),
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -50,12 +50,13 @@
             task: *task,
             run: run.number,
             since: run.since,
-            crash: end.is_crash().then(|| self.crash_under(slot, *task, run, &loss, &others_lost)),
+            crash: (end.is_crash() && !run.has_ended)
+                .then(|| self.crash_under(slot, *task, run, &loss, &others_lost)),
         });
         let mut lost: Vec<LostRun> = lost.collect();
         // A task that crashes its worker mostly does so soon after its start.
         lost.sort_by_key(|lost| (Reverse(lost.since), lost.task));
-        if end.is_crash() && !lost.is_empty() {
+        if lost.iter().any(|lost| lost.crash.is_some()) {
             self.crash_counts.workers_crashed += 1;
         }
         let last_poll_sent = worker.poll_sent;
@@ -96,7 +97,7 @@
         others_lost: &[ContactLoss],
     ) -> Crash {
         let is_soon = run.is_in_start_window(loss.crashed_from);
-        let runs = self.workers[slot].runs.iter();
+        let runs = self.workers[slot].unended_runs();
         let mut others = runs.filter(|(other, _)| other.step.job != task.step.job);
         Crash {
             is_soon,
@@ -114,7 +115,7 @@
     /// Returns whether a run that has left its start window is less likely to have crashed its
     /// worker than another one.
     fn has_likelier_cause(&self, slot: WorkerSlot, run: &Run, loss: &ContactLoss) -> bool {
-        let mut runs = self.workers[slot].runs.iter();
+        let mut runs = self.workers[slot].unended_runs();
         runs.any(|(other, other_run)| {
             let is_starting_suspect = other_run.is_in_start_window(loss.crashed_from)
                 && self.suspicion(*other) != Suspicion::None;
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -408,6 +408,7 @@
             possible_crash: None,
             is_adopted: false,
             confirmed: None,
+            has_ended: false,
             kind: RunKind::from(spec),
             reserved: spec.reserved(),
             quota_usage: spec.task_resources,
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -130,11 +130,15 @@
             reported.insert(running_run.task);
             self.receive_running_run(slot, running_run, now);
         }
-        // A run that the first page lacks may have ended: a later page tells how.
-        if response.ended_listing == Listing::Whole {
-            self.confirm_inherited_runs(slot);
-            self.release_missing_runs(slot, &reported, sent, now);
-            self.stop_unstarted_runs(slot, &reported, sent, now);
+        let missing = self.missing_runs(slot, &reported, sent);
+        match response.ended_listing {
+            Listing::Whole => {
+                self.confirm_inherited_runs(slot);
+                self.release_missing_runs(slot, missing, now);
+                self.stop_unstarted_runs(slot, &reported, sent, now);
+            }
+            // Later pages tell how the missing runs have ended, and which others have started.
+            Listing::FirstPage => self.mark_ended(slot, &missing),
         }
     }
 
@@ -204,6 +208,7 @@
                 run.phase = RunPhase::Running;
             }
             run.possible_crash = None;
+            run.has_ended = false;
             run.confirmed = run.confirmed.or(Some(now));
             if run.percent != running_run.percent {
                 run.percent = running_run.percent;
@@ -263,6 +268,7 @@
             possible_crash: None,
             is_adopted: true,
             confirmed: Some(now),
+            has_ended: false,
             kind,
             reserved,
             quota_usage,
@@ -298,29 +304,35 @@
         }
     }
 
-    /// Removes the runs that are missing from a response, to a poll that was sent after they were
-    /// last confirmed, that lists all run ends.
-    fn release_missing_runs(
-        &mut self,
+    /// Returns the confirmed runs that are missing from the response to a poll that was sent later.
+    fn missing_runs(
+        &self,
         slot: WorkerSlot,
         reported: &HashSet<TaskId>,
         sent: Moment,
-        now: Moment,
-    ) {
-        let worker = &self.workers[slot];
-        let missing: Vec<TaskId> = worker
-            .runs
-            .iter()
-            .filter(|(task, run)| {
-                let confirmed_at = match run.phase {
-                    RunPhase::Starting => None,
-                    RunPhase::Running => run.confirmed,
-                    RunPhase::Stopping { confirmed, .. } => confirmed,
-                };
-                !reported.contains(*task) && confirmed_at.is_some_and(|at| at < sent)
-            })
-            .map(|(task, _)| *task)
-            .collect();
+    ) -> Vec<TaskId> {
+        let missing = self.workers[slot].runs.iter().filter(|(task, run)| {
+            let confirmed_at = match run.phase {
+                RunPhase::Starting => None,
+                RunPhase::Running => run.confirmed,
+                RunPhase::Stopping { confirmed, .. } => confirmed,
+            };
+            !reported.contains(*task) && confirmed_at.is_some_and(|at| at < sent)
+        });
+        missing.map(|(task, _)| *task).collect()
+    }
+
+    /// Marks runs whose ends are yet to be listed. Until then they keep their capacity.
+    fn mark_ended(&mut self, slot: WorkerSlot, missing: &[TaskId]) {
+        for task in missing {
+            if let Some(run) = self.workers[slot].runs.get_mut(task) {
+                run.has_ended = true;
+            }
+        }
+    }
+
+    /// Removes runs that are in neither list of a worker.
+    fn release_missing_runs(&mut self, slot: WorkerSlot, missing: Vec<TaskId>, now: Moment) {
         for task in missing {
             emit!(
                 target: LOG_TARGET,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -107,6 +107,8 @@
     pub is_adopted: bool,
     /// When the worker confirmed the run.
     pub confirmed: Option<Moment>,
+    /// Whether it has ended, with its end on a page of run ends that is yet to come.
+    pub has_ended: bool,
     /// Kind of its task.
     pub kind: RunKind,
     /// Resources that it reserves on the worker.
@@ -398,6 +400,11 @@
         self.is_on_machine && self.entry_due.is_some_and(|due| now < due)
     }
 
+    /// The runs that are not known to have ended.
+    pub fn unended_runs(&self) -> impl Iterator<Item = (&TaskId, &Run)> {
+        self.runs.iter().filter(|(_, run)| !run.has_ended)
+    }
+
     /// The worker's rack, if known.
     pub fn rack(&self) -> Option<&Arc<str>> {
         self.entry.rack()
--- a/crates/jobs/tests/run_end_pages.rs
+++ b/crates/jobs/tests/run_end_pages.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{EndedRun, Listing, PollResponse, RunEnd};
+use cassiafold_jobs::clients::{EndedRun, Listing, PollError, PollResponse, RunEnd};
+use cassiafold_jobs::cluster::MachineState;
 use cassiafold_jobs::record::JobState;
 use cassiafold_jobs::scheduler::OwnerTerm;
 use cassiafold_jobs::spec::{JobId, Resources, StepId, TaskId};
@@ -157,6 +158,27 @@
     assert_eq!(harness.running(), 2, "two tasks had ended");
 }
 
+/// Guards against a job that is given up for crashes of its worker after its tasks had ended.
+#[test]
+fn a_run_that_had_ended_before_a_crash_does_not_count_as_its_cause() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    harness.submit(1, vec![step(4, 1, &[])]);
+    harness.run_for(ms(100));
+    let runs = harness.running.remove(&0).expect("all run");
+    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+    report(&mut harness, first);
+    let closed = PollError::Closed("refused".into());
+    harness.scheduler.handle_poll_failure(0, false, &closed, harness.now);
+    harness.now += ms(10);
+    harness.set_machines(SchedulerHarness::machines(1, MachineState::Down));
+    assert!(harness.scheduler.worker(0).is_gone);
+    assert_eq!(harness.scheduler.take_crash_counts().workers_crashed, 0);
+    let job = harness.scheduler.job(1).expect("job");
+    for (task, _) in &runs {
+        assert_eq!(job.task(*task).map(|task| task.crashes.count()), Some(0));
+    }
+}
+
 /// Plays jobs on workers whose ends need several responses, while owners change and the store is
 /// slow.
 fn play(seed: u64, write_latency: Duration, faults: Faults) -> Emulator {
