Take no machine down, and count no task as available, on a first page of run ends

A long-running task that the page lacks has ended; it counted as available, so that another task of its step could be interrupted beyond the budget.

Both new tests failed before (a command to the machine in place of none) and pass now.

--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -197,7 +197,11 @@
         };
         let worker = &self.workers[*slot];
         let is_past_idle_delay = worker.last_run_ended.is_none_or(|at| now >= at + IDLE_AFTER);
-        worker.is_confirmed && !worker.is_leaving && worker.runs.is_empty() && is_past_idle_delay
+        worker.is_confirmed
+            && worker.has_listed_all()
+            && !worker.is_leaving
+            && worker.runs.is_empty()
+            && is_past_idle_delay
     }
 
     /// Returns the mean number of cores of a machine.
--- a/crates/jobs/src/scheduler/budget.rs
+++ b/crates/jobs/src/scheduler/budget.rs
@@ -19,8 +19,8 @@
     /// Returns whether a worker's machine may go down now without exceeding a budget. With
     /// `wait_for_short_tasks`, short tasks must end first.
     ///
-    /// The runs on a worker that has not responded to this owner are unknown until its lease
-    /// expires.
+    /// The runs on a worker that has not listed all of its run ends to this owner are unknown until
+    /// its lease expires.
     pub(super) fn can_take_down(
         &self,
         slot: WorkerSlot,
@@ -28,7 +28,7 @@
         now: Moment,
     ) -> bool {
         let worker = &self.workers[slot];
-        let is_known = worker.was_confirmed || now >= worker.lease_expires;
+        let is_known = worker.has_listed_all() || now >= worker.lease_expires;
         is_known
             && self.workers[slot].runs.iter().all(|(task, _)| {
                 let Some(spec) = self.spec(task.step) else { return true };
@@ -69,7 +69,7 @@
 
     /// Returns the long-running tasks on a worker that are not being stopped.
     fn long_running_tasks(&self, slot: WorkerSlot) -> impl Iterator<Item = TaskId> {
-        let runs = self.workers[slot].runs.iter();
+        let runs = self.workers[slot].unended_runs();
         runs.filter(|(_, run)| run.kind.long_running && !run.is_stopping()).map(|(task, _)| *task)
     }
 
@@ -147,6 +147,7 @@
         worker.is_confirmed
             && !worker.is_leaving
             && !may_be_stopping
+            && !run.has_ended
             && run.phase == RunPhase::Running
             && run.percent >= 100
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -371,6 +371,11 @@
         !self.may_have_earlier_runs || self.are_inherited_runs_known || now >= self.lease_expires
     }
 
+    /// Whether this owner knows all runs of the incarnation, and how each of them has ended.
+    pub fn has_listed_all(&self) -> bool {
+        self.are_inherited_runs_known && self.ended_listing == Listing::Whole
+    }
+
     /// Capacity that is not reserved.
     pub fn free_resources(&self) -> Resources {
         self.entry.capacity.minus(&self.reserved)
--- a/crates/jobs/tests/run_end_pages.rs
+++ b/crates/jobs/tests/run_end_pages.rs
@@ -14,7 +14,7 @@
 use self::emulator::faults::Faults;
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{Emulator, LEASE_MAX, cores, job, ms, step};
-use self::harness::{SchedulerHarness, state_from_previous_owner, worker_record};
+use self::harness::{SchedulerHarness, long_running, state_from_previous_owner, worker_record};
 
 /// Run ends in one poll response of the workers of a play.
 const ENDS_PER_RESPONSE: usize = 3;
@@ -179,6 +179,38 @@
     }
 }
 
+/// Guards against work that is thrown away with ends that are yet to be listed.
+#[test]
+fn a_machine_goes_down_only_after_the_last_page_of_run_ends() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    let first = page(&harness, 1, &[], Listing::FirstPage);
+    report(&mut harness, first);
+    harness.set_machines(SchedulerHarness::machines(1, MachineState::Up));
+    harness.set_wave(&[0], 1);
+    harness.run_with_open_polls(ms(1_000));
+    assert_eq!(harness.machine_commands, vec![]);
+    let last = page(&harness, 1, &[], Listing::Whole);
+    report(&mut harness, last);
+    harness.run_with_open_polls(ms(100));
+    assert!(!harness.machine_commands.is_empty(), "the list is whole");
+}
+
+/// Guards against a budget that is exceeded: the task that has ended is away already.
+#[test]
+fn a_task_that_a_first_page_lacks_does_not_count_as_available() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![long_running(2, Some(1))]);
+    harness.run_for(ms(300));
+    assert_eq!(harness.running(), 2);
+    harness.now += ms(10);
+    let first = page(&harness, 1, &[], Listing::FirstPage);
+    report(&mut harness, first);
+    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    harness.set_wave(&[1], 1);
+    harness.run_with_open_polls(ms(1_000));
+    assert_eq!(harness.machine_commands, vec![]);
+}
+
 /// Plays jobs on workers whose ends need several responses, while owners change and the store is
 /// slow.
 fn play(seed: u64, write_latency: Duration, faults: Faults) -> Emulator {
