Accept keys only for a limited time after the store last confirmed the configuration

The cache is not the cause: with only the configuration's reads failing, states, cancellations and counts were answered too (tests).

Public queues, and sites without the limit, go on.

--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -85,12 +85,8 @@
     metrics.register(&mut registry);
     let clients = HttpPlatformClients::new(&settings, store_metrics);
     let (sender, desired_states) = DesiredStateSender::new();
-    let api = Arc::new(JobApi::new(
-        clients.clone(),
-        desired_states.clone(),
-        sender.clone(),
-        metrics.clone(),
-    ));
+    let api = JobApi::new(clients.clone(), desired_states.clone(), sender.clone(), metrics.clone());
+    let api = Arc::new(api.with_withdrawn_key_time_max(settings.withdrawn_key_time_max));
     let stop = CancellationToken::new();
     emit!(JobsEvent::NodeStarted, instance = settings.instance, zone = settings.zone);
 
--- a/crates/jobs/src/api.rs
+++ b/crates/jobs/src/api.rs
@@ -55,6 +55,8 @@
     final_states: Mutex<FinalStates>,
     /// When the configuration was last read for a caller.
     config_read: Mutex<Moment>,
+    /// Longest time for which a withdrawn key may be accepted; `None` if there is no limit.
+    withdrawn_key_time_max: Option<Duration>,
 }
 
 impl<S: PlatformClients> JobApi<S> {
@@ -76,9 +78,15 @@
             cached_waiting: Mutex::default(),
             final_states: Mutex::default(),
             config_read: Mutex::new(Moment::ZERO),
+            withdrawn_key_time_max: None,
         }
     }
 
+    /// Limits the time for which a withdrawn key may be accepted, also while the store is away.
+    pub fn with_withdrawn_key_time_max(self, time_max: Option<Duration>) -> Self {
+        Self { withdrawn_key_time_max: time_max, ..self }
+    }
+
     /// Whether this instance can serve callers: it has a configuration, the store has confirmed it
     /// within `age_max`, and the store does not count as unavailable.
     pub fn is_ready(&self, age_max: Duration) -> bool {
--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -18,6 +18,9 @@
 /// Age from which an unconfirmed configuration may be out of date. The store holds a watch request
 /// for one second before it reports that nothing has changed.
 const CONFIG_AGE_MAX: Duration = Duration::from_millis(2_200);
+/// Part of the longest time for which a withdrawn key may be accepted that the configuration may be
+/// old. The rest is for clocks that differ in speed.
+const KEY_CONFIG_AGE_PERCENT: u32 = 90;
 /// Timeout of the read that confirms the configuration, unless the store is expected to take longer.
 const CONFIG_TIMEOUT_MIN: Duration = Duration::from_millis(300);
 /// Divisor of the time that a caller has left that gives the longest timeout of the read that confirms the
@@ -38,16 +41,16 @@
     /// Authorizes a call. A configuration that may be out of date is read first.
     ///
     /// The read covers the case of a watch that no longer reports changes while the store responds
-    /// to other requests.
+    /// to other requests. An instance that is cut off from the store serves the calls that it can
+    /// authorize, those with a key only for a limited time, but reports no key, queue or job as
+    /// unknown.
     pub(super) async fn authorize_fresh(&self, call: &Call) -> Result<AuthorizedCall, Denial> {
-        if self.is_config_current() {
-            return self.authorize(call);
-        }
-        match self.read_config(call).await {
-            Ok(()) => self.authorize(call),
-            // An instance that is cut off from the store serves the calls that it can authorize,
-            // but reports no key, queue or job as unknown.
-            Err(_) => self.authorize(call).map_err(|_| Denial::Outdated),
+        let is_confirmed = self.confirm_config(call).await;
+        match self.authorize(call) {
+            result if is_confirmed => result,
+            Err(_) => Err(Denial::Outdated),
+            Ok(auth) if auth.queue.is_public || self.may_accept_keys() => Ok(auth),
+            Ok(_) => Err(Denial::KeyUnconfirmed),
         }
     }
 
@@ -60,8 +63,29 @@
         }
     }
 
-    fn is_config_current(&self) -> bool {
-        since_boot().saturating_sub(self.config_confirmed()) < CONFIG_AGE_MAX
+    /// Returns whether the known configuration was the newest one when the call arrived, or not long
+    /// before. Reads it if necessary.
+    async fn confirm_config(&self, call: &Call) -> bool {
+        if self.config_age() < CONFIG_AGE_MAX.min(self.key_config_age_max()) {
+            return true;
+        }
+        self.read_config(call).await.is_ok()
+    }
+
+    /// Whether calls with a key may be accepted by the known configuration, although it is not known
+    /// to be the newest.
+    fn may_accept_keys(&self) -> bool {
+        self.config_age() < self.key_config_age_max()
+    }
+
+    /// Age that a configuration must not reach when calls with a key are accepted by it.
+    fn key_config_age_max(&self) -> Duration {
+        let time_max = self.withdrawn_key_time_max;
+        time_max.map_or(Duration::MAX, |time_max| time_max * KEY_CONFIG_AGE_PERCENT / 100)
+    }
+
+    fn config_age(&self) -> Duration {
+        since_boot().saturating_sub(self.config_confirmed())
     }
 
     /// When the store last confirmed the configuration.
--- a/crates/jobs/src/api/response.rs
+++ b/crates/jobs/src/api/response.rs
@@ -92,6 +92,8 @@
     NoConfig,
     /// The configuration may be out of date, and the store is unavailable.
     Outdated,
+    /// The key may have been withdrawn, and the store has not said for too long.
+    KeyUnconfirmed,
     /// No such queue exists.
     NoQueue,
     /// The API key is missing or unknown.
@@ -106,6 +108,7 @@
         match self {
             Self::NoConfig => "no_config",
             Self::Outdated => "config_outdated",
+            Self::KeyUnconfirmed => "key_unconfirmed",
             Self::NoQueue => "unknown_queue",
             Self::UnknownKey => "unknown_key",
             Self::NoJob => "no_job",
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -37,6 +37,9 @@
 /// Time after which a call to an unreachable worker fails.
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Word in a configuration of [`TestFormats`], among the keys, that makes its queue public.
+pub const PUBLIC: &str = "public";
+
 /// Key of the operator's at which [`TestFormats`] panics.
 pub const ODD_ITEM: &str = "op/odd";
 
@@ -379,7 +382,10 @@
             words.map(|key| (key.into(), TEAM.into())).collect();
         let base = config(Resources::default());
         let version = version.ok_or_else(|| ItemError("version".into()))?;
-        let config = ClusterConfig { version, keys, ..(*base).clone() };
+        let mut config = ClusterConfig { version, keys, ..(*base).clone() };
+        if config.keys.remove(PUBLIC).is_some() {
+            config.queues.values_mut().for_each(|queue| queue.is_public = true);
+        }
         Ok(OperatorItem::Config(Box::new(config)))
     }
 
--- a/crates/jobs/tests/withdrawn_keys.rs
+++ b/crates/jobs/tests/withdrawn_keys.rs
@@ -6,12 +6,15 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::api::{Denial, JobApi, JobStateResponse, SubmitResponse};
+use cassiafold_jobs::api::{
+    Call, CancelResponse, CountResponse, Denial, JobApi, JobStateResponse, SubmitResponse,
+};
 use cassiafold_jobs::desired_state::{self, DesiredStateSender};
 use cassiafold_jobs::platform_clients::Formats;
+use cassiafold_jobs::record::{JobState, state_key};
 use tokio::time::sleep;
 
-use self::clients::{TestFormats, wait_until_ready};
+use self::clients::{PUBLIC, TestFormats, wait_until_ready};
 use self::emulator::{job, step};
 use self::scripted_store::{CallFault, ScriptedClients, call_for};
 
@@ -21,6 +24,25 @@
 /// Time in which a write has taken effect, and after which it has not been repeated yet.
 const WRITTEN: Duration = Duration::from_millis(50);
 
+/// Longest time for which a withdrawn key may be accepted, where there is a limit.
+const KEY_TIME_MAX: Duration = Duration::from_millis(1_000);
+/// Part of it in which keys are still accepted.
+const WITHIN_LIMIT: Duration = Duration::from_millis(300);
+/// Time in which a call to the store fails while the instance is cut off.
+const UNANSWERED: CallFault = CallFault::Unanswered(Duration::from_millis(20));
+const COMPLETED: JobStateResponse = JobStateResponse::State(JobState::Completed);
+
+/// A job API that has cached the final state of a job, with or without a limit.
+async fn api_with_final_state(
+    platform: &ScriptedClients,
+    time_max: Option<Duration>,
+) -> JobApi<ScriptedClients> {
+    platform.put(&state_key(1), r#"{"s":"completed"}"#).await;
+    let api = api_without_updates(platform).await.with_withdrawn_key_time_max(time_max);
+    assert_eq!(api.job_state(&call_for(1, DEADLINE)).await, COMPLETED);
+    api
+}
+
 /// A job API that knows the first configuration, and receives no later one.
 async fn api_without_updates(platform: &ScriptedClients) -> JobApi<ScriptedClients> {
     let (sender, desired_states) = DesiredStateSender::new();
@@ -80,3 +102,76 @@
     platform.put(TestFormats::CONFIG_KEY, "no configuration").await;
     assert_eq!(api_submit(&api).await, SubmitResponse::Unknown);
 }
+
+/// Guards against a withdrawn key that is answered with success by an instance that is cut off.
+#[tokio::test]
+async fn a_cut_off_instance_returns_a_cached_state_until_its_key_may_be_withdrawn_for_too_long() {
+    let platform = ScriptedClients::new().await;
+    let api = api_with_final_state(&platform, Some(KEY_TIME_MAX)).await;
+    platform.store.plan(&[], UNANSWERED);
+    platform.clients.configure(2, &["k2"]).await;
+    sleep(WITHIN_LIMIT).await;
+    assert_eq!(api.job_state(&call_for(1, DEADLINE)).await, COMPLETED);
+    sleep(KEY_TIME_MAX).await;
+    let response = api.job_state(&call_for(1, DEADLINE)).await;
+    assert_eq!(response, JobStateResponse::Denied(Denial::KeyUnconfirmed));
+}
+
+#[tokio::test]
+async fn a_cut_off_instance_without_a_limit_returns_a_cached_state() {
+    let platform = ScriptedClients::new().await;
+    let api = api_with_final_state(&platform, None).await;
+    platform.store.plan(&[], UNANSWERED);
+    sleep(KEY_TIME_MAX).await;
+    assert_eq!(api.job_state(&call_for(1, DEADLINE)).await, COMPLETED);
+}
+
+#[tokio::test]
+async fn a_cut_off_instance_with_a_limit_serves_a_public_queue() {
+    let platform = ScriptedClients::new().await;
+    platform.clients.configure(2, &[PUBLIC]).await;
+    let api = api_with_final_state(&platform, Some(KEY_TIME_MAX)).await;
+    platform.store.plan(&[], UNANSWERED);
+    sleep(KEY_TIME_MAX).await;
+    let call = Call { key: None, ..call_for(1, DEADLINE) };
+    assert_eq!(api.job_state(&call).await, COMPLETED);
+}
+
+#[tokio::test]
+async fn an_instance_that_was_cut_off_accepts_keys_again_as_soon_as_the_store_responds() {
+    let platform = ScriptedClients::new().await;
+    let api = api_with_final_state(&platform, Some(KEY_TIME_MAX)).await;
+    platform.store.plan(&[], UNANSWERED);
+    sleep(KEY_TIME_MAX).await;
+    platform.store.plan(&[], CallFault::None);
+    assert_eq!(api.job_state(&call_for(1, DEADLINE)).await, COMPLETED);
+}
+
+/// Each kind of call that needs a key and is not a conditional write.
+macro_rules! denied_beyond_the_limit {
+    ($($name:ident: $response:ident, $call:expr;)+) => {
+        $(#[tokio::test] async fn $name() {
+            let platform = ScriptedClients::new().await;
+            let api = api_without_updates(&platform).await;
+            let api = api.with_withdrawn_key_time_max(Some(KEY_TIME_MAX));
+            // Only the configuration can't be read.
+            platform.store.plan_all_reads(TestFormats::CONFIG_KEY, UNANSWERED);
+            platform.clients.configure(2, &["k2"]).await;
+            sleep(KEY_TIME_MAX).await;
+            let call = $call;
+            let response = call(&api).await;
+            assert_eq!(response, $response::Denied(Denial::KeyUnconfirmed));
+        })+
+    };
+}
+
+denied_beyond_the_limit! {
+    a_state_is_denied_while_only_the_configuration_cannot_be_read: JobStateResponse,
+        async |api: &JobApi<ScriptedClients>| api.job_state(&call_for(1, DEADLINE)).await;
+    a_cancellation_is_denied_while_only_the_configuration_cannot_be_read: CancelResponse,
+        async |api: &JobApi<ScriptedClients>| api.cancel(&call_for(1, DEADLINE)).await;
+    a_count_is_denied_while_only_the_configuration_cannot_be_read: CountResponse,
+        async |api: &JobApi<ScriptedClients>| {
+            api.waiting_jobs(&Call { path: "/q/".into(), ..call_for(1, DEADLINE) }).await
+        };
+}
