Let only a response that tells the newest configuration confirm the known one

A check now has the moment of its request and the revision known by then, and confirms the known configuration only if the newest revision in the response has been applied and is not older than what was known. So a version that can't be read ends the use of keys within the limit, keys that it may grant are not called unknown, and a store that answers from an old state confirms nothing.

Tests: a_newer_configuration_that_cannot_be_read_ends_the_use_of_keys and a_key_is_not_called_unknown_while_the_newest_configuration_cannot_be_read failed before and pass now.

--- a/crates/jobs/src/api/admission.rs
+++ b/crates/jobs/src/api/admission.rs
@@ -63,13 +63,19 @@
         }
     }
 
-    /// Returns whether the known configuration was the newest one when the call arrived, or not long
-    /// before. Reads it if necessary.
+    /// Returns whether the known configuration was the newest one when the call arrived, or is not
+    /// old. Reads it if necessary.
     async fn confirm_config(&self, call: &Call) -> bool {
         if self.config_age() < CONFIG_AGE_MAX.min(self.key_config_age_max()) {
             return true;
         }
-        self.read_config(call).await.is_ok()
+        let arrived = since_boot();
+        let asked = self.config_asked();
+        let is_newest_unreadable = asked > self.config_confirmed();
+        if is_newest_unreadable && arrived.saturating_sub(asked) < CONFIG_AGE_MAX {
+            return false;
+        }
+        self.read_config(call).await.is_ok() && self.config_confirmed() >= arrived
     }
 
     /// Whether calls with a key may be accepted by the known configuration, although it is not known
@@ -88,8 +94,13 @@
         since_boot().saturating_sub(self.config_confirmed())
     }
 
-    /// When the store last confirmed the configuration.
+    /// Moment at which the known configuration was the newest.
     pub(super) fn config_confirmed(&self) -> Moment {
+        self.desired_states.borrow().config_confirmed
+    }
+
+    /// When the latest request was sent to which the store responded with its configuration.
+    fn config_asked(&self) -> Moment {
         let read = *self.config_read.lock().unwrap_or_else(PoisonError::into_inner);
         self.desired_states.borrow().confirmed.max(read)
     }
@@ -100,7 +111,7 @@
     }
 
     async fn read_config(&self, call: &Call) -> Result<(), UnknownReason> {
-        let requested_at = since_boot();
+        let check = self.sender.begin_check();
         let now = Instant::now();
         let left = call.respond_by().saturating_duration_since(now);
         let expected = self.availability.expected_time_max();
@@ -108,7 +119,8 @@
         let key = S::Formats::CONFIG_KEY;
         let record = self.read_key(StoreOperation::ReadConfig, key, deadline).await?;
         self.apply_config_record(record.as_slice());
-        *self.config_read.lock().unwrap_or_else(PoisonError::into_inner) = requested_at;
+        self.sender.complete_check(check, record.map_or(0, |record| record.revision));
+        *self.config_read.lock().unwrap_or_else(PoisonError::into_inner) = check.requested_at;
         Ok(())
     }
 
--- a/crates/jobs/src/desired_state.rs
+++ b/crates/jobs/src/desired_state.rs
@@ -33,8 +33,20 @@
     pub evacuated: HashSet<ZoneId>,
     /// Maintenance waves.
     pub waves: Vec<Wave>,
-    /// Time at which the store last confirmed this state.
+    /// When the last request was sent to which the store responded with this state.
     pub confirmed: Moment,
+    /// Moment at which the known configuration was the store's newest, or a later one. A newer one
+    /// that can't be read leaves it unchanged.
+    pub config_confirmed: Moment,
+}
+
+/// A request to the store whose response tells the newest configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigCheck {
+    /// When the request is sent, or just before.
+    pub requested_at: Moment,
+    /// Revision of the configuration that is known by then.
+    known: Revision,
 }
 
 /// Publishes the desired state.
@@ -70,6 +82,29 @@
         });
     }
 
+    /// Begins a check of the configuration, just before its request is sent.
+    pub fn begin_check(&self) -> ConfigCheck {
+        ConfigCheck { requested_at: since_boot(), known: self.0.borrow().config_revision }
+    }
+
+    /// Confirms the known configuration, if the newest one according to the store is among those
+    /// that were applied.
+    ///
+    /// A response with an older one than was known before the request is that of a store that lags
+    /// behind, and says nothing.
+    pub fn complete_check(&self, check: ConfigCheck, newest: Revision) {
+        self.0.send_if_modified(|desired_state| {
+            let applied = check.known..=desired_state.config_revision;
+            if applied.contains(&newest) && check.requested_at > desired_state.config_confirmed {
+                let mut next = DesiredState::clone(desired_state);
+                next.config_confirmed = check.requested_at;
+                *desired_state = Arc::new(next);
+            }
+            // Nobody waits for a confirmation.
+            false
+        });
+    }
+
     fn update(&self, update: impl FnOnce(&mut DesiredState)) {
         self.0.send_modify(|desired_state| {
             let mut next = DesiredState::clone(desired_state);
@@ -85,8 +120,16 @@
     restart_on_panic(name, || watch(&platform, &sender)).await
 }
 
+/// The operator's items, as of the latest response of the store.
+#[derive(Default)]
+struct Items {
+    by_key: BTreeMap<Arc<str>, OperatorItem>,
+    /// Revision of the configuration, readable or not; 0 if there is none.
+    config_revision: Revision,
+}
+
 async fn watch<S: PlatformClients>(platform: &S, sender: &DesiredStateSender) {
-    let mut items: BTreeMap<Arc<str>, OperatorItem> = BTreeMap::new();
+    let mut items = Items::default();
     let mut outage = OutageLog::new("operator's view");
     loop {
         if let Err(error) = watch_once(platform, sender, &mut items, &mut outage).await {
@@ -99,65 +142,74 @@
 async fn watch_once<S: PlatformClients>(
     platform: &S,
     sender: &DesiredStateSender,
-    items: &mut BTreeMap<Arc<str>, OperatorItem>,
+    items: &mut Items,
     outage: &mut OutageLog,
 ) -> Result<(), StoreError> {
-    let requested_at = since_boot();
+    let check = sender.begin_check();
     let snapshot = platform.store().list(S::Formats::OPERATOR_PREFIX).await?;
     outage.record_success();
-    items.clear();
+    *items = Items::default();
     for record in &snapshot.records {
         apply_record(platform, sender, items, record);
     }
-    publish(sender, items, requested_at);
+    publish(sender, items, check);
     let mut changes =
         platform.store().watch(S::Formats::OPERATOR_PREFIX, snapshot.revision).await?;
     loop {
-        let requested_at = since_boot();
+        let check = sender.begin_check();
         for change in changes.next().await? {
             match &change.record {
                 Some(record) => apply_record(platform, sender, items, record),
-                None => drop(items.remove(&change.key)),
+                None => items.remove::<S>(&change.key),
             }
         }
-        publish(sender, items, requested_at);
+        publish(sender, items, check);
+    }
+}
+
+impl Items {
+    fn remove<S: PlatformClients>(&mut self, key: &str) {
+        if key == S::Formats::CONFIG_KEY {
+            self.config_revision = 0;
+        }
+        self.by_key.remove(key);
     }
 }
 
 fn apply_record<S: PlatformClients>(
     platform: &S,
     sender: &DesiredStateSender,
-    items: &mut BTreeMap<Arc<str>, OperatorItem>,
+    items: &mut Items,
     record: &Record,
 ) {
+    if *record.key == *S::Formats::CONFIG_KEY {
+        items.config_revision = record.revision;
+    }
     match platform.formats().operator_item(record) {
         Ok(OperatorItem::Config(config)) => sender.apply_config(*config, record.revision),
-        Ok(item) => drop(items.insert(record.key.clone(), item)),
+        Ok(item) => drop(items.by_key.insert(record.key.clone(), item)),
         Err(error) => {
             emit!(target: LOG_TARGET, JobsEvent::ItemUnreadable, key = record.key, error = error);
             // As after a list, nothing is in force under this key but the last configuration.
-            items.remove(&record.key);
+            items.by_key.remove(&record.key);
         }
     }
 }
 
-fn publish(
-    sender: &DesiredStateSender,
-    items: &BTreeMap<Arc<str>, OperatorItem>,
-    requested_at: Moment,
-) {
+fn publish(sender: &DesiredStateSender, items: &Items, check: ConfigCheck) {
     let mut evacuated = HashSet::new();
     let mut waves = Vec::new();
-    for item in items.values() {
+    for item in items.by_key.values() {
         match item {
             OperatorItem::Evacuation(zone) => drop(evacuated.insert(zone.clone())),
             OperatorItem::Wave(wave) => waves.push(wave.clone()),
             OperatorItem::Config(_) | OperatorItem::Other => {}
         }
     }
+    sender.complete_check(check, items.config_revision);
     sender.update(|desired_state| {
         desired_state.evacuated = evacuated;
         desired_state.waves = waves;
-        desired_state.confirmed = requested_at;
+        desired_state.confirmed = check.requested_at;
     });
 }
--- a/crates/jobs/tests/withdrawn_keys.rs
+++ b/crates/jobs/tests/withdrawn_keys.rs
@@ -12,10 +12,11 @@
 use cassiafold_jobs::desired_state::{self, DesiredStateSender};
 use cassiafold_jobs::platform_clients::Formats;
 use cassiafold_jobs::record::{JobState, state_key};
+use cassiafold_jobs::spec::Resources;
 use tokio::time::sleep;
 
 use self::clients::{PUBLIC, TestFormats, wait_until_ready};
-use self::emulator::{job, step};
+use self::emulator::{config, job, step};
 use self::scripted_store::{CallFault, ScriptedClients, call_for};
 
 const DEADLINE: Duration = Duration::from_secs(3);
@@ -175,3 +176,45 @@
             api.waiting_jobs(&Call { path: "/q/".into(), ..call_for(1, DEADLINE) }).await
         };
 }
+
+/// Guards against a key that is served for ever by the version before one that can't be read.
+#[tokio::test]
+async fn a_newer_configuration_that_cannot_be_read_ends_the_use_of_keys() {
+    let platform = ScriptedClients::new().await;
+    let api = platform.api().await.with_withdrawn_key_time_max(Some(KEY_TIME_MAX));
+    platform.put(&state_key(1), r#"{"s":"completed"}"#).await;
+    platform.put(TestFormats::CONFIG_KEY, "no configuration").await;
+    sleep(WITHIN_LIMIT).await;
+    assert_eq!(api.job_state(&call_for(1, DEADLINE)).await, COMPLETED);
+    sleep(KEY_TIME_MAX).await;
+    let response = api.job_state(&call_for(1, DEADLINE)).await;
+    assert_eq!(response, JobStateResponse::Denied(Denial::KeyUnconfirmed));
+    platform.clients.configure(3, &["k1"]).await;
+    sleep(WITHIN_LIMIT).await;
+    assert_eq!(api.job_state(&call_for(1, DEADLINE)).await, COMPLETED);
+}
+
+/// Guards against a key that is called unknown by the version before the one that grants it.
+#[tokio::test]
+async fn a_key_is_not_called_unknown_while_the_newest_configuration_cannot_be_read() {
+    let platform = ScriptedClients::new().await;
+    let api = platform.api().await;
+    platform.put(TestFormats::CONFIG_KEY, "no configuration").await;
+    sleep(OUTDATED).await;
+    let call = Call { key: Some("k2".into()), ..call_for(1, DEADLINE) };
+    assert_eq!(api.job_state(&call).await, JobStateResponse::Denied(Denial::Outdated));
+}
+
+/// Guards against a store that lags behind and still says what was in force before.
+#[test]
+fn a_response_with_an_older_configuration_than_the_known_one_confirms_nothing() {
+    let (sender, desired_states) = DesiredStateSender::new();
+    sender.apply_config((*config(Resources::default())).clone(), 7);
+    let check = sender.begin_check();
+    sender.complete_check(check, 6);
+    assert_eq!(desired_states.borrow().config_confirmed, Duration::ZERO);
+    sender.complete_check(check, 8);
+    assert_eq!(desired_states.borrow().config_confirmed, Duration::ZERO, "8 was not applied");
+    sender.complete_check(check, 7);
+    assert!(desired_states.borrow().config_confirmed > Duration::ZERO);
+}
