Ask the store before an old final state, or one of another team, answers a query

Once the store has deleted the state, the id may belong to another job: that job was shown as completed while it ran, or called unknown (410) to the team that owns it, since the cached one was another team's.

A state that the store no longer has is forgotten.

Test: a_job_whose_id_another_team_had_used_is_found_although_that_job_is_cached failed before (NoSuchJob in place of running) and passes now.

--- a/crates/jobs/src/api/state_query.rs
+++ b/crates/jobs/src/api/state_query.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use cassiafold_config::TeamId;
-use cassiafold_platform::Record;
+use cassiafold_platform::{Record, since_boot};
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, TryFutureExt};
 use tokio::time::{Instant, timeout};
 use tokio::try_join;
 
 use super::call_log::OpenCall;
+use super::final_states::FinalState;
 use super::reason::{StoreOperation, UnknownReason, UnreadableRecord, unreadable};
 use super::store_call::may_retry;
 use super::{Call, CallKind, JobApi, JobStateResponse, may_access, team_of};
@@ -29,6 +30,14 @@
     state: JobState,
     /// Team that submitted it; `None` if it was submitted without a key.
     team: Option<TeamId>,
+    /// Whether the store was not asked.
+    is_cached: bool,
+}
+
+impl From<FinalState> for FoundJob {
+    fn from(state: FinalState) -> Self {
+        Self { state: state.state, team: state.team, is_cached: true }
+    }
 }
 
 impl<S: PlatformClients> JobApi<S> {
@@ -43,20 +52,45 @@
     async fn job_state_once(&self, call: &Call) -> JobStateResponse {
         let Some(id) = call.job() else { return JobStateResponse::Denied(Denial::NoJob) };
         let auth = self.authorize_fresh(call).map_err(JobStateResponse::Denied);
-        let state = self.read_state(id, call.respond_by()).map(Ok);
-        let (auth, found) = match try_join!(auth, state) {
+        let state = self.cached_or_read_state(id, call.respond_by()).map(Ok);
+        let (auth, mut found) = match try_join!(auth, state) {
             Ok(responses) => responses,
             Err(denied) => return denied,
         };
+        let has_access = |job: &FoundJob| may_access(job.team.as_ref(), auth.team.as_ref());
+        if let Ok(Some(job)) = &found
+            && job.is_cached
+            && !has_access(job)
+        {
+            // The id may be that of another job by now.
+            found = self.read_state(id, call.respond_by()).await;
+        }
         match found {
-            Ok(Some(job)) if may_access(job.team.as_ref(), auth.team.as_ref()) => {
-                JobStateResponse::State(job.state)
-            }
+            Ok(Some(job)) if has_access(&job) => JobStateResponse::State(job.state),
             Ok(_) => JobStateResponse::NoSuchJob,
             Err(reason) => JobStateResponse::Unknown(reason),
         }
     }
 
+    /// Returns the state of a job; `None` if there is no such job. An old cached state is used only
+    /// if the store can't be read.
+    async fn cached_or_read_state(
+        &self,
+        id: JobId,
+        deadline: Instant,
+    ) -> Result<Option<FoundJob>, UnknownReason> {
+        let cached = self.final_state(id);
+        if let Some(state) = &cached
+            && state.is_recent(since_boot())
+        {
+            return Ok(cached.map(FoundJob::from));
+        }
+        match (self.read_state(id, deadline).await, cached) {
+            (Err(_), Some(state)) => Ok(Some(state.into())),
+            (result, _) => result,
+        }
+    }
+
     /// Reads the state of a job until the deadline; `None` if there is no such job.
     async fn read_state(
         &self,
@@ -78,9 +112,6 @@
         id: JobId,
         deadline: Instant,
     ) -> Result<Option<FoundJob>, UnknownReason> {
-        if let Some((state, team)) = self.final_state(id) {
-            return Ok(Some(FoundJob { state, team }));
-        }
         let (state_key, job_key) = (state_key(id), job_key(id));
         let mut state = pin!(self.read_key(StoreOperation::ReadState, &state_key, deadline));
         let job = self.read_key(StoreOperation::ReadJob, &job_key, deadline);
@@ -101,9 +132,12 @@
         job: impl Future<Output = Result<Option<Record>, UnknownReason>>,
     ) -> Result<Option<FoundJob>, UnknownReason> {
         let decoded = state.as_ref().map(decode_state).transpose();
+        if let Ok(state) = &decoded {
+            self.update_final_state(id, state.as_ref());
+        }
         if let Ok(Some(state)) = decoded {
-            self.cache_final_state(id, &state);
-            return Ok(Some(FoundJob { state: state.state, team: state.team }));
+            let StateRecord { state, team, .. } = state;
+            return Ok(Some(FoundJob { state, team, is_cached: false }));
         }
         let job = job.await?;
         let state = match decoded {
@@ -117,15 +151,16 @@
             }
             Err(record) => return Err(UnknownReason::RecordUnreadable(record)),
         };
-        Ok(job.map(|job| FoundJob { state, team: team_of(&job) }))
+        Ok(job.map(|job| FoundJob { state, team: team_of(&job), is_cached: false }))
     }
 
-    fn final_state(&self, id: JobId) -> Option<(JobState, Option<TeamId>)> {
-        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).get(id)
+    fn final_state(&self, id: JobId) -> Option<FinalState> {
+        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).get(id).cloned()
     }
 
-    fn cache_final_state(&self, id: JobId, record: &StateRecord) {
-        self.final_states.lock().unwrap_or_else(PoisonError::into_inner).insert(id, record);
+    fn update_final_state(&self, id: JobId, record: Option<&StateRecord>) {
+        let mut states = self.final_states.lock().unwrap_or_else(PoisonError::into_inner);
+        states.update(id, record, since_boot());
     }
 }
 
--- a/crates/jobs/tests/final_states.rs
+++ b/crates/jobs/tests/final_states.rs
@@ -37,3 +37,19 @@
     assert_eq!(known.len() as u64, KEPT);
     assert_eq!(known[0], SEEN - KEPT);
 }
+
+/// Guards against an accepted job that is called unknown, or shown in the state of an earlier job
+/// with its id.
+#[tokio::test]
+async fn a_job_whose_id_another_team_had_used_is_found_although_that_job_is_cached() {
+    let platform = ScriptedClients::new().await;
+    let api = platform.api().await;
+    platform.put(&state_key(1), r#"{"s":"completed","t":"other"}"#).await;
+    assert_eq!(api.job_state(&call_for(1, CALLER)).await, JobStateResponse::NoSuchJob);
+    platform.put(&state_key(1), r#"{"s":"running","t":"t"}"#).await;
+    let running = JobStateResponse::State(JobState::Running);
+    assert_eq!(api.job_state(&call_for(1, CALLER)).await, running);
+    platform.store.plan(&[], CallFault::Silent);
+    let response = api.job_state(&call_for(1, CALLER)).await;
+    assert!(matches!(response, JobStateResponse::Unknown(_)), "{response:?}");
+}
