--- a/crates/jobs/tests/capacity.rs
+++ b/crates/jobs/tests/capacity.rs
@@ -116,3 +116,26 @@
         assert_eq!(ended, 80, "seed {seed}");
     }
 }
+
+/// The day `shrunk`: a quarter of the workers have 0.55 of their capacity for 14 s, and more jobs
+/// arrive for 6 s of it.
+#[test]
+fn the_day_shrunk_fills_no_worker_beyond_its_capacity_and_completes_its_jobs() {
+    for seed in 1..=4 {
+        let mut emulator = Emulator::new(seed, 8, Resources::default(), Faults::none());
+        emulator.run(ms(3_000));
+        for id in 1..=120 {
+            let cores_each = if (30..100).contains(&id) { 9 } else { 16 };
+            if [30, 100].contains(&id) {
+                (0..2).for_each(|worker| emulator.resize(worker, capacity(cores_each)));
+            }
+            let tasks = if (55..85).contains(&id) { 14 } else { 10 };
+            emulator.submit(id, job(vec![step(tasks, 1, &[])]));
+            emulator.run(ms(200));
+        }
+        emulator.run(ms(30_000));
+        assert!(emulator.violations.is_empty(), "seed {seed}: {:#?}", emulator.violations);
+        let is_completed = |id: &u64| emulator.state(*id) == JobState::Completed;
+        assert_eq!((1..=120).filter(is_completed).count(), 120, "seed {seed}");
+    }
+}
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -131,6 +131,8 @@
 
 days! {
     a_task_that_crashes_each_worker_is_given_up_and_the_tasks_beside_it_complete: PLAIN;
+    the_day_deadly_task_gives_up_its_deadly_tasks_alone:
+        Day { deadly_every: 10, takeovers_ms: &[7_000], ..PLAIN };
     a_task_whose_workers_restart_under_their_ids_is_given_up:
         Day { returns: Return::SameId, ..PLAIN };
     a_deadly_task_is_given_up_although_the_owner_is_replaced_between_its_crashes:
