Play pages of run ends beside restarts and cancellations

Tests only: workers that restart under their ids with pages outstanding, and a job that is cancelled between two pages. The plays of crashes use the emulator's own faults in place of a copy.

--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -46,20 +46,12 @@
     crashes_ms: &'static [(u64, usize)],
 }
 
-/// Faults of a network that loses nothing.
-const NO_FAULTS: Faults = Faults {
-    command_lost: 0.0,
-    command_late: 0.0,
-    command_unanswered: 0.0,
-    poll_lost: 0.0,
-    run_failed: 0.0,
-};
 const PLAIN: Day = Day {
     returns: Return::OtherId,
     deadly_every: 20,
     crash_after: SOON,
     steps: small_job,
-    faults: NO_FAULTS,
+    faults: Faults::none(),
     takeovers_ms: &[],
     crashes_ms: &[],
 };
--- a/crates/jobs/tests/emulator/faults.rs
+++ b/crates/jobs/tests/emulator/faults.rs
@@ -25,8 +25,14 @@
 
 impl Faults {
     /// No faults.
-    pub fn none() -> Self {
-        Self::default()
+    pub const fn none() -> Self {
+        Self {
+            command_lost: 0.0,
+            command_late: 0.0,
+            command_unanswered: 0.0,
+            poll_lost: 0.0,
+            run_failed: 0.0,
+        }
     }
 
     /// Faults of every kind.
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -55,7 +55,7 @@
     }
 }
 
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
--- a/crates/jobs/tests/run_end_pages.rs
+++ b/crates/jobs/tests/run_end_pages.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{EndedRun, Listing, PollError, PollResponse, RunEnd};
+use cassiafold_jobs::clients::{EndedRun, Listing, PollError, PollResponse, RunEnd, RunningRun};
 use cassiafold_jobs::cluster::MachineState;
 use cassiafold_jobs::record::JobState;
 use cassiafold_jobs::scheduler::OwnerTerm;
@@ -211,48 +211,100 @@
     assert_eq!(harness.machine_commands, vec![]);
 }
 
-/// Plays jobs on workers whose ends need several responses, while owners change and the store is
-/// slow.
-fn play(seed: u64, write_latency: Duration, faults: Faults) -> Emulator {
-    let mut emulator = Emulator::new(seed, 4, Resources::default(), faults);
-    for worker in &mut emulator.workers {
-        worker.ends_per_response = ENDS_PER_RESPONSE;
+#[test]
+fn a_job_that_is_cancelled_between_two_pages_keeps_its_capacity_until_its_ends_are_listed() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    harness.submit(1, vec![step(4, 4, &[])]);
+    harness.run_for(ms(100));
+    let runs = harness.running.remove(&0).expect("all run");
+    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+    report(&mut harness, first);
+    harness.scheduler.cancel(1, harness.now);
+    harness.submit(2, vec![step(4, 4, &[])]);
+    assert_eq!(starts(&mut harness, 300), 2, "two ends are not listed");
+    let last = page(&harness, 3, &runs[2..], Listing::Whole);
+    let running = harness.running[&0].iter().map(|(task, run)| RunningRun {
+        task: *task,
+        run: *run,
+        checkpoint: None,
+        percent: 0,
+        load_metric: 0,
+    });
+    let last = PollResponse { running: running.collect(), ..last };
+    report(&mut harness, last);
+    assert_eq!(starts(&mut harness, 300), 4);
+    assert_eq!(state(&harness, 1), Some(JobState::Cancelled));
+}
+
+/// Jobs on workers whose ends need several responses, while the owner changes twice.
+#[derive(Clone, Copy)]
+struct Play {
+    /// Time that the store takes for a write.
+    write_latency: Duration,
+    faults: Faults,
+    /// Whether workers restart under their ids meanwhile.
+    has_restarts: bool,
+}
+
+const PLAIN: Play = Play { write_latency: ms(5), faults: Faults::none(), has_restarts: false };
+const SLOW_STORE: Play = Play { write_latency: ms(400), ..PLAIN };
+
+impl Play {
+    fn run(&self, seed: u64) -> Emulator {
+        let mut emulator = Emulator::new(seed, 4, Resources::default(), self.faults);
+        for worker in &mut emulator.workers {
+            worker.ends_per_response = ENDS_PER_RESPONSE;
+        }
+        emulator.write_latency = self.write_latency;
+        emulator.run(ms(3_000));
+        emulator.replace_owner(ms(2_500), ms(1_500));
+        emulator.replace_owner(ms(7_000), ms(1_500));
+        if self.has_restarts {
+            emulator.crash(0, ms(2_000), ms(200));
+            emulator.crash(1, ms(4_100), ms(50));
+            emulator.crash(2, ms(5_500), ms(200));
+        }
+        for id in 1..=JOBS {
+            emulator.submit(id, job(vec![step(6, 0, &[]), step(3, 0, &[0])]));
+            emulator.run(ms(200));
+        }
+        emulator.write_latency = PLAIN.write_latency;
+        emulator.run(ms(60_000));
+        emulator
     }
-    emulator.write_latency = write_latency;
-    emulator.run(ms(3_000));
-    emulator.replace_owner(ms(2_500), ms(1_500));
-    emulator.replace_owner(ms(7_000), ms(1_500));
-    for id in 1..=JOBS {
-        emulator.submit(id, job(vec![step(6, 0, &[]), step(3, 0, &[0])]));
-        emulator.run(ms(200));
+
+    fn check(&self, seed: u64) {
+        let emulator = self.run(seed);
+        assert!(emulator.violations.is_empty(), "seed {seed}: {:#?}", emulator.violations);
+        let has_ended =
+            |id: &u64| matches!(emulator.state(*id), JobState::Completed | JobState::Failed);
+        let ended = (1..=JOBS).filter(has_ended).count();
+        assert_eq!(ended, usize::try_from(JOBS).expect("count"), "seed {seed}");
     }
-    emulator.write_latency = ms(5);
-    emulator.run(ms(60_000));
-    emulator
 }
 
-fn check(seed: u64, write_latency: Duration, faults: Faults) {
-    let emulator = play(seed, write_latency, faults);
-    assert!(emulator.violations.is_empty(), "seed {seed}: {:#?}", emulator.violations);
-    let is_over = |id: &u64| matches!(emulator.state(*id), JobState::Completed | JobState::Failed);
-    let ended = (1..=JOBS).filter(is_over).count();
-    assert_eq!(ended, usize::try_from(JOBS).expect("count"), "seed {seed}");
-}
+/// Seeds of each play.
+const SEEDS: u64 = 6;
 
 macro_rules! plays {
-    ($($name:ident: $write_latency_ms:expr, $faults:expr;)+) => {
+    ($($name:ident: $play:expr;)+) => {
         $(#[test] fn $name() {
-            for seed in 1..=6 {
-                check(seed, ms($write_latency_ms), $faults);
+            for seed in 1..=SEEDS {
+                $play.check(seed);
             }
         })+
     };
 }
 
 plays! {
-    no_task_runs_twice_while_run_ends_come_in_pages: 5, Faults::none();
-    no_task_runs_twice_while_run_ends_come_in_pages_and_calls_are_lost: 5, Faults::all();
-    no_task_runs_twice_while_a_slow_store_delays_the_pages_of_run_ends: 400, Faults::none();
-    no_task_runs_twice_while_a_slow_store_delays_the_pages_and_calls_are_lost: 400, Faults::all();
-    no_task_runs_twice_while_a_page_waits_longer_than_a_lease: 8_000, Faults::none();
+    no_task_runs_twice_while_run_ends_come_in_pages: PLAIN;
+    no_task_runs_twice_while_run_ends_come_in_pages_and_calls_are_lost:
+        Play { faults: Faults::all(), ..PLAIN };
+    no_task_runs_twice_while_a_slow_store_delays_the_pages_of_run_ends: SLOW_STORE;
+    no_task_runs_twice_while_a_slow_store_delays_the_pages_and_calls_are_lost:
+        Play { faults: Faults::all(), ..SLOW_STORE };
+    no_task_runs_twice_while_a_page_waits_longer_than_a_lease:
+        Play { write_latency: ms(8_000), ..PLAIN };
+    no_task_runs_twice_while_workers_restart_with_pages_outstanding:
+        Play { has_restarts: true, ..SLOW_STORE };
 }
