--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -6,7 +6,6 @@
 use cassiafold_config::Settings;
 use clap::ArgMatches;
 use clap_complete::Shell;
-use env_logger::Target;
 
 use crate::error::{Error, Result};
 use crate::load::LoadOptions;
@@ -23,6 +22,15 @@
     Json,
 }
 
+/// Where log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
 /// A validated command.
 #[derive(Debug)]
 pub struct Command {
@@ -105,10 +113,10 @@
 impl Command {
     /// Returns the destination of log lines. `serve` writes them to standard output, which the
     /// platform collects; all other commands use standard error.
-    pub fn log_target(&self) -> Target {
+    pub fn log_output(&self) -> LogOutput {
         match self.action {
-            Action::Serve => Target::Stdout,
-            _ => Target::Stderr,
+            Action::Serve => LogOutput::Stdout,
+            _ => LogOutput::Stderr,
         }
     }
 
--- a/crates/cassiafold/src/error.rs
+++ b/crates/cassiafold/src/error.rs
@@ -1,12 +1,19 @@
 //! Errors of the program and their exit codes.
 
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
 
 use cassiafold_config::Faults;
 use cassiafold_operators::OperatorsCode;
 use cassiafold_operators::problem::WireProblem;
 
+/// Longest time for which the end of the process waits for the reader of standard error.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -129,6 +136,15 @@
 
 /// Prints an error and returns its exit code.
 pub fn report(error: &Error) -> ExitCode {
-    eprintln!("cassiafold: {error}");
+    let text = format!("cassiafold: {error}\n");
+    let (printed, ended) = mpsc::sync_channel::<()>(0);
+    let print = move || {
+        // Standard error may be closed; the exit code tells the rest.
+        let _ = io::stderr().write_all(text.as_bytes());
+        drop(printed);
+    };
+    if thread::Builder::new().spawn(print).is_ok() {
+        let _ = ended.recv_timeout(REPORT_TIMEOUT);
+    }
     error.exit_code()
 }
--- a/crates/cassiafold/src/event.rs
+++ b/crates/cassiafold/src/event.rs
@@ -5,5 +5,7 @@
     pub enum EntryEvent {
         Started = 1700, Info, "entry instance started";
         Stopped = 1701, Info, "entry instance stopped";
+        LogLinesDropped = 1702, Warn, "log lines were dropped while the output took none";
+        Panicked = 1703, Error, "code panicked";
     }
 }
--- a/crates/cassiafold/src/lib.rs
+++ b/crates/cassiafold/src/lib.rs
@@ -21,6 +21,7 @@
 mod isolation;
 mod key;
 mod load;
+pub mod log_queue;
 mod logs;
 mod observer;
 mod operator_command;
@@ -45,8 +46,13 @@
         Ok(command) => command,
         Err(error) => return error::report(&error),
     };
-    logs::init(&command.log_format, command.log_target());
-    match command.run() {
+    let log = match logs::init(&command.log_format, command.log_output()) {
+        Ok(log) => log,
+        Err(error) => return error::report(&error.into()),
+    };
+    let result = command.run();
+    log.close();
+    match result {
         Ok(code) => code,
         Err(error) => error::report(&error),
     }
--- a/crates/cassiafold/tests/serve.rs
+++ b/crates/cassiafold/tests/serve.rs
@@ -11,6 +11,9 @@
 /// Port of the metrics endpoint, as in `deploy/system.toml`.
 const METRICS_PORT: u16 = 7_001;
 
+/// Bytes that a pipe holds.
+const PIPE_BYTES: usize = 64 * 1024;
+
 struct Instance {
     process: Child,
     ip: Ipv4Addr,
@@ -25,6 +28,10 @@
 
 impl Instance {
     fn start(ip: Ipv4Addr) -> Self {
+        Self::start_with_output(ip, Stdio::piped())
+    }
+
+    fn start_with_output(ip: Ipv4Addr, output: Stdio) -> Self {
         let (callers_port, ready_port, store) = (free_port(ip), free_port(ip), free_port(ip));
         let settings = format!(
             "Node: n\nZone: z\nListen:\n  Front: \"{ip}:{callers_port}\"\n  Ready: \"{ip}:{ready_port}\"\n\
@@ -36,7 +43,7 @@
         let process = Command::new(env!("CARGO_BIN_EXE_cassiafold"))
             .args(["--log-format", "json", "serve"])
             .env(variable, path)
-            .stdout(Stdio::piped())
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("process");
@@ -62,6 +69,7 @@
 }
 
 fn exchange(mut stream: TcpStream, path: &str) -> String {
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("timeout");
     let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).expect("request");
     let mut response = String::new();
@@ -106,3 +114,23 @@
         .expect("process");
     assert_eq!(status.code(), Some(4));
 }
+
+/// Guards against a process that stands still while nobody reads its log.
+#[test]
+fn an_instance_whose_log_nobody_reads_responds_and_stops_on_sigterm() {
+    let (mut reader, mut output) = std::io::pipe().expect("pipe");
+    output.write_all(&vec![b'\n'; PIPE_BYTES]).expect("a full pipe");
+    let mut instance = Instance::start_with_output(Ipv4Addr::new(127, 77, 1, 2), output.into());
+    for _ in 0..20 {
+        let rejected = instance.get(instance.callers_port, "/q/0000000000000001");
+        assert!(rejected.starts_with("HTTP/1.1 503"), "{rejected}");
+    }
+    let metrics = instance.get(METRICS_PORT, "/metrics");
+    assert!(metrics.contains("cassiafold_log_lines_dropped_total 0"), "{metrics}");
+    instance.signal(Signal::SIGTERM);
+    let status = instance.process.wait().expect("status");
+    assert!(status.success(), "{status}");
+    let mut log = String::new();
+    reader.read_to_string(&mut log).expect("log");
+    assert!(log.starts_with('\n'));
+}
