--- a/crates/cassiafold/src/log_queue.rs
+++ b/crates/cassiafold/src/log_queue.rs
@@ -46,6 +46,13 @@
     unreported: AtomicU64,
 }
 
+impl Shared {
+    fn count_dropped(&self, lines: u64) {
+        LINES_DROPPED.inc_by(lines);
+        self.unreported.fetch_add(lines, Ordering::Relaxed);
+    }
+}
+
 /// End of the queue to which lines are written. Clones share the queue.
 #[derive(Debug, Clone)]
 pub struct LogQueue {
@@ -80,11 +87,6 @@
         // The other end is dropped once the lines are written.
         let _ = flushed.recv_timeout(deadline.saturating_duration_since(Instant::now()));
     }
-
-    fn drop_line(&self) {
-        LINES_DROPPED.inc();
-        self.shared.unreported.fetch_add(1, Ordering::Relaxed);
-    }
 }
 
 /// Counter of the lines that were dropped.
@@ -98,7 +100,7 @@
         let bytes = self.shared.bytes.fetch_add(line.len(), Ordering::Relaxed) + line.len();
         if bytes > BYTES_MAX || self.sender.try_send(Message::Line(line.to_vec())).is_err() {
             self.shared.bytes.fetch_sub(line.len(), Ordering::Relaxed);
-            self.drop_line();
+            self.shared.count_dropped(1);
         }
         Ok(line.len())
     }
@@ -108,6 +110,27 @@
     }
 }
 
+/// Lines that are written together.
+#[derive(Default)]
+struct Batch {
+    bytes: Vec<u8>,
+    lines: u64,
+    /// Dropped with the batch, once it is written.
+    flushes: Vec<SyncSender<()>>,
+}
+
+impl Batch {
+    fn add(&mut self, message: Message) {
+        match message {
+            Message::Line(line) => {
+                self.bytes.extend_from_slice(&line);
+                self.lines += 1;
+            }
+            Message::Flush(written) => self.flushes.push(written),
+        }
+    }
+}
+
 /// Writes the lines of a queue.
 struct Writer<W> {
     output: W,
@@ -117,27 +140,24 @@
 impl<W: Write> Writer<W> {
     fn run(mut self, receiver: &Receiver<Message>) {
         while let Ok(first) = receiver.recv() {
-            let mut batch = Vec::new();
-            let mut flushes = Vec::new();
-            let mut next = Some(first);
-            while let Some(message) = next {
-                match message {
-                    Message::Line(line) => batch.extend_from_slice(&line),
-                    Message::Flush(written) => flushes.push(written),
-                }
-                let is_full = batch.len() >= BATCH_BYTES;
-                next = if is_full { None } else { receiver.try_recv().ok() };
+            let mut batch = Batch::default();
+            batch.add(first);
+            while batch.bytes.len() < BATCH_BYTES
+                && let Ok(message) = receiver.try_recv()
+            {
+                batch.add(message);
             }
             self.write(&batch);
         }
     }
 
-    fn write(&mut self, batch: &[u8]) {
-        let result = self.output.write_all(batch).and_then(|()| self.output.flush());
-        self.shared.bytes.fetch_sub(batch.len(), Ordering::Relaxed);
-        // An output without a reader takes no report either.
-        if result.is_ok() {
-            self.report_dropped();
+    fn write(&mut self, batch: &Batch) {
+        let result = self.output.write_all(&batch.bytes).and_then(|()| self.output.flush());
+        self.shared.bytes.fetch_sub(batch.bytes.len(), Ordering::Relaxed);
+        match result {
+            Ok(()) => self.report_dropped(),
+            // Reported once the output takes lines again.
+            Err(_) => self.shared.count_dropped(batch.lines),
         }
     }
 
--- a/crates/cassiafold/src/log_queue/tests.rs
+++ b/crates/cassiafold/src/log_queue/tests.rs
@@ -66,3 +66,14 @@
     queue.close();
     assert!(started.elapsed() < 4 * CLOSE_TIMEOUT);
 }
+
+#[test]
+fn lines_that_an_output_without_a_reader_refuses_count_as_dropped() {
+    let (reader, output) = io::pipe().expect("pipe");
+    drop(reader);
+    let mut queue = LogQueue::start(output).expect("thread");
+    queue.write_all(b"line\n").expect("write");
+    let shared = queue.shared.clone();
+    queue.close();
+    assert_eq!(shared.unreported.load(Ordering::Relaxed), 1);
+}
