--- a/crates/jobs/tests/run_end_pages.rs
+++ b/crates/jobs/tests/run_end_pages.rs
@@ -55,6 +55,17 @@
     harness.scheduler.job(job).map(|job| job.state)
 }
 
+/// A harness whose worker has run four tasks of job 1, and listed the ends of the first two.
+fn harness_after_first_page(cores_each: u32) -> (SchedulerHarness, Vec<(TaskId, u32)>) {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    harness.submit(1, vec![step(4, cores_each, &[])]);
+    harness.run_for(ms(100));
+    let runs = harness.running.remove(&0).expect("all run");
+    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
+    report(&mut harness, first);
+    (harness, runs)
+}
+
 /// Capacity of each worker.
 fn capacity() -> Resources {
     Resources { memory_bytes: 64 << 30, ..cores(16) }
@@ -76,12 +87,7 @@
 /// end together than a response lists.
 #[test]
 fn a_run_that_the_first_page_of_run_ends_lacks_is_not_started_again() {
-    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
-    harness.submit(1, vec![step(4, 1, &[])]);
-    harness.run_for(ms(100));
-    let runs = harness.running.remove(&0).expect("all run");
-    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
-    report(&mut harness, first);
+    let (mut harness, runs) = harness_after_first_page(1);
     assert_eq!(starts(&mut harness, 500), 0);
     let second = page(&harness, 3, &runs[2..], Listing::Whole);
     report(&mut harness, second);
@@ -161,12 +167,7 @@
 /// Guards against a job that is given up for crashes of its worker after its tasks had ended.
 #[test]
 fn a_run_that_had_ended_before_a_crash_does_not_count_as_its_cause() {
-    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
-    harness.submit(1, vec![step(4, 1, &[])]);
-    harness.run_for(ms(100));
-    let runs = harness.running.remove(&0).expect("all run");
-    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
-    report(&mut harness, first);
+    let (mut harness, runs) = harness_after_first_page(1);
     let closed = PollError::Closed("refused".into());
     harness.scheduler.handle_poll_failure(0, false, &closed, harness.now);
     harness.now += ms(10);
@@ -213,12 +214,7 @@
 
 #[test]
 fn a_job_that_is_cancelled_between_two_pages_keeps_its_capacity_until_its_ends_are_listed() {
-    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
-    harness.submit(1, vec![step(4, 4, &[])]);
-    harness.run_for(ms(100));
-    let runs = harness.running.remove(&0).expect("all run");
-    let first = page(&harness, 1, &runs[..2], Listing::FirstPage);
-    report(&mut harness, first);
+    let (mut harness, runs) = harness_after_first_page(4);
     harness.scheduler.cancel(1, harness.now);
     harness.submit(2, vec![step(4, 4, &[])]);
     assert_eq!(starts(&mut harness, 300), 2, "two ends are not listed");
