Bound the lines of the log queue with those that are being written

Cause: the bound of lines held for the channel alone. The writing thread takes up to 16 KiB out of it before it writes, which is 8,192 lines of two bytes, so that a stuck output could hold 12,288 lines in place of 4,096. The test sent just that many and expected a third of them to be dropped; how many lines the other thread had taken meanwhile was a matter of scheduling.

Lines are now counted as bytes are: until they are written. The check is stricter than before: exactly LINES_MAX lines are held, the rest is dropped.

--- a/crates/cassiafold/src/log_queue.rs
+++ b/crates/cassiafold/src/log_queue.rs
@@ -15,7 +15,7 @@
 
 use crate::event::EntryEvent;
 
-/// Most lines in the queue.
+/// Most lines in the queue, with those that are being written.
 const LINES_MAX: usize = 4_096;
 /// Most bytes in the queue, with those that are being written.
 const BYTES_MAX: usize = 512 * 1024;
@@ -40,13 +40,32 @@
 /// What the threads that log share with the one that writes.
 #[derive(Debug, Default)]
 struct Shared {
-    /// Bytes in the queue.
+    /// Bytes in the queue, with those that are being written.
     bytes: AtomicUsize,
+    /// Lines in the queue, with those that are being written.
+    lines: AtomicUsize,
     /// Lines that were dropped and have not been reported in the log.
     unreported: AtomicU64,
 }
 
 impl Shared {
+    /// Takes room for a line. False if there is none.
+    fn reserve(&self, line_bytes: usize) -> bool {
+        let bytes = self.bytes.fetch_add(line_bytes, Ordering::Relaxed) + line_bytes;
+        let lines = self.lines.fetch_add(1, Ordering::Relaxed) + 1;
+        let has_room = bytes <= BYTES_MAX && lines <= LINES_MAX;
+        if !has_room {
+            self.release(line_bytes, 1);
+        }
+        has_room
+    }
+
+    /// Gives back the room of lines.
+    fn release(&self, bytes: usize, lines: usize) {
+        self.bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.lines.fetch_sub(lines, Ordering::Relaxed);
+    }
+
     fn count_dropped(&self, lines: u64) {
         LINES_DROPPED.inc_by(lines);
         self.unreported.fetch_add(lines, Ordering::Relaxed);
@@ -97,9 +116,10 @@
 impl Write for LogQueue {
     /// Adds a line, or drops it if the queue is full.
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let bytes = self.shared.bytes.fetch_add(line.len(), Ordering::Relaxed) + line.len();
-        if bytes > BYTES_MAX || self.sender.try_send(Message::Line(line.to_vec())).is_err() {
-            self.shared.bytes.fetch_sub(line.len(), Ordering::Relaxed);
+        if !self.shared.reserve(line.len()) {
+            self.shared.count_dropped(1);
+        } else if self.sender.try_send(Message::Line(line.to_vec())).is_err() {
+            self.shared.release(line.len(), 1);
             self.shared.count_dropped(1);
         }
         Ok(line.len())
@@ -114,7 +134,7 @@
 #[derive(Default)]
 struct Batch {
     bytes: Vec<u8>,
-    lines: u64,
+    lines: usize,
     /// Dropped with the batch, once it is written.
     flushes: Vec<SyncSender<()>>,
 }
@@ -153,11 +173,11 @@
 
     fn write(&mut self, batch: &Batch) {
         let result = self.output.write_all(&batch.bytes).and_then(|()| self.output.flush());
-        self.shared.bytes.fetch_sub(batch.bytes.len(), Ordering::Relaxed);
+        self.shared.release(batch.bytes.len(), batch.lines);
         match result {
             Ok(()) => self.report_dropped(),
             // Reported once the output takes lines again.
-            Err(_) => self.shared.count_dropped(batch.lines),
+            Err(_) => self.shared.count_dropped(batch.lines as u64),
         }
     }
 
--- a/crates/cassiafold/src/log_queue/tests.rs
+++ b/crates/cassiafold/src/log_queue/tests.rs
@@ -44,7 +44,8 @@
     for _ in 0..3 * LINES_MAX {
         by_lines.write_all(b"x\n").expect("write");
     }
-    assert!(by_lines.shared.unreported.load(Ordering::Relaxed) >= LINES_MAX as u64 - 1);
+    assert_eq!(by_lines.shared.lines.load(Ordering::Relaxed), LINES_MAX);
+    assert_eq!(by_lines.shared.unreported.load(Ordering::Relaxed), 2 * LINES_MAX as u64);
 }
 
 #[test]
