Let the attempts with which a job was accepted hold for its life

Cause: the limit was read from the configuration in force, and a queue that was not configured had none. Its placement policy, priority and objective went the same way.

Change: the job's record holds the attempts of its queue at the time of its acceptance, which hold across later configurations and owners. An owner keeps the settings of a removed queue while it has jobs of it.

--- a/crates/jobs/src/api/submission.rs
+++ b/crates/jobs/src/api/submission.rs
@@ -165,6 +165,7 @@
             queue: auth.queue.id.clone(),
             service: auth.queue.service.clone(),
             team: auth.team.clone(),
+            attempts_max: Some(auth.queue.attempts_max),
             spec: spec.clone(),
         };
         let bytes = record.encode().map_err(|error| {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -118,6 +118,9 @@
     pub service: ServiceId,
     /// Team of the caller, if the queue requires an API key.
     pub team: Option<TeamId>,
+    /// Failed runs of a task after which the job fails, as its queue had them at that time. `None`
+    /// in records of earlier versions.
+    pub attempts_max: Option<u32>,
     /// The job as submitted.
     pub spec: JobSpec,
 }
@@ -283,6 +286,8 @@
     s: ServiceId,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     t: Option<TeamId>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    n: Option<u32>,
     x: Arc<str>,
     st: Vec<WireStep>,
     /// First due time and interval, both in milliseconds, and number of occurrences.
@@ -397,6 +402,7 @@
             q: self.queue.clone(),
             s: self.service.clone(),
             t: self.team.clone(),
+            n: self.attempts_max,
             x: self.spec.payload.clone(),
             st: self.spec.steps.iter().map(WireStep::from).collect(),
             at,
@@ -417,7 +423,7 @@
         });
         let steps = wire.st.into_iter().map(StepSpec::from).collect();
         let spec = JobSpec { payload: wire.x, steps, schedule };
-        Ok(Self { queue: wire.q, service: wire.s, team: wire.t, spec })
+        Ok(Self { queue: wire.q, service: wire.s, team: wire.t, attempts_max: wire.n, spec })
     }
 }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod policy_queries;
 mod polls;
+mod removed_queues;
 mod run_commands;
 mod run_ends;
 mod separation;
@@ -52,7 +53,7 @@
 use crate::arrivals::Arrivals;
 use crate::balance::PeakNeed;
 use crate::clients::{FencingToken, WorkerAddress};
-use crate::cluster::{ClusterConfig, Wave, WaveNumber, WorkerId};
+use crate::cluster::{ClusterConfig, Queue, QueueId, Wave, WaveNumber, WorkerId};
 use crate::estimate::RunTimeRatio;
 use crate::job::{Job, WorkerSlot};
 use crate::record::{
@@ -156,6 +157,8 @@
     /// Start of the owner's term.
     term_started: Moment,
     config: Arc<ClusterConfig>,
+    /// Queues that are no longer configured and whose jobs have not all ended.
+    removed_queues: HashMap<QueueId, Queue>,
     evacuated_zones: HashSet<ZoneId>,
     workers: Vec<Worker>,
     /// Incarnations that have ended and are still listed.
@@ -269,6 +272,7 @@
             settings,
             term_started: now,
             config: Arc::default(),
+            removed_queues: HashMap::new(),
             evacuated_zones: HashSet::new(),
             workers: Vec::new(),
             ended_incarnations: HashMap::new(),
@@ -335,7 +339,8 @@
 
     /// Replaces the configuration.
     pub fn set_config(&mut self, config: Arc<ClusterConfig>) {
-        self.config = config;
+        let previous = std::mem::replace(&mut self.config, config);
+        self.keep_removed_queues(&previous);
         self.mark_all_changed();
     }
 
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -191,7 +191,7 @@
     fn waiting_step(&self, job: &Job, id: StepId) -> Option<WaitingStep> {
         let spec = job.spec(id.step)?;
         let occurrence = job.occurrences.get(&id.occurrence)?;
-        let queue = self.config.queues.get(&job.record.queue);
+        let queue = self.queue_of(job);
         Some(WaitingStep {
             step: id,
             priority: queue.map_or(u8::MAX, |queue| queue.priority),
@@ -207,7 +207,7 @@
 
     /// Returns the latest completion time at which a repetition of a job has its full value.
     pub(super) fn objective(&self, job: &Job, occurrence: &Occurrence) -> Moment {
-        let queue = self.config.queues.get(&job.record.queue);
+        let queue = self.queue_of(job);
         let critical_path_factor = queue.map_or(1.0, |queue| queue.critical_path_factor.max(1.0));
         let slack = queue.map_or(Duration::ZERO, |queue| queue.latency_objective);
         let path = scale(occurrence.critical_path, critical_path_factor);
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -43,7 +43,7 @@
 impl Scheduler {
     pub(super) fn placement_policy(&self, step: StepId) -> Option<PlacementPolicy> {
         let job = self.jobs.get(&step.job)?;
-        self.config.queues.get(&job.record.queue)?.placement_policy
+        self.queue_of(job)?.placement_policy
     }
 
     /// Returns the tickets of a step that are valid now.
--- a/crates/jobs/src/scheduler/run_ends.rs
+++ b/crates/jobs/src/scheduler/run_ends.rs
@@ -141,12 +141,12 @@
         self.mark_job_service_changed(id.step.job);
     }
 
-    /// Returns how often a task of a job may fail before the job fails; unlimited if the queue is
-    /// no longer configured.
+    /// Returns how often a task of a job may fail before the job fails: as its queue had it when
+    /// the job was accepted. Unlimited if neither the record nor a known queue tells.
     fn attempts_max(&self, job: JobId) -> u32 {
-        let queue = self.jobs.get(&job).map(|job| &job.record.queue);
-        let queue = queue.and_then(|queue| self.config.queues.get(queue));
-        queue.map_or(u32::MAX, |queue| queue.attempts_max.max(1))
+        let Some(job) = self.jobs.get(&job) else { return u32::MAX };
+        let known = || self.queue_of(job).map(|queue| queue.attempts_max);
+        job.record.attempts_max.or_else(known).map_or(u32::MAX, |attempts| attempts.max(1))
     }
 
     /// Marks a run to be stopped.
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -80,6 +80,7 @@
         queue: QUEUE.into(),
         service: SERVICE.into(),
         team: Some(TEAM.into()),
+        attempts_max: Some(3),
         spec: JobSpec { payload: "text".into(), steps, schedule: None },
     }
 }
