Command the speed of a run that a previous owner may have throttled

Cause: a worker's list does not tell the speed of a run; the next owner took it for full, and commands are sent only for changes. The same holds for a command whose response was lost or refused: the commanded speed counted as the run's.

Change: Speed holds what was commanded and whether it was confirmed. Adopted runs start at half speed, unconfirmed; a worker without serving tasks gets full speed at once.

--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -37,6 +37,9 @@
     },
     Throttle {
         worker: WorkerSlot,
+        task: TaskId,
+        run: RunNumber,
+        percent: u8,
         outcome: CommandOutcome,
     },
     Policy {
@@ -99,7 +102,7 @@
         let address = self.scheduler.worker(worker).address.clone();
         self.run(async move {
             let outcome = workers.throttle(&address, task, run, percent, token).await;
-            Outcome::Throttle { worker, outcome }
+            Outcome::Throttle { worker, task, run, percent, outcome }
         });
     }
 
@@ -235,7 +238,10 @@
                 self.scheduler.handle_stop_outcome(worker, task, run, outcome, now);
                 self.note_refusal(worker, outcome, now);
             }
-            Outcome::Throttle { worker, outcome } => self.note_refusal(worker, outcome, now),
+            Outcome::Throttle { worker, task, run, percent, outcome } => {
+                self.scheduler.handle_throttle_outcome(worker, task, run, percent, outcome, now);
+                self.note_refusal(worker, outcome, now);
+            }
             Outcome::Policy { query, response, sent } => {
                 self.scheduler.handle_policy_response(&query, response, sent, now);
             }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -15,6 +15,7 @@
 use crate::record::JobState;
 use crate::spec::{Resources, StepId, StepSpec, TaskId};
 use crate::step_order::{WaitingStep, sort};
+use crate::throttle::Speed;
 use crate::worker::{PollPhase, Run, RunKind, RunPhase};
 
 /// Time after which all services are planned again without a change, because delays have expired.
@@ -415,7 +416,7 @@
             percent: 0,
             last_progress: now,
             load_metric: 0,
-            speed_percent: 100,
+            speed: Speed::FULL,
         };
         self.workers[slot].add(task, new_run);
         commands.push(Command::Start { worker: slot, task, run, ticket });
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -13,6 +13,7 @@
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::spec::TaskId;
+use crate::throttle::Speed;
 use crate::worker::{PollPhase, Run, RunKind, RunPhase};
 
 /// How long a worker with runs may hold a poll open for a run to end.
@@ -275,7 +276,7 @@
             percent: running_run.percent,
             last_progress: now,
             load_metric: running_run.load_metric,
-            speed_percent: 100,
+            speed: Speed::ADOPTED,
         };
         self.adjust_team_usage(id.step.job, &run.quota_usage, true);
         let worker = &mut self.workers[slot];
--- a/crates/jobs/src/scheduler/throttle.rs
+++ b/crates/jobs/src/scheduler/throttle.rs
@@ -6,10 +6,10 @@
 use cassiafold_platform::Moment;
 
 use super::{Command, Scheduler};
+use crate::clients::CommandOutcome;
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
-use crate::spec::TaskId;
-use crate::throttle::next_speed_percent;
+use crate::spec::{RunNumber, TaskId};
 use crate::worker::RunPhase;
 
 /// Time between two changes on one worker: a load metric covers the preceding half second.
@@ -28,12 +28,28 @@
                 continue;
             }
             self.workers[slot].throttle_due = now + THROTTLE_INTERVAL;
-            self.throttle_worker(slot, commands);
+            self.throttle_worker(slot, now, commands);
         }
     }
 
-    fn throttle_worker(&mut self, slot: WorkerSlot, commands: &mut Vec<Command>) {
-        let mut load = 0.0_f64;
+    /// Handles the outcome of a throttle command.
+    pub fn handle_throttle_outcome(
+        &mut self,
+        slot: WorkerSlot,
+        task: TaskId,
+        number: RunNumber,
+        percent: u8,
+        outcome: CommandOutcome,
+        now: Moment,
+    ) {
+        let run = self.workers[slot].runs.get_mut(&task).filter(|run| run.number == number);
+        if let Some(run) = run {
+            run.speed.handle_outcome(percent, outcome, now);
+        }
+    }
+
+    fn throttle_worker(&mut self, slot: WorkerSlot, now: Moment, commands: &mut Vec<Command>) {
+        let mut load: Option<f64> = None;
         let mut opportunistic_tasks: Vec<TaskId> = Vec::new();
         for (task, run) in &self.workers[slot].runs {
             let Some(spec) = self.spec(task.step) else { continue };
@@ -42,7 +58,8 @@
             }
             if let Some(target) = spec.tail_target {
                 let target_ms = target.as_secs_f64() * 1_000.0;
-                load = load.max(f64::from(run.load_metric) / target_ms.max(1.0));
+                let ratio = f64::from(run.load_metric) / target_ms.max(1.0);
+                load = Some(load.unwrap_or(0.0).max(ratio));
             }
             if spec.opportunistic {
                 opportunistic_tasks.push(*task);
@@ -51,18 +68,14 @@
         for task in opportunistic_tasks {
             let worker = &mut self.workers[slot];
             let Some(run) = worker.runs.get_mut(&task) else { continue };
-            let percent = next_speed_percent(run.speed_percent, load);
-            if percent == run.speed_percent {
-                continue;
-            }
-            run.speed_percent = percent;
+            let Some(percent) = run.speed.next_command(load, now) else { continue };
             let run_number = run.number;
             emit!(
                 target: LOG_TARGET,
                 JobsEvent::PaceChanged,
                 task = task,
                 worker = worker.entry.id,
-                load = format_args!("{load:.2}"),
+                load = format_args!("{:.2}", load.unwrap_or(0.0)),
                 percent = percent
             );
             commands.push(Command::Throttle { worker: slot, task, run: run_number, percent });
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -12,6 +12,7 @@
 use crate::crash::{ContactLoss, Crash, START_WINDOW, is_past_probation};
 use crate::record::{CapacityRecord, WorkerRecord, WorkerShard, worker_shard};
 use crate::spec::{Resources, RunNumber, StepSpec, TaskId};
+use crate::throttle::Speed;
 
 /// A worker's clock may be slow by this many percent.
 const CLOCK_SLOW_PERCENT: u32 = 2;
@@ -121,8 +122,8 @@
     pub last_progress: Moment,
     /// Last reported load, see [`crate::clients::RunningRun::load_metric`].
     pub load_metric: u32,
-    /// Share of full speed to which it is limited, in percent.
-    pub speed_percent: u8,
+    /// Speed to which it is limited.
+    pub speed: Speed,
 }
 
 impl Run {
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -130,11 +130,11 @@
 
 #[test]
 fn the_speed_of_an_opportunistic_task_is_halved_under_overload_and_raised_gradually() {
-    assert_eq!(next_speed_percent(100, 1.2), 50);
-    assert_eq!(next_speed_percent(12, 1.2), 0);
-    assert_eq!(next_speed_percent(50, 0.8), 50);
-    assert_eq!(next_speed_percent(50, 0.5), 65);
-    assert_eq!(next_speed_percent(95, 0.5), 100);
+    assert_eq!(next_speed_percent(100, Some(1.2)), 50);
+    assert_eq!(next_speed_percent(12, Some(1.2)), 0);
+    assert_eq!(next_speed_percent(50, Some(0.8)), 50);
+    assert_eq!(next_speed_percent(50, Some(0.5)), 65);
+    assert_eq!(next_speed_percent(95, Some(0.5)), 100);
 }
 
 #[test]
