Discard late poll responses of an earlier incarnation of a worker

Cause: incarnations were told apart by inequality of their starts, so that an earlier one counted as a restart; its run ends counted under the numbers of the present one.

Change: the start decides together with when the poll was sent. A response with an earlier start to a poll from before the known incarnation was seen is discarded (event 1633), and the worker is polled again.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -34,6 +34,7 @@
         MachineOrdered = 1630, Info, "outcome of a command to move or maintain a machine";
         PoolsBalanced = 1631, Info, "machines move between services";
         EntryIgnored = 1632, Warn, "entry in the list of workers names no worker to use";
+        ResponseLate = 1633, Info, "response of an earlier incarnation of a worker discarded";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
         OwnerEnded = 1641, Info, "this instance is no longer the owner";
         ConfigInForce = 1642, Info, "configuration in force";
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -14,7 +14,7 @@
 use crate::job::WorkerSlot;
 use crate::spec::TaskId;
 use crate::throttle::Speed;
-use crate::worker::{PollPhase, Run, RunKind, RunPhase};
+use crate::worker::{PollPhase, ReportedIncarnation, Run, RunKind, RunPhase};
 
 /// How long a worker with runs may hold a poll open for a run to end.
 const POLL_WAIT_BUSY: Duration = Duration::from_millis(1_000);
@@ -81,9 +81,14 @@
         if worker.is_gone {
             return;
         }
-        let (known_start, reported_start) = (worker.entry.started_unix, response.started_unix);
-        if known_start.is_some() && reported_start.is_some() && known_start != reported_start {
-            self.start_incarnation(slot, reported_start, now);
+        let reported_start = response.started_unix;
+        match worker.compare_incarnation(reported_start, sent) {
+            ReportedIncarnation::Known => {}
+            ReportedIncarnation::Later => self.start_incarnation(slot, reported_start, now),
+            ReportedIncarnation::Earlier => {
+                self.discard_late_response(slot, is_out_of_band, reported_start, now);
+                return;
+            }
         }
         let ends_poll_interval = ends_poll_interval(self.workers_with_unstored_ends);
         let worker = &mut self.workers[slot];
@@ -143,6 +148,29 @@
         }
     }
 
+    /// Discards a response that an earlier incarnation gave: its runs have ended, and its run ends
+    /// have the numbers of others. Polls the worker again.
+    fn discard_late_response(
+        &mut self,
+        slot: WorkerSlot,
+        is_out_of_band: bool,
+        reported_start: Option<Duration>,
+        now: Moment,
+    ) {
+        let worker = &mut self.workers[slot];
+        emit!(
+            target: LOG_TARGET,
+            JobsEvent::ResponseLate,
+            worker = worker.entry.id,
+            started_ms = reported_start.unwrap_or_default().as_millis(),
+            known_ms = worker.entry.started_unix.unwrap_or_default().as_millis()
+        );
+        if !is_out_of_band {
+            worker.poll = PollPhase::DueAt(now);
+            self.poll_queue.push(Reverse((now, slot)));
+        }
+    }
+
     /// Notes whether a worker lists all of its run ends, and logs when that changes.
     fn note_listing(&mut self, slot: WorkerSlot, response: &PollResponse) {
         let worker = &mut self.workers[slot];
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -157,6 +157,17 @@
     InFlight,
 }
 
+/// The incarnation that a poll response tells of, beside the known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportedIncarnation {
+    /// The known one, or the response does not tell.
+    Known,
+    /// One that started after the known one.
+    Later,
+    /// One before the known one, whose response was late.
+    Earlier,
+}
+
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -220,6 +231,8 @@
     pub ends_unstored: VecDeque<(u64, u64)>,
     /// Number of earlier incarnations under this id.
     pub incarnation: u32,
+    /// When a later start than that of the incarnation before was learned.
+    incarnation_since: Moment,
     /// Number of the last run end whose effect is stored.
     pub last_end_stored: u64,
     /// Whether the latest response listed all run ends that were not acknowledged.
@@ -279,6 +292,7 @@
             last_end_seen: 0,
             ends_unstored: VecDeque::new(),
             incarnation: 0,
+            incarnation_since: Moment::ZERO,
             last_end_stored: 0,
             ended_listing: Listing::Whole,
             poll: PollPhase::DueAt(now),
@@ -295,6 +309,26 @@
         }
     }
 
+    /// Compares the incarnation that a response reports with the known one; `sent` is when the poll
+    /// was sent.
+    ///
+    /// An earlier start alone does not tell an earlier incarnation: the clock of the machine may
+    /// have been set back. A poll that was sent once the known incarnation had been seen cannot
+    /// reach one before it.
+    pub fn compare_incarnation(
+        &self,
+        reported_start: Option<Duration>,
+        sent: Moment,
+    ) -> ReportedIncarnation {
+        match (self.entry.started_unix, reported_start) {
+            (Some(known), Some(reported)) if reported < known && sent < self.incarnation_since => {
+                ReportedIncarnation::Earlier
+            }
+            (Some(known), Some(reported)) if reported != known => ReportedIncarnation::Later,
+            _ => ReportedIncarnation::Known,
+        }
+    }
+
     /// Whether an entry is that of a later incarnation.
     pub fn is_older_than(&self, entry: &WorkerEntry) -> bool {
         self.entry.started_unix.is_some() && entry.started_unix > self.entry.started_unix
@@ -355,6 +389,7 @@
         self.last_end_stored = 0;
         self.ends_unstored.clear();
         self.incarnation += 1;
+        self.incarnation_since = now;
         self.clock = None;
         self.lease_until = Duration::ZERO;
         self.lease_expires = now;
