Give up queries to the placement policy by its stated times, not after 1.2 s

Cause: a constant timeout of 1.2 s, beside two open queries of 780 ms each that the policy handles one after the other; each query that was sent anew waited behind the one given up. And a step whose tasks had tickets went on asking about the workers that were left.

Change: PolicyQueue keeps when the policy will have handled all calls by its stated times, given up or not; the timeout follows. Long queries are sent one at a time, name fewer workers where each one costs much, and are sent only for tasks for which no allowed worker has room. 429 pauses queries.

Before: nine of eleven tests of advice.rs failed; of eight jobs at once 8, 1, 6, 1, 1, 1, 0 started (DecideMs/EachMs 50/5, 50/60, 300/5, 300/40, 300/60, 1000/5, 1000/60).

No query is left out because a job's time is over: the job is accepted and has to run.

--- a/crates/jobs/src/clients.rs
+++ b/crates/jobs/src/clients.rs
@@ -237,14 +237,26 @@
     pub valid_for: Duration,
 }
 
+/// Why the placement policy told nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum PolicyError {
+    /// Too many calls wait for it.
+    #[error("too many calls are waiting")]
+    Busy,
+    /// No valid response was received in time.
+    #[error("no valid response")]
+    Unanswered,
+}
+
 /// Client of the placement policy.
 pub trait PolicyClient: Clone + Send + Sync + 'static {
-    /// Asks which of the given workers may run a step; `None` if no valid response was received.
+    /// Asks which of the given workers may run a step.
     fn request_tickets(
         &self,
         step: StepId,
         workers: Vec<WorkerId>,
-    ) -> impl Future<Output = Option<PolicyResponse>> + Send;
+        timeout: Duration,
+    ) -> impl Future<Output = Result<PolicyResponse, PolicyError>> + Send;
 }
 
 /// Outcome of a command to a machine.
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -35,6 +35,7 @@
         PoolsBalanced = 1631, Info, "machines move between services";
         EntryIgnored = 1632, Warn, "entry in the list of workers names no worker to use";
         ResponseLate = 1633, Info, "response of an earlier incarnation of a worker discarded";
+        PolicyUnanswered = 1634, Info, "query to the placement policy got no response";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
         OwnerEnded = 1641, Info, "this instance is no longer the owner";
         ConfigInForce = 1642, Info, "configuration in force";
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod owner;
 pub mod placement;
 pub mod platform_clients;
+pub mod policy_queue;
 pub mod record;
 mod response_times;
 pub mod scheduler;
--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -7,8 +7,8 @@
 
 use super::{MACHINES_INTERVAL, Message, OwnerLoop};
 use crate::clients::{
-    CommandOutcome, MachineClient, MachineOutcome, PolicyClient, PolicyResponse, PollError,
-    PollResponse, Refusal, StartRequest, WorkerClient,
+    CommandOutcome, MachineClient, MachineOutcome, PolicyClient, PolicyError, PolicyResponse,
+    PollError, PollResponse, Refusal, StartRequest, WorkerClient,
 };
 use crate::cluster::Machine;
 use crate::job::WorkerSlot;
@@ -44,7 +44,7 @@
     },
     Policy {
         query: PolicyQuery,
-        response: Option<PolicyResponse>,
+        response: Result<PolicyResponse, PolicyError>,
         sent: Moment,
     },
     Machine {
@@ -110,7 +110,8 @@
         let policy = self.platform.policy().clone();
         self.run(async move {
             let sent = since_boot();
-            let response = policy.request_tickets(query.step, query.workers.clone()).await;
+            let workers = query.workers.clone();
+            let response = policy.request_tickets(query.step, workers, query.timeout).await;
             Outcome::Policy { query, response, sent }
         });
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -57,6 +57,7 @@
 use crate::cluster::{ClusterConfig, Queue, QueueId, Wave, WaveNumber, WorkerId};
 use crate::estimate::RunTimeRatio;
 use crate::job::{Job, WorkerSlot};
+use crate::policy_queue::PolicyQueue;
 use crate::record::{
     CommandedMachinesRecord, WaitingRecord, WavesRecord, WorkerRecord, WorkerShard,
 };
@@ -220,7 +221,7 @@
     /// Runs that are being stopped.
     stopping: Vec<(WorkerSlot, TaskId)>,
     step_tickets: HashMap<StepId, StepTickets>,
-    open_queries: usize,
+    policy_queue: PolicyQueue,
     machines: MachineList,
     /// When the current list of machines was requested.
     machines_listed_at: Option<Moment>,
@@ -307,7 +308,7 @@
             write_urgency: WriteUrgency::Low,
             stopping: Vec::new(),
             step_tickets: HashMap::new(),
-            open_queries: 0,
+            policy_queue: PolicyQueue::default(),
             machines: MachineList::default(),
             machines_listed_at: None,
             is_machine_list_requested: false,
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -263,7 +263,8 @@
     }
 
     /// Starts as many of the `waiting` tasks of a step as fit, of a gang all members or none;
-    /// returns the requirements of a task if some did not fit.
+    /// returns the requirements of a task if some did not fit. If the placement policy may allow
+    /// further workers, it is queried about them.
     pub(super) fn place_tasks(
         &mut self,
         id: StepId,
@@ -271,6 +272,21 @@
         candidates: &mut [Candidate],
         now: Moment,
         commands: &mut Vec<Command>,
+    ) -> Option<TaskRequirements> {
+        let unplaced = self.place_allowed_tasks(id, waiting, candidates, now, commands)?;
+        self.query_policy(id, &unplaced, candidates, now, commands);
+        Some(unplaced)
+    }
+
+    /// Starts as many of the `waiting` tasks as fit on workers that the placement policy, if there
+    /// is one, has allowed.
+    fn place_allowed_tasks(
+        &mut self,
+        id: StepId,
+        waiting: &[u32],
+        candidates: &mut [Candidate],
+        now: Moment,
+        commands: &mut Vec<Command>,
     ) -> Option<TaskRequirements> {
         let record = Arc::clone(&self.jobs.get(&id.job)?.record);
         let spec = record.spec.steps.get(usize::from(id.step))?;
@@ -286,9 +302,6 @@
         };
         self.count_same_step(id, spec, candidates);
         let has_policy = self.placement_policy(id).is_some();
-        if has_policy {
-            self.query_policy(id, candidates, now, commands);
-        }
         let tickets = has_policy.then(|| self.valid_tickets(id, now));
         if spec.gang {
             return self.place_gang(
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -1,22 +1,21 @@
 //! Queries to the placement policy and the tickets that it grants.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
 use super::{Command, Scheduler};
-use crate::clients::PolicyResponse;
+use crate::clients::{PolicyError, PolicyResponse};
 use crate::cluster::{PlacementPolicy, WorkerId};
+use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
-use crate::placement::Candidate;
+use crate::placement::{Candidate, TaskRequirements};
 use crate::spec::StepId;
 
-/// Maximum number of workers in one query.
-const QUERY_WORKERS_MAX: usize = 12;
-/// Maximum number of open queries; the policy processes one at a time.
-const OPEN_QUERIES_MAX: usize = 2;
 /// A ticket is not used within this time before it expires.
 const TICKET_MARGIN: Duration = Duration::from_millis(250);
 /// Delay before the next query about a step after one without a response.
@@ -29,6 +28,8 @@
     pub step: StepId,
     /// Workers to check.
     pub workers: Vec<WorkerId>,
+    /// Time after which it is given up.
+    pub timeout: Duration,
 }
 
 /// Tickets and refusals that the placement policy has returned for a step.
@@ -54,15 +55,17 @@
     }
 
     /// Queries the placement policy about the candidates that have neither a valid ticket nor a
-    /// refusal.
+    /// refusal, about those first that have room for a task.
     pub(super) fn query_policy(
         &mut self,
         step: StepId,
+        requirements: &TaskRequirements,
         candidates: &[Candidate],
         now: Moment,
         commands: &mut Vec<Command>,
     ) {
-        if self.open_queries >= OPEN_QUERIES_MAX {
+        let Some(policy) = self.placement_policy(step) else { return };
+        if !self.policy_queue.may_send(&policy, now) {
             return;
         }
         let step_tickets = self.step_tickets.entry(step).or_default();
@@ -80,33 +83,40 @@
         if undecided.is_empty() {
             return;
         }
-        undecided.sort_by_key(|candidate| std::cmp::Reverse(candidate.free.processors_milli));
-        undecided.truncate(QUERY_WORKERS_MAX);
+        undecided.sort_by_key(|candidate| {
+            let has_room = candidate.tasks_that_fit(requirements) > 0;
+            Reverse((has_room, candidate.free.processors_milli))
+        });
+        undecided.truncate(policy.workers_max());
         step_tickets.is_query_open = true;
-        self.open_queries += 1;
+        let timeout = self.policy_queue.send(&policy, undecided.len(), now);
         let workers = undecided
             .iter()
             .map(|candidate| self.workers[candidate.slot].entry.id.clone())
             .collect();
-        commands.push(Command::QueryPolicy(PolicyQuery { step, workers }));
+        commands.push(Command::QueryPolicy(PolicyQuery { step, workers, timeout }));
     }
 
     /// Handles the response to a query that was sent at `sent`.
     pub fn handle_policy_response(
         &mut self,
         query: &PolicyQuery,
-        response: Option<PolicyResponse>,
+        response: Result<PolicyResponse, PolicyError>,
         sent: Moment,
         now: Moment,
     ) {
-        self.open_queries = self.open_queries.saturating_sub(1);
+        self.policy_queue.handle_outcome(response.as_ref().err(), now);
         self.mark_job_service_changed(query.step.job);
         let current_slots = &self.current_slots;
         let Some(step_tickets) = self.step_tickets.get_mut(&query.step) else { return };
         step_tickets.is_query_open = false;
-        let Some(response) = response else {
-            step_tickets.next_query = now + QUERY_RETRY_DELAY;
-            return;
+        let response = match response {
+            Ok(response) => response,
+            Err(error) => {
+                step_tickets.next_query = now + QUERY_RETRY_DELAY;
+                log_failed_query(query, error, now.saturating_sub(sent));
+                return;
+            }
         };
         let until = sent.saturating_add(response.valid_for.saturating_sub(TICKET_MARGIN));
         for id in &query.workers {
@@ -129,3 +139,13 @@
         }
     }
 }
+
+fn log_failed_query(query: &PolicyQuery, error: PolicyError, elapsed: Duration) {
+    emit!(
+        JobsEvent::PolicyUnanswered,
+        step = query.step,
+        workers = query.workers.len(),
+        elapsed_ms = elapsed.as_millis(),
+        error = error
+    );
+}
--- /dev/null
+++ b/crates/jobs/tests/advice.rs
@@ -0,0 +1,220 @@
+//! Regression tests: steps that need tickets, with a placement policy that handles one query at a
+//! time, in virtual time.
+
+mod emulator;
+mod harness;
+
+use std::collections::{HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassiafold_jobs::clients::{PolicyError, PolicyResponse, Ticket};
+use cassiafold_jobs::cluster::{PlacementPolicy, WorkerId};
+use cassiafold_jobs::policy_queue::PolicyQueue;
+use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery};
+use cassiafold_jobs::spec::{JobId, Resources};
+
+use self::emulator::{config, ms, step};
+use self::harness::SchedulerHarness;
+
+/// Queries that may wait; a further one is refused.
+const WAITING_MAX: usize = 32;
+/// Validity of a ticket.
+const VALID_FOR: Duration = Duration::from_secs(3);
+/// Jobs of a burst, which are submitted at once.
+const BURST_JOBS: u64 = 8;
+/// Workers of a play.
+const WORKERS: usize = 14;
+
+/// A query that the policy has received.
+struct Waiting {
+    query: PolicyQuery,
+    sent: Duration,
+    /// Whether the owner no longer waits for the response.
+    is_given_up: bool,
+}
+
+/// A placement policy that handles one query at a time, also those that were given up.
+struct Policy {
+    times: PlacementPolicy,
+    waiting: VecDeque<Waiting>,
+    /// When the first query in turn is handled.
+    handled_at: Option<Duration>,
+    /// Workers that may not run any step.
+    refused: HashSet<WorkerId>,
+    refusals: usize,
+    given_up: usize,
+}
+
+impl Policy {
+    fn new(decide_ms: u64, each_ms: u64) -> Self {
+        Self {
+            times: PlacementPolicy {
+                base: ms(decide_ms),
+                per_worker: ms(each_ms),
+                valid_for: VALID_FOR,
+            },
+            waiting: VecDeque::new(),
+            handled_at: None,
+            refused: HashSet::new(),
+            refusals: 0,
+            given_up: 0,
+        }
+    }
+
+    fn harness(&self) -> SchedulerHarness {
+        let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+        let mut config = (*config(Resources::default())).clone();
+        for queue in config.queues.values_mut() {
+            queue.placement_policy = Some(self.times);
+        }
+        harness.scheduler.set_config(Arc::new(config));
+        harness
+    }
+
+    /// Advances the time by `length`.
+    fn run(&mut self, harness: &mut SchedulerHarness, length: Duration) {
+        let end = harness.now + length;
+        while harness.now < end {
+            self.give_up(harness);
+            self.respond(harness);
+            for command in harness.scheduler.plan(harness.unix, harness.now) {
+                match command {
+                    Command::QueryPolicy(query) => self.receive(harness, query),
+                    command => harness.execute(command),
+                }
+            }
+            harness.commit_writes();
+            harness.now += ms(5);
+        }
+    }
+
+    fn receive(&mut self, harness: &mut SchedulerHarness, query: PolicyQuery) {
+        if self.waiting.len() > WAITING_MAX {
+            self.refusals += 1;
+            let (error, now) = (PolicyError::Busy, harness.now);
+            harness.scheduler.handle_policy_response(&query, Err(error), now, now);
+            return;
+        }
+        self.waiting.push_back(Waiting { query, sent: harness.now, is_given_up: false });
+    }
+
+    fn give_up(&mut self, harness: &mut SchedulerHarness) {
+        let now = harness.now;
+        for waiting in &mut self.waiting {
+            if waiting.is_given_up || now < waiting.sent + waiting.query.timeout {
+                continue;
+            }
+            waiting.is_given_up = true;
+            self.given_up += 1;
+            let error = Err(PolicyError::Unanswered);
+            harness.scheduler.handle_policy_response(&waiting.query, error, waiting.sent, now);
+        }
+    }
+
+    fn respond(&mut self, harness: &mut SchedulerHarness) {
+        let now = harness.now;
+        let Some(first) = self.waiting.front() else { return };
+        let handling = self.times.handling_time(first.query.workers.len());
+        let handled_at = *self.handled_at.get_or_insert(now + handling);
+        if now < handled_at {
+            return;
+        }
+        self.handled_at = None;
+        let Some(first) = self.waiting.pop_front().filter(|first| !first.is_given_up) else {
+            return;
+        };
+        let allowed = first.query.workers.iter().filter(|worker| !self.refused.contains(*worker));
+        let ticket = |worker: &WorkerId| Ticket { worker: worker.clone(), proof: "t".into() };
+        let tickets = allowed.map(ticket).collect();
+        let response = Ok(PolicyResponse { tickets, valid_for: VALID_FOR });
+        harness.scheduler.handle_policy_response(&first.query, response, first.sent, now);
+    }
+}
+
+/// Jobs of which a task has started.
+fn started(harness: &SchedulerHarness) -> usize {
+    let runs = harness.running.values().flatten();
+    runs.map(|(task, _)| task.step.job).collect::<HashSet<JobId>>().len()
+}
+
+/// Submits a burst of jobs of four tasks, and checks that each one starts, at the latest when the
+/// policy can have handled a query of twelve workers for each and a little later.
+fn check_burst(decide_ms: u64, each_ms: u64) {
+    let mut policy = Policy::new(decide_ms, each_ms);
+    let mut harness = policy.harness();
+    for job in 1..=BURST_JOBS {
+        harness.submit(job, vec![step(4, 1, &[])]);
+    }
+    let per_query = policy.times.handling_time(12) + ms(100);
+    policy.run(&mut harness, per_query * BURST_JOBS as u32);
+    assert_eq!(started(&harness), BURST_JOBS as usize);
+    assert_eq!((policy.given_up, policy.refusals), (0, 0));
+}
+
+macro_rules! bursts {
+    ($($name:ident: $decide_ms:expr, $each_ms:expr;)+) => {
+        $(#[test] fn $name() {
+            check_burst($decide_ms, $each_ms);
+        })+
+    };
+}
+
+// They guard against queries that are given up while the policy prepares the response.
+bursts! {
+    every_job_of_a_burst_starts_at_50_ms_and_5_ms_a_worker: 50, 5;
+    every_job_of_a_burst_starts_at_50_ms_and_60_ms_a_worker: 50, 60;
+    every_job_of_a_burst_starts_at_300_ms_and_5_ms_a_worker: 300, 5;
+    every_job_of_a_burst_starts_at_300_ms_and_40_ms_a_worker: 300, 40;
+    every_job_of_a_burst_starts_at_300_ms_and_60_ms_a_worker: 300, 60;
+    every_job_of_a_burst_starts_at_1_000_ms_and_5_ms_a_worker: 1_000, 5;
+    every_job_of_a_burst_starts_at_1_000_ms_and_60_ms_a_worker: 1_000, 60;
+}
+
+/// Guards against fewer named workers that are all refused.
+#[test]
+fn a_step_starts_on_the_only_worker_that_the_policy_allows() {
+    let mut policy = Policy::new(50, 60);
+    policy.refused = (1..WORKERS).map(|number| format!("w{number}").into()).collect();
+    let mut harness = policy.harness();
+    harness.submit(1, vec![step(1, 1, &[])]);
+    policy.run(&mut harness, ms(2_000));
+    assert_eq!(harness.running.get(&0).map(Vec::len), Some(1));
+}
+
+/// Guards against a policy that is slower than its configuration says, whose responses are all
+/// thrown away.
+#[test]
+fn jobs_start_although_the_policy_takes_four_times_as_long_as_configured() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    policy.times = PlacementPolicy { base: ms(1_200), per_worker: ms(160), ..policy.times };
+    for job in 1..=BURST_JOBS {
+        harness.submit(job, vec![step(4, 1, &[])]);
+    }
+    policy.run(&mut harness, policy.times.handling_time(12) * 2 * BURST_JOBS as u32);
+    assert_eq!(started(&harness), BURST_JOBS as usize);
+}
+
+/// Guards against a policy that is kept busy with calls that it refuses.
+#[test]
+fn after_a_refusal_for_too_many_calls_no_call_is_sent_for_a_while() {
+    let policy = Policy::new(50, 5).times;
+    let mut queue = PolicyQueue::default();
+    assert!(queue.may_send(&policy, ms(0)));
+    queue.send(&policy, 4, ms(0));
+    queue.handle_outcome(Some(&PolicyError::Busy), ms(10));
+    assert!(!queue.may_send(&policy, ms(500)));
+    assert!(queue.may_send(&policy, ms(510)));
+}
+
+/// Guards against a timeout that leaves out the calls that wait, given up or not.
+#[test]
+fn the_timeout_of_a_call_includes_the_calls_before_it() {
+    let policy = Policy::new(300, 40).times;
+    let mut queue = PolicyQueue::default();
+    assert_eq!(queue.send(&policy, 5, ms(0)), ms(2_000));
+    queue.handle_outcome(Some(&PolicyError::Unanswered), ms(100));
+    // 900 ms are left of both, twice that and a second, doubled after the first failure.
+    assert_eq!(queue.send(&policy, 5, ms(100)), ms(5_600));
+}
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -10,8 +10,9 @@
 use cassiafold_config::{InstanceId, ServiceId};
 use cassiafold_jobs::api::{Call, JobApi};
 use cassiafold_jobs::clients::{
-    CommandOutcome, FencingToken, MachineClient, MachineOutcome, PolicyClient, PolicyResponse,
-    PollError, PollRequest, PollResponse, StartRequest, WorkerAddress, WorkerClient,
+    CommandOutcome, FencingToken, MachineClient, MachineOutcome, PolicyClient, PolicyError,
+    PolicyResponse, PollError, PollRequest, PollResponse, StartRequest, WorkerAddress,
+    WorkerClient,
 };
 use cassiafold_jobs::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerEntry, WorkerId};
 use cassiafold_jobs::coalescing::WakeupCoalescing;
@@ -420,8 +421,13 @@
 }
 
 impl PolicyClient for NullClient {
-    async fn request_tickets(&self, _: StepId, _: Vec<WorkerId>) -> Option<PolicyResponse> {
-        None
+    async fn request_tickets(
+        &self,
+        _: StepId,
+        _: Vec<WorkerId>,
+        _: Duration,
+    ) -> Result<PolicyResponse, PolicyError> {
+        Err(PolicyError::Unanswered)
     }
 }
 
--- a/crates/jobs/tests/extremes.rs
+++ b/crates/jobs/tests/extremes.rs
@@ -243,7 +243,7 @@
     let ticket = |worker: &Arc<str>| Ticket { worker: worker.clone(), proof: "t".into() };
     let tickets = query.workers.iter().map(ticket).collect();
     let response = PolicyResponse { tickets, valid_for: Duration::MAX };
-    harness.scheduler.handle_policy_response(&query, Some(response), harness.now, harness.now);
+    harness.scheduler.handle_policy_response(&query, Ok(response), harness.now, harness.now);
     harness.run_for(ms(300));
     assert_eq!(harness.running(), 1, "the ticket is not used");
 }
