--- a/crates/jobs/src/cluster.rs
+++ b/crates/jobs/src/cluster.rs
@@ -58,7 +58,7 @@
     /// Service whose workers run its tasks.
     pub service: ServiceId,
     /// Priority among the queues of a service; 0 comes first.
-    pub priority: u8,
+    pub priority: u32,
     /// Failed runs of a task after which its job fails.
     pub attempts_max: u32,
     /// Factor on a job's critical path, for its latency objective.
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -195,7 +195,7 @@
         let queue = self.queue_of(job);
         Some(WaitingStep {
             step: id,
-            priority: queue.map_or(u8::MAX, |queue| queue.priority),
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
             long_running: spec.long_running,
             exceeds_share: job.exceeds_share,
             accepted: occurrence.due,
--- a/crates/jobs/src/step_order.rs
+++ b/crates/jobs/src/step_order.rs
@@ -13,7 +13,7 @@
     /// The step.
     pub step: StepId,
     /// Priority of its queue; 0 comes first.
-    pub priority: u8,
+    pub priority: u32,
     /// Whether it is long-running.
     pub long_running: bool,
     /// Whether its team had exceeded its share when the job was accepted.
@@ -37,7 +37,7 @@
     }
 
     /// Class of the step; lower classes are placed first.
-    fn class(&self, now: Moment) -> (bool, u8, bool, bool) {
+    fn class(&self, now: Moment) -> (bool, u32, bool, bool) {
         (!self.long_running, self.priority, self.exceeds_share, !self.can_meet_objective(now))
     }
 }
--- a/crates/platform/src/event.rs
+++ b/crates/platform/src/event.rs
@@ -11,5 +11,6 @@
         MachineUnreadable = 1105, Warn, "machine in the list of machines could not be read";
         MachineListUnreadable = 1106, Warn, "list of machines could not be read";
         LeaseTooShort = 1107, Warn, "lease given up: renewals take longer than it lasts";
+        ConfigPartUnreadable = 1108, Warn, "part of the configuration could not be read and is left out";
     }
 }
