Count dropped log lines in the metrics of an entry instance, too

Change: both register the counter through log_queue::register_metrics.

Before: the_metrics_of_an_entry_instance_count_dropped_log_lines failed (not on the page). After: it passes.

--- a/crates/cassiafold/src/entry.rs
+++ b/crates/cassiafold/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::dependencies::EntryDependencies;
 use crate::error::Result;
 use crate::event::EntryEvent;
+use crate::log_queue;
 use crate::usage::LocalUsage;
 
 /// Timeout of requests to the instance list and the instance control.
@@ -42,6 +43,7 @@
     let mut registry = Registry::with_prefix("cassiafold");
     let store_metrics = StoreMetrics::default();
     store_metrics.register(&mut registry);
+    log_queue::register_metrics(&mut registry);
     let client = settings.instance_id.clone();
     let store = EtcdStore::new(
         EtcdSettings {
--- a/crates/cassiafold/src/log_queue.rs
+++ b/crates/cassiafold/src/log_queue.rs
@@ -12,6 +12,7 @@
 
 use cassiafold_event::emit;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
 
 use crate::event::EntryEvent;
 
@@ -108,9 +109,10 @@
     }
 }
 
-/// Counter of the lines that were dropped.
-pub fn lines_dropped() -> Counter {
-    LINES_DROPPED.clone()
+/// Registers the counter of the lines that were dropped.
+pub fn register_metrics(registry: &mut Registry) {
+    let help = "Log lines that were dropped because the output took none";
+    registry.register("log_lines_dropped", help, LINES_DROPPED.clone());
 }
 
 impl Write for LogQueue {
--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -34,7 +34,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::error::{Error, Result};
-use crate::log_queue::lines_dropped;
+use crate::log_queue;
 
 /// Minimum time to live of the owner lease; the settings may require a longer one.
 const OWNER_LEASE_TTL: Duration = Duration::from_millis(1_200);
@@ -84,8 +84,7 @@
     store_metrics.register(&mut registry);
     let metrics = JobsMetrics::default();
     metrics.register(&mut registry);
-    let help = "Log lines that were dropped because the output took none";
-    registry.register("log_lines_dropped", help, lines_dropped());
+    log_queue::register_metrics(&mut registry);
     let clients = HttpPlatformClients::new(&settings, store_metrics);
     let (sender, desired_states) = DesiredStateSender::new();
     let api = JobApi::new(clients.clone(), desired_states.clone(), sender.clone(), metrics.clone());
--- a/crates/cassiafold/tests/processes/fleet.rs
+++ b/crates/cassiafold/tests/processes/fleet.rs
@@ -87,6 +87,14 @@
         call(self.callers, method, format!("/queues/portal/{path}"), key.to_owned(), new_id())
     }
 
+    /// Requests the metrics page.
+    pub async fn metrics(&self) -> String {
+        let path = "/metrics".to_owned();
+        let outcome =
+            call(self.operators, Method::GET, path, CREDENTIAL.to_owned(), new_id()).await;
+        outcome.body
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is alive");
--- a/crates/cassiafold/tests/processes/main.rs
+++ b/crates/cassiafold/tests/processes/main.rs
@@ -32,6 +32,14 @@
     }
 }
 
+/// Guards against log lines that are dropped unseen: both ways of running count them.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_metrics_of_an_entry_instance_count_dropped_log_lines() {
+    let fleet = Fleet::start(1, 1, BackendOptions::default(), |_| {}).await;
+    let metrics = fleet.entries[0].metrics().await;
+    assert!(metrics.contains("cassiafold_log_lines_dropped_total 0"), "{metrics}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_is_rejected_at_every_entry_instance_after_propagation() {
     let fleet = Fleet::start(3, 3, BackendOptions::default(), |_| {}).await;
