Let a later failure not shorten the pause before calls to the placement policy

With two short queries open, one answered 429 and then the other without a response, the next one was sent 200 ms later instead of at least 500 ms, to a policy that had just said that too many wait.

Cause: each failure set the end of the pause, whatever it was before. Beside it each step kept a delay of its own after a failure, which the pause includes.

Change: a pause only ever becomes longer; the step's own delay is removed.

Test: the_failure_of_a_second_call_does_not_shorten_the_pause_after_a_refusal, failed before ("assertion failed: !queue.may_send(&policy, ms(500))").

--- a/crates/jobs/src/policy_queue.rs
+++ b/crates/jobs/src/policy_queue.rs
@@ -75,14 +75,19 @@
             }
             Some(PolicyError::Busy) => {
                 let is_idle_in = self.idle_at.saturating_sub(now);
-                self.paused_until = now + is_idle_in.max(BUSY_DELAY).min(HANDLING_MAX);
+                self.pause(is_idle_in.max(BUSY_DELAY).min(HANDLING_MAX), now);
             }
             Some(PolicyError::Unanswered) => {
                 self.unanswered = self.unanswered.saturating_add(1);
-                self.paused_until = now + RETRY_DELAY;
+                self.pause(RETRY_DELAY, now);
             }
         }
     }
+
+    /// Sends no call for `length`, or until the end of a longer pause.
+    fn pause(&mut self, length: Duration, now: Moment) {
+        self.paused_until = self.paused_until.max(now.saturating_add(length));
+    }
 }
 
 impl PlacementPolicy {
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -18,8 +18,6 @@
 
 /// A ticket is not used within this time before it expires.
 const TICKET_MARGIN: Duration = Duration::from_millis(250);
-/// Delay before the next query about a step after one without a response.
-const QUERY_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// A query to the placement policy.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,7 +36,6 @@
     tickets: HashMap<WorkerSlot, (Arc<str>, Moment)>,
     refused: HashSet<WorkerSlot>,
     is_query_open: bool,
-    next_query: Moment,
 }
 
 impl Scheduler {
@@ -69,7 +66,7 @@
             return;
         }
         let step_tickets = self.step_tickets.entry(step).or_default();
-        if step_tickets.is_query_open || now < step_tickets.next_query {
+        if step_tickets.is_query_open {
             return;
         }
         let mut undecided: Vec<&Candidate> = candidates
@@ -113,7 +110,6 @@
         let response = match response {
             Ok(response) => response,
             Err(error) => {
-                step_tickets.next_query = now + QUERY_RETRY_DELAY;
                 log_failed_query(query, error, now.saturating_sub(sent));
                 return;
             }
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -218,3 +218,16 @@
     // 900 ms are left of both, twice that and a second, doubled after the first failure.
     assert_eq!(queue.send(&policy, 5, ms(100)), ms(5_600));
 }
+
+/// Guards against a pause that the failure of another open call ends early.
+#[test]
+fn the_failure_of_a_second_call_does_not_shorten_the_pause_after_a_refusal() {
+    let policy = Policy::new(50, 5).times;
+    let mut queue = PolicyQueue::default();
+    queue.send(&policy, 4, ms(0));
+    queue.send(&policy, 4, ms(0));
+    queue.handle_outcome(Some(&PolicyError::Busy), ms(10));
+    queue.handle_outcome(Some(&PolicyError::Unanswered), ms(20));
+    assert!(!queue.may_send(&policy, ms(500)));
+    assert!(queue.may_send(&policy, ms(510)));
+}
