Count the validity of tickets from their receipt, not from when the query was sent

Cause: a query of seven workers takes 580 ms, and tickets counted from when it was sent, less 250 ms, so they had expired when they came. They were never tried, and the step queried again, with the same outcome.

Change: a ticket is made when the policy has handled the query, so its validity counts from the receipt of the response, less 250 ms or a quarter of it. Each ticket in hand may be tried for 50 ms at least. If a policy makes its tickets before it takes its time, the worker refuses the start, and the next query of the step names half as many workers.

Tests (crates/jobs/tests/advice.rs; its workers now refuse starts without a valid ticket), all four failed before with no job of 8 started: every_job_of_a_burst_starts_with_tickets_that_are_valid_for_700_ms, every_job_of_a_burst_starts_with_tickets_that_are_valid_for_100_ms, every_job_starts_with_tickets_that_expire_while_many_workers_are_checked, every_job_of_a_burst_starts_although_the_policy_takes_longer_than_tickets_are_valid.

--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -46,6 +46,7 @@
         query: PolicyQuery,
         response: Result<PolicyResponse, PolicyError>,
         sent: Moment,
+        received: Moment,
     },
     Machine {
         command: MachineCommand,
@@ -112,7 +113,7 @@
             let sent = since_boot();
             let workers = query.workers.clone();
             let response = policy.request_tickets(query.step, workers, query.timeout).await;
-            Outcome::Policy { query, response, sent }
+            Outcome::Policy { query, response, sent, received: since_boot() }
         });
     }
 
@@ -243,8 +244,8 @@
                 self.scheduler.handle_throttle_outcome(worker, task, run, percent, outcome, now);
                 self.note_refusal(worker, outcome, now);
             }
-            Outcome::Policy { query, response, sent } => {
-                self.scheduler.handle_policy_response(&query, response, sent, now);
+            Outcome::Policy { query, response, sent, received } => {
+                self.scheduler.handle_policy_response(&query, response, sent, received);
             }
             Outcome::Machine { command, outcome } => {
                 self.scheduler.handle_machine_outcome(&command, outcome, now);
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -16,8 +16,12 @@
 use crate::placement::{Candidate, TaskRequirements};
 use crate::spec::StepId;
 
-/// A ticket is not used within this time before it expires.
-const TICKET_MARGIN: Duration = Duration::from_millis(250);
+/// A ticket is not used within this time before it expires, or the last quarter of its validity if
+/// that is shorter.
+const TICKET_MARGIN_MAX: Duration = Duration::from_millis(250);
+/// For this long a ticket is used whatever its validity: a start that is refused costs less than a
+/// response that is never used.
+const TICKET_USE_MIN: Duration = Duration::from_millis(50);
 
 /// A query to the placement policy.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +40,10 @@
     tickets: HashMap<WorkerSlot, (Arc<str>, Moment)>,
     refused: HashSet<WorkerSlot>,
     is_query_open: bool,
+    /// Workers that the last query named.
+    last_named: usize,
+    /// Maximum number of workers in a query, if tickets of a longer one were refused.
+    named_max: Option<usize>,
 }
 
 impl Scheduler {
@@ -84,8 +92,9 @@
             let has_room = candidate.tasks_that_fit(requirements) > 0;
             Reverse((has_room, candidate.free.processors_milli))
         });
-        undecided.truncate(policy.workers_max());
+        undecided.truncate(step_tickets.named_max.unwrap_or(policy.workers_max()));
         step_tickets.is_query_open = true;
+        step_tickets.last_named = undecided.len();
         let timeout = self.policy_queue.send(&policy, undecided.len(), now);
         let workers = undecided
             .iter()
@@ -94,15 +103,17 @@
         commands.push(Command::QueryPolicy(PolicyQuery { step, workers, timeout }));
     }
 
-    /// Handles the response to a query that was sent at `sent`.
+    /// Handles the response to a query that was sent at `sent`. The tickets count from `received`:
+    /// the policy makes them when it has handled the query, however long that takes. If it made
+    /// them earlier, workers refuse them.
     pub fn handle_policy_response(
         &mut self,
         query: &PolicyQuery,
         response: Result<PolicyResponse, PolicyError>,
         sent: Moment,
-        now: Moment,
+        received: Moment,
     ) {
-        self.policy_queue.handle_outcome(response.as_ref().err(), now);
+        self.policy_queue.handle_outcome(response.as_ref().err(), received);
         self.mark_job_service_changed(query.step.job);
         let current_slots = &self.current_slots;
         let Some(step_tickets) = self.step_tickets.get_mut(&query.step) else { return };
@@ -110,11 +121,11 @@
         let response = match response {
             Ok(response) => response,
             Err(error) => {
-                log_failed_query(query, error, now.saturating_sub(sent));
+                log_failed_query(query, error, received.saturating_sub(sent));
                 return;
             }
         };
-        let until = sent.saturating_add(response.valid_for.saturating_sub(TICKET_MARGIN));
+        let until = received.saturating_add(usable_for(response.valid_for));
         for id in &query.workers {
             let Some(slot) = current_slots.get(id).copied() else { continue };
             match response.tickets.iter().find(|ticket| ticket.worker == *id) {
@@ -128,14 +139,22 @@
         }
     }
 
-    /// Removes a ticket that a worker refused.
+    /// Removes a ticket that a worker refused. It may have expired while the policy handled the
+    /// query, so the next one about the step names fewer workers.
     pub(super) fn discard_ticket(&mut self, step: StepId, slot: WorkerSlot) {
         if let Some(step_tickets) = self.step_tickets.get_mut(&step) {
             step_tickets.tickets.remove(&slot);
+            step_tickets.named_max = Some((step_tickets.last_named / 2).max(1));
         }
     }
 }
 
+/// Time from the receipt of a ticket for which it is used.
+fn usable_for(valid_for: Duration) -> Duration {
+    let margin = TICKET_MARGIN_MAX.min(valid_for / 4);
+    (valid_for - margin).max(TICKET_USE_MIN)
+}
+
 fn log_failed_query(query: &PolicyQuery, error: PolicyError, elapsed: Duration) {
     emit!(
         JobsEvent::PolicyUnanswered,
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -4,15 +4,15 @@
 mod emulator;
 mod harness;
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{PolicyError, PolicyResponse, Ticket};
+use cassiafold_jobs::clients::{CommandOutcome, PolicyError, PolicyResponse, Refusal, Ticket};
 use cassiafold_jobs::cluster::{PlacementPolicy, WorkerId};
 use cassiafold_jobs::policy_queue::PolicyQueue;
 use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery};
-use cassiafold_jobs::spec::{JobId, Resources};
+use cassiafold_jobs::spec::{JobId, Resources, StepId};
 
 use self::emulator::{config, ms, step};
 use self::harness::SchedulerHarness;
@@ -34,9 +34,24 @@
     is_given_up: bool,
 }
 
-/// A placement policy that handles one query at a time, also those that were given up.
+/// A ticket that the policy has made.
+struct Issued {
+    step: StepId,
+    worker: WorkerId,
+    expires: Duration,
+}
+
+/// A placement policy that handles one query at a time, also those that were given up. Workers
+/// refuse a start without a valid ticket.
 struct Policy {
     times: PlacementPolicy,
+    /// Whether it makes the tickets when it begins to handle a query, not when it responds.
+    makes_tickets_first: bool,
+    issued: HashMap<Arc<str>, Issued>,
+    /// Starts that were refused for want of a valid ticket.
+    refused_starts: usize,
+    /// Queries that were handled.
+    handled: usize,
     waiting: VecDeque<Waiting>,
     /// When the first query in turn is handled.
     handled_at: Option<Duration>,
@@ -54,6 +69,10 @@
                 per_worker: ms(each_ms),
                 valid_for: VALID_FOR,
             },
+            makes_tickets_first: false,
+            issued: HashMap::new(),
+            refused_starts: 0,
+            handled: 0,
             waiting: VecDeque::new(),
             handled_at: None,
             refused: HashSet::new(),
@@ -81,6 +100,14 @@
             for command in harness.scheduler.plan(harness.unix, harness.now) {
                 match command {
                     Command::QueryPolicy(query) => self.receive(harness, query),
+                    Command::Start { worker, task, run, ticket }
+                        if !self.admits(harness, worker, task.step, ticket.as_deref()) =>
+                    {
+                        self.refused_starts += 1;
+                        let outcome = CommandOutcome::Refused(Refusal::NoTicket);
+                        let now = harness.now;
+                        harness.scheduler.handle_start_outcome(worker, task, run, outcome, now);
+                    }
                     command => harness.execute(command),
                 }
             }
@@ -89,6 +116,21 @@
         }
     }
 
+    /// Whether a worker starts a task of `step` with this ticket.
+    fn admits(
+        &self,
+        harness: &SchedulerHarness,
+        worker: usize,
+        step: StepId,
+        ticket: Option<&str>,
+    ) -> bool {
+        let issued = ticket.and_then(|ticket| self.issued.get(ticket));
+        issued.is_some_and(|issued| {
+            let id = &harness.scheduler.worker(worker).entry.id;
+            issued.step == step && issued.worker == *id && harness.now <= issued.expires
+        })
+    }
+
     fn receive(&mut self, harness: &mut SchedulerHarness, query: PolicyQuery) {
         if self.waiting.len() > WAITING_MAX {
             self.refusals += 1;
@@ -121,13 +163,21 @@
             return;
         }
         self.handled_at = None;
+        self.handled += 1;
         let Some(first) = self.waiting.pop_front().filter(|first| !first.is_given_up) else {
             return;
         };
         let allowed = first.query.workers.iter().filter(|worker| !self.refused.contains(*worker));
-        let ticket = |worker: &WorkerId| Ticket { worker: worker.clone(), proof: "t".into() };
-        let tickets = allowed.map(ticket).collect();
-        let response = Ok(PolicyResponse { tickets, valid_for: VALID_FOR });
+        let made = if self.makes_tickets_first { handled_at - handling } else { handled_at };
+        let expires = made + self.times.valid_for;
+        let mut tickets = Vec::new();
+        for worker in allowed {
+            let proof: Arc<str> = format!("ticket-{}", self.issued.len()).into();
+            tickets.push(Ticket { worker: worker.clone(), proof: Arc::clone(&proof) });
+            let (step, worker) = (first.query.step, worker.clone());
+            self.issued.insert(proof, Issued { step, worker, expires });
+        }
+        let response = Ok(PolicyResponse { tickets, valid_for: self.times.valid_for });
         harness.scheduler.handle_policy_response(&first.query, response, first.sent, now);
     }
 }
@@ -141,7 +191,10 @@
 /// Submits a burst of jobs of four tasks, and checks that each one starts, at the latest when the
 /// policy can have handled a query of twelve workers for each and a little later.
 fn check_burst(decide_ms: u64, each_ms: u64) {
-    let mut policy = Policy::new(decide_ms, each_ms);
+    check_burst_of(Policy::new(decide_ms, each_ms));
+}
+
+fn check_burst_of(mut policy: Policy) {
     let mut harness = policy.harness();
     for job in 1..=BURST_JOBS {
         harness.submit(job, vec![step(4, 1, &[])]);
@@ -171,6 +224,45 @@
     every_job_of_a_burst_starts_at_1_000_ms_and_60_ms_a_worker: 1_000, 60;
 }
 
+/// Guards against a response that is thrown away because handling it took most of the time for
+/// which its tickets are valid.
+#[test]
+fn every_job_of_a_burst_starts_with_tickets_that_are_valid_for_700_ms() {
+    let mut policy = Policy::new(300, 40);
+    policy.times.valid_for = ms(700);
+    check_burst_of(policy);
+}
+
+/// Guards against the same where tickets are valid for less time than the policy takes.
+#[test]
+fn every_job_of_a_burst_starts_with_tickets_that_are_valid_for_100_ms() {
+    let mut policy = Policy::new(300, 40);
+    policy.times.valid_for = ms(100);
+    check_burst_of(policy);
+}
+
+/// Guards against the same where the policy makes the tickets before it takes its time: with so
+/// many workers in a query they expire, and fewer have to be named.
+#[test]
+fn every_job_starts_with_tickets_that_expire_while_many_workers_are_checked() {
+    let mut policy = Policy::new(300, 40);
+    policy.times.valid_for = ms(500);
+    policy.makes_tickets_first = true;
+    let mut harness = policy.harness();
+    for job in 1..=BURST_JOBS {
+        harness.submit(job, vec![step(4, 1, &[])]);
+    }
+    policy.run(&mut harness, policy.times.handling_time(12) * 2 * BURST_JOBS as u32);
+    assert_eq!(started(&harness), BURST_JOBS as usize);
+}
+
+/// Guards against responses that are thrown away because the policy takes longer than tickets are
+/// valid.
+#[test]
+fn every_job_of_a_burst_starts_although_the_policy_takes_longer_than_tickets_are_valid() {
+    check_burst_of(Policy::new(3_200, 40));
+}
+
 /// Guards against fewer named workers that are all refused.
 #[test]
 fn a_step_starts_on_the_only_worker_that_the_policy_allows() {
