Use late responses of the placement policy, too, and expect what the last one took

Callers saw: with a policy that takes longer than its configuration says, each query was given up, thrown away, and asked again behind itself; the job starts late or, where the policy takes more than about ten times its stated time, never.

Cause: a timeout that follows the stated times and grows to four times that, and no further; a response that came after it was of no use.

What the last call took counts for the calls that follow. Queries are dropped when the owner's term ends, so that they don't wait before those of a later term. With one long query open at a time, as before.

The test of the timeout of a call has the same bounds and is now one of when it is late; the bursts check that no query is late, besides that none is given up.

Not tested: that queries are dropped at the end of a term.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -36,6 +36,7 @@
         EntryIgnored = 1632, Warn, "entry in the list of workers names no worker to use";
         ResponseLate = 1633, Info, "response of an earlier incarnation of a worker discarded";
         PolicyUnanswered = 1634, Info, "query to the placement policy got no response";
+        PolicyLate = 1635, Info, "response of the placement policy is late; it is awaited beside the next query";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
         OwnerEnded = 1641, Info, "this instance is no longer the owner";
         ConfigInForce = 1642, Info, "configuration in force";
--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -107,12 +107,19 @@
         });
     }
 
+    /// Sends a query to the placement policy; it is dropped when the owner's loop ends.
     fn query_policy(&mut self, query: PolicyQuery) {
         let policy = self.platform.policy().clone();
+        let sender = self.sender.clone();
         self.run(async move {
             let sent = since_boot();
             let workers = query.workers.clone();
-            let response = policy.request_tickets(query.step, workers, query.timeout).await;
+            let response = tokio::select! {
+                response = policy.request_tickets(query.step, workers, query.call.timeout) => {
+                    response
+                }
+                () = sender.closed() => Err(PolicyError::Unanswered),
+            };
             Outcome::Policy { query, response, sent, received: since_boot() }
         });
     }
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -14,6 +14,7 @@
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::placement::{Candidate, TaskRequirements};
+use crate::policy_queue::NewCall;
 use crate::spec::StepId;
 
 /// A ticket is not used within this time before it expires, or the last quarter of its validity if
@@ -30,8 +31,8 @@
     pub step: StepId,
     /// Workers to check.
     pub workers: Vec<WorkerId>,
-    /// Time after which it is given up.
-    pub timeout: Duration,
+    /// Its number and how long its response is awaited.
+    pub call: NewCall,
 }
 
 /// Tickets and refusals that the placement policy has returned for a step.
@@ -39,7 +40,6 @@
 pub(super) struct StepTickets {
     tickets: HashMap<WorkerSlot, (Arc<str>, Moment)>,
     refused: HashSet<WorkerSlot>,
-    is_query_open: bool,
     /// Workers that the last query named.
     last_named: usize,
     /// Maximum number of workers in a query, if tickets of a longer one were refused.
@@ -70,13 +70,10 @@
         commands: &mut Vec<Command>,
     ) {
         let Some(policy) = self.placement_policy(step) else { return };
-        if !self.policy_queue.may_send(&policy, now) {
+        if !self.policy_queue.may_send(&policy, now) || self.policy_queue.awaits(step, now) {
             return;
         }
         let step_tickets = self.step_tickets.entry(step).or_default();
-        if step_tickets.is_query_open {
-            return;
-        }
         let mut undecided: Vec<&Candidate> = candidates
             .iter()
             .filter(|candidate| {
@@ -93,14 +90,17 @@
             Reverse((has_room, candidate.free.processors_milli))
         });
         undecided.truncate(step_tickets.named_max.unwrap_or(policy.workers_max()));
-        step_tickets.is_query_open = true;
         step_tickets.last_named = undecided.len();
-        let timeout = self.policy_queue.send(&policy, undecided.len(), now);
+        let late = self.policy_queue.late_calls(now);
+        if late > 0 {
+            emit!(JobsEvent::PolicyLate, step = step, late = late);
+        }
+        let call = self.policy_queue.send(step, &policy, undecided.len(), now);
         let workers = undecided
             .iter()
             .map(|candidate| self.workers[candidate.slot].entry.id.clone())
             .collect();
-        commands.push(Command::QueryPolicy(PolicyQuery { step, workers, timeout }));
+        commands.push(Command::QueryPolicy(PolicyQuery { step, workers, call }));
     }
 
     /// Handles the response to a query that was sent at `sent`. The tickets count from `received`:
@@ -113,11 +113,10 @@
         sent: Moment,
         received: Moment,
     ) {
-        self.policy_queue.handle_outcome(response.as_ref().err(), received);
+        self.policy_queue.handle_outcome(query.call.number, response.as_ref().err(), received);
         self.mark_job_service_changed(query.step.job);
         let current_slots = &self.current_slots;
         let Some(step_tickets) = self.step_tickets.get_mut(&query.step) else { return };
-        step_tickets.is_query_open = false;
         let response = match response {
             Ok(response) => response,
             Err(error) => {
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -23,6 +23,8 @@
 const VALID_FOR: Duration = Duration::from_secs(3);
 /// Jobs of a burst, which are submitted at once.
 const BURST_JOBS: u64 = 8;
+/// A step, for tests of the queue of calls alone.
+const STEP: StepId = StepId { job: 1, occurrence: 0, step: 0 };
 /// Workers of a play.
 const WORKERS: usize = 14;
 
@@ -32,6 +34,8 @@
     sent: Duration,
     /// Whether the owner no longer waits for the response.
     is_given_up: bool,
+    /// Whether the owner no longer expects the response, though it waits for it.
+    is_late: bool,
 }
 
 /// A ticket that the policy has made.
@@ -59,6 +63,9 @@
     refused: HashSet<WorkerId>,
     refusals: usize,
     given_up: usize,
+    late: usize,
+    /// Whether the next response is lost.
+    loses_next: bool,
 }
 
 impl Policy {
@@ -78,6 +85,8 @@
             refused: HashSet::new(),
             refusals: 0,
             given_up: 0,
+            late: 0,
+            loses_next: false,
         }
     }
 
@@ -138,13 +147,21 @@
             harness.scheduler.handle_policy_response(&query, Err(error), now, now);
             return;
         }
-        self.waiting.push_back(Waiting { query, sent: harness.now, is_given_up: false });
+        self.waiting.push_back(Waiting {
+            query,
+            sent: harness.now,
+            is_given_up: false,
+            is_late: false,
+        });
     }
 
     fn give_up(&mut self, harness: &mut SchedulerHarness) {
         let now = harness.now;
         for waiting in &mut self.waiting {
-            if waiting.is_given_up || now < waiting.sent + waiting.query.timeout {
+            let is_late = now >= waiting.sent + waiting.query.call.late_after;
+            self.late += usize::from(is_late && !waiting.is_late);
+            waiting.is_late = is_late;
+            if waiting.is_given_up || now < waiting.sent + waiting.query.call.timeout {
                 continue;
             }
             waiting.is_given_up = true;
@@ -167,6 +184,9 @@
         let Some(first) = self.waiting.pop_front().filter(|first| !first.is_given_up) else {
             return;
         };
+        if std::mem::take(&mut self.loses_next) {
+            return;
+        }
         let allowed = first.query.workers.iter().filter(|worker| !self.refused.contains(*worker));
         let made = if self.makes_tickets_first { handled_at - handling } else { handled_at };
         let expires = made + self.times.valid_for;
@@ -202,7 +222,7 @@
     let per_query = policy.times.handling_time(12) + ms(100);
     policy.run(&mut harness, per_query * BURST_JOBS as u32);
     assert_eq!(started(&harness), BURST_JOBS as usize);
-    assert_eq!((policy.given_up, policy.refusals), (0, 0));
+    assert_eq!((policy.late, policy.given_up, policy.refusals), (0, 0, 0));
 }
 
 macro_rules! bursts {
@@ -288,27 +308,71 @@
     assert_eq!(started(&harness), BURST_JOBS as usize);
 }
 
+/// Guards against a response that is thrown away because it comes later than the configuration says.
+#[test]
+fn a_job_starts_with_the_first_response_although_it_takes_30_times_as_long_as_configured() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    policy.times = PlacementPolicy { base: ms(9_000), per_worker: ms(1_200), ..policy.times };
+    harness.submit(1, vec![step(4, 1, &[])]);
+    policy.run(&mut harness, policy.times.handling_time(7) + ms(100));
+    assert_eq!((started(&harness), policy.given_up), (1, 0));
+}
+
+/// Guards against a response that is lost and awaited for minutes.
+#[test]
+fn a_step_is_asked_about_again_once_the_response_is_late() {
+    let mut policy = Policy::new(300, 40);
+    policy.loses_next = true;
+    let mut harness = policy.harness();
+    harness.submit(1, vec![step(4, 1, &[])]);
+    policy.run(&mut harness, policy.times.handling_time(12) * 4 + ms(1_000));
+    assert_eq!((started(&harness), policy.handled), (1, 2));
+}
+
 /// Guards against a policy that is kept busy with calls that it refuses.
 #[test]
 fn after_a_refusal_for_too_many_calls_no_call_is_sent_for_a_while() {
     let policy = Policy::new(50, 5).times;
     let mut queue = PolicyQueue::default();
     assert!(queue.may_send(&policy, ms(0)));
-    queue.send(&policy, 4, ms(0));
-    queue.handle_outcome(Some(&PolicyError::Busy), ms(10));
+    let call = queue.send(STEP, &policy, 4, ms(0));
+    queue.handle_outcome(call.number, Some(&PolicyError::Busy), ms(10));
     assert!(!queue.may_send(&policy, ms(500)));
     assert!(queue.may_send(&policy, ms(510)));
 }
 
-/// Guards against a timeout that leaves out the calls that wait, given up or not.
+/// Guards against an expectation that leaves out the calls that wait, failed or not.
 #[test]
-fn the_timeout_of_a_call_includes_the_calls_before_it() {
+fn the_time_after_which_a_call_is_late_includes_the_calls_before_it() {
     let policy = Policy::new(300, 40).times;
     let mut queue = PolicyQueue::default();
-    assert_eq!(queue.send(&policy, 5, ms(0)), ms(2_000));
-    queue.handle_outcome(Some(&PolicyError::Unanswered), ms(100));
+    let first = queue.send(STEP, &policy, 5, ms(0));
+    assert_eq!(first.late_after, ms(2_000));
+    queue.handle_outcome(first.number, Some(&PolicyError::Unanswered), ms(100));
     // 900 ms are left of both, twice that and a second, doubled after the first failure.
-    assert_eq!(queue.send(&policy, 5, ms(100)), ms(5_600));
+    assert_eq!(queue.send(STEP, &policy, 5, ms(100)).late_after, ms(5_600));
+}
+
+/// Guards against a call that is sent beside one that is not late, and against none beside one that
+/// is.
+#[test]
+fn a_second_long_call_is_sent_once_the_first_is_late_and_not_before() {
+    let policy = Policy::new(300, 40).times;
+    let mut queue = PolicyQueue::default();
+    queue.send(STEP, &policy, 5, ms(0));
+    assert!(queue.awaits(STEP, ms(1_999)) && !queue.may_send(&policy, ms(1_999)));
+    assert!(!queue.awaits(STEP, ms(2_000)) && queue.may_send(&policy, ms(2_000)));
+}
+
+/// Guards against expectations that follow the stated times only.
+#[test]
+fn a_call_is_late_only_after_the_time_that_the_call_before_it_took() {
+    let policy = Policy::new(300, 40).times;
+    let mut queue = PolicyQueue::default();
+    let first = queue.send(STEP, &policy, 5, ms(0));
+    queue.handle_outcome(first.number, None, ms(5_000));
+    assert_eq!(queue.send(STEP, &policy, 5, ms(5_000)).late_after, ms(11_000));
 }
 
 /// Guards against a pause that the failure of another open call ends early.
@@ -316,10 +380,9 @@
 fn the_failure_of_a_second_call_does_not_shorten_the_pause_after_a_refusal() {
     let policy = Policy::new(50, 5).times;
     let mut queue = PolicyQueue::default();
-    queue.send(&policy, 4, ms(0));
-    queue.send(&policy, 4, ms(0));
-    queue.handle_outcome(Some(&PolicyError::Busy), ms(10));
-    queue.handle_outcome(Some(&PolicyError::Unanswered), ms(20));
+    let calls = [queue.send(STEP, &policy, 4, ms(0)), queue.send(STEP, &policy, 4, ms(0))];
+    queue.handle_outcome(calls[0].number, Some(&PolicyError::Busy), ms(10));
+    queue.handle_outcome(calls[1].number, Some(&PolicyError::Unanswered), ms(20));
     assert!(!queue.may_send(&policy, ms(500)));
     assert!(queue.may_send(&policy, ms(510)));
 }
