Give each job its turn at the placement policy, and ask only what can be used

Cause: one query is sent at a time, and it went to the first step in the order of placement that had a use for one, within the service that was planned first after a response. Steps of a late job that was accepted earlier, steps whose tickets expire unused, steps larger than every worker, and the steps of one service before those of another came first again and again.

Change: a planning pass notes the queries that its steps want and sends those with the highest rank: steps that can start now; not those whose response is late; jobs whose last turn was a second ago or more, by that time; then the order of placement. Services in which steps wait for the policy are planned when it can be queried. Workers that could not run the task when they are idle are not named; a step without room is asked about at ever longer intervals.

Ruled out: late jobs behind those that may still be in time. The usual jobs were the ones in time; what came before them is the turn of each query.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -66,6 +66,11 @@
         has_label && is_below_max && !self.would_join_suspects(requirements)
     }
 
+    /// Whether a task may run on it once it runs nothing else.
+    pub fn can_run(&self, requirements: &TaskRequirements) -> bool {
+        requirements.reserved.fits(&self.capacity) && self.qualifies(requirements)
+    }
+
     /// Whether two suspected tasks would start on it at the same time. Those of one job may.
     fn would_join_suspects(&self, requirements: &TaskRequirements) -> bool {
         let (starting, suspect) = (self.starting_suspect, requirements.suspect_of);
@@ -191,15 +196,12 @@
 ///
 /// Otherwise many small tasks would take any capacity that becomes free, and a large task would
 /// never start.
-pub fn choose_reservation(
+pub fn choose_reservation<'a>(
     requirements: &TaskRequirements,
-    candidates: &[Candidate],
+    candidates: impl Iterator<Item = &'a Candidate>,
 ) -> Option<WorkerSlot> {
-    let suitable = candidates.iter().filter(|candidate| {
-        requirements.reserved.fits(&candidate.capacity)
-            && candidate.qualifies(requirements)
-            && !candidate.is_suspect
-    });
+    let suitable =
+        candidates.filter(|candidate| candidate.can_run(requirements) && !candidate.is_suspect);
     suitable.max_by_key(|candidate| candidate.free.processors_milli).map(|candidate| candidate.slot)
 }
 
--- a/crates/jobs/src/policy_queue.rs
+++ b/crates/jobs/src/policy_queue.rs
@@ -104,6 +104,11 @@
         self.open.iter().any(|call| call.step == step && now < call.late_at)
     }
 
+    /// Whether a call about a step is open and late.
+    pub fn awaits_late(&self, step: StepId, now: Moment) -> bool {
+        self.open.iter().any(|call| call.step == step && now >= call.late_at)
+    }
+
     /// Number of open calls that are late.
     pub fn late_calls(&self, now: Moment) -> usize {
         self.open.iter().filter(|call| now >= call.late_at).count()
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -46,7 +46,7 @@
 pub use self::maintenance::MachineCommand;
 use self::maintenance::{SentCommand, WaveProgress};
 pub use self::policy_queries::PolicyQuery;
-use self::policy_queries::StepTickets;
+use self::policy_queries::{StepTickets, WantedQuery};
 use self::steps::StepsByService;
 use self::unresponsive_machines::UnresponsiveMachines;
 use self::workers::EndedIncarnation;
@@ -54,7 +54,7 @@
 use crate::arrivals::Arrivals;
 use crate::balance::PeakNeed;
 use crate::clients::{FencingToken, WorkerAddress};
-use crate::cluster::{ClusterConfig, Queue, QueueId, Wave, WaveNumber, WorkerId};
+use crate::cluster::{ClusterConfig, PlacementPolicy, Queue, QueueId, Wave, WaveNumber, WorkerId};
 use crate::estimate::RunTimeRatio;
 use crate::job::{Job, WorkerSlot};
 use crate::policy_queue::PolicyQueue;
@@ -222,6 +222,12 @@
     stopping: Vec<(WorkerSlot, TaskId)>,
     step_tickets: HashMap<StepId, StepTickets>,
     policy_queue: PolicyQueue,
+    /// When the last query about each job was sent, or first wanted.
+    policy_turns: HashMap<JobId, Moment>,
+    /// Queries that the current planning pass wants.
+    wanted_queries: Vec<WantedQuery>,
+    /// Services in which steps wait until their placement policy can be queried.
+    awaiting_policy: HashMap<ServiceId, PlacementPolicy>,
     machines: MachineList,
     /// When the current list of machines was requested.
     machines_listed_at: Option<Moment>,
@@ -309,6 +315,9 @@
             stopping: Vec::new(),
             step_tickets: HashMap::new(),
             policy_queue: PolicyQueue::default(),
+            policy_turns: HashMap::new(),
+            wanted_queries: Vec::new(),
+            awaiting_policy: HashMap::new(),
             machines: MachineList::default(),
             machines_listed_at: None,
             is_machine_list_requested: false,
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -229,7 +229,7 @@
         }
         self.ready_steps.remove_job(&service, id);
         self.waiting_steps.remove_job(&service, id);
-        self.step_tickets.retain(|step, _| step.job != id);
+        self.forget_tickets(id);
         self.record_end(id, now);
         self.changed_services.insert(service);
     }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -50,6 +50,7 @@
             self.plan_throttling(now, &mut commands);
         }
         self.issue_machine_moves(now, &mut commands);
+        self.plan_services_awaiting_policy(now);
         for service in std::mem::take(&mut self.changed_services) {
             if self.next_placement.get(&service).is_some_and(|until| now < *until) {
                 self.changed_services.insert(service);
@@ -57,6 +58,7 @@
             }
             self.plan_service(&service, now, &mut commands);
         }
+        self.send_wanted_queries(now, &mut commands);
         commands.extend(self.due_stop_commands(now));
         self.due_polls(now, &mut commands);
         commands
@@ -127,7 +129,7 @@
                 unplaced.record(&requirements);
             }
             if may_reserve {
-                let reserved_slot = choose_reservation(&requirements, &candidates);
+                let reserved_slot = choose_reservation(&requirements, candidates.iter());
                 reserved_count += usize::from(reserved_slot.is_some());
                 candidates.retain(|candidate| Some(candidate.slot) != reserved_slot);
             }
@@ -264,7 +266,7 @@
 
     /// Starts as many of the `waiting` tasks of a step as fit, of a gang all members or none;
     /// returns the requirements of a task if some did not fit. If the placement policy may allow
-    /// further workers, it is queried about them.
+    /// further workers, a query about them is wanted.
     pub(super) fn place_tasks(
         &mut self,
         id: StepId,
@@ -274,7 +276,7 @@
         commands: &mut Vec<Command>,
     ) -> Option<TaskRequirements> {
         let unplaced = self.place_allowed_tasks(id, waiting, candidates, now, commands)?;
-        self.query_policy(id, &unplaced, candidates, now, commands);
+        self.want_query(id, &unplaced, candidates, now);
         Some(unplaced)
     }
 
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -15,7 +15,7 @@
 use crate::job::WorkerSlot;
 use crate::placement::{Candidate, TaskRequirements};
 use crate::policy_queue::NewCall;
-use crate::spec::StepId;
+use crate::spec::{JobId, StepId};
 
 /// A ticket is not used within this time before it expires, or the last quarter of its validity if
 /// that is shorter.
@@ -35,15 +35,66 @@
     pub call: NewCall,
 }
 
+/// A job whose last query was sent this long ago, or that has waited as long for its first one, is
+/// asked about before jobs that come first otherwise.
+const TURN_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of queries ahead of room for a step after which the time to the next one is no longer
+/// doubled.
+const AHEAD_DOUBLINGS_MAX: u32 = 5;
+
 /// Tickets and refusals that the placement policy has returned for a step.
 #[derive(Debug, Default)]
 pub(super) struct StepTickets {
     tickets: HashMap<WorkerSlot, (Arc<str>, Moment)>,
     refused: HashSet<WorkerSlot>,
+    /// When the last query was sent.
+    last_query: Option<Moment>,
     /// Workers that the last query named.
     last_named: usize,
     /// Maximum number of workers in a query, if tickets of a longer one were refused.
     named_max: Option<usize>,
+    /// Queries that were sent while no worker had room.
+    ahead: u32,
+    /// When the next one may be sent while no worker has room.
+    next_ahead: Moment,
+}
+
+/// A query that a step can use.
+#[derive(Debug)]
+pub(super) struct WantedQuery {
+    step: StepId,
+    policy: PlacementPolicy,
+    workers: Vec<WorkerSlot>,
+    /// Whether no worker has room for a task yet.
+    is_ahead: bool,
+}
+
+/// Order in which wanted queries are sent; the least comes first. Those of a planning pass that are
+/// equal follow the order of placement.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueryRank {
+    is_ahead: bool,
+    /// Whether the response to an earlier query about the step is late.
+    awaits_late: bool,
+    /// When the job had its last turn; [`Moment::MAX`] unless that is long ago.
+    overdue_since: Moment,
+    last_query: Option<Moment>,
+}
+
+impl StepTickets {
+    fn is_valid(&self, slot: WorkerSlot, now: Moment) -> bool {
+        self.tickets.get(&slot).is_some_and(|(_, until)| now < *until)
+    }
+
+    fn note_query(&mut self, query: &WantedQuery, now: Moment) {
+        self.last_query = Some(now);
+        self.last_named = query.workers.len();
+        if query.is_ahead {
+            let delay = query.policy.valid_for * (1 << self.ahead.min(AHEAD_DOUBLINGS_MAX));
+            self.next_ahead = now.saturating_add(delay);
+            self.ahead += 1;
+        }
+    }
 }
 
 impl Scheduler {
@@ -59,48 +110,108 @@
         valid.map(|(slot, (proof, _))| (*slot, proof.clone())).collect()
     }
 
-    /// Queries the placement policy about the candidates that have neither a valid ticket nor a
-    /// refusal, about those first that have room for a task.
-    pub(super) fn query_policy(
+    /// Plans the services in which steps wait for the placement policy, if it can be queried.
+    pub(super) fn plan_services_awaiting_policy(&mut self, now: Moment) {
+        let policy_queue = &self.policy_queue;
+        let may_query = |policy: &PlacementPolicy| policy_queue.may_send(policy, now);
+        for (service, _) in self.awaiting_policy.extract_if(|_, policy| may_query(policy)) {
+            self.next_placement.remove(&service);
+            self.changed_services.insert(service);
+        }
+    }
+
+    /// Notes a query to the placement policy about the candidates that could run a task and have
+    /// neither a valid ticket nor a refusal, those with room first.
+    ///
+    /// While none of them has room, the policy is queried ever more rarely.
+    pub(super) fn want_query(
         &mut self,
         step: StepId,
         requirements: &TaskRequirements,
         candidates: &[Candidate],
         now: Moment,
-        commands: &mut Vec<Command>,
     ) {
         let Some(policy) = self.placement_policy(step) else { return };
-        if !self.policy_queue.may_send(&policy, now) || self.policy_queue.awaits(step, now) {
+        if self.policy_queue.awaits(step, now) {
+            return;
+        }
+        self.policy_turns.entry(step.job).or_insert(now);
+        if !self.policy_queue.may_send(&policy, now) {
+            self.await_policy(step, policy);
             return;
         }
         let step_tickets = self.step_tickets.entry(step).or_default();
-        let mut undecided: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|candidate| {
-                let is_valid =
-                    step_tickets.tickets.get(&candidate.slot).is_some_and(|(_, at)| now < *at);
-                !is_valid && !step_tickets.refused.contains(&candidate.slot)
-            })
-            .collect();
-        if undecided.is_empty() {
+        let is_undecided = |candidate: &&Candidate| {
+            !step_tickets.is_valid(candidate.slot, now)
+                && !step_tickets.refused.contains(&candidate.slot)
+                && candidate.can_run(requirements)
+        };
+        let mut undecided: Vec<&Candidate> = candidates.iter().filter(is_undecided).collect();
+        let has_room = |candidate: &Candidate| candidate.tasks_that_fit(requirements) > 0;
+        let is_ahead = !undecided.iter().any(|candidate| has_room(candidate));
+        if undecided.is_empty() || is_ahead && now < step_tickets.next_ahead {
             return;
         }
         undecided.sort_by_key(|candidate| {
-            let has_room = candidate.tasks_that_fit(requirements) > 0;
-            Reverse((has_room, candidate.free.processors_milli))
+            Reverse((has_room(candidate), candidate.free.processors_milli))
         });
         undecided.truncate(step_tickets.named_max.unwrap_or(policy.workers_max()));
-        step_tickets.last_named = undecided.len();
+        let workers = undecided.iter().map(|candidate| candidate.slot).collect();
+        self.wanted_queries.push(WantedQuery { step, policy, workers, is_ahead });
+    }
+
+    fn await_policy(&mut self, step: StepId, policy: PlacementPolicy) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        self.awaiting_policy.insert(job.record.service.clone(), policy);
+    }
+
+    /// Sends the queries that this planning pass wants, as many as the placement policy should get.
+    pub(super) fn send_wanted_queries(&mut self, now: Moment, commands: &mut Vec<Command>) {
+        let mut wanted = std::mem::take(&mut self.wanted_queries);
+        wanted.sort_by_cached_key(|query| self.rank(query, now));
+        for query in wanted {
+            if self.policy_queue.awaits(query.step, now) {
+                continue;
+            }
+            match self.policy_queue.may_send(&query.policy, now) {
+                true => commands.push(self.send_query(query, now)),
+                false => self.await_policy(query.step, query.policy),
+            }
+        }
+    }
+
+    /// Queries about steps that can start now come first, then those of jobs that have waited long
+    /// for their turn, then the others in the order of placement.
+    fn rank(&self, query: &WantedQuery, now: Moment) -> QueryRank {
+        let turn = self.policy_turns.get(&query.step.job).copied();
+        let overdue_turn = turn.filter(|at| now.saturating_sub(*at) >= TURN_INTERVAL);
+        let step_tickets = self.step_tickets.get(&query.step);
+        QueryRank {
+            is_ahead: query.is_ahead,
+            awaits_late: self.policy_queue.awaits_late(query.step, now),
+            overdue_since: overdue_turn.unwrap_or(Moment::MAX),
+            last_query: step_tickets.and_then(|tickets| tickets.last_query),
+        }
+    }
+
+    fn send_query(&mut self, query: WantedQuery, now: Moment) -> Command {
+        self.policy_turns.insert(query.step.job, now);
+        self.step_tickets.entry(query.step).or_default().note_query(&query, now);
+        let WantedQuery { step, policy, workers, .. } = query;
         let late = self.policy_queue.late_calls(now);
         if late > 0 {
             emit!(JobsEvent::PolicyLate, step = step, late = late);
         }
-        let call = self.policy_queue.send(step, &policy, undecided.len(), now);
-        let workers = undecided
-            .iter()
-            .map(|candidate| self.workers[candidate.slot].entry.id.clone())
-            .collect();
-        commands.push(Command::QueryPolicy(PolicyQuery { step, workers, call }));
+        let call = self.policy_queue.send(step, &policy, workers.len(), now);
+        let id = |slot: &WorkerSlot| self.workers[*slot].entry.id.clone();
+        let workers = workers.iter().map(id).collect();
+        Command::QueryPolicy(PolicyQuery { step, workers, call })
+    }
+
+    /// Removes what is known of a job that has ended.
+    pub(super) fn forget_tickets(&mut self, job: JobId) {
+        self.step_tickets.retain(|step, _| step.job != job);
+        self.policy_turns.remove(&job);
     }
 
     /// Handles the response to a query that was sent at `sent`. The tickets count from `received`:
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -8,14 +8,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{CommandOutcome, PolicyError, PolicyResponse, Refusal, Ticket};
-use cassiafold_jobs::cluster::{PlacementPolicy, WorkerId};
+use cassiafold_jobs::clients::{
+    CommandOutcome, EndedRun, PolicyError, PolicyResponse, PollResponse, Refusal, RunEnd, Ticket,
+};
+use cassiafold_jobs::cluster::{PlacementPolicy, Service, WorkerEntry, WorkerId};
 use cassiafold_jobs::policy_queue::PolicyQueue;
+use cassiafold_jobs::record::JobRecord;
 use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery};
-use cassiafold_jobs::spec::{JobId, Resources, StepId};
+use cassiafold_jobs::spec::{JobId, Resources, StepId, StepSpec};
 
-use self::emulator::{config, ms, step};
-use self::harness::SchedulerHarness;
+use self::emulator::{config, job, ms, step};
+use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
 
 /// Queries that may wait; a further one is refused.
 const WAITING_MAX: usize = 32;
@@ -25,6 +28,10 @@
 const BURST_JOBS: u64 = 8;
 /// A step, for tests of the queue of calls alone.
 const STEP: StepId = StepId { job: 1, occurrence: 0, step: 0 };
+/// Longest time for which a job may have nothing running while there is room for it.
+const IDLE_MAX: Duration = Duration::from_secs(3);
+/// A service beside that of the harness.
+const OTHER_SERVICE: &str = "other";
 /// Workers of a play.
 const WORKERS: usize = 14;
 
@@ -96,10 +103,25 @@
         for queue in config.queues.values_mut() {
             queue.placement_policy = Some(self.times);
         }
+        config.services.insert(OTHER_SERVICE.into(), Service::default());
         harness.scheduler.set_config(Arc::new(config));
         harness
     }
 
+    /// A harness in which every other worker belongs to [`OTHER_SERVICE`].
+    fn harness_of_two_services(&self) -> SchedulerHarness {
+        let mut harness = self.harness();
+        let entry = |slot: usize| harness.scheduler.worker(slot).entry.clone();
+        let mut entries: Vec<WorkerEntry> = (0..WORKERS).map(entry).collect();
+        for entry in entries.iter_mut().step_by(2) {
+            entry.id = format!("{}-{OTHER_SERVICE}", entry.id).into();
+            entry.service = OTHER_SERVICE.into();
+        }
+        harness.scheduler.set_workers(entries, harness.now);
+        harness.run_for(ms(3_500));
+        harness
+    }
+
     /// Advances the time by `length`.
     fn run(&mut self, harness: &mut SchedulerHarness, length: Duration) {
         let end = harness.now + length;
@@ -202,6 +224,34 @@
     }
 }
 
+/// A step whose tasks take next to nothing.
+fn tiny_step(tasks: u32) -> StepSpec {
+    let task_resources = Resources { processors_milli: 10, memory_bytes: 1 << 20, accelerators: 0 };
+    StepSpec { task_resources, ..step(tasks, 1, &[]) }
+}
+
+/// Ends all runs of the first workers.
+fn end_runs(harness: &mut SchedulerHarness, workers: usize) {
+    for worker in 0..workers {
+        let runs = harness.running.remove(&worker).unwrap_or_default();
+        let end = |(number, (task, run))| EndedRun {
+            number,
+            task,
+            run,
+            end: RunEnd::Done,
+            checkpoint: None,
+        };
+        let ended = (1..).zip(runs).map(end).collect();
+        let poll = PollResponse { clock: harness.now, ended, ..PollResponse::default() };
+        harness.scheduler.handle_poll_response(worker, false, harness.now, harness.now, poll);
+    }
+}
+
+/// Whether a task of a job runs.
+fn has_started(harness: &SchedulerHarness, job: JobId) -> bool {
+    harness.running.values().flatten().any(|(task, _)| task.step.job == job)
+}
+
 /// Jobs of which a task has started.
 fn started(harness: &SchedulerHarness) -> usize {
     let runs = harness.running.values().flatten();
@@ -319,6 +369,84 @@
     assert_eq!((started(&harness), policy.given_up), (1, 0));
 }
 
+/// Guards against a policy that is asked again about a step whose response is late, while no other
+/// step is asked about.
+#[test]
+fn each_response_starts_a_job_although_it_takes_30_times_as_long_as_configured() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    policy.times = PlacementPolicy { base: ms(9_000), per_worker: ms(1_200), ..policy.times };
+    for job in 1..=3 {
+        harness.submit(job, vec![step(4, 1, &[])]);
+    }
+    for job in 1..=3 {
+        policy.run(&mut harness, policy.times.handling_time(7) + ms(100));
+        assert_eq!(started(&harness), job);
+    }
+}
+
+/// Submits a job of many steps, each of which needs a query of its own, and then one small job a
+/// second, and checks that each of these starts in time.
+#[test]
+fn a_job_of_300_steps_leaves_every_other_job_its_turn() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    harness.submit(100, vec![tiny_step(1); 300]);
+    harness.submit(101, vec![tiny_step(1_000)]);
+    policy.run(&mut harness, ms(1_000));
+    for job in 1..=6 {
+        harness.submit(job, vec![step(4, 1, &[])]);
+        policy.run(&mut harness, ms(1_000));
+    }
+    policy.run(&mut harness, IDLE_MAX - ms(1_000));
+    let missing: Vec<JobId> = (1..=6).filter(|job| !has_started(&harness, *job)).collect();
+    assert_eq!(missing, Vec::<JobId>::new());
+    assert!(has_started(&harness, 100) && has_started(&harness, 101));
+}
+
+/// Guards against queries about a service that follow one another, while another service waits.
+#[test]
+fn the_steps_of_one_service_leave_another_service_its_turn() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness_of_two_services();
+    harness.submit(100, vec![tiny_step(1); 300]);
+    policy.run(&mut harness, ms(1_000));
+    let other = JobRecord { service: OTHER_SERVICE.into(), ..job(vec![step(4, 1, &[])]) };
+    harness.scheduler.add_job(1, other, REVISION_AFTER_TAKEOVER, None, harness.now);
+    policy.run(&mut harness, IDLE_MAX);
+    assert!(has_started(&harness, 1));
+}
+
+/// Guards against queries about steps that no worker can ever run.
+#[test]
+fn the_policy_is_not_asked_about_steps_that_are_larger_than_every_worker() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    for job in 101..=106 {
+        harness.submit(job, vec![step(1, 90, &[])]);
+    }
+    policy.run(&mut harness, ms(10_000));
+    assert_eq!(policy.handled, 0);
+}
+
+/// Guards against a step that waits for room and is asked about again whenever its tickets expire.
+#[test]
+fn a_step_without_room_is_asked_about_ever_more_rarely_and_starts_once_there_is_room() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    harness.submit(100, vec![step(WORKERS as u32, 16, &[])]);
+    policy.run(&mut harness, ms(3_000));
+    assert_eq!(harness.running(), WORKERS);
+    harness.submit(1, vec![step(4, 1, &[])]);
+    let handled = policy.handled;
+    policy.run(&mut harness, ms(30_000));
+    // At once, and 3, 9 and 21 s later.
+    assert_eq!(policy.handled - handled, 4);
+    end_runs(&mut harness, 4);
+    policy.run(&mut harness, policy.times.handling_time(12) + ms(100));
+    assert!(has_started(&harness, 1));
+}
+
 /// Guards against a response that is lost and awaited for minutes.
 #[test]
 fn a_step_is_asked_about_again_once_the_response_is_late() {
