Keep no worker for a step that the placement policy has refused there

Callers saw: nothing yet (found while looking at who waits for the policy). A long-running task, or one that has waited 400 ms, has the worker with the most free capacity kept for it; where the policy had refused just this worker for the step, it was kept in vain, and jobs behind found no room there.

Cause: the reservation did not look at the refusals.

Change: it does.

Test: a_worker_that_the_policy_refuses_is_not_kept_for_a_waiting_step, failed before (the job on the queue without a policy had not started).

--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -129,7 +129,9 @@
                 unplaced.record(&requirements);
             }
             if may_reserve {
-                let reserved_slot = choose_reservation(&requirements, candidates.iter());
+                let step = waiting_step.step;
+                let allowed = candidates.iter().filter(|one| !self.is_refused(step, one.slot));
+                let reserved_slot = choose_reservation(&requirements, allowed);
                 reserved_count += usize::from(reserved_slot.is_some());
                 candidates.retain(|candidate| Some(candidate.slot) != reserved_slot);
             }
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -110,6 +110,11 @@
         valid.map(|(slot, (proof, _))| (*slot, proof.clone())).collect()
     }
 
+    /// Whether the placement policy has refused a worker for a step.
+    pub(super) fn is_refused(&self, step: StepId, slot: WorkerSlot) -> bool {
+        self.step_tickets.get(&step).is_some_and(|tickets| tickets.refused.contains(&slot))
+    }
+
     /// Plans the services in which steps wait for the placement policy, if it can be queried.
     pub(super) fn plan_services_awaiting_policy(&mut self, now: Moment) {
         let policy_queue = &self.policy_queue;
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -11,13 +11,14 @@
 use cassiafold_jobs::clients::{
     CommandOutcome, EndedRun, PolicyError, PolicyResponse, PollResponse, Refusal, RunEnd, Ticket,
 };
-use cassiafold_jobs::cluster::{PlacementPolicy, Service, WorkerEntry, WorkerId};
+use cassiafold_jobs::cluster::{PlacementPolicy, Queue, Service, WorkerEntry, WorkerId};
+use cassiafold_jobs::job::Job;
 use cassiafold_jobs::policy_queue::PolicyQueue;
 use cassiafold_jobs::record::JobRecord;
 use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery};
 use cassiafold_jobs::spec::{JobId, Resources, StepId, StepSpec};
 
-use self::emulator::{config, job, ms, step};
+use self::emulator::{QUEUE, config, job, ms, step};
 use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
 
 /// Queries that may wait; a further one is refused.
@@ -32,6 +33,8 @@
 const IDLE_MAX: Duration = Duration::from_secs(3);
 /// A service beside that of the harness.
 const OTHER_SERVICE: &str = "other";
+/// A queue without a placement policy.
+const FREE_QUEUE: &str = "free";
 /// Workers of a play.
 const WORKERS: usize = 14;
 
@@ -100,9 +103,11 @@
     fn harness(&self) -> SchedulerHarness {
         let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
         let mut config = (*config(Resources::default())).clone();
+        let free = Queue { id: FREE_QUEUE.into(), ..config.queues[QUEUE].clone() };
         for queue in config.queues.values_mut() {
             queue.placement_policy = Some(self.times);
         }
+        config.queues.insert(FREE_QUEUE.into(), free);
         config.services.insert(OTHER_SERVICE.into(), Service::default());
         harness.scheduler.set_config(Arc::new(config));
         harness
@@ -132,7 +137,8 @@
                 match command {
                     Command::QueryPolicy(query) => self.receive(harness, query),
                     Command::Start { worker, task, run, ticket }
-                        if !self.admits(harness, worker, task.step, ticket.as_deref()) =>
+                        if harness.scheduler.job(task.step.job).is_some_and(needs_ticket)
+                            && !self.admits(harness, worker, task.step, ticket.as_deref()) =>
                     {
                         self.refused_starts += 1;
                         let outcome = CommandOutcome::Refused(Refusal::NoTicket);
@@ -247,6 +253,10 @@
     }
 }
 
+fn needs_ticket(job: &Job) -> bool {
+    *job.record.queue != *FREE_QUEUE
+}
+
 /// Whether a task of a job runs.
 fn has_started(harness: &SchedulerHarness, job: JobId) -> bool {
     harness.running.values().flatten().any(|(task, _)| task.step.job == job)
@@ -447,6 +457,23 @@
     assert!(has_started(&harness, 1));
 }
 
+/// Guards against a worker that is kept for a step which the policy does not allow there.
+#[test]
+fn a_worker_that_the_policy_refuses_is_not_kept_for_a_waiting_step() {
+    let mut policy = Policy::new(50, 5);
+    policy.refused = HashSet::from(["w0".into()]);
+    let mut harness = policy.harness();
+    harness.submit(100, vec![step(WORKERS as u32 - 1, 16, &[])]);
+    policy.run(&mut harness, ms(2_000));
+    // It fits on the refused worker only.
+    harness.submit(1, vec![StepSpec { long_running: true, ..step(1, 16, &[]) }]);
+    policy.run(&mut harness, ms(2_000));
+    let other = JobRecord { queue: FREE_QUEUE.into(), ..job(vec![step(4, 1, &[])]) };
+    harness.scheduler.add_job(2, other, REVISION_AFTER_TAKEOVER, None, harness.now);
+    policy.run(&mut harness, ms(500));
+    assert!(has_started(&harness, 2));
+}
+
 /// Guards against a response that is lost and awaited for minutes.
 #[test]
 fn a_step_is_asked_about_again_once_the_response_is_late() {
