Ask the placement policy at once about all workers that a gang needs together

Cause: a query names fewer workers where each one costs much, four of them here, so that a gang's tickets came in three responses; when the last came, the first had expired.

Change: a query about a gang names all workers on which its members could start now, up to 100, those with a ticket preferred and left out if it lasts until the response. If it fits nowhere, the policy is asked ever more rarely.

Tests (advice.rs): gangs_start_with_200_ms_a_worker_and_tickets_that_are_valid_ for_500_ms, a_gang_without_room_leaves_the_policy_to_others (30 queries in 30 s, 4 at most after) and a_gang_on_more_workers_than_one_query_names_starts failed before; those with longer tickets, one rack, one task a worker and refused workers guard the rest.

--- a/crates/jobs/src/policy_queue.rs
+++ b/crates/jobs/src/policy_queue.rs
@@ -93,7 +93,7 @@
 impl PolicyQueue {
     /// Whether a call may be sent now.
     pub fn may_send(&self, policy: &PlacementPolicy, now: Moment) -> bool {
-        let is_short = self.handling_time(policy.handling_time(WORKERS_MIN)) <= SHORT_CALL_MAX;
+        let is_short = self.expected_time(policy, WORKERS_MIN) <= SHORT_CALL_MAX;
         let awaited_max = if is_short { SHORT_CALLS_MAX } else { 1 };
         let awaited = self.open.len() - self.late_calls(now);
         awaited < awaited_max && now >= self.paused_until
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Time that the policy is expected to take for a call that names this number of workers.
+    pub fn expected_time(&self, policy: &PlacementPolicy, workers: usize) -> Duration {
+        self.handling_time(policy.handling_time(workers))
+    }
+
     /// Sends no call for `length`, or until the end of a longer pause.
     fn pause(&mut self, length: Duration, now: Moment) {
         self.paused_until = self.paused_until.max(now.saturating_add(length));
--- a/crates/jobs/src/scheduler/gang.rs
+++ b/crates/jobs/src/scheduler/gang.rs
@@ -35,61 +35,55 @@
         let first = TaskId { step: id, index: 0 };
         let requirements =
             &TaskRequirements { suspect_of: self.suspect_job(first), ..requirements.clone() };
+        let slots = self.choose_gang_workers(id, spec, requirements, candidates, |task, rest| {
+            self.choose_worker_for(task, requirements, rest, tickets)
+        });
+        let Some(slots) = slots else { return Some(requirements.clone()) };
+        if !self.ensure_start_stored(id) {
+            return None;
+        }
+        let members = (0..spec.tasks).map(|index| TaskId { index, ..first });
+        let run = members.map(|task| self.next_run_number(task)).max().unwrap_or(1);
+        for (index, slot) in (0..).zip(slots) {
+            let ticket = tickets.and_then(|tickets| tickets.get(&slot).cloned());
+            let task = TaskId { index, ..first };
+            self.command_start(task, run, slot, spec, ticket, now, commands);
+            deduct_task(candidates, slot, requirements);
+        }
+        None
+    }
+
+    /// Chooses a worker for each member of a gang, all in one rack if the step needs that;
+    /// `choose` returns the worker of a task among those with what is left of their resources.
+    pub(super) fn choose_gang_workers(
+        &self,
+        id: StepId,
+        spec: &StepSpec,
+        requirements: &TaskRequirements,
+        candidates: &[Candidate],
+        choose: impl Fn(TaskId, &[Candidate]) -> Option<WorkerSlot>,
+    ) -> Option<Vec<WorkerSlot>> {
         let mut racks: Vec<Option<Arc<str>>> = vec![None];
         if spec.same_rack {
             racks = candidates.iter().map(|candidate| candidate.labels.get(1).cloned()).collect();
             racks.sort();
             racks.dedup();
         }
-        for rack in racks {
-            let mut rack_candidates = candidates.to_vec();
-            rack_candidates
-                .retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
+        racks.into_iter().find_map(|rack| {
+            let mut rest = candidates.to_vec();
+            rest.retain(|candidate| rack.is_none() || candidate.labels.get(1) == rack.as_ref());
             // Looking for the workers one by one takes long for a large gang.
-            let counts = rack_candidates.iter().map(|one| one.tasks_that_fit(requirements));
+            let counts = rest.iter().map(|one| one.tasks_that_fit(requirements));
             if counts.fold(0, u64::saturating_add) < u64::from(spec.tasks) {
-                continue;
-            }
-            let Some(slots) =
-                self.choose_gang_workers(id, spec, requirements, rack_candidates, tickets)
-            else {
-                continue;
-            };
-            if !self.ensure_start_stored(id) {
                 return None;
             }
-            let members = (0..spec.tasks).map(|index| TaskId { index, ..first });
-            let run = members.map(|task| self.next_run_number(task)).max().unwrap_or(1);
-            for (index, slot) in (0..).zip(slots) {
-                let ticket = tickets.and_then(|tickets| tickets.get(&slot).cloned());
-                let task = TaskId { index, ..first };
-                self.command_start(task, run, slot, spec, ticket, now, commands);
-                deduct_task(candidates, slot, requirements);
+            let mut slots = Vec::with_capacity(spec.tasks as usize);
+            for index in 0..spec.tasks {
+                let slot = choose(TaskId { step: id, index }, &rest)?;
+                deduct_task(&mut rest, slot, requirements);
+                slots.push(slot);
             }
-            return None;
-        }
-        Some(requirements.clone())
-    }
-
-    fn choose_gang_workers(
-        &self,
-        id: StepId,
-        spec: &StepSpec,
-        requirements: &TaskRequirements,
-        mut rack_candidates: Vec<Candidate>,
-        tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
-    ) -> Option<Vec<WorkerSlot>> {
-        let mut slots = Vec::with_capacity(spec.tasks as usize);
-        for index in 0..spec.tasks {
-            let slot = self.choose_worker_for(
-                TaskId { step: id, index },
-                requirements,
-                &rack_candidates,
-                tickets,
-            )?;
-            deduct_task(&mut rack_candidates, slot, requirements);
-            slots.push(slot);
-        }
-        Some(slots)
+            Some(slots)
+        })
     }
 }
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -38,6 +38,8 @@
 /// A job whose last query was sent this long ago, or that has waited as long for its first one, is
 /// asked about before jobs that come first otherwise.
 const TURN_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of workers that the policy accepts in one query.
+const QUERY_WORKERS_MAX: usize = 100;
 /// Number of queries ahead of room for a step after which the time to the next one is no longer
 /// doubled.
 const AHEAD_DOUBLINGS_MAX: u32 = 5;
@@ -125,10 +127,7 @@
         }
     }
 
-    /// Notes a query to the placement policy about the candidates that could run a task and have
-    /// neither a valid ticket nor a refusal, those with room first.
-    ///
-    /// While none of them has room, the policy is queried ever more rarely.
+    /// Notes a query to the placement policy about workers that a step needs, if it can be sent.
     pub(super) fn want_query(
         &mut self,
         step: StepId,
@@ -145,24 +144,88 @@
             self.await_policy(step, policy);
             return;
         }
-        let step_tickets = self.step_tickets.entry(step).or_default();
-        let is_undecided = |candidate: &&Candidate| {
-            !step_tickets.is_valid(candidate.slot, now)
-                && !step_tickets.refused.contains(&candidate.slot)
-                && candidate.can_run(requirements)
+        let is_gang = self.spec(step).is_some_and(|spec| spec.gang);
+        let members = match is_gang {
+            true => self.gang_workers_to_query(step, &policy, requirements, candidates, now),
+            false => Some(Vec::new()),
+        };
+        let has_room = |one: &Candidate| one.tasks_that_fit(requirements) > 0;
+        let undecided = self.undecided_candidates(step, requirements, candidates, now);
+        let is_ahead = match &members {
+            Some(members) => members.is_empty() && !undecided.iter().any(|one| has_room(one)),
+            None => true,
         };
-        let mut undecided: Vec<&Candidate> = candidates.iter().filter(is_undecided).collect();
-        let has_room = |candidate: &Candidate| candidate.tasks_that_fit(requirements) > 0;
-        let is_ahead = !undecided.iter().any(|candidate| has_room(candidate));
-        if undecided.is_empty() || is_ahead && now < step_tickets.next_ahead {
+        let step_tickets = self.step_tickets.entry(step).or_default();
+        if is_ahead && now < step_tickets.next_ahead {
             return;
         }
-        undecided.sort_by_key(|candidate| {
-            Reverse((has_room(candidate), candidate.free.processors_milli))
+        let workers_max = step_tickets.named_max.unwrap_or(policy.workers_max());
+        let mut workers = members.unwrap_or_default();
+        let others = undecided.iter().map(|one| one.slot);
+        let others: Vec<WorkerSlot> = others.filter(|slot| !workers.contains(slot)).collect();
+        workers.extend(others.into_iter().take(workers_max.saturating_sub(workers.len())));
+        workers.truncate(QUERY_WORKERS_MAX);
+        if !workers.is_empty() {
+            self.wanted_queries.push(WantedQuery { step, policy, workers, is_ahead });
+        }
+    }
+
+    /// Returns the candidates that could run a task of a step and have neither a valid ticket nor a
+    /// refusal, those with room first.
+    fn undecided_candidates<'a>(
+        &self,
+        step: StepId,
+        requirements: &TaskRequirements,
+        candidates: &'a [Candidate],
+        now: Moment,
+    ) -> Vec<&'a Candidate> {
+        let step_tickets = self.step_tickets.get(&step);
+        let is_decided = |slot| {
+            step_tickets
+                .is_some_and(|known| known.is_valid(slot, now) || known.refused.contains(&slot))
+        };
+        let could_run = |one: &&Candidate| one.can_run(requirements) && !is_decided(one.slot);
+        let mut undecided: Vec<&Candidate> = candidates.iter().filter(could_run).collect();
+        undecided.sort_by_key(|one| {
+            Reverse((one.tasks_that_fit(requirements) > 0, one.free.processors_milli))
         });
-        undecided.truncate(step_tickets.named_max.unwrap_or(policy.workers_max()));
-        let workers = undecided.iter().map(|candidate| candidate.slot).collect();
-        self.wanted_queries.push(WantedQuery { step, policy, workers, is_ahead });
+        undecided
+    }
+
+    /// Returns the workers on which the members of a gang could start now and whose tickets do not
+    /// last until the response to a query about them; `None` if it fits nowhere.
+    fn gang_workers_to_query(
+        &self,
+        step: StepId,
+        policy: &PlacementPolicy,
+        requirements: &TaskRequirements,
+        candidates: &[Candidate],
+        now: Moment,
+    ) -> Option<Vec<WorkerSlot>> {
+        let spec = self.spec(step)?;
+        let not_refused = candidates.iter().filter(|one| !self.is_refused(step, one.slot));
+        let not_refused: Vec<Candidate> = not_refused.cloned().collect();
+        let valid = self.valid_tickets(step, now);
+        let mut workers =
+            self.choose_gang_workers(step, spec, requirements, &not_refused, |task, rest| {
+                let with_ticket = self.choose_worker_for(task, requirements, rest, Some(&valid));
+                with_ticket.or_else(|| self.choose_worker_for(task, requirements, rest, None))
+            })?;
+        workers.sort_unstable();
+        workers.dedup();
+        let step_tickets = self.step_tickets.get(&step);
+        let lasts = |slot, at| step_tickets.is_some_and(|known| known.is_valid(slot, at));
+        // The more workers are named, the later the response comes.
+        let mut named = 0;
+        loop {
+            let response_at = now.saturating_add(self.policy_queue.expected_time(policy, named));
+            let to_query = workers.iter().filter(|slot| !lasts(**slot, response_at));
+            let to_query: Vec<WorkerSlot> = to_query.copied().collect();
+            if to_query.len() <= named {
+                return Some(to_query);
+            }
+            named = to_query.len();
+        }
     }
 
     fn await_policy(&mut self, step: StepId, policy: PlacementPolicy) {
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -5,6 +5,7 @@
 mod harness;
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -101,7 +102,11 @@
     }
 
     fn harness(&self) -> SchedulerHarness {
-        let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+        self.harness_of(WORKERS)
+    }
+
+    fn harness_of(&self, workers: usize) -> SchedulerHarness {
+        let mut harness = SchedulerHarness::new(workers, OwnerTerm::default());
         let mut config = (*config(Resources::default())).clone();
         let free = Queue { id: FREE_QUEUE.into(), ..config.queues[QUEUE].clone() };
         for queue in config.queues.values_mut() {
@@ -236,8 +241,24 @@
     StepSpec { task_resources, ..step(tasks, 1, &[]) }
 }
 
+/// A step whose tasks run only together.
+fn gang(tasks: u32, cores_each: u32) -> StepSpec {
+    StepSpec { gang: true, ..step(tasks, cores_each, &[]) }
+}
+
+fn workers(numbers: Range<usize>) -> HashSet<WorkerId> {
+    numbers.map(|number| format!("w{number}").into()).collect()
+}
+
+/// Times of a policy whose tickets are valid for `valid_ms`.
+fn valid_for(valid_ms: u64) -> PlacementPolicy {
+    PlacementPolicy { base: ms(300), per_worker: ms(200), valid_for: ms(valid_ms) }
+}
+
 /// Ends all runs of the first workers.
 fn end_runs(harness: &mut SchedulerHarness, workers: usize) {
+    // Numbers rise from call to call.
+    let first = harness.now.as_millis() as u64;
     for worker in 0..workers {
         let runs = harness.running.remove(&worker).unwrap_or_default();
         let end = |(number, (task, run))| EndedRun {
@@ -247,7 +268,7 @@
             end: RunEnd::Done,
             checkpoint: None,
         };
-        let ended = (1..).zip(runs).map(end).collect();
+        let ended = (first..).zip(runs).map(end).collect();
         let poll = PollResponse { clock: harness.now, ended, ..PollResponse::default() };
         harness.scheduler.handle_poll_response(worker, false, harness.now, harness.now, poll);
     }
@@ -457,6 +478,68 @@
     assert!(has_started(&harness, 1));
 }
 
+/// Submits a gang with a member on each of twelve workers every six seconds, and checks that each
+/// one starts: all of its members need a valid ticket at the same time.
+fn check_gangs(mut policy: Policy, gang: &StepSpec) {
+    let mut harness = policy.harness();
+    for job in 1..=3 {
+        harness.submit(job, vec![gang.clone()]);
+        policy.run(&mut harness, ms(6_000));
+        assert!(has_started(&harness, job), "gang {job}");
+        end_runs(&mut harness, WORKERS);
+    }
+    assert_eq!(policy.refused_starts, 0);
+}
+
+macro_rules! gangs {
+    ($($name:ident: $policy:expr, $gang:expr;)+) => {
+        $(#[test] fn $name() {
+            check_gangs($policy, &$gang);
+        })+
+    };
+}
+
+// They guard against tickets that expire while the others of a gang are asked for.
+gangs! {
+    gangs_start_with_40_ms_a_worker: Policy::new(300, 40), gang(12, 9);
+    gangs_start_with_200_ms_a_worker: Policy::new(300, 200), gang(12, 9);
+    gangs_start_with_200_ms_a_worker_and_tickets_that_are_valid_for_500_ms:
+        Policy { times: valid_for(500), ..Policy::new(300, 200) }, gang(12, 9);
+    gangs_in_one_rack_start_with_200_ms_a_worker:
+        Policy::new(300, 200), StepSpec { same_rack: true, ..gang(12, 9) };
+    gangs_start_with_200_ms_a_worker_and_one_task_a_worker:
+        Policy::new(300, 200), StepSpec { per_worker_max: Some(1), ..gang(12, 1) };
+    gangs_start_although_two_workers_are_refused:
+        Policy { refused: workers(0..2), ..Policy::new(300, 200) }, gang(12, 9);
+}
+
+/// Guards against a gang whose workers do not fit into one query, and whose first tickets expire
+/// while it is asked about the rest.
+#[test]
+fn a_gang_on_more_workers_than_one_query_names_starts() {
+    let mut policy = Policy { times: valid_for(600), ..Policy::new(300, 5) };
+    policy.times.per_worker = ms(5);
+    let mut harness = policy.harness_of(130);
+    harness.submit(1, vec![gang(125, 9)]);
+    policy.run(&mut harness, policy.times.handling_time(100) * 2 + ms(100));
+    assert!(has_started(&harness, 1));
+}
+
+/// Guards against parts of a gang that are asked about for ever while it fits nowhere.
+#[test]
+fn a_gang_without_room_leaves_the_policy_to_others() {
+    let mut policy = Policy { refused: workers(0..3), ..Policy::new(300, 200) };
+    let mut harness = policy.harness();
+    harness.submit(100, vec![gang(12, 9)]);
+    policy.run(&mut harness, ms(5_000));
+    let handled = policy.handled;
+    policy.run(&mut harness, ms(30_000));
+    assert!(policy.handled - handled <= 4, "{}", policy.handled - handled);
+    harness.submit(1, vec![step(4, 1, &[])]);
+    policy.run(&mut harness, IDLE_MAX);
+    assert!(has_started(&harness, 1));
+}
+
 /// Guards against a worker that is kept for a step which the policy does not allow there.
 #[test]
 fn a_worker_that_the_policy_refuses_is_not_kept_for_a_waiting_step() {
