Store the start of a job while the placement policy is queried, not after it

Cause: the start is stored only once a ticket is there. It is not a fault without end: when the next tickets come, the start has been stored.

Change: a query about a step that could start now requests the write, too. The job is shown as running from then on, some tenths of a second before its first task; the number of waiting jobs still counts it until then.

Test: a_job_starts_with_its_first_tickets_although_writes_take_longer_than_they_ are_valid, failed before ("left: (0, 1), right: (1, 1)": no job after one query).

--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -263,6 +263,10 @@
     }
 
     fn send_query(&mut self, query: WantedQuery, now: Moment) -> Command {
+        if !query.is_ahead {
+            // Stored by the time of the response, or soon after, so that tasks can start with it.
+            self.ensure_start_stored(query.step);
+        }
         self.policy_turns.insert(query.step.job, now);
         self.step_tickets.entry(query.step).or_default().note_query(&query, now);
         let WantedQuery { step, policy, workers, .. } = query;
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -16,7 +16,7 @@
 use cassiafold_jobs::job::Job;
 use cassiafold_jobs::policy_queue::PolicyQueue;
 use cassiafold_jobs::record::JobRecord;
-use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery};
+use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery, WriteBatch};
 use cassiafold_jobs::spec::{JobId, Resources, StepId, StepSpec};
 
 use self::emulator::{QUEUE, config, job, ms, step};
@@ -77,6 +77,10 @@
     late: usize,
     /// Whether the next response is lost.
     loses_next: bool,
+    /// Time that the store takes for a write.
+    write_time: Duration,
+    /// The write in flight, and when it is stored.
+    write: Option<(Duration, WriteBatch)>,
 }
 
 impl Policy {
@@ -98,6 +102,8 @@
             given_up: 0,
             late: 0,
             loses_next: false,
+            write_time: Duration::ZERO,
+            write: None,
         }
     }
 
@@ -153,11 +159,22 @@
                     command => harness.execute(command),
                 }
             }
-            harness.commit_writes();
+            self.write(harness);
             harness.now += ms(5);
         }
     }
 
+    fn write(&mut self, harness: &mut SchedulerHarness) {
+        let now = harness.now;
+        if self.write.is_none() {
+            let batch = harness.scheduler.next_write_batch(now);
+            self.write = batch.map(|batch| (now + self.write_time, batch));
+        }
+        if let Some((_, batch)) = self.write.take_if(|(stored_at, _)| *stored_at <= now) {
+            harness.scheduler.handle_write_committed(&batch, now);
+        }
+    }
+
     /// Whether a worker starts a task of `step` with this ticket.
     fn admits(
         &self,
@@ -525,6 +542,17 @@
     assert!(has_started(&harness, 1));
 }
 
+/// Guards against tickets that expire while the start of their job is stored.
+#[test]
+fn a_job_starts_with_its_first_tickets_although_writes_take_longer_than_they_are_valid() {
+    let mut policy = Policy { write_time: ms(550), ..Policy::new(300, 40) };
+    policy.times.valid_for = ms(500);
+    let mut harness = policy.harness();
+    harness.submit(1, vec![step(4, 1, &[])]);
+    policy.run(&mut harness, policy.times.handling_time(12));
+    assert_eq!((started(&harness), policy.handled), (1, 1));
+}
+
 /// Guards against parts of a gang that are asked about for ever while it fits nowhere.
 #[test]
 fn a_gang_without_room_leaves_the_policy_to_others() {
