Let no older list of machines replace a newer one

Callers saw: nothing yet (found while walking the table of timeouts). A list of machines is requested every 0.7 s, and a list of several pages may take longer, so that one that was requested earlier can come later. The owner then took machines that were back for machines in maintenance, or moved ones for unmoved.

Cause: the last list that came was used, whatever it was requested.

Change: a list that was requested before the current one is ignored.

Test: an_older_list_of_machines_that_comes_later_changes_nothing, failed before (no command to a machine that the newer list shows as up).

--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -125,6 +125,9 @@
 
     /// Replaces the list of machines by one that was requested at `sent`.
     pub fn set_machines(&mut self, machines: Vec<Machine>, sent: Moment, now: Moment) {
+        if self.machines_listed_at.is_some_and(|current| sent < current) {
+            return;
+        }
         let machines = MachineList::new(machines);
         let leaving: Vec<WorkerSlot> = (0..self.workers.len())
             .filter(|slot| {
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -461,3 +461,15 @@
         "the leases of runs on the unresponsive worker have expired"
     );
 }
+
+/// Guards against a list of machines that comes after one that was requested later.
+#[test]
+fn an_older_list_of_machines_that_comes_later_changes_nothing() {
+    let mut harness = SchedulerHarness::new(3, OwnerTerm::default());
+    harness.set_machines(SchedulerHarness::machines(3, MachineState::Up));
+    let older = SchedulerHarness::machines(3, MachineState::Maintenance);
+    harness.scheduler.set_machines(older, harness.now - ms(500), harness.now);
+    harness.set_wave(&[0], 1);
+    harness.run_for(ms(300));
+    assert_eq!(harness.machine_commands.len(), 1);
+}
