Go on using a worker that has refused a start for its ticket only

Callers saw: nothing yet. Where the policy's tickets expire early, each refused start kept all other tasks off the worker for 300 ms.

Cause: every start that is not accepted blocks its worker for a while, as one that is full or unhealthy should be.

Change: a worker that refuses a ticket is not blocked; the ticket is discarded, so that the step does not come back with it.

Test: a_start_that_is_refused_for_its_ticket_leaves_the_worker_to_others, failed before.

--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -125,7 +125,10 @@
             return;
         }
         if refusal == Refusal::NoTicket {
+            // Nothing is wrong with the worker.
             self.discard_ticket(task.step, slot);
+            self.withdraw_start(slot, task, now);
+            return;
         }
         if refusal == Refusal::Outdated {
             let job = self.jobs.get_mut(&task.step.job);
@@ -139,11 +142,17 @@
         self.cancel_start(slot, task, now);
     }
 
-    fn cancel_start(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+    /// Removes a run that was not started.
+    fn withdraw_start(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
         if let Some(run) = self.workers[slot].runs.get(&task).map(|run| run.number) {
             self.settle_run(task, run);
         }
         self.release_run(slot, task, now);
+    }
+
+    /// Removes a run that was not started, and starts nothing on its worker for a while.
+    fn cancel_start(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        self.withdraw_start(slot, task, now);
         self.workers[slot].blocked_until =
             self.workers[slot].blocked_until.max(now + BLOCK_DURATION);
     }
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -568,6 +568,23 @@
     assert!(has_started(&harness, 1));
 }
 
+/// Guards against a worker that gets no tasks for a while because one came without a valid ticket.
+#[test]
+fn a_start_that_is_refused_for_its_ticket_leaves_the_worker_to_others() {
+    let mut policy = Policy::new(300, 40);
+    policy.times.valid_for = ms(100);
+    policy.makes_tickets_first = true;
+    let mut harness = policy.harness_of(1);
+    harness.submit(1, vec![step(1, 1, &[])]);
+    while policy.refused_starts == 0 {
+        policy.run(&mut harness, ms(5));
+    }
+    let other = JobRecord { queue: FREE_QUEUE.into(), ..job(vec![step(1, 1, &[])]) };
+    harness.scheduler.add_job(2, other, REVISION_AFTER_TAKEOVER, None, harness.now);
+    policy.run(&mut harness, ms(100));
+    assert!(has_started(&harness, 2));
+}
+
 /// Guards against a worker that is kept for a step which the policy does not allow there.
 #[test]
 fn a_worker_that_the_policy_refuses_is_not_kept_for_a_waiting_step() {
