Give a job of many steps its turn at the policy every two seconds, not every one

Callers saw (trial on, one usual job a second beside a job of 300 steps, 580 ms a query): all usual jobs start, but 2.0 to 3.0 s after their submission: the job of many steps took a query each second, and what was left of the 1.7 a second did not suffice for the others, so that all of them became overdue.

Change: a job is asked about before those that come first otherwise when its last turn was two seconds ago.

Tests: those of advice.rs, as before.

--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -37,7 +37,7 @@
 
 /// A job whose last query was sent this long ago, or that has waited as long for its first one, is
 /// asked about before jobs that come first otherwise.
-const TURN_INTERVAL: Duration = Duration::from_secs(1);
+const TURN_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of workers that the policy accepts in one query.
 const QUERY_WORKERS_MAX: usize = 100;
 /// Number of queries ahead of room for a step after which the time to the next one is no longer
