Give a step whose response is lost its turn while others keep the policy busy

When the response to a query is lost and other jobs have queries all the time, the step of the lost one is asked about again only when its call is given up after 120 s: its rank was behind all steps without a late response, and each later response put off when the lost one would be late.

Change: while a response is late, the job's turn counts from when it became late, like that of a job that has just come. A call is late at once when a call that was sent after it has its response.

With it the tickets of a step have a module of their own, apart from the queries (tickets.rs, policy_queries.rs); no other change in them.

Tests: a_step_whose_response_was_lost_has_its_turn_while_others_keep_the_policy_ busy failed before ("assertion failed: has_started"), a_call_is_late_once_a_call_ that_was_sent_after_it_has_its_response guards its second half. a_policy_with_the_longest_times_that_can_be_configured_is_queried passed before as well.

--- a/crates/jobs/src/policy_queue.rs
+++ b/crates/jobs/src/policy_queue.rs
@@ -104,9 +104,10 @@
         self.open.iter().any(|call| call.step == step && now < call.late_at)
     }
 
-    /// Whether a call about a step is open and late.
-    pub fn awaits_late(&self, step: StepId, now: Moment) -> bool {
-        self.open.iter().any(|call| call.step == step && now >= call.late_at)
+    /// Since when the last call about a step is late, if one is open and none is expected.
+    pub fn late_since(&self, step: StepId, now: Moment) -> Option<Moment> {
+        let late = self.open.iter().filter(|call| call.step == step && now >= call.late_at);
+        late.map(|call| call.late_at).max()
     }
 
     /// Number of open calls that are late.
@@ -140,7 +141,7 @@
         let Some(index) = self.open.iter().position(|call| call.number == number) else { return };
         let call = self.open.remove(index);
         match error {
-            None => self.handle_response(&call, now),
+            None => self.handle_response(&call, index, now),
             Some(PolicyError::Busy) => {
                 let is_idle_in = self.idle_at.saturating_sub(now);
                 self.pause(is_idle_in.max(BUSY_DELAY).min(HANDLING_MAX), now);
@@ -152,8 +153,9 @@
         }
     }
 
-    /// Learns from a response how long the policy takes, and when the calls that are left are due.
-    fn handle_response(&mut self, call: &OpenCall, now: Moment) {
+    /// Learns from the response to a call that was sent after `earlier` open ones how long the
+    /// policy takes, and when the calls that are left are due.
+    fn handle_response(&mut self, call: &OpenCall, earlier: usize, now: Moment) {
         let took = now.saturating_sub(call.sent.max(self.last_response));
         let stated_s = call.stated.as_secs_f64();
         let slowdown = if stated_s > 0.0 { took.as_secs_f64() / stated_s } else { 1.0 };
@@ -161,10 +163,14 @@
         self.slowdown = slowdown.min(slowdown_max).max(1.0);
         self.last_response = now;
         self.failed = 0;
-        // Calls before the answered one were handled before it.
+        // Calls before the answered one were handled before it; their responses may be lost.
         self.idle_at = now;
         let slowdown = self.slowdown;
-        for call in &mut self.open {
+        let (earlier, later) = self.open.split_at_mut(earlier);
+        for call in earlier {
+            call.late_at = call.late_at.min(now);
+        }
+        for call in later {
             self.idle_at = self.idle_at.saturating_add(scaled(call.stated, slowdown));
             let late_at = now.saturating_add(late_after(self.idle_at.saturating_sub(now)));
             call.late_at = call.late_at.max(late_at);
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -1,29 +1,25 @@
-//! Queries to the placement policy and the tickets that it grants.
+//! Queries to the placement policy: which steps can use one, and which of them are sent.
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
+use super::tickets::StepTickets;
 use super::{Command, Scheduler};
-use crate::clients::{PolicyError, PolicyResponse};
 use crate::cluster::{PlacementPolicy, WorkerId};
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::placement::{Candidate, TaskRequirements};
 use crate::policy_queue::NewCall;
-use crate::spec::{JobId, StepId};
-
-/// A ticket is not used within this time before it expires, or the last quarter of its validity if
-/// that is shorter.
-const TICKET_MARGIN_MAX: Duration = Duration::from_millis(250);
-/// For this long a ticket is used whatever its validity: a start that is refused costs less than a
-/// response that is never used.
-const TICKET_USE_MIN: Duration = Duration::from_millis(50);
+use crate::spec::StepId;
 
+/// A job whose last query was sent this long ago, or that has waited as long for its first one, is
+/// asked about before jobs that come first otherwise.
+const TURN_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of workers that the policy accepts in one query.
+const QUERY_WORKERS_MAX: usize = 100;
 /// A query to the placement policy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PolicyQuery {
@@ -35,32 +31,6 @@
     pub call: NewCall,
 }
 
-/// A job whose last query was sent this long ago, or that has waited as long for its first one, is
-/// asked about before jobs that come first otherwise.
-const TURN_INTERVAL: Duration = Duration::from_secs(2);
-/// Maximum number of workers that the policy accepts in one query.
-const QUERY_WORKERS_MAX: usize = 100;
-/// Number of queries ahead of room for a step after which the time to the next one is no longer
-/// doubled.
-const AHEAD_DOUBLINGS_MAX: u32 = 5;
-
-/// Tickets and refusals that the placement policy has returned for a step.
-#[derive(Debug, Default)]
-pub(super) struct StepTickets {
-    tickets: HashMap<WorkerSlot, (Arc<str>, Moment)>,
-    refused: HashSet<WorkerSlot>,
-    /// When the last query was sent.
-    last_query: Option<Moment>,
-    /// Workers that the last query named.
-    last_named: usize,
-    /// Maximum number of workers in a query, if tickets of a longer one were refused.
-    named_max: Option<usize>,
-    /// Queries that were sent while no worker had room.
-    ahead: u32,
-    /// When the next one may be sent while no worker has room.
-    next_ahead: Moment,
-}
-
 /// A query that a step can use.
 #[derive(Debug)]
 pub(super) struct WantedQuery {
@@ -76,47 +46,19 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueryRank {
     is_ahead: bool,
-    /// Whether the response to an earlier query about the step is late.
-    awaits_late: bool,
     /// When the job had its last turn; [`Moment::MAX`] unless that is long ago.
     overdue_since: Moment,
+    /// Whether the response to an earlier query about the step is late.
+    awaits_late: bool,
     last_query: Option<Moment>,
 }
 
-impl StepTickets {
-    fn is_valid(&self, slot: WorkerSlot, now: Moment) -> bool {
-        self.tickets.get(&slot).is_some_and(|(_, until)| now < *until)
-    }
-
-    fn note_query(&mut self, query: &WantedQuery, now: Moment) {
-        self.last_query = Some(now);
-        self.last_named = query.workers.len();
-        if query.is_ahead {
-            let delay = query.policy.valid_for * (1 << self.ahead.min(AHEAD_DOUBLINGS_MAX));
-            self.next_ahead = now.saturating_add(delay);
-            self.ahead += 1;
-        }
-    }
-}
-
 impl Scheduler {
     pub(super) fn placement_policy(&self, step: StepId) -> Option<PlacementPolicy> {
         let job = self.jobs.get(&step.job)?;
         self.queue_of(job)?.placement_policy
     }
 
-    /// Returns the tickets of a step that are valid now.
-    pub(super) fn valid_tickets(&self, step: StepId, now: Moment) -> HashMap<WorkerSlot, Arc<str>> {
-        let tickets = self.step_tickets.get(&step).map(|step_tickets| &step_tickets.tickets);
-        let valid = tickets.into_iter().flatten().filter(|(_, (_, until))| now < *until);
-        valid.map(|(slot, (proof, _))| (*slot, proof.clone())).collect()
-    }
-
-    /// Whether the placement policy has refused a worker for a step.
-    pub(super) fn is_refused(&self, step: StepId, slot: WorkerSlot) -> bool {
-        self.step_tickets.get(&step).is_some_and(|tickets| tickets.refused.contains(&slot))
-    }
-
     /// Plans the services in which steps wait for the placement policy, if it can be queried.
     pub(super) fn plan_services_awaiting_policy(&mut self, now: Moment) {
         let policy_queue = &self.policy_queue;
@@ -156,10 +98,10 @@
             None => true,
         };
         let step_tickets = self.step_tickets.entry(step).or_default();
-        if is_ahead && now < step_tickets.next_ahead {
+        if is_ahead && !step_tickets.may_query_ahead(now) {
             return;
         }
-        let workers_max = step_tickets.named_max.unwrap_or(policy.workers_max());
+        let workers_max = step_tickets.named_max(&policy);
         let mut workers = members.unwrap_or_default();
         let others = undecided.iter().map(|one| one.slot);
         let others: Vec<WorkerSlot> = others.filter(|slot| !workers.contains(slot)).collect();
@@ -180,10 +122,7 @@
         now: Moment,
     ) -> Vec<&'a Candidate> {
         let step_tickets = self.step_tickets.get(&step);
-        let is_decided = |slot| {
-            step_tickets
-                .is_some_and(|known| known.is_valid(slot, now) || known.refused.contains(&slot))
-        };
+        let is_decided = |slot| step_tickets.is_some_and(|known| known.is_decided(slot, now));
         let could_run = |one: &&Candidate| one.can_run(requirements) && !is_decided(one.slot);
         let mut undecided: Vec<&Candidate> = candidates.iter().filter(could_run).collect();
         undecided.sort_by_key(|one| {
@@ -249,16 +188,18 @@
     }
 
     /// Queries about steps that can start now come first, then those of jobs that have waited long
-    /// for their turn, then the others in the order of placement.
+    /// for their turn, then the others in the order of placement. While a response may still come,
+    /// the job has its turn.
     fn rank(&self, query: &WantedQuery, now: Moment) -> QueryRank {
-        let turn = self.policy_turns.get(&query.step.job).copied();
+        let late_since = self.policy_queue.late_since(query.step, now);
+        let turn = self.policy_turns.get(&query.step.job).copied().max(late_since);
         let overdue_turn = turn.filter(|at| now.saturating_sub(*at) >= TURN_INTERVAL);
         let step_tickets = self.step_tickets.get(&query.step);
         QueryRank {
             is_ahead: query.is_ahead,
-            awaits_late: self.policy_queue.awaits_late(query.step, now),
             overdue_since: overdue_turn.unwrap_or(Moment::MAX),
-            last_query: step_tickets.and_then(|tickets| tickets.last_query),
+            awaits_late: late_since.is_some(),
+            last_query: step_tickets.and_then(StepTickets::last_query),
         }
     }
 
@@ -268,8 +209,12 @@
             self.ensure_start_stored(query.step);
         }
         self.policy_turns.insert(query.step.job, now);
-        self.step_tickets.entry(query.step).or_default().note_query(&query, now);
-        let WantedQuery { step, policy, workers, .. } = query;
+        let WantedQuery { step, policy, workers, is_ahead } = query;
+        let step_tickets = self.step_tickets.entry(step).or_default();
+        step_tickets.note_query(workers.len(), now);
+        if is_ahead {
+            step_tickets.note_query_ahead(&policy, now);
+        }
         let late = self.policy_queue.late_calls(now);
         if late > 0 {
             emit!(JobsEvent::PolicyLate, step = step, late = late);
@@ -279,70 +224,4 @@
         let workers = workers.iter().map(id).collect();
         Command::QueryPolicy(PolicyQuery { step, workers, call })
     }
-
-    /// Removes what is known of a job that has ended.
-    pub(super) fn forget_tickets(&mut self, job: JobId) {
-        self.step_tickets.retain(|step, _| step.job != job);
-        self.policy_turns.remove(&job);
-    }
-
-    /// Handles the response to a query that was sent at `sent`. The tickets count from `received`:
-    /// the policy makes them when it has handled the query, however long that takes. If it made
-    /// them earlier, workers refuse them.
-    pub fn handle_policy_response(
-        &mut self,
-        query: &PolicyQuery,
-        response: Result<PolicyResponse, PolicyError>,
-        sent: Moment,
-        received: Moment,
-    ) {
-        self.policy_queue.handle_outcome(query.call.number, response.as_ref().err(), received);
-        self.mark_job_service_changed(query.step.job);
-        let current_slots = &self.current_slots;
-        let Some(step_tickets) = self.step_tickets.get_mut(&query.step) else { return };
-        let response = match response {
-            Ok(response) => response,
-            Err(error) => {
-                log_failed_query(query, error, received.saturating_sub(sent));
-                return;
-            }
-        };
-        let until = received.saturating_add(usable_for(response.valid_for));
-        for id in &query.workers {
-            let Some(slot) = current_slots.get(id).copied() else { continue };
-            match response.tickets.iter().find(|ticket| ticket.worker == *id) {
-                Some(ticket) => {
-                    step_tickets.tickets.insert(slot, (ticket.proof.clone(), until));
-                }
-                None => {
-                    step_tickets.refused.insert(slot);
-                }
-            }
-        }
-    }
-
-    /// Removes a ticket that a worker refused. It may have expired while the policy handled the
-    /// query, so the next one about the step names fewer workers.
-    pub(super) fn discard_ticket(&mut self, step: StepId, slot: WorkerSlot) {
-        if let Some(step_tickets) = self.step_tickets.get_mut(&step) {
-            step_tickets.tickets.remove(&slot);
-            step_tickets.named_max = Some((step_tickets.last_named / 2).max(1));
-        }
-    }
-}
-
-/// Time from the receipt of a ticket for which it is used.
-fn usable_for(valid_for: Duration) -> Duration {
-    let margin = TICKET_MARGIN_MAX.min(valid_for / 4);
-    (valid_for - margin).max(TICKET_USE_MIN)
-}
-
-fn log_failed_query(query: &PolicyQuery, error: PolicyError, elapsed: Duration) {
-    emit!(
-        JobsEvent::PolicyUnanswered,
-        step = query.step,
-        workers = query.workers.len(),
-        elapsed_ms = elapsed.as_millis(),
-        error = error
-    );
 }
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -568,6 +568,35 @@
     assert!(has_started(&harness, 1));
 }
 
+/// Guards against a step whose response was lost and that is behind all steps without a late one.
+#[test]
+fn a_step_whose_response_was_lost_has_its_turn_while_others_keep_the_policy_busy() {
+    let mut policy = Policy::new(300, 40);
+    policy.loses_next = true;
+    let mut harness = policy.harness();
+    harness.submit(1, vec![step(4, 1, &[])]);
+    policy.run(&mut harness, ms(100));
+    harness.submit(100, vec![tiny_step(1); 300]);
+    // Until it is late, and then like a job that has just come.
+    policy.run(&mut harness, policy.times.handling_time(7) * 2 + ms(1_000) + IDLE_MAX);
+    assert!(has_started(&harness, 1));
+}
+
+/// Guards against a panic by times that are valid and that nothing can be added to.
+#[test]
+fn a_policy_with_the_longest_times_that_can_be_configured_is_queried() {
+    let longest = ms(u64::MAX);
+    let mut policy = Policy::new(300, 40);
+    policy.times = PlacementPolicy { base: longest, per_worker: longest, valid_for: longest };
+    let mut harness = policy.harness();
+    harness.submit(100, vec![step(WORKERS as u32, 16, &[])]);
+    harness.submit(101, vec![gang(WORKERS as u32, 16)]);
+    harness.submit(1, vec![step(1, 16, &[])]);
+    policy.times = PlacementPolicy { valid_for: longest, ..Policy::new(300, 40).times };
+    policy.run(&mut harness, ms(200_000));
+    assert!(has_started(&harness, 100));
+}
+
 /// Guards against a worker that gets no tasks for a while because one came without a valid ticket.
 #[test]
 fn a_start_that_is_refused_for_its_ticket_leaves_the_worker_to_others() {
@@ -648,6 +677,19 @@
     assert!(!queue.awaits(STEP, ms(2_000)) && queue.may_send(&policy, ms(2_000)));
 }
 
+/// Guards against a lost response that is expected for as long as others come.
+#[test]
+fn a_call_is_late_once_a_call_that_was_sent_after_it_has_its_response() {
+    let policy = Policy::new(50, 5).times;
+    let mut queue = PolicyQueue::default();
+    queue.send(STEP, &policy, 4, ms(0));
+    let other = StepId { step: 1, ..STEP };
+    let second = queue.send(other, &policy, 4, ms(0));
+    queue.handle_outcome(second.number, None, ms(140));
+    assert!(!queue.awaits(STEP, ms(140)));
+    assert_eq!(queue.late_since(STEP, ms(140)), Some(ms(140)));
+}
+
 /// Guards against expectations that follow the stated times only.
 #[test]
 fn a_call_is_late_only_after_the_time_that_the_call_before_it_took() {
