Put a late job under which a worker crashed behind late jobs that wait

Cause: some seven workers of the service crash each second, and each one that comes back was given to the late job that was accepted first, which had often crashed the ones before: among late jobs the order was that of acceptance alone. Ruled out by the log: lack of room (190 of 384 cores free), the limit of workers that are kept for suspects, an owner that is behind (event 1647).

Change: a late job counts as waiting since the last crash that was counted against one of its tasks, so that the jobs that wait take turns. A crash that does not count (widespread, or another task more likely to blame) changes nothing, and a new owner begins with the time of acceptance.

Test: a_late_job_under_which_a_worker_crashed_goes_behind_late_jobs_that_wait, failed before ("left: [1], right: [2]").

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -51,6 +51,8 @@
     crashes: u32,
     /// Value of `crashes` that is stored.
     crashes_stored: u32,
+    /// When a crash was last counted against one of its tasks.
+    last_crash: Option<Moment>,
 }
 
 /// One occurrence of a job: a repetition of its steps.
@@ -151,6 +153,7 @@
             next_occurrence: 0,
             crashes: 0,
             crashes_stored: 0,
+            last_crash: None,
         }
     }
 
@@ -290,14 +293,20 @@
     }
 
     /// Counts a crash against a task; it is stored with the next state.
-    pub fn record_crash(&mut self, id: TaskId) {
+    pub fn record_crash(&mut self, id: TaskId, now: Moment) {
         self.crashes += 1;
+        self.last_crash = Some(now);
         let crashes = self.crashes;
         if let Some(task) = self.task_mut(id) {
             task.last_crash = crashes;
         }
     }
 
+    /// When a crash was last counted against one of its tasks in this term.
+    pub fn last_crash(&self) -> Option<Moment> {
+        self.last_crash
+    }
+
     /// Number of crashes that were counted against its tasks in this term.
     pub fn crashes(&self) -> u32 {
         self.crashes
--- a/crates/jobs/src/scheduler/contact.rs
+++ b/crates/jobs/src/scheduler/contact.rs
@@ -93,7 +93,7 @@
     }
 
     /// Counts a run that was never settled as a crash, before its task starts again.
-    pub(super) fn presume_crash(&mut self, task: TaskId) {
+    pub(super) fn presume_crash(&mut self, task: TaskId, now: Moment) {
         let id = self.counted_task(task);
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
@@ -103,7 +103,7 @@
         }
         task.crashes.presumed.push(run);
         let crashes = task.crashes.count();
-        job.record_crash(id);
+        job.record_crash(id, now);
         self.suspects.insert(id);
         self.mark_unwritten(id.step.job);
         emit!(JobsEvent::CrashPresumed, task = id, run = run, crashes = crashes);
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -155,7 +155,7 @@
         if task.crashes.suspicion() != Suspicion::None {
             self.suspects.insert(id);
         }
-        job.record_crash(id);
+        job.record_crash(id, now);
         self.mark_unwritten(id.step.job);
         self.raise_write_urgency(WriteUrgency::High);
         if verdict == Verdict::GivenUp {
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -202,7 +202,7 @@
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             long_running: spec.long_running,
             exceeds_share: job.exceeds_share,
-            accepted: occurrence.due,
+            waiting_since: job.last_crash().map_or(occurrence.due, |at| at.max(occurrence.due)),
             ready_since: job.step(id)?.ready_since,
             objective: self.objective(job, occurrence),
             critical_path_left: occurrence.critical_path_left,
@@ -412,7 +412,7 @@
         now: Moment,
         commands: &mut Vec<Command>,
     ) {
-        self.presume_crash(task);
+        self.presume_crash(task, now);
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(entry) = job.task_mut(task) else { return };
         entry.last_run = run;
--- a/crates/jobs/src/step_order.rs
+++ b/crates/jobs/src/step_order.rs
@@ -18,8 +18,8 @@
     pub long_running: bool,
     /// Whether its team had exceeded its share when the job was accepted.
     pub exceeds_share: bool,
-    /// When its job was accepted.
-    pub accepted: Moment,
+    /// When its job was accepted, or when a crash was last counted against one of its tasks.
+    pub waiting_since: Moment,
     /// When it became ready.
     pub ready_since: Moment,
     /// Deadline of its job, by the latency objective.
@@ -46,14 +46,15 @@
 ///
 /// Among jobs that can still meet their objective, those with the least remaining work come first,
 /// so that most meet it while a queue asks for several times its pool. Jobs that can't meet it
-/// follow by age, so that none starves.
+/// follow by age, so that none starves. One under which a worker has crashed goes behind those that
+/// have waited since, as it may crash each worker that it gets.
 pub fn compare(one: &WaitingStep, other: &WaitingStep, now: Moment) -> Ordering {
     let (class, other_class) = (one.class(now), other.class(now));
     class.cmp(&other_class).then_with(|| {
         let can_meet_objective = !class.3;
         match can_meet_objective && !one.long_running {
             true => one.work_left.total_cmp(&other.work_left),
-            false => one.accepted.cmp(&other.accepted),
+            false => one.waiting_since.cmp(&other.waiting_since),
         }
     })
 }
--- a/crates/jobs/tests/crash_causes.rs
+++ b/crates/jobs/tests/crash_causes.rs
@@ -38,18 +38,7 @@
     harness.run_for(ms(7_000));
     harness.submit(1, vec![step(1, 1, &[])]);
     for number in 0..LOSSES {
-        harness.scheduler.set_workers(vec![entry(number)], harness.now);
-        harness.run_for(ms(40));
-        harness.set_machines(vec![machine(number)]);
-        harness.run_for(SOON);
-        for _ in 0..2 {
-            harness.scheduler.handle_poll_failure(number, false, error, harness.now);
-            harness.now += ms(1);
-        }
-        let mut machine = machine(number);
-        change(&mut machine);
-        harness.set_machines(vec![machine]);
-        harness.scheduler.set_workers(Vec::new(), harness.now);
+        start_and_lose_worker(&mut harness, number, error, change);
         let state = harness.scheduler.job(1).expect("a job").state;
         if state.is_final() {
             return (state, number + 1);
@@ -58,6 +47,27 @@
     (harness.scheduler.job(1).expect("a job").state, LOSSES)
 }
 
+/// Lists the worker of this number, and loses it soon after it has started a task.
+fn start_and_lose_worker(
+    harness: &mut SchedulerHarness,
+    number: usize,
+    error: &PollError,
+    change: fn(&mut Machine),
+) {
+    harness.scheduler.set_workers(vec![entry(number)], harness.now);
+    harness.run_for(ms(40));
+    harness.set_machines(vec![machine(number)]);
+    harness.run_for(SOON);
+    for _ in 0..2 {
+        harness.scheduler.handle_poll_failure(number, false, error, harness.now);
+        harness.now += ms(1);
+    }
+    let mut machine = machine(number);
+    change(&mut machine);
+    harness.set_machines(vec![machine]);
+    harness.scheduler.set_workers(Vec::new(), harness.now);
+}
+
 fn closed() -> PollError {
     PollError::Closed("connection reset".into())
 }
@@ -229,3 +239,26 @@
     let job = harness.scheduler.job(1).expect("a job");
     assert_eq!(job.to_state_record().tasks, [row]);
 }
+
+/// Guards against a job that crashes each worker and is first in line for the next one, while jobs
+/// that were accepted later have nothing running.
+#[test]
+fn a_late_job_under_which_a_worker_crashed_goes_behind_late_jobs_that_wait() {
+    let mut harness = SchedulerHarness::at_term_start(0, OwnerTerm::default());
+    harness.run_for(ms(7_000));
+    for job in 1..=2 {
+        harness.submit(job, vec![step(1, 1, &[])]);
+        harness.run_for(ms(1_000));
+    }
+    let started = |harness: &SchedulerHarness, number| {
+        let runs = harness.running.get(&number).into_iter().flatten();
+        runs.map(|(task, _)| task.step.job).collect::<Vec<_>>()
+    };
+    let is_down = |machine: &mut Machine| machine.state = MachineState::Down;
+    start_and_lose_worker(&mut harness, 0, &closed(), is_down);
+    assert_eq!(started(&harness, 0), [1]);
+    start_and_lose_worker(&mut harness, 1, &closed(), is_down);
+    assert_eq!(started(&harness, 1), [2]);
+    start_and_lose_worker(&mut harness, 2, &closed(), is_down);
+    assert_eq!(started(&harness, 2), [1]);
+}
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -80,15 +80,15 @@
     assert_eq!(machines_for(steady.cores(), 64.0), 2);
 }
 
-fn waiting_step(job: u64, work_left: f64, accepted: Duration) -> WaitingStep {
+fn waiting_step(job: u64, work_left: f64, waiting_since: Duration) -> WaitingStep {
     WaitingStep {
         step: StepId { job, occurrence: 0, step: 0 },
         priority: 0,
         long_running: false,
         exceeds_share: false,
-        accepted,
-        ready_since: accepted,
-        objective: accepted + ms(3_000),
+        waiting_since,
+        ready_since: waiting_since,
+        objective: waiting_since + ms(3_000),
         critical_path_left: ms(1_000),
         work_left,
     }
@@ -107,9 +107,9 @@
 
 #[test]
 fn jobs_that_missed_their_objective_follow_in_order_of_age() {
-    let late = |job, accepted| WaitingStep {
+    let late = |job, waiting_since| WaitingStep {
         critical_path_left: ms(5_000),
-        ..waiting_step(job, 1.0, accepted)
+        ..waiting_step(job, 1.0, waiting_since)
     };
     let steps = vec![late(1, ms(20)), late(2, ms(10)), waiting_step(3, 50.0, ms(30))];
     assert_eq!(sorted_jobs(steps, ms(100)), [3, 2, 1]);
