Tell in the line at a job's end how long its tasks waited for the placement policy

On-call engineers saw: a job that waited for the policy looked in event 1604 as if it had waited for room (delays_ms), on idle workers.

Change: the time in which the policy is being asked about a step, or can't be asked, counts as policy.

Test: the_delays_of_a_job_tell_how_long_it_waited_for_the_policy; before, the line had no such field, so that it could not pass.

--- a/crates/jobs/src/delay.rs
+++ b/crates/jobs/src/delay.rs
@@ -14,6 +14,8 @@
     Retry,
     /// The team has reached its quota.
     Limit,
+    /// The placement policy has yet to allow a worker.
+    Policy,
     /// No worker that may run the task has enough free capacity.
     Capacity,
 }
@@ -25,6 +27,7 @@
     previous_owner: Duration,
     retry: Duration,
     limit: Duration,
+    policy: Duration,
     capacity: Duration,
 }
 
@@ -36,6 +39,7 @@
             DelayCause::PreviousOwner => &mut self.previous_owner,
             DelayCause::Retry => &mut self.retry,
             DelayCause::Limit => &mut self.limit,
+            DelayCause::Policy => &mut self.policy,
             DelayCause::Capacity => &mut self.capacity,
         };
         *sum += time;
@@ -44,9 +48,10 @@
 
 impl fmt::Display for Delays {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { store, previous_owner, retry, limit, capacity } = self;
+        let Self { store, previous_owner, retry, limit, policy, capacity } = self;
         let ms = Duration::as_millis;
         write!(f, "store={} former_owner={} ", ms(store), ms(previous_owner))?;
-        write!(f, "retry={} limit={} room={}", ms(retry), ms(limit), ms(capacity))
+        write!(f, "retry={} limit={} ", ms(retry), ms(limit))?;
+        write!(f, "policy={} room={}", ms(policy), ms(capacity))
     }
 }
--- a/crates/jobs/src/scheduler/delays.rs
+++ b/crates/jobs/src/scheduler/delays.rs
@@ -52,6 +52,8 @@
             DelayCause::Retry
         } else if !self.is_within_team_quota(id, job.spec(id.step)?) {
             DelayCause::Limit
+        } else if self.awaits_policy(id, now) {
+            DelayCause::Policy
         } else {
             DelayCause::Capacity
         })
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -167,6 +167,14 @@
         }
     }
 
+    /// Whether a step waits for the placement policy: for its response, or until it can be queried.
+    pub(super) fn awaits_policy(&self, step: StepId, now: Moment) -> bool {
+        let Some(policy) = self.placement_policy(step) else { return false };
+        let is_query_open = self.policy_queue.awaits(step, now)
+            || self.policy_queue.late_since(step, now).is_some();
+        is_query_open || !self.policy_queue.may_send(&policy, now)
+    }
+
     fn await_policy(&mut self, step: StepId, policy: PlacementPolicy) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         self.awaiting_policy.insert(job.record.service.clone(), policy);
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::emulator::{QUEUE, config, job, ms, step};
+use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
 use cassiafold_jobs::clients::{
     CommandOutcome, EndedRun, PolicyError, PolicyResponse, PollResponse, Refusal, RunEnd, Ticket,
 };
@@ -19,9 +21,6 @@
 use cassiafold_jobs::scheduler::{Command, OwnerTerm, PolicyQuery, WriteBatch};
 use cassiafold_jobs::spec::{JobId, Resources, StepId, StepSpec};
 
-use self::emulator::{QUEUE, config, job, ms, step};
-use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
-
 /// Queries that may wait; a further one is refused.
 const WAITING_MAX: usize = 32;
 /// Validity of a ticket.
@@ -530,6 +529,20 @@
         Policy { refused: workers(0..2), ..Policy::new(300, 200) }, gang(12, 9);
 }
 
+/// Guards against jobs that wait for the policy and look as if they waited for capacity.
+#[test]
+fn the_delays_of_a_job_tell_how_long_it_waited_for_the_policy() {
+    let mut policy = Policy::new(300, 40);
+    let mut harness = policy.harness();
+    for job in 1..=2 {
+        harness.submit(job, vec![step(4, 1, &[])]);
+    }
+    policy.run(&mut harness, policy.times.handling_time(7) * 2);
+    let delays = harness.scheduler.job(2).expect("the job").delays.to_string();
+    // The first 50 ms are counted before the pass that queries the policy.
+    assert_eq!(delays, "store=0 former_owner=0 retry=0 limit=0 policy=1150 room=50");
+}
+
 /// Guards against a gang whose workers do not fit into one query, and whose first tickets expire
 /// while it is asked about the rest.
 #[test]
