--- a/crates/jobs/tests/writes.rs
+++ b/crates/jobs/tests/writes.rs
@@ -5,7 +5,7 @@
 mod log_lines;
 
 use cassiafold_jobs::clients::{EndedRun, PollResponse, RunEnd};
-use cassiafold_jobs::cluster::WorkerEntry;
+use cassiafold_jobs::cluster::{MachineState, Wave, WorkerEntry};
 use cassiafold_jobs::event::JobsEvent;
 use cassiafold_jobs::record::{JobRecord, WORKERS_PREFIX, WorkerRecord, state_key};
 use cassiafold_jobs::scheduler::{OwnerTerm, WriteBatch, WriteUrgency};
@@ -17,6 +17,10 @@
 use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
 use self::log_lines::{capture, lines};
 
+/// Entries that the store accepts in one transaction.
+const STORE_ENTRIES_MAX: usize = 32;
+/// Entries of each write beside its batch: two conditions and the sequence.
+const FRAME_ENTRIES: usize = 3;
 /// Number of jobs with two tasks, of which one has just ended.
 const JOBS: u64 = 40;
 
@@ -185,3 +189,34 @@
     let count = |event: JobsEvent| lines(event.row().number).len();
     assert_eq!((count(JobsEvent::JobOversized), count(JobsEvent::StateUnstorable)), (0, 1));
 }
+
+/// Guards against a write that the store refuses as a whole, for ever.
+#[test]
+fn no_write_has_more_entries_than_the_store_accepts() {
+    let mut harness = harness_with_run_ends_of(600);
+    harness.set_machines(SchedulerHarness::machines(8, MachineState::Up));
+    let waves = (1..=6).map(|number| Wave {
+        number,
+        machines: vec![format!("m{number}").into()],
+        time_limit: ms(60_000),
+        concurrent_max: 1,
+    });
+    harness.scheduler.set_waves(&waves.collect::<Vec<_>>(), harness.now);
+    let mut largest = 0;
+    let end = harness.now + ms(20_000);
+    while harness.now < end {
+        for command in harness.scheduler.plan(ms(0), harness.now) {
+            harness.execute(command);
+        }
+        let next = std::iter::from_fn(|| harness.scheduler.next_write_batch(harness.now));
+        let in_flight: Vec<WriteBatch> = next.collect();
+        for batch in in_flight {
+            let entries = batch.puts.len() + batch.deletions.len() + batch.waves.len();
+            largest = largest.max(entries);
+            harness.scheduler.handle_write_committed(&batch, harness.now);
+        }
+        harness.now += ms(10);
+    }
+    // The largest ones come up to the bound, and none beyond.
+    assert_eq!(largest + FRAME_ENTRIES, STORE_ENTRIES_MAX);
+}
