Count in a test no failure of which no owner ever heard as an attempt

Traced with starts, ends and crashes printed: run 1 fails at 19.08 s, run 2 at 19.91 s on worker 3, which crashes at 20.5 s before a poll has told an owner of its end; run 3 fails at 42.3 s, and run 4 starts at 43.3 s. The owner knows two failures of three, and can't know the other.

Change, in the emulator only: a failed run that no response has told an owner and that is lost with its worker is not counted. All others count as before, also those that are told and not acknowledged.

With it one blank line in policy_queries.rs.

--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -20,6 +20,7 @@
 const TURN_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of workers that the policy accepts in one query.
 const QUERY_WORKERS_MAX: usize = 100;
+
 /// A query to the placement policy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PolicyQuery {
--- a/crates/jobs/tests/emulator/handler.rs
+++ b/crates/jobs/tests/emulator/handler.rs
@@ -38,6 +38,8 @@
                 let Some(scheduler) = &mut self.scheduler else { return };
                 match result {
                     Ok(poll) => {
+                        let failed = poll.ended.iter().filter(|row| row.end == RunEnd::Failed);
+                        self.heard_failures.extend(failed.map(|row| (row.task, row.run)));
                         scheduler.handle_poll_response(slot, is_out_of_band, sent, now, poll)
                     }
                     Err(error) => scheduler.handle_poll_failure(slot, false, &error, now),
@@ -74,6 +76,7 @@
             Event::RunFinished { worker, task, run } => self.end_run(worker, task, run),
             Event::Crash { worker } => {
                 self.count_crash(worker);
+                self.forget_unheard_failures(worker);
                 self.workers[worker].crash();
             }
             Event::Restart { worker } => self.restart(worker),
@@ -169,6 +172,16 @@
         }
     }
 
+    /// Forgets the failures that no owner has heard of and that are lost with their worker: they
+    /// don't count as attempts.
+    fn forget_unheard_failures(&mut self, worker: usize) {
+        for failure in self.workers[worker].listed_failures() {
+            if !self.heard_failures.contains(&failure) {
+                *self.failure_counts.entry(failure.0).or_default() -= 1;
+            }
+        }
+    }
+
     /// Whether a task is no member of a gang, or all members run under the same number or are done.
     fn is_gang_complete(&self, task: TaskId, run: RunNumber) -> bool {
         let spec = &self.jobs[&task.step.job].spec.steps[usize::from(task.step.step)];
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -24,7 +24,7 @@
     parse_job_key,
 };
 use cassiafold_jobs::scheduler::{Command, OwnerTerm, Scheduler, SchedulerSettings, WriteBatch};
-use cassiafold_jobs::spec::{JobId, JobSpec, Resources, StepSpec, TaskId};
+use cassiafold_jobs::spec::{JobId, JobSpec, Resources, RunNumber, StepSpec, TaskId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -146,6 +146,8 @@
     /// Done tasks that workers have reported, and to which owner.
     reported_done: HashSet<(u64, TaskId)>,
     failure_counts: HashMap<TaskId, u32>,
+    /// Failed runs that a response has told an owner.
+    heard_failures: HashSet<(TaskId, RunNumber)>,
     limit: Resources,
     /// Tasks that crash their workers, and the crashes so far.
     pub crashes: Crashes,
@@ -180,6 +182,7 @@
             restarted: HashSet::new(),
             reported_done: HashSet::new(),
             failure_counts: HashMap::new(),
+            heard_failures: HashSet::new(),
             limit,
             crashes: Crashes::default(),
         };
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -303,6 +303,12 @@
         }
     }
 
+    /// Failed runs whose ends have not been acknowledged.
+    pub fn listed_failures(&self) -> Vec<(TaskId, RunNumber)> {
+        let failed = self.ended.iter().filter(|row| row.end == RunEnd::Failed);
+        failed.map(|row| (row.task, row.run)).collect()
+    }
+
     /// Whether the worker keeps ends of runs that are not acknowledged.
     pub fn has_ended_runs(&self) -> bool {
         !self.ended.is_empty()
