Count a machine as down that an earlier owner may have commanded to maintenance

Cause: the next owner kept away from the machine that the one before had commanded, but counted it as up, while its command could still be carried out.

Change: the stored record of a commanded machine names the wave; an owner that inherits it counts the machine as down until it has had the maintenance accepted itself, for 13 s at most. docs/incidents/2026-12-06-wave-limit.md.

Test: a_machine_that_an_earlier_owner_may_take_down_counts_as_down, failed before.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -10,7 +10,7 @@
 //! | `cassiafold/sequence/CHAIN` | the owner | the same for each further write chain |
 //! | `cassiafold/workers/SHARD` | the owner | workers that were given tasks, by shard |
 //! | `cassiafold/waves` | the owner | machines whose maintenance has started, by wave |
-//! | `cassiafold/ordered` | the owner | machines that were sent a command recently, and the instance that sent it |
+//! | `cassiafold/ordered` | the owner | machines that were sent a command recently, the instance that sent it, and the wave |
 //! | `cassiafold/unfinished-loads` | the owner | number of owners in a row that did not finish reading the state |
 //! | `cassiafold/waiting` | the owner | number of waiting jobs, by queue |
 
@@ -229,8 +229,50 @@
     pub begun: Vec<InstanceId>,
 }
 
-/// Machines that were sent a command recently, with the instance that sent it.
-pub type CommandedMachinesRecord = BTreeMap<InstanceId, Arc<str>>;
+/// Machines that were sent a command recently.
+pub type CommandedMachinesRecord = BTreeMap<InstanceId, CommandedMachine>;
+
+/// What an instance recorded before it sent a command to a machine.
+///
+/// The command may be executed after the instance has lost the ownership.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum CommandedMachine {
+    /// A move, or any command of an earlier version; the instance that sent it.
+    Moved(Arc<str>),
+    /// Maintenance, which takes the machine down.
+    Maintained {
+        /// The instance that sent it.
+        instance: Arc<str>,
+        /// The wave.
+        wave: WaveNumber,
+    },
+}
+
+impl CommandedMachine {
+    /// A command of `instance`; for maintenance with the number of the wave.
+    pub fn new(instance: Arc<str>, wave: Option<WaveNumber>) -> Self {
+        match wave {
+            Some(wave) => Self::Maintained { instance, wave },
+            None => Self::Moved(instance),
+        }
+    }
+
+    /// The instance that sent the command.
+    pub fn instance(&self) -> &Arc<str> {
+        match self {
+            Self::Moved(instance) | Self::Maintained { instance, .. } => instance,
+        }
+    }
+
+    /// The wave, if the command takes the machine down.
+    pub fn wave(&self) -> Option<WaveNumber> {
+        match self {
+            Self::Moved(_) => None,
+            Self::Maintained { wave, .. } => Some(*wave),
+        }
+    }
+}
 
 /// Number of owners in a row that took too long to read the state.
 pub type UnfinishedLoads = u32;
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -71,7 +71,7 @@
     /// Issues the moves for which the lease on the machine is stored.
     pub(super) fn issue_machine_moves(&mut self, now: Moment, commands: &mut Vec<Command>) {
         for command in std::mem::take(&mut self.pending_moves) {
-            if self.machine_leases.acquire(command.machine(), now) {
+            if self.machine_leases.acquire(command.machine(), None, now) {
                 commands.push(Command::Machine(command));
             } else if self.moving_machines.contains_key(command.machine()) {
                 self.pending_moves.push(command);
--- a/crates/jobs/src/scheduler/machine_leases.rs
+++ b/crates/jobs/src/scheduler/machine_leases.rs
@@ -2,7 +2,8 @@
 //!
 //! Commands of two instances to the same machine must be at least one lease apart. An owner
 //! therefore stores the name of a machine before its first command, so that the next owner waits
-//! only for the named machines and not for all.
+//! only for the named machines and not for all. It also stores the wave for which a machine is
+//! maintained: the next owner counts the machine as down while that command may be executed late.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,17 +12,38 @@
 use cassiafold_config::InstanceId;
 use cassiafold_platform::Moment;
 
-use crate::record::CommandedMachinesRecord;
+use crate::cluster::WaveNumber;
+use crate::record::{CommandedMachine, CommandedMachinesRecord};
+
+/// Longest time after which a command without a response may still be executed.
+pub(super) const LATE_COMMAND_MAX: Duration = Duration::from_secs(13);
 
 /// Lease of the instance that last sent a command to a machine.
 #[derive(Debug)]
 struct MachineLease {
-    /// Instance that holds the lease.
-    instance: Arc<str>,
+    /// The command, with the instance that holds the lease.
+    command: CommandedMachine,
     /// Until when other instances must not send commands.
     until: Moment,
-    /// Whether the lease is stored.
+    /// Whether the lease is stored with this command.
     is_stored: bool,
+    /// Maintenance that an earlier owner may have commanded.
+    inherited_maintenance: Option<InheritedMaintenance>,
+}
+
+/// Maintenance that an earlier owner may have commanded without learning of its execution.
+#[derive(Debug, Clone, Copy)]
+struct InheritedMaintenance {
+    wave: WaveNumber,
+    /// Until when the command may be executed.
+    until: Moment,
+}
+
+impl MachineLease {
+    fn is_needed(&self, now: Moment) -> bool {
+        let may_be_executed = |inherited: InheritedMaintenance| now < inherited.until;
+        now <= self.until || self.inherited_maintenance.is_some_and(may_be_executed)
+    }
 }
 
 /// Leases by machine.
@@ -44,11 +66,13 @@
         stored: CommandedMachinesRecord,
         now: Moment,
     ) -> Self {
-        let inherit = |(machine, instance): (&InstanceId, &Arc<str>)| {
+        let inherit = |(machine, command): (&InstanceId, &CommandedMachine)| {
+            let inherit_wave = |wave| InheritedMaintenance { wave, until: now + LATE_COMMAND_MAX };
             let lease = MachineLease {
-                instance: Arc::clone(instance),
+                command: command.clone(),
                 until: now + lease_duration,
                 is_stored: true,
+                inherited_maintenance: command.wave().map(inherit_wave),
             };
             (machine.clone(), lease)
         };
@@ -64,22 +88,43 @@
     /// Returns whether another instance may have sent a command to a machine within the last lease.
     pub(super) fn is_leased_to_other(&self, machine: &str, now: Moment) -> bool {
         let lease = self.leases.get(machine);
-        let is_other = |lease: &MachineLease| lease.instance != self.instance && now <= lease.until;
+        let is_other =
+            |lease: &MachineLease| *lease.command.instance() != self.instance && now <= lease.until;
         lease.is_some_and(is_other) || self.others_until.is_some_and(|until| now <= until)
     }
 
-    /// Acquires or renews the lease on a machine, unless another instance holds it. Returns whether
-    /// the lease is stored, so that commands may be sent; if not, the next write stores it.
-    pub(super) fn acquire(&mut self, machine: &InstanceId, now: Moment) -> bool {
+    /// Returns whether an earlier owner may have commanded the maintenance of a machine for a wave,
+    /// so that the machine may still go down.
+    pub(super) fn may_be_taken_down(&self, machine: &str, wave: WaveNumber, now: Moment) -> bool {
+        let inherited = self.leases.get(machine).and_then(|lease| lease.inherited_maintenance);
+        inherited.is_some_and(|inherited| inherited.wave == wave && now < inherited.until)
+    }
+
+    /// Acquires or renews the lease on a machine for a move, or for its maintenance in a wave, unless
+    /// another instance holds it. Returns whether the lease is stored, so that commands may be sent;
+    /// if not, the next write stores it.
+    pub(super) fn acquire(
+        &mut self,
+        machine: &InstanceId,
+        wave: Option<WaveNumber>,
+        now: Moment,
+    ) -> bool {
         if self.is_leased_to_other(machine, now) {
             return false;
         }
         let until = now + self.lease_duration;
-        let instance = &self.instance;
-        let new_lease = || MachineLease { instance: Arc::clone(instance), until, is_stored: false };
-        let lease = self.leases.entry(machine.clone()).or_insert_with(new_lease);
-        if lease.instance != self.instance {
-            *lease = new_lease();
+        let command = CommandedMachine::new(Arc::clone(&self.instance), wave);
+        let lease = self.leases.entry(machine.clone()).or_insert_with(|| MachineLease {
+            command: command.clone(),
+            until,
+            is_stored: false,
+            inherited_maintenance: None,
+        });
+        let is_own = *lease.command.instance() == self.instance;
+        // Maintenance stays recorded when the machine is moved: its command may still be executed.
+        if !is_own || (wave.is_some() && lease.command != command) {
+            lease.command = command;
+            lease.is_stored = false;
         }
         lease.until = lease.until.max(until);
         lease.is_stored
@@ -99,11 +144,10 @@
 
     /// Returns the record to store; `None` if the stored one is up to date.
     pub(super) fn take_record(&mut self, now: Moment) -> Option<CommandedMachinesRecord> {
-        self.leases.retain(|_, lease| now <= lease.until);
+        self.leases.retain(|_, lease| lease.is_needed(now));
         let entries = self.leases.iter();
-        let record: CommandedMachinesRecord = entries
-            .map(|(machine, lease)| (machine.clone(), Arc::clone(&lease.instance)))
-            .collect();
+        let record: CommandedMachinesRecord =
+            entries.map(|(machine, lease)| (machine.clone(), lease.command.clone())).collect();
         if record == self.last_record {
             return None;
         }
@@ -113,9 +157,9 @@
 
     /// Marks the leases of a stored record as stored.
     pub(super) fn mark_stored(&mut self, record: &CommandedMachinesRecord) {
-        for (machine, instance) in record {
+        for (machine, command) in record {
             if let Some(lease) = self.leases.get_mut(machine) {
-                lease.is_stored |= lease.instance == *instance;
+                lease.is_stored |= lease.command == *command;
             }
         }
     }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -7,6 +7,7 @@
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
+use super::machine_leases::LATE_COMMAND_MAX;
 use super::machine_list::MachineList;
 use super::{Command, Scheduler, WriteUrgency};
 use crate::clients::MachineOutcome;
@@ -27,8 +28,6 @@
 const FORCE_AFTER_SHARE: f64 = 0.75;
 /// Minimum time between two commands to the same machine.
 const COMMAND_RETRY_INTERVAL: Duration = Duration::from_millis(700);
-/// Longest time after which a command without a response may still be executed.
-const LATE_COMMAND_MAX: Duration = Duration::from_secs(13);
 /// Longest time for which a machine is drained before it is taken down.
 const DRAINING_MAX: Duration = Duration::from_millis(4_500);
 /// Log target of this module, which operators' filters name.
@@ -254,7 +253,7 @@
         now: Moment,
         commands: &mut Vec<Command>,
     ) {
-        let down = self.down_count(progress);
+        let down = self.down_count(progress, now);
         let mut remaining = self.remaining_machines(progress, now);
         for slot in remaining.iter().filter_map(|(_, slot)| *slot) {
             self.workers[slot].is_maintenance_due = true;
@@ -262,11 +261,14 @@
         let planned_down = planned_down(progress, remaining.len(), now);
         let down_allowed_max = progress.wave.concurrent_max.saturating_sub(down);
         let down_allowed_now = planned_down.saturating_sub(down);
-        // Machines with long-running tasks take longest to drain, so they come first.
+        let number = progress.wave.number;
+        // A machine that an earlier owner may have commanded counts as down until it is maintained.
+        // Machines with long-running tasks take longest to drain, so they come before the others.
         remaining.sort_by_cached_key(|(machine, slot)| {
             let runs = slot.map_or(0, |slot| 1 + self.workers[slot].runs.len());
             let has_long_running = slot.is_some_and(|slot| self.hosts_long_running(slot));
             (
+                !self.machine_leases.may_be_taken_down(&machine.id, number, now),
                 !progress.draining.contains_key(&machine.id),
                 !has_long_running,
                 runs,
@@ -289,8 +291,10 @@
             let is_pending = self.is_command_pending(&machine.id);
             let is_surplus = slot.is_none_or(|slot| self.is_surplus(slot));
             let limit = if is_surplus { down_allowed_max } else { down_allowed_now };
-            if is_pending || (can_go_down && going_down.len() + awaiting_lease < limit) {
-                if !self.machine_leases.acquire(&machine.id, now) {
+            let is_counted = self.machine_leases.may_be_taken_down(&machine.id, number, now);
+            let is_within_limit = is_counted || going_down.len() + awaiting_lease < limit;
+            if is_pending || (can_go_down && is_within_limit) {
+                if !self.machine_leases.acquire(&machine.id, Some(number), now) {
                     awaiting_lease += 1;
                     draining.insert(machine.id);
                     continue;
@@ -308,7 +312,7 @@
         self.evict_long_running(&slots, &draining_slots, now);
         self.drain_machines(progress, draining, now);
         for machine in going_down {
-            self.command_maintenance(progress.wave.number, machine, now, commands);
+            self.command_maintenance(number, machine, now, commands);
         }
     }
 
@@ -324,7 +328,7 @@
     }
 
     /// Returns how many machines of a wave are or may be down for maintenance.
-    fn down_count(&self, progress: &WaveProgress) -> usize {
+    fn down_count(&self, progress: &WaveProgress, now: Moment) -> usize {
         let is_up_again = |machine: &InstanceId, begun: Moment| {
             let listed = self.machines.get(machine);
             let is_listed_after = self.machines_listed_at.is_some_and(|at| at > begun);
@@ -335,7 +339,8 @@
         let begun =
             progress.begun.iter().filter(|(machine, at)| !is_up_again(machine, **at)).count();
         let others_down = progress.wave.machines.iter().filter(|machine| {
-            let is_commanded = self.is_command_pending(machine);
+            let is_commanded = self.is_command_pending(machine)
+                || self.machine_leases.may_be_taken_down(machine, progress.wave.number, now);
             let listed = self.machines.get(machine);
             let down = listed.is_some_and(|listed| listed.state == MachineState::Maintenance);
             (is_commanded || down) && !progress.begun.contains_key(*machine)
