Count what unknown runs of earlier owners may take against a team's quota

Cause: a new owner counted each team's usage from nothing, and started tasks of untouched jobs before all workers had listed their runs.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod delays;
 mod gang;
 mod in_flight_writes;
+mod inherited_usage;
 mod job_lifecycle;
 mod machine_leases;
 mod machine_list;
@@ -42,6 +43,7 @@
 pub use self::backlog::Backlog;
 pub use self::crashes::CrashCounts;
 use self::in_flight_writes::InFlightWrites;
+use self::inherited_usage::InheritedUsage;
 use self::machine_leases::MachineLeases;
 use self::machine_list::MachineList;
 pub use self::maintenance::MachineCommand;
@@ -202,6 +204,8 @@
     recurring_jobs: Vec<JobId>,
     /// Resources that the running tasks of each team take.
     team_usage: HashMap<TeamId, Resources>,
+    /// Resources that unknown runs of previous owners may take.
+    inherited_usage: InheritedUsage,
     /// Until when runs of a previous owner may continue on workers that have not responded.
     inherited_runs_expire: Moment,
     /// Services in which something has changed since the last placement pass.
@@ -306,6 +310,7 @@
             excluded_jobs: HashSet::new(),
             recurring_jobs: Vec::new(),
             team_usage: HashMap::new(),
+            inherited_usage: InheritedUsage::default(),
             inherited_runs_expire: now,
             changed_services: HashSet::new(),
             next_placement: HashMap::new(),
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -35,9 +35,11 @@
     pub fn plan(&mut self, now_unix: Duration, now: Moment) -> Vec<Command> {
         let mut commands = Vec::new();
         self.last_plan_unix = now_unix;
+        self.ensure_inherited_usage(now);
         if now.saturating_sub(self.last_full_plan) >= REPLAN_INTERVAL {
             self.record_delays(now.saturating_sub(self.last_full_plan), now);
             self.last_full_plan = now;
+            self.update_inherited_usage(now);
             self.forget_ended_suspects();
             self.request_list_of_lost_machines(now);
             self.start_due_occurrences(now_unix, now);
@@ -393,7 +395,7 @@
         let Some(team) = team else { return true };
         let Some(limits) = self.config.teams.get(team) else { return true };
         let used = self.team_usage.get(team).copied().unwrap_or_default();
-        limits.admits(&used, task_resources)
+        limits.admits(&used.plus(&self.inherited_usage.of(team)), task_resources)
     }
 
     pub(super) fn next_run_number(&self, task: TaskId) -> u32 {
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
     pub running: HashMap<WorkerSlot, Vec<(TaskId, u32)>>,
     pub machine_commands: Vec<MachineCommand>,
     pub listed_machines: Vec<Machine>,
+    /// Workers that respond to no poll.
+    pub silent: HashSet<WorkerSlot>,
 }
 
 impl SchedulerHarness {
@@ -63,6 +65,7 @@
             running,
             machine_commands: Vec::new(),
             listed_machines: Vec::new(),
+            silent: HashSet::new(),
         }
     }
 
@@ -156,6 +159,11 @@
         match command {
             Command::Poll { worker, is_out_of_band } => {
                 let _ = self.scheduler.poll_request(worker, is_out_of_band, self.now);
+                if self.silent.contains(&worker) {
+                    let error = PollError::NoAnswer("timeout".into());
+                    let now = self.now;
+                    return self.scheduler.handle_poll_failure(worker, is_out_of_band, &error, now);
+                }
                 let rows = self.running.get(&worker).cloned().unwrap_or_default();
                 let row = |(task, run)| RunningRun {
                     task,
--- a/crates/jobs/tests/takeovers.rs
+++ b/crates/jobs/tests/takeovers.rs
@@ -9,8 +9,8 @@
 use cassiafold_jobs::spec::Resources;
 
 use self::emulator::worker::EmulatedWorker;
-use self::emulator::{cores, ms, step};
-use self::harness::{SchedulerHarness, worker_record};
+use self::emulator::{LEASE_MAX, config, cores, job, ms, step};
+use self::harness::{SchedulerHarness, state_from_previous_owner, worker_record};
 
 /// Jobs that callers hand in as soon as the store is back.
 const WAITING_JOBS: u64 = 40;
@@ -103,3 +103,65 @@
     harness.run_for(ms(100));
     assert_eq!(harness.machine_commands.len(), 5);
 }
+
+/// Gives the team a quota of 12 cores, and a job of this many tasks of one core that a previous owner
+/// has started.
+fn with_quota_and_inherited_job(mut harness: SchedulerHarness, tasks: u32) -> SchedulerHarness {
+    harness
+        .scheduler
+        .set_config(config(Resources { processors_milli: 12_000, ..Resources::default() }));
+    let (inherited, state) =
+        (job(vec![step(tasks, 1, &[])]), state_from_previous_owner(Vec::new()));
+    harness.scheduler.add_job(1, inherited, 40, Some(&state), harness.now);
+    harness
+}
+
+/// A new owner of a team with a quota; the last of `workers` responds to no poll.
+fn harness_with_a_silent_worker(workers: usize, inherited_tasks: u32) -> SchedulerHarness {
+    let term = OwnerTerm { token: 50, known_workers: records(workers), ..OwnerTerm::default() };
+    let harness = SchedulerHarness::at_term_start(workers, term);
+    let mut harness = with_quota_and_inherited_job(harness, inherited_tasks);
+    harness.silent.insert(workers - 1);
+    harness
+}
+
+/// Number of tasks of a job that waits for the quota that start within a second.
+fn starts_beside_unknown_runs(inherited_tasks: u32) -> usize {
+    let mut harness = harness_with_a_silent_worker(3, inherited_tasks);
+    harness.submit(2, vec![step(20, 1, &[])]);
+    harness.run_for(ms(1_000));
+    harness.running()
+}
+
+/// Guards against a team that exceeds its quota after a takeover: its tasks go on running on workers
+/// that the new owner can't reach.
+#[test]
+fn runs_on_a_worker_that_does_not_respond_count_against_the_quota() {
+    assert_eq!(starts_beside_unknown_runs(12), 0);
+}
+
+#[test]
+fn a_team_starts_tasks_beside_unknown_runs_up_to_its_quota() {
+    assert_eq!(starts_beside_unknown_runs(4), 8);
+}
+
+#[test]
+fn the_quota_is_free_once_the_leases_of_unknown_runs_have_expired() {
+    let mut harness = harness_with_a_silent_worker(3, 12);
+    harness.submit(2, vec![step(20, 1, &[])]);
+    harness.run_for(LEASE_MAX * 103 / 100 + ms(500));
+    assert_eq!(harness.running(), 12);
+}
+
+#[test]
+fn unknown_runs_count_no_more_than_the_workers_that_do_not_respond_have_room_for() {
+    let mut known_workers = records(3);
+    known_workers[2].capacity = Some(cores(4).into());
+    let term = OwnerTerm { token: 50, known_workers, ..OwnerTerm::default() };
+    let mut harness = with_quota_and_inherited_job(SchedulerHarness::at_term_start(0, term), 12);
+    harness.set_machines(machines(3));
+    harness.silent.insert(2);
+    harness.submit(2, vec![step(20, 1, &[])]);
+    harness.run_for(ms(1_000));
+    assert_eq!(harness.running(), 8);
+}
