Divide the machines among services that are short, and keep them until a first peak is over

Cause: the service that lacked most machines got each free one, only machines without any task could move, and two early jobs counted as a peak that had ended, so that machines went to the spare pool a second before the first rise.

Change: while the services together need more than there is, each gets a share by tiers (long-running, work that can be on time, the predicted rise, late work), and machines over a service's share get no new tasks, so that they can move (division.rs, scheduler/division.rs).

--- a/crates/jobs/src/arrivals.rs
+++ b/crates/jobs/src/arrivals.rs
@@ -12,6 +12,9 @@
 /// many, for the trend.
 const RATE_BINS: usize = 6;
 
+/// Standard deviations by which the number of jobs has fallen if a peak is over.
+const CLEAR_FALL: f64 = 2.0;
+
 /// Recent arrivals of work per service.
 #[derive(Debug, Default)]
 pub struct Arrivals {
@@ -73,6 +76,10 @@
         self.previous - self.current > self.random_variation()
     }
 
+    fn has_clearly_fallen(self) -> bool {
+        self.previous - self.current > CLEAR_FALL * self.random_variation()
+    }
+
     /// Standard deviation of the difference at a steady arrival rate.
     fn random_variation(self) -> f64 {
         (self.previous + self.current).sqrt()
@@ -159,4 +166,10 @@
     pub fn is_falling(&self, service: &str, now: Moment) -> bool {
         self.services.get(service).is_some_and(|recent| recent.counts(now).is_falling())
     }
+
+    /// Whether so many fewer jobs arrive that a peak is over. Two or three jobs that come before the
+    /// first peak, and none after them, are no peak.
+    pub fn has_clearly_fallen(&self, service: &str, now: Moment) -> bool {
+        self.services.get(service).is_some_and(|recent| recent.counts(now).has_clearly_fallen())
+    }
 }
--- a/crates/jobs/src/balance.rs
+++ b/crates/jobs/src/balance.rs
@@ -23,6 +23,8 @@
     pub running: f64,
     /// Work of waiting short tasks, in core-seconds.
     pub waiting_core_s: f64,
+    /// Part of `waiting_core_s` that belongs to jobs that can't meet their objective any more.
+    pub late_core_s: f64,
     /// Long-running tasks.
     pub long_running: f64,
     /// Predicted arrival rate of work when a machine that is commanded now becomes available.
@@ -31,8 +33,9 @@
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { arriving, running, waiting_core_s, long_running, expected } = self;
+        let Self { arriving, running, waiting_core_s, late_core_s, long_running, expected } = self;
         write!(f, "{arriving:.0} arriving {running:.0} running {waiting_core_s:.0} waiting ")?;
+        write!(f, "{late_core_s:.0} late ")?;
         write!(f, "{long_running:.0} long {expected:.0} expected")
     }
 }
@@ -44,10 +47,15 @@
     /// a second or two.
     pub fn cores(&self) -> f64 {
         let rate = self.arriving.max(self.running).max(self.expected);
-        self.long_running + (rate + self.waiting_core_s / BACKLOG_TIME_S) / USABLE_PART
+        self.long_running + cores_for(rate, self.waiting_core_s)
     }
 }
 
+/// Cores that serve short tasks that arrive at `rate`, and do what waits within a second or two.
+pub fn cores_for(rate: f64, waiting_core_s: f64) -> f64 {
+    (rate + waiting_core_s / BACKLOG_TIME_S) / USABLE_PART
+}
+
 /// How long a past need counts before machines go to the spare pool.
 const NEED_RETENTION: Duration = Duration::from_millis(2_500);
 
@@ -60,7 +68,9 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PeakNeed {
     needs: VecDeque<(Moment, usize)>,
-    /// Whether demand has fallen since the first need was recorded.
+    /// Greatest need that was recorded.
+    highest: usize,
+    /// Whether a peak of the demand is over.
     has_fallen: bool,
 }
 
@@ -69,16 +79,22 @@
     /// needs count for a shorter time.
     pub fn record(&mut self, needed: usize, is_falling: bool, now: Moment) -> usize {
         self.needs.push_back((now, needed));
+        self.highest = self.highest.max(needed);
         while self.needs.front().is_some_and(|(at, _)| now >= *at + NEED_RETENTION) {
             self.needs.pop_front();
         }
-        self.has_fallen |= is_falling;
         let retention = if is_falling { FALLING_NEED_RETENTION } else { NEED_RETENTION };
         let counted = self.needs.iter().filter(|(at, _)| now < *at + retention);
         counted.map(|(_, needed)| *needed).max().unwrap_or(needed)
     }
 
-    /// Whether demand has fallen since the first need was recorded.
+    /// Notes that demand falls, on a service with this many machines. That ends a peak if at least
+    /// half of the machines were needed, or if the fall is clear.
+    pub fn note_fall(&mut self, machines: usize, is_clear: bool) {
+        self.has_fallen |= is_clear || self.highest >= machines.div_ceil(2);
+    }
+
+    /// Whether a peak of the demand is over.
     ///
     /// Before that, demand may not have started yet, and the machines that a service was given
     /// initially are all that it has when demand starts.
@@ -110,6 +126,8 @@
 pub struct Move {
     /// The machine.
     pub machine: InstanceId,
+    /// Service from which it moves.
+    pub from: ServiceId,
     /// Service to which it moves.
     pub service: ServiceId,
 }
@@ -185,5 +203,38 @@
     let machine = source.idle.pop()?;
     source.machines = source.machines.saturating_sub(1);
     pools.get_mut(to)?.machines += 1;
-    Some(Move { machine, service: to.clone() })
+    Some(Move { machine, from: from.clone(), service: to.clone() })
+}
+
+/// Number of machines that each service should vacate: it has more than it needs, none of them is
+/// idle, and other services lack machines after `moves`.
+pub fn machines_to_vacate(
+    pools: &BTreeMap<ServiceId, Pool>,
+    moves: &[Move],
+) -> BTreeMap<ServiceId, usize> {
+    let machines_after = |id: &ServiceId, pool: &Pool| {
+        let left = moves.iter().filter(|one| one.from == *id).count();
+        let joined = moves.iter().filter(|one| one.service == *id).count();
+        (pool.machines + joined).saturating_sub(left)
+    };
+    let in_use = || pools.iter().filter(|(_, pool)| !pool.is_spare);
+    let lacks =
+        |(id, pool): (&ServiceId, &Pool)| pool.needed.saturating_sub(machines_after(id, pool));
+    let mut lacking: usize = in_use().map(lacks).sum();
+    let mut surplus: Vec<(&ServiceId, usize)> = in_use()
+        .map(|(id, pool)| {
+            let kept = pool.needed.saturating_add(SURPLUS_MACHINES);
+            (id, machines_after(id, pool).saturating_sub(kept))
+        })
+        .collect();
+    surplus.sort_by_key(|(_, surplus)| std::cmp::Reverse(*surplus));
+    let mut counts = BTreeMap::new();
+    for (id, surplus) in surplus {
+        let count = surplus.min(lacking);
+        lacking -= count;
+        if count > 0 {
+            counts.insert(id.clone(), count);
+        }
+    }
+    counts
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash;
 pub mod delay;
 pub mod desired_state;
+pub mod division;
 pub mod estimate;
 pub mod event;
 pub mod incarnation;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod contact;
 mod crashes;
 mod delays;
+mod division;
 mod gang;
 mod in_flight_writes;
 mod inherited_usage;
@@ -244,6 +245,8 @@
     /// Machines that are moving or about to move, with the target service and the time of the
     /// decision.
     moving_machines: HashMap<InstanceId, (ServiceId, Moment)>,
+    /// Machines that get no new tasks, so that they can move to a service that lacks some.
+    vacated_machines: BTreeSet<InstanceId>,
     /// Moves that wait until the leases on their machines are stored.
     pending_moves: Vec<MachineCommand>,
     machine_leases: MachineLeases,
@@ -331,6 +334,7 @@
             has_unlisted_losses: false,
             waves_written: term.waves.clone(),
             moving_machines: HashMap::new(),
+            vacated_machines: BTreeSet::new(),
             pending_moves: Vec::new(),
             machine_leases,
             unresponsive_machines: UnresponsiveMachines::default(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -40,16 +40,22 @@
         let is_list_recent =
             self.machines_listed_at.is_some_and(|at| now < at + MACHINE_LIST_AGE_MAX);
         if !is_list_recent {
+            self.stop_vacating();
             return;
         }
         self.last_balanced = Some(now);
         self.remove_finished_moves(now);
         self.unresponsive_machines.update(self.list_unresponsive_machines(), now);
-        let pools = self.pools(now);
+        let mut pools = self.pools(now);
+        let is_short = self.divide_machines(&mut pools);
         let moves = choose_moves(&pools, self.moves_max());
         self.surplus_machines = count_surplus(&pools);
         if !moves.is_empty() {
-            log_pools(&pools, moves.len());
+            log_pools(&pools, moves.len(), is_short);
+        }
+        match is_short {
+            true => self.vacate_machines(&pools, &moves, now),
+            false => self.stop_vacating(),
         }
         for chosen in moves {
             self.moving_machines.insert(chosen.machine.clone(), (chosen.service.clone(), now));
@@ -57,6 +63,7 @@
                 self.workers[slot].is_cordoned = true;
                 self.workers[slot].is_leaving = true;
             }
+            self.vacated_machines.remove(&chosen.machine);
             let (machine, service) = (chosen.machine, chosen.service);
             self.pending_moves.push(MachineCommand::Move { machine, service });
         }
@@ -96,7 +103,7 @@
     fn pools(&mut self, now: Moment) -> BTreeMap<ServiceId, Pool> {
         let unresponsive_max = self.lease_max_with_skew();
         let unreachable_zones = self.unreachable_zones();
-        let mut idle: BTreeMap<ServiceId, Vec<(bool, &Machine)>> = BTreeMap::new();
+        let mut idle: BTreeMap<ServiceId, Vec<(bool, bool, &Machine)>> = BTreeMap::new();
         let mut pools: BTreeMap<ServiceId, Pool> = BTreeMap::new();
         for (id, service) in &self.config.services {
             let pool = Pool { is_spare: service.is_spare, ..Pool::default() };
@@ -119,14 +126,16 @@
             pool.machines += 1;
             if target.is_none() && self.is_idle(machine, now) {
                 let is_reachable = !unreachable_zones.contains(&machine.zone);
-                idle.entry(machine.service.clone()).or_default().push((is_reachable, machine));
+                let is_vacated = self.vacated_machines.contains(&machine.id);
+                let idle = idle.entry(machine.service.clone()).or_default();
+                idle.push((is_reachable, is_vacated, machine));
             }
         }
         for (service, mut machines) in idle {
             let Some(pool) = pools.get_mut(&service) else { continue };
             // Machines are taken from the end.
-            machines.sort_by_key(|(is_reachable, _)| *is_reachable);
-            pool.idle = machines.into_iter().map(|(_, machine)| machine.id.clone()).collect();
+            machines.sort_by_key(|(is_reachable, is_vacated, _)| (*is_reachable, *is_vacated));
+            pool.idle = machines.into_iter().map(|(_, _, machine)| machine.id.clone()).collect();
         }
         let cores_per_machine = self.cores_per_machine();
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
@@ -137,6 +146,9 @@
             let is_falling = self.arrivals.is_falling(id, now);
             let needs = self.peak_needs.entry(id.clone()).or_default();
             let peak_need = needs.record(pool.needed, is_falling, now);
+            if is_falling {
+                needs.note_fall(pool.machines, self.arrivals.has_clearly_fallen(id, now));
+            }
             let kept = peak_need.saturating_add(SURPLUS_MACHINES);
             pool.may_shrink = needs.has_fallen() && pool.machines > kept;
         }
@@ -179,7 +191,9 @@
     fn is_draining(&self, machine: &Machine) -> bool {
         let slot = machine.worker.as_ref().and_then(|id| self.current_slots.get(id));
         slot.is_some_and(|slot| {
-            self.workers[*slot].is_cordoned && !self.moving_machines.contains_key(&machine.id)
+            self.workers[*slot].is_cordoned
+                && !self.moving_machines.contains_key(&machine.id)
+                && !self.vacated_machines.contains(&machine.id)
         })
     }
 
@@ -196,7 +210,8 @@
             return is_spare;
         };
         let worker = &self.workers[*slot];
-        let is_past_idle_delay = worker.last_run_ended.is_none_or(|at| now >= at + IDLE_AFTER);
+        let is_past_idle_delay = self.vacated_machines.contains(&machine.id)
+            || worker.last_run_ended.is_none_or(|at| now >= at + IDLE_AFTER);
         worker.is_confirmed
             && worker.has_listed_all()
             && !worker.is_leaving
@@ -205,7 +220,7 @@
     }
 
     /// Returns the mean number of cores of a machine.
-    fn cores_per_machine(&self) -> f64 {
+    pub(super) fn cores_per_machine(&self) -> f64 {
         let known = self.machines.iter().filter(|machine| machine.state != MachineState::Unknown);
         let core_counts = known.map(|machine| machine.capacity.processors_milli);
         let (sum, count) = core_counts.fold((0.0, 0.0), |(sum, count), milli| {
@@ -230,13 +245,23 @@
             let cores = waiting * f64::from(spec.reserved().processors_milli) / 1_000.0;
             match spec.long_running {
                 true => load.long_running += cores,
-                false => load.waiting_core_s += cores * spec.estimate.as_secs_f64() * ratio,
+                false => {
+                    let core_s = cores * spec.estimate.as_secs_f64() * ratio;
+                    load.waiting_core_s += core_s;
+                    load.late_core_s += if self.is_late(id, now) { core_s } else { 0.0 };
+                }
             }
         }
         load.expected = self.expected_rate(service, now) * ratio;
         load
     }
 
+    /// Returns whether a waiting step's job can't meet its objective any more.
+    fn is_late(&self, id: StepId, now: Moment) -> bool {
+        let step = self.jobs.get(&id.job).and_then(|job| self.waiting_step(job, id));
+        step.is_some_and(|step| !step.can_meet_objective(now))
+    }
+
     /// Returns the arrival rate that is expected at the time when machines that move now accept
     /// tasks, in estimated cores. The lead includes the time to issue the move commands, which is
     /// significant for many machines.
@@ -251,7 +276,7 @@
     }
 
     /// Returns the number of workers that the per-worker task limits of a service's steps require.
-    fn min_workers_for_spread(&self, service: &ServiceId) -> usize {
+    pub(super) fn min_workers_for_spread(&self, service: &ServiceId) -> usize {
         let workers_per_step = self.ready_steps.of(service).filter_map(|id| {
             let spec = self.spec(id)?;
             let step = self.jobs.get(&id.job)?.step(id)?;
@@ -283,11 +308,11 @@
 }
 
 /// Logs the machines that each service has and needs.
-fn log_pools(pools: &BTreeMap<ServiceId, Pool>, moves: usize) {
+fn log_pools(pools: &BTreeMap<ServiceId, Pool>, moves: usize, is_short: bool) {
     let descriptions = pools.iter().map(|(service, pool)| {
         let Pool { machines, needed, idle, load, .. } = pool;
         format!("{service}={machines}/{needed} idle {} ({load})", idle.len())
     });
     let pools = descriptions.collect::<Vec<_>>().join(", ");
-    emit!(JobsEvent::PoolsBalanced, moves = moves, pools = pools);
+    emit!(JobsEvent::PoolsBalanced, moves = moves, is_short = is_short, pools = pools);
 }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -375,6 +375,11 @@
             .collect()
     }
 
+    /// Returns whether a machine is drained for a wave.
+    pub(super) fn is_drained_for_maintenance(&self, machine: &str) -> bool {
+        self.waves.values().any(|progress| progress.draining.contains_key(machine))
+    }
+
     /// Cordons the machines that are taken down next and uncordons those that no longer are.
     fn drain_machines(
         &mut self,
@@ -389,7 +394,8 @@
             .collect();
         for machine in previous.keys().filter(|machine| !draining.contains(*machine)) {
             if let Some(slot) = self.worker_on_machine(machine) {
-                self.workers[slot].is_cordoned = self.workers[slot].is_leaving;
+                let is_vacated = self.vacated_machines.contains(machine);
+                self.workers[slot].is_cordoned = self.workers[slot].is_leaving || is_vacated;
                 self.mark_worker_service_changed(slot);
             }
         }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -195,7 +195,7 @@
         is_start_stored
     }
 
-    fn waiting_step(&self, job: &Job, id: StepId) -> Option<WaitingStep> {
+    pub(super) fn waiting_step(&self, job: &Job, id: StepId) -> Option<WaitingStep> {
         let spec = job.spec(id.step)?;
         let occurrence = job.occurrences.get(&id.occurrence)?;
         let queue = self.queue_of(job);
--- a/crates/jobs/src/step_order.rs
+++ b/crates/jobs/src/step_order.rs
@@ -32,7 +32,7 @@
 
 impl WaitingStep {
     /// Whether the job can still meet its objective if the step starts now.
-    fn can_meet_objective(&self, now: Moment) -> bool {
+    pub fn can_meet_objective(&self, now: Moment) -> bool {
         now.saturating_add(self.critical_path_left) <= self.objective
     }
 
