Poll workers again beside a pending poll while several leave commands unanswered

Cause: a poll without a response hid the ends of a worker's tasks for 1.6 s (183 such polls in 4 s), so the next steps started late.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod delays;
 mod division;
 mod gang;
+mod hedged_polls;
 mod in_flight_writes;
 mod inherited_usage;
 mod job_lifecycle;
@@ -43,6 +44,7 @@
 
 pub use self::backlog::Backlog;
 pub use self::crashes::CrashCounts;
+use self::hedged_polls::Unanswered;
 use self::in_flight_writes::InFlightWrites;
 use self::inherited_usage::InheritedUsage;
 use self::machine_leases::MachineLeases;
@@ -182,6 +184,8 @@
     retired_addresses: Vec<WorkerAddress>,
     /// Workers for which an extra poll is due while a long poll is pending.
     out_of_band_polls_due: Vec<WorkerSlot>,
+    /// Commands and polls that got no response lately.
+    unanswered: Unanswered,
     jobs: HashMap<JobId, Job>,
     /// Ready steps that are not done.
     ready_steps: StepsByService,
@@ -301,6 +305,7 @@
             poll_queue: BinaryHeap::new(),
             retired_addresses: Vec::new(),
             out_of_band_polls_due: Vec::new(),
+            unanswered: Unanswered::default(),
             jobs: HashMap::new(),
             ready_steps: StepsByService::default(),
             waiting_steps: StepsByService::default(),
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -50,6 +50,7 @@
             self.plan_maintenance(now, &mut commands);
             self.plan_machine_moves(now);
             self.plan_throttling(now, &mut commands);
+            self.hedge_polls(now);
         }
         self.issue_machine_moves(now, &mut commands);
         self.plan_services_awaiting_policy(now);
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -46,6 +46,7 @@
         let lease_max = self.settings.lease_max;
         let token = self.term.token;
         let worker = &mut self.workers[slot];
+        worker.last_polled = now;
         if !is_out_of_band {
             worker.poll = PollPhase::InFlight;
         }
@@ -403,11 +404,14 @@
         error: &PollError,
         now: Moment,
     ) {
-        let worker = &mut self.workers[slot];
         if is_out_of_band {
             // The pending long poll decides whether the worker is lost.
             return;
         }
+        if matches!(error, PollError::NoAnswer(_)) {
+            self.record_unanswered(slot, now);
+        }
+        let worker = &mut self.workers[slot];
         if worker.has_refused_token {
             worker.poll = PollPhase::DueAt(Moment::MAX);
         } else {
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -105,6 +105,7 @@
     /// Handles a start command without a response. The run may be active if this process was late
     /// to read the response, so a poll decides whether it is stopped.
     fn handle_unanswered_start(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
+        self.record_unanswered(slot, now);
         let worker = &mut self.workers[slot];
         if let Some(run) = worker.runs.get_mut(&task).filter(|run| run.phase == RunPhase::Starting)
         {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -241,6 +241,8 @@
     pub poll: PollPhase,
     /// When the latest answered poll was sent.
     pub poll_sent: Moment,
+    /// When the poll in flight was sent, or the last one beside it.
+    pub last_polled: Moment,
     /// Polls that failed since the last successful one.
     pub failed_polls: u32,
     /// When it last responded.
@@ -297,6 +299,7 @@
             ended_listing: Listing::Whole,
             poll: PollPhase::DueAt(now),
             poll_sent: Moment::ZERO,
+            last_polled: Moment::ZERO,
             failed_polls: 0,
             last_answered: None,
             lease_expires,
