Bound what callers' connections hold: heads, bodies, connections

Cause: hyper buffers up to 400 KB of a head; one body was bounded, all together and the number of connections were not; a body in small chunks held a buffer each.

Change: package ingress: a bounded head, a bounded number of connections, a budget of bytes for all bodies; the connections that have waited longest for their caller go first, then refusals.

--- a/crates/cassiafold/src/serve.rs
+++ b/crates/cassiafold/src/serve.rs
@@ -10,6 +10,7 @@
 use cassiafold_adapter::settings::PlatformSettings;
 use cassiafold_adapter::{HttpPlatformClients, caller_api, read_settings, settings_path};
 use cassiafold_event::emit;
+use cassiafold_ingress::{Connection, Ingress, IngressMetrics, http1_builder, tracked};
 use cassiafold_jobs::api::JobApi;
 use cassiafold_jobs::coalescing::WakeupCoalescing;
 use cassiafold_jobs::desired_state::{self, DesiredState, DesiredStateSender};
@@ -21,9 +22,8 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use prometheus_client::registry::Registry;
 use tokio::net::{TcpListener, TcpStream};
@@ -57,6 +57,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout for receiving the header of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Highest number of connections to the metrics, and to the readiness endpoint.
+const OTHERS_MAX: usize = 64;
 /// Delay before accepting again after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -85,6 +87,8 @@
     let metrics = JobsMetrics::default();
     metrics.register(&mut registry);
     log_queue::register_metrics(&mut registry);
+    let ingress_metrics = IngressMetrics::default();
+    ingress_metrics.register(&mut registry);
     let clients = HttpPlatformClients::new(&settings, store_metrics);
     let (sender, desired_states) = DesiredStateSender::new();
     let api = JobApi::new(clients.clone(), desired_states.clone(), sender.clone(), metrics.clone());
@@ -98,10 +102,18 @@
         let name = "reload of the settings";
         while catch_panic(name, validate_on_reload(&mut reload)).await.is_err() {}
     });
-    let serving_metrics =
-        serve_metrics(settings.metrics_address, registry, desired_states.clone(), metrics.clone());
+    let others = || {
+        Ingress::new(settings.ingress.with_connections_max(OTHERS_MAX), IngressMetrics::default())
+    };
+    let serving_metrics = serve_metrics(
+        settings.metrics_address,
+        registry,
+        desired_states.clone(),
+        metrics.clone(),
+        others(),
+    );
     spawn_listener("metrics listener", serving_metrics, &panic_sender);
-    let serving_readiness = serve_readiness(readiness, api.clone(), stop.clone());
+    let serving_readiness = serve_readiness(readiness, api.clone(), stop.clone(), others());
     spawn_listener("readiness listener", serving_readiness, &panic_sender);
     let owner_settings = OwnerSettings {
         instance: settings.instance.clone(),
@@ -115,7 +127,8 @@
     let owner =
         tokio::spawn(owner::campaign(clients, owner_settings, desired_states, stop.clone()));
     let stop_accepting = CancellationToken::new();
-    let serving_callers = serve_callers(callers, api, stop_accepting.clone());
+    let ingress = Ingress::new(settings.ingress, ingress_metrics);
+    let serving_callers = serve_callers(callers, api, ingress, stop_accepting.clone());
     let serving = spawn_listener("callers' listener", serving_callers, &panic_sender);
     let failure = wait_for_shutdown(terminate.recv(), &mut panics).await;
     stop.cancel();
@@ -184,6 +197,7 @@
 async fn serve_callers(
     listener: TcpListener,
     api: PlatformJobApi,
+    ingress: Ingress,
     stop_accepting: CancellationToken,
 ) {
     let graceful = GracefulShutdown::new();
@@ -193,7 +207,11 @@
             () = stop_accepting.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_caller(stream, api.clone(), &graceful),
+            Ok((stream, _)) => {
+                if let Some(connection) = ingress.admit() {
+                    serve_caller(stream, connection, api.clone(), &graceful);
+                }
+            }
             Err(error) => {
                 emit!(JobsEvent::ConnectionNotAccepted, error = error);
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -203,20 +221,27 @@
     graceful.shutdown().await;
 }
 
-fn serve_caller(stream: TcpStream, api: PlatformJobApi, graceful: &GracefulShutdown) {
+fn serve_caller(
+    stream: TcpStream,
+    admitted: Arc<Connection>,
+    api: PlatformJobApi,
+    graceful: &GracefulShutdown,
+) {
     let _ = stream.set_nodelay(true);
+    let caller = admitted.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let api = api.clone();
-        async move { Ok::<_, Infallible>(caller_api::handle_request(&api, request).await) }
+        let (api, caller) = (api.clone(), caller.clone());
+        tracked(caller.clone(), request, async move |request| {
+            Ok::<_, Infallible>(caller_api::handle_request(&api, request, &caller).await)
+        })
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+    let connection = http1_builder(HEADER_TIMEOUT)
         .half_close(true)
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     // Errors of a connection that the caller closes are ignored.
-    tokio::spawn(async move { drop(catch_panic("caller's connection", connection).await) });
+    let serving = async move { drop(admitted.run(connection).await) };
+    tokio::spawn(async move { drop(catch_panic("caller's connection", serving).await) });
 }
 
 /// Serves the metrics as text. If the address cannot be bound, the instance runs without them.
@@ -225,6 +250,7 @@
     registry: Registry,
     desired_states: watch::Receiver<Arc<DesiredState>>,
     metrics: JobsMetrics,
+    ingress: Ingress,
 ) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
@@ -240,6 +266,7 @@
                 continue;
             }
         };
+        let Some(admitted) = ingress.admit() else { continue };
         let (registry, desired_states, metrics) =
             (registry.clone(), desired_states.clone(), metrics.clone());
         let service = service_fn(move |_: Request<Incoming>| {
@@ -248,8 +275,9 @@
             metrics.set_config_version(version);
             std::future::ready(Ok::<_, Infallible>(metrics_page(&registry)))
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move { drop(connection.await) });
+        let connection =
+            http1_builder(HEADER_TIMEOUT).serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { drop(admitted.run(connection).await) });
     }
 }
 
@@ -267,7 +295,12 @@
 }
 
 /// Serves readiness checks on `/ready`: 200 while the instance can serve callers, else 503.
-async fn serve_readiness(listener: TcpListener, api: PlatformJobApi, stop: CancellationToken) {
+async fn serve_readiness(
+    listener: TcpListener,
+    api: PlatformJobApi,
+    stop: CancellationToken,
+    ingress: Ingress,
+) {
     loop {
         let (stream, _) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -277,13 +310,15 @@
                 continue;
             }
         };
+        let Some(admitted) = ingress.admit() else { continue };
         let (api, stop) = (api.clone(), stop.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let is_ready = api.is_ready(DESIRED_STATE_AGE_MAX) && !stop.is_cancelled();
             std::future::ready(Ok::<_, Infallible>(readiness(&request, is_ready)))
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move { drop(connection.await) });
+        let connection =
+            http1_builder(HEADER_TIMEOUT).serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { drop(admitted.run(connection).await) });
     }
 }
 
--- a/crates/cassiafold/tests/catalogue.rs
+++ b/crates/cassiafold/tests/catalogue.rs
@@ -10,6 +10,7 @@
 use cassiafold_dispatch::{DispatchCode, DispatchEvent};
 use cassiafold_event::{CodeRow, EventRow};
 use cassiafold_fleet::{FleetCode, FleetEvent};
+use cassiafold_ingress::event::IngressEvent;
 use cassiafold_jobs::event::JobsEvent;
 use cassiafold_membership::MembershipEvent;
 use cassiafold_operators::{OperatorsCode, OperatorsEvent};
@@ -25,6 +26,7 @@
     ("operators", 1500, OperatorsEvent::ROWS),
     ("jobs", 1600, JobsEvent::ROWS),
     ("cassiafold", 1700, EntryEvent::ROWS),
+    ("ingress", 1800, IngressEvent::ROWS),
 ];
 
 /// Packages with the first number of their range and their result codes.
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -6,16 +6,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::Router;
+use axum::body::Body;
 use cassiafold_event::emit;
-use tokio::net::TcpListener;
+use cassiafold_ingress::{Connection, Ingress, http1_builder, tracked};
+use http::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use tower::ServiceExt;
 
 use crate::accepted_request::AcceptedRequest;
 use crate::caller_api::{CallerApi, Phase, router};
 use crate::dependencies::Dependencies;
 use crate::event::DispatchEvent;
 
+/// Longest time to receive the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Delay before accepting again after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest wait for callers' connections to close after all requests have ended.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -24,7 +37,7 @@
     caller_api: CallerApi<E>,
     address: SocketAddr,
     stop: CancellationToken,
-    task: JoinHandle<io::Result<()>>,
+    task: JoinHandle<()>,
 }
 
 /// Result of a stop.
@@ -34,6 +47,50 @@
     pub aborted: Vec<Arc<AcceptedRequest>>,
 }
 
+/// Serves `routes` on `listener` until `stop`, then until the open connections have ended.
+async fn serve(
+    listener: TcpListener,
+    routes: Router,
+    ingress: Ingress,
+    stop: impl Future<Output = ()>,
+) {
+    let graceful = GracefulShutdown::new();
+    tokio::pin!(stop);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stop => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                if let Some(connection) = ingress.admit() {
+                    serve_caller(stream, connection, routes.clone(), &graceful);
+                }
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve_caller(
+    stream: TcpStream,
+    admitted: Arc<Connection>,
+    routes: Router,
+    graceful: &GracefulShutdown,
+) {
+    let caller = admitted.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let routes = routes.clone();
+        tracked(caller.clone(), request, move |request| routes.oneshot(request.map(Body::new)))
+    });
+    let connection = http1_builder(HEADER_TIMEOUT).serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    // Errors of a connection that the caller closes are ignored.
+    tokio::spawn(async move { drop(admitted.run(connection).await) });
+}
+
 impl<E: Dependencies> Server<E> {
     /// Serves the caller API on `listener`. Must be called within a Tokio runtime.
     pub fn start(listener: TcpListener, caller_api: CallerApi<E>) -> io::Result<Self> {
@@ -41,9 +98,7 @@
         let stop = CancellationToken::new();
         let signal = stop.clone().cancelled_owned();
         let routes = router(caller_api.clone());
-        let task = tokio::spawn(async move {
-            axum::serve(listener, routes).with_graceful_shutdown(signal).await
-        });
+        let task = tokio::spawn(serve(listener, routes, Ingress::default(), signal));
         Ok(Self { caller_api, address, stop, task })
     }
 
