--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -26,6 +26,11 @@
 const CLOSED_FOR_BODY_MAX: usize = 8;
 /// Time between two log lines about the same limit.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Divisor of the highest number of connections that gives those that are kept free, by closing
+/// connections after a response.
+const FREE_DIVISOR: usize = 8;
+/// Requests after which a connection may be closed with a response.
+const REQUESTS_MIN: u64 = 16;
 /// Limit of the number of connections, as a metric label.
 const CONNECTIONS: &str = "connections";
 /// Limit of the bytes of bodies, as a metric label.
@@ -46,6 +51,10 @@
 struct OpenConnection {
     phase: Phase,
     since: Instant,
+    /// Requests that it has sent.
+    requests: u64,
+    /// Whether it is closed after its next response.
+    ends_with_response: bool,
     close: CancellationToken,
 }
 
@@ -100,12 +109,16 @@
     /// for it; `None` if none has waited for long.
     pub fn admit(&self) -> Option<Arc<Connection>> {
         let mut table = self.table();
-        if table.open.len() >= self.0.limits.connections_max {
+        let connections_max = self.0.limits.connections_max;
+        if table.open.len() >= connections_max - connections_max / FREE_DIVISOR {
+            table.end_busiest_with_response();
+        }
+        if table.open.len() >= connections_max {
             let closed = table.close_longest(&[
                 (Phase::Waiting, WAITING_GRACE),
                 (Phase::ReadingBody, BODY_GRACE),
             ]);
-            table.log(CONNECTIONS, IngressEvent::ConnectionsFull, self.0.limits.connections_max);
+            table.log(CONNECTIONS, IngressEvent::ConnectionsFull, connections_max);
             if !closed {
                 self.0.metrics.count_refused(CONNECTIONS);
                 return None;
@@ -114,8 +127,13 @@
         }
         let (id, close) = (table.next_id, CancellationToken::new());
         table.next_id += 1;
-        let open =
-            OpenConnection { phase: Phase::Waiting, since: Instant::now(), close: close.clone() };
+        let open = OpenConnection {
+            phase: Phase::Waiting,
+            since: Instant::now(),
+            requests: 0,
+            ends_with_response: false,
+            close: close.clone(),
+        };
         table.open.insert(id, open);
         self.0.metrics.set_connections(table.open.len());
         Some(Arc::new(Connection { id, ingress: self.clone(), close }))
@@ -141,6 +159,17 @@
         true
     }
 
+    /// Lets the connection that has sent most requests end with its next response: one that sends
+    /// request after request never waits for its caller.
+    fn end_busiest_with_response(&mut self) {
+        let candidates = self.open.values_mut();
+        let busy =
+            candidates.filter(|open| !open.ends_with_response && open.requests >= REQUESTS_MIN);
+        if let Some(open) = busy.max_by_key(|open| open.requests) {
+            open.ends_with_response = true;
+        }
+    }
+
     fn log(&mut self, limit: &'static str, event: IngressEvent, max: usize) {
         let now = Instant::now();
         let is_due = |last: &Instant| now.saturating_duration_since(*last) >= LOG_INTERVAL;
@@ -164,11 +193,18 @@
         if let Some(open) = self.ingress.table().open.get_mut(&self.id)
             && open.phase != phase
         {
+            open.requests += u64::from(open.phase == Phase::Waiting);
             open.phase = phase;
             open.since = Instant::now();
         }
     }
 
+    /// Whether the connection is to be closed with the response that is being sent.
+    pub(crate) fn ends_with_response(&self) -> bool {
+        let table = self.ingress.table();
+        table.open.get(&self.id).is_some_and(|open| open.ends_with_response)
+    }
+
     /// Reserves the next unit of a body; bodies that have stalled are closed for it.
     pub(crate) async fn reserve_unit(&self) -> Option<BodyUnit> {
         let shared = &self.ingress.0;
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::Request;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioTimer;
 
 use crate::connections::{Connection, Phase};
@@ -26,17 +27,22 @@
 
 /// Handles one request of a connection, which is not closed for another one while this instance
 /// prepares the response.
-pub async fn tracked<B, F, T>(
+pub async fn tracked<B, F, T, E>(
     connection: Arc<Connection>,
     request: Request<B>,
     handle: impl FnOnce(Request<TrackedBody<B>>) -> F,
-) -> T
+) -> Result<Response<T>, E>
 where
-    F: Future<Output = T>,
+    F: Future<Output = Result<Response<T>, E>>,
 {
     connection.set_phase(Phase::Responding);
     let inner = connection.clone();
-    let response = handle(request.map(|body| TrackedBody { body, connection: inner })).await;
+    let mut response = handle(request.map(|body| TrackedBody { body, connection: inner })).await;
+    if let Ok(response) = &mut response
+        && connection.ends_with_response()
+    {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     connection.set_phase(Phase::Waiting);
     response
 }
--- a/crates/ingress/tests/limits.rs
+++ b/crates/ingress/tests/limits.rs
@@ -13,7 +13,8 @@
     TrackedBody, read_body, tracked,
 };
 use http_body::{Body, Frame};
-use hyper::Request;
+use hyper::header::CONNECTION;
+use hyper::{Request, Response};
 use tokio::time::{advance, timeout};
 
 /// Largest body by the configuration of a queue, in bytes.
@@ -60,9 +61,10 @@
     let caller = connection.clone();
     let handle = async |request: Request<TrackedBody<Chunks>>| {
         let body = read_body(request.into_body(), BODY_BYTES, &caller).await;
-        body.map(|body| body.len())
+        body.map(|body| Response::new(body.len()))
     };
-    connection.run(tracked(connection.clone(), Request::new(body), handle)).await
+    let response = connection.run(tracked(connection.clone(), Request::new(body), handle)).await;
+    response.map(|response| response.map(Response::into_body))
 }
 
 async fn is_closed(connection: &Connection) -> bool {
@@ -96,7 +98,8 @@
     let busy = ingress.admit().expect("room");
     let answering = busy.clone();
     let handle = tokio::spawn(async move {
-        tracked(answering, Request::new(()), async |_| std::future::pending::<()>().await).await;
+        let response = std::future::pending::<Result<Response<()>, Infallible>>;
+        let _ = tracked(answering, Request::new(()), async |_| response().await).await;
     });
     advance(ms(10_000)).await;
     tokio::task::yield_now().await;
@@ -105,6 +108,30 @@
     handle.abort();
 }
 
+/// Sends requests on a connection until a response closes it; returns their number.
+async fn requests_until_closed(connection: &Arc<Connection>, requests_max: usize) -> Option<usize> {
+    for number in 1..=requests_max {
+        let handle = async |_| Ok::<_, Infallible>(Response::new(()));
+        let response = tracked(connection.clone(), Request::new(()), handle).await;
+        if response.expect("a response").headers().contains_key(CONNECTION) {
+            return Some(number);
+        }
+    }
+    None
+}
+
+/// A crowd that sends request after request never waits for its callers.
+#[tokio::test(start_paused = true)]
+async fn near_the_limit_the_connection_with_most_requests_ends_with_a_response() {
+    let ingress = ingress(8, 1 << 20);
+    let open: Vec<_> = (0..6).map(|_| ingress.admit().expect("room")).collect();
+    assert_eq!(requests_until_closed(&open[0], 40).await, None);
+    assert_eq!(requests_until_closed(&open[1], 30).await, None);
+    let _others = [ingress.admit().expect("room"), ingress.admit().expect("room")];
+    assert_eq!(requests_until_closed(&open[1], 5).await, None);
+    assert_eq!(requests_until_closed(&open[0], 5).await, Some(1));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_body_in_very_small_chunks_holds_no_more_than_its_length() {
     // A unit of 8 KiB for each of two bodies.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -41,6 +41,8 @@
     pub exceeds_share: bool,
     /// Delays of its ready tasks, by cause.
     pub delays: Delays,
+    /// Expected run time of the tasks of each step.
+    run_times: Vec<ExpectedRunTime>,
     /// Occurrences that were due and have not ended.
     pub occurrences: BTreeMap<OccurrenceNumber, Occurrence>,
     /// Occurrences that have ended.
@@ -55,6 +57,14 @@
     last_crash: Option<Moment>,
 }
 
+/// Expected run time of a step's tasks.
+#[derive(Debug, Clone, Copy)]
+struct ExpectedRunTime {
+    time: Duration,
+    /// Completed tasks of the step over which `time` is the mean; 0 if it is an estimate.
+    completed: u32,
+}
+
 /// One occurrence of a job: a repetition of its steps.
 #[derive(Debug)]
 pub struct Occurrence {
@@ -62,7 +72,7 @@
     pub due: Moment,
     /// Its steps.
     pub steps: Vec<Step>,
-    /// Critical path by the estimated run times, over all steps.
+    /// Critical path by the expected run times, over all steps.
     pub critical_path: Duration,
     /// Critical path over the steps that are not done.
     pub critical_path_left: Duration,
@@ -137,8 +147,11 @@
         now: Moment,
     ) -> Self {
         let stored = state.map_or(JobState::Queued, |state| state.state);
+        let expected = |step: &StepSpec| ExpectedRunTime { time: step.estimate, completed: 0 };
+        let run_times = record.spec.steps.iter().map(expected).collect();
         Self {
             id,
+            run_times,
             record: Arc::new(record),
             accepted_revision,
             first_seen: now,
@@ -231,7 +244,7 @@
             task.checkpoint = row.checkpoint.clone();
             step.done += u32::from(row.done);
         }
-        occurrence.update_remaining(&self.record.spec.steps);
+        occurrence.update_remaining(&self.record.spec.steps, &self.run_times);
         self.occurrences.insert(number, occurrence);
     }
 
@@ -278,10 +291,30 @@
     /// Recomputes the remaining work and critical path of an occurrence.
     pub fn update_remaining(&mut self, number: OccurrenceNumber) {
         if let Some(occurrence) = self.occurrences.get_mut(&number) {
-            occurrence.update_remaining(&self.record.spec.steps);
+            occurrence.update_remaining(&self.record.spec.steps, &self.run_times);
+        }
+    }
+
+    /// Replaces the expected run time of the tasks of each step, before its occurrences start.
+    pub fn expect_run_times(&mut self, expected: impl Fn(Duration) -> Duration) {
+        for (run_time, step) in self.run_times.iter_mut().zip(&self.record.spec.steps) {
+            run_time.time = expected(step.estimate);
         }
     }
 
+    /// Expected run time of a task of a step.
+    pub fn run_time(&self, step: StepNumber) -> Duration {
+        self.run_times.get(usize::from(step)).map_or(Duration::ZERO, |expected| expected.time)
+    }
+
+    /// Takes the run time of a completed task as that of the others of its step, which are alike.
+    pub fn learn_run_time(&mut self, step: StepNumber, actual: Duration) {
+        let Some(expected) = self.run_times.get_mut(usize::from(step)) else { return };
+        let sum = expected.time.saturating_mul(expected.completed).saturating_add(actual);
+        expected.completed = expected.completed.saturating_add(1);
+        expected.time = sum / expected.completed;
+    }
+
     /// Estimated remaining work of an occurrence, in core-seconds.
     pub fn work_left(&self, number: OccurrenceNumber) -> f64 {
         self.occurrences.get(&number).map_or(0.0, |occurrence| occurrence.work_left)
@@ -378,26 +411,32 @@
 
 impl Occurrence {
     /// Recomputes the remaining work and critical path, after tasks became done.
-    pub fn update_remaining(&mut self, specs: &[StepSpec]) {
-        self.critical_path = self.longest_path(specs, true);
-        self.critical_path_left = self.longest_path(specs, false);
-        let step_work = self.steps.iter().zip(specs).map(|(step, spec)| {
+    fn update_remaining(&mut self, specs: &[StepSpec], run_times: &[ExpectedRunTime]) {
+        self.critical_path = self.longest_path(specs, run_times, true);
+        self.critical_path_left = self.longest_path(specs, run_times, false);
+        let steps = self.steps.iter().zip(specs).zip(run_times);
+        let step_work = steps.map(|((step, spec), run_time)| {
             let tasks_left = spec.tasks.saturating_sub(step.done);
             let cores = f64::from(spec.task_resources.processors_milli) / 1_000.0;
-            f64::from(tasks_left) * cores * spec.estimate.as_secs_f64()
+            f64::from(tasks_left) * cores * run_time.time.as_secs_f64()
         });
         self.work_left = step_work.sum();
     }
 
-    /// Critical path by the estimated run times; over all steps, or over those that are not done.
-    fn longest_path(&self, specs: &[StepSpec], with_done: bool) -> Duration {
+    /// Critical path by the expected run times; over all steps, or over those that are not done.
+    fn longest_path(
+        &self,
+        specs: &[StepSpec],
+        run_times: &[ExpectedRunTime],
+        with_done: bool,
+    ) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for (step, spec) in self.steps.iter().zip(specs) {
+        for ((step, spec), run_time) in self.steps.iter().zip(specs).zip(run_times) {
             let dependency_ends =
                 spec.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
             let start = dependency_ends.max().copied().unwrap_or_default();
             let duration =
-                if step.is_done() && !with_done { Duration::ZERO } else { spec.estimate };
+                if step.is_done() && !with_done { Duration::ZERO } else { run_time.time };
             ends.push(start.saturating_add(duration));
         }
         ends.into_iter().max().unwrap_or_default()
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -62,7 +62,7 @@
 use crate::balance::PeakNeed;
 use crate::clients::{FencingToken, WorkerAddress};
 use crate::cluster::{ClusterConfig, PlacementPolicy, Queue, QueueId, Wave, WaveNumber, WorkerId};
-use crate::estimate::RunTimeRatio;
+use crate::estimate::{RunTimeRatio, RunTimes};
 use crate::job::{Job, WorkerSlot};
 use crate::policy_queue::PolicyQueue;
 use crate::record::{
@@ -264,6 +264,7 @@
     /// Work that has arrived recently.
     arrivals: Arrivals,
     run_time_ratio: RunTimeRatio,
+    run_times: RunTimes,
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Last command to each machine.
     machine_commands: HashMap<InstanceId, SentCommand>,
@@ -348,6 +349,7 @@
             surplus_machines: HashMap::new(),
             arrivals: Arrivals::default(),
             run_time_ratio: RunTimeRatio::default(),
+            run_times: RunTimes::default(),
             waves: BTreeMap::new(),
             machine_commands: HashMap::new(),
             team_buckets: HashMap::new(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -246,7 +246,7 @@
             match spec.long_running {
                 true => load.long_running += cores,
                 false => {
-                    let core_s = cores * spec.estimate.as_secs_f64() * ratio;
+                    let core_s = cores * self.run_time(id).as_secs_f64() * ratio;
                     load.waiting_core_s += core_s;
                     load.late_core_s += if self.is_late(id, now) { core_s } else { 0.0 };
                 }
@@ -256,6 +256,11 @@
         load
     }
 
+    /// Returns the expected run time of a step's tasks.
+    pub(super) fn run_time(&self, step: StepId) -> Duration {
+        self.jobs.get(&step.job).map_or(Duration::ZERO, |job| job.run_time(step.step))
+    }
+
     /// Returns whether a waiting step's job can't meet its objective any more.
     fn is_late(&self, id: StepId, now: Moment) -> bool {
         let step = self.jobs.get(&id.job).and_then(|job| self.waiting_step(job, id));
--- a/crates/jobs/src/scheduler/division.rs
+++ b/crates/jobs/src/scheduler/division.rs
@@ -109,11 +109,10 @@
             return None;
         }
         let ratio = self.run_time_ratio.ratio();
-        let times = worker.runs.iter().filter_map(|(task, run)| {
-            let estimate = self.spec(task.step)?.estimate.as_secs_f64() * ratio;
-            let elapsed = now.saturating_sub(run.confirmed.unwrap_or(run.since));
-            let estimate = Duration::try_from_secs_f64(estimate).unwrap_or(Duration::MAX);
-            Some(estimate.saturating_sub(elapsed))
+        let times = worker.runs.iter().map(|(task, run)| {
+            let expected_s = self.run_time(task.step).as_secs_f64() * ratio;
+            let expected = Duration::try_from_secs_f64(expected_s).unwrap_or(Duration::MAX);
+            expected.saturating_sub(now.saturating_sub(run.confirmed.unwrap_or(run.since)))
         });
         Some(times.max().unwrap_or_default())
     }
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -48,6 +48,10 @@
             self.fail_oversized(job, &error, now);
             return;
         }
+        if self.run_times.are_learned(&job.record.queue) {
+            let queue = job.record.queue.clone();
+            job.expect_run_times(|estimate| self.run_times.expected(&queue, estimate));
+        }
         let is_recurring = job.record.spec.schedule.is_some();
         // A job that no previous owner has started uses run numbers from the first one.
         let run_number_base = if job.has_no_prior_runs { 0 } else { self.term.run_number_base };
--- a/crates/jobs/src/scheduler/run_ends.rs
+++ b/crates/jobs/src/scheduler/run_ends.rs
@@ -64,11 +64,19 @@
     fn record_run_time(&mut self, slot: WorkerSlot, ended_run: &EndedRun, now: Moment) {
         let Some(run) = self.workers[slot].runs.get(&ended_run.task) else { return };
         let elapsed = now.saturating_sub(run.confirmed.unwrap_or(run.since));
-        let Some(spec) = self.spec(ended_run.task.step) else { return };
-        if ended_run.end == RunEnd::Done && !spec.long_running {
-            let estimate = spec.estimate;
-            self.run_time_ratio.record(estimate, elapsed);
+        let step = ended_run.task.step;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(spec) = job.spec(step.step) else { return };
+        if ended_run.end != RunEnd::Done || spec.long_running {
+            return;
+        }
+        let estimate = spec.estimate;
+        self.run_time_ratio.record(job.run_time(step.step), elapsed);
+        let queue = job.record.queue.clone();
+        if self.run_times.are_learned(&queue) {
+            job.learn_run_time(step.step, elapsed);
         }
+        self.run_times.record(&queue, estimate, elapsed);
     }
 
     fn complete_task(&mut self, id: TaskId, now: Moment) {
