Let the last machines of a wave go down beside those that are down, and log its pace

Cause, by the new log line: the pace was what the remaining machines need in the time left, but machines that were down counted against it, so that the last four went down one after the other (remaining 1, planned 1, down 3).

Change: the pace counts the machines that are down among the unfinished ones. Event 1636 tells each second what the machines of a wave wait for.

Test: the_last_machines_of_a_wave_do_not_wait_for_those_that_are_down, failed before.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -37,6 +37,7 @@
         ResponseLate = 1633, Info, "response of an earlier incarnation of a worker discarded";
         PolicyUnanswered = 1634, Info, "query to the placement policy got no response";
         PolicyLate = 1635, Info, "response of the placement policy is late; it is awaited beside the next query";
+        WavePaced = 1636, Info, "machines of a wave that remain, and what they wait for";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
         OwnerEnded = 1641, Info, "this instance is no longer the owner";
         ConfigInForce = 1642, Info, "configuration in force";
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -30,6 +30,8 @@
 const COMMAND_RETRY_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest time for which a machine is drained before it is taken down.
 const DRAINING_MAX: Duration = Duration::from_millis(4_500);
+/// Minimum time between two log lines about the pace of a wave.
+const PACE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::upkeep";
 
@@ -82,6 +84,19 @@
     draining: HashMap<InstanceId, Moment>,
     /// Last stored status: whether the wave is complete.
     stored: Option<bool>,
+    /// When its pace was last logged.
+    logged_at: Moment,
+}
+
+/// What the machines of a wave that are up wait for.
+#[derive(Debug, Clone, Copy, Default)]
+struct WaveDelays {
+    /// Availability budgets, or runs that are not known yet.
+    budgets: usize,
+    /// Short tasks that run there.
+    short_tasks: usize,
+    /// The pace of the wave.
+    pace: usize,
 }
 
 impl WaveProgress {
@@ -104,6 +119,7 @@
             begun: begun.iter().map(|machine| (machine.clone(), now)).collect(),
             draining: HashMap::new(),
             stored: None,
+            logged_at: Moment::ZERO,
         }
     }
 }
@@ -258,7 +274,7 @@
         for slot in remaining.iter().filter_map(|(_, slot)| *slot) {
             self.workers[slot].is_maintenance_due = true;
         }
-        let planned_down = planned_down(progress, remaining.len(), now);
+        let planned_down = planned_down(progress, remaining.len() + down, now);
         let down_allowed_max = progress.wave.concurrent_max.saturating_sub(down);
         let down_allowed_now = planned_down.saturating_sub(down);
         let number = progress.wave.number;
@@ -282,6 +298,8 @@
         // Machines that are taken down as soon as their lease is stored.
         let mut awaiting_lease = 0;
         let mut draining: BTreeSet<InstanceId> = BTreeSet::new();
+        let mut delays = WaveDelays::default();
+        let remaining_count = remaining.len();
         for (machine, slot) in remaining {
             let since = progress.draining.get(&machine.id).copied();
             let drained_for = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
@@ -303,10 +321,35 @@
                     self.workers[slot].is_leaving = true;
                 }
                 going_down.push(machine.id);
-            } else if draining.len() < down_allowed_now + DRAINING_AHEAD {
+                continue;
+            }
+            match can_go_down {
+                true => delays.pace += 1,
+                false if slot.is_some_and(|slot| self.can_take_down(slot, false, now)) => {
+                    delays.short_tasks += 1;
+                }
+                false => delays.budgets += 1,
+            }
+            if draining.len() < down_allowed_now + DRAINING_AHEAD {
                 draining.insert(machine.id);
             }
         }
+        if now.saturating_sub(progress.logged_at) >= PACE_LOG_INTERVAL {
+            progress.logged_at = now;
+            let WaveDelays { budgets, short_tasks, pace } = delays;
+            emit!(
+                target: LOG_TARGET,
+                JobsEvent::WavePaced,
+                wave = number,
+                remaining = remaining_count,
+                down = down,
+                planned = planned_down,
+                commanded = going_down.len(),
+                wait_for_budgets = budgets,
+                wait_for_short_tasks = short_tasks,
+                wait_for_pace = pace
+            );
+        }
         let draining_slots =
             draining.iter().filter_map(|machine| self.worker_on_machine(machine)).collect();
         self.evict_long_running(&slots, &draining_slots, now);
@@ -457,14 +500,15 @@
 }
 
 /// Returns how many machines of a wave may be down at the same time: as few as its time limit
-/// allows.
+/// allows. Those that are down count among the `unfinished` ones: otherwise the last machines would
+/// go down one after the other.
 ///
 /// A wave may start while a service is under load. Machines that are needed then go down evenly
 /// over the time limit instead of all at its start.
-fn planned_down(progress: &WaveProgress, remaining: usize, now: Moment) -> usize {
+fn planned_down(progress: &WaveProgress, unfinished: usize, now: Moment) -> usize {
     let planned = progress.wave.time_limit.mul_f64(1.0 - RESERVE_SHARE);
     let left = progress.since.saturating_add(planned).saturating_sub(now);
     let rounds = (left.as_secs_f64() / MAINTENANCE_TIME.as_secs_f64()).floor().max(1.0);
-    let needed = (remaining as f64 / rounds).ceil() as usize;
+    let needed = (unfinished as f64 / rounds).ceil() as usize;
     needed.clamp(1, progress.wave.concurrent_max.max(1))
 }
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -536,3 +536,23 @@
     assert_eq!(record["m0"], CommandedMachine::Moved("b".into()));
     assert_eq!(serde_json::to_string(&record).expect("JSON"), r#"{"m0":"b"}"#);
 }
+
+/// Guards against a wave that is late by its last machines: each of them waited until one that was
+/// down had come back.
+#[test]
+fn the_last_machines_of_a_wave_do_not_wait_for_those_that_are_down() {
+    let started_unix = Duration::from_secs(1_000);
+    let wave = WaveRecord { since_unix_ms: 1_000_000 - 14_000, ..WaveRecord::default() };
+    let waves = WavesRecord::from([(1, wave)]);
+    let term = OwnerTerm { waves, started_unix, ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::new(4, term);
+    harness.submit(1, vec![step(4, 16, &[])]);
+    harness.run_for(ms(100));
+    assert_eq!(harness.running(), 4, "none of the machines is idle");
+    let mut machines = SchedulerHarness::machines(4, MachineState::Up);
+    machines[..2].iter_mut().for_each(|machine| machine.state = MachineState::Maintenance);
+    harness.set_machines(machines);
+    harness.set_wave(&[0, 1, 2, 3], 4);
+    harness.run_for(ms(500));
+    assert_eq!(commanded(&harness), ["m2", "m3"]);
+}
