Learn which images slow each other down, and keep their tasks apart where there is room

Operators asked for it: nothing told which image harms which; placement counted tasks alone.

Change: interference.rs learns from the tail latencies that polls bring, by pair of images and by worker; placement prefers workers without known harm and never waits for one; events 1637 and 1638 name the pairs. docs/design/interference.md.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod estimate;
 pub mod event;
 pub mod incarnation;
+pub mod interference;
 pub mod job;
 pub mod metrics;
 pub mod outage;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -30,6 +30,9 @@
     pub starting_suspect: Option<JobId>,
     /// Whether its machine has yet to be maintained in a wave.
     pub is_maintenance_due: bool,
+    /// What is known that the task and those on the worker add to tail latencies, in thousandths of
+    /// the targets.
+    pub known_harm_milli: u32,
 }
 
 /// What a task requires of its worker.
@@ -114,6 +117,7 @@
             long_running_beside,
             would_move_again: requirements.long_running && self.is_maintenance_due,
             is_far_from_data: data_rack.is_some_and(|rack| !self.labels.contains(rack)),
+            known_harm_milli: self.known_harm_milli,
             interference,
             has_no_long_running: self.long_running == 0,
             free_milli,
@@ -130,6 +134,7 @@
     long_running_beside: u32,
     would_move_again: bool,
     is_far_from_data: bool,
+    known_harm_milli: u32,
     interference: u32,
     has_no_long_running: bool,
     free_milli: u32,
@@ -137,8 +142,8 @@
 
 /// Chooses a worker for a task.
 ///
-/// Tasks that serve users and opportunistic tasks go where they interfere least; among equal
-/// workers the one with the least free CPU is chosen. Long-running tasks are packed onto few
+/// Tasks that serve users and opportunistic tasks go where they are known to slow each other down
+/// least, and then where they interfere least by their number; among equal workers the one with the least free CPU is chosen. Long-running tasks are packed onto few
 /// workers, and short tasks fill these first, so that the other machines become free to move as
 /// soon as demand falls. Workers on which the task failed come last.
 ///
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -374,6 +374,8 @@
     opportunistic: bool,
     #[serde(skip_serializing_if = "is_default")]
     unavailable_max: Option<u32>,
+    #[serde(skip_serializing_if = "is_default")]
+    image: Option<Arc<str>>,
 }
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
@@ -404,6 +406,7 @@
             tail_ms: step.tail_target.map(as_ms),
             opportunistic: step.opportunistic,
             unavailable_max: step.unavailable_max,
+            image: step.image.clone(),
         }
     }
 }
@@ -430,6 +433,7 @@
             tail_target: wire.tail_ms.map(Duration::from_millis),
             opportunistic: wire.opportunistic,
             unavailable_max: wire.unavailable_max,
+            image: wire.image,
         }
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod hedged_polls;
 mod in_flight_writes;
 mod inherited_usage;
+mod interference;
 mod job_lifecycle;
 mod machine_leases;
 mod machine_list;
@@ -63,6 +64,7 @@
 use crate::clients::{FencingToken, WorkerAddress};
 use crate::cluster::{ClusterConfig, PlacementPolicy, Queue, QueueId, Wave, WaveNumber, WorkerId};
 use crate::estimate::{RunTimeRatio, RunTimes};
+use crate::interference::{ImageId, Interference};
 use crate::job::{Job, WorkerSlot};
 use crate::policy_queue::PolicyQueue;
 use crate::record::{
@@ -265,6 +267,10 @@
     arrivals: Arrivals,
     run_time_ratio: RunTimeRatio,
     run_times: RunTimes,
+    /// Which images slow each other down.
+    interference: Interference,
+    /// Harmful pairs that were logged, and when they were compared last.
+    reported_interference: (BTreeSet<(ImageId, ImageId)>, Moment),
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Last command to each machine.
     machine_commands: HashMap<InstanceId, SentCommand>,
@@ -350,6 +356,8 @@
             arrivals: Arrivals::default(),
             run_time_ratio: RunTimeRatio::default(),
             run_times: RunTimes::default(),
+            interference: Interference::default(),
+            reported_interference: (BTreeSet::new(), now),
             waves: BTreeMap::new(),
             machine_commands: HashMap::new(),
             team_buckets: HashMap::new(),
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -51,6 +51,7 @@
             self.plan_machine_moves(now);
             self.plan_throttling(now, &mut commands);
             self.hedge_polls(now);
+            self.report_interference(now);
         }
         self.issue_machine_moves(now, &mut commands);
         self.plan_services_awaiting_policy(now);
@@ -241,6 +242,7 @@
                 is_suspect: is_suspect(&worker.recent_ends),
                 starting_suspect: None,
                 is_maintenance_due: worker.is_maintenance_due,
+                known_harm_milli: 0,
             })
             .collect()
     }
@@ -322,6 +324,7 @@
             );
         }
         for index in waiting {
+            self.rate_interference(spec, candidates);
             let task = TaskId { step: id, index: *index };
             let requirements =
                 TaskRequirements { suspect_of: self.suspect_job(task), ..requirements.clone() };
@@ -431,6 +434,7 @@
             confirmed: None,
             has_ended: false,
             kind: RunKind::from(spec),
+            image: spec.image.clone(),
             reserved: spec.reserved(),
             quota_usage: spec.task_resources,
             percent: 0,
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -137,6 +137,7 @@
             reported.insert(running_run.task);
             self.receive_running_run(slot, running_run, now);
         }
+        self.learn_interference(slot, now);
         let missing = self.missing_runs(slot, &reported, sent);
         match response.ended_listing {
             Listing::Whole => {
@@ -280,6 +281,7 @@
         let (quota_usage, reserved) =
             spec.as_ref().map(|spec| (spec.task_resources, spec.reserved())).unwrap_or_default();
         let kind = spec.as_ref().map(RunKind::from).unwrap_or_default();
+        let image = spec.as_ref().and_then(|spec| spec.image.clone());
         let mut should_run = false;
         if let Some(job) = job {
             job.has_started = true;
@@ -300,6 +302,7 @@
             confirmed: Some(now),
             has_ended: false,
             kind,
+            image,
             reserved,
             quota_usage,
             percent: running_run.percent,
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -7,6 +7,8 @@
 use cassiafold_platform::VALUE_BYTES_MAX;
 pub use cassiafold_tasks::record::Resources;
 
+use crate::interference::ImageId;
+
 /// Identifies a job; chosen by its caller as 16 hexadecimal digits.
 pub type JobId = u64;
 /// Number of an occurrence of a scheduled job, from 0. It is 0 for a job without a schedule.
@@ -174,6 +176,8 @@
     /// Availability budget: how many tasks of the step the fleet itself may make unavailable at
     /// once; `None` if there is no such budget.
     pub unavailable_max: Option<u32>,
+    /// What the tasks run; tasks of the same image behave alike.
+    pub image: Option<ImageId>,
 }
 
 impl StepSpec {
--- a/crates/jobs/src/throttle.rs
+++ b/crates/jobs/src/throttle.rs
@@ -41,6 +41,11 @@
     pub const ADOPTED: Self =
         Self { percent: ADOPTED_SPEED_PERCENT, is_confirmed: false, ..Self::FULL };
 
+    /// Returns the share of full speed that was commanded last.
+    pub fn share(&self) -> f64 {
+        f64::from(self.percent) / f64::from(SPEED_MAX_PERCENT)
+    }
+
     /// Returns the speed to command now, if a command is needed; `load` as for
     /// [`next_speed_percent`].
     pub fn next_command(&mut self, load: Option<f64>, now: Moment) -> Option<u8> {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::clients::{Listing, WorkerAddress};
 use crate::cluster::WorkerEntry;
 use crate::crash::{ContactLoss, Crash, START_WINDOW, is_past_probation};
+use crate::interference::ImageId;
 use crate::record::{CapacityRecord, WorkerRecord, WorkerShard, worker_shard};
 use crate::spec::{Resources, RunNumber, StepSpec, TaskId};
 use crate::throttle::Speed;
@@ -112,6 +113,8 @@
     pub has_ended: bool,
     /// Kind of its task.
     pub kind: RunKind,
+    /// What its task runs, if the caller tells.
+    pub image: Option<ImageId>,
     /// Resources that it reserves on the worker.
     pub reserved: Resources,
     /// Resources that count against its team's quota.
@@ -255,6 +258,8 @@
     pub last_run_ended: Option<Moment>,
     /// When its opportunistic runs are throttled next.
     pub throttle_due: Moment,
+    /// When the tail latencies of its serving tasks are read next.
+    pub interference_due: Moment,
     /// Recent run ends, latest last: the job and whether the run failed.
     pub recent_ends: Vec<(u64, bool)>,
     clock: Option<(Duration, Moment)>,
@@ -306,6 +311,7 @@
             blocked_until: Moment::ZERO,
             last_run_ended: None,
             throttle_due: Moment::ZERO,
+            interference_due: Moment::ZERO,
             recent_ends: Vec::new(),
             clock: None,
             lease_until: Duration::ZERO,
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -192,6 +192,7 @@
             slot: 0, capacity: free, free, labels: labels.into(), same_step, long_running: 0,
             serving: 0, opportunistic: 0, is_suspect: false, starting_suspect: None,
             is_maintenance_due: false,
+            known_harm_milli: 0,
         }
     }
 }
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -31,6 +31,8 @@
     pub listed_machines: Vec<Machine>,
     /// Workers that respond to no poll.
     pub silent: HashSet<WorkerSlot>,
+    /// Load that workers report of tasks; 0 if not given.
+    pub load_metrics: HashMap<TaskId, u32>,
 }
 
 impl SchedulerHarness {
@@ -66,6 +68,7 @@
             machine_commands: Vec::new(),
             listed_machines: Vec::new(),
             silent: HashSet::new(),
+            load_metrics: HashMap::new(),
         }
     }
 
@@ -170,7 +173,7 @@
                     run,
                     checkpoint: None,
                     percent: 100,
-                    load_metric: 0,
+                    load_metric: self.load_metrics.get(&task).copied().unwrap_or_default(),
                 };
                 let running = rows.into_iter().map(row).collect();
                 let poll = PollResponse { clock: self.now, running, ..PollResponse::default() };
