--- a/crates/cassiafold/tests/crowds.rs
+++ b/crates/cassiafold/tests/crowds.rs
@@ -5,6 +5,7 @@
 //! and its open descriptors stay under the limits of its settings, and while the crowd stays
 //! connected, an ordinary caller hands in a job, reads its state and cancels it.
 
+mod crowd;
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod standin;
 
@@ -15,7 +16,8 @@
 use std::time::{Duration, Instant};
 
 use cassiafold_platform::{Transaction, TransactionOutcome, TransactionalStore};
-use socket2::{Domain, Socket, Type};
+
+use self::crowd::{crowd, open_descriptors, peak_mb};
 
 /// Memory of the process by its settings, in MiB; also the bound of its peak.
 const MEMORY_MB: u64 = 64;
@@ -27,13 +29,10 @@
 const BODY_BYTES: usize = 262_144;
 /// Largest head by the configuration, in bytes.
 const HEAD_BYTES: usize = 16_384;
-/// Time for which a crowd's write may block before its connection sends nothing more.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time in which an ordinary caller must get an answer at all. No bound of the speed.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Key of the only team.
 const KEY: &str = "sjnbanfqasnmgkcuyj8p";
-const PROCESS_DIR: &str = "/proc";
 
 /// Only one process and one crowd at a time.
 static TURN: Mutex<()> = Mutex::new(());
@@ -130,37 +129,14 @@
         }
     }
 
-    fn status_kb(&self, field: &str) -> u64 {
-        let path = format!("{PROCESS_DIR}/{}/status", self.process.id());
-        let text = std::fs::read_to_string(path).expect("the process lives");
-        let line = text.lines().find_map(|line| line.strip_prefix(field)).expect("field");
-        line.trim_matches(|c: char| !c.is_ascii_digit()).parse().expect("number")
-    }
-
-    /// Number of open descriptors, once it has stopped changing.
-    fn open_descriptors(&self) -> usize {
-        let path = format!("{PROCESS_DIR}/{}/fd", self.process.id());
-        let count = || std::fs::read_dir(&path).expect("the process lives").count();
-        let mut last = count();
-        for _ in 0..20 {
-            std::thread::sleep(Duration::from_millis(300));
-            let now = count();
-            if now == last {
-                break;
-            }
-            last = now;
-        }
-        last
-    }
-
     /// Checks the process while a crowd is connected.
     fn check(&mut self, shape: &str) {
-        let open = self.open_descriptors();
+        let open = open_descriptors(self.process.id());
         self.expect("POST", 7, JOB, " 200 ");
         self.expect("GET", 7, "", "queued");
         self.expect("DELETE", 7, "", " 200 ");
         assert!(self.process.try_wait().expect("status").is_none(), "{shape}: it has ended");
-        let peak_mb = self.status_kb("VmHWM:") / 1_024;
+        let peak_mb = peak_mb(self.process.id());
         println!("{shape}: peak {peak_mb} MiB, {open} descriptors");
         assert!(peak_mb <= MEMORY_MB, "{shape}: peak memory of {peak_mb} MiB");
         assert!(open <= DESCRIPTORS, "{shape}: {open} open descriptors");
@@ -173,38 +149,6 @@
     format!("{method} /q/{job:016x} HTTP/1.1\r\nHost: h\r\nApi-Key: {KEY}")
 }
 
-/// A connection from one of many addresses.
-fn connect(to: SocketAddr, number: usize) -> Option<TcpStream> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
-    let last = u8::try_from(number % 200).unwrap_or_default() + 1;
-    socket.bind(&SocketAddr::from((Ipv4Addr::new(127, 78, 9, last), 0)).into()).ok()?;
-    socket.connect_timeout(&to.into(), ANSWER_TIMEOUT).ok()?;
-    let stream = TcpStream::from(socket);
-    stream.set_write_timeout(Some(WRITE_TIMEOUT)).ok()?;
-    Some(stream)
-}
-
-/// Connects the crowd, and writes the parts in turn: a part to each connection, then the next one.
-/// Connections that are closed or take nothing more get nothing more.
-fn crowd(to: SocketAddr, parts: &[Vec<u8>]) -> Vec<TcpStream> {
-    const WRITERS: usize = 10;
-    let write = |first: usize| {
-        let numbers = (first..CROWD).step_by(WRITERS);
-        let mut streams: Vec<(TcpStream, bool)> =
-            numbers.filter_map(|number| Some((connect(to, number)?, true))).collect();
-        for part in parts {
-            for (stream, takes_more) in streams.iter_mut().filter(|(_, takes_more)| *takes_more) {
-                *takes_more = stream.write_all(part).is_ok();
-            }
-        }
-        streams.into_iter().map(|(stream, _)| stream).collect::<Vec<_>>()
-    };
-    std::thread::scope(|scope| {
-        let writers: Vec<_> = (0..WRITERS).map(|first| scope.spawn(move || write(first))).collect();
-        writers.into_iter().flat_map(|writer| writer.join().expect("writer")).collect()
-    })
-}
-
 /// A body of this many bytes that stops one byte short, behind its head.
 fn short_body(bytes: usize) -> Vec<u8> {
     let mut request =
@@ -234,7 +178,7 @@
         $(#[test] fn $name() {
             let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
             let mut instance = Instance::start(Ipv4Addr::new(127, 78, 1, $address));
-            let streams = crowd(instance.callers, &$parts);
+            let streams = crowd(instance.callers, CROWD, &$parts);
             instance.check(stringify!($name));
             drop(streams);
         })+
--- a/crates/cassiafold/tests/processes/fleet.rs
+++ b/crates/cassiafold/tests/processes/fleet.rs
@@ -95,9 +95,14 @@
         outcome.body
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is alive");
+        kill(Pid::from_raw(self.id() as i32), signal).expect("the process is alive");
     }
 
     /// Kills the process.
--- a/crates/jobs/src/owner/usage.rs
+++ b/crates/jobs/src/owner/usage.rs
@@ -116,7 +116,9 @@
             states_unwritten = backlog.states_unwritten,
             states_inherited = backlog.states_inherited,
             workers_usable = backlog.workers_usable,
-            cores_free = backlog.cores_free
+            cores_free = backlog.cores_free,
+            machines_vacated = backlog.machines_vacated,
+            workers_unanswered = backlog.workers_unanswered
         );
         *self = Self::new(now);
     }
--- a/crates/jobs/src/scheduler/backlog.rs
+++ b/crates/jobs/src/scheduler/backlog.rs
@@ -23,13 +23,22 @@
     pub workers_usable: usize,
     /// Free cores of the usable workers.
     pub cores_free: u32,
+    /// Machines that get no new tasks, so that they can move to a service that lacks some.
+    pub machines_vacated: usize,
+    /// Workers that left a command or poll without a response in the last seconds. Polls are hedged
+    /// from three on.
+    pub workers_unanswered: usize,
 }
 
 impl Scheduler {
     /// Returns the current backlog.
     pub fn backlog(&self, now: Moment) -> Backlog {
-        let mut backlog =
-            Backlog { states_unwritten: self.unwritten_states.len(), ..Backlog::default() };
+        let mut backlog = Backlog {
+            states_unwritten: self.unwritten_states.len(),
+            machines_vacated: self.vacated_machines.len(),
+            workers_unanswered: self.unanswered.workers(now),
+            ..Backlog::default()
+        };
         for job in self.jobs.values().filter(|job| job.is_live()) {
             backlog.jobs_live += 1;
             backlog.jobs_awaiting_start_write += usize::from(job.awaits_start_write());
--- a/crates/jobs/src/scheduler/hedged_polls.rs
+++ b/crates/jobs/src/scheduler/hedged_polls.rs
@@ -32,16 +32,14 @@
 
 impl Unanswered {
     fn record(&mut self, slot: WorkerSlot, now: Moment) {
-        self.recent.retain(|(_, other)| *other != slot);
+        self.recent.retain(|(at, other)| *other != slot && now < *at + UNANSWERED_WINDOW);
         self.recent.push_back((now, slot));
     }
 
     /// Number of workers within the window.
-    fn workers(&mut self, now: Moment) -> usize {
-        while self.recent.front().is_some_and(|(at, _)| now >= *at + UNANSWERED_WINDOW) {
-            self.recent.pop_front();
-        }
-        self.recent.len()
+    pub(super) fn workers(&self, now: Moment) -> usize {
+        let is_recent = |(at, _): &&(Moment, WorkerSlot)| now < *at + UNANSWERED_WINDOW;
+        self.recent.iter().rev().take_while(is_recent).count()
     }
 }
 
