--- a/crates/ingress/src/body.rs
+++ b/crates/ingress/src/body.rs
@@ -49,9 +49,6 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    if body.size_hint().lower() > bytes_max as u64 {
-        return Err(ReadBodyError::TooLarge);
-    }
     let mut held = HeldBody::default();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| ReadBodyError::Broken)?.into_data() else { continue };
--- a/crates/jobs/src/scheduler/inherited_usage.rs
+++ b/crates/jobs/src/scheduler/inherited_usage.rs
@@ -52,10 +52,12 @@
     /// Updates the resources that unknown runs may take, after workers have listed their runs.
     pub(super) fn update_inherited_usage(&mut self, now: Moment) {
         let room = self.unknown_room(now);
+        if room.is_empty() {
+            self.inherited_usage = InheritedUsage { is_known: true, ..InheritedUsage::default() };
+            return;
+        }
         let mut usage: HashMap<(&ServiceId, &TeamId), PossibleUsage> = HashMap::new();
-        let unknown =
-            self.jobs.values().filter(|job| !room.is_empty() && may_have_unknown_runs(job));
-        for job in unknown {
+        for job in self.jobs.values().filter(|job| may_have_unknown_runs(job)) {
             let service = &job.record.service;
             if let (Some(team), true) = (&job.record.team, room.contains_key(service)) {
                 usage.entry((service, team)).or_default().add_waiting_tasks(job);
