--- a/crates/cassiafold/src/cli.rs
+++ b/crates/cassiafold/src/cli.rs
@@ -119,6 +119,13 @@
                 .required(true)
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .help("Configuration in force on the users' platform, to show what changes")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf)),
+        )
 }
 
 fn credential() -> Command {
--- a/crates/cassiafold/src/command.rs
+++ b/crates/cassiafold/src/command.rs
@@ -66,6 +66,8 @@
 pub struct CheckOptions {
     /// Files to check.
     pub files: Vec<PathBuf>,
+    /// Configuration in force, with which configurations of the users' platform are compared.
+    pub against: Option<PathBuf>,
     /// Format of the results.
     pub output: Output,
 }
@@ -82,7 +84,8 @@
 impl From<&ArgMatches> for CheckOptions {
     fn from(matches: &ArgMatches) -> Self {
         let files = matches.get_many::<PathBuf>("files").unwrap_or_default().cloned().collect();
-        Self { files, output: Output::from(matches) }
+        let against = matches.get_one::<PathBuf>("against").cloned();
+        Self { files, against, output: Output::from(matches) }
     }
 }
 
