--- a/crates/cassiafold/tests/config_check.rs
+++ b/crates/cassiafold/tests/config_check.rs
@@ -176,6 +176,7 @@
             ]
           }
         ]
-    "#]].assert_eq(&text);
+    "#]]
+    .assert_eq(&text);
     assert_eq!(code, Some(4));
 }
--- a/crates/jobs/src/config_check.rs
+++ b/crates/jobs/src/config_check.rs
@@ -1,8 +1,9 @@
 //! Checks a configuration before it is sent: entries that can never match, limits that contradict
 //! each other, and differences from the version in force.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Debug;
+use std::sync::Arc;
 
 use cassiafold_config::Faults;
 
@@ -122,11 +123,11 @@
 
 fn compare<T: Debug + PartialEq>(
     kind: &str,
-    in_force: &HashMap<std::sync::Arc<str>, T>,
-    new: &HashMap<std::sync::Arc<str>, T>,
+    in_force: &HashMap<Arc<str>, T>,
+    new: &HashMap<Arc<str>, T>,
     found: &mut Vec<String>,
 ) {
-    let ids: std::collections::BTreeSet<_> = in_force.keys().chain(new.keys()).collect();
+    let ids: BTreeSet<_> = in_force.keys().chain(new.keys()).collect();
     for id in ids {
         match (in_force.get(id), new.get(id)) {
             (Some(_), None) => found.push(format!("{kind} {id} removed")),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -48,6 +48,7 @@
 use self::hedged_polls::Unanswered;
 use self::in_flight_writes::InFlightWrites;
 use self::inherited_usage::InheritedUsage;
+use self::interference::InterferenceReport;
 use self::machine_leases::MachineLeases;
 use self::machine_list::MachineList;
 pub use self::maintenance::MachineCommand;
@@ -64,7 +65,7 @@
 use crate::clients::{FencingToken, WorkerAddress};
 use crate::cluster::{ClusterConfig, PlacementPolicy, Queue, QueueId, Wave, WaveNumber, WorkerId};
 use crate::estimate::{RunTimeRatio, RunTimes};
-use crate::interference::{ImageId, Interference};
+use crate::interference::Interference;
 use crate::job::{Job, WorkerSlot};
 use crate::policy_queue::PolicyQueue;
 use crate::record::{
@@ -269,8 +270,7 @@
     run_times: RunTimes,
     /// Which images slow each other down.
     interference: Interference,
-    /// Harmful pairs that were logged, and when they were compared last.
-    reported_interference: (BTreeSet<(ImageId, ImageId)>, Moment),
+    interference_report: InterferenceReport,
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Last command to each machine.
     machine_commands: HashMap<InstanceId, SentCommand>,
@@ -357,7 +357,7 @@
             run_time_ratio: RunTimeRatio::default(),
             run_times: RunTimes::default(),
             interference: Interference::default(),
-            reported_interference: (BTreeSet::new(), now),
+            interference_report: InterferenceReport::default(),
             waves: BTreeMap::new(),
             machine_commands: HashMap::new(),
             team_buckets: HashMap::new(),
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -31,6 +31,15 @@
 /// A machine counts as idle once its worker has had no work for this time.
 const IDLE_AFTER: Duration = Duration::from_millis(300);
 
+/// A machine that can move without stopping any run.
+struct IdleMachine {
+    id: InstanceId,
+    /// Whether some machine of its availability zone responds.
+    is_reachable: bool,
+    /// Whether it was vacated for a move.
+    is_vacated: bool,
+}
+
 impl Scheduler {
     /// Chooses the machine moves that are due.
     pub(super) fn plan_machine_moves(&mut self, now: Moment) {
@@ -103,7 +112,7 @@
     fn pools(&mut self, now: Moment) -> BTreeMap<ServiceId, Pool> {
         let unresponsive_max = self.lease_max_with_skew();
         let unreachable_zones = self.unreachable_zones();
-        let mut idle: BTreeMap<ServiceId, Vec<(bool, bool, &Machine)>> = BTreeMap::new();
+        let mut idle: BTreeMap<ServiceId, Vec<IdleMachine>> = BTreeMap::new();
         let mut pools: BTreeMap<ServiceId, Pool> = BTreeMap::new();
         for (id, service) in &self.config.services {
             let pool = Pool { is_spare: service.is_spare, ..Pool::default() };
@@ -125,17 +134,18 @@
             }
             pool.machines += 1;
             if target.is_none() && self.is_idle(machine, now) {
-                let is_reachable = !unreachable_zones.contains(&machine.zone);
-                let is_vacated = self.vacated_machines.contains(&machine.id);
-                let idle = idle.entry(machine.service.clone()).or_default();
-                idle.push((is_reachable, is_vacated, machine));
+                idle.entry(machine.service.clone()).or_default().push(IdleMachine {
+                    is_reachable: !unreachable_zones.contains(&machine.zone),
+                    is_vacated: self.vacated_machines.contains(&machine.id),
+                    id: machine.id.clone(),
+                });
             }
         }
         for (service, mut machines) in idle {
             let Some(pool) = pools.get_mut(&service) else { continue };
             // Machines are taken from the end.
-            machines.sort_by_key(|(is_reachable, is_vacated, _)| (*is_reachable, *is_vacated));
-            pool.idle = machines.into_iter().map(|(_, _, machine)| machine.id.clone()).collect();
+            machines.sort_by_key(|machine| (machine.is_reachable, machine.is_vacated));
+            pool.idle = machines.into_iter().map(|machine| machine.id).collect();
         }
         let cores_per_machine = self.cores_per_machine();
         for (id, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_spare) {
--- a/crates/jobs/src/scheduler/interference.rs
+++ b/crates/jobs/src/scheduler/interference.rs
@@ -19,6 +19,14 @@
 /// Time between two comparisons of the harmful pairs with those that were logged.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Harmful pairs of images that were logged: the serving one and the filling one.
+#[derive(Debug, Default)]
+pub(super) struct InterferenceReport {
+    pairs: BTreeSet<(ImageId, ImageId)>,
+    /// When they were last compared with what is learned.
+    compared_at: Moment,
+}
+
 /// Whether a run takes part in readings: it runs, and its image is known.
 fn is_at_work(run: &Run) -> bool {
     run.phase == RunPhase::Running && run.image.is_some()
@@ -56,7 +64,7 @@
     pub(super) fn rate_interference(&self, spec: &StepSpec, candidates: &mut [Candidate]) {
         let (serves, fills) = (spec.tail_target.is_some(), spec.opportunistic);
         let Some(image) = spec.image.as_ref().filter(|_| serves || fills) else { return };
-        if self.reported_interference.0.is_empty() {
+        if self.interference_report.pairs.is_empty() {
             return;
         }
         for candidate in candidates {
@@ -76,14 +84,14 @@
     /// Logs which pairs of images have been found to be harmful since the last time, and which no
     /// longer are.
     pub(super) fn report_interference(&mut self, now: Moment) {
-        let (reported, reported_at) = &mut self.reported_interference;
-        if now < *reported_at + REPORT_INTERVAL {
+        let report = &mut self.interference_report;
+        if now < report.compared_at + REPORT_INTERVAL {
             return;
         }
-        *reported_at = now;
+        report.compared_at = now;
         let pairs = self.interference.harmful_pairs();
         for (serving, filling, harm) in &pairs {
-            if !reported.contains(&(serving.clone(), filling.clone())) {
+            if !report.pairs.contains(&(serving.clone(), filling.clone())) {
                 let harm = format_args!("{harm:.2}");
                 emit!(
                     JobsEvent::ImagesInterfere,
@@ -95,10 +103,10 @@
         }
         let found: BTreeSet<(ImageId, ImageId)> =
             pairs.into_iter().map(|(serving, filling, _)| (serving, filling)).collect();
-        for (serving, filling) in reported.difference(&found) {
+        for (serving, filling) in report.pairs.difference(&found) {
             emit!(JobsEvent::ImagesInterfereNoMore, serving = serving, filling = filling);
         }
-        *reported = found;
+        report.pairs = found;
     }
 }
 
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -99,6 +99,17 @@
     pace: usize,
 }
 
+impl WaveDelays {
+    /// Counts a machine that stays up for now.
+    fn count(&mut self, can_go_down: bool, has_only_short_tasks: bool) {
+        match (can_go_down, has_only_short_tasks) {
+            (true, _) => self.pace += 1,
+            (false, true) => self.short_tasks += 1,
+            (false, false) => self.budgets += 1,
+        }
+    }
+}
+
 impl WaveProgress {
     /// Creates the progress of a wave from what a previous owner stored, if anything; `now_unix` is
     /// the Unix time at `now`.
@@ -323,13 +334,9 @@
                 going_down.push(machine.id);
                 continue;
             }
-            match can_go_down {
-                true => delays.pace += 1,
-                false if slot.is_some_and(|slot| self.can_take_down(slot, false, now)) => {
-                    delays.short_tasks += 1;
-                }
-                false => delays.budgets += 1,
-            }
+            let has_only_short_tasks =
+                !can_go_down && slot.is_some_and(|slot| self.can_take_down(slot, false, now));
+            delays.count(can_go_down, has_only_short_tasks);
             if draining.len() < down_allowed_now + DRAINING_AHEAD {
                 draining.insert(machine.id);
             }
