Plan services for policy queries in the order of their last turn

Change: the scheduler notes the turn of each service it asks for and goes through the services that have waited longest first.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -238,6 +238,8 @@
     policy_queue: PolicyQueue,
     /// When the last query about each job was sent, or first wanted.
     policy_turns: HashMap<JobId, Moment>,
+    /// When the last query about a step of each service was sent.
+    policy_service_turns: HashMap<ServiceId, Moment>,
     /// Queries that the current planning pass wants.
     wanted_queries: Vec<WantedQuery>,
     /// Services in which steps wait until their placement policy can be queried.
@@ -338,6 +340,7 @@
             step_tickets: HashMap::new(),
             policy_queue: PolicyQueue::default(),
             policy_turns: HashMap::new(),
+            policy_service_turns: HashMap::new(),
             wanted_queries: Vec::new(),
             awaiting_policy: HashMap::new(),
             machines: MachineList::default(),
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -55,7 +55,7 @@
         }
         self.issue_machine_moves(now, &mut commands);
         self.plan_services_awaiting_policy(now);
-        for service in std::mem::take(&mut self.changed_services) {
+        for service in self.take_changed_services() {
             if self.next_placement.get(&service).is_some_and(|until| now < *until) {
                 self.changed_services.insert(service);
                 continue;
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use cassiafold_config::ServiceId;
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
@@ -70,6 +71,15 @@
         }
     }
 
+    /// Returns the services in which something has changed, those first that were not asked about
+    /// for longest: queries that are equal otherwise are sent in this order.
+    pub(super) fn take_changed_services(&mut self) -> Vec<ServiceId> {
+        let mut services: Vec<ServiceId> =
+            std::mem::take(&mut self.changed_services).into_iter().collect();
+        services.sort_by_key(|service| self.policy_service_turns.get(service).copied());
+        services
+    }
+
     /// Notes a query to the placement policy about workers that a step needs, if it can be sent.
     pub(super) fn want_query(
         &mut self,
@@ -218,6 +228,9 @@
             self.ensure_start_stored(query.step);
         }
         self.policy_turns.insert(query.step.job, now);
+        if let Some(job) = self.jobs.get(&query.step.job) {
+            self.policy_service_turns.insert(job.record.service.clone(), now);
+        }
         let WantedQuery { step, policy, workers, is_ahead } = query;
         let step_tickets = self.step_tickets.entry(step).or_default();
         step_tickets.note_query(workers.len(), now);
