--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves: decides which machine is maintained next.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cassiafold_config::{InstanceId, ServiceId};
@@ -9,21 +9,17 @@
 
 use super::machine_leases::LATE_COMMAND_MAX;
 use super::machine_list::MachineList;
+use super::wave_progress::{WaveDelays, WaveProgress, planned_down};
 use super::{Command, Scheduler, WriteUrgency};
 use crate::clients::MachineOutcome;
-use crate::cluster::{Machine, MachineState, Wave, WaveNumber};
+use crate::cluster::{Machine, MachineState, WaveNumber};
 use crate::event::JobsEvent;
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::record::{WaveRecord, WavesRecord};
 
-/// Time that the maintenance of one machine takes, from the command until its new worker accepts
-/// tasks, including the round trip of the command.
-const MAINTENANCE_TIME: Duration = Duration::from_millis(3_000);
 /// Machines that are drained ahead of those that are down.
 const DRAINING_AHEAD: usize = 1;
-/// Share of a wave's time limit that is kept in reserve.
-const RESERVE_SHARE: f64 = 0.25;
 /// Share of a wave's time limit after which machines are taken down even if short tasks run there.
 const FORCE_AFTER_SHARE: f64 = 0.75;
 /// Minimum time between two commands to the same machine.
@@ -71,70 +67,6 @@
     is_pending: bool,
 }
 
-/// Progress of a wave.
-#[derive(Debug)]
-pub(super) struct WaveProgress {
-    wave: Wave,
-    /// When an owner first saw the wave.
-    since: Moment,
-    since_unix_ms: u64,
-    /// Machines whose maintenance has started, and when.
-    begun: HashMap<InstanceId, Moment>,
-    /// Machines that are being drained for maintenance, and since when.
-    draining: HashMap<InstanceId, Moment>,
-    /// Last stored status: whether the wave is complete.
-    stored: Option<bool>,
-    /// When its pace was last logged.
-    logged_at: Moment,
-}
-
-/// What the machines of a wave that are up wait for.
-#[derive(Debug, Clone, Copy, Default)]
-struct WaveDelays {
-    /// Availability budgets, or runs that are not known yet.
-    budgets: usize,
-    /// Short tasks that run there.
-    short_tasks: usize,
-    /// The pace of the wave.
-    pace: usize,
-}
-
-impl WaveDelays {
-    /// Counts a machine that stays up for now.
-    fn count(&mut self, can_go_down: bool, has_only_short_tasks: bool) {
-        match (can_go_down, has_only_short_tasks) {
-            (true, _) => self.pace += 1,
-            (false, true) => self.short_tasks += 1,
-            (false, false) => self.budgets += 1,
-        }
-    }
-}
-
-impl WaveProgress {
-    /// Creates the progress of a wave from what a previous owner stored, if anything; `now_unix` is
-    /// the Unix time at `now`.
-    pub(super) fn new(
-        wave: Wave,
-        stored: Option<&WaveRecord>,
-        now_unix: Duration,
-        now: Moment,
-    ) -> Self {
-        let now_unix_ms = u64::try_from(now_unix.as_millis()).unwrap_or(u64::MAX);
-        let since_unix_ms = stored.map_or(now_unix_ms, |stored| stored.since_unix_ms);
-        let age = Duration::from_millis(now_unix_ms.saturating_sub(since_unix_ms));
-        let begun = stored.map_or(&[][..], |stored| &stored.begun);
-        Self {
-            wave,
-            since: now.saturating_sub(age),
-            since_unix_ms,
-            begun: begun.iter().map(|machine| (machine.clone(), now)).collect(),
-            draining: HashMap::new(),
-            stored: None,
-            logged_at: Moment::ZERO,
-        }
-    }
-}
-
 impl Scheduler {
     /// Returns whether the machines have to be listed: a wave is not complete, or there is a spare
     /// pool.
@@ -505,17 +437,3 @@
         }
     }
 }
-
-/// Returns how many machines of a wave may be down at the same time: as few as its time limit
-/// allows. Those that are down count among the `unfinished` ones: otherwise the last machines would
-/// go down one after the other.
-///
-/// A wave may start while a service is under load. Machines that are needed then go down evenly
-/// over the time limit instead of all at its start.
-fn planned_down(progress: &WaveProgress, unfinished: usize, now: Moment) -> usize {
-    let planned = progress.wave.time_limit.mul_f64(1.0 - RESERVE_SHARE);
-    let left = progress.since.saturating_add(planned).saturating_sub(now);
-    let rounds = (left.as_secs_f64() / MAINTENANCE_TIME.as_secs_f64()).floor().max(1.0);
-    let needed = (unfinished as f64 / rounds).ceil() as usize;
-    needed.clamp(1, progress.wave.concurrent_max.max(1))
-}
