--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -43,6 +43,7 @@
         "open-queue" => open_queue(record.clone(), has_trouble),
         "letter-case" => letter_case(record.clone(), has_trouble),
         "large-jobs" => large_jobs(record.clone(), has_trouble),
+        "cancelled-jobs" => cancelled_jobs(record.clone(), has_trouble),
         _ => Outcome::NotRun,
     };
     record.line(format!("outcome: {outcome:?}"));
@@ -66,7 +67,12 @@
 
 /// Starts the deployment with these queues; `None` if it does not serve.
 fn deploy(record: Record, routes: &[Route]) -> Option<Cluster> {
+    deploy_with(record, routes, false)
+}
+
+fn deploy_with(record: Record, routes: &[Route], limits_descriptors: bool) -> Option<Cluster> {
     let mut cluster = Cluster::start(record, &SERVICES, 3);
+    cluster.limits_descriptors = limits_descriptors;
     cluster.configure(10, routes, &SERVICES);
     for number in 0..cluster.nodes() {
         cluster.start_node(number);
@@ -211,9 +217,6 @@
 /// A caller hands in small requests for jobs of many tasks, in rounds. The platform kills a process
 /// that uses more memory than its machine has, and starts it again.
 fn large_jobs(record: Record, has_trouble: bool) -> Outcome {
-    /// Processes end three times on two machines, as the rule says.
-    const KILLS: u32 = 3;
-    const MACHINES: usize = 2;
     let Some(mut cluster) = deploy(record.clone(), &[ROUTE, OTHER]) else { return Outcome::NotRun };
     let (clients, others) = (cluster.clients(), cluster.clients());
     let rounds = spawn(move || hand_in_large_jobs(&clients, has_trouble));
@@ -232,6 +235,13 @@
         "accepted ordinary jobs of another tenant and service: {}, done: {done}",
         accepted.len()
     ));
+    judge_kills(&record, &cluster)
+}
+
+/// Whether processes ended by themselves three times on two machines, as the rule says.
+fn judge_kills(record: &Record, cluster: &Cluster) -> Outcome {
+    const KILLS: u32 = 3;
+    const MACHINES: usize = 2;
     let kills = cluster.memory_kills();
     record.line(format!("kills for memory over the limit, by machine: {kills:?}"));
     match kills.iter().filter(|kills| **kills >= KILLS).count() >= MACHINES {
@@ -240,6 +250,65 @@
     }
 }
 
+/// A client hands in two jobs of many tasks in each round, and cancels them while they run. The
+/// platform kills a process that uses more memory than its machine has, and starts it again.
+fn cancelled_jobs(record: Record, has_trouble: bool) -> Outcome {
+    let Some(mut cluster) = deploy_with(record.clone(), &[ROUTE, OTHER], true) else {
+        return Outcome::NotRun;
+    };
+    let (clients, others) = (cluster.clients(), cluster.clients());
+    let rounds = spawn(move || hand_in_and_cancel(&clients, has_trouble));
+    let ordinary = spawn(move || hand_in_ordinary_jobs(&others));
+    let until = Instant::now() + seconds(75.0);
+    while Instant::now() < until {
+        cluster.enforce_memory();
+        sleep(seconds(0.01));
+    }
+    let (Ok((accepted, cancelled)), Ok(ordinary)) = (rounds.join(), ordinary.join()) else {
+        return Outcome::NotRun;
+    };
+    let done = ordinary.iter().filter(|id| cluster.is_done(&format!("{id}.0.0.0"))).count();
+    record.line(format!("large jobs accepted: {accepted}, cancelled: {cancelled}"));
+    record.line(format!(
+        "accepted ordinary jobs of another tenant and service: {}, done: {done}",
+        ordinary.len()
+    ));
+    judge_kills(&record, &cluster)
+}
+
+/// Hands in two jobs a round, and cancels them 3 s later; returns how many were accepted and how many
+/// cancelled.
+fn hand_in_and_cancel(clients: &Clients, has_trouble: bool) -> (usize, usize) {
+    const ROUNDS: usize = 5;
+    const ROUND_S: f64 = 14.0;
+    let step = "{\"Count\":10000,\"Cpu\":1,\"EstMs\":9000}";
+    let spec = format!("{} 9000,9000", "x".repeat(200));
+    let body = format!("{{\"Spec\":\"{spec}\",\"Steps\":[{step},{step}]}}");
+    let (mut accepted, mut cancelled) = (0, 0);
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        sleep(seconds(ROUND_S * round as f64).saturating_sub(start.elapsed()));
+        let paths: Vec<String> =
+            (0..2).map(|number| format!("{}a0000000000000{round}{number}", ROUTE.prefix)).collect();
+        accepted += paths.iter().filter(|path| retry(clients, "POST", path, &body)).count();
+        sleep(seconds(3.0));
+        if has_trouble {
+            cancelled += paths.iter().filter(|path| retry(clients, "DELETE", path, "")).count();
+        }
+    }
+    (accepted, cancelled)
+}
+
+/// Sends a call to one process after the other until it succeeds; returns whether it did.
+fn retry(clients: &Clients, method: &str, path: &str, body: &str) -> bool {
+    (0..6).any(|attempt| {
+        if attempt > 0 {
+            sleep(seconds(0.3));
+        }
+        clients.call(attempt % 3, method, path, Some(KEYS[0]), body).0 == 200
+    })
+}
+
 /// Hands in jobs of two steps; returns how many were accepted.
 fn hand_in_large_jobs(clients: &Clients, has_trouble: bool) -> usize {
     const ROUNDS: usize = 8;
--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -72,6 +72,8 @@
     nodes: Vec<Node>,
     folder: PathBuf,
     command: Vec<String>,
+    /// Whether processes are started with the limit of descriptors that their settings name.
+    pub limits_descriptors: bool,
 }
 
 pub const HOST: &str = "shop.example";
@@ -79,6 +81,8 @@
 pub const KEYS: [&str; 2] = ["key-of-tenant-one", "key-of-tenant-two"];
 /// Memory of each machine.
 const MEMORY_MB: u64 = 260;
+/// Descriptors of each process.
+const DESCRIPTORS: u32 = 4_100;
 /// Time after which a process that was killed is started again.
 const RESTART_DELAY: Duration = Duration::from_secs(2);
 /// Connections that the platform's services accept.
@@ -132,7 +136,15 @@
         });
         let policy_record = record.clone();
         http::serve(policy, CONNECTIONS_MAX, move |request| advise(request, &policy_record));
-        let mut cluster = Self { store, record, fleet, nodes: Vec::new(), folder, command };
+        let mut cluster = Self {
+            store,
+            record,
+            fleet,
+            nodes: Vec::new(),
+            folder,
+            command,
+            limits_descriptors: false,
+        };
         for number in 1..=3 {
             cluster.add_node(number, addresses);
         }
@@ -149,7 +161,7 @@
             "Node: {name}\nRole: entry\nClass: front\nServes:\n  - front\nIp: \"{ip}\"\nZone: zone-a\n\
              Region: region-a\nZones:\n  zone-a: region-a\nListen:\n  Front: \"{front}\"\n  Ready: \
              \"{ready}\"\nPortRange:\n  - 7000\n  - 7015\nBootstrap: true\nLimits:\n  CpuShare: 0.25\n  \
-             Cores: 1\n  MemoryMb: {MEMORY_MB}\n  MaxFds: 4100\n  LinkMbps: 1000.0\n  DiskMb: 0\n\
+             Cores: 1\n  MemoryMb: {MEMORY_MB}\n  MaxFds: {DESCRIPTORS}\n  LinkMbps: 1000.0\n  DiskMb: 0\n\
              HeartbeatMs: 1500\nBounds:\n  StableMs: 3000\n  AckMs: 4000\n  DrainMs: 2000\n  GraceS: 6\n  \
              ConfigMs: 2000\n  StrictRevoke: false\n  RevokeMs: 5000\n  HoldMaxMs: 6000\n  StopMs: 200\n  \
              GangMs: 3000\n  cancel_ms: 3000\n  visible_ms: 3000\n  early_ms: 250\n  finish_s: 14\n  \
@@ -209,7 +221,15 @@
         let node = &mut self.nodes[number];
         let path = self.folder.join(format!("{}.log", node.name));
         let log = fs::File::options().create(true).append(true).open(path).expect("log");
-        let mut command = Command::new(&self.command[0]);
+        // The platform limits the descriptors of each process.
+        let mut command = match self.limits_descriptors {
+            true => Command::new("/bin/sh"),
+            false => Command::new(&self.command[0]),
+        };
+        if self.limits_descriptors {
+            let script = format!("ulimit -n {DESCRIPTORS} 2>/dev/null; exec \"$@\"");
+            command.args(["-c", &script, "sh", &self.command[0]]);
+        }
         command.args(&self.command[1..]).env_clear().env("CASSIAFOLD_CONFIG", &node.settings);
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = std::env::var_os(name) {
--- a/review/standin-3/minion.rs
+++ b/review/standin-3/minion.rs
@@ -16,7 +16,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const ENDS_PER_RESPONSE: usize = 500;
 /// `MaxConns` of the services.
-const CONNECTIONS_MAX: usize = 64;
+const CONNECTIONS_MAX: usize = 5_000;
 /// Bytes of a `Spec` that the record keeps. Longer ones belong to jobs of many tasks, whose runs are
 /// counted.
 const SPEC_BYTES_KEPT: usize = 80;
