Bound the starts on the way to workers

Cause: a pass turned all starts that were due into requests at once, each with the whole text; nothing counted what is on the way. After a request without a response each start used a connection of its own. Runs counted nothing at rest. Change: one budget in memory and connections, by MemoryMb and MaxFds, shared by client account and worker (docs/design/commands-on-the-way.md). A task without room for its start stays waiting; the members of a gang wait as placed runs. Requests that are not pipelined go out four at a time. A job counts a run for each of its tasks. Tests of jobs and adapter pass.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -9,6 +9,7 @@
 use cassiafold_platform::{Moment, Revision};
 
 pub use self::occurrence::{Occurrence, Step, Task};
+use crate::command_budget::json_bytes;
 use crate::crash::{CrashHistory, Suspicion};
 use crate::delay::Delays;
 use crate::job_memory::JobBytes;
@@ -61,6 +62,8 @@
     last_crash: Option<Moment>,
     /// Memory that it takes.
     bytes: JobBytes,
+    /// Length of its payload as a JSON string, in bytes.
+    payload_json_bytes: u64,
     /// Memory with which it is counted, in bytes.
     pub counted_bytes: u64,
     /// Since when the owner has held it without a break.
@@ -90,6 +93,7 @@
         let expected = |step: &StepSpec| ExpectedRunTime { time: step.estimate, completed: 0 };
         let run_times = record.spec.steps.iter().map(expected).collect();
         let bytes = JobBytes::from(&record);
+        let payload_json_bytes = json_bytes(&record.spec.payload);
         Self {
             id,
             run_times,
@@ -109,6 +113,7 @@
             crashes_stored: 0,
             last_crash: None,
             bytes,
+            payload_json_bytes,
             counted_bytes: 0,
             held_since: now,
             turns_had: 0,
@@ -120,6 +125,11 @@
         self.bytes.with_occurrences(self.occurrences.len(), self.ended.len())
     }
 
+    /// Length of its payload as a JSON string, in bytes.
+    pub fn payload_json_bytes(&self) -> u64 {
+        self.payload_json_bytes
+    }
+
     /// Memory that another occurrence would take, in bytes.
     pub fn occurrence_bytes(&self) -> u64 {
         self.bytes.of_occurrence()
--- a/crates/jobs/src/job_memory.rs
+++ b/crates/jobs/src/job_memory.rs
@@ -1,13 +1,14 @@
 //! Memory that an owner may use for the jobs that have not ended, and what a job takes of it.
 //!
 //! The figures are those of the types that hold a job, with what allocation and tables add. They
-//! count all tasks of an occurrence, whether or not they have started.
+//! count all tasks of an occurrence, and a run of each, whether or not they have started.
 
 use cassiafold_config::TeamId;
 
 use crate::job::{Job, Step, Task};
 use crate::record::JobRecord;
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, StepSpec, TaskId};
+use crate::worker::Run;
 
 /// Memory of the smallest supported machine, in MiB.
 pub const SMALLEST_MEMORY_MB: usize = 160;
@@ -26,6 +27,9 @@
 /// Bytes of an occurrence beside its steps, and of a step's entries in the owner's tables.
 const OCCURRENCE_ENTRY_BYTES: usize = 256;
 const STEP_ENTRY_BYTES: usize = 128;
+/// Bytes of a run in the table of its worker, which is on average three quarters full, and in the
+/// list of its task.
+const RUN_BYTES: usize = size_of::<(TaskId, Run)>() / 3 * 4 + ALLOCATION_BYTES;
 /// Bytes of an occurrence that has ended, in memory and in the stored state while it is written.
 const ENDED_OCCURRENCE_BYTES: usize = 48;
 
@@ -111,5 +115,7 @@
 fn occurrence_bytes(spec: &JobSpec) -> usize {
     let tasks = usize::try_from(spec.tasks()).unwrap_or(usize::MAX);
     let steps = spec.steps.len() * (size_of::<Step>() + STEP_ENTRY_BYTES);
-    tasks.saturating_mul(size_of::<Task>()).saturating_add(OCCURRENCE_ENTRY_BYTES + steps)
+    tasks
+        .saturating_mul(size_of::<Task>() + RUN_BYTES)
+        .saturating_add(OCCURRENCE_ENTRY_BYTES + steps)
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clients;
 pub mod cluster;
 pub mod coalescing;
+pub mod command_budget;
 pub mod config_check;
 pub mod crash;
 pub mod delay;
--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -4,6 +4,7 @@
 //! bounds their number.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use cassiafold_config::TeamId;
@@ -16,6 +17,7 @@
 
 use crate::clients::{CommandOutcome, MachineOutcome, RunEnd};
 use crate::cluster::QueueId;
+use crate::command_budget::CommandReport;
 use crate::scheduler::CrashCounts;
 
 /// Upper bound of the first bucket of durations, in seconds.
@@ -47,6 +49,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of commands and polls in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct InFlightLabels {
+    /// Kind of the command, or a poll.
+    pub order: &'static str,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct DurationBuckets;
 
@@ -62,6 +71,9 @@
     calls: Family<CallLabels, Counter>,
     call_seconds: Family<OutcomeLabels, Histogram, DurationBuckets>,
     commands: Family<OutcomeLabels, Counter>,
+    commands_in_flight: Family<InFlightLabels, Gauge>,
+    commands_in_flight_bytes: Family<InFlightLabels, Gauge>,
+    commands_in_flight_oldest_s: Family<InFlightLabels, Gauge<f64, AtomicU64>>,
     ends: Family<OutcomeLabels, Counter>,
     terms: Counter,
     workers_crashed: Counter,
@@ -77,6 +89,9 @@
             calls: Family::default(),
             call_seconds: Family::new_with_constructor(DurationBuckets),
             commands: Family::default(),
+            commands_in_flight: Family::default(),
+            commands_in_flight_bytes: Family::default(),
+            commands_in_flight_oldest_s: Family::default(),
             ends: Family::default(),
             terms: Counter::default(),
             workers_crashed: Counter::default(),
@@ -99,6 +114,23 @@
             self.call_seconds.clone(),
         );
         registry.register("orders", "Orders to workers and machines", self.commands.clone());
+        registry.register(
+            "orders_in_flight",
+            "Orders to workers that were sent and have no outcome, each second",
+            self.commands_in_flight.clone(),
+        );
+        registry.register_with_unit(
+            "orders_in_flight_memory",
+            "Memory that the orders in flight may take",
+            Unit::Bytes,
+            self.commands_in_flight_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "orders_in_flight_oldest",
+            "Time since the oldest order in flight was sent",
+            Unit::Seconds,
+            self.commands_in_flight_oldest_s.clone(),
+        );
         registry.register("ends", "Ends of runs", self.ends.clone());
         registry.register("tenures", "Tenures as owner", self.terms.clone());
         registry.register(
@@ -169,6 +201,21 @@
         self.commands.get_or_create(&OutcomeLabels { order: "look", outcome }).inc();
     }
 
+    /// Records what is on the way to workers.
+    pub fn set_commands_in_flight(&self, report: &CommandReport) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        for kind in report.kinds {
+            let labels = InFlightLabels { order: kind.kind.name() };
+            self.commands_in_flight.get_or_create(&labels).set(gauge(kind.usage.commands));
+            let bytes = i64::try_from(kind.usage.bytes).unwrap_or(i64::MAX);
+            self.commands_in_flight_bytes.get_or_create(&labels).set(bytes);
+            let oldest_s = kind.oldest_age.as_secs_f64();
+            self.commands_in_flight_oldest_s.get_or_create(&labels).set(oldest_s);
+        }
+        let labels = InFlightLabels { order: "look" };
+        self.commands_in_flight.get_or_create(&labels).set(gauge(report.polls));
+    }
+
     /// Counts the end of a run.
     pub fn count_run_end(&self, end: RunEnd) {
         let outcome = match end {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -449,7 +449,16 @@
             self.platform.workers().forget(&address);
         }
         self.metrics.count_crashes(self.scheduler.take_crash_counts());
-        self.loop_stats.report(now, || self.scheduler.backlog(now));
+        if self.loop_stats.is_report_due(now) {
+            self.report(now);
+        }
+    }
+
+    /// Reports the state of the loop to the log and the metrics.
+    fn report(&mut self, now: Moment) {
+        let commands = self.scheduler.take_command_report(now);
+        self.metrics.set_commands_in_flight(&commands);
+        self.loop_stats.report(now, &self.scheduler.backlog(now), &commands);
     }
 
     /// Closes the connections to all workers; the next owner opens its own.
--- a/crates/jobs/src/owner/usage.rs
+++ b/crates/jobs/src/owner/usage.rs
@@ -5,6 +5,7 @@
 use cassiafold_event::emit;
 use cassiafold_platform::{Moment, since_boot};
 
+use crate::command_budget::{CommandKind, CommandReport};
 use crate::event::JobsEvent;
 use crate::scheduler::Backlog;
 
@@ -88,13 +89,16 @@
         self.polls_repeated += u32::from(is_repeated);
     }
 
-    /// Logs the report when it is due.
-    pub(super) fn report(&mut self, now: Moment, backlog: impl FnOnce() -> Backlog) {
-        if now.saturating_sub(self.since) < REPORT_INTERVAL {
-            return;
-        }
+    /// Whether the next report is due.
+    pub(super) fn is_report_due(&self, now: Moment) -> bool {
+        now.saturating_sub(self.since) >= REPORT_INTERVAL
+    }
+
+    /// Logs the report.
+    pub(super) fn report(&mut self, now: Moment, backlog: &Backlog, commands: &CommandReport) {
         let [take_in, plan, carry_out, write] = self.spent.map(|spent| spent.as_millis());
-        let backlog = backlog();
+        let on_the_way = commands.kinds.map(|kind| kind.usage.commands);
+        let oldest = commands.kinds.iter().map(|kind| kind.oldest_age).max().unwrap_or_default();
         emit!(
             JobsEvent::OwnerBusy,
             passes = self.passes,
@@ -120,7 +124,12 @@
             machines_vacated = backlog.machines_vacated,
             workers_unanswered = backlog.workers_unanswered,
             jobs_deferred = backlog.jobs_deferred,
-            held_kb = backlog.held_bytes / 1_024
+            held_kb = backlog.held_bytes / 1_024,
+            starts_in_flight = on_the_way[CommandKind::Start as usize],
+            stops_in_flight = on_the_way[CommandKind::Stop as usize],
+            polls_in_flight = commands.polls,
+            commands_oldest_ms = oldest.as_millis(),
+            commands_peak_kb = commands.bytes_peak / 1_024
         );
         *self = Self::new(now);
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod backlog;
 mod balance;
 mod budget;
+mod command_room;
 mod contact;
 mod crashes;
 mod deferred_jobs;
@@ -47,6 +48,7 @@
 use cassiafold_platform::Moment;
 
 pub use self::backlog::Backlog;
+use self::command_room::UnsentStart;
 pub use self::crashes::CrashCounts;
 pub use self::deferred_jobs::DeferredJob;
 use self::deferred_jobs::DeferredJobs;
@@ -70,6 +72,7 @@
 use crate::balance::PeakNeed;
 use crate::clients::{FencingToken, WorkerAddress};
 use crate::cluster::{ClusterConfig, PlacementPolicy, Queue, QueueId, Wave, WaveNumber, WorkerId};
+use crate::command_budget::{CommandBudget, CommandLimits};
 use crate::estimate::{RunTimeRatio, RunTimes};
 use crate::interference::Interference;
 use crate::job::{Job, WorkerSlot};
@@ -98,6 +101,8 @@
     pub status_retention: Duration,
     /// Memory that may be used for jobs.
     pub job_memory: JobMemory,
+    /// What the commands on the way to workers may take.
+    pub command_limits: CommandLimits,
 }
 
 /// What the owner knows at the start of its term.
@@ -235,6 +240,14 @@
     changed_services: HashSet<ServiceId>,
     /// Earliest next placement pass of services in which some step found no free capacity.
     next_placement: HashMap<ServiceId, Moment>,
+    /// Commands that were sent and whose outcome is not known.
+    command_budget: CommandBudget,
+    /// Workers that get no further start commands in the current planning pass.
+    saturated_workers: HashSet<WorkerSlot>,
+    /// Services in which tasks wait for room in the budget of commands.
+    awaiting_commands: HashSet<ServiceId>,
+    /// Placed runs whose start commands wait for room.
+    unsent_starts: VecDeque<UnsentStart>,
     /// Jobs whose state in the store is outdated, with the value of `run_ends_received` at the
     /// first change that is not stored.
     unwritten_states: HashMap<JobId, u64>,
@@ -349,6 +362,10 @@
             inherited_runs_expire: now,
             changed_services: HashSet::new(),
             next_placement: HashMap::new(),
+            command_budget: CommandBudget::new(settings.command_limits),
+            saturated_workers: HashSet::new(),
+            awaiting_commands: HashSet::new(),
+            unsent_starts: VecDeque::new(),
             unwritten_states: HashMap::new(),
             in_flight_writes: InFlightWrites::default(),
             workers_with_unstored_ends: 0,
--- a/crates/jobs/src/scheduler/crashes.rs
+++ b/crates/jobs/src/scheduler/crashes.rs
@@ -50,7 +50,7 @@
             task: *task,
             run: run.number,
             since: run.since,
-            crash: (end.is_crash() && !run.has_ended)
+            crash: (end.is_crash() && run.is_sent() && !run.has_ended)
                 .then(|| self.crash_under(slot, *task, run, &loss, &others_lost)),
         });
         let mut lost: Vec<LostRun> = lost.collect();
--- a/crates/jobs/src/scheduler/gang.rs
+++ b/crates/jobs/src/scheduler/gang.rs
@@ -36,7 +36,7 @@
         let requirements =
             &TaskRequirements { suspect_of: self.suspect_job(first), ..requirements.clone() };
         let slots = self.choose_gang_workers(id, spec, requirements, candidates, |task, rest| {
-            self.choose_worker_for(task, requirements, rest, tickets)
+            self.choose_worker_for(task, requirements, rest.iter(), tickets)
         });
         let Some(slots) = slots else { return Some(requirements.clone()) };
         if !self.ensure_start_stored(id) {
--- a/crates/jobs/src/scheduler/hedged_polls.rs
+++ b/crates/jobs/src/scheduler/hedged_polls.rs
@@ -47,6 +47,12 @@
     /// Notes that a worker left a command or poll without a response.
     pub(super) fn record_unanswered(&mut self, slot: WorkerSlot, now: Moment) {
         self.unanswered.record(slot, now);
+        self.workers[slot].unanswered_at = Some(now);
+    }
+
+    /// Returns whether a worker lately left a command or poll without a response.
+    pub(super) fn is_unanswered(&self, slot: WorkerSlot, now: Moment) -> bool {
+        self.workers[slot].unanswered_at.is_some_and(|at| now < at + UNANSWERED_WINDOW)
     }
 
     /// Sends another poll to the workers with short tasks whose poll has been pending for a while,
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -7,6 +7,7 @@
 
 use cassiafold_platform::Moment;
 
+use super::command_room::Choice;
 use super::{Command, Scheduler, WriteUrgency};
 use crate::job::{Job, Occurrence, WorkerSlot};
 use crate::placement::{
@@ -35,6 +36,8 @@
     pub fn plan(&mut self, now_unix: Duration, now: Moment) -> Vec<Command> {
         let mut commands = Vec::new();
         self.last_plan_unix = now_unix;
+        self.command_budget.begin_pass(self.current_slots.len());
+        self.saturated_workers.clear();
         self.ensure_inherited_usage(now);
         if now.saturating_sub(self.last_full_plan) >= REPLAN_INTERVAL {
             self.record_delays(now.saturating_sub(self.last_full_plan), now);
@@ -54,6 +57,7 @@
             self.report_interference(now);
         }
         self.issue_machine_moves(now, &mut commands);
+        self.send_unsent_starts(now, &mut commands);
         self.plan_services_awaiting_policy(now);
         for service in self.take_changed_services() {
             if self.next_placement.get(&service).is_some_and(|until| now < *until) {
@@ -61,6 +65,10 @@
                 continue;
             }
             self.plan_service(&service, now, &mut commands);
+            if self.awaiting_commands.remove(&service) {
+                self.next_placement.insert(service.clone(), now + PLACEMENT_RETRY_INTERVAL);
+                self.changed_services.insert(service);
+            }
         }
         self.send_wanted_queries(now, &mut commands);
         commands.extend(self.due_stop_commands(now));
@@ -127,6 +135,9 @@
             if !may_reserve && simple.is_some_and(|simple| unplaced.covers(&simple)) {
                 continue;
             }
+            if !self.may_send_starts(waiting_step.step, self.start_bytes(waiting_step.step)) {
+                continue;
+            }
             let unmet = self.place_step(waiting_step.step, &mut candidates, now, commands);
             let Some(requirements) = unmet else { continue };
             if simple.is_some() {
@@ -323,18 +334,31 @@
                 now,
             );
         }
+        let step_bytes = self.start_bytes(id);
         for index in waiting {
-            self.rate_interference(spec, candidates);
             let task = TaskId { step: id, index: *index };
+            let bytes = self.start_bytes_of_task(task, step_bytes);
+            if !self.may_send_starts(id, bytes) {
+                return None;
+            }
+            self.rate_interference(spec, candidates);
             let requirements =
                 TaskRequirements { suspect_of: self.suspect_job(task), ..requirements.clone() };
             if !self.is_within_team_quota(id, spec) {
                 return None;
             }
-            let Some(slot) =
-                self.choose_worker_for(task, &requirements, candidates, tickets.as_ref())
-            else {
-                return Some(requirements);
+            let choice = self.choose_open_worker(
+                task,
+                &requirements,
+                candidates,
+                tickets.as_ref(),
+                bytes,
+                now,
+            );
+            let slot = match choice {
+                Choice::Worker(slot) => slot,
+                Choice::Saturated => return None,
+                Choice::None => return Some(requirements),
             };
             if !self.ensure_start_stored(id) {
                 return None;
@@ -358,17 +382,17 @@
     }
 
     /// Chooses the worker for a task among the candidates that it may use.
-    pub(super) fn choose_worker_for(
+    pub(super) fn choose_worker_for<'a>(
         &self,
         task: TaskId,
         requirements: &TaskRequirements,
-        candidates: &[Candidate],
+        candidates: impl Iterator<Item = &'a Candidate>,
         tickets: Option<&HashMap<WorkerSlot, Arc<str>>>,
     ) -> Option<WorkerSlot> {
         let entry = self.jobs.get(&task.step.job).and_then(|job| job.task(task));
         let avoided_workers = entry.map_or(&[][..], |entry| &entry.avoided_workers);
         let active_runs = entry.map_or(&[][..], |entry| &entry.active_runs);
-        let allowed = candidates.iter().filter(|candidate| {
+        let allowed = candidates.filter(|candidate| {
             tickets.is_none_or(|tickets| tickets.contains_key(&candidate.slot))
                 && !active_runs.contains(&candidate.slot)
         });
@@ -426,7 +450,7 @@
         self.adjust_team_usage(task.step.job, &spec.task_resources, true);
         let new_run = Run {
             number: run,
-            phase: RunPhase::Starting,
+            phase: RunPhase::Placed,
             since: now,
             start_unanswered_at: None,
             possible_crash: None,
@@ -443,7 +467,8 @@
             speed: Speed::FULL,
         };
         self.workers[slot].add(task, new_run);
-        commands.push(Command::Start { worker: slot, task, run, ticket });
+        let start = self.unsent_start(slot, task, run, ticket);
+        self.send_or_keep_start(start, now, commands);
     }
 }
 
--- a/crates/jobs/src/scheduler/policy_queries.rs
+++ b/crates/jobs/src/scheduler/policy_queries.rs
@@ -158,8 +158,10 @@
         let valid = self.valid_tickets(step, now);
         let mut workers =
             self.choose_gang_workers(step, spec, requirements, &not_refused, |task, rest| {
-                let with_ticket = self.choose_worker_for(task, requirements, rest, Some(&valid));
-                with_ticket.or_else(|| self.choose_worker_for(task, requirements, rest, None))
+                let with_ticket =
+                    self.choose_worker_for(task, requirements, rest.iter(), Some(&valid));
+                with_ticket
+                    .or_else(|| self.choose_worker_for(task, requirements, rest.iter(), None))
             })?;
         workers.sort_unstable();
         workers.dedup();
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -248,7 +248,7 @@
         if let Some(run) = worker.runs.get_mut(&running_run.task)
             && run.number == running_run.run
         {
-            if run.phase == RunPhase::Starting {
+            if matches!(run.phase, RunPhase::Placed | RunPhase::Starting) {
                 run.phase = RunPhase::Running;
             }
             run.possible_crash = None;
@@ -280,7 +280,7 @@
     ) -> Vec<TaskId> {
         let missing = self.workers[slot].runs.iter().filter(|(task, run)| {
             let confirmed_at = match run.phase {
-                RunPhase::Starting => None,
+                RunPhase::Placed | RunPhase::Starting => None,
                 RunPhase::Running => run.confirmed,
                 RunPhase::Stopping { confirmed, .. } => confirmed,
             };
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -7,6 +7,7 @@
 
 use super::Scheduler;
 use crate::clients::{CommandOutcome, Refusal, StartRequest};
+use crate::command_budget::{CommandId, CommandKind};
 use crate::event::JobsEvent;
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
@@ -59,6 +60,8 @@
         outcome: CommandOutcome,
         now: Moment,
     ) {
+        let id = CommandId { kind: CommandKind::Start, worker: slot, task, run };
+        self.command_budget.remove(id);
         let worker = &mut self.workers[slot];
         let worker_id = worker.entry.id.clone();
         let known_run = worker.runs.get_mut(&task);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -28,6 +28,8 @@
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
+    /// The run is placed; its start command waits for room in the budget of commands.
+    Placed,
     /// The start command is in flight.
     Starting,
     /// The worker has confirmed the run.
@@ -98,7 +100,7 @@
     pub number: RunNumber,
     /// Phase of the run.
     pub phase: RunPhase,
-    /// When it was started, or reported first if a previous owner started it.
+    /// When its start command was sent, or it was reported first if a previous owner started it.
     pub since: Moment,
     /// When the start command timed out.
     pub start_unanswered_at: Option<Moment>,
@@ -135,6 +137,11 @@
         matches!(self.phase, RunPhase::Stopping { .. })
     }
 
+    /// Whether its start command was sent.
+    pub fn is_sent(&self) -> bool {
+        self.phase != RunPhase::Placed
+    }
+
     /// Whether at `at` it is in the time after its start in which it is most likely to crash its
     /// worker. A busy owner takes in the confirmation of a start as late as the loss of a worker.
     pub fn is_in_start_window(&self, at: Moment) -> bool {
@@ -248,6 +255,10 @@
     pub last_polled: Moment,
     /// Polls that failed since the last successful one.
     pub failed_polls: u32,
+    /// When it last left a command or poll without a response.
+    pub unanswered_at: Option<Moment>,
+    /// Polls in flight beside the long poll.
+    pub out_of_band_polls: u32,
     /// When it last responded.
     pub last_answered: Option<Moment>,
     /// When the lease of its runs expires, unless it is extended.
@@ -306,6 +317,8 @@
             poll_sent: Moment::ZERO,
             last_polled: Moment::ZERO,
             failed_polls: 0,
+            unanswered_at: None,
+            out_of_band_polls: 0,
             last_answered: None,
             lease_expires,
             blocked_until: Moment::ZERO,
--- a/crates/jobs/tests/emulator/mod.rs
+++ b/crates/jobs/tests/emulator/mod.rs
@@ -19,6 +19,7 @@
 
 use cassiafold_jobs::clients::CommandOutcome;
 use cassiafold_jobs::cluster::{ClusterConfig, Queue, Service, Team, WorkerEntry};
+use cassiafold_jobs::command_budget::CommandLimits;
 use cassiafold_jobs::job_memory::JobMemory;
 use cassiafold_jobs::record::{
     JOB_PREFIX, JobRecord, JobState, STATE_PREFIX, StateRecord, WORKERS_PREFIX, WorkerRecord,
@@ -54,6 +55,7 @@
         machine_move_duration: Duration::from_millis(1_500),
         status_retention: Duration::from_secs(150),
         job_memory: JobMemory::default(),
+        command_limits: CommandLimits::default(),
     }
 }
 
