Bound the stops and throttles on the way to workers

Cause: all stops that were due were issued at once, each as a task and a connection of its own, and again each 120 ms although the one before may take 350 ms. Nothing counted them; throttles alike. Change: of each run one stop is on the way, the next one after its outcome and a pause; those to one worker share a connection, on which each may take its time after the one before; the budget of commands counts stops and throttles, each kind in its own part. The parts of a client account and of a worker now follow what is left, so that silent workers of several accounts leave room. Failed before, on: the_stops_of_large_jobs_on_the_way_are_bounded_and_one_for_each_run (several stops of a run on the way), a_stop_without_a_response_is_sent_again_after_its_outcome.

--- a/crates/jobs/src/clients.rs
+++ b/crates/jobs/src/clients.rs
@@ -129,6 +129,30 @@
     pub ticket: Option<Arc<str>>,
 }
 
+/// Request to stop a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopRequest {
+    /// Fencing token of the owner.
+    pub token: FencingToken,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: RunNumber,
+}
+
+/// Request to limit a run to a share of its full speed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ThrottleRequest {
+    /// Fencing token of the owner.
+    pub token: FencingToken,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: RunNumber,
+    /// Share of the full speed, in percent.
+    pub percent: u8,
+}
+
 /// Outcome of a command to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommandOutcome {
@@ -196,24 +220,19 @@
         requests: Vec<StartRequest>,
     ) -> impl Future<Output = Vec<CommandOutcome>> + Send;
 
-    /// Stops a run.
+    /// Stops runs; returns one outcome for each request, in the same order.
     fn stop(
         &self,
         worker: &WorkerAddress,
-        task: TaskId,
-        run: RunNumber,
-        token: FencingToken,
-    ) -> impl Future<Output = CommandOutcome> + Send;
+        requests: Vec<StopRequest>,
+    ) -> impl Future<Output = Vec<CommandOutcome>> + Send;
 
-    /// Limits a run to a share of its full speed, in percent.
+    /// Limits the speed of runs; returns one outcome for each request, in the same order.
     fn throttle(
         &self,
         worker: &WorkerAddress,
-        task: TaskId,
-        run: RunNumber,
-        percent: u8,
-        token: FencingToken,
-    ) -> impl Future<Output = CommandOutcome> + Send;
+        requests: Vec<ThrottleRequest>,
+    ) -> impl Future<Output = Vec<CommandOutcome>> + Send;
 
     /// Closes the connections to a worker incarnation that has ended.
     fn forget(&self, worker: &WorkerAddress);
--- a/crates/jobs/src/command_budget.rs
+++ b/crates/jobs/src/command_budget.rs
@@ -38,11 +38,11 @@
 const COMMAND_BYTES: u64 = 1_024;
 /// Times its size that a text takes while a request with it is encoded and written.
 const TEXT_COPIES: u64 = 3;
-/// Divisor of the budget of a kind that gives what goes to the workers as they come, and what is
-/// divided among them evenly, of each client account.
-const ACCOUNT_PART_DIVISOR: u64 = 4;
-/// Divisor of the budget of a kind that gives the most that one worker gets as they come, of each
-/// client account.
+/// Divisor of what a client account may have on the way that gives the part that goes to the workers
+/// as they come, and the one that is divided among them evenly.
+const WORKERS_PART_DIVISOR: u64 = 4;
+/// Divisor of what a client account may have on the way that gives the most that one worker gets as
+/// they come.
 const WORKER_PART_DIVISOR: u64 = 8;
 /// Commands of one kind and client account on the way to a worker that responds.
 const WORKER_COMMANDS_MAX: usize = 512;
@@ -237,21 +237,12 @@
         self.calls.clear();
     }
 
-    /// Whether a client account may have this much more on the way.
+    /// Whether a client account may have this much more on the way. A command that is larger than any
+    /// share is sent alone.
     pub fn admits_team(&self, kind: CommandKind, team: Option<&TeamId>, bytes: u64) -> bool {
-        bytes <= self.team_room(kind, team)
-    }
-
-    /// What a client account may have on the way beside what it has, in bytes. A command that is
-    /// larger than any share is sent alone.
-    fn team_room(&self, kind: CommandKind, team: Option<&TeamId>) -> u64 {
-        let usage = &self.kinds[kind as usize];
-        if usage.total.commands == 0 {
-            return u64::MAX;
-        }
-        let used = usage.teams.get(&team.cloned()).copied().unwrap_or_default();
-        let free = self.kind_bytes_max(kind).saturating_sub(usage.total.bytes);
-        free.saturating_sub(used.bytes)
+        let used = self.team_bytes(kind, team);
+        self.kinds[kind as usize].total.commands == 0
+            || used.saturating_add(bytes) <= self.free_bytes(kind)
     }
 
     /// Whether a worker may have this command on the way, if its client account may.
@@ -272,14 +263,23 @@
 
     /// What a client account may have on the way to one worker, in bytes.
     fn worker_bytes_max(&self, kind: CommandKind, team: Option<&TeamId>) -> u64 {
-        let bytes_max = self.kind_bytes_max(kind);
-        let used = self.kinds[kind as usize].teams.get(&team.cloned()).copied().unwrap_or_default();
-        match used.bytes < bytes_max / ACCOUNT_PART_DIVISOR {
-            true => bytes_max / WORKER_PART_DIVISOR,
-            false => bytes_max / ACCOUNT_PART_DIVISOR / self.worker_count.max(1),
+        let team_bytes_max = self.free_bytes(kind);
+        match self.team_bytes(kind, team) < team_bytes_max / WORKERS_PART_DIVISOR {
+            true => team_bytes_max / WORKER_PART_DIVISOR,
+            false => team_bytes_max / WORKERS_PART_DIVISOR / self.worker_count.max(1),
         }
     }
 
+    /// What is left of the budget of a kind, in bytes. Each client account may have as much.
+    fn free_bytes(&self, kind: CommandKind) -> u64 {
+        let total = self.kinds[kind as usize].total;
+        self.kind_bytes_max(kind).saturating_sub(total.bytes)
+    }
+
+    fn team_bytes(&self, kind: CommandKind, team: Option<&TeamId>) -> u64 {
+        self.kinds[kind as usize].teams.get(&team.cloned()).map_or(0, |usage| usage.bytes)
+    }
+
     fn kind_bytes_max(&self, kind: CommandKind) -> u64 {
         self.limits.bytes_max / 100 * kind.budget_percent()
     }
--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -9,7 +9,7 @@
 use super::{MACHINES_INTERVAL, Message, OwnerLoop};
 use crate::clients::{
     CommandOutcome, MachineClient, MachineOutcome, PolicyClient, PolicyError, PolicyResponse,
-    PollError, PollResponse, Refusal, StartRequest, WorkerClient,
+    PollError, PollResponse, Refusal, StartRequest, StopRequest, ThrottleRequest, WorkerClient,
 };
 use crate::cluster::Machine;
 use crate::event::JobsEvent;
@@ -32,18 +32,13 @@
         worker: WorkerSlot,
         starts: Vec<(TaskId, RunNumber, CommandOutcome)>,
     },
-    Stop {
+    Stops {
         worker: WorkerSlot,
-        task: TaskId,
-        run: RunNumber,
-        outcome: CommandOutcome,
+        stops: Vec<(StopRequest, CommandOutcome)>,
     },
-    Throttle {
+    Throttles {
         worker: WorkerSlot,
-        task: TaskId,
-        run: RunNumber,
-        percent: u8,
-        outcome: CommandOutcome,
+        throttles: Vec<(ThrottleRequest, CommandOutcome)>,
     },
     Policy {
         query: PolicyQuery,
@@ -83,9 +78,12 @@
         });
     }
 
-    /// Executes commands; the starts on one worker are sent in one call.
+    /// Executes commands; those of one kind to one worker are sent in one call.
     pub(super) fn execute(&mut self, commands: Vec<Command>, now: Moment) {
         let mut starts: BTreeMap<WorkerSlot, Vec<StartRequest>> = BTreeMap::new();
+        let mut stops: BTreeMap<WorkerSlot, Vec<StopRequest>> = BTreeMap::new();
+        let mut throttles: BTreeMap<WorkerSlot, Vec<ThrottleRequest>> = BTreeMap::new();
+        let token = self.scheduler.token();
         for command in commands {
             match command {
                 Command::Poll { worker, is_out_of_band } => self.poll(worker, is_out_of_band, now),
@@ -98,9 +96,12 @@
                         }
                     }
                 }
-                Command::Stop { worker, task, run } => self.stop(worker, task, run),
+                Command::Stop { worker, task, run } => {
+                    stops.entry(worker).or_default().push(StopRequest { token, task, run });
+                }
                 Command::Throttle { worker, task, run, percent } => {
-                    self.throttle(worker, task, run, percent);
+                    let request = ThrottleRequest { token, task, run, percent };
+                    throttles.entry(worker).or_default().push(request);
                 }
                 Command::QueryPolicy(query) => self.query_policy(query),
                 Command::Machine(command) => self.command_machine(command),
@@ -109,14 +110,21 @@
         for (worker, requests) in starts {
             self.start(worker, requests);
         }
+        for (worker, requests) in stops {
+            self.stop(worker, requests);
+        }
+        for (worker, requests) in throttles {
+            self.throttle(worker, requests);
+        }
     }
 
-    fn throttle(&mut self, worker: WorkerSlot, task: TaskId, run: RunNumber, percent: u8) {
-        let (workers, token) = (self.platform.workers().clone(), self.scheduler.token());
+    fn throttle(&mut self, worker: WorkerSlot, requests: Vec<ThrottleRequest>) {
+        let workers = self.platform.workers().clone();
         let address = self.scheduler.worker(worker).address.clone();
         self.run(async move {
-            let outcome = workers.throttle(&address, task, run, percent, token).await;
-            Outcome::Throttle { worker, task, run, percent, outcome }
+            let outcomes = workers.throttle(&address, requests.clone()).await;
+            let throttles = requests.into_iter().zip(outcomes).collect();
+            Outcome::Throttles { worker, throttles }
         });
     }
 
@@ -164,12 +172,13 @@
         });
     }
 
-    fn stop(&mut self, worker: WorkerSlot, task: TaskId, run: RunNumber) {
-        let (workers, token) = (self.platform.workers().clone(), self.scheduler.token());
+    fn stop(&mut self, worker: WorkerSlot, requests: Vec<StopRequest>) {
+        let workers = self.platform.workers().clone();
         let address = self.scheduler.worker(worker).address.clone();
         self.run(async move {
-            let outcome = workers.stop(&address, task, run, token).await;
-            Outcome::Stop { worker, task, run, outcome }
+            let outcomes = workers.stop(&address, requests.clone()).await;
+            let stops = requests.into_iter().zip(outcomes).collect();
+            Outcome::Stops { worker, stops }
         });
     }
 
@@ -251,8 +260,16 @@
                     self.metrics.count_command("start", *outcome);
                 }
             }
-            Outcome::Stop { outcome, .. } => self.metrics.count_command("stop", *outcome),
-            Outcome::Throttle { outcome, .. } => self.metrics.count_command("pace", *outcome),
+            Outcome::Stops { stops, .. } => {
+                for (_, outcome) in stops {
+                    self.metrics.count_command("stop", *outcome);
+                }
+            }
+            Outcome::Throttles { throttles, .. } => {
+                for (_, outcome) in throttles {
+                    self.metrics.count_command("pace", *outcome);
+                }
+            }
             Outcome::Machine { command: MachineCommand::Maintain { .. }, outcome } => {
                 self.metrics.count_machine_command("maintain", *outcome);
             }
@@ -288,13 +305,18 @@
                     self.note_refusal(worker, outcome, now);
                 }
             }
-            Outcome::Stop { worker, task, run, outcome } => {
-                self.scheduler.handle_stop_outcome(worker, task, run, outcome, now);
-                self.note_refusal(worker, outcome, now);
+            Outcome::Stops { worker, stops } => {
+                for (StopRequest { task, run, .. }, outcome) in stops {
+                    self.scheduler.handle_stop_outcome(worker, task, run, outcome, now);
+                    self.note_refusal(worker, outcome, now);
+                }
             }
-            Outcome::Throttle { worker, task, run, percent, outcome } => {
-                self.scheduler.handle_throttle_outcome(worker, task, run, percent, outcome, now);
-                self.note_refusal(worker, outcome, now);
+            Outcome::Throttles { worker, throttles } => {
+                for (ThrottleRequest { task, run, percent, .. }, outcome) in throttles {
+                    let scheduler = &mut self.scheduler;
+                    scheduler.handle_throttle_outcome(worker, task, run, percent, outcome, now);
+                    self.note_refusal(worker, outcome, now);
+                }
             }
             Outcome::Policy { query, response, sent, received } => {
                 self.scheduler.handle_policy_response(&query, response, sent, received);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -32,6 +32,7 @@
 mod run_ends;
 mod separation;
 mod steps;
+mod stops;
 mod throttle;
 mod tickets;
 mod unresponsive_machines;
@@ -63,6 +64,7 @@
 pub use self::policy_queries::PolicyQuery;
 use self::policy_queries::WantedQuery;
 use self::steps::StepsByService;
+use self::stops::Stops;
 use self::tickets::StepTickets;
 use self::unresponsive_machines::UnresponsiveMachines;
 use self::wave_progress::WaveProgress;
@@ -261,7 +263,7 @@
     /// How soon the changes since the last write should be written.
     write_urgency: WriteUrgency,
     /// Runs that are being stopped.
-    stopping: Vec<(WorkerSlot, TaskId)>,
+    stops: Stops,
     step_tickets: HashMap<StepId, StepTickets>,
     policy_queue: PolicyQueue,
     /// When the last query about each job was sent, or first wanted.
@@ -371,7 +373,7 @@
             workers_with_unstored_ends: 0,
             run_ends_received: 0,
             write_urgency: WriteUrgency::Low,
-            stopping: Vec::new(),
+            stops: Stops::default(),
             step_tickets: HashMap::new(),
             policy_queue: PolicyQueue::default(),
             policy_turns: HashMap::new(),
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -71,7 +71,7 @@
             }
         }
         self.send_wanted_queries(now, &mut commands);
-        commands.extend(self.due_stop_commands(now));
+        self.send_due_stops(now, &mut commands);
         self.due_polls(now, &mut commands);
         commands
     }
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -282,7 +282,7 @@
             let confirmed_at = match run.phase {
                 RunPhase::Placed | RunPhase::Starting => None,
                 RunPhase::Running => run.confirmed,
-                RunPhase::Stopping { confirmed, .. } => confirmed,
+                RunPhase::Stopping { confirmed } => confirmed,
             };
             !reported.contains(*task) && confirmed_at.is_some_and(|at| at < sent)
         });
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -1,4 +1,4 @@
-//! Start and stop commands to workers, and the changes that their outcomes cause.
+//! Start commands to workers, and the changes that their outcomes cause.
 
 use std::time::Duration;
 
@@ -16,8 +16,6 @@
 
 /// How long a worker that was full or unhealthy gets no new tasks.
 const BLOCK_DURATION: Duration = Duration::from_millis(300);
-/// Delay before a stop command that was not confirmed is sent again.
-const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(120);
 /// Added to a run number that a worker refused as outdated.
 const RUN_NUMBER_INCREMENT: RunNumber = 8;
 /// Log target of this module, which operators' filters name.
@@ -160,49 +158,4 @@
         self.workers[slot].blocked_until =
             self.workers[slot].blocked_until.max(now + BLOCK_DURATION);
     }
-
-    /// Handles the outcome of a stop command.
-    pub fn handle_stop_outcome(
-        &mut self,
-        slot: WorkerSlot,
-        task: TaskId,
-        run: RunNumber,
-        outcome: CommandOutcome,
-        now: Moment,
-    ) {
-        if outcome == CommandOutcome::Refused(Refusal::OtherLife) {
-            self.retire_worker(slot, IncarnationEnd::AddressReused, now);
-            return;
-        }
-        let known_run = self.workers[slot].runs.get_mut(&task);
-        let Some(known_run) = known_run.filter(|known_run| known_run.number == run) else { return };
-        let RunPhase::Stopping { confirmed, .. } = &mut known_run.phase else { return };
-        if outcome == CommandOutcome::Accepted && confirmed.is_none() {
-            *confirmed = Some(now);
-            // A run that never started reports no end: the next poll shows that it is absent.
-            self.out_of_band_polls_due.push(slot);
-        }
-    }
-
-    /// Returns the stop commands that are due.
-    pub(super) fn due_stop_commands(&mut self, now: Moment) -> Vec<super::Command> {
-        let mut commands = Vec::new();
-        let workers = &mut self.workers;
-        self.stopping.retain(|(slot, task)| {
-            let has_refused_token = workers[*slot].has_refused_token;
-            let Some(run) = workers[*slot].runs.get_mut(task) else { return false };
-            let RunPhase::Stopping { next_try, confirmed } = &mut run.phase else { return false };
-            if *next_try > now || has_refused_token {
-                return true;
-            }
-            // A confirmed stop is sent again only if its run continues for 20 retry intervals.
-            *next_try = match confirmed {
-                Some(_) => now + STOP_RETRY_INTERVAL * 20,
-                None => now + STOP_RETRY_INTERVAL,
-            };
-            commands.push(super::Command::Stop { worker: *slot, task: *task, run: run.number });
-            true
-        });
-        commands
-    }
 }
--- a/crates/jobs/src/scheduler/run_ends.rs
+++ b/crates/jobs/src/scheduler/run_ends.rs
@@ -11,7 +11,7 @@
 use crate::job::{Task, WorkerSlot};
 use crate::record::JobState;
 use crate::spec::{JobId, Resources, StepId, TaskId};
-use crate::worker::{Run, RunPhase};
+use crate::worker::Run;
 
 /// Number of recent run ends kept per worker, to distinguish a faulty worker from a faulty job.
 const RECENT_ENDS_MAX: usize = 8;
@@ -157,19 +157,12 @@
         job.record.attempts_max.or_else(known).map_or(u32::MAX, |attempts| attempts.max(1))
     }
 
-    /// Marks a run to be stopped.
-    pub(super) fn stop_run(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
-        let Some(run) = self.workers[slot].runs.get_mut(&task) else { return };
-        if run.is_stopping() {
-            return;
-        }
-        run.phase = RunPhase::Stopping { next_try: now, confirmed: None };
-        self.stopping.push((slot, task));
-    }
-
     /// Removes a run that has ended or never started.
     pub(super) fn release_run(&mut self, slot: WorkerSlot, task: TaskId, now: Moment) {
         let Some(run) = self.workers[slot].remove(task) else { return };
+        if run.is_stopping() {
+            self.stops.forget_run(task.step.job);
+        }
         self.workers[slot].last_run_ended = Some(now);
         self.adjust_team_usage(task.step.job, &run.quota_usage, false);
         self.mark_worker_service_changed(slot);
--- a/crates/jobs/src/scheduler/throttle.rs
+++ b/crates/jobs/src/scheduler/throttle.rs
@@ -7,6 +7,7 @@
 
 use super::{Command, Scheduler};
 use crate::clients::CommandOutcome;
+use crate::command_budget::{CommandBudget, CommandId, CommandKind};
 use crate::event::JobsEvent;
 use crate::job::WorkerSlot;
 use crate::spec::{RunNumber, TaskId};
@@ -42,6 +43,8 @@
         outcome: CommandOutcome,
         now: Moment,
     ) {
+        let id = CommandId { kind: CommandKind::Throttle, worker: slot, task, run: number };
+        self.command_budget.remove(id);
         let run = self.workers[slot].runs.get_mut(&task).filter(|run| run.number == number);
         if let Some(run) = run {
             run.speed.handle_outcome(percent, outcome, now);
@@ -65,11 +68,19 @@
                 opportunistic_tasks.push(*task);
             }
         }
+        let bytes = CommandBudget::command_bytes(0);
         for task in opportunistic_tasks {
+            let Some(number) = self.workers[slot].runs.get(&task).map(|run| run.number) else {
+                continue;
+            };
+            if !self.may_send(CommandKind::Throttle, slot, task, number, bytes, now) {
+                // The speeds that wait are decided anew in the next pass.
+                self.workers[slot].throttle_due = now;
+                return;
+            }
             let worker = &mut self.workers[slot];
             let Some(run) = worker.runs.get_mut(&task) else { continue };
             let Some(percent) = run.speed.next_command(load, now) else { continue };
-            let run_number = run.number;
             emit!(
                 target: LOG_TARGET,
                 JobsEvent::PaceChanged,
@@ -78,7 +89,9 @@
                 load = format_args!("{:.2}", load.unwrap_or(0.0)),
                 percent = percent
             );
-            commands.push(Command::Throttle { worker: slot, task, run: run_number, percent });
+            let id = CommandId { kind: CommandKind::Throttle, worker: slot, task, run: number };
+            self.count_sent(id, bytes, now);
+            commands.push(Command::Throttle { worker: slot, task, run: number, percent });
         }
     }
 }
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -385,7 +385,7 @@
         now >= self.inherited_runs_expire
             && !self.unwritten_states.contains_key(&id)
             && !self.in_flight_writes.contains(id)
-            && !self.stopping.iter().any(|(_, task)| task.step.job == id)
+            && !self.stops.contains_job(id)
     }
 
     /// Applies the effects of a committed write.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -34,10 +34,8 @@
     Starting,
     /// The worker has confirmed the run.
     Running,
-    /// The run is being stopped; the next stop command is due at `next_try`.
+    /// The run is being stopped.
     Stopping {
-        /// When the stop command is sent, or sent again.
-        next_try: Moment,
         /// When the worker confirmed the stop command.
         confirmed: Option<Moment>,
     },
--- a/crates/jobs/tests/clients/mod.rs
+++ b/crates/jobs/tests/clients/mod.rs
@@ -11,8 +11,8 @@
 use cassiafold_jobs::api::{Call, JobApi};
 use cassiafold_jobs::clients::{
     CommandOutcome, FencingToken, MachineClient, MachineOutcome, PolicyClient, PolicyError,
-    PolicyResponse, PollError, PollRequest, PollResponse, StartRequest, WorkerAddress,
-    WorkerClient,
+    PolicyResponse, PollError, PollRequest, PollResponse, StartRequest, StopRequest,
+    ThrottleRequest, WorkerAddress, WorkerClient,
 };
 use cassiafold_jobs::cluster::{ClusterConfig, Machine, Wave, WaveNumber, WorkerEntry, WorkerId};
 use cassiafold_jobs::coalescing::WakeupCoalescing;
@@ -288,25 +288,23 @@
     async fn stop(
         &self,
         worker: &WorkerAddress,
-        task: TaskId,
-        run: RunNumber,
-        token: FencingToken,
-    ) -> CommandOutcome {
+        requests: Vec<StopRequest>,
+    ) -> Vec<CommandOutcome> {
         if self.is_unreachable(worker).await {
-            return CommandOutcome::Unknown;
+            return vec![CommandOutcome::Unknown; requests.len()];
         }
-        self.with(&worker.id, |worker| worker.stop(task, run, token, since_boot()))
+        let stop = |StopRequest { token, task, run }| {
+            self.with(&worker.id, |worker| worker.stop(task, run, token, since_boot()))
+        };
+        requests.into_iter().map(stop).collect()
     }
 
     async fn throttle(
         &self,
         _worker: &WorkerAddress,
-        _task: TaskId,
-        _run: RunNumber,
-        _percent: u8,
-        _token: FencingToken,
-    ) -> CommandOutcome {
-        CommandOutcome::Accepted
+        requests: Vec<ThrottleRequest>,
+    ) -> Vec<CommandOutcome> {
+        vec![CommandOutcome::Accepted; requests.len()]
     }
 
     fn forget(&self, worker: &WorkerAddress) {
--- a/crates/jobs/tests/commands_on_the_way.rs
+++ b/crates/jobs/tests/commands_on_the_way.rs
@@ -3,9 +3,11 @@
 mod emulator;
 mod harness;
 
+use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
-use cassiafold_jobs::clients::StartRequest;
+use cassiafold_jobs::clients::{CommandOutcome, StartRequest};
 use cassiafold_jobs::cluster::Team;
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::JobRecord;
@@ -24,6 +26,12 @@
 const STEP_TASKS: u32 = 10_000;
 const WORKERS: usize = 8;
 const OTHER_TEAM: &str = "other";
+/// Memory that a stop on the way takes, at least: its request, encoded and written, and its outcome.
+const STOP_BYTES: usize = 1_024;
+/// Tasks of each step of a job whose runs are to be stopped.
+const STOPPED_TASKS: u32 = 3_000;
+/// Time in which runs of a cancelled job are told to stop, on workers that respond.
+const STOP_TIME_MAX: Duration = ms(3_000);
 /// Passes after which a job whose start is stored has started on a calm day.
 const CALM_PASSES: usize = 3;
 
@@ -95,6 +103,13 @@
         }
     }
 
+    /// Lets the workers for which `responds` holds accept the stops on the way.
+    fn accept_stops(&mut self, responds: impl Fn(WorkerSlot) -> bool) {
+        for (worker, task, run) in self.stops.extract_if(.., |(worker, ..)| responds(*worker)) {
+            self.harness.execute(Command::Stop { worker, task, run });
+        }
+    }
+
     fn text_bytes(&self) -> usize {
         self.starts.iter().map(|(_, start)| start.payload.len()).sum()
     }
@@ -176,3 +191,85 @@
     assert!(bytes_max <= TEXT_BYTES_MAX, "{bytes_max} bytes");
     assert_eq!(owner.harness.running(), STEP_TASKS as usize);
 }
+
+/// An owner of which jobs with all of their tasks run: a large one of each team, and another one of
+/// the second team with a single task.
+fn owner_of_running_jobs() -> Owner {
+    let mut owner = Owner::new();
+    let others = |record| JobRecord { team: Some(OTHER_TEAM.into()), ..record };
+    let steps = vec![small_tasks(STOPPED_TASKS), small_tasks(STOPPED_TASKS)];
+    owner.submit(1, job(steps.clone()));
+    owner.submit(2, others(job(steps)));
+    owner.submit(3, others(job(vec![small_tasks(1)])));
+    while owner.harness.running() < 4 * STOPPED_TASKS as usize + 1 {
+        owner.pass();
+        owner.accept_starts(|_| true);
+    }
+    owner.passes(CALM_PASSES);
+    owner
+}
+
+/// Guards against an owner that exceeds its memory since it sends the stops of all runs of a
+/// cancelled job at once, and each again while the one before is on the way (review/15).
+#[test]
+fn the_stops_of_large_jobs_on_the_way_are_bounded_and_one_for_each_run() {
+    let mut owner = owner_of_running_jobs();
+    (1..=2).for_each(|id| owner.harness.scheduler.cancel(id, owner.harness.now));
+    owner.passes(60);
+    let runs: HashSet<(TaskId, RunNumber)> =
+        owner.stops.iter().map(|(_, task, run)| (*task, *run)).collect();
+    assert!(!runs.is_empty(), "no stop");
+    assert_eq!(runs.len(), owner.stops.len(), "a run has several stops on the way");
+    assert!(runs.len() <= TEXT_BYTES_MAX / STOP_BYTES, "{} stops", runs.len());
+}
+
+/// Guards against stops that wait for ever once they have waited for room.
+#[test]
+fn all_runs_of_large_cancelled_jobs_are_stopped_in_time_as_workers_respond() {
+    let mut owner = owner_of_running_jobs();
+    (1..=2).for_each(|id| owner.harness.scheduler.cancel(id, owner.harness.now));
+    let cancelled_at = owner.harness.now;
+    while owner.harness.running() > 1 {
+        owner.pass();
+        owner.accept_stops(|_| true);
+        assert!(owner.harness.now <= cancelled_at + STOP_TIME_MAX, "{}", owner.harness.running());
+    }
+}
+
+/// Guards against a run whose stop waits until those of another client account are sent.
+#[test]
+fn a_run_of_another_team_is_stopped_at_once_beside_stops_without_response() {
+    let mut owner = owner_of_running_jobs();
+    owner.harness.scheduler.cancel(1, owner.harness.now);
+    owner.passes(20);
+    owner.harness.scheduler.cancel(3, owner.harness.now);
+    owner.passes(CALM_PASSES);
+    assert!(owner.stops.iter().any(|(_, task, _)| task.step.job == 3));
+}
+
+/// Guards against workers without responses that take the room of the others.
+#[test]
+fn workers_without_responses_leave_the_others_their_stops() {
+    let mut owner = owner_of_running_jobs();
+    (1..=2).for_each(|id| owner.harness.scheduler.cancel(id, owner.harness.now));
+    let last = WORKERS - 1;
+    for _ in 0..STOP_TIME_MAX.as_millis() / 10 {
+        owner.pass();
+        owner.accept_stops(|worker| worker == last);
+    }
+    let left = owner.harness.running[&last].iter().filter(|(task, _)| task.step.job != 3).count();
+    assert_eq!(left, 0);
+}
+
+/// Guards against a stop without a response that is never sent again.
+#[test]
+fn a_stop_without_a_response_is_sent_again_after_its_outcome() {
+    let mut owner = owner_of_running_jobs();
+    owner.harness.scheduler.cancel(3, owner.harness.now);
+    owner.passes(60);
+    let [(worker, task, run)] = owner.stops[..] else { panic!("{:?}", owner.stops) };
+    let now = owner.harness.now;
+    owner.harness.scheduler.handle_stop_outcome(worker, task, run, CommandOutcome::Unknown, now);
+    owner.passes(20);
+    assert_eq!(owner.stops, [(worker, task, run); 2]);
+}
