Count unknown runs of ended jobs against a quota

Cause: a new owner counted unknown runs of live jobs only; those of a cancelled or failed job, and a further run of a done task that may run twice, go on on workers that hear of no stop. Change: what they may take is kept when a job ends or is read as ended, until their workers have listed their runs or the leases have run out; a run that is reported counts once.

--- a/crates/jobs/src/scheduler/adopted_runs.rs
+++ b/crates/jobs/src/scheduler/adopted_runs.rs
@@ -39,6 +39,7 @@
         let id = running_run.task;
         self.ensure_occurrence_started(id.step, now);
         self.settle_run(id, running_run.run);
+        self.settle_inherited_run(id);
         let job = self.jobs.get_mut(&id.step.job);
         let spec = job.as_ref().and_then(|job| job.spec(id.step.step)).cloned();
         let is_live = job.as_ref().is_some_and(|job| job.is_live());
--- a/crates/jobs/src/scheduler/gang.rs
+++ b/crates/jobs/src/scheduler/gang.rs
@@ -27,8 +27,7 @@
         if !self.is_step_idle(id) || self.waiting_tasks(id, now).len() < spec.tasks as usize {
             return None;
         }
-        let total_resources =
-            (0..spec.tasks).fold(Default::default(), |sum, _| spec.task_resources.plus(&sum));
+        let total_resources = spec.task_resources.times(spec.tasks);
         if !self.is_amount_within_team_quota(id, &total_resources) {
             return None;
         }
--- a/crates/jobs/src/scheduler/inherited_usage.rs
+++ b/crates/jobs/src/scheduler/inherited_usage.rs
@@ -2,7 +2,8 @@
 //!
 //! A new owner knows the usage of a team only once the workers have listed their runs. Until then,
 //! each task that a previous owner may have started counts against its team's quota, but no more
-//! than the workers in question have room for.
+//! than the workers in question have room for. That holds for the tasks of ended jobs, too: their
+//! runs end only as stop commands reach the workers, or as their leases run out.
 
 use std::collections::HashMap;
 
@@ -10,8 +11,9 @@
 use cassiafold_platform::Moment;
 
 use super::Scheduler;
-use crate::job::Job;
-use crate::spec::Resources;
+use crate::job::{Job, Task};
+use crate::record::JobState;
+use crate::spec::{JobId, Resources, StepNumber, StepSpec, TaskId};
 
 /// Room that no worker exceeds.
 const UNLIMITED: Resources =
@@ -21,8 +23,26 @@
 #[derive(Debug, Default)]
 pub(super) struct InheritedUsage {
     teams: HashMap<TeamId, Resources>,
-    /// Whether it was computed in this term.
+    /// Whether it was computed in this term, and since jobs of previous owners were last added.
     is_known: bool,
+    /// Tasks of ended jobs of which runs may be unknown.
+    ended_jobs: HashMap<JobId, EndedJob>,
+}
+
+/// An ended job of which runs may be unknown.
+#[derive(Debug)]
+struct EndedJob {
+    service: ServiceId,
+    team: TeamId,
+    steps: Vec<EndedStep>,
+}
+
+/// Tasks of one step of an ended job of which runs may be unknown.
+#[derive(Debug)]
+struct EndedStep {
+    task_resources: Resources,
+    opportunistic: bool,
+    tasks: u32,
 }
 
 /// Resources of tasks that may be running.
@@ -52,8 +72,12 @@
     /// Updates the resources that unknown runs may take, after workers have listed their runs.
     pub(super) fn update_inherited_usage(&mut self, now: Moment) {
         let room = self.unknown_room(now);
+        let may_be_unlisted = now < self.inherited_runs_expire;
+        let usage = &mut self.inherited_usage;
+        usage.is_known = true;
+        usage.teams.clear();
+        usage.ended_jobs.retain(|_, job| may_be_unlisted || room.contains_key(&job.service));
         if room.is_empty() {
-            self.inherited_usage = InheritedUsage { is_known: true, ..InheritedUsage::default() };
             return;
         }
         let mut usage: HashMap<(&ServiceId, &TeamId), PossibleUsage> = HashMap::new();
@@ -63,13 +87,53 @@
                 usage.entry((service, team)).or_default().add_waiting_tasks(job);
             }
         }
+        for job in self.inherited_usage.ended_jobs.values() {
+            if room.contains_key(&job.service) {
+                usage.entry((&job.service, &job.team)).or_default().add_ended_job(job);
+            }
+        }
         let mut teams: HashMap<TeamId, Resources> = HashMap::new();
         for ((service, team), possible) in usage {
             let sum = teams.entry(team.clone()).or_default();
             let limit = room.get(service).copied().unwrap_or(UNLIMITED);
             *sum = sum.plus(&possible.reserving.min(&limit)).plus(&possible.opportunistic);
         }
-        self.inherited_usage = InheritedUsage { teams, is_known: true };
+        self.inherited_usage.teams = teams;
+    }
+
+    /// Notes that a job which previous owners may have started is known from now on.
+    pub(super) fn note_inherited_job(&mut self) {
+        self.inherited_usage.is_known = false;
+    }
+
+    /// Keeps what unknown runs of a job may take that ends now, or that had ended before this term.
+    pub(super) fn keep_inherited_usage(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.has_no_prior_runs) else { return };
+        let Some(team) = job.record.team.clone() else { return };
+        if self.are_inherited_runs_known(&job.record.service, now)
+            && now >= self.inherited_runs_expire
+        {
+            return;
+        }
+        let service = job.record.service.clone();
+        let steps = (0..).zip(&job.record.spec.steps).map(|(step, spec)| EndedStep {
+            task_resources: spec.task_resources,
+            opportunistic: spec.opportunistic,
+            tasks: tasks_with_unknown_runs(job, step, spec),
+        });
+        let ended = EndedJob { service, team, steps: steps.collect() };
+        if ended.steps.iter().any(|step| step.tasks > 0) {
+            self.inherited_usage.ended_jobs.insert(id, ended);
+            self.note_inherited_job();
+        }
+    }
+
+    /// Notes that a worker has reported a run of a task, or its end, that this owner did not start.
+    pub(super) fn settle_inherited_run(&mut self, task: TaskId) {
+        let Some(job) = self.inherited_usage.ended_jobs.get_mut(&task.step.job) else { return };
+        if let Some(step) = job.steps.get_mut(usize::from(task.step.step)) {
+            step.tasks = step.tasks.saturating_sub(1);
+        }
     }
 
     /// Returns the room of the workers with unknown runs, by service.
@@ -94,18 +158,50 @@
     job.is_live() && !job.has_no_prior_runs
 }
 
+/// Returns of how many tasks of a step of an ended job runs may be unknown.
+///
+/// Of a job that this owner has not held before it ended, any task may have one; if it is completed,
+/// only one that may run twice.
+fn tasks_with_unknown_runs(job: &Job, step: StepNumber, spec: &StepSpec) -> u32 {
+    if job.state == JobState::Completed && !spec.speculative {
+        return 0;
+    }
+    if job.occurrences.is_empty() {
+        return spec.tasks;
+    }
+    let steps = job.occurrences.values().filter_map(|one| one.steps.get(usize::from(step)));
+    let tasks = steps.flat_map(|step| &step.tasks);
+    let unknown = tasks.filter(|task| may_have_unknown_run(task, spec)).count();
+    u32::try_from(unknown).unwrap_or(u32::MAX)
+}
+
+/// Whether a run of a task may be unknown, if its job has prior runs. A task that is done may have
+/// another run if it is speculative.
+fn may_have_unknown_run(task: &Task, spec: &StepSpec) -> bool {
+    task.active_runs.is_empty() && (!task.is_done || spec.speculative)
+}
+
 impl PossibleUsage {
-    /// Adds the tasks of a job that are not done and of which no run is known.
+    /// Adds the tasks of an ended job of which runs may be unknown.
+    fn add_ended_job(&mut self, job: &EndedJob) {
+        for step in &job.steps {
+            let sum = self.of_kind(step.opportunistic);
+            *sum = sum.plus(&step.task_resources.times(step.tasks));
+        }
+    }
+
+    fn of_kind(&mut self, opportunistic: bool) -> &mut Resources {
+        if opportunistic { &mut self.opportunistic } else { &mut self.reserving }
+    }
+
+    /// Adds the tasks of a job of which runs may be unknown.
     fn add_waiting_tasks(&mut self, job: &Job) {
         for occurrence in job.occurrences.values() {
             for (step, spec) in occurrence.steps.iter().zip(&job.record.spec.steps) {
-                let sum = match spec.opportunistic {
-                    true => &mut self.opportunistic,
-                    false => &mut self.reserving,
-                };
-                for _ in step.tasks.iter().filter(|task| task.is_waiting()) {
-                    *sum = sum.plus(&spec.task_resources);
-                }
+                let unknown = step.tasks.iter().filter(|task| may_have_unknown_run(task, spec));
+                let tasks = u32::try_from(unknown.count()).unwrap_or(u32::MAX);
+                let sum = self.of_kind(spec.opportunistic);
+                *sum = sum.plus(&spec.task_resources.times(tasks));
             }
         }
     }
--- a/crates/jobs/src/scheduler/job_lifecycle.rs
+++ b/crates/jobs/src/scheduler/job_lifecycle.rs
@@ -94,8 +94,12 @@
         let id = job.id;
         if !job.is_live() {
             self.early_cancels.remove(&id);
-            job.release(true);
             self.insert_job(job);
+            self.keep_inherited_usage(id, now);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.release(true);
+            }
+            self.recount_memory(id);
             self.record_end(id, now);
             return;
         }
@@ -113,6 +117,9 @@
             let queue = job.record.queue.clone();
             job.expect_run_times(|estimate| self.run_times.expected(&queue, estimate));
         }
+        if !job.has_no_prior_runs {
+            self.note_inherited_job();
+        }
         let is_recurring = job.record.spec.schedule.is_some();
         // A job that no previous owner has started uses run numbers from the first one.
         let run_number_base = if job.has_no_prior_runs { 0 } else { self.term.run_number_base };
@@ -294,6 +301,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let may_run = job.state != JobState::Queued || !job.has_no_prior_runs;
         job.state = state;
+        self.keep_inherited_usage(id, now);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let service = job.record.service.clone();
         let age = now.saturating_sub(job.first_seen);
         let active_runs = job.active_runs();
--- a/crates/jobs/src/scheduler/run_ends.rs
+++ b/crates/jobs/src/scheduler/run_ends.rs
@@ -30,6 +30,8 @@
         if is_known {
             self.record_run_time(slot, ended_run, now);
             self.release_run(slot, ended_run.task, now);
+        } else {
+            self.settle_inherited_run(ended_run.task);
         }
         self.settle_run(ended_run.task, ended_run.run);
         let Some(job) = self.jobs.get_mut(&ended_run.task.step.job) else { return };
--- a/crates/jobs/tests/takeovers.rs
+++ b/crates/jobs/tests/takeovers.rs
@@ -4,9 +4,9 @@
 mod harness;
 
 use cassiafold_jobs::cluster::{Machine, MachineState};
-use cassiafold_jobs::record::WorkerRecord;
+use cassiafold_jobs::record::{JobState, StateRecord, WorkerRecord};
 use cassiafold_jobs::scheduler::OwnerTerm;
-use cassiafold_jobs::spec::Resources;
+use cassiafold_jobs::spec::{Resources, StepId, StepSpec, TaskId};
 
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{LEASE_MAX, config, cores, job, ms, step};
@@ -165,3 +165,94 @@
     harness.run_for(ms(1_000));
     assert_eq!(harness.running(), 8);
 }
+
+/// How a job that a previous owner has started ends around a takeover.
+#[derive(Debug, Clone, Copy)]
+enum EarlyEnd {
+    /// It was cancelled before the owner read it.
+    CancelledBefore,
+    /// It is cancelled once the owner has polled the other workers.
+    CancelledAfter,
+    /// A previous owner has stored that it was cancelled.
+    StoredAsCancelled,
+    /// A previous owner has stored that it failed.
+    StoredAsFailed,
+    /// A previous owner has stored that it is completed; its tasks may have speculative runs.
+    StoredAsCompletedWithSpeculativeRuns,
+}
+
+/// A new owner of two workers, the second of which responds to no poll. A team with a quota of 12
+/// cores has had a job of 12 tasks of one core, and it has another job that waits for its quota.
+fn harness_with_an_ended_job(end: EarlyEnd) -> SchedulerHarness {
+    let term = OwnerTerm { token: 50, known_workers: records(2), ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::at_term_start(2, term);
+    harness.silent.insert(1);
+    let quota = Resources { processors_milli: 12_000, ..Resources::default() };
+    harness.scheduler.set_config(config(quota));
+    let state = match end {
+        EarlyEnd::CancelledBefore | EarlyEnd::CancelledAfter => JobState::Running,
+        EarlyEnd::StoredAsCancelled => JobState::Cancelled,
+        EarlyEnd::StoredAsFailed => JobState::Failed,
+        EarlyEnd::StoredAsCompletedWithSpeculativeRuns => JobState::Completed,
+    };
+    let state = StateRecord { state, ..state_from_previous_owner(Vec::new()) };
+    let speculative = matches!(end, EarlyEnd::StoredAsCompletedWithSpeculativeRuns);
+    if matches!(end, EarlyEnd::CancelledBefore) {
+        harness.scheduler.cancel(1, harness.now);
+    }
+    let inherited = job(vec![StepSpec { speculative, ..step(12, 1, &[]) }]);
+    harness.scheduler.add_job(1, inherited, 40, Some(&state), harness.now);
+    if matches!(end, EarlyEnd::CancelledAfter) {
+        harness.run_for(ms(50));
+        harness.scheduler.cancel(1, harness.now);
+    }
+    harness.submit(2, vec![step(20, 1, &[])]);
+    harness
+}
+
+/// Guards against a team that exceeds its quota after a takeover: a job of it ended just before or
+/// after, and its runs go on on a worker that the new owner can't reach (beside review/8).
+macro_rules! ended_jobs_count {
+    ($($name:ident: $end:expr;)+) => {
+        $(#[test] fn $name() {
+            let mut harness = harness_with_an_ended_job($end);
+            harness.run_for(ms(1_000));
+            assert_eq!(harness.running(), 0);
+            harness.run_for(LEASE_MAX * 103 / 100);
+            assert_eq!(harness.running(), 12, "the leases of these runs have expired");
+        })+
+    };
+}
+
+ended_jobs_count! {
+    unknown_runs_of_a_job_cancelled_before_it_was_read_count: EarlyEnd::CancelledBefore;
+    unknown_runs_of_a_job_cancelled_after_a_takeover_count: EarlyEnd::CancelledAfter;
+    unknown_runs_of_a_job_that_was_cancelled_count: EarlyEnd::StoredAsCancelled;
+    unknown_runs_of_a_job_that_failed_count: EarlyEnd::StoredAsFailed;
+    unknown_speculative_runs_of_a_completed_job_count:
+        EarlyEnd::StoredAsCompletedWithSpeculativeRuns;
+}
+
+/// Guards against runs that count twice, as unknown ones and as those that a worker has listed.
+#[test]
+fn listed_runs_of_a_cancelled_job_count_once() {
+    let mut harness = harness_with_an_ended_job(EarlyEnd::CancelledBefore);
+    let step_id = StepId { job: 1, occurrence: 0, step: 0 };
+    let listed = (0..8).map(|index| (TaskId { step: step_id, index }, 1)).collect();
+    harness.running.insert(0, listed);
+    harness.run_for(ms(1_000));
+    let of_waiting_job = harness.running[&0].iter().filter(|(task, _)| task.step.job == 2).count();
+    // The runs on the first worker have been stopped, those of four tasks are not known.
+    assert_eq!(of_waiting_job, 8);
+}
+
+/// A job that ended as completed has no runs but speculative ones.
+#[test]
+fn a_completed_job_without_speculative_runs_counts_nothing() {
+    let mut harness = harness_with_a_silent_worker(3, 0);
+    let state = StateRecord { state: JobState::Completed, ..state_from_previous_owner(Vec::new()) };
+    harness.scheduler.add_job(3, job(vec![step(12, 1, &[])]), 40, Some(&state), harness.now);
+    harness.submit(2, vec![step(20, 1, &[])]);
+    harness.run_for(ms(1_000));
+    assert_eq!(harness.running(), 12);
+}
--- a/crates/tasks/src/record.rs
+++ b/crates/tasks/src/record.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Returns this many times the amount, saturating at the numeric bounds.
+    pub fn times(&self, count: u32) -> Self {
+        Self {
+            processors_milli: self.processors_milli.saturating_mul(count),
+            memory_bytes: self.memory_bytes.saturating_mul(u64::from(count)),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Returns the smaller of two amounts of each resource.
     pub fn min(&self, other: &Self) -> Self {
         Self {
