Place nothing before a configuration is known

What operators would see: an account beyond its quota just after all memory was lost. Cause: without a configuration no team has a quota; a worker whose entry is missing and whose machine is listed was given tasks all the same. Change: no service is planned before the first configuration. Failed before, on the commit before: nothing_starts_before_the_configuration_is_known (14 tasks where none may start). Result: tests of jobs pass.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -185,6 +185,8 @@
     /// Start of the owner's term.
     term_started: Moment,
     config: Arc<ClusterConfig>,
+    /// Whether `config` is one that the operator has written. Without one the quotas are not known.
+    is_config_known: bool,
     /// Ids under which the list of workers has an entry that names no worker to use.
     odd_entries: HashSet<WorkerId>,
     /// Queues that are no longer configured and whose jobs have not all ended.
@@ -334,6 +336,7 @@
             settings,
             term_started: now,
             config: Arc::default(),
+            is_config_known: false,
             odd_entries: HashSet::new(),
             removed_queues: HashMap::new(),
             evacuated_zones: HashSet::new(),
@@ -420,6 +423,7 @@
     /// Replaces the configuration.
     pub fn set_config(&mut self, config: Arc<ClusterConfig>) {
         let previous = std::mem::replace(&mut self.config, config);
+        self.is_config_known = true;
         self.keep_removed_queues(&previous);
         self.mark_all_changed();
     }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -114,6 +114,9 @@
     }
 
     fn plan_service(&mut self, service: &str, now: Moment, commands: &mut Vec<Command>) {
+        if !self.is_config_known {
+            return;
+        }
         let mut eligible_steps = self.eligible_steps(service, now);
         if eligible_steps.is_empty() {
             return;
--- a/crates/jobs/tests/takeovers.rs
+++ b/crates/jobs/tests/takeovers.rs
@@ -5,11 +5,11 @@
 
 use cassiafold_jobs::cluster::{Machine, MachineState};
 use cassiafold_jobs::record::{JobState, StateRecord, WorkerRecord};
-use cassiafold_jobs::scheduler::OwnerTerm;
+use cassiafold_jobs::scheduler::{OwnerTerm, Scheduler};
 use cassiafold_jobs::spec::{Resources, StepId, StepSpec, TaskId};
 
 use self::emulator::worker::EmulatedWorker;
-use self::emulator::{LEASE_MAX, config, cores, job, ms, step};
+use self::emulator::{LEASE_MAX, config, cores, job, ms, settings, step};
 use self::harness::{SchedulerHarness, state_from_previous_owner, worker_record};
 
 /// Jobs that callers hand in as soon as the store is back.
@@ -256,3 +256,22 @@
     harness.run_for(ms(1_000));
     assert_eq!(harness.running(), 12);
 }
+
+/// Guards against a team that exceeds its quota since the owner places tasks before it knows the
+/// configuration: the list of machines shows workers whose entries are missing.
+#[test]
+fn nothing_starts_before_the_configuration_is_known() {
+    let term = OwnerTerm { token: 50, known_workers: records(1), ..OwnerTerm::default() };
+    let now = ms(100_000);
+    let scheduler = Scheduler::new(settings(), term, now);
+    let mut harness = SchedulerHarness::from_scheduler(scheduler, now);
+    harness.set_machines(machines(1));
+    harness.submit(2, vec![step(14, 1, &[])]);
+    harness.run_for(ms(500));
+    assert_eq!(harness.running(), 0);
+    let quota = Resources { processors_milli: 12_000, ..Resources::default() };
+    harness.scheduler.set_config(config(quota));
+    harness.set_machines(machines(1));
+    harness.run_for(ms(500));
+    assert_eq!(harness.running(), 12);
+}
