Bound the polls on the way and what their responses hold

Cause: each response was read, decoded and held at once, up to eight times 4 MiB; each pass sent a further poll to a worker that left starts without a response. The requests of polls moved out of polls.rs.

--- a/crates/jobs/src/clients.rs
+++ b/crates/jobs/src/clients.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cassiafold_config::{InstanceId, ServiceId};
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::cluster::{Machine, WaveNumber, WorkerId};
 use crate::spec::{RunNumber, StepId, TaskId};
@@ -60,8 +61,31 @@
     pub ended: Vec<EndedRun>,
     /// Whether `ended` holds all of them. A worker lists further ones once these are acknowledged.
     pub ended_listing: Listing,
+    /// Memory that is reserved for the response.
+    pub memory: ResponseMemory,
 }
 
+/// Memory that is reserved for a response until it is dropped. It says nothing about the worker, so
+/// it does not count where responses are compared.
+#[derive(Debug, Clone, Default)]
+pub struct ResponseMemory(
+    #[expect(dead_code, reason = "held for its drop")] Option<Arc<OwnedSemaphorePermit>>,
+);
+
+impl From<Option<OwnedSemaphorePermit>> for ResponseMemory {
+    fn from(permit: Option<OwnedSemaphorePermit>) -> Self {
+        Self(permit.map(Arc::new))
+    }
+}
+
+impl PartialEq for ResponseMemory {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for ResponseMemory {}
+
 /// A run in progress.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunningRun {
--- a/crates/jobs/src/command_budget.rs
+++ b/crates/jobs/src/command_budget.rs
@@ -333,9 +333,11 @@
         self.sent.contains_key(&id)
     }
 
-    /// Whether another poll may be sent.
-    pub fn admits_poll(&self) -> bool {
-        self.polls < self.limits.polls_max() && self.admits_connections(1)
+    /// Number of further polls that may be sent now.
+    pub fn polls_left(&self) -> usize {
+        let connections = self.connections + self.polls;
+        let connections_left = self.limits.connections_max.saturating_sub(connections);
+        self.limits.polls_max().saturating_sub(self.polls).min(connections_left)
     }
 
     /// Adds a poll that is sent now.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -26,6 +26,7 @@
 mod odd_entries;
 mod plan;
 mod policy_queries;
+mod poll_requests;
 mod polls;
 mod removed_queues;
 mod run_commands;
@@ -204,7 +205,7 @@
     /// Addresses of ended incarnations whose connections are still open.
     retired_addresses: Vec<WorkerAddress>,
     /// Workers for which an extra poll is due while a long poll is pending.
-    out_of_band_polls_due: Vec<WorkerSlot>,
+    out_of_band_polls_due: BTreeSet<WorkerSlot>,
     /// Commands and polls that got no response lately.
     unanswered: Unanswered,
     jobs: HashMap<JobId, Job>,
@@ -346,7 +347,7 @@
             slots_by_service: HashMap::new(),
             poll_queue: BinaryHeap::new(),
             retired_addresses: Vec::new(),
-            out_of_band_polls_due: Vec::new(),
+            out_of_band_polls_due: BTreeSet::new(),
             unanswered: Unanswered::default(),
             jobs: HashMap::new(),
             held_bytes: 0,
--- a/crates/jobs/src/scheduler/hedged_polls.rs
+++ b/crates/jobs/src/scheduler/hedged_polls.rs
@@ -73,7 +73,7 @@
         let due: Vec<WorkerSlot> = self.active_slots().filter(is_due).collect();
         for slot in due {
             self.mark_overdue_starts(slot, now);
-            self.out_of_band_polls_due.push(slot);
+            self.out_of_band_polls_due.insert(slot);
         }
     }
 
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -1,6 +1,5 @@
 //! Planning pass: derives the commands that are due from the current state.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +16,7 @@
 use crate::spec::{Resources, StepId, StepSpec, TaskId};
 use crate::step_order::{WaitingStep, sort};
 use crate::throttle::Speed;
-use crate::worker::{PollPhase, Run, RunKind, RunPhase};
+use crate::worker::{Run, RunKind, RunPhase};
 
 /// Time after which all services are planned again without a change, because delays have expired.
 const REPLAN_INTERVAL: Duration = Duration::from_millis(50);
@@ -78,41 +77,13 @@
 
     /// Returns when the next command is due if nothing changes.
     pub fn next_due(&self, now: Moment) -> Moment {
-        let poll = self.poll_queue.peek().map_or(Moment::MAX, |Reverse((at, _))| *at);
+        let poll = self.next_poll_due();
         let postponed =
             self.changed_services.iter().filter_map(|service| self.next_placement.get(service));
         let next_pass = postponed.min().copied().unwrap_or(Moment::MAX);
         poll.min(next_pass).min(now + REPLAN_INTERVAL)
     }
 
-    fn due_polls(&mut self, now: Moment, commands: &mut Vec<Command>) {
-        let first = commands.len();
-        let mut due = Vec::new();
-        while let Some(Reverse((at, worker))) = self.poll_queue.peek().copied()
-            && at <= now
-        {
-            self.poll_queue.pop();
-            let incarnation = &self.workers[worker];
-            if !incarnation.is_gone && incarnation.poll == PollPhase::DueAt(at) {
-                commands.push(Command::Poll { worker, is_out_of_band: false });
-                due.push(Reverse((at, worker)));
-            }
-        }
-        // A poll stays due until it is sent.
-        self.poll_queue.extend(due);
-        let is_polled = |commands: &[Command], slot: WorkerSlot| {
-            commands
-                .iter()
-                .any(|command| matches!(command, Command::Poll { worker, .. } if *worker == slot))
-        };
-        for worker in std::mem::take(&mut self.out_of_band_polls_due) {
-            let is_silent = self.workers[worker].is_gone || self.workers[worker].has_refused_token;
-            if !is_silent && !is_polled(&commands[first..], worker) {
-                commands.push(Command::Poll { worker, is_out_of_band: true });
-            }
-        }
-    }
-
     fn plan_service(&mut self, service: &str, now: Moment, commands: &mut Vec<Command>) {
         if !self.is_config_known {
             return;
--- a/crates/jobs/src/scheduler/polls.rs
+++ b/crates/jobs/src/scheduler/polls.rs
@@ -1,4 +1,4 @@
-//! Polls of workers and the changes that their responses cause.
+//! Outcomes of polls of workers and the changes that they cause.
 
 use std::cmp::Reverse;
 use std::collections::HashSet;
@@ -7,24 +7,17 @@
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
+use super::poll_requests::ENDS_POLL_INTERVAL_MIN;
 use super::{Scheduler, WriteUrgency};
-use crate::clients::{EndedRun, Listing, PollError, PollRequest, PollResponse, RunEnd, RunningRun};
+use crate::clients::{EndedRun, Listing, PollError, PollResponse, RunEnd, RunningRun};
 use crate::event::JobsEvent;
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
 use crate::spec::TaskId;
 use crate::worker::{PollPhase, ReportedIncarnation, RunPhase};
 
-/// How long a worker with runs may hold a poll open for a run to end.
-const POLL_WAIT_BUSY: Duration = Duration::from_millis(1_000);
-/// How long a worker without runs may hold a poll open.
-const POLL_WAIT_IDLE: Duration = Duration::from_millis(2_000);
 /// Delay between a response without run ends and the next poll.
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
-/// Minimum delay between a response with run ends and the next poll. Until the ends are stored and
-/// acknowledged, the worker would respond immediately and report them again; the delay also lets
-/// further ends accumulate.
-const ENDS_POLL_INTERVAL_MIN: Duration = Duration::from_millis(40);
 /// Maximum number of polls per second, over all workers, that may report unstored run ends again.
 const REPEATED_POLLS_PER_S: f64 = 1_500.0;
 /// Delay between a response about runs of jobs that are not held and the next poll, within which
@@ -38,36 +31,6 @@
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::looks";
 
 impl Scheduler {
-    /// Returns the poll that is due for a worker. It extends the lease of all runs there.
-    pub fn poll_request(
-        &mut self,
-        slot: WorkerSlot,
-        is_out_of_band: bool,
-        now: Moment,
-    ) -> PollRequest {
-        let lease_max = self.settings.lease_max;
-        let token = self.term.token;
-        let worker = &mut self.workers[slot];
-        worker.last_polled = now;
-        if !is_out_of_band {
-            worker.poll = PollPhase::InFlight;
-        }
-        let lease_until =
-            worker.is_confirmed.then(|| worker.extend_lease(lease_max, now)).flatten();
-        let wait = match (worker.is_confirmed, worker.runs.is_empty()) {
-            (false, _) => Duration::ZERO,
-            _ if is_out_of_band => Duration::ZERO,
-            (true, true) => POLL_WAIT_IDLE,
-            (true, false) => POLL_WAIT_BUSY,
-        };
-        // Nothing may be acknowledged while the worker's incarnation is unconfirmed: a new one
-        // would use the same numbers for its run ends. While a poll is pending, the worker may have
-        // restarted since the last response.
-        let is_certain = worker.is_confirmed && !is_out_of_band;
-        let acknowledged = if is_certain { worker.last_end_stored } else { 0 };
-        PollRequest { token, acknowledged, lease_until, wait }
-    }
-
     /// Handles the response to a poll that was sent at `sent` and received at `now`.
     ///
     /// If a later poll has been handled already, only the run ends are used: the list of running
@@ -80,6 +43,7 @@
         now: Moment,
         response: PollResponse,
     ) {
+        self.count_poll_outcome(slot, is_out_of_band);
         let worker = &mut self.workers[slot];
         if worker.is_gone {
             return;
@@ -206,17 +170,6 @@
         );
     }
 
-    /// Brings forward the poll of a worker whose run ends are all stored, to acknowledge them.
-    /// Until then the worker reports them again.
-    pub(super) fn schedule_ack_poll(&mut self, slot: WorkerSlot, now: Moment) {
-        let worker = &mut self.workers[slot];
-        let due = now.max(worker.last_answered.unwrap_or(now) + ENDS_POLL_INTERVAL_MIN);
-        if matches!(worker.poll, PollPhase::DueAt(at) if at > due) && worker.is_confirmed {
-            worker.poll = PollPhase::DueAt(due);
-            self.poll_queue.push(Reverse((due, slot)));
-        }
-    }
-
     /// Returns whether a poll response contains run ends, but only ones that were received before.
     pub fn has_only_known_ends(&self, slot: WorkerSlot, response: &PollResponse) -> bool {
         let last_seen = self.workers[slot].last_end_seen;
@@ -341,6 +294,7 @@
         error: &PollError,
         now: Moment,
     ) {
+        self.count_poll_outcome(slot, is_out_of_band);
         if is_out_of_band {
             // The pending long poll decides whether the worker is lost.
             return;
--- a/crates/jobs/src/scheduler/run_commands.rs
+++ b/crates/jobs/src/scheduler/run_commands.rs
@@ -111,7 +111,7 @@
         if let Some(run) = worker.runs.get_mut(&task).filter(|run| run.phase == RunPhase::Starting)
         {
             run.start_unanswered_at = Some(now);
-            self.out_of_band_polls_due.push(slot);
+            self.out_of_band_polls_due.insert(slot);
         }
     }
 
--- a/crates/jobs/src/scheduler/stops.rs
+++ b/crates/jobs/src/scheduler/stops.rs
@@ -133,7 +133,7 @@
         if outcome == CommandOutcome::Accepted && confirmed.is_none() {
             *confirmed = Some(now);
             // A run that never started reports no end: the next poll shows that it is absent.
-            self.out_of_band_polls_due.push(slot);
+            self.out_of_band_polls_due.insert(slot);
         }
         let team = self.team_of(task.step.job).cloned();
         self.stops.schedule(team, slot, now + pause_after(outcome), task);
--- a/crates/jobs/tests/commands_on_the_way.rs
+++ b/crates/jobs/tests/commands_on_the_way.rs
@@ -56,6 +56,10 @@
     starts: Vec<(WorkerSlot, StartRequest)>,
     /// Stops on the way, in the order in which they were sent.
     stops: Vec<(WorkerSlot, TaskId, RunNumber)>,
+    /// Whether polls are answered.
+    answers_polls: bool,
+    /// Polls on the way beside the long polls.
+    out_of_band_polls: Vec<WorkerSlot>,
 }
 
 impl Owner {
@@ -65,7 +69,13 @@
         let team = Team { weight: 100.0, limit: Resources::default() };
         config.teams.insert(OTHER_TEAM.into(), team);
         harness.scheduler.set_config(Arc::new(config));
-        Self { harness, starts: Vec::new(), stops: Vec::new() }
+        Self {
+            harness,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            answers_polls: true,
+            out_of_band_polls: Vec::new(),
+        }
     }
 
     fn submit(&mut self, id: JobId, record: JobRecord) {
@@ -84,6 +94,10 @@
                     self.starts.push((worker, request.expect("a start")));
                 }
                 Command::Stop { worker, task, run } => self.stops.push((worker, task, run)),
+                Command::Poll { worker, is_out_of_band } if !self.answers_polls => {
+                    let _ = self.harness.scheduler.poll_request(worker, is_out_of_band, now);
+                    self.out_of_band_polls.extend(is_out_of_band.then_some(worker));
+                }
                 other => self.harness.execute(other),
             }
         }
@@ -273,3 +287,22 @@
     owner.passes(20);
     assert_eq!(owner.stops, [(worker, task, run); 2]);
 }
+
+/// Guards against a poll in each pass, beside those on the way, while starts on a worker get no
+/// responses.
+#[test]
+fn few_polls_are_on_the_way_to_a_worker_that_answers_nothing() {
+    let mut owner = Owner::new();
+    owner.answers_polls = false;
+    owner.submit(1, large_job());
+    for _ in 0..50 {
+        owner.pass();
+        for (worker, start) in std::mem::take(&mut owner.starts) {
+            let (task, run, now) = (start.task, start.run, owner.harness.now);
+            let unknown = CommandOutcome::Unknown;
+            owner.harness.scheduler.handle_start_outcome(worker, task, run, unknown, now);
+        }
+    }
+    let polls = owner.out_of_band_polls.len();
+    assert!(polls > 0 && polls <= 4 * WORKERS, "{polls} polls");
+}
--- a/crates/jobs/tests/emulator/worker.rs
+++ b/crates/jobs/tests/emulator/worker.rs
@@ -184,6 +184,7 @@
                 true => Listing::Whole,
                 false => Listing::FirstPage,
             },
+            ..PollResponse::default()
         })
     }
 
