Let a worker that has all starts of one account take those of another

Cause: within a planning pass a worker to which no more starts of one client account may be sent got none of another account either, so that this one waited behind a job with less work (a fault of the bound on starts). Change: what is saturated is noted by client account. The gauges of what is on the way are cleared when a term ends.

--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -216,6 +216,13 @@
         self.commands_in_flight.get_or_create(&labels).set(gauge(report.polls));
     }
 
+    /// Records that this instance, which is no longer the owner, has nothing on the way.
+    pub fn clear_commands_in_flight(&self) {
+        self.commands_in_flight.clear();
+        self.commands_in_flight_bytes.clear();
+        self.commands_in_flight_oldest_s.clear();
+    }
+
     /// Counts the end of a run.
     pub fn count_run_end(&self, end: RunEnd) {
         let outcome = match end {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -466,6 +466,7 @@
         for address in self.scheduler.active_addresses() {
             self.platform.workers().forget(address);
         }
+        self.metrics.clear_commands_in_flight();
     }
 
     /// Writes what is left before the ownership is released.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -247,8 +247,8 @@
     next_placement: HashMap<ServiceId, Moment>,
     /// Commands that were sent and whose outcome is not known.
     command_budget: CommandBudget,
-    /// Workers that get no further start commands in the current planning pass.
-    saturated_workers: HashSet<WorkerSlot>,
+    /// Workers that get no further start commands for a client account in the current planning pass.
+    saturated_workers: HashMap<Option<TeamId>, HashSet<WorkerSlot>>,
     /// Services in which tasks wait for room in the budget of commands.
     awaiting_commands: HashSet<ServiceId>,
     /// Placed runs whose start commands wait for room.
@@ -369,7 +369,7 @@
             changed_services: HashSet::new(),
             next_placement: HashMap::new(),
             command_budget: CommandBudget::new(settings.command_limits),
-            saturated_workers: HashSet::new(),
+            saturated_workers: HashMap::new(),
             awaiting_commands: HashSet::new(),
             unsent_starts: VecDeque::new(),
             unwritten_states: HashMap::new(),
--- a/crates/jobs/src/scheduler/command_room.rs
+++ b/crates/jobs/src/scheduler/command_room.rs
@@ -91,17 +91,21 @@
         bytes: u64,
         now: Moment,
     ) -> Choice {
+        let team = self.team_of(task.step.job).cloned();
         loop {
-            let open = candidates.iter().filter(|one| !self.saturated_workers.contains(&one.slot));
+            let saturated = self.saturated_workers.get(&team);
+            let is_open =
+                |one: &&Candidate| saturated.is_none_or(|slots| !slots.contains(&one.slot));
+            let open = candidates.iter().filter(is_open);
             let Some(slot) = self.choose_worker_for(task, requirements, open, tickets) else {
                 break;
             };
             if self.may_send(CommandKind::Start, slot, task, 0, bytes, now) {
                 return Choice::Worker(slot);
             }
-            self.saturated_workers.insert(slot);
+            self.saturated_workers.entry(team.clone()).or_default().insert(slot);
         }
-        let is_saturated = !self.saturated_workers.is_empty()
+        let is_saturated = self.saturated_workers.contains_key(&team)
             && self.choose_worker_for(task, requirements, candidates.iter(), tickets).is_some();
         if !is_saturated {
             return Choice::None;
--- a/crates/jobs/tests/commands_on_the_way.rs
+++ b/crates/jobs/tests/commands_on_the_way.rs
@@ -14,7 +14,7 @@
 use cassiafold_jobs::scheduler::{Command, OwnerTerm};
 use cassiafold_jobs::spec::{JobId, JobSpec, Resources, RunNumber, StepSpec, TaskId};
 
-use self::emulator::{config, job, ms};
+use self::emulator::{config, job, ms, step};
 use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness};
 
 /// What the texts of all commands on the way may take: a sixteenth of the memory of the smallest
@@ -64,7 +64,11 @@
 
 impl Owner {
     fn new() -> Self {
-        let mut harness = SchedulerHarness::new(WORKERS, OwnerTerm::default());
+        Self::with_workers(WORKERS)
+    }
+
+    fn with_workers(workers: usize) -> Self {
+        let mut harness = SchedulerHarness::new(workers, OwnerTerm::default());
         let mut config = (*config(Resources::default())).clone();
         let team = Team { weight: 100.0, limit: Resources::default() };
         config.teams.insert(OTHER_TEAM.into(), team);
@@ -169,6 +173,21 @@
     assert!(owner.has_started(9));
 }
 
+/// Guards against a client account that can't start a task on a worker to which another one has sent
+/// all that it may.
+#[test]
+fn a_job_of_another_team_starts_at_once_on_the_only_worker() {
+    let mut owner = Owner::with_workers(1);
+    let small = JobSpec { payload: "work".into(), ..large_job().spec };
+    owner.submit(1, JobRecord { spec: small, ..large_job() });
+    owner.passes(20);
+    // Jobs with less work are placed first.
+    let long = StepSpec { estimate: ms(200_000), ..step(1, 1, &[]) };
+    owner.submit(9, JobRecord { team: Some(OTHER_TEAM.into()), ..job(vec![long]) });
+    owner.passes(CALM_PASSES);
+    assert!(owner.has_started(9));
+}
+
 /// Starts on the last worker within a second in which these workers respond.
 fn starts_on_last_worker(responds: impl Fn(WorkerSlot) -> bool + Copy) -> usize {
     let mut owner = Owner::new();
