--- a/crates/jobs/src/command_budget.rs
+++ b/crates/jobs/src/command_budget.rs
@@ -27,11 +27,9 @@
 const MEMORY_DIVISOR: u64 = 16;
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
-/// Part of the other descriptors that connections for commands and polls may use, in percent. Half
-/// of them are for callers, the rest is for the store and other instances.
+/// Part of the other descriptors that connections for commands may use, in percent. Each worker has
+/// a long poll beside it, and callers and the store have connections of their own.
 const CONNECTIONS_PERCENT: usize = 36;
-/// Part of the connections that polls may use, in percent.
-const POLL_CONNECTIONS_PERCENT: usize = 70;
 
 /// Bytes of a command beside the texts in it: the request without them, its outcome, and its row in
 /// the owner's tables.
@@ -55,7 +53,7 @@
 pub struct CommandLimits {
     /// Memory of all commands, in bytes.
     pub bytes_max: u64,
-    /// Connections for commands and polls.
+    /// Connections for commands.
     pub connections_max: usize,
 }
 
@@ -69,10 +67,6 @@
             connections_max: (descriptors / 100 * CONNECTIONS_PERCENT).max(2),
         }
     }
-
-    fn polls_max(&self) -> usize {
-        (self.connections_max * POLL_CONNECTIONS_PERCENT / 100).max(1)
-    }
 }
 
 impl Default for CommandLimits {
@@ -291,7 +285,7 @@
     }
 
     fn admits_connections(&self, connections: usize) -> bool {
-        self.connections + self.polls + connections <= self.limits.connections_max
+        self.connections + connections <= self.limits.connections_max
     }
 
     /// Connections that a command adds to those of the commands before it.
@@ -333,13 +327,6 @@
         self.sent.contains_key(&id)
     }
 
-    /// Number of further polls that may be sent now.
-    pub fn polls_left(&self) -> usize {
-        let connections = self.connections + self.polls;
-        let connections_left = self.limits.connections_max.saturating_sub(connections);
-        self.limits.polls_max().saturating_sub(self.polls).min(connections_left)
-    }
-
     /// Adds a poll that is sent now.
     pub fn add_poll(&mut self) {
         self.polls += 1;
--- a/crates/jobs/src/scheduler/poll_requests.rs
+++ b/crates/jobs/src/scheduler/poll_requests.rs
@@ -59,13 +59,11 @@
         PollRequest { token, acknowledged, lease_until, wait }
     }
 
-    /// Issues the polls that are due, the longest due ones first if there is not room for all.
+    /// Issues the polls that are due.
     pub(super) fn due_polls(&mut self, now: Moment, commands: &mut Vec<Command>) {
-        let mut room = self.command_budget.polls_left();
         let mut due = Vec::new();
         let mut polled: HashSet<WorkerSlot> = HashSet::new();
-        while room > 0
-            && let Some(Reverse((at, worker))) = self.poll_queue.peek().copied()
+        while let Some(Reverse((at, worker))) = self.poll_queue.peek().copied()
             && at <= now
         {
             self.poll_queue.pop();
@@ -74,7 +72,6 @@
                 commands.push(Command::Poll { worker, is_out_of_band: false });
                 due.push(Reverse((at, worker)));
                 polled.insert(worker);
-                room -= 1;
             }
         }
         // A poll stays due until it is sent.
@@ -85,21 +82,17 @@
             if is_silent || polled.contains(&worker) {
                 continue;
             }
-            if room == 0 || incarnation.out_of_band_polls >= OUT_OF_BAND_POLLS_MAX {
+            if incarnation.out_of_band_polls >= OUT_OF_BAND_POLLS_MAX {
                 self.out_of_band_polls_due.insert(worker);
                 continue;
             }
             commands.push(Command::Poll { worker, is_out_of_band: true });
-            room -= 1;
         }
     }
 
-    /// Returns when the next poll is due for which there is room.
+    /// Returns when the next poll is due.
     pub(super) fn next_poll_due(&self) -> Moment {
-        match self.command_budget.polls_left() {
-            0 => Moment::MAX,
-            _ => self.poll_queue.peek().map_or(Moment::MAX, |Reverse((at, _))| *at),
-        }
+        self.poll_queue.peek().map_or(Moment::MAX, |Reverse((at, _))| *at)
     }
 
     /// Counts a poll as no longer in flight.
