Log each command to a machine with the number of its attempt

The log told the outcome of a command, but not which attempt it belongs to, nor the worker on the machine: whether an outcome came after that of a later attempt, and whose tasks a maintenance ended, could not be told. Event 1639 is logged when a command is sent, with machine, worker, runs and attempt; 1630 names the attempt; 1636 the limit. No decision changes.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -40,6 +40,7 @@
         WavePaced = 1636, Info, "machines of a wave that remain, and what they wait for";
         ImagesInterfere = 1637, Info, "tasks of one image slow down tasks of another on the same worker";
         ImagesInterfereNoMore = 1638, Info, "tasks of one image no longer slow down tasks of another";
+        MachineCommandSent = 1639, Info, "command to move or maintain a machine sent";
         OwnerBegan = 1640, Info, "this instance became the owner and places jobs";
         OwnerEnded = 1641, Info, "this instance is no longer the owner";
         ConfigInForce = 1642, Info, "configuration in force";
--- a/crates/jobs/src/owner/execute.rs
+++ b/crates/jobs/src/owner/execute.rs
@@ -16,7 +16,7 @@
 use crate::job::WorkerSlot;
 use crate::platform_clients::PlatformClients;
 use crate::record::{JobRecord, StateRecord, job_key, state_key};
-use crate::scheduler::{Command, MachineCommand, PolicyQuery};
+use crate::scheduler::{Command, MachineAttempt, MachineCommand, PolicyQuery};
 use crate::spec::{JobId, RunNumber, TaskId};
 use crate::task_panic::catch_panic;
 
@@ -47,7 +47,7 @@
         received: Moment,
     },
     Machine {
-        command: MachineCommand,
+        attempt: MachineAttempt,
         outcome: MachineOutcome,
     },
     MachineList {
@@ -104,7 +104,7 @@
                     throttles.entry(worker).or_default().push(request);
                 }
                 Command::QueryPolicy(query) => self.query_policy(query),
-                Command::Machine(command) => self.command_machine(command),
+                Command::Machine(attempt) => self.command_machine(attempt),
             }
         }
         for (worker, requests) in starts {
@@ -182,11 +182,11 @@
         });
     }
 
-    fn command_machine(&mut self, command: MachineCommand) {
+    fn command_machine(&mut self, attempt: MachineAttempt) {
         let (machines, token) = (self.platform.machines().clone(), self.scheduler.token());
         let lease = self.lease.clone();
         self.run(async move {
-            let outcome = match &command {
+            let outcome = match &attempt.command {
                 _ if !lease.is_valid() => MachineOutcome::Busy,
                 MachineCommand::Maintain { machine, wave } => {
                     machines.maintain(machine.clone(), *wave, token).await
@@ -195,7 +195,7 @@
                     machines.move_to(machine.clone(), service.clone(), token).await
                 }
             };
-            Outcome::Machine { command, outcome }
+            Outcome::Machine { attempt, outcome }
         });
     }
 
@@ -270,11 +270,12 @@
                     self.metrics.count_command("pace", *outcome);
                 }
             }
-            Outcome::Machine { command: MachineCommand::Maintain { .. }, outcome } => {
-                self.metrics.count_machine_command("maintain", *outcome);
-            }
-            Outcome::Machine { command: MachineCommand::Move { .. }, outcome } => {
-                self.metrics.count_machine_command("move", *outcome);
+            Outcome::Machine { attempt, outcome } => {
+                let kind = match attempt.command {
+                    MachineCommand::Maintain { .. } => "maintain",
+                    MachineCommand::Move { .. } => "move",
+                };
+                self.metrics.count_machine_command(kind, *outcome);
             }
             Outcome::Policy { .. } | Outcome::MachineList { .. } | Outcome::DeferredJob { .. } => {}
         }
@@ -321,8 +322,8 @@
             Outcome::Policy { query, response, sent, received } => {
                 self.scheduler.handle_policy_response(&query, response, sent, received);
             }
-            Outcome::Machine { command, outcome } => {
-                self.scheduler.handle_machine_outcome(&command, outcome, now);
+            Outcome::Machine { attempt, outcome } => {
+                self.scheduler.handle_machine_outcome(&attempt, outcome, now);
             }
             Outcome::MachineList { machines: Some(machines), sent } => {
                 self.scheduler.set_machines(machines, sent, now);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -20,6 +20,7 @@
 mod inherited_usage;
 mod interference;
 mod job_lifecycle;
+mod machine_commands;
 mod machine_leases;
 mod machine_list;
 mod maintenance;
@@ -58,9 +59,9 @@
 use self::in_flight_writes::InFlightWrites;
 use self::inherited_usage::InheritedUsage;
 use self::interference::InterferenceReport;
+pub use self::machine_commands::{AttemptNumber, MachineAttempt, MachineCommand};
 use self::machine_leases::MachineLeases;
 use self::machine_list::MachineList;
-pub use self::maintenance::MachineCommand;
 use self::maintenance::SentCommand;
 pub use self::policy_queries::PolicyQuery;
 use self::policy_queries::WantedQuery;
@@ -175,7 +176,7 @@
     /// Queries the placement policy.
     QueryPolicy(PolicyQuery),
     /// Moves or maintains a machine.
-    Machine(MachineCommand),
+    Machine(MachineAttempt),
 }
 
 /// State of one owner.
@@ -309,6 +310,7 @@
     waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Last command to each machine.
     machine_commands: HashMap<InstanceId, SentCommand>,
+    last_machine_attempt: AttemptNumber,
     /// Leaky bucket of each team: its level rises by one with each job and drains at the team's
     /// weight per second.
     team_buckets: HashMap<TeamId, (f64, Moment)>,
@@ -404,6 +406,7 @@
             interference_report: InterferenceReport::default(),
             waves: BTreeMap::new(),
             machine_commands: HashMap::new(),
+            last_machine_attempt: 0,
             team_buckets: HashMap::new(),
             last_waiting_record: None,
             last_full_plan: now,
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -7,7 +7,7 @@
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
-use super::maintenance::MachineCommand;
+use super::machine_commands::{AttemptNumber, MachineAttempt, MachineCommand};
 use super::{Command, Scheduler};
 use crate::balance::{Load, Pool, SURPLUS_MACHINES, choose_moves, machines_for};
 use crate::clients::MachineOutcome;
@@ -31,6 +31,9 @@
 /// A machine counts as idle once its worker has had no work for this time.
 const IDLE_AFTER: Duration = Duration::from_millis(300);
 
+/// Number of an attempt that was given up before it was sent.
+const UNSENT_ATTEMPT: AttemptNumber = 0;
+
 /// A machine that can move without stopping any run.
 struct IdleMachine {
     id: InstanceId,
@@ -88,11 +91,12 @@
     pub(super) fn issue_machine_moves(&mut self, now: Moment, commands: &mut Vec<Command>) {
         for command in std::mem::take(&mut self.pending_moves) {
             if self.machine_leases.acquire(command.machine(), None, now) {
-                commands.push(Command::Machine(command));
+                self.send_machine_command(command, commands);
             } else if self.moving_machines.contains_key(command.machine()) {
                 self.pending_moves.push(command);
             } else {
-                self.handle_machine_outcome(&command, MachineOutcome::Busy, now);
+                let attempt = MachineAttempt { number: UNSENT_ATTEMPT, command };
+                self.handle_machine_outcome(&attempt, MachineOutcome::Busy, now);
             }
         }
     }
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cassiafold_config::{InstanceId, ServiceId};
+use cassiafold_config::InstanceId;
 use cassiafold_event::emit;
 use cassiafold_platform::Moment;
 
+use super::machine_commands::{MachineAttempt, MachineCommand};
 use super::machine_leases::LATE_COMMAND_MAX;
 use super::machine_list::MachineList;
 use super::wave_progress::{WaveDelays, WaveProgress, planned_down};
@@ -31,34 +32,6 @@
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::upkeep";
 
-/// A command to a machine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MachineCommand {
-    /// Maintains it.
-    Maintain {
-        /// The machine.
-        machine: InstanceId,
-        /// The wave.
-        wave: WaveNumber,
-    },
-    /// Moves it to another service.
-    Move {
-        /// The machine.
-        machine: InstanceId,
-        /// The service.
-        service: ServiceId,
-    },
-}
-
-impl MachineCommand {
-    /// Returns the machine to which the command applies.
-    pub fn machine(&self) -> &InstanceId {
-        match self {
-            Self::Maintain { machine, .. } | Self::Move { machine, .. } => machine,
-        }
-    }
-}
-
 /// The last command to a machine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SentCommand {
@@ -129,15 +102,17 @@
     /// Handles the outcome of a command to a machine.
     pub fn handle_machine_outcome(
         &mut self,
-        command: &MachineCommand,
+        attempt: &MachineAttempt,
         outcome: MachineOutcome,
         now: Moment,
     ) {
+        let command = &attempt.command;
         emit!(
             target: LOG_TARGET,
             JobsEvent::MachineOrdered,
             machine = command.machine(),
-            order = format_args!("{command:?}"),
+            order = command,
+            attempt = attempt.number,
             outcome = format_args!("{outcome:?}")
         );
         let is_pending = outcome == MachineOutcome::Unknown;
@@ -282,6 +257,7 @@
                 wave = number,
                 remaining = remaining_count,
                 down = down,
+                limit = progress.wave.concurrent_max,
                 planned = planned_down,
                 commanded = going_down.len(),
                 wait_for_budgets = budgets,
@@ -406,7 +382,29 @@
         }
         self.machine_commands
             .insert(machine.clone(), SentCommand { sent_at: now, is_pending: true });
-        commands.push(Command::Machine(MachineCommand::Maintain { machine, wave: number }));
+        self.send_machine_command(MachineCommand::Maintain { machine, wave: number }, commands);
+    }
+
+    /// Sends a command to a machine.
+    pub(super) fn send_machine_command(
+        &mut self,
+        command: MachineCommand,
+        commands: &mut Vec<Command>,
+    ) {
+        self.last_machine_attempt += 1;
+        let number = self.last_machine_attempt;
+        let worker = self.worker_on_machine(command.machine()).map(|slot| &self.workers[slot]);
+        emit!(
+            target: LOG_TARGET,
+            JobsEvent::MachineCommandSent,
+            machine = command.machine(),
+            order = &command,
+            attempt = number,
+            worker = worker.map_or("none", |worker| &*worker.entry.id),
+            runs = worker.map_or(0, |worker| worker.runs.len()),
+            long_running = worker.map_or(0, |worker| worker.counts.long_running)
+        );
+        commands.push(Command::Machine(MachineAttempt { number, command }));
     }
 
     /// Returns the waves whose status in the store is outdated.
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -6,11 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{CommandOutcome, PollError, PollResponse, RunningRun};
+use cassiafold_jobs::clients::{
+    CommandOutcome, MachineOutcome, PollError, PollResponse, RunningRun,
+};
 use cassiafold_jobs::cluster::{Machine, MachineState, Service, Wave, WorkerEntry};
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::{JobState, StateRecord, TaskRecord, WorkerRecord};
-use cassiafold_jobs::scheduler::{Command, MachineCommand, OwnerTerm, Scheduler};
+use cassiafold_jobs::scheduler::{Command, MachineAttempt, MachineCommand, OwnerTerm, Scheduler};
 use cassiafold_jobs::spec::{JobId, Resources, StepSpec, TaskId};
 use cassiafold_jobs::worker::Worker;
 
@@ -28,6 +30,8 @@
     pub unix: Duration,
     pub running: HashMap<WorkerSlot, Vec<(TaskId, u32)>>,
     pub machine_commands: Vec<MachineCommand>,
+    /// All commands to machines, with the numbers of their attempts.
+    pub machine_attempts: Vec<MachineAttempt>,
     pub listed_machines: Vec<Machine>,
     /// Workers that respond to no poll.
     pub silent: HashSet<WorkerSlot>,
@@ -66,6 +70,7 @@
             unix: Duration::ZERO,
             running,
             machine_commands: Vec::new(),
+            machine_attempts: Vec::new(),
             listed_machines: Vec::new(),
             silent: HashSet::new(),
             load_metrics: HashMap::new(),
@@ -205,11 +210,22 @@
                     self.now,
                 );
             }
-            Command::Machine(command) => self.machine_commands.push(command),
+            Command::Machine(attempt) => {
+                self.machine_commands.push(attempt.command.clone());
+                self.machine_attempts.push(attempt);
+            }
             Command::Throttle { .. } | Command::QueryPolicy(_) => {}
         }
     }
 
+    /// Passes the outcome of the last attempt of a command to the scheduler.
+    pub fn answer(&mut self, command: &MachineCommand, outcome: MachineOutcome) {
+        let sent = self.machine_attempts.iter().rfind(|attempt| attempt.command == *command);
+        let unsent = || MachineAttempt { number: 0, command: command.clone() };
+        let attempt = sent.cloned().unwrap_or_else(unsent);
+        self.scheduler.handle_machine_outcome(&attempt, outcome, self.now);
+    }
+
     /// Number of runs on all workers.
     pub fn running(&self) -> usize {
         self.running.values().map(Vec::len).sum()
--- a/crates/jobs/tests/inherited_commands.rs
+++ b/crates/jobs/tests/inherited_commands.rs
@@ -44,7 +44,7 @@
     assert_eq!(commanded(&harness), ["m0"], "the counted one first");
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
     let command = harness.machine_commands.remove(0);
-    harness.scheduler.handle_machine_outcome(&command, MachineOutcome::Accepted, harness.now);
+    harness.answer(&command, MachineOutcome::Accepted);
     harness.run_for(ms(300));
     assert_eq!(commanded(&harness), Vec::<&str>::new(), "m0 is down");
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -170,7 +170,7 @@
     harness.set_wave(&[0, 1], 1);
     harness.run_for(ms(100));
     let first = harness.machine_commands.remove(0);
-    harness.scheduler.handle_machine_outcome(&first, MachineOutcome::Accepted, harness.now);
+    harness.answer(&first, MachineOutcome::Accepted);
     harness.now += ms(10);
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Maintenance));
     harness.run_for(ms(2_500));
@@ -230,7 +230,7 @@
     harness.run_for(ms(100));
     harness.set_machines(SchedulerHarness::machines(1, MachineState::Up));
     let command = MachineCommand::Maintain { machine: "m0".into(), wave: 1 };
-    harness.scheduler.handle_machine_outcome(&command, MachineOutcome::Accepted, harness.now);
+    harness.answer(&command, MachineOutcome::Accepted);
     harness.run_for(ms(100));
     harness.set_machines(SchedulerHarness::machines(1, MachineState::Up));
     harness.run_for(ms(300));
@@ -246,7 +246,7 @@
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
     for number in 0..2 {
         let command = MachineCommand::Maintain { machine: format!("m{number}").into(), wave: 1 };
-        harness.scheduler.handle_machine_outcome(&command, MachineOutcome::Accepted, harness.now);
+        harness.answer(&command, MachineOutcome::Accepted);
     }
     harness.run_for(ms(100));
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Maintenance));
