--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -49,7 +49,11 @@
 
     /// Creates a harness at the start of an owner's term.
     pub fn at_term_start(workers: usize, term: OwnerTerm) -> Self {
-        let now = ms(100_000);
+        Self::at_time(workers, term, ms(100_000))
+    }
+
+    /// Creates a harness at `now`, when an owner's term starts.
+    pub fn at_time(workers: usize, term: OwnerTerm, now: Duration) -> Self {
         let mut scheduler = Scheduler::new(settings(), term, now);
         let mut config = (*config(Resources::default())).clone();
         let spare = Service { is_spare: true, ..Service::default() };
