Apply the outcome of a command to a machine to its attempt alone

Cause: of a machine the scheduler remembered whether its last outcome was unknown, not which command that belonged to. A move that was accepted hid a maintenance on the way; a move or an earlier attempt that ended as unknown after the maintenance had been accepted marked the machine as commanded again, for good, and a later wave took that for leave to pass its limit.

Change: an attempt is open until its outcome settles it or until it can no longer be executed. Its number, the kind of command and the wave identify it. A machine counts as commanded for a wave only while maintenance of that wave is open, and as down while any maintenance is.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -59,10 +59,10 @@
 use self::in_flight_writes::InFlightWrites;
 use self::inherited_usage::InheritedUsage;
 use self::interference::InterferenceReport;
+use self::machine_commands::OpenCommands;
 pub use self::machine_commands::{AttemptNumber, MachineAttempt, MachineCommand};
 use self::machine_leases::MachineLeases;
 use self::machine_list::MachineList;
-use self::maintenance::SentCommand;
 pub use self::policy_queries::PolicyQuery;
 use self::policy_queries::WantedQuery;
 use self::steps::StepsByService;
@@ -308,9 +308,7 @@
     interference: Interference,
     interference_report: InterferenceReport,
     waves: BTreeMap<WaveNumber, WaveProgress>,
-    /// Last command to each machine.
-    machine_commands: HashMap<InstanceId, SentCommand>,
-    last_machine_attempt: AttemptNumber,
+    open_commands: OpenCommands,
     /// Leaky bucket of each team: its level rises by one with each job and drains at the team's
     /// weight per second.
     team_buckets: HashMap<TeamId, (f64, Moment)>,
@@ -405,8 +403,7 @@
             interference: Interference::default(),
             interference_report: InterferenceReport::default(),
             waves: BTreeMap::new(),
-            machine_commands: HashMap::new(),
-            last_machine_attempt: 0,
+            open_commands: OpenCommands::default(),
             team_buckets: HashMap::new(),
             last_waiting_record: None,
             last_full_plan: now,
--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -91,7 +91,7 @@
     pub(super) fn issue_machine_moves(&mut self, now: Moment, commands: &mut Vec<Command>) {
         for command in std::mem::take(&mut self.pending_moves) {
             if self.machine_leases.acquire(command.machine(), None, now) {
-                self.send_machine_command(command, commands);
+                self.send_machine_command(command, now, commands);
             } else if self.moving_machines.contains_key(command.machine()) {
                 self.pending_moves.push(command);
             } else {
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -1,9 +1,13 @@
-//! Commands to machines.
+//! Commands to machines, and which of them may still be executed.
 
+use std::collections::HashMap;
 use std::fmt;
 
 use cassiafold_config::{InstanceId, ServiceId};
+use cassiafold_platform::Moment;
 
+use super::machine_leases::LATE_COMMAND_MAX;
+use crate::clients::MachineOutcome;
 use crate::cluster::WaveNumber;
 
 /// Number of an attempt to execute a command; it rises with each attempt of an owner.
@@ -54,3 +58,118 @@
     /// The command.
     pub command: MachineCommand,
 }
+
+/// What an attempt does to its machine if it is executed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Effect {
+    Maintenance(WaveNumber),
+    Move,
+}
+
+impl From<&MachineCommand> for Effect {
+    fn from(command: &MachineCommand) -> Self {
+        match command {
+            MachineCommand::Maintain { wave, .. } => Self::Maintenance(*wave),
+            MachineCommand::Move { .. } => Self::Move,
+        }
+    }
+}
+
+/// An attempt that may still be executed.
+#[derive(Debug)]
+struct OpenAttempt {
+    number: AttemptNumber,
+    effect: Effect,
+    /// Until when it may be executed; without limit while its outcome is awaited.
+    executable_until: Moment,
+}
+
+/// The commands to machines that may still be executed.
+///
+/// An outcome settles the attempt to which it belongs and no other. Only the maintenance of one wave
+/// is an exception: the platform carries it out once, so one accepted attempt settles all.
+#[derive(Debug, Default)]
+pub(super) struct OpenCommands {
+    last_number: AttemptNumber,
+    attempts: HashMap<InstanceId, Vec<OpenAttempt>>,
+    /// When each machine was last sent a command for maintenance.
+    maintenance_sent: HashMap<InstanceId, Moment>,
+}
+
+impl OpenCommands {
+    /// Adds an attempt that is sent now.
+    pub(super) fn send(&mut self, command: MachineCommand, now: Moment) -> MachineAttempt {
+        self.last_number += 1;
+        let number = self.last_number;
+        let effect = Effect::from(&command);
+        let machine = command.machine().clone();
+        if effect != Effect::Move {
+            self.maintenance_sent.insert(machine.clone(), now);
+        }
+        let attempt = OpenAttempt { number, effect, executable_until: Moment::MAX };
+        self.attempts.entry(machine).or_default().push(attempt);
+        MachineAttempt { number, command }
+    }
+
+    /// Applies the outcome of an attempt.
+    pub(super) fn settle(
+        &mut self,
+        attempt: &MachineAttempt,
+        outcome: MachineOutcome,
+        now: Moment,
+    ) {
+        let machine = attempt.command.machine();
+        let Some(attempts) = self.attempts.get_mut(machine) else { return };
+        match outcome {
+            MachineOutcome::Unknown => {
+                let sent = attempts.iter_mut().filter(|open| open.number == attempt.number);
+                sent.for_each(|open| open.executable_until = now + LATE_COMMAND_MAX);
+            }
+            MachineOutcome::Accepted => {
+                let effect = Effect::from(&attempt.command);
+                let is_settled = |open: &OpenAttempt| {
+                    open.number == attempt.number
+                        || (effect != Effect::Move && open.effect == effect)
+                };
+                attempts.retain(|open| !is_settled(open));
+            }
+            MachineOutcome::Busy | MachineOutcome::Fenced | MachineOutcome::Refused => {
+                attempts.retain(|open| open.number != attempt.number);
+            }
+        }
+        if attempts.is_empty() {
+            self.attempts.remove(machine);
+        }
+    }
+
+    /// Forgets the attempts that can no longer be executed.
+    pub(super) fn expire(&mut self, now: Moment) {
+        self.attempts.retain(|_, attempts| {
+            attempts.retain(|open| now < open.executable_until);
+            !attempts.is_empty()
+        });
+    }
+
+    /// Returns until when a command to a machine may be executed; `None` if none is open.
+    pub(super) fn executable_until(&self, machine: &str) -> Option<Moment> {
+        self.attempts.get(machine)?.iter().map(|open| open.executable_until).max()
+    }
+
+    /// Returns whether a machine may still go down for maintenance.
+    pub(super) fn may_go_down(&self, machine: &str) -> bool {
+        let attempts = self.attempts.get(machine);
+        attempts.is_some_and(|attempts| attempts.iter().any(|open| open.effect != Effect::Move))
+    }
+
+    /// Returns whether a machine may still go down for the maintenance of a wave.
+    pub(super) fn may_go_down_for(&self, machine: &str, wave: WaveNumber) -> bool {
+        let effect = Effect::Maintenance(wave);
+        let attempts = self.attempts.get(machine);
+        attempts.is_some_and(|attempts| attempts.iter().any(|open| open.effect == effect))
+    }
+
+    /// Returns when a machine was last sent a command for maintenance.
+    pub(super) fn maintenance_sent(&self, machine: &str) -> Option<Moment> {
+        self.maintenance_sent.get(machine).copied()
+    }
+}
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -32,14 +32,6 @@
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::upkeep";
 
-/// The last command to a machine.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct SentCommand {
-    sent_at: Moment,
-    /// Whether it may still be executed.
-    is_pending: bool,
-}
-
 impl Scheduler {
     /// Returns whether the machines have to be listed: a wave is not complete, or there is a spare
     /// pool.
@@ -75,7 +67,14 @@
                 continue;
             }
             // The command had been executed before: this is the worker that started after it.
+            let machine = self.workers[slot].machine.as_deref();
+            let open_until =
+                machine.and_then(|machine| self.open_commands.executable_until(machine));
             let worker = &mut self.workers[slot];
+            if open_until.is_some() {
+                worker.leaving_since = open_until;
+                continue;
+            }
             worker.leaving_since = None;
             worker.is_leaving = false;
             worker.is_cordoned = false;
@@ -115,28 +114,25 @@
             attempt = attempt.number,
             outcome = format_args!("{outcome:?}")
         );
-        let is_pending = outcome == MachineOutcome::Unknown;
-        if is_pending {
+        let accepted = outcome == MachineOutcome::Accepted;
+        if outcome == MachineOutcome::Unknown {
             self.machine_leases.extend(command.machine(), now + LATE_COMMAND_MAX);
         }
-        if let Some(sent) = self.machine_commands.get_mut(command.machine()) {
-            sent.is_pending = is_pending;
-        }
-        let accepted = outcome == MachineOutcome::Accepted;
-        if !accepted && !is_pending {
-            self.moving_machines.remove(command.machine());
+        self.open_commands.settle(attempt, outcome, now);
+        let open_until = self.open_commands.executable_until(command.machine());
+        let may_be_moving = accepted || outcome == MachineOutcome::Unknown;
+        if let MachineCommand::Move { machine, .. } = command
+            && !may_be_moving
+        {
+            self.moving_machines.remove(machine);
         }
         if let Some(slot) = self.worker_on_machine(command.machine()) {
             let worker = &mut self.workers[slot];
-            worker.is_leaving = is_pending || accepted;
+            worker.is_leaving = accepted || open_until.is_some();
             worker.is_cordoned &= worker.is_leaving;
             // The next list of machines shows whether the machine went down or had been maintained
             // before.
-            worker.leaving_since = match outcome {
-                MachineOutcome::Accepted => Some(now),
-                MachineOutcome::Unknown => Some(now + LATE_COMMAND_MAX),
-                _ => None,
-            };
+            worker.leaving_since = if accepted { Some(now) } else { open_until };
         }
         if !accepted {
             return;
@@ -158,6 +154,7 @@
 
     /// Issues the maintenance commands that are due.
     pub(super) fn plan_maintenance(&mut self, now: Moment, commands: &mut Vec<Command>) {
+        self.open_commands.expire(now);
         if self.machines.is_empty() {
             return;
         }
@@ -224,7 +221,7 @@
             let wait_for_short_tasks = !is_late && drained_for < DRAINING_MAX;
             let can_go_down =
                 slot.is_none_or(|slot| self.can_take_down(slot, wait_for_short_tasks, now));
-            let is_pending = self.is_command_pending(&machine.id);
+            let is_pending = self.open_commands.may_go_down_for(&machine.id, number);
             let is_surplus = slot.is_none_or(|slot| self.is_surplus(slot));
             let limit = if is_surplus { down_allowed_max } else { down_allowed_now };
             let is_counted = self.machine_leases.may_be_taken_down(&machine.id, number, now);
@@ -297,7 +294,7 @@
         let begun =
             progress.begun.iter().filter(|(machine, at)| !is_up_again(machine, **at)).count();
         let others_down = progress.wave.machines.iter().filter(|machine| {
-            let is_commanded = self.is_command_pending(machine)
+            let is_commanded = self.open_commands.may_go_down(machine)
                 || self.machine_leases.may_be_taken_down(machine, progress.wave.number, now);
             let listed = self.machines.get(machine);
             let down = listed.is_some_and(|listed| listed.state == MachineState::Maintenance);
@@ -306,11 +303,6 @@
         begun + others_down.count()
     }
 
-    /// Returns whether a command to a machine may still be executed.
-    fn is_command_pending(&self, machine: &str) -> bool {
-        self.machine_commands.get(machine).is_some_and(|sent| sent.is_pending)
-    }
-
     /// Returns the machines of a wave that are up and whose maintenance has not started, with their
     /// workers. Machines that are leased to another instance are left out.
     fn remaining_machines(
@@ -374,37 +366,38 @@
         if let Some(slot) = self.worker_on_machine(&machine) {
             self.workers[slot].is_cordoned = true;
         }
-        let last_command = self.machine_commands.get(&machine);
-        if last_command
-            .is_some_and(|sent| now.saturating_sub(sent.sent_at) < COMMAND_RETRY_INTERVAL)
-        {
+        let last_sent = self.open_commands.maintenance_sent(&machine);
+        if last_sent.is_some_and(|sent| now.saturating_sub(sent) < COMMAND_RETRY_INTERVAL) {
             return;
         }
-        self.machine_commands
-            .insert(machine.clone(), SentCommand { sent_at: now, is_pending: true });
-        self.send_machine_command(MachineCommand::Maintain { machine, wave: number }, commands);
+        self.send_machine_command(
+            MachineCommand::Maintain { machine, wave: number },
+            now,
+            commands,
+        );
     }
 
     /// Sends a command to a machine.
     pub(super) fn send_machine_command(
         &mut self,
         command: MachineCommand,
+        now: Moment,
         commands: &mut Vec<Command>,
     ) {
-        self.last_machine_attempt += 1;
-        let number = self.last_machine_attempt;
+        let attempt = self.open_commands.send(command, now);
+        let MachineAttempt { number, command } = &attempt;
         let worker = self.worker_on_machine(command.machine()).map(|slot| &self.workers[slot]);
         emit!(
             target: LOG_TARGET,
             JobsEvent::MachineCommandSent,
             machine = command.machine(),
-            order = &command,
+            order = command,
             attempt = number,
             worker = worker.map_or("none", |worker| &*worker.entry.id),
             runs = worker.map_or(0, |worker| worker.runs.len()),
             long_running = worker.map_or(0, |worker| worker.counts.long_running)
         );
-        commands.push(Command::Machine(MachineAttempt { number, command }));
+        commands.push(Command::Machine(attempt));
     }
 
     /// Returns the waves whose status in the store is outdated.
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -37,7 +37,7 @@
 
 fn set_wave(harness: &mut SchedulerHarness, number: WaveNumber, machines: &[&str], limit: usize) {
     let machines = machines.iter().map(|machine| (*machine).into()).collect();
-    let wave = Wave { number, machines, time_limit: ms(20_000), concurrent_max: limit };
+    let wave = Wave { number, machines, time_limit: ms(4_000), concurrent_max: limit };
     harness.scheduler.set_waves(&[wave], harness.now);
 }
 
