Let a machine that may go down take a place of its wave's limit

The next owner commanded every recorded machine, whatever the limit says.

Change: a machine takes a place from the moment it is to be recorded, until a record without it is stored, or the wave is known to have taken it down. It is commanded again only while no more places are taken than the wave has. So the record stays within the limit, and the next owner may command what it names. Open maintenance of another wave takes a place too.

--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -155,17 +155,17 @@
         self.attempts.get(machine)?.iter().map(|open| open.executable_until).max()
     }
 
-    /// Returns whether a machine may still go down for maintenance.
-    pub(super) fn may_go_down(&self, machine: &str) -> bool {
-        let attempts = self.attempts.get(machine);
-        attempts.is_some_and(|attempts| attempts.iter().any(|open| open.effect != Effect::Move))
+    /// Returns the waves for whose maintenance a machine may still go down.
+    pub(super) fn open_waves(&self, machine: &str) -> impl Iterator<Item = WaveNumber> {
+        self.attempts.get(machine).into_iter().flatten().filter_map(|open| match open.effect {
+            Effect::Maintenance(wave) => Some(wave),
+            Effect::Move => None,
+        })
     }
 
     /// Returns whether a machine may still go down for the maintenance of a wave.
     pub(super) fn may_go_down_for(&self, machine: &str, wave: WaveNumber) -> bool {
-        let effect = Effect::Maintenance(wave);
-        let attempts = self.attempts.get(machine);
-        attempts.is_some_and(|attempts| attempts.iter().any(|open| open.effect == effect))
+        self.open_waves(machine).any(|open| open == wave)
     }
 
     /// Returns when a machine was last sent a command for maintenance.
--- a/crates/jobs/src/scheduler/machine_leases.rs
+++ b/crates/jobs/src/scheduler/machine_leases.rs
@@ -27,22 +27,13 @@
     until: Moment,
     /// Whether the lease is stored with this command.
     is_stored: bool,
-    /// Maintenance that an earlier owner may have commanded.
-    inherited_maintenance: Option<InheritedMaintenance>,
-}
-
-/// Maintenance that an earlier owner may have commanded without learning of its execution.
-#[derive(Debug, Clone, Copy)]
-struct InheritedMaintenance {
-    wave: WaveNumber,
-    /// Until when the command may be executed.
-    until: Moment,
+    /// Until when a command of an earlier owner may be executed, so that it stays recorded.
+    inherited_until: Option<Moment>,
 }
 
 impl MachineLease {
     fn is_needed(&self, now: Moment) -> bool {
-        let may_be_executed = |inherited: InheritedMaintenance| now < inherited.until;
-        now <= self.until || self.inherited_maintenance.is_some_and(may_be_executed)
+        now <= self.until || self.inherited_until.is_some_and(|until| now < until)
     }
 }
 
@@ -56,6 +47,8 @@
     others_until: Option<Moment>,
     /// Record that is stored or in flight.
     last_record: CommandedMachinesRecord,
+    /// Record that is stored.
+    stored_record: CommandedMachinesRecord,
 }
 
 impl MachineLeases {
@@ -67,17 +60,23 @@
         now: Moment,
     ) -> Self {
         let inherit = |(machine, command): (&InstanceId, &CommandedMachine)| {
-            let inherit_wave = |wave| InheritedMaintenance { wave, until: now + LATE_COMMAND_MAX };
             let lease = MachineLease {
                 command: command.clone(),
                 until: now + lease_duration,
                 is_stored: true,
-                inherited_maintenance: command.wave().map(inherit_wave),
+                inherited_until: command.wave().map(|_| now + LATE_COMMAND_MAX),
             };
             (machine.clone(), lease)
         };
         let leases = stored.iter().map(inherit).collect();
-        Self { instance, lease_duration, leases, others_until: None, last_record: stored }
+        Self {
+            instance,
+            lease_duration,
+            leases,
+            others_until: None,
+            last_record: stored.clone(),
+            stored_record: stored,
+        }
     }
 
     /// Treats all machines as leased to other instances at `now`, since it is not known which are.
@@ -93,11 +92,21 @@
         lease.is_some_and(is_other) || self.others_until.is_some_and(|until| now <= until)
     }
 
-    /// Returns whether an earlier owner may have commanded the maintenance of a machine for a wave,
-    /// so that the machine may still go down.
-    pub(super) fn may_be_taken_down(&self, machine: &str, wave: WaveNumber, now: Moment) -> bool {
-        let inherited = self.leases.get(machine).and_then(|lease| lease.inherited_maintenance);
-        inherited.is_some_and(|inherited| inherited.wave == wave && now < inherited.until)
+    /// Returns the waves for which a machine is recorded as commanded: a later owner would have to
+    /// count it as down.
+    pub(super) fn recorded_waves(&self, machine: &str) -> impl Iterator<Item = WaveNumber> {
+        let lease = self.leases.get(machine).and_then(|lease| lease.command.wave());
+        let stored = self.stored_record.get(machine).and_then(CommandedMachine::wave);
+        lease.into_iter().chain(stored)
+    }
+
+    /// Records that the maintenance of a machine for a wave has been carried out.
+    pub(super) fn end_maintenance(&mut self, machine: &str, wave: WaveNumber) {
+        let Some(lease) = self.leases.get_mut(machine) else { return };
+        if lease.command.wave() == Some(wave) {
+            lease.command = CommandedMachine::new(Arc::clone(lease.command.instance()), None);
+            lease.inherited_until = None;
+        }
     }
 
     /// Acquires or renews the lease on a machine for a move, or for its maintenance in a wave, unless
@@ -118,7 +127,7 @@
             command: command.clone(),
             until,
             is_stored: false,
-            inherited_maintenance: None,
+            inherited_until: None,
         });
         let is_own = *lease.command.instance() == self.instance;
         // Maintenance stays recorded when the machine is moved: its command may still be executed.
@@ -157,6 +166,7 @@
 
     /// Marks the leases of a stored record as stored.
     pub(super) fn mark_stored(&mut self, record: &CommandedMachinesRecord) {
+        self.stored_record = record.clone();
         for (machine, command) in record {
             if let Some(lease) = self.leases.get_mut(machine) {
                 lease.is_stored |= lease.command == *command;
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -142,6 +142,7 @@
         {
             progress.begun.entry(machine.clone()).or_insert(now);
             progress.draining.remove(machine);
+            self.machine_leases.end_maintenance(machine, *wave);
             self.raise_write_urgency(WriteUrgency::High);
         }
         self.is_machine_list_requested = true;
@@ -184,7 +185,7 @@
         now: Moment,
         commands: &mut Vec<Command>,
     ) {
-        let down = self.down_count(progress, now);
+        let down = self.taken_places(progress);
         let mut remaining = self.remaining_machines(progress, now);
         for slot in remaining.iter().filter_map(|(_, slot)| *slot) {
             self.workers[slot].is_maintenance_due = true;
@@ -193,13 +194,13 @@
         let down_allowed_max = progress.wave.concurrent_max.saturating_sub(down);
         let down_allowed_now = planned_down.saturating_sub(down);
         let number = progress.wave.number;
-        // A machine that an earlier owner may have commanded counts as down until it is maintained.
+        // A machine that may go down already takes a place until it is known to have been maintained.
         // Machines with long-running tasks take longest to drain, so they come before the others.
         remaining.sort_by_cached_key(|(machine, slot)| {
             let runs = slot.map_or(0, |slot| 1 + self.workers[slot].runs.len());
             let has_long_running = slot.is_some_and(|slot| self.hosts_long_running(slot));
             (
-                !self.machine_leases.may_be_taken_down(&machine.id, number, now),
+                !self.may_go_down(&machine.id, progress),
                 !progress.draining.contains_key(&machine.id),
                 !has_long_running,
                 runs,
@@ -210,8 +211,8 @@
         let force_after = progress.wave.time_limit.mul_f64(FORCE_AFTER_SHARE);
         let is_late = now.saturating_sub(progress.since) > force_after;
         let mut going_down: Vec<InstanceId> = Vec::new();
-        // Machines that are taken down as soon as their lease is stored.
-        let mut awaiting_lease = 0;
+        // Machines that take a place from now on.
+        let mut new_places = 0;
         let mut draining: BTreeSet<InstanceId> = BTreeSet::new();
         let mut delays = WaveDelays::default();
         let remaining_count = remaining.len();
@@ -224,11 +225,14 @@
             let is_pending = self.open_commands.may_go_down_for(&machine.id, number);
             let is_surplus = slot.is_none_or(|slot| self.is_surplus(slot));
             let limit = if is_surplus { down_allowed_max } else { down_allowed_now };
-            let is_counted = self.machine_leases.may_be_taken_down(&machine.id, number, now);
-            let is_within_limit = is_counted || going_down.len() + awaiting_lease < limit;
-            if is_pending || (can_go_down && is_within_limit) {
+            let has_place = self.may_go_down(&machine.id, progress);
+            let is_within_limit = match has_place {
+                true => down <= progress.wave.concurrent_max,
+                false => new_places < limit,
+            };
+            if is_within_limit && (is_pending || can_go_down) {
+                new_places += usize::from(!has_place);
                 if !self.machine_leases.acquire(&machine.id, Some(number), now) {
-                    awaiting_lease += 1;
                     draining.insert(machine.id);
                     continue;
                 }
@@ -282,25 +286,34 @@
         self.workers[slot].counts.long_running > 0
     }
 
-    /// Returns how many machines of a wave are or may be down for maintenance.
-    fn down_count(&self, progress: &WaveProgress, now: Moment) -> usize {
-        let is_up_again = |machine: &InstanceId, begun: Moment| {
-            let listed = self.machines.get(machine);
-            let is_listed_after = self.machines_listed_at.is_some_and(|at| at > begun);
-            let is_up =
-                |listed: &Machine| matches!(listed.state, MachineState::Up | MachineState::Moving);
-            is_listed_after && listed.is_none_or(is_up)
+    /// Returns how many machines of a wave are or may be down for maintenance. Each takes one of the
+    /// places that the wave has.
+    fn taken_places(&self, progress: &WaveProgress) -> usize {
+        let takes_place = |machine: &&InstanceId| {
+            self.is_down(machine, progress) || self.may_go_down(machine, progress)
         };
-        let begun =
-            progress.begun.iter().filter(|(machine, at)| !is_up_again(machine, **at)).count();
-        let others_down = progress.wave.machines.iter().filter(|machine| {
-            let is_commanded = self.open_commands.may_go_down(machine)
-                || self.machine_leases.may_be_taken_down(machine, progress.wave.number, now);
-            let listed = self.machines.get(machine);
-            let down = listed.is_some_and(|listed| listed.state == MachineState::Maintenance);
-            (is_commanded || down) && !progress.begun.contains_key(*machine)
-        });
-        begun + others_down.count()
+        progress.wave.machines.iter().filter(takes_place).count()
+    }
+
+    /// Returns whether a machine is down for maintenance, or has gone down and is not known to be up
+    /// again.
+    fn is_down(&self, machine: &InstanceId, progress: &WaveProgress) -> bool {
+        let listed = self.machines.get(machine).map(|listed| listed.state);
+        let Some(begun) = progress.begun.get(machine) else {
+            return listed == Some(MachineState::Maintenance);
+        };
+        let is_listed_after = self.machines_listed_at.is_some_and(|at| at > *begun);
+        let is_up = matches!(listed, None | Some(MachineState::Up | MachineState::Moving));
+        !is_listed_after || !is_up
+    }
+
+    /// Returns whether a command on the way, or one that an earlier owner may have sent, may take a
+    /// machine down. Further commands of a wave for which it has gone down change nothing.
+    fn may_go_down(&self, machine: &str, progress: &WaveProgress) -> bool {
+        let open = self.open_commands.open_waves(machine);
+        let mut waves = open.chain(self.machine_leases.recorded_waves(machine));
+        let is_begun = progress.begun.contains_key(machine);
+        waves.any(|wave| !is_begun || wave != progress.wave.number)
     }
 
     /// Returns the machines of a wave that are up and whose maintenance has not started, with their
--- a/crates/jobs/src/scheduler/write_batch.rs
+++ b/crates/jobs/src/scheduler/write_batch.rs
@@ -83,7 +83,8 @@
     states: Vec<JobId>,
     /// Jobs in the write with the number of their crashes.
     crashes: Vec<(JobId, u32)>,
-    commanded_machines: CommandedMachinesRecord,
+    /// The record of commanded machines, if it is written.
+    commanded_machines: Option<CommandedMachinesRecord>,
 }
 
 impl WriteBatch {
@@ -302,7 +303,7 @@
             Ok(bytes) => batch.puts.push((COMMANDED_MACHINES_KEY.into(), bytes)),
             Err(error) => return log_encode_error(0, &error.into()),
         }
-        batch.commanded_machines = commanded_machines;
+        batch.commanded_machines = Some(commanded_machines);
     }
 
     fn collect_waiting(&mut self, now: Moment, batch: &mut WriteBatch) {
@@ -407,7 +408,9 @@
             self.mark_start_stored(*id);
         }
         self.mark_crashes_stored(&batch.crashes);
-        self.machine_leases.mark_stored(&batch.commanded_machines);
+        if let Some(record) = &batch.commanded_machines {
+            self.machine_leases.mark_stored(record);
+        }
         self.mark_wave_statuses_stored(&batch.waves);
         self.mark_ends_stored(now);
     }
