Move no machine to which a command may still be executed

Work on a machine that is moved or maintained late is lost.

Change: a machine is idle only if no command to it may still be executed, of whatever kind. A list that shows the machine at the target of a move without a response settles the move.

--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -214,6 +214,7 @@
     /// Returns whether a machine can move now without stopping any run.
     fn is_idle(&self, machine: &Machine, now: Moment) -> bool {
         if machine.state != MachineState::Up
+            || self.may_leave(&machine.id)
             || self.machine_leases.is_leased_to_other(&machine.id, now)
         {
             return false;
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -7,6 +7,7 @@
 use cassiafold_platform::Moment;
 
 use super::machine_leases::LATE_COMMAND_MAX;
+use super::machine_list::MachineList;
 use crate::clients::MachineOutcome;
 use crate::cluster::WaveNumber;
 
@@ -63,14 +64,20 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Effect {
     Maintenance(WaveNumber),
-    Move,
+    Move(ServiceId),
+}
+
+impl Effect {
+    fn is_maintenance(&self) -> bool {
+        matches!(self, Self::Maintenance(_))
+    }
 }
 
 impl From<&MachineCommand> for Effect {
     fn from(command: &MachineCommand) -> Self {
         match command {
             MachineCommand::Maintain { wave, .. } => Self::Maintenance(*wave),
-            MachineCommand::Move { .. } => Self::Move,
+            MachineCommand::Move { service, .. } => Self::Move(service.clone()),
         }
     }
 }
@@ -84,6 +91,13 @@
     executable_until: Moment,
 }
 
+impl OpenAttempt {
+    /// Returns whether the outcome of the attempt is awaited.
+    fn is_awaited(&self) -> bool {
+        self.executable_until == Moment::MAX
+    }
+}
+
 /// The commands to machines that may still be executed.
 ///
 /// An outcome settles the attempt to which it belongs and no other. Only the maintenance of one wave
@@ -103,7 +117,7 @@
         let number = self.last_number;
         let effect = Effect::from(&command);
         let machine = command.machine().clone();
-        if effect != Effect::Move {
+        if effect.is_maintenance() {
             self.maintenance_sent.insert(machine.clone(), now);
         }
         let attempt = OpenAttempt { number, effect, executable_until: Moment::MAX };
@@ -129,7 +143,7 @@
                 let effect = Effect::from(&attempt.command);
                 let is_settled = |open: &OpenAttempt| {
                     open.number == attempt.number
-                        || (effect != Effect::Move && open.effect == effect)
+                        || (effect.is_maintenance() && open.effect == effect)
                 };
                 attempts.retain(|open| !is_settled(open));
             }
@@ -150,6 +164,19 @@
         });
     }
 
+    /// Settles the moves without a response that a list of machines shows as executed.
+    pub(super) fn settle_listed_moves(&mut self, machines: &MachineList) {
+        self.attempts.retain(|machine, attempts| {
+            let service = machines.get(machine).map(|machine| &machine.service);
+            let is_executed = |open: &OpenAttempt| match &open.effect {
+                Effect::Move(target) => service == Some(target) && !open.is_awaited(),
+                Effect::Maintenance(_) => false,
+            };
+            attempts.retain(|open| !is_executed(open));
+            !attempts.is_empty()
+        });
+    }
+
     /// Returns until when a command to a machine may be executed; `None` if none is open.
     pub(super) fn executable_until(&self, machine: &str) -> Option<Moment> {
         self.attempts.get(machine)?.iter().map(|open| open.executable_until).max()
@@ -159,7 +186,7 @@
     pub(super) fn open_waves(&self, machine: &str) -> impl Iterator<Item = WaveNumber> {
         self.attempts.get(machine).into_iter().flatten().filter_map(|open| match open.effect {
             Effect::Maintenance(wave) => Some(wave),
-            Effect::Move => None,
+            Effect::Move(_) => None,
         })
     }
 
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -52,6 +52,7 @@
             return;
         }
         let machines = MachineList::new(machines);
+        self.open_commands.settle_listed_moves(&machines);
         let leaving: Vec<WorkerSlot> = (0..self.workers.len())
             .filter(|slot| {
                 let worker = &self.workers[*slot];
@@ -316,6 +317,13 @@
         waves.any(|wave| !is_begun || wave != progress.wave.number)
     }
 
+    /// Returns whether a command to a machine, of whatever kind and whoever sent it, may still be
+    /// executed.
+    pub(super) fn may_leave(&self, machine: &str) -> bool {
+        self.open_commands.executable_until(machine).is_some()
+            || self.machine_leases.recorded_waves(machine).next().is_some()
+    }
+
     /// Returns the machines of a wave that are up and whose maintenance has not started, with their
     /// workers. Machines that are leased to another instance are left out.
     fn remaining_machines(
