Count tasks on machines that may leave as unavailable

What callers saw: two tasks of a step whose budget is one end together (AVAIL) beside waves whose commands get no response.

Cause: maintenance was sent again every 0.7 s whatever had become of the other tasks of the steps there; and tasks on a machine that an earlier owner may have commanded counted as available.

Change: each attempt has to be within the budgets. A task counts as unavailable while any command to its machine may still be executed, whoever sent it. An earlier owner's command is settled by maintenance that this one has had accepted, or after the 13 s in which it may be executed.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -403,7 +403,7 @@
             interference: Interference::default(),
             interference_report: InterferenceReport::default(),
             waves: BTreeMap::new(),
-            open_commands: OpenCommands::default(),
+            open_commands: OpenCommands::new(term.commanded_machines.keys().cloned(), now),
             team_buckets: HashMap::new(),
             last_waiting_record: None,
             last_full_plan: now,
--- a/crates/jobs/src/scheduler/budget.rs
+++ b/crates/jobs/src/scheduler/budget.rs
@@ -138,14 +138,19 @@
     }
 
     /// Returns whether a long-running task is available. A run that a previous owner stopped may
-    /// still be reported as running for a while.
+    /// still be reported as running for a while, and its machine may be commanded away already.
     fn is_task_available(&self, slot: WorkerSlot, task: TaskId, now: Moment) -> bool {
         let worker = &self.workers[slot];
         let Some(run) = worker.runs.get(&task) else { return false };
         let may_be_stopping =
             run.is_adopted && now < run.since + self.settings.stop_grace_period + STOP_MARGIN;
+        let may_leave = worker
+            .machine
+            .as_deref()
+            .is_some_and(|machine| self.open_commands.may_be_executed(machine));
         worker.is_confirmed
             && !worker.is_leaving
+            && !may_leave
             && !may_be_stopping
             && !run.has_ended
             && run.phase == RunPhase::Running
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -1,6 +1,6 @@
 //! Commands to machines, and which of them may still be executed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 
 use cassiafold_config::{InstanceId, ServiceId};
@@ -102,8 +102,12 @@
 ///
 /// An outcome settles the attempt to which it belongs and no other. Only the maintenance of one wave
 /// is an exception: the platform carries it out once, so one accepted attempt settles all.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OpenCommands {
+    /// Machines to which an earlier owner may have sent commands, of which nothing else is known.
+    inherited: HashSet<InstanceId>,
+    /// Until when those commands may be executed.
+    inherited_until: Moment,
     last_number: AttemptNumber,
     attempts: HashMap<InstanceId, Vec<OpenAttempt>>,
     /// When each machine was last sent a command for maintenance.
@@ -111,6 +115,17 @@
 }
 
 impl OpenCommands {
+    /// Creates the commands that are open at the start of a term, at `now`.
+    pub(super) fn new(inherited: impl Iterator<Item = InstanceId>, now: Moment) -> Self {
+        Self {
+            inherited: inherited.collect(),
+            inherited_until: now + LATE_COMMAND_MAX,
+            last_number: 0,
+            attempts: HashMap::new(),
+            maintenance_sent: HashMap::new(),
+        }
+    }
+
     /// Adds an attempt that is sent now.
     pub(super) fn send(&mut self, command: MachineCommand, now: Moment) -> MachineAttempt {
         self.last_number += 1;
@@ -133,6 +148,10 @@
         now: Moment,
     ) {
         let machine = attempt.command.machine();
+        let effect = Effect::from(&attempt.command);
+        if outcome == MachineOutcome::Accepted && effect.is_maintenance() {
+            self.inherited.remove(machine);
+        }
         let Some(attempts) = self.attempts.get_mut(machine) else { return };
         match outcome {
             MachineOutcome::Unknown => {
@@ -140,7 +159,6 @@
                 sent.for_each(|open| open.executable_until = now + LATE_COMMAND_MAX);
             }
             MachineOutcome::Accepted => {
-                let effect = Effect::from(&attempt.command);
                 let is_settled = |open: &OpenAttempt| {
                     open.number == attempt.number
                         || (effect.is_maintenance() && open.effect == effect)
@@ -158,6 +176,9 @@
 
     /// Forgets the attempts that can no longer be executed.
     pub(super) fn expire(&mut self, now: Moment) {
+        if now >= self.inherited_until {
+            self.inherited.clear();
+        }
         self.attempts.retain(|_, attempts| {
             attempts.retain(|open| now < open.executable_until);
             !attempts.is_empty()
@@ -182,6 +203,11 @@
         self.attempts.get(machine)?.iter().map(|open| open.executable_until).max()
     }
 
+    /// Returns whether a command to a machine may still be executed, whoever sent it.
+    pub(super) fn may_be_executed(&self, machine: &str) -> bool {
+        self.attempts.contains_key(machine) || self.inherited.contains(machine)
+    }
+
     /// Returns the waves for whose maintenance a machine may still go down.
     pub(super) fn open_waves(&self, machine: &str) -> impl Iterator<Item = WaveNumber> {
         self.attempts.get(machine).into_iter().flatten().filter_map(|open| match open.effect {
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -220,10 +220,10 @@
         for (machine, slot) in remaining {
             let since = progress.draining.get(&machine.id).copied();
             let drained_for = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
-            let wait_for_short_tasks = !is_late && drained_for < DRAINING_MAX;
+            let is_sent = self.open_commands.may_go_down_for(&machine.id, number);
+            let wait_for_short_tasks = !is_sent && !is_late && drained_for < DRAINING_MAX;
             let can_go_down =
                 slot.is_none_or(|slot| self.can_take_down(slot, wait_for_short_tasks, now));
-            let is_pending = self.open_commands.may_go_down_for(&machine.id, number);
             let is_surplus = slot.is_none_or(|slot| self.is_surplus(slot));
             let limit = if is_surplus { down_allowed_max } else { down_allowed_now };
             let has_place = self.may_go_down(&machine.id, progress);
@@ -231,7 +231,7 @@
                 true => down <= progress.wave.concurrent_max,
                 false => new_places < limit,
             };
-            if is_within_limit && (is_pending || can_go_down) {
+            if is_within_limit && can_go_down {
                 new_places += usize::from(!has_place);
                 if !self.machine_leases.acquire(&machine.id, Some(number), now) {
                     draining.insert(machine.id);
