Send a move without a response again while its machine is needed

Cause: a move without a response was abandoned instead of sent again, though the platform executes it once.

Change: it is sent again, within the rate of moves, while its service needs the machine. Once one attempt is known to be executed, the others change nothing unless the machine is moved elsewhere, which waits for them.

--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -26,7 +26,8 @@
 const ISSUE_TIME_MAX_S: f64 = 1.5;
 /// Maximum age of a list of machines that is used.
 const MACHINE_LIST_AGE_MAX: Duration = Duration::from_millis(2_000);
-/// A move that the list of machines does not show after this time is abandoned.
+/// A move that the list of machines does not show after this time, and that can no longer be
+/// executed, is abandoned.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// A machine counts as idle once its worker has had no work for this time.
 const IDLE_AFTER: Duration = Duration::from_millis(300);
@@ -60,7 +61,8 @@
         self.unresponsive_machines.update(self.list_unresponsive_machines(), now);
         let mut pools = self.pools(now);
         let is_short = self.divide_machines(&mut pools);
-        let moves = choose_moves(&pools, self.moves_max());
+        let resent = self.resend_moves(&pools);
+        let moves = choose_moves(&pools, self.moves_max().saturating_sub(resent));
         self.surplus_machines = count_surplus(&pools);
         if !moves.is_empty() {
             log_pools(&pools, moves.len(), is_short);
@@ -87,6 +89,30 @@
         (commands * MOVES_SHARE).ceil().max(1.0) as usize
     }
 
+    /// Sends the moves without a response again whose machines are still needed. A move that was
+    /// executed is not executed again. Returns the number of moves.
+    fn resend_moves(&mut self, pools: &BTreeMap<ServiceId, Pool>) -> usize {
+        let is_needed = |service: &ServiceId| {
+            let pool = pools.get(service);
+            pool.is_some_and(|pool| !pool.is_spare && pool.machines <= pool.needed)
+        };
+        let unanswered = self.moving_machines.iter().filter(|(machine, (service, _))| {
+            is_needed(service)
+                && self.open_commands.is_move_unanswered(machine)
+                && !self.pending_moves.iter().any(|pending| pending.machine() == *machine)
+        });
+        let moves: Vec<MachineCommand> = unanswered
+            .take(self.moves_max())
+            .map(|(machine, (service, _))| MachineCommand::Move {
+                machine: machine.clone(),
+                service: service.clone(),
+            })
+            .collect();
+        let count = moves.len();
+        self.pending_moves.extend(moves);
+        count
+    }
+
     /// Issues the moves for which the lease on the machine is stored.
     pub(super) fn issue_machine_moves(&mut self, now: Moment, commands: &mut Vec<Command>) {
         for command in std::mem::take(&mut self.pending_moves) {
@@ -105,11 +131,13 @@
     fn remove_finished_moves(&mut self, now: Moment) {
         let machines = &self.machines;
         let listed = self.machines_listed_at;
+        let open_commands = &self.open_commands;
         self.moving_machines.retain(|id, (service, decided_at)| {
             let machine = machines.get(id);
             let is_listed_after = listed.is_some_and(|at| at > *decided_at);
             let is_done = machine.is_none_or(|machine| machine.service == *service);
-            !(is_listed_after && is_done) && now < *decided_at + MOVE_TIMEOUT
+            let may_be_executed = open_commands.may_leave_until(id).is_some();
+            !(is_listed_after && is_done) && (may_be_executed || now < *decided_at + MOVE_TIMEOUT)
         });
     }
 
@@ -214,7 +242,7 @@
     /// Returns whether a machine can move now without stopping any run.
     fn is_idle(&self, machine: &Machine, now: Moment) -> bool {
         if machine.state != MachineState::Up
-            || self.may_leave(&machine.id)
+            || self.is_commanded(&machine.id)
             || self.machine_leases.is_leased_to_other(&machine.id, now)
         {
             return false;
--- a/crates/jobs/src/scheduler/budget.rs
+++ b/crates/jobs/src/scheduler/budget.rs
@@ -144,10 +144,8 @@
         let Some(run) = worker.runs.get(&task) else { return false };
         let may_be_stopping =
             run.is_adopted && now < run.since + self.settings.stop_grace_period + STOP_MARGIN;
-        let may_leave = worker
-            .machine
-            .as_deref()
-            .is_some_and(|machine| self.open_commands.may_be_executed(machine));
+        let may_leave =
+            worker.machine.as_deref().is_some_and(|machine| self.open_commands.may_leave(machine));
         worker.is_confirmed
             && !worker.is_leaving
             && !may_leave
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -89,6 +89,9 @@
     effect: Effect,
     /// Until when it may be executed; without limit while its outcome is awaited.
     executable_until: Moment,
+    /// Whether another attempt of the same move was executed, so that this one changes nothing
+    /// unless the machine is moved elsewhere.
+    is_repeat: bool,
 }
 
 impl OpenAttempt {
@@ -135,7 +138,8 @@
         if effect.is_maintenance() {
             self.maintenance_sent.insert(machine.clone(), now);
         }
-        let attempt = OpenAttempt { number, effect, executable_until: Moment::MAX };
+        let attempt =
+            OpenAttempt { number, effect, executable_until: Moment::MAX, is_repeat: false };
         self.attempts.entry(machine).or_default().push(attempt);
         MachineAttempt { number, command }
     }
@@ -164,6 +168,7 @@
                         || (effect.is_maintenance() && open.effect == effect)
                 };
                 attempts.retain(|open| !is_settled(open));
+                mark_repeats(attempts, &effect);
             }
             MachineOutcome::Busy | MachineOutcome::Fenced | MachineOutcome::Refused => {
                 attempts.retain(|open| open.number != attempt.number);
@@ -188,24 +193,38 @@
     /// Settles the moves without a response that a list of machines shows as executed.
     pub(super) fn settle_listed_moves(&mut self, machines: &MachineList) {
         self.attempts.retain(|machine, attempts| {
-            let service = machines.get(machine).map(|machine| &machine.service);
-            let is_executed = |open: &OpenAttempt| match &open.effect {
-                Effect::Move(target) => service == Some(target) && !open.is_awaited(),
-                Effect::Maintenance(_) => false,
-            };
-            attempts.retain(|open| !is_executed(open));
-            !attempts.is_empty()
+            let Some(listed) = machines.get(machine) else { return true };
+            let executed = Effect::Move(listed.service.clone());
+            match &attempts[..] {
+                [only] if only.effect == executed && !only.is_awaited() => return false,
+                _ => mark_repeats(attempts, &executed),
+            }
+            true
         });
     }
 
-    /// Returns until when a command to a machine may be executed; `None` if none is open.
-    pub(super) fn executable_until(&self, machine: &str) -> Option<Moment> {
-        self.attempts.get(machine)?.iter().map(|open| open.executable_until).max()
+    /// Returns whether a move of a machine had no response, and none is awaited.
+    pub(super) fn is_move_unanswered(&self, machine: &str) -> bool {
+        let attempts = self.attempts.get(machine).map_or(&[][..], Vec::as_slice);
+        attempts.iter().any(|open| matches!(open.effect, Effect::Move(_)) && !open.is_repeat)
+            && !attempts.iter().any(OpenAttempt::is_awaited)
+    }
+
+    /// Returns until when a command may take a machine away; `None` if none may.
+    pub(super) fn may_leave_until(&self, machine: &str) -> Option<Moment> {
+        let effective = self.attempts.get(machine)?.iter().filter(|open| !open.is_repeat);
+        effective.map(|open| open.executable_until).max()
     }
 
-    /// Returns whether a command to a machine may still be executed, whoever sent it.
-    pub(super) fn may_be_executed(&self, machine: &str) -> bool {
-        self.attempts.contains_key(machine) || self.inherited.contains(machine)
+    /// Returns whether a command may take a machine away, whoever sent it.
+    pub(super) fn may_leave(&self, machine: &str) -> bool {
+        self.may_leave_until(machine).is_some() || self.inherited.contains(machine)
+    }
+
+    /// Returns whether an attempt for a machine may still be executed, even if it changes nothing
+    /// while the machine stays.
+    pub(super) fn has_attempts(&self, machine: &str) -> bool {
+        self.attempts.contains_key(machine)
     }
 
     /// Returns the waves for whose maintenance a machine may still go down.
@@ -226,3 +245,9 @@
         self.maintenance_sent.get(machine).copied()
     }
 }
+
+/// Marks the other attempts of a move that was executed.
+fn mark_repeats(attempts: &mut [OpenAttempt], executed: &Effect) {
+    let is_same = |open: &&mut OpenAttempt| !executed.is_maintenance() && open.effect == *executed;
+    attempts.iter_mut().filter(is_same).for_each(|open| open.is_repeat = true);
+}
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -70,7 +70,7 @@
             // The command had been executed before: this is the worker that started after it.
             let machine = self.workers[slot].machine.as_deref();
             let open_until =
-                machine.and_then(|machine| self.open_commands.executable_until(machine));
+                machine.and_then(|machine| self.open_commands.may_leave_until(machine));
             let worker = &mut self.workers[slot];
             if open_until.is_some() {
                 worker.leaving_since = open_until;
@@ -120,10 +120,11 @@
             self.machine_leases.extend(command.machine(), now + LATE_COMMAND_MAX);
         }
         self.open_commands.settle(attempt, outcome, now);
-        let open_until = self.open_commands.executable_until(command.machine());
+        let open_until = self.open_commands.may_leave_until(command.machine());
         let may_be_moving = accepted || outcome == MachineOutcome::Unknown;
         if let MachineCommand::Move { machine, .. } = command
             && !may_be_moving
+            && open_until.is_none()
         {
             self.moving_machines.remove(machine);
         }
@@ -317,10 +318,10 @@
         waves.any(|wave| !is_begun || wave != progress.wave.number)
     }
 
-    /// Returns whether a command to a machine, of whatever kind and whoever sent it, may still be
-    /// executed.
-    pub(super) fn may_leave(&self, machine: &str) -> bool {
-        self.open_commands.executable_until(machine).is_some()
+    /// Returns whether a machine may still be moved or maintained by a command that was sent or is
+    /// about to be sent.
+    pub(super) fn is_commanded(&self, machine: &str) -> bool {
+        self.open_commands.has_attempts(machine)
             || self.machine_leases.recorded_waves(machine).next().is_some()
     }
 
