Take a worker for leaving only while a command to its machine is on the way

Cause: each planning pass marked the workers of the machines that it chose for maintenance as leaving, also those to which no command was sent because the last attempt was too recent. After a refusal the mark stayed until the next attempt, which the limit and the budgets may now put off, and the tasks there counted as unavailable.

Change: the mark is set when a command is sent.

Test: a_worker_whose_maintenance_was_refused_is_not_leaving failed before.

--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -238,9 +238,6 @@
                     draining.insert(machine.id);
                     continue;
                 }
-                if let Some(slot) = slot {
-                    self.workers[slot].is_leaving = true;
-                }
                 going_down.push(machine.id);
                 continue;
             }
@@ -392,11 +389,8 @@
         if last_sent.is_some_and(|sent| now.saturating_sub(sent) < COMMAND_RETRY_INTERVAL) {
             return;
         }
-        self.send_machine_command(
-            MachineCommand::Maintain { machine, wave: number },
-            now,
-            commands,
-        );
+        let command = MachineCommand::Maintain { machine, wave: number };
+        self.send_machine_command(command, now, commands);
     }
 
     /// Sends a command to a machine.
@@ -408,7 +402,11 @@
     ) {
         let attempt = self.open_commands.send(command, now);
         let MachineAttempt { number, command } = &attempt;
-        let worker = self.worker_on_machine(command.machine()).map(|slot| &self.workers[slot]);
+        let slot = self.worker_on_machine(command.machine());
+        if let Some(slot) = slot {
+            self.workers[slot].is_leaving = true;
+        }
+        let worker = slot.map(|slot| &self.workers[slot]);
         emit!(
             target: LOG_TARGET,
             JobsEvent::MachineCommandSent,
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -227,3 +227,16 @@
     run_with_lists(&mut harness, ms(2_000));
     assert!(harness.machine_commands.len() > 1, "it is back");
 }
+
+/// Guards against tasks that count as unavailable though nothing happens to their worker.
+#[test]
+fn a_worker_whose_maintenance_was_refused_is_not_leaving() {
+    let mut harness = SchedulerHarness::new(1, OwnerTerm::default());
+    harness.set_machines(SchedulerHarness::machines(1, MachineState::Up));
+    harness.set_wave(&[0], 1);
+    harness.run_for(ms(300));
+    assert!(harness.scheduler.worker(0).is_leaving);
+    harness.answer(&harness.machine_commands[0].clone(), MachineOutcome::Busy);
+    harness.run_for(ms(100));
+    assert!(!harness.scheduler.worker(0).is_leaving, "no command is on the way");
+}
