Apply a changed limit of a wave

Cause: a wave kept the definition that its owner had read first. A limit that the operator lowered meanwhile held only after a change of the owner.

Change: the latest definition replaces the one before. Machines that are down or may go down keep their places; no other is commanded while the new limit is used up.

Test: a_lowered_limit_of_a_wave_holds_for_the_next_machines failed before (left: six commands, right: none).

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -442,6 +442,7 @@
             let stored = self.term.waves.get(&wave.number);
             self.waves
                 .entry(wave.number)
+                .and_modify(|progress| progress.wave.clone_from(wave))
                 .or_insert_with(|| WaveProgress::new(wave.clone(), stored, now_unix, now));
         }
     }
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -240,3 +240,21 @@
     harness.run_for(ms(100));
     assert!(!harness.scheduler.worker(0).is_leaving, "no command is on the way");
 }
+
+/// Guards against a limit that an operator lowers while machines are down.
+#[test]
+fn a_lowered_limit_of_a_wave_holds_for_the_next_machines() {
+    let mut harness = SchedulerHarness::new(4, OwnerTerm::default());
+    harness.set_machines(SchedulerHarness::machines(4, MachineState::Up));
+    let machines = ["m0", "m1", "m2", "m3"];
+    set_wave(&mut harness, 1, &machines, 4);
+    harness.run_for(ms(300));
+    let down = harness.machine_commands.clone();
+    assert_eq!(down.len(), 4);
+    down[..2].iter().for_each(|command| harness.answer(command, MachineOutcome::Accepted));
+    down[2..].iter().for_each(|command| harness.answer(command, MachineOutcome::Busy));
+    harness.machine_commands.clear();
+    set_wave(&mut harness, 1, &machines, 2);
+    harness.run_for(ms(2_000));
+    assert_eq!(harness.machine_commands, [], "two are down");
+}
