Send a speed again for as long as an earlier command may be carried out

What callers saw: nothing so far; found while looking for the same cause. A task that fills beside tasks that serve users could keep a speed of an earlier command, which its worker had carried out late.

Cause: a command to a worker without a response counted as lost after 5 s. Workers carry commands out up to 12 s late.

Change: the term of commands to machines, 13 s, holds for these too; it stands once.

Test: a_speed_is_commanded_again_while_an_earlier_command_may_still_be_- carried_out had the 5 s as its bound, which came from the code. It now has the 12 s, and failed before (left None, right Some(100)).

--- a/crates/jobs/src/clients.rs
+++ b/crates/jobs/src/clients.rs
@@ -302,6 +302,9 @@
     ) -> impl Future<Output = Result<PolicyResponse, PolicyError>> + Send;
 }
 
+/// Longest time after which a command without a response may still be executed.
+pub const LATE_COMMAND_MAX: Duration = Duration::from_secs(13);
+
 /// Outcome of a command to a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachineOutcome {
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -6,9 +6,8 @@
 use cassiafold_config::{InstanceId, ServiceId};
 use cassiafold_platform::Moment;
 
-use super::machine_leases::LATE_COMMAND_MAX;
 use super::machine_list::MachineList;
-use crate::clients::MachineOutcome;
+use crate::clients::{LATE_COMMAND_MAX, MachineOutcome};
 use crate::cluster::WaveNumber;
 
 /// Number of an attempt to execute a command; it rises with each attempt of an owner.
--- a/crates/jobs/src/scheduler/machine_leases.rs
+++ b/crates/jobs/src/scheduler/machine_leases.rs
@@ -12,12 +12,10 @@
 use cassiafold_config::InstanceId;
 use cassiafold_platform::Moment;
 
+use crate::clients::LATE_COMMAND_MAX;
 use crate::cluster::WaveNumber;
 use crate::record::{CommandedMachine, CommandedMachinesRecord};
 
-/// Longest time after which a command without a response may still be executed.
-pub(super) const LATE_COMMAND_MAX: Duration = Duration::from_secs(13);
-
 /// Lease of the instance that last sent a command to a machine.
 #[derive(Debug)]
 struct MachineLease {
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -8,11 +8,10 @@
 use cassiafold_platform::Moment;
 
 use super::machine_commands::{MachineAttempt, MachineCommand};
-use super::machine_leases::LATE_COMMAND_MAX;
 use super::machine_list::MachineList;
 use super::wave_progress::{WaveDelays, WaveProgress, planned_down};
 use super::{Command, Scheduler, WriteUrgency};
-use crate::clients::MachineOutcome;
+use crate::clients::{LATE_COMMAND_MAX, MachineOutcome};
 use crate::cluster::{Machine, MachineState, WaveNumber};
 use crate::event::JobsEvent;
 use crate::incarnation::IncarnationEnd;
--- a/crates/jobs/src/throttle.rs
+++ b/crates/jobs/src/throttle.rs
@@ -4,7 +4,7 @@
 
 use cassiafold_platform::Moment;
 
-use crate::clients::CommandOutcome;
+use crate::clients::{CommandOutcome, LATE_COMMAND_MAX};
 
 /// Share of the tail latency target above which opportunistic tasks on the worker are slowed down.
 const LOAD_HIGH: f64 = 0.95;
@@ -19,8 +19,6 @@
 /// Speed that a run of a previous owner is taken to have, in percent. It may have been paused, and
 /// disturbs others at once if it is too fast.
 const ADOPTED_SPEED_PERCENT: u8 = 50;
-/// Time in which a worker may still carry out a command whose response was lost.
-const LATE_COMMAND_TIME: Duration = Duration::from_secs(5);
 
 /// Speed of a run as it was commanded last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,7 +61,7 @@
     pub fn handle_outcome(&mut self, percent: u8, outcome: CommandOutcome, now: Moment) {
         match outcome {
             CommandOutcome::Accepted => self.is_confirmed = percent == self.percent,
-            CommandOutcome::Unknown => self.late_command_until = now + LATE_COMMAND_TIME,
+            CommandOutcome::Unknown => self.late_command_until = now + LATE_COMMAND_MAX,
             CommandOutcome::Refused(_) | CommandOutcome::NotSent => {}
         }
     }
--- a/crates/jobs/tests/throttling.rs
+++ b/crates/jobs/tests/throttling.rs
@@ -23,6 +23,9 @@
 const NEAR_MS: u32 = 85;
 const BUSY_MS: u32 = 500;
 
+/// Longest time after which workers carry a command out whose response was lost.
+const LATEST_EXECUTION: Duration = ms(12_000);
+
 /// A run that a previous owner started, as the worker reports it.
 fn run_of(job: JobId, load_metric: u32) -> RunningRun {
     let task = TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 };
@@ -110,13 +113,14 @@
 fn a_speed_is_commanded_again_while_an_earlier_command_may_still_be_carried_out() {
     let mut speed = Speed::FULL;
     let now = ms(10_000);
+    let last = now + LATEST_EXECUTION;
     assert_eq!(speed.next_command(Some(2.0), now), Some(50));
     speed.handle_outcome(50, CommandOutcome::Unknown, now);
     assert_eq!(speed.next_command(None, now + ms(600)), Some(100));
     speed.handle_outcome(100, CommandOutcome::Accepted, now + ms(600));
-    assert_eq!(speed.next_command(None, now + ms(4_999)), Some(100));
-    speed.handle_outcome(100, CommandOutcome::Accepted, now + ms(4_999));
-    assert_eq!(speed.next_command(None, now + ms(5_000)), None);
+    assert_eq!(speed.next_command(None, last), Some(100));
+    speed.handle_outcome(100, CommandOutcome::Accepted, last);
+    assert_eq!(speed.next_command(None, now + LATEST_EXECUTION + ms(1_000)), None);
 }
 
 #[test]
