Mark a worker as leaving in the pass that sends its maintenance

Change: the command is sent, and the mark set, as a machine is chosen.

Test: a_pass_takes_down_one_of_two_machines_with_tasks_of_a_step failed before (left 2, right 1).

--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -211,7 +211,7 @@
         let slots: Vec<WorkerSlot> = remaining.iter().filter_map(|(_, slot)| *slot).collect();
         let force_after = progress.wave.time_limit.mul_f64(FORCE_AFTER_SHARE);
         let is_late = now.saturating_sub(progress.since) > force_after;
-        let mut going_down: Vec<InstanceId> = Vec::new();
+        let mut commanded = 0;
         // Machines that take a place from now on.
         let mut new_places = 0;
         let mut draining: BTreeSet<InstanceId> = BTreeSet::new();
@@ -237,7 +237,8 @@
                     draining.insert(machine.id);
                     continue;
                 }
-                going_down.push(machine.id);
+                self.command_maintenance(number, machine.id, now, commands);
+                commanded += 1;
                 continue;
             }
             let has_only_short_tasks =
@@ -258,7 +259,7 @@
                 down = down,
                 limit = progress.wave.concurrent_max,
                 planned = planned_down,
-                commanded = going_down.len(),
+                commanded = commanded,
                 wait_for_budgets = budgets,
                 wait_for_short_tasks = short_tasks,
                 wait_for_pace = pace
@@ -268,9 +269,6 @@
             draining.iter().filter_map(|machine| self.worker_on_machine(machine)).collect();
         self.evict_long_running(&slots, &draining_slots, now);
         self.drain_machines(progress, draining, now);
-        for machine in going_down {
-            self.command_maintenance(number, machine, now, commands);
-        }
     }
 
     /// Returns whether a worker's machine is idle and its service has surplus machines.
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -258,3 +258,16 @@
     harness.run_for(ms(2_000));
     assert_eq!(harness.machine_commands, [], "two are down");
 }
+
+/// Guards against two tasks of a step that end together: their machines were commanded in the same
+/// pass.
+#[test]
+fn a_pass_takes_down_one_of_two_machines_with_tasks_of_a_step() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![long_running(2, Some(1))]);
+    harness.run_for(ms(1_500));
+    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    set_wave(&mut harness, 1, &["m0", "m1"], 2);
+    harness.run_for(ms(500));
+    assert_eq!(maintained(&harness).len(), 1);
+}
