--- a/crates/jobs/src/scheduler/wave_progress.rs
+++ b/crates/jobs/src/scheduler/wave_progress.rs
@@ -54,6 +54,50 @@
     }
 }
 
+/// How many machines of a wave may go down now.
+#[derive(Debug)]
+pub(super) struct WavePace {
+    /// Machines that are or may be down.
+    pub(super) taken: usize,
+    /// Machines that may be down at the time limit's pace.
+    pub(super) planned: usize,
+    /// Machines that may be down at all.
+    pub(super) limit: usize,
+    /// Machines that take a place from now on.
+    new: usize,
+}
+
+impl WavePace {
+    /// Creates the pace of a wave of which `taken` machines are or may be down and `remaining` ones
+    /// are to go down.
+    pub(super) fn new(
+        progress: &WaveProgress,
+        taken: usize,
+        remaining: usize,
+        now: Moment,
+    ) -> Self {
+        let planned = planned_down(progress, remaining + taken, now);
+        Self { taken, planned, limit: progress.wave.concurrent_max, new: 0 }
+    }
+
+    /// Returns how many machines may go down at the time limit's pace.
+    pub(super) fn allowed_now(&self) -> usize {
+        self.planned.saturating_sub(self.taken)
+    }
+
+    /// Takes a place for a machine unless it has one. Returns whether the machine may be commanded:
+    /// one that has a place, only while no more are taken than the wave has.
+    pub(super) fn take_place(&mut self, has_place: bool, is_surplus: bool) -> bool {
+        if has_place {
+            return self.taken <= self.limit;
+        }
+        let most = if is_surplus { self.limit } else { self.planned };
+        let is_free = self.taken + self.new < most;
+        self.new += usize::from(is_free);
+        is_free
+    }
+}
+
 impl WaveProgress {
     /// Creates the progress of a wave from what a previous owner stored, if anything; `now_unix` is
     /// the Unix time at `now`.
@@ -85,7 +129,7 @@
 ///
 /// A wave may start while a service is under load. Machines that are needed then go down evenly
 /// over the time limit instead of all at its start.
-pub(super) fn planned_down(progress: &WaveProgress, unfinished: usize, now: Moment) -> usize {
+fn planned_down(progress: &WaveProgress, unfinished: usize, now: Moment) -> usize {
     let planned = progress.wave.time_limit.mul_f64(1.0 - RESERVE_SHARE);
     let left = progress.since.saturating_add(planned).saturating_sub(now);
     let rounds = (left.as_secs_f64() / MAINTENANCE_TIME.as_secs_f64()).floor().max(1.0);
