Maintain nothing while commands of an unreadable record may be executed

Cause: an owner that couldn't read the record of commanded machines waited for LeaseMs, 3 s, and then took machines down, though a command of its predecessor may be executed within 13 s.

Change: waves wait for these 13 s; moves wait for LeaseMs as before.

Test: no_wave_goes_on_while_commands_of_an_unreadable_record_may_be_executed failed before.

--- a/crates/jobs/src/scheduler/machine_leases.rs
+++ b/crates/jobs/src/scheduler/machine_leases.rs
@@ -43,6 +43,8 @@
     leases: HashMap<InstanceId, MachineLease>,
     /// Until when other instances may hold leases on any machine.
     others_until: Option<Moment>,
+    /// Until when commands that are not known may be executed.
+    unknown_until: Option<Moment>,
     /// Record that is stored or in flight.
     last_record: CommandedMachinesRecord,
     /// Record that is stored.
@@ -72,6 +74,7 @@
             lease_duration,
             leases,
             others_until: None,
+            unknown_until: None,
             last_record: stored.clone(),
             stored_record: stored,
         }
@@ -80,6 +83,13 @@
     /// Treats all machines as leased to other instances at `now`, since it is not known which are.
     pub(super) fn lease_all_to_others(&mut self, now: Moment) {
         self.others_until = Some(now + self.lease_duration);
+        self.unknown_until = Some(now + LATE_COMMAND_MAX);
+    }
+
+    /// Returns whether an earlier owner may have commanded any machine, so that it may still go
+    /// down.
+    pub(super) fn has_unknown_commands(&self, now: Moment) -> bool {
+        self.unknown_until.is_some_and(|until| now < until)
     }
 
     /// Returns whether another instance may have sent a command to a machine within the last lease.
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -43,7 +43,7 @@
     /// Issues the maintenance commands that are due.
     pub(super) fn plan_maintenance(&mut self, now: Moment, commands: &mut Vec<Command>) {
         self.open_commands.expire(now);
-        if self.machines.is_empty() {
+        if self.machines.is_empty() || self.machine_leases.has_unknown_commands(now) {
             return;
         }
         for slot in self.active_slots().collect::<Vec<_>>() {
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -271,3 +271,17 @@
     harness.run_for(ms(500));
     assert_eq!(maintained(&harness).len(), 1);
 }
+
+/// Guards against one machine too many that is down: it was commanded by an earlier owner whose
+/// record can't be read.
+#[test]
+fn no_wave_goes_on_while_commands_of_an_unreadable_record_may_be_executed() {
+    let term = OwnerTerm { token: 50, has_unreadable_commands: true, ..OwnerTerm::default() };
+    let mut harness = SchedulerHarness::at_term_start(2, term);
+    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    set_wave(&mut harness, 1, &["m0", "m1"], 1);
+    run_with_lists(&mut harness, ms(12_000));
+    assert!(maintained(&harness).is_empty());
+    run_with_lists(&mut harness, ms(2_000));
+    assert_eq!(maintained(&harness).len(), 1);
+}
