Let a wave command its own machines again beside another wave

Cause: a machine that may go down for another wave took a place of this one, and with more places taken than the wave has its own machines were not commanded again.

Change: for a further attempt only the places of the wave itself count; a new machine needs a place among all. A machine that may go down for one wave is not commanded for another, so that its record names the wave that counts.

Test: a_wave_sends_its_commands_again_while_another_one_takes_its_places failed before.

--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -133,8 +133,8 @@
     }
 
     /// Returns the machines of a wave that are up and whose maintenance has not started, with their
-    /// workers, in the order in which they go down. Machines that are leased to another instance are
-    /// left out.
+    /// workers, in the order in which they go down. Machines that are leased to another instance, or
+    /// may go down for another wave, are left out.
     ///
     /// Those that may go down already come first, since they keep their places until they do. Those
     /// with long-running tasks take longest to drain, so they come before the others.
@@ -148,6 +148,7 @@
             !progress.begun.contains_key(&machine.id)
                 && machine.state == MachineState::Up
                 && !self.machine_leases.is_leased_to_other(&machine.id, now)
+                && !self.may_go_down_for_other(&machine.id, progress)
         });
         let mut remaining: Vec<(Machine, Option<WorkerSlot>)> = of_wave
             .map(|machine| {
@@ -267,7 +268,7 @@
         JobsEvent::WavePaced,
         wave = progress.wave.number,
         remaining = remaining,
-        down = pace.taken,
+        down = pace.taken.all,
         limit = pace.limit,
         planned = pace.planned,
         commanded = commanded,
--- a/crates/jobs/src/scheduler/wave_progress.rs
+++ b/crates/jobs/src/scheduler/wave_progress.rs
@@ -6,6 +6,7 @@
 use cassiafold_config::InstanceId;
 use cassiafold_platform::Moment;
 
+use super::wave_places::TakenPlaces;
 use crate::cluster::Wave;
 use crate::record::WaveRecord;
 
@@ -57,8 +58,8 @@
 /// How many machines of a wave may go down now.
 #[derive(Debug)]
 pub(super) struct WavePace {
-    /// Machines that are or may be down.
-    pub(super) taken: usize,
+    /// Places that are taken.
+    pub(super) taken: TakenPlaces,
     /// Machines that may be down at the time limit's pace.
     pub(super) planned: usize,
     /// Machines that may be down at all.
@@ -68,31 +69,30 @@
 }
 
 impl WavePace {
-    /// Creates the pace of a wave of which `taken` machines are or may be down and `remaining` ones
-    /// are to go down.
+    /// Creates the pace of a wave of which `remaining` machines are to go down.
     pub(super) fn new(
         progress: &WaveProgress,
-        taken: usize,
+        taken: TakenPlaces,
         remaining: usize,
         now: Moment,
     ) -> Self {
-        let planned = planned_down(progress, remaining + taken, now);
+        let planned = planned_down(progress, remaining + taken.all, now);
         Self { taken, planned, limit: progress.wave.concurrent_max, new: 0 }
     }
 
     /// Returns how many machines may go down at the time limit's pace.
     pub(super) fn allowed_now(&self) -> usize {
-        self.planned.saturating_sub(self.taken)
+        self.planned.saturating_sub(self.taken.all)
     }
 
     /// Takes a place for a machine unless it has one. Returns whether the machine may be commanded:
     /// one that has a place, only while no more are taken than the wave has.
     pub(super) fn take_place(&mut self, has_place: bool, is_surplus: bool) -> bool {
         if has_place {
-            return self.taken <= self.limit;
+            return self.taken.own <= self.limit;
         }
         let most = if is_surplus { self.limit } else { self.planned };
-        let is_free = self.taken + self.new < most;
+        let is_free = self.taken.all + self.new < most;
         self.new += usize::from(is_free);
         is_free
     }
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -285,3 +285,22 @@
     run_with_lists(&mut harness, ms(2_000));
     assert_eq!(maintained(&harness).len(), 1);
 }
+
+/// Guards against a wave that is late: commands of another one for the same machines kept it from
+/// sending its own again.
+#[test]
+fn a_wave_sends_its_commands_again_while_another_one_takes_its_places() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    set_wave(&mut harness, 1, &["m0", "m1"], 1);
+    harness.run_for(ms(300));
+    let command = MachineCommand::Maintain { machine: "m0".into(), wave: 1 };
+    assert_eq!(harness.machine_commands, std::slice::from_ref(&command));
+    harness.answer(&command, MachineOutcome::Unknown);
+    set_wave(&mut harness, 2, &["m1"], 1);
+    harness.run_for(ms(300));
+    assert_eq!(maintained(&harness), BTreeSet::from(["m0", "m1"]));
+    harness.machine_commands.clear();
+    run_with_lists(&mut harness, ms(1_000));
+    assert!(harness.machine_commands.contains(&command));
+}
