Record no two machines for maintenance whose tasks share a budget

Each machine that the earlier owner had commanded, moved ones among them, counted its tasks as unavailable, so that two of them with tasks of one step waited for each other. An owner also recorded such machines together, since only a command that was sent counted for the budgets.

Change: machines that are recorded for maintenance count as going down when another one is chosen. Of an earlier owner's commands only maintenance counts: it moved machines without tasks, and a move that was held up breaks no budget.

Test: machines_with_tasks_of_a_step_are_not_recorded_together failed before (left 2, right 1).

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -405,7 +405,7 @@
             interference: Interference::default(),
             interference_report: InterferenceReport::default(),
             waves: BTreeMap::new(),
-            open_commands: OpenCommands::new(term.commanded_machines.keys().cloned(), now),
+            open_commands: OpenCommands::default(),
             team_buckets: HashMap::new(),
             last_waiting_record: None,
             last_full_plan: now,
--- a/crates/jobs/src/scheduler/budget.rs
+++ b/crates/jobs/src/scheduler/budget.rs
@@ -119,7 +119,8 @@
     }
 
     /// Returns whether enough other tasks of a step are available to stop this one. Tasks on
-    /// `excluded` count as unavailable.
+    /// `excluded`, which goes down, count as unavailable, and with it those on machines that go down
+    /// before it.
     fn is_within_budget(&self, task: TaskId, excluded: Option<WorkerSlot>, now: Moment) -> bool {
         let Some(budget) = self.spec(task.step).and_then(|spec| spec.unavailable_max) else {
             return true;
@@ -130,7 +131,8 @@
         let unavailable = (0..).zip(&step.tasks).filter(|(index, other)| {
             let id = TaskId { index: *index, ..task };
             let is_available = |slot: &WorkerSlot| {
-                Some(*slot) != excluded && self.is_task_available(*slot, id, now)
+                let goes_down = excluded.is_some() && self.is_going_down(&self.workers[*slot]);
+                Some(*slot) != excluded && !goes_down && self.is_task_available(*slot, id, now)
             };
             *index != task.index && !other.active_runs.iter().any(is_available)
         });
@@ -144,11 +146,9 @@
         let Some(run) = worker.runs.get(&task) else { return false };
         let may_be_stopping =
             run.is_adopted && now < run.since + self.settings.stop_grace_period + STOP_MARGIN;
-        let may_leave =
-            worker.machine.as_deref().is_some_and(|machine| self.open_commands.may_leave(machine));
         worker.is_confirmed
             && !worker.is_leaving
-            && !may_leave
+            && !self.may_leave(worker, now)
             && !may_be_stopping
             && !run.has_ended
             && run.phase == RunPhase::Running
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -1,6 +1,6 @@
 //! Commands to machines, and which of them may still be executed.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
 
 use cassiafold_config::{InstanceId, ServiceId};
@@ -104,12 +104,8 @@
 ///
 /// An outcome settles the attempt to which it belongs and no other. Only the maintenance of one wave
 /// is an exception: the platform carries it out once, so one accepted attempt settles all.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct OpenCommands {
-    /// Machines to which an earlier owner may have sent commands, of which nothing else is known.
-    inherited: HashSet<InstanceId>,
-    /// Until when those commands may be executed.
-    inherited_until: Moment,
     last_number: AttemptNumber,
     attempts: HashMap<InstanceId, Vec<OpenAttempt>>,
     /// When each machine was last sent a command for maintenance.
@@ -117,17 +113,6 @@
 }
 
 impl OpenCommands {
-    /// Creates the commands that are open at the start of a term, at `now`.
-    pub(super) fn new(inherited: impl Iterator<Item = InstanceId>, now: Moment) -> Self {
-        Self {
-            inherited: inherited.collect(),
-            inherited_until: now + LATE_COMMAND_MAX,
-            last_number: 0,
-            attempts: HashMap::new(),
-            maintenance_sent: HashMap::new(),
-        }
-    }
-
     /// Adds an attempt that is sent now.
     pub(super) fn send(&mut self, command: MachineCommand, now: Moment) -> MachineAttempt {
         self.last_number += 1;
@@ -152,9 +137,6 @@
     ) {
         let machine = attempt.command.machine();
         let effect = Effect::from(&attempt.command);
-        if outcome == MachineOutcome::Accepted && effect.is_maintenance() {
-            self.inherited.remove(machine);
-        }
         let Some(attempts) = self.attempts.get_mut(machine) else { return };
         match outcome {
             MachineOutcome::Unknown => {
@@ -180,9 +162,6 @@
 
     /// Forgets the attempts that can no longer be executed.
     pub(super) fn expire(&mut self, now: Moment) {
-        if now >= self.inherited_until {
-            self.inherited.clear();
-        }
         self.attempts.retain(|_, attempts| {
             attempts.retain(|open| now < open.executable_until);
             !attempts.is_empty()
@@ -215,11 +194,6 @@
         effective.map(|open| open.executable_until).max()
     }
 
-    /// Returns whether a command may take a machine away, whoever sent it.
-    pub(super) fn may_leave(&self, machine: &str) -> bool {
-        self.may_leave_until(machine).is_some() || self.inherited.contains(machine)
-    }
-
     /// Returns whether an attempt for a machine may still be executed, even if it changes nothing
     /// while the machine stays.
     pub(super) fn has_attempts(&self, machine: &str) -> bool {
--- a/crates/jobs/src/scheduler/machine_control.rs
+++ b/crates/jobs/src/scheduler/machine_control.rs
@@ -11,6 +11,7 @@
 use crate::event::JobsEvent;
 use crate::incarnation::IncarnationEnd;
 use crate::job::WorkerSlot;
+use crate::worker::Worker;
 
 /// Log target of this module, which operators' filters name.
 const LOG_TARGET: &str = "cassiafold_jobs::scheduler::upkeep";
@@ -154,6 +155,21 @@
         self.current_slots.get(listed.worker.as_ref()?).copied()
     }
 
+    /// Returns whether a worker's machine may leave by a command on the way, whoever sent it.
+    pub(super) fn may_leave(&self, worker: &Worker, now: Moment) -> bool {
+        worker.machine.as_deref().is_some_and(|machine| {
+            self.open_commands.may_leave_until(machine).is_some()
+                || self.machine_leases.is_inherited(machine, now)
+        })
+    }
+
+    /// Returns whether a worker's machine is to go down for maintenance once its lease is stored, or
+    /// has been commanded to.
+    pub(super) fn is_going_down(&self, worker: &Worker) -> bool {
+        let machine = worker.machine.as_deref();
+        machine.is_some_and(|machine| self.machine_leases.recorded_waves(machine).next().is_some())
+    }
+
     /// Returns whether a machine may still be moved or maintained by a command that was sent or is
     /// about to be sent.
     pub(super) fn is_commanded(&self, machine: &str) -> bool {
--- a/crates/jobs/src/scheduler/machine_leases.rs
+++ b/crates/jobs/src/scheduler/machine_leases.rs
@@ -108,6 +108,13 @@
         lease.into_iter().chain(stored)
     }
 
+    /// Returns whether an earlier owner may have commanded the maintenance of a machine, so that the
+    /// command may still be executed.
+    pub(super) fn is_inherited(&self, machine: &str, now: Moment) -> bool {
+        let until = self.leases.get(machine).and_then(|lease| lease.inherited_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Records that the maintenance of a machine for a wave has been carried out.
     pub(super) fn end_maintenance(&mut self, machine: &str, wave: WaveNumber) {
         let Some(lease) = self.leases.get_mut(machine) else { return };
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -13,7 +13,7 @@
 use cassiafold_jobs::record::{
     COMMANDED_MACHINES_KEY, CommandedMachine, CommandedMachinesRecord, JobRecord,
 };
-use cassiafold_jobs::scheduler::{MachineCommand, OwnerTerm};
+use cassiafold_jobs::scheduler::{MachineCommand, OwnerTerm, WriteBatch};
 use cassiafold_jobs::spec::{Resources, StepId, TaskId};
 
 use self::emulator::{SERVICE, config, job, ms, step};
@@ -48,6 +48,14 @@
     harness.scheduler.set_waves(&[wave], harness.now);
 }
 
+/// The record of commanded machines in a write; empty if there is none.
+fn commanded_machines(batch: &WriteBatch) -> CommandedMachinesRecord {
+    let record = batch.puts.iter().find(|(key, _)| &**key == COMMANDED_MACHINES_KEY);
+    record.map_or_else(CommandedMachinesRecord::default, |(_, value)| {
+        serde_json::from_slice(value).expect("JSON")
+    })
+}
+
 /// The term of an owner after one of the same instance that recorded maintenance for a wave.
 fn term_after_maintenance(machines: &[&str], wave: WaveNumber) -> OwnerTerm {
     let command = || CommandedMachine::new("a".into(), Some(wave));
@@ -124,10 +132,7 @@
     harness.now += ms(60);
     let _ = harness.scheduler.plan(Duration::ZERO, harness.now);
     let batch = harness.scheduler.next_write_batch(harness.now).expect("a write");
-    let record = batch.puts.iter().find(|(key, _)| &**key == COMMANDED_MACHINES_KEY);
-    let record: CommandedMachinesRecord =
-        serde_json::from_slice(&record.expect("the record").1).expect("JSON");
-    assert_eq!(record.len(), 1);
+    assert_eq!(commanded_machines(&batch).len(), 1);
 }
 
 /// Guards against a machine that is moved and maintained at the same time.
@@ -304,3 +309,18 @@
     run_with_lists(&mut harness, ms(1_000));
     assert!(harness.machine_commands.contains(&command));
 }
+
+/// Guards against a wave that waits for the end of all terms after a change of the owner: two
+/// recorded machines had tasks of one step, and neither might go down before the other.
+#[test]
+fn machines_with_tasks_of_a_step_are_not_recorded_together() {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![long_running(2, Some(1))]);
+    harness.run_for(ms(1_500));
+    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    set_wave(&mut harness, 1, &["m0", "m1"], 2);
+    harness.now += ms(60);
+    let _ = harness.scheduler.plan(Duration::ZERO, harness.now);
+    let batch = harness.scheduler.next_write_batch(harness.now).expect("a write");
+    assert_eq!(commanded_machines(&batch).len(), 1);
+}
