Leave the usual pause between two moves of a machine

Cause: a move that is sent again and is refused, because the machine is leaving or too many commands are sent, was sent again in each pass, every 0.2 s.

Change: the minimum time between two commands to the same machine, 0.7 s, holds for commands of each kind.

--- a/crates/jobs/src/scheduler/balance.rs
+++ b/crates/jobs/src/scheduler/balance.rs
@@ -61,7 +61,7 @@
         self.unresponsive_machines.update(self.list_unresponsive_machines(), now);
         let mut pools = self.pools(now);
         let is_short = self.divide_machines(&mut pools);
-        let resent = self.resend_moves(&pools);
+        let resent = self.resend_moves(&pools, now);
         let moves = choose_moves(&pools, self.moves_max().saturating_sub(resent));
         self.surplus_machines = count_surplus(&pools);
         if !moves.is_empty() {
@@ -91,7 +91,7 @@
 
     /// Sends the moves without a response again whose machines are still needed. A move that was
     /// executed is not executed again. Returns the number of moves.
-    fn resend_moves(&mut self, pools: &BTreeMap<ServiceId, Pool>) -> usize {
+    fn resend_moves(&mut self, pools: &BTreeMap<ServiceId, Pool>, now: Moment) -> usize {
         let is_needed = |service: &ServiceId| {
             let pool = pools.get(service);
             pool.is_some_and(|pool| !pool.is_spare && pool.machines <= pool.needed)
@@ -99,6 +99,7 @@
         let unanswered = self.moving_machines.iter().filter(|(machine, (service, _))| {
             is_needed(service)
                 && self.open_commands.is_move_unanswered(machine)
+                && !self.open_commands.was_sent_recently(machine, now)
                 && !self.pending_moves.iter().any(|pending| pending.machine() == *machine)
         });
         let moves: Vec<MachineCommand> = unanswered
--- a/crates/jobs/src/scheduler/machine_commands.rs
+++ b/crates/jobs/src/scheduler/machine_commands.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::time::Duration;
 
 use cassiafold_config::{InstanceId, ServiceId};
 use cassiafold_platform::Moment;
@@ -10,6 +11,9 @@
 use crate::clients::{LATE_COMMAND_MAX, MachineOutcome};
 use crate::cluster::WaveNumber;
 
+/// Minimum time between two commands to the same machine.
+const COMMAND_RETRY_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Number of an attempt to execute a command; it rises with each attempt of an owner.
 pub type AttemptNumber = u64;
 
@@ -108,8 +112,8 @@
 pub(super) struct OpenCommands {
     last_number: AttemptNumber,
     attempts: HashMap<InstanceId, Vec<OpenAttempt>>,
-    /// When each machine was last sent a command for maintenance.
-    maintenance_sent: HashMap<InstanceId, Moment>,
+    /// When each machine was last sent a command.
+    last_sent: HashMap<InstanceId, Moment>,
 }
 
 impl OpenCommands {
@@ -119,9 +123,7 @@
         let number = self.last_number;
         let effect = Effect::from(&command);
         let machine = command.machine().clone();
-        if effect.is_maintenance() {
-            self.maintenance_sent.insert(machine.clone(), now);
-        }
+        self.last_sent.insert(machine.clone(), now);
         let attempt =
             OpenAttempt { number, effect, executable_until: Moment::MAX, is_repeat: false };
         self.attempts.entry(machine).or_default().push(attempt);
@@ -213,9 +215,10 @@
         self.open_waves(machine).any(|open| open == wave)
     }
 
-    /// Returns when a machine was last sent a command for maintenance.
-    pub(super) fn maintenance_sent(&self, machine: &str) -> Option<Moment> {
-        self.maintenance_sent.get(machine).copied()
+    /// Returns whether a machine was sent a command so recently that another one has to wait.
+    pub(super) fn was_sent_recently(&self, machine: &str, now: Moment) -> bool {
+        let last = self.last_sent.get(machine);
+        last.is_some_and(|sent| now.saturating_sub(*sent) < COMMAND_RETRY_INTERVAL)
     }
 }
 
--- a/crates/jobs/src/scheduler/maintenance.rs
+++ b/crates/jobs/src/scheduler/maintenance.rs
@@ -19,8 +19,6 @@
 const DRAINING_AHEAD: usize = 1;
 /// Share of a wave's time limit after which machines are taken down even if short tasks run there.
 const FORCE_AFTER_SHARE: f64 = 0.75;
-/// Minimum time between two commands to the same machine.
-const COMMAND_RETRY_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest time for which a machine is drained before it is taken down.
 const DRAINING_MAX: Duration = Duration::from_millis(4_500);
 /// Minimum time between two log lines about the pace of a wave.
@@ -212,8 +210,7 @@
         if let Some(slot) = self.worker_on_machine(&machine) {
             self.workers[slot].is_cordoned = true;
         }
-        let last_sent = self.open_commands.maintenance_sent(&machine);
-        if last_sent.is_some_and(|sent| now.saturating_sub(sent) < COMMAND_RETRY_INTERVAL) {
+        if self.open_commands.was_sent_recently(&machine, now) {
             return;
         }
         let command = MachineCommand::Maintain { machine, wave: number };
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -189,6 +189,19 @@
     assert_eq!(harness.machine_commands, [command.clone(), command]);
 }
 
+/// Guards against a machine that is sent a command in each pass.
+#[test]
+fn a_move_that_is_refused_after_one_without_a_response_is_not_sent_again_at_once() {
+    let (mut harness, command) = harness_with_an_unanswered_move();
+    run_with_lists(&mut harness, ms(750));
+    assert_eq!(harness.machine_commands.len(), 2);
+    harness.answer(&command, MachineOutcome::Busy);
+    run_with_lists(&mut harness, ms(500));
+    assert_eq!(harness.machine_commands.len(), 2);
+    run_with_lists(&mut harness, ms(500));
+    assert_eq!(harness.machine_commands.len(), 3);
+}
+
 /// Guards against two tasks of a step that end together: one by a command of an earlier owner.
 #[test]
 fn a_task_on_a_machine_that_an_earlier_owner_may_take_down_counts_as_unavailable() {
