--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -310,6 +310,7 @@
     interference: Interference,
     interference_report: InterferenceReport,
     waves: BTreeMap<WaveNumber, WaveProgress>,
+    /// Commands to machines that may still be executed.
     open_commands: OpenCommands,
     /// Leaky bucket of each team: its level rises by one with each job and drains at the team's
     /// weight per second.
--- a/crates/jobs/src/scheduler/machine_control.rs
+++ b/crates/jobs/src/scheduler/machine_control.rs
@@ -57,6 +57,7 @@
                 machine.and_then(|machine| self.open_commands.may_leave_until(machine));
             let worker = &mut self.workers[slot];
             if open_until.is_some() {
+                // Another command may still take its machine away.
                 worker.leaving_since = open_until;
                 continue;
             }
@@ -150,6 +151,7 @@
         self.is_machine_list_requested = true;
     }
 
+    /// Returns the worker that the list of machines shows on a machine.
     pub(super) fn worker_on_machine(&self, machine: &str) -> Option<WorkerSlot> {
         let listed = self.machines.get(machine)?;
         self.current_slots.get(listed.worker.as_ref()?).copied()
