Set up tests with two tasks of a step in one place

Cause: the set-up of two long-running tasks of a previous owner stood in machines.rs and machine_commands.rs, that of two tasks of this owner three times in the latter.

Change: the harness adopts them; no assertion changes, and two tests now also check that both tasks run.

--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -13,7 +13,7 @@
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::{JobState, StateRecord, TaskRecord, WorkerRecord};
 use cassiafold_jobs::scheduler::{Command, MachineAttempt, MachineCommand, OwnerTerm, Scheduler};
-use cassiafold_jobs::spec::{JobId, Resources, StepSpec, TaskId};
+use cassiafold_jobs::spec::{JobId, Resources, StepId, StepSpec, TaskId};
 use cassiafold_jobs::worker::Worker;
 
 use crate::emulator::worker::EmulatedWorker;
@@ -112,6 +112,22 @@
         self.scheduler.add_job(id, job(steps), REVISION_AFTER_TAKEOVER, None, self.now);
     }
 
+    /// Adds a job of two long-running tasks that a previous owner started, one on each of the first
+    /// two workers, which report them. One of them may be unavailable at a time.
+    pub fn adopt_two_tasks(&mut self) {
+        let stored = state_from_previous_owner(Vec::new());
+        let record = job(vec![long_running(2, Some(1))]);
+        self.scheduler.add_job(1, record, 40, Some(&stored), self.now);
+        for (slot, index) in [(0, 0), (1, 1)] {
+            let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
+            self.running.insert(slot, vec![(task, 1)]);
+            let row = RunningRun { task, run: 1, checkpoint: None, percent: 100, load_metric: 0 };
+            let poll =
+                PollResponse { clock: self.now, running: vec![row], ..PollResponse::default() };
+            self.scheduler.handle_poll_response(slot, false, self.now, self.now, poll);
+        }
+    }
+
     /// Advances the time by `length`, with every command executed immediately.
     pub fn run_for(&mut self, length: Duration) {
         let end = self.now + length;
--- a/crates/jobs/tests/machine_commands.rs
+++ b/crates/jobs/tests/machine_commands.rs
@@ -8,18 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{MachineOutcome, PollResponse, RunningRun};
+use cassiafold_jobs::clients::MachineOutcome;
 use cassiafold_jobs::cluster::{MachineState, Service, Wave, WaveNumber};
 use cassiafold_jobs::record::{
     COMMANDED_MACHINES_KEY, CommandedMachine, CommandedMachinesRecord, JobRecord,
 };
 use cassiafold_jobs::scheduler::{MachineCommand, OwnerTerm, WriteBatch};
-use cassiafold_jobs::spec::{Resources, StepId, TaskId};
+use cassiafold_jobs::spec::Resources;
 
 use self::emulator::{SERVICE, config, job, ms, step};
-use self::harness::{
-    REVISION_AFTER_TAKEOVER, SchedulerHarness, long_running, state_from_previous_owner,
-};
+use self::harness::{REVISION_AFTER_TAKEOVER, SchedulerHarness, long_running};
 
 /// A service beside [`SERVICE`].
 const OTHER: &str = "other";
@@ -48,6 +46,16 @@
     harness.scheduler.set_waves(&[wave], harness.now);
 }
 
+/// A harness of two workers that each run a task of a step, of which one may be unavailable.
+fn harness_with_two_tasks() -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
+    harness.submit(1, vec![long_running(2, Some(1))]);
+    harness.run_for(ms(1_500));
+    assert_eq!(harness.running(), 2);
+    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    harness
+}
+
 /// The record of commanded machines in a write; empty if there is none.
 fn commanded_machines(batch: &WriteBatch) -> CommandedMachinesRecord {
     let record = batch.puts.iter().find(|(key, _)| &**key == COMMANDED_MACHINES_KEY);
@@ -206,17 +214,7 @@
 #[test]
 fn a_task_on_a_machine_that_an_earlier_owner_may_take_down_counts_as_unavailable() {
     let mut harness = SchedulerHarness::at_term_start(2, term_after_maintenance(&["m0"], 1));
-    let stored = state_from_previous_owner(Vec::new());
-    let record = job(vec![long_running(2, Some(1))]);
-    harness.scheduler.add_job(1, record, 40, Some(&stored), harness.now);
-    for (slot, index) in [(0, 0), (1, 1)] {
-        let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
-        harness.running.insert(slot, vec![(task, 1)]);
-        let row = RunningRun { task, run: 1, checkpoint: None, percent: 100, load_metric: 0 };
-        let poll =
-            PollResponse { clock: harness.now, running: vec![row], ..PollResponse::default() };
-        harness.scheduler.handle_poll_response(slot, false, harness.now, harness.now, poll);
-    }
+    harness.adopt_two_tasks();
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
     set_wave(&mut harness, 2, &["m1"], 1);
     run_with_lists(&mut harness, ms(12_000));
@@ -229,11 +227,7 @@
 /// task had become unavailable.
 #[test]
 fn a_maintenance_is_not_sent_again_while_the_budget_of_a_task_there_is_used_up() {
-    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
-    harness.submit(1, vec![long_running(2, Some(1))]);
-    harness.run_for(ms(1_500));
-    assert_eq!(harness.running(), 2);
-    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    let mut harness = harness_with_two_tasks();
     harness.set_wave(&[0], 1);
     harness.run_for(ms(300));
     assert_eq!(harness.machine_commands.len(), 1);
@@ -281,10 +275,7 @@
 /// pass.
 #[test]
 fn a_pass_takes_down_one_of_two_machines_with_tasks_of_a_step() {
-    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
-    harness.submit(1, vec![long_running(2, Some(1))]);
-    harness.run_for(ms(1_500));
-    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    let mut harness = harness_with_two_tasks();
     set_wave(&mut harness, 1, &["m0", "m1"], 2);
     harness.run_for(ms(500));
     assert_eq!(maintained(&harness).len(), 1);
@@ -327,10 +318,7 @@
 /// recorded machines had tasks of one step, and neither might go down before the other.
 #[test]
 fn machines_with_tasks_of_a_step_are_not_recorded_together() {
-    let mut harness = SchedulerHarness::new(2, OwnerTerm::default());
-    harness.submit(1, vec![long_running(2, Some(1))]);
-    harness.run_for(ms(1_500));
-    harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
+    let mut harness = harness_with_two_tasks();
     set_wave(&mut harness, 1, &["m0", "m1"], 2);
     harness.now += ms(60);
     let _ = harness.scheduler.plan(Duration::ZERO, harness.now);
--- a/crates/jobs/tests/machines.rs
+++ b/crates/jobs/tests/machines.rs
@@ -5,14 +5,14 @@
 
 use std::time::Duration;
 
-use cassiafold_jobs::clients::{MachineOutcome, PollError, PollResponse, RunningRun};
+use cassiafold_jobs::clients::{MachineOutcome, PollError};
 use cassiafold_jobs::cluster::{Machine, MachineState};
 use cassiafold_jobs::job::WorkerSlot;
 use cassiafold_jobs::record::{
     COMMANDED_MACHINES_KEY, CommandedMachine, CommandedMachinesRecord, WaveRecord, WavesRecord,
 };
 use cassiafold_jobs::scheduler::{Command, MachineCommand, OwnerTerm, Scheduler, WriteUrgency};
-use cassiafold_jobs::spec::{JobId, Resources, StepId, TaskId};
+use cassiafold_jobs::spec::{JobId, Resources};
 
 use self::emulator::worker::EmulatedWorker;
 use self::emulator::{SERVICE, config, cores, job, ms, settings, step};
@@ -328,18 +328,7 @@
 #[test]
 fn a_run_that_a_previous_owner_may_be_stopping_does_not_count_as_available() {
     let mut harness = SchedulerHarness::new(2, OwnerTerm { token: 50, ..OwnerTerm::default() });
-    let stored = state_from_previous_owner(Vec::new());
-    let record = job(vec![long_running(2, Some(1))]);
-    harness.scheduler.add_job(1, record, 40, Some(&stored), harness.now);
-    for slot in 0..2 {
-        let index = u32::try_from(slot).expect("small");
-        let task = TaskId { step: StepId { job: 1, occurrence: 0, step: 0 }, index };
-        harness.running.insert(slot, vec![(task, 1)]);
-        let row = RunningRun { task, run: 1, checkpoint: None, percent: 100, load_metric: 0 };
-        let poll =
-            PollResponse { clock: harness.now, running: vec![row], ..PollResponse::default() };
-        harness.scheduler.handle_poll_response(slot, false, harness.now, harness.now, poll);
-    }
+    harness.adopt_two_tasks();
     harness.set_machines(SchedulerHarness::machines(2, MachineState::Up));
     harness.set_wave(&[0, 1], 1);
     harness.run_for(settings().stop_grace_period);
